Lay the groundwork: objects, errors, board, protocols and settings

Cause: the parts of the system are built side by side and need fixed borders first. Ruled out: shared mutable state between controllers; the board has one writer a section.

--- /dev/null
+++ b/src/adapters/engines/index.ts
@@ -0,0 +1,2 @@
+export * from './protocol.js';
+export type * from './types.js';
--- /dev/null
+++ b/src/adapters/platform/types.ts
@@ -0,0 +1,45 @@
+/**
+ * The platform as the entries use it.
+ */
+import type { ResultAsync } from 'neverthrow';
+import type { Failure } from '../../core/errors/index.js';
+import type { Milliseconds } from '../../core/clock/index.js';
+import type { ObjectKind, StoredObject } from '../../objects/index.js';
+import type { ObjectList } from './protocol.js';
+
+/** One conditional write. `expected` 0 means that the object must not exist. */
+export interface PlatformWrite {
+  kind: ObjectKind;
+  name: string;
+  expected: number;
+  nonce: string;
+  deleted?: boolean;
+  value: unknown;
+}
+
+/**
+ * How a conditional write ended. A lost answer is settled by reading again and comparing the
+ * nonce; only when that fails as well is the failure `platformOutcomeUnknown`.
+ */
+export type WriteOutcome =
+  | { kind: 'written'; object: StoredObject }
+  | { kind: 'conflict'; current: StoredObject | undefined };
+
+export type PlatformFailure = Failure<
+  'platformUnavailable' | 'platformOutcomeUnknown' | 'messageInvalid' | 'objectInvalid'
+>;
+
+/** The object API. Calls end within their timeout; none is repeated except as {@link WriteOutcome} says. */
+export interface Platform {
+  list(kind: ObjectKind): ResultAsync<ObjectList, PlatformFailure>;
+  read(kind: ObjectKind, name: string): ResultAsync<StoredObject | undefined, PlatformFailure>;
+  write(write: PlatformWrite): ResultAsync<WriteOutcome, PlatformFailure>;
+  /** Several writes in one call; each succeeds or conflicts on its own. */
+  writeBatch(writes: readonly PlatformWrite[]): ResultAsync<WriteOutcome[], PlatformFailure>;
+  /** Changes after `since`; empty after `waitMs` without any. */
+  watch(
+    kinds: readonly ObjectKind[],
+    since: number,
+    waitMs: Milliseconds,
+  ): ResultAsync<ObjectList, PlatformFailure>;
+}
--- /dev/null
+++ b/src/board/index.ts
@@ -0,0 +1,3 @@
+export * from './board.js';
+export * from './section.js';
+export type * from './types.js';
--- /dev/null
+++ b/src/core/clock/index.ts
@@ -0,0 +1,1 @@
+export * from './clock.js';
--- /dev/null
+++ b/src/core/errors/index.ts
@@ -0,0 +1,2 @@
+export * from './catalogue.js';
+export * from './failure.js';
--- /dev/null
+++ b/src/core/labels/index.ts
@@ -0,0 +1,1 @@
+export * from './labels.js';
--- /dev/null
+++ b/src/core/logger/index.ts
@@ -0,0 +1,2 @@
+export * from './events.js';
+export * from './logger.js';
--- /dev/null
+++ b/src/core/logger/logger.ts
@@ -0,0 +1,42 @@
+/**
+ * Logs as numbered events, one JSON line each.
+ */
+import { createLogger as createWinston, format, transports } from 'winston';
+import { LOG_EVENTS, type LogEventName } from './events.js';
+
+/** Values that go into a log line beside the event's number and message. */
+export type LogValues = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Where events are logged. */
+export interface Logger {
+  log(event: LogEventName, values?: LogValues): void;
+}
+
+/**
+ * A logger to standard error. `source` names the process in every line.
+ *
+ * @example createLogger('entry-1', 'info').log('entryStarted', { address: '127.0.0.1:8080' });
+ */
+export function createLogger(source: string, level: 'error' | 'warn' | 'info' | 'debug'): Logger {
+  const winston = createWinston({
+    level,
+    format: format.combine(format.timestamp(), format.json()),
+    defaultMeta: { source },
+    transports: [new transports.Console({ stderrLevels: ['error', 'warn', 'info', 'debug'] })],
+  });
+  return {
+    log: (name, values = {}) => {
+      const event = LOG_EVENTS[name];
+      winston.log({
+        ...values,
+        level: event.level,
+        message: event.message,
+        event: event.number,
+        name,
+      });
+    },
+  };
+}
+
+/** A logger that drops everything. */
+export const silentLogger: Logger = { log: () => undefined };
--- /dev/null
+++ b/src/core/random/index.ts
@@ -0,0 +1,1 @@
+export * from './random.js';
--- /dev/null
+++ b/src/core/settings/entry-settings.ts
@@ -0,0 +1,101 @@
+/**
+ * The settings of an entry: schema, defaults and documentation in one place.
+ */
+import { z } from 'zod';
+import { nameSchema } from '../../objects/index.js';
+
+const milliseconds = z.number().int().positive();
+const address = z
+  .string()
+  .regex(/^[^:\s]+:\d{1,5}$/, 'must be host:port, for example "10.0.0.7:8080"');
+
+export const entrySettingsSchema = z.strictObject({
+  name: nameSchema.describe("This entry's name, unique among the entries."),
+  region: nameSchema.default('default').describe('The region it runs in.'),
+  failureDomain: nameSchema.describe('The failure domain it runs in.'),
+  listen: z
+    .strictObject({
+      callers: address.describe('Where callers and operators reach it.'),
+      peers: address.describe('Where the other entries reach it.'),
+    })
+    .describe('Its own addresses, as IP numbers.'),
+  platform: z.strictObject({
+    address: address.describe("The platform's object API."),
+    timeoutMs: milliseconds.default(2_000).describe('Longest wait for one call.'),
+    watchMs: milliseconds.default(20_000).describe('How long one watch waits for a change.'),
+  }),
+  peers: z.array(address).default([]).describe('Peer addresses to start from.'),
+  logLevel: z
+    .enum(['error', 'warn', 'info', 'debug'])
+    .default('info')
+    .describe('Least level logged.'),
+  callers: z
+    .strictObject({
+      maxBodyBytes: z
+        .number()
+        .int()
+        .positive()
+        .default(1_048_576)
+        .describe('Largest request body of a completion.'),
+      bodyTimeoutMs: milliseconds
+        .default(10_000)
+        .describe('Longest time for a request to arrive whole.'),
+      workspaceHeader: z
+        .string()
+        .optional()
+        .describe('Trust this header for the workspace; only behind a balancer that sets it.'),
+      queueLength: z
+        .number()
+        .int()
+        .positive()
+        .default(64)
+        .describe('Requests waiting here at most, for each workspace.'),
+    })
+    .prefault({}),
+  replicas: z
+    .strictObject({
+      leaseMs: milliseconds
+        .default(6_000)
+        .describe('How long others leave a silent owner of a fabric domain alone.'),
+      orderTimeoutMs: milliseconds
+        .default(1_000)
+        .describe('Longest time one order to an engine takes.'),
+      planEveryMs: milliseconds.default(500).describe('How often an owner looks at its domains.'),
+    })
+    .prefault({}),
+  health: z
+    .strictObject({
+      probeEveryMs: milliseconds
+        .default(500)
+        .describe('How often an engine is asked for its report.'),
+      probeTimeoutMs: milliseconds.default(400).describe('Longest wait for one report.'),
+      freshMs: milliseconds
+        .default(2_000)
+        .describe('A replica with a member unheard for longer gets no requests.'),
+    })
+    .prefault({}),
+  membership: z
+    .strictObject({
+      digestEveryMs: milliseconds.default(500).describe('How often digests go to other entries.'),
+      fanOut: z
+        .number()
+        .int()
+        .positive()
+        .default(3)
+        .describe('Entries that one round of digests goes to.'),
+      forgetMs: milliseconds
+        .default(10_000)
+        .describe('An entry unheard for longer is not counted as live.'),
+    })
+    .prefault({}),
+  stopping: z
+    .strictObject({
+      balancerMs: milliseconds
+        .default(3_000)
+        .describe('How long readiness is off before the listener closes.'),
+      drainMs: milliseconds.default(600_000).describe('Longest wait for requests in flight.'),
+    })
+    .prefault({}),
+});
+
+export type EntrySettings = z.infer<typeof entrySettingsSchema>;
--- /dev/null
+++ b/src/core/settings/index.ts
@@ -0,0 +1,1 @@
+export * from './entry-settings.js';
--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,9 @@
+/**
+ * What others embed: the board and every decision, without sockets, timers or a wall clock.
+ */
+export * from './board/index.js';
+export * from './core/clock/index.js';
+export * from './core/errors/index.js';
+export * from './core/labels/index.js';
+export * from './core/random/index.js';
+export * from './objects/index.js';
--- /dev/null
+++ b/src/objects/index.ts
@@ -0,0 +1,1 @@
+export * from './schemas.js';
