Fix the borders between routing, limits, retries and calls

Cause: the request path and its decisions are built by different hands at once. Change: the typed messages that cross each border, and an operators' listener of its own.

--- /dev/null
+++ b/src/controllers/routing/index.ts
@@ -0,0 +1,1 @@
+export type * from './types.js';
--- a/src/core/logger/logger.ts
+++ b/src/core/logger/logger.ts
@@ -22,6 +22,8 @@
     level,
     format: format.combine(format.timestamp(), format.json()),
     defaultMeta: { source },
+    // winston declares its transports as classes and builds them from a factory's type.
+    // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
     transports: [new transports.Console({ stderrLevels: ['error', 'warn', 'info', 'debug'] })],
   });
   return {
--- a/src/core/settings/entry-settings.ts
+++ b/src/core/settings/entry-settings.ts
@@ -15,7 +15,8 @@
   failureDomain: nameSchema.describe('The failure domain it runs in.'),
   listen: z
     .strictObject({
-      callers: address.describe('Where callers and operators reach it.'),
+      callers: address.describe('Where callers reach it; /livez and /readyz are here too.'),
+      operators: address.describe('Where operators reach it: objects, status and metrics.'),
       peers: address.describe('Where the other entries reach it.'),
     })
     .describe('Its own addresses, as IP numbers.'),
--- a/src/objects/schemas.ts
+++ b/src/objects/schemas.ts
@@ -117,6 +117,11 @@
   state: z.enum(['live', 'leaving']).default('live'),
   region: nameSchema.default('default'),
   failureDomain: nameSchema,
+  /** Only entries have one: where the other entries reach it. */
+  peerAddress: z
+    .string()
+    .regex(/^[^:\s]+:\d{1,5}$/)
+    .optional(),
   /** Only engines have one. */
   fabricDomain: nameSchema.optional(),
   labels: labelsSchema.default({}),
