Add the program, its check command and the loading of settings

Cause: an entry must not start on settings that are half right. Change: settings and object files are read whole; every fault names file, key, value and fix. Ruled out: stopping at the first fault, which makes an operator run the check once per fault.

--- /dev/null
+++ b/src/cli/check/index.ts
@@ -0,0 +1,1 @@
+export * from './check.js';
--- /dev/null
+++ b/src/cli/object-file.ts
@@ -0,0 +1,116 @@
+/**
+ * Files of objects: TOML with an array of tables for each kind, checked before anything is sent.
+ *
+ *     [[model]]
+ *     name = "pass-assistant"
+ *     replicas = 4
+ */
+import { err, ok, type Result, type ResultAsync } from 'neverthrow';
+import { z } from 'zod';
+import {
+  describeIssues,
+  parseToml,
+  readSettingsFile,
+  toFailures,
+  type SettingsFailures,
+  type SettingsFault,
+} from '../core/settings/index.js';
+import {
+  CONFIGURATION_KINDS,
+  configurationKindSchema,
+  nameSchema,
+  OBJECT_SCHEMAS,
+  type ConfigurationKind,
+} from '../objects/index.js';
+
+/** One object as written by an operator, valid for its kind. */
+export interface ObjectEntry {
+  kind: ConfigurationKind;
+  name: string;
+  value: unknown;
+}
+
+const POLICY_NAME = 'default';
+const KINDS_FIX = `use one of [[${CONFIGURATION_KINDS.join(']], [[')}]]`;
+const namedTableSchema = z.looseObject({ name: nameSchema });
+
+/** The objects in `file`, or every fault found in it. */
+export function loadObjectFile(file: string): ResultAsync<ObjectEntry[], SettingsFailures> {
+  return readSettingsFile(file).andThen((text) => parseObjectFile(file, text));
+}
+
+/** The objects in `text`; `file` only names it in failures. */
+export function parseObjectFile(
+  file: string,
+  text: string,
+): Result<ObjectEntry[], SettingsFailures> {
+  const document = parseToml(text);
+  if (document.isErr()) {
+    const { line, text: shown, reason } = document.error;
+    return err(toFailures(file, [{ key: `line ${line}`, value: shown, fix: reason }]));
+  }
+  const objects: ObjectEntry[] = [];
+  const faults: SettingsFault[] = [];
+  for (const [kind, tables] of Object.entries(document.value)) {
+    readKind(kind, tables, objects, faults);
+  }
+  faults.push(...findDuplicates(objects));
+  return faults.length > 0 ? err(toFailures(file, faults)) : ok(objects);
+}
+
+function readKind(
+  kind: string,
+  tables: unknown,
+  objects: ObjectEntry[],
+  faults: SettingsFault[],
+): void {
+  const known = configurationKindSchema.safeParse(kind);
+  if (!known.success || !Array.isArray(tables)) {
+    faults.push({ key: kind, value: known.success ? 'no array' : 'unknown kind', fix: KINDS_FIX });
+    return;
+  }
+  tables.forEach((table, index) => {
+    readObject(known.data, index, table).match(
+      (object) => objects.push(object),
+      (found) => faults.push(...found),
+    );
+  });
+}
+
+function readObject(
+  kind: ConfigurationKind,
+  index: number,
+  table: unknown,
+): Result<ObjectEntry, SettingsFault[]> {
+  const named = namedTableSchema.safeParse(table);
+  if (!named.success) {
+    return err(prefixKeys(`${kind}[${index}]`, describeIssues(named.error, table)));
+  }
+  const { name, ...fields } = named.data;
+  const value = OBJECT_SCHEMAS[kind].safeParse(fields);
+  if (!value.success) {
+    return err(prefixKeys(`${kind} "${name}"`, describeIssues(value.error, fields)));
+  }
+  if (kind === 'policy' && name !== POLICY_NAME) {
+    const fix = `there is one policy object and its name is "${POLICY_NAME}"`;
+    return err([{ key: `policy "${name}" name`, value: name, fix }]);
+  }
+  return ok({ kind, name, value: value.data });
+}
+
+function prefixKeys(prefix: string, faults: readonly SettingsFault[]): SettingsFault[] {
+  return faults.map((fault) => ({ ...fault, key: `${prefix} ${fault.key}` }));
+}
+
+function findDuplicates(objects: readonly ObjectEntry[]): SettingsFault[] {
+  const seen = new Set<string>();
+  const faults: SettingsFault[] = [];
+  for (const { kind, name } of objects) {
+    const id = `${kind}/${name}`;
+    if (seen.has(id)) {
+      faults.push({ key: `${kind} "${name}"`, value: 'twice', fix: 'keep one of the two' });
+    }
+    seen.add(id);
+  }
+  return faults;
+}
--- /dev/null
+++ b/src/core/settings/issues.ts
@@ -0,0 +1,66 @@
+/**
+ * From the issues that a schema finds to key, value and fix, as an operator reads them.
+ */
+import type { z } from 'zod';
+
+/** One fault of a settings or object file. */
+export interface SettingsFault {
+  /** Dotted path of the key. */
+  key: string;
+  /** The value as found, shortened. */
+  value: string;
+  /** What to write instead. */
+  fix: string;
+}
+
+const MAX_SHOWN_VALUE = 60;
+const MILLISECONDS_EXAMPLE = 'a whole number of milliseconds without quotes, for example 2000';
+
+/** The faults that `error` stands for. `input` is the value that the schema was given. */
+export function describeIssues(error: z.ZodError, input: unknown): SettingsFault[] {
+  return error.issues.flatMap((issue) => describeIssue(issue, input));
+}
+
+function describeIssue(issue: z.core.$ZodIssue, input: unknown): SettingsFault[] {
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map((key) => describeUnknownKey(key, issue.path, input));
+  }
+  const value = valueAt(input, issue.path);
+  const key = formatPath(issue.path);
+  if (value === undefined) return [{ key, value: '(missing)', fix: `set it: ${issue.message}` }];
+  return [{ key, value: formatValue(value), fix: describeFix(key, issue) }];
+}
+
+function describeFix(key: string, issue: z.core.$ZodIssue): string {
+  const isDuration = key.endsWith('Ms');
+  return isDuration ? `must be ${MILLISECONDS_EXAMPLE} (${issue.message})` : issue.message;
+}
+
+function describeUnknownKey(key: string, path: PropertyKey[], input: unknown): SettingsFault {
+  return {
+    key: formatPath([...path, key]),
+    value: formatValue(valueAt(input, [...path, key])),
+    fix: 'there is no such key; docs/settings.md lists the keys and their units',
+  };
+}
+
+function valueAt(input: unknown, path: readonly PropertyKey[]): unknown {
+  let value: unknown = input;
+  for (const step of path) {
+    if (typeof value !== 'object' || value === null || !Object.hasOwn(value, step)) {
+      return undefined;
+    }
+    value = (value as Record<PropertyKey, unknown>)[step];
+  }
+  return value;
+}
+
+function formatPath(path: readonly PropertyKey[]): string {
+  return path.length === 0 ? '(file)' : path.map(String).join('.');
+}
+
+function formatValue(value: unknown): string {
+  const text = JSON.stringify(value) as string | undefined;
+  if (text === undefined) return '(missing)';
+  return text.length > MAX_SHOWN_VALUE ? `${text.slice(0, MAX_SHOWN_VALUE)}…` : text;
+}
--- /dev/null
+++ b/src/core/settings/load.ts
@@ -0,0 +1,57 @@
+/**
+ * Loading of an entry's settings: all of the file is valid, or nothing starts.
+ */
+import { readFile } from 'node:fs/promises';
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+import { createFailure, type Failure } from '../errors/index.js';
+import { findImpossibleCombinations } from './combinations.js';
+import { entrySettingsSchema, type EntrySettings } from './entry-settings.js';
+import { describeIssues, type SettingsFault } from './issues.js';
+import { parseToml } from './toml.js';
+
+/** Every fault found in one file, at least one. */
+export type SettingsFailures = readonly Failure<'settingsInvalid'>[];
+
+/**
+ * The settings in `file`, or every fault found in it.
+ *
+ * @example
+ * const settings = await loadEntrySettings('entry.toml');
+ * settings.match(startEntry, (failures) => failures.forEach(({ message }) => console.error(message)));
+ */
+export function loadEntrySettings(file: string): ResultAsync<EntrySettings, SettingsFailures> {
+  return readSettingsFile(file).andThen((text) => parseEntrySettings(file, text));
+}
+
+/** The text of `file`. */
+export function readSettingsFile(file: string): ResultAsync<string, SettingsFailures> {
+  return ResultAsync.fromPromise(readFile(file, 'utf8'), (error) => [
+    createFailure('settingsInvalid', {
+      file,
+      key: '(file)',
+      value: '(unreadable)',
+      fix: `name a file that can be read (${error instanceof Error ? error.message : 'unknown'})`,
+    }),
+  ]);
+}
+
+/** The settings in `text`; `file` only names it in failures. */
+export function parseEntrySettings(
+  file: string,
+  text: string,
+): Result<EntrySettings, SettingsFailures> {
+  const table = parseToml(text);
+  if (table.isErr()) {
+    const { line, text: shown, reason } = table.error;
+    return err(toFailures(file, [{ key: `line ${line}`, value: shown, fix: reason }]));
+  }
+  const settings = entrySettingsSchema.safeParse(table.value);
+  if (!settings.success) return err(toFailures(file, describeIssues(settings.error, table.value)));
+  const faults = findImpossibleCombinations(settings.data);
+  return faults.length > 0 ? err(toFailures(file, faults)) : ok(settings.data);
+}
+
+/** `faults` of `file` as failures. */
+export function toFailures(file: string, faults: readonly SettingsFault[]): SettingsFailures {
+  return faults.map((fault) => createFailure('settingsInvalid', { file, ...fault }));
+}
