--- a/src/controllers/routing/index.ts
+++ b/src/controllers/routing/index.ts
@@ -1,1 +1,2 @@
+export * from './prefixes.js';
 export type * from './types.js';
