Gate serving by health and probe the engines

Cause: nothing decided yet which replicas may serve. Change: a replica is listed only when every member was heard of lately and reports the plan's replica, number, rank and incarnation; failures count at once. The answer is kept until a section changes or a report grows old. Engines have two probers each once entries know one another; an entry that hears nothing asks itself.

--- a/src/board/types.ts
+++ b/src/board/types.ts
@@ -52,6 +52,8 @@
   heardAt: Milliseconds;
   /** When the first request or probe failed since the last good report; absent when none has. */
   failingSince?: Milliseconds;
+  /** When the last of these failed: only a report asked for later ends the failing. */
+  failedAt?: Milliseconds;
 }
 
 /** By instance name. Written by `health`. */
--- /dev/null
+++ b/src/controllers/health/index.ts
@@ -0,0 +1,4 @@
+export * from './eligible.js';
+export * from './gate.js';
+export * from './probes.js';
+export * from './record.js';
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -25,6 +25,73 @@
     level: 'error',
     message: 'An error that no code expected was caught; please report it.',
   },
+  domainTaken: { number: 1300, level: 'info', message: 'This entry owns a fabric domain now.' },
+  domainLost: {
+    number: 1301,
+    level: 'warn',
+    message: 'This entry no longer owns a fabric domain.',
+  },
+  planWritten: { number: 1302, level: 'info', message: 'A new plan of a fabric domain is stored.' },
+  planRefused: {
+    number: 1303,
+    level: 'error',
+    message: 'A plan broke a rule and was not written; please report it.',
+  },
+  orderFailed: {
+    number: 1304,
+    level: 'warn',
+    message: 'An engine did not take an order; it is sent again while it is due.',
+  },
+  ownerPaused: {
+    number: 1305,
+    level: 'warn',
+    message: 'This entry stood still for long; it reads its plans again before it acts.',
+  },
+  planUnreadable: {
+    number: 1306,
+    level: 'error',
+    message: 'A stored plan is not valid; the one before stays in force.',
+  },
+  instanceFailing: {
+    number: 1400,
+    level: 'warn',
+    message: 'A backend server failed a request or a probe.',
+  },
+  instanceRecovered: {
+    number: 1401,
+    level: 'info',
+    message: 'A backend server answers again.',
+  },
+  callRecordsUnavailable: {
+    number: 1600,
+    level: 'warn',
+    message: 'Call records cannot be written; calls that may run only once are refused.',
+  },
+  callRecordsAvailable: {
+    number: 1601,
+    level: 'info',
+    message: 'Call records are written again.',
+  },
+  callRecordsCollected: {
+    number: 1602,
+    level: 'debug',
+    message: 'Call records older than the retention were removed.',
+  },
+  platformWriteRepeated: {
+    number: 1700,
+    level: 'warn',
+    message: 'The answer to a write was lost; the same write is sent again.',
+  },
+  platformWatchFailed: {
+    number: 1701,
+    level: 'warn',
+    message: 'A watch of the platform failed and will be made again.',
+  },
+  platformWatchRecovered: {
+    number: 1702,
+    level: 'info',
+    message: 'Watches of the platform succeed again.',
+  },
 } as const satisfies Record<string, LogEvent>;
 
 /** The name of an event of the catalogue. */
--- /dev/null
+++ b/src/entry/health/health-part.ts
@@ -0,0 +1,167 @@
+/**
+ * Asks the engines for their reports and keeps the `health` and `load` sections.
+ */
+import type { EngineReport } from '../../adapters/engines/index.js';
+import type { InstanceHealth, ReplicaLoad } from '../../board/index.js';
+import {
+  assignProbes,
+  listDueProbes,
+  recordAnswer,
+  recordFailure,
+  recordReport,
+  type ProbeState,
+  type ProbeTarget,
+  type Prober,
+} from '../../controllers/health/index.js';
+import type { Milliseconds } from '../../core/clock/index.js';
+import type { EntryContext, Part } from '../types.js';
+
+/** The part, and what the request path tells it. */
+export interface HealthPart extends Part {
+  /** A request to `instance` failed: it counts against its replica at once. */
+  reportFailure(instance: string): void;
+  /** A plain service answered. Engines need none: their reports tell. */
+  reportAnswer(instance: string): void;
+  /** What peers passed on: one change per instance. */
+  recordPassed(changes: ReadonlyMap<string, InstanceHealth>): void;
+}
+
+/** How often the part looks which probes are due. */
+const TICK_MS = 50;
+
+/** Entries that probe each engine once peers are known. */
+const REDUNDANCY = 2;
+
+/**
+ * The part of one entry. Good reports are gathered and written once per tick, so that a thousand
+ * engines cause twenty writes a second; a failure is written at once.
+ */
+export function createHealthPart(context: EntryContext): HealthPart {
+  const { board, writers, clock, engines, identity, logger, settings } = context;
+  const { probeEveryMs, probeTimeoutMs, freshMs } = settings.health;
+  const probes = new Map<string, ProbeState>();
+  const running = new Set<Promise<void>>();
+  const heard = new Map<string, InstanceHealth>();
+  const loads = new Map<string, ReplicaLoad>();
+  let timer: NodeJS.Timeout | undefined;
+  let assigned: ReadonlySet<string> = new Set();
+  let assignedFor = '';
+
+  function readHealth(name: string): InstanceHealth | undefined {
+    return heard.get(name) ?? board.health.read().get(name);
+  }
+
+  /** Writes what was gathered and forgets instances and replicas that are gone. */
+  function flush(): void {
+    if (heard.size === 0 && loads.size === 0) return;
+    const { instances } = board.fleet.read();
+    const health = new Map([...board.health.read(), ...heard]);
+    for (const name of health.keys()) if (!instances.has(name)) health.delete(name);
+    heard.clear();
+    writers.health.write(health);
+    if (loads.size === 0) return;
+    const planned = listPlannedReplicas();
+    const load = new Map([...board.load.read(), ...loads]);
+    for (const id of load.keys()) if (!planned.has(id)) load.delete(id);
+    loads.clear();
+    writers.load.write(load);
+  }
+
+  function listPlannedReplicas(): ReadonlySet<string> {
+    const plans = [...board.plans.read().values()];
+    return new Set(plans.flatMap(({ value }) => value.replicas.map(({ id }) => id)));
+  }
+
+  function keepReport(report: EngineReport, askedAt: Milliseconds): void {
+    const previous = readHealth(report.instance);
+    const next = recordReport(previous, report, askedAt);
+    if (next === previous) return;
+    heard.set(report.instance, next);
+    if (previous?.failingSince !== undefined && next.failingSince === undefined) {
+      logger.log('instanceRecovered', { instance: report.instance });
+    }
+    const { load, replica } = report;
+    if (load === undefined || replica === undefined) return;
+    loads.set(replica.id, { load, measuredAt: askedAt - load.ageMs });
+  }
+
+  function reportFailure(instance: string): void {
+    const previous = readHealth(instance);
+    if (previous?.failingSince === undefined) logger.log('instanceFailing', { instance });
+    heard.set(instance, recordFailure(previous, clock.now()));
+    flush();
+  }
+
+  async function probe(name: string, address: string): Promise<void> {
+    const askedAt = clock.now();
+    probes.set(name, { askedAt, underWay: true });
+    const result = await engines.health(address, probeTimeoutMs);
+    probes.set(name, { askedAt, underWay: false });
+    // Another engine at a reused address must not speak for the one that was there before.
+    if (result.isOk() && result.value.instance === name) keepReport(result.value, askedAt);
+    else if (board.fleet.read().instances.has(name)) reportFailure(name);
+  }
+
+  function listProbers(): Prober[] {
+    const { forgetMs } = settings.membership;
+    const now = clock.now();
+    const peers = [...board.peers.read().values()].filter(
+      (peer) => now - peer.heardAt < forgetMs && !peer.stopping,
+    );
+    return [{ name: identity.name, failureDomain: identity.failureDomain }, ...peers];
+  }
+
+  /** The choice of probers changes with the lists alone, and costs a hash for each pair. */
+  function findAssigned(targets: readonly ProbeTarget[]): ReadonlySet<string> {
+    const probers = listProbers();
+    const key = `${board.fleet.version()} ${probers.map(({ name }) => name).join(' ')}`;
+    if (key === assignedFor) return assigned;
+    assignedFor = key;
+    assigned = new Set(assignProbes(probers, targets, identity.name, REDUNDANCY));
+    return assigned;
+  }
+
+  function tick(): void {
+    const targets = [...board.fleet.read().instances]
+      .filter(([, instance]) => instance.role === 'engine')
+      .map(([name, { address, failureDomain }]) => ({ name, address, failureDomain }));
+    const addresses = new Map(targets.map(({ name, address }) => [name, address]));
+    for (const name of probes.keys()) if (!addresses.has(name)) probes.delete(name);
+    const due = listDueProbes(
+      {
+        targets: [...addresses.keys()],
+        assigned: findAssigned(targets),
+        states: probes,
+        health: board.health.read(),
+        probeEveryMs,
+        freshMs,
+      },
+      clock.now(),
+    );
+    for (const name of due) {
+      const call = probe(name, addresses.get(name) ?? '').finally(() => running.delete(call));
+      running.add(call);
+    }
+    flush();
+  }
+
+  return {
+    start: () => {
+      timer = setInterval(tick, TICK_MS);
+      tick();
+    },
+    stop: async () => {
+      clearInterval(timer);
+      await Promise.all(running);
+    },
+    reportFailure,
+    reportAnswer: (instance) => {
+      if (readHealth(instance)?.failingSince === undefined) return;
+      heard.set(instance, recordAnswer(clock.now()));
+      flush();
+    },
+    recordPassed: (changes) => {
+      for (const [name, health] of changes) heard.set(name, health);
+    },
+  };
+}
--- /dev/null
+++ b/src/entry/health/index.ts
@@ -0,0 +1,1 @@
+export * from './health-part.js';
