Add the platform stand-in, its client and the watch loop

Cause: every part that keeps something needs a platform to talk to, and answers to writes may be lost after their effect, or the effect may come after the writer gave up. Ruled out: reading again after a lost answer, because a read that still shows the expected version does not prove that a write under way won't take effect later; a fencing write with the old value, because it costs a change that nobody wants. Change: the same write is sent again with the same nonce and expected version, at most one sending of which can take effect.

--- a/src/adapters/platform/protocol.ts
+++ b/src/adapters/platform/protocol.ts
@@ -8,13 +8,20 @@
  *     GET    /watch?kinds=a,b&since=R&waitMs=N            → objectList of the changes after R
  *
  * `expected` is the version that the writer read; 0 means the object must not exist. Deleting is a
- * write with `deleted: true`. A tombstone keeps its version and counts as existing for `expected`.
+ * write with `deleted: true`. A tombstone keeps its version and counts as existing for `expected`;
+ * reads and watches show it, lists leave it out.
  * A watch answers at once when there are changes after `since`, else when there are or at `waitMs`.
  * Too many calls: 429 with Retry-After. In an outage: 503, or no answer at all.
  */
 import { z } from 'zod';
 import { storedObjectSchema } from '../../objects/index.js';
 
+/** The largest value, as JSON. */
+export const MAX_VALUE_BYTES = 1_048_576;
+
+/** The most writes in one batch. */
+export const MAX_BATCH_WRITES = 256;
+
 export const objectListSchema = z.object({
   objects: z.array(storedObjectSchema),
   /** The platform's revision when it answered; an old copy answers with an older one. */
@@ -37,7 +44,7 @@
   writes: z
     .array(objectWriteSchema.extend({ kind: z.string(), name: z.string() }))
     .min(1)
-    .max(256),
+    .max(MAX_BATCH_WRITES),
 });
 
 export const batchResultSchema = z.object({
--- a/src/adapters/platform/types.ts
+++ b/src/adapters/platform/types.ts
@@ -18,12 +18,18 @@
 }
 
 /**
- * How a conditional write ended. A lost answer is settled by reading again and comparing the
- * nonce; only when that fails as well is the failure `platformOutcomeUnknown`.
+ * How a conditional write ended. A lost answer is settled by sending the same write again and
+ * comparing nonces; only when that fails as well is the failure `platformOutcomeUnknown`.
  */
 export type WriteOutcome =
   | { kind: 'written'; object: StoredObject }
-  | { kind: 'conflict'; current: StoredObject | undefined };
+  /** Not in force, and it can't come into force any more. */
+  | {
+      kind: 'conflict';
+      current: StoredObject | undefined;
+      /** An answer was lost: it may have been in force for a while before `current`. */
+      maybeSuperseded?: true;
+    };
 
 export type PlatformFailure = Failure<
   'platformUnavailable' | 'platformOutcomeUnknown' | 'messageInvalid' | 'objectInvalid'
@@ -41,5 +47,7 @@
     kinds: readonly ObjectKind[],
     since: number,
     waitMs: Milliseconds,
+    /** Ends the call early, as `platformUnavailable`. */
+    signal?: AbortSignal,
   ): ResultAsync<ObjectList, PlatformFailure>;
 }
--- /dev/null
+++ b/src/core/backoff/index.ts
@@ -0,0 +1,1 @@
+export * from './backoff.js';
--- /dev/null
+++ b/src/stand-ins/listener/index.ts
@@ -0,0 +1,1 @@
+export * from './listener.js';
--- /dev/null
+++ b/src/stand-ins/platform/control-routes.ts
@@ -0,0 +1,45 @@
+/**
+ * The routes by which tests steer and watch the platform stand-in. They work in outages as well.
+ *
+ *     POST /control            platformControl → what is switched on now
+ *     GET  /control/counters   → calls by sort
+ *     GET  /control/journal    ?kind= → writes that took effect
+ */
+import type { HttpBindings } from '@hono/node-server';
+import { Hono } from 'hono';
+import { z } from 'zod';
+import type { PlatformControls } from './controls.js';
+import { platformControlSchema } from './faults.js';
+
+/** Routes over the same controls that the stand-in's own object has. */
+export function createControlRoutes(controls: PlatformControls): Hono<{ Bindings: HttpBindings }> {
+  const routes = new Hono<{ Bindings: HttpBindings }>();
+
+  routes.post('/control', async (context) => {
+    const text = await context.req.text();
+    const control = z.string().transform(parseJson).pipe(platformControlSchema).safeParse(text);
+    if (!control.success) return context.json({ reason: z.prettifyError(control.error) }, 400);
+    controls.control(control.data);
+    return context.json({});
+  });
+
+  routes.get('/control/counters', (context) => context.json(controls.counters()));
+
+  routes.get('/control/journal', (context) => {
+    const kind = context.req.query('kind');
+    const entries = controls.journal();
+    return context.json({
+      entries: kind === undefined ? entries : entries.filter((entry) => entry.object.kind === kind),
+    });
+  });
+  return routes;
+}
+
+/** The parsed text, or undefined when it is not JSON. */
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
