Add the callers' listener, the services client and the attempt state machine

Cause: the request path needs its outer edges and its decisions before the shell. Change: hono listener with bounded bodies and the closed error table; undici pass-through that proves when a call was never put on a connection; pure state machine of a completion over its attempts. createFailure takes kinds without values again: their type was inferred as unknown.

--- /dev/null
+++ b/src/adapters/callers/create-callers.ts
@@ -0,0 +1,240 @@
+/**
+ * The listener for callers: OpenAI-style completions, plain services, liveness and readiness.
+ *
+ * hono routes; answers are written to Node's own response, which gives back-pressure and lets a
+ * broken answer destroy its connection. Node's strict parser refuses requests with both
+ * Content-Length and Transfer-Encoding or with more than one length before they get here.
+ */
+import { createHash, randomUUID } from 'node:crypto';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import { getRequestListener, type HttpBindings } from '@hono/node-server';
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
+import { Hono, type Context } from 'hono';
+import type { Credentials } from '../../controllers/attempts/index.js';
+import { createFailure, type Failure } from '../../core/errors/index.js';
+import type { Logger } from '../../core/logger/index.js';
+import type { EntrySettings } from '../../core/settings/index.js';
+import { renderFailure, sendFailure, sendJson } from './answers.js';
+import { serveCompletion } from './completions.js';
+import { resolveServiceTarget, serveServiceCall } from './service-calls.js';
+import type { RequestHead, RequestPath } from './types.js';
+
+export interface CallersOptions {
+  /** `host:port` to listen on; port 0 takes a free one. */
+  address: string;
+  settings: EntrySettings['callers'];
+  path: RequestPath;
+  /** Why callers are to go elsewhere; undefined while they are welcome. */
+  readiness: () => Failure<'notReady' | 'stopping'> | undefined;
+  /** Whether connections are to be closed after their next answer. */
+  isStopping: () => boolean;
+  logger: Logger;
+}
+
+/** The listener for callers. */
+export interface Callers {
+  /** Resolves with the `host:port` listened on. */
+  listen(): Promise<string>;
+  /** Takes no more connections and closes idle ones; answers under way go on. */
+  closeListener(): void;
+  /** Closes everything. */
+  close(): Promise<void>;
+}
+
+interface Env {
+  Bindings: HttpBindings;
+}
+
+const MAX_HEADER_BYTES = 16_384;
+/** Longer than balancers keep idle connections, so that they never reuse one being closed here. */
+const KEEP_ALIVE_MS = 75_000;
+/** Above every service timeout; single bodies have their own bounds. */
+const REQUEST_TIMEOUT_MS = 900_000;
+const CONNECTION_CHECK_MS = 1_000;
+const BEARER = /^Bearer +(\S+)$/i;
+
+/**
+ * A listener for callers; it does not listen yet.
+ *
+ * @example const address = await createCallers(options).listen();
+ */
+export function createCallers(options: CallersOptions): Callers {
+  const answer = getRequestListener(createApp(options).fetch, { overrideGlobalObjects: false });
+  const server = createServer(
+    {
+      maxHeaderSize: MAX_HEADER_BYTES,
+      headersTimeout: options.settings.bodyTimeoutMs,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      connectionsCheckingInterval: CONNECTION_CHECK_MS,
+      insecureHTTPParser: false,
+      requireHostHeader: true,
+    },
+    // hono's adapter rejects only when it could not answer; the connection is closed by then.
+    (request, response) => void answer(request, response),
+  );
+  server.on('clientError', answerBadRequest);
+  return {
+    listen: () => listen(server, options.address),
+    closeListener: () => {
+      server.close();
+      server.closeIdleConnections();
+    },
+    close: () => closeServer(server),
+  };
+}
+
+function createApp(options: CallersOptions): Hono<Env> {
+  const app = new Hono<Env>();
+  app.get('/livez', (context) => context.text('live\n'));
+  app.get('/readyz', (context) => serveReadiness(context, options));
+  app.get('/v1/models', (context) => serve(context, options, serveModels));
+  app.post('/v1/chat/completions', (context) => serve(context, options, serveOneCompletion));
+  app.all('/services/*', (context) => serve(context, options, serveOneServiceCall));
+  app.notFound((context) => serveUnknownRoute(context));
+  app.onError((error, context) => serveUnexpected(error, context, options));
+  return app;
+}
+
+type Serve = (
+  options: CallersOptions,
+  head: RequestHead,
+  request: IncomingMessage,
+  response: ServerResponse,
+) => Promise<void> | void;
+
+/** Identifies the caller, then leaves the answer to `handler`. */
+async function serve(
+  context: Context<Env>,
+  options: CallersOptions,
+  handler: Serve,
+): Promise<Response> {
+  const { incoming, outgoing } = context.env;
+  const id = randomUUID();
+  outgoing.setHeader('X-Request-Id', id);
+  if (options.isStopping()) outgoing.setHeader('Connection', 'close');
+  const caller = options.path.identify(readCredentials(incoming, options));
+  if (caller.isErr()) {
+    refuseUnread(incoming, outgoing, caller.error, id);
+    return RESPONSE_ALREADY_SENT;
+  }
+  const gone = new AbortController();
+  outgoing.once('close', () => {
+    if (!outgoing.writableFinished) gone.abort();
+  });
+  const head: RequestHead = { id, caller: caller.value, signal: gone.signal };
+  await handler(options, head, incoming, outgoing);
+  return RESPONSE_ALREADY_SENT;
+}
+
+function refuseUnread(
+  request: IncomingMessage,
+  response: ServerResponse,
+  failure: Failure,
+  id: string,
+): void {
+  if (!request.complete) response.setHeader('Connection', 'close');
+  sendFailure(response, failure, id);
+}
+
+function readCredentials(request: IncomingMessage, { settings }: CallersOptions): Credentials {
+  const { headers } = request;
+  const key = BEARER.exec(headers.authorization ?? '')?.[1];
+  const trusted = settings.workspaceHeader?.toLowerCase();
+  return {
+    keyHash: key === undefined ? undefined : createHash('sha256').update(key).digest('hex'),
+    workspace: trusted === undefined ? undefined : headers[trusted]?.toString(),
+    class: headers['x-request-class']?.toString(),
+    deadline: headers['x-request-deadline-ms']?.toString(),
+  };
+}
+
+const serveModels: Serve = ({ path }, { caller }, _request, response) => {
+  const data = path.listModels(caller).map((id) => ({ id, object: 'model', owned_by: 'operator' }));
+  sendJson(response, 200, JSON.stringify({ object: 'list', data }));
+};
+
+const serveOneCompletion: Serve = ({ path, settings }, head, request, response) => {
+  const bounds = { maxBytes: settings.maxBodyBytes, timeoutMs: settings.bodyTimeoutMs };
+  return serveCompletion(path, head, bounds, request, response);
+};
+
+const serveOneServiceCall: Serve = ({ path, settings }, head, request, response) => {
+  const target = resolveServiceTarget(request.url ?? '');
+  if (!target) {
+    const failure = createFailure('routeUnknown', { name: request.url ?? '' });
+    refuseUnread(request, response, failure, head.id);
+    return;
+  }
+  const trusted = settings.workspaceHeader?.toLowerCase();
+  const identifiedByHeader = trusted !== undefined && request.headers[trusted] !== undefined;
+  // A key that identified the caller here is no business of the backend server's.
+  const used = identifiedByHeader ? [trusted] : ['authorization'];
+  return serveServiceCall(path, head, target, used, request, response);
+};
+
+function serveReadiness(context: Context<Env>, { readiness }: CallersOptions): Response {
+  const failure = readiness();
+  if (!failure) return context.text('ready\n');
+  return context.json(renderFailure(failure, ''), 503);
+}
+
+function serveUnknownRoute(context: Context<Env>): Response {
+  const { incoming, outgoing } = context.env;
+  const name = `${incoming.method ?? ''} ${context.req.path}`;
+  refuseUnread(incoming, outgoing, createFailure('routeUnknown', { name }), randomUUID());
+  return RESPONSE_ALREADY_SENT;
+}
+
+function serveUnexpected(
+  error: Error,
+  context: Context<Env>,
+  { logger }: CallersOptions,
+): Response {
+  logger.log('unexpectedError', { reason: error.message, stack: error.stack });
+  const { outgoing } = context.env;
+  // Closing the connection leaves no doubt that the answer is not whole.
+  outgoing.destroy();
+  return RESPONSE_ALREADY_SENT;
+}
+
+/** Answers what Node's parser refused; nothing of such a request was passed on. */
+function answerBadRequest(error: NodeJS.ErrnoException, socket: Socket): void {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy();
+    return;
+  }
+  const failure = createFailure('invalidRequest', { reason: 'it is not well-formed HTTP' });
+  const body = JSON.stringify(renderFailure(failure, randomUUID()));
+  const head = [
+    'HTTP/1.1 400 Bad Request',
+    'Content-Type: application/json',
+    `Content-Length: ${Buffer.byteLength(body)}`,
+    'Connection: close',
+  ];
+  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+}
+
+function listen(server: Server, address: string): Promise<string> {
+  const separator = address.lastIndexOf(':');
+  const host = address.slice(0, separator);
+  const port = Number(address.slice(separator + 1));
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.off('error', reject);
+      const bound = server.address() as AddressInfo;
+      resolve(`${bound.address}:${bound.port}`);
+    });
+  });
+}
+
+function closeServer(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => {
+      resolve();
+    });
+    server.closeAllConnections();
+  });
+}
--- /dev/null
+++ b/src/adapters/callers/index.ts
@@ -0,0 +1,2 @@
+export * from './create-callers.js';
+export type * from './types.js';
--- /dev/null
+++ b/src/adapters/services/index.ts
@@ -0,0 +1,3 @@
+export * from './client.js';
+export * from './headers.js';
+export type * from './types.js';
--- /dev/null
+++ b/src/controllers/attempts/index.ts
@@ -0,0 +1,4 @@
+export * from './call-handling.js';
+export * from './callers.js';
+export * from './state.js';
+export type * from './types.js';
--- a/src/core/errors/failure.ts
+++ b/src/core/errors/failure.ts
@@ -5,7 +5,11 @@
 import { ERRORS, type Conclusion, type ErrorKind } from './catalogue.js';
 
 type ValuesOf<Kind extends ErrorKind> =
-  Parameters<(typeof ERRORS)[Kind]['message']> extends [infer Values] ? Values : undefined;
+  Parameters<(typeof ERRORS)[Kind]['message']> extends [infer Values]
+    ? unknown extends Values
+      ? undefined
+      : Values
+    : undefined;
 
 /** An error that happened. */
 export interface Failure<Kind extends ErrorKind = ErrorKind> {
