Keep configuration and the list of instances from the platform's watch

Cause: every other part reads the configuration and fleet sections, and nothing wrote them. Ruled out: parsing the answer of each watch straight onto the board; an old copy or a slow peer would then put an older version back in force. Change: kept objects are a join of the highest version seen and the highest valid version seen. The shells write both sections from one watch. Gossip and leaving marks are here as decisions, not wired yet.

--- /dev/null
+++ b/src/controllers/configuration/index.ts
@@ -0,0 +1,3 @@
+export * from './merge.js';
+export * from './sections.js';
+export * from './types.js';
--- /dev/null
+++ b/src/controllers/configuration/sections.ts
@@ -0,0 +1,78 @@
+/**
+ * From the kept objects to what stands on the board.
+ */
+import type { Configuration, RejectedObject, Versioned } from '../../board/index.js';
+import type { Milliseconds } from '../../core/clock/index.js';
+import {
+  modelSchema,
+  instanceSchema,
+  policySchema,
+  serviceSchema,
+  workspaceSchema,
+  type Instance,
+} from '../../objects/index.js';
+import { keyObject, POLICY_NAME } from './merge.js';
+import type { KeptKind, ObjectState } from './types.js';
+
+/** The list of instances as the platform last gave it. */
+export interface InstanceList {
+  revision: number;
+  instances: ReadonlyMap<string, Versioned<Instance>>;
+}
+
+interface Parser<Value> {
+  parse(value: unknown): Value;
+}
+
+/** The `configuration` section for `state`. */
+export function composeConfiguration(state: ObjectState, confirmedAt: Milliseconds): Configuration {
+  return {
+    revision: state.revision,
+    models: collectValues(state, 'model', modelSchema),
+    services: collectValues(state, 'service', serviceSchema),
+    workspaces: collectValues(state, 'workspace', workspaceSchema),
+    policy: resolvePolicy(state),
+    rejected: listRejected(state),
+    confirmedAt,
+  };
+}
+
+/** The platform's list of instances in `state`. */
+export function composeInstances(state: ObjectState): InstanceList {
+  return {
+    revision: state.revision,
+    instances: collectValues(state, 'instance', instanceSchema),
+  };
+}
+
+function collectValues<Value>(
+  state: ObjectState,
+  kind: KeptKind,
+  parser: Parser<Value>,
+): Map<string, Versioned<Value>> {
+  const values = new Map<string, Versioned<Value>>();
+  for (const { valid } of state.records.values()) {
+    if (valid?.kind !== kind || valid.deleted) continue;
+    values.set(valid.name, { version: valid.version, value: parser.parse(valid.value) });
+  }
+  return values;
+}
+
+function resolvePolicy(state: ObjectState): Configuration['policy'] {
+  const valid = state.records.get(keyObject('policy', POLICY_NAME))?.valid;
+  return policySchema.parse(valid === undefined || valid.deleted ? {} : valid.value);
+}
+
+function listRejected(state: ObjectState): RejectedObject[] {
+  const rejected: RejectedObject[] = [];
+  for (const { newest, rejection } of state.records.values()) {
+    if (rejection === undefined) continue;
+    rejected.push({
+      kind: newest.kind,
+      name: newest.name,
+      version: newest.version,
+      reason: rejection,
+    });
+  }
+  return rejected;
+}
--- /dev/null
+++ b/src/controllers/membership/gossip.ts
@@ -0,0 +1,223 @@
+/**
+ * Push-pull exchange of digests: what to tell a peer, and what to believe of what it tells.
+ *
+ * A digest replaces an older one of the same start of an entry when its sequence number is higher.
+ * A digest of another start replaces it when it was made later, which its age tells: a copy of the
+ * former process's digest that goes round for a while is always older than the new process's first.
+ */
+import type { Milliseconds } from '../../core/clock/index.js';
+import {
+  MESSAGE_LIST_LENGTH,
+  type Digest,
+  type DigestContent,
+  type DigestMessage,
+  type DomainSummary,
+} from './messages.js';
+
+/** The last digest of one entry. */
+export interface PeerRecord {
+  name: string;
+  incarnation: string;
+  sequence: number;
+  change: number;
+  content: DigestContent;
+  /** When the digest was made, by this process's clock. */
+  heardAt: Milliseconds;
+  /** When one was last received from the entry itself; absent when all came through others. */
+  directAt?: Milliseconds;
+}
+
+/** The last summary of another failure domain. */
+export interface SummaryRecord {
+  summary: DomainSummary;
+  madeAt: Milliseconds;
+}
+
+/** Which digest of an entry a peer is known to hold. */
+interface HeldDigest {
+  incarnation: string;
+  sequence: number;
+  change: number;
+}
+
+/** All that one entry knows of the others. Changed in place by the functions of this module. */
+export interface GossipState {
+  self: PeerRecord;
+  peers: Map<string, PeerRecord>;
+  summaries: Map<string, SummaryRecord>;
+  /** By peer name: what that peer holds, by entry name. */
+  held: Map<string, Map<string, HeldDigest>>;
+}
+
+/** What a received message changed. */
+export interface Receipt {
+  /** Who sent it. */
+  from: string;
+  /** Entries of which newer digests came. */
+  updated: readonly PeerRecord[];
+}
+
+/** State of an entry that has heard nobody. */
+export function createGossipState(
+  name: string,
+  incarnation: string,
+  content: DigestContent,
+  now: Milliseconds,
+): GossipState {
+  const self = { name, incarnation, sequence: 1, change: 1, content, heardAt: now };
+  return { self, peers: new Map(), summaries: new Map(), held: new Map() };
+}
+
+/** Puts a new digest of this entry itself in place; a content that is equal is no new change. */
+export function advanceSelf(state: GossipState, content: DigestContent, now: Milliseconds): void {
+  const { self } = state;
+  const changed = JSON.stringify(content) !== JSON.stringify(self.content);
+  state.self = {
+    ...self,
+    sequence: self.sequence + 1,
+    change: changed ? self.change + 1 : self.change,
+    content,
+    heardAt: now,
+  };
+}
+
+/**
+ * The message for `target`: this entry's own digest, then what `target` is not known to hold, the
+ * latest first, while `budgetBytes` last.
+ *
+ * `target` is undefined for an address whose entry is not known yet.
+ */
+export function composeMessage(
+  state: GossipState,
+  target: string | undefined,
+  summaries: readonly DomainSummary[],
+  relayed: readonly PeerRecord[],
+  now: Milliseconds,
+  budgetBytes: number,
+): DigestMessage {
+  const held = target === undefined ? undefined : state.held.get(target);
+  const own = describeRecord(state.self, held, now);
+  const message: DigestMessage = { digests: [own], summaries: [] };
+  let left = budgetBytes - measureLength(own);
+  const latestFirst = [...relayed].sort((a, b) => b.heardAt - a.heardAt);
+  for (const record of latestFirst) {
+    if (record.name === target || holdsLatest(held, record)) continue;
+    const digest = describeRecord(record, held, now);
+    const length = measureLength(digest);
+    if (length > left || message.digests.length >= MESSAGE_LIST_LENGTH) continue;
+    left -= length;
+    message.digests.push(digest);
+  }
+  for (const summary of summaries.slice(0, MESSAGE_LIST_LENGTH)) {
+    left -= measureLength(summary);
+    if (left < 0) break;
+    message.summaries.push(summary);
+  }
+  return message;
+}
+
+/** Length of a value on the wire, in bytes; names are ASCII. */
+export function measureLength(value: unknown): number {
+  return JSON.stringify(value).length + 1;
+}
+
+function describeRecord(
+  record: PeerRecord,
+  held: ReadonlyMap<string, HeldDigest> | undefined,
+  now: Milliseconds,
+): Digest {
+  const { name, incarnation, sequence, change, content, heardAt } = record;
+  const known = held?.get(name);
+  const holdsContent = known?.incarnation === incarnation && known.change === change;
+  const heartbeat = { name, incarnation, sequence, change, ageMs: Math.round(now - heardAt) };
+  return holdsContent ? heartbeat : { ...heartbeat, content };
+}
+
+function holdsLatest(
+  held: ReadonlyMap<string, HeldDigest> | undefined,
+  record: PeerRecord,
+): boolean {
+  const known = held?.get(record.name);
+  return known?.incarnation === record.incarnation && known.sequence >= record.sequence;
+}
+
+/**
+ * Believes what is newer in `message`. Duplicates, digests in the wrong order and digests of this
+ * entry itself change nothing.
+ */
+export function receiveMessage(
+  state: GossipState,
+  message: DigestMessage,
+  now: Milliseconds,
+): Receipt {
+  const [first] = message.digests;
+  const from = first?.name ?? '';
+  const updated: PeerRecord[] = [];
+  for (const digest of message.digests) {
+    noteHeld(state, from, digest);
+    if (digest.name === state.self.name) continue;
+    const record = judgeDigest(state.peers.get(digest.name), digest, digest === first, now);
+    if (record === undefined) continue;
+    state.peers.set(digest.name, record);
+    updated.push(record);
+  }
+  for (const summary of message.summaries) receiveSummary(state, summary, now);
+  return { from, updated };
+}
+
+/** The record that `digest` makes, or undefined when it is old or cannot be understood yet. */
+function judgeDigest(
+  before: PeerRecord | undefined,
+  digest: Digest,
+  isDirect: boolean,
+  now: Milliseconds,
+): PeerRecord | undefined {
+  const { name, incarnation, sequence, change } = digest;
+  const heardAt = now - digest.ageMs;
+  const isSameStart = before?.incarnation === incarnation;
+  if (isSameStart && sequence <= before.sequence) return undefined;
+  if (before !== undefined && !isSameStart && heardAt <= before.heardAt) return undefined;
+  const keepsContent = isSameStart && before.change === change;
+  const content = digest.content ?? (keepsContent ? before.content : undefined);
+  // A heartbeat of a content that was never received says only that somebody lives. Taking it with
+  // the former content would pass that content off as current.
+  if (content === undefined) return undefined;
+  const record = { name, incarnation, sequence, change, content, heardAt };
+  const directAt = isDirect ? now : isSameStart ? before.directAt : undefined;
+  return directAt === undefined ? record : { ...record, directAt };
+}
+
+/** Notes that `peer` holds `digest`: it sent it, or it took a message with it. */
+function noteHeld(state: GossipState, peer: string, digest: Digest): void {
+  const held = state.held.get(peer) ?? new Map<string, HeldDigest>();
+  state.held.set(peer, held);
+  const { name, incarnation, sequence, change } = digest;
+  const before = held.get(name);
+  if (before?.incarnation === incarnation && before.sequence > sequence) return;
+  held.set(name, { incarnation, sequence, change });
+}
+
+/** Call when `peer` has answered: it has taken all of `message`. */
+export function confirmMessage(state: GossipState, peer: string, message: DigestMessage): void {
+  for (const digest of message.digests) noteHeld(state, peer, digest);
+}
+
+function receiveSummary(state: GossipState, summary: DomainSummary, now: Milliseconds): void {
+  if (summary.failureDomain === state.self.content.failureDomain) return;
+  const madeAt = now - summary.ageMs;
+  const before = state.summaries.get(summary.failureDomain);
+  if (before !== undefined && before.madeAt >= madeAt) return;
+  state.summaries.set(summary.failureDomain, { summary, madeAt });
+}
+
+/** Forgets entries unheard since `horizon`, and what they held. */
+export function forgetPeers(state: GossipState, horizon: Milliseconds): void {
+  for (const [name, record] of state.peers) {
+    if (record.heardAt >= horizon) continue;
+    state.peers.delete(name);
+    state.held.delete(name);
+  }
+  for (const [domain, record] of state.summaries) {
+    if (record.madeAt < horizon) state.summaries.delete(domain);
+  }
+}
--- /dev/null
+++ b/src/controllers/membership/index.ts
@@ -0,0 +1,3 @@
+export * from './gossip.js';
+export * from './leaving.js';
+export * from './messages.js';
--- /dev/null
+++ b/src/entry/configuration/index.ts
@@ -0,0 +1,2 @@
+export * from './create-configuration.js';
+export type * from './types.js';
--- /dev/null
+++ b/src/entry/membership/index.ts
@@ -0,0 +1,1 @@
+export * from './create-membership.js';
--- a/src/index.ts
+++ b/src/index.ts
@@ -2,7 +2,9 @@
  * What others embed: the board and every decision, without sockets, timers or a wall clock.
  */
 export * from './board/index.js';
+export * from './controllers/configuration/index.js';
 export * from './controllers/health/index.js';
+export * from './controllers/membership/index.js';
 export * from './core/clock/index.js';
 export * from './core/errors/index.js';
 export * from './core/labels/index.js';
