Add calls that run only once: decisions and shell

A call with an Idempotency-Key is claimed by creating its record in the platform before it is sent. A claim of unknown fate is never sent; its claimant settles it under the claim's own condition, so that a late claim can't block the key. Writes go in batches with a pause after failed calls.

--- a/src/controllers/calls/types.ts
+++ b/src/controllers/calls/types.ts
@@ -1,6 +1,7 @@
 /**
  * The messages of calls that may run only once.
  */
+import type { Milliseconds } from '../../core/clock/index.js';
 import type { Failure } from '../../core/errors/index.js';
 
 export interface HeaderField {
@@ -23,6 +24,8 @@
   key: string;
   /** Hash of method, path and body. */
   fingerprint: string;
+  /** When the caller is given up, by this process's clock; absent for never. */
+  deadlineAt?: Milliseconds;
 }
 
 /** How the one sending ended. */
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -198,13 +198,21 @@
     message: () => 'A call with this Idempotency-Key is in progress.',
     hint: 'Ask again with the same key after the time in Retry-After.',
   }),
+  answerNotKept: entry({
+    title: 'Answer not kept',
+    status: 410,
+    conclusion: 'unknown',
+    message: ({ status }: { status: number }) =>
+      `The call ran and was answered with status ${status}; the answer was too large to keep.`,
+    hint: 'The call took effect if that status says so; do not send it again under a fresh key.',
+  }),
   recordUnavailable: entry({
     title: 'Record unavailable',
     status: 503,
     conclusion: 'notRun',
     message: ({ reason }: Reason) =>
-      `The call was not run, its record could not be made: ${reason}.`,
-    hint: 'Send it again with the same key after the time in Retry-After.',
+      `This request was not run, its call record could not be made: ${reason}.`,
+    hint: 'Send it again with the same key after the time in Retry-After. What became of earlier requests with this key is not known here.',
   }),
   // What operators meet.
   objectInvalid: entry({
--- /dev/null
+++ b/src/entry/calls/index.ts
@@ -0,0 +1,1 @@
+export * from './once-calls.js';
--- /dev/null
+++ b/src/entry/calls/once-calls.ts
@@ -0,0 +1,200 @@
+/**
+ * Runs calls that may run only once: feeds the state machine of each and performs its actions.
+ */
+import { randomUUID } from 'node:crypto';
+import {
+  beginCall,
+  checkKey,
+  joinOpenCall,
+  MAX_HELD_ANSWER_BYTES,
+  MAX_OPEN_CALLS,
+  nameRecord,
+  observeClaim,
+  stepCall,
+  UNAVAILABLE_RETRY_MS,
+  type CallAction,
+  type CallEvent,
+  type CallFacts,
+  type CallProgress,
+  type CallStep,
+  type ObservedClaims,
+  type OnceCall,
+  type OnceCalls,
+  type OnceOutcome,
+  type SendOutcome,
+} from '../../controllers/calls/index.js';
+import type { Milliseconds } from '../../core/clock/index.js';
+import { createFailure, type Failure } from '../../core/errors/index.js';
+import type { EntryContext, Part } from '../types.js';
+import { createRecordWriter } from './record-writer.js';
+
+/** Longest wait for records to be settled when the entry stops, in ms. */
+const MAX_STOP_WAIT_MS = 10_000;
+
+/** Milliseconds since 1970. */
+export type WallClock = () => Milliseconds;
+
+/** One call that this entry has open: in progress, or its record not settled. */
+interface OpenCall {
+  progress: CallProgress;
+  send: () => Promise<SendOutcome>;
+  resolve: (outcome: OnceOutcome) => void;
+  deadline: NodeJS.Timeout | undefined;
+}
+
+/**
+ * The calls of one entry that may run only once.
+ *
+ * @param wallClock compared with the time in keys alone.
+ * @example const calls = createOnceCalls(context); await calls.run(call, () => send(request));
+ */
+export function createOnceCalls(
+  context: EntryContext,
+  wallClock: WallClock = Date.now,
+): OnceCalls & Part {
+  const { identity, board, clock } = context;
+  const open = new Map<string, OpenCall>();
+  const observed: ObservedClaims = new Map();
+  const writer = createRecordWriter(context, handle);
+  const claimant = { entry: identity.name, incarnation: identity.incarnation };
+  let heldBytes = 0;
+  let stopping = false;
+  let whenEmpty: (() => void) | undefined;
+
+  function createFacts(): CallFacts {
+    const now = clock.now();
+    return {
+      now,
+      claimant,
+      createNonce: randomUUID,
+      isClaimantLost: (record, stored) =>
+        observeClaim(observed, record, stored, claimant, board.peers.read(), now),
+    };
+  }
+
+  function run(call: OnceCall, send: () => Promise<SendOutcome>): Promise<OnceOutcome> {
+    const retentionMs = board.configuration.read().policy.callRecordRetentionMs;
+    const age = checkKey(call.key, wallClock(), retentionMs);
+    if (age.isErr()) return refuse(age.error);
+    const name = nameRecord(call);
+    const before = open.get(name);
+    if (before) return Promise.resolve(joinOpenCall(before.progress, call));
+    const refusal = stopping ? createFailure('stopping') : refuseNew();
+    if (refusal) return refuse(refusal);
+    return new Promise((resolve) => {
+      const step = beginCall(name, call, createFacts());
+      const deadline = startDeadline(name, call);
+      const started: OpenCall = { progress: step.progress, send, resolve, deadline };
+      open.set(name, started);
+      perform(started, step);
+    });
+  }
+
+  function refuseNew(): Failure | undefined {
+    const admission = writer.admit();
+    if (admission.kind === 'refuse') {
+      const reason = 'the platform does not take it';
+      return createFailure('recordUnavailable', { reason }, admission.retryAfterMs);
+    }
+    // Bounds what an outage can pile up here; every open call is settled once the platform is back.
+    if (open.size >= MAX_OPEN_CALLS || heldBytes >= MAX_HELD_ANSWER_BYTES) {
+      const reason = 'too many records are not settled yet';
+      return createFailure('recordUnavailable', { reason }, UNAVAILABLE_RETRY_MS);
+    }
+    return undefined;
+  }
+
+  function startDeadline(name: string, call: OnceCall): NodeJS.Timeout | undefined {
+    if (call.deadlineAt === undefined) return undefined;
+    const left = Math.max(0, call.deadlineAt - clock.now());
+    return setTimeout(() => {
+      handle(name, { kind: 'deadlinePassed' });
+    }, left);
+  }
+
+  function handle(name: string, event: CallEvent): void {
+    const call = open.get(name);
+    if (call) perform(call, stepCall(call.progress, event, createFacts()));
+  }
+
+  function perform(call: OpenCall, step: CallStep): void {
+    heldBytes += heldBy(step.progress) - heldBy(call.progress);
+    call.progress = step.progress;
+    for (const action of step.actions) performAction(call, action);
+    if (call.progress.phase.kind === 'ended') close(call);
+  }
+
+  function performAction(call: OpenCall, action: CallAction): void {
+    switch (action.kind) {
+      case 'write':
+        writer.submit(action.write, action.urgency);
+        return;
+      case 'send':
+        void send(call);
+        return;
+      case 'answer':
+        clearTimeout(call.deadline);
+        call.resolve(action.outcome);
+        return;
+      case 'retryLater':
+        // The writer holds the write back for as long as the platform is to be left alone.
+        queueMicrotask(() => {
+          handle(call.progress.name, { kind: 'retryDue' });
+        });
+        return;
+      case 'settled':
+        return;
+    }
+  }
+
+  async function send(call: OpenCall): Promise<void> {
+    const outcome = await call.send().catch(describeCrash);
+    handle(call.progress.name, { kind: 'sendEnded', outcome });
+  }
+
+  /**
+   * Records that cannot be settled in an outage do not hold up the stop for ever: their claims
+   * stay, and the other entries record the outcome as unknown.
+   */
+  function waitUntilEmpty(): Promise<void> {
+    if (open.size === 0) return Promise.resolve();
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, MAX_STOP_WAIT_MS);
+      whenEmpty = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
+  function close(call: OpenCall): void {
+    clearTimeout(call.deadline);
+    if (open.get(call.progress.name) === call) open.delete(call.progress.name);
+    if (open.size === 0) whenEmpty?.();
+  }
+
+  return {
+    run,
+    start: () => undefined,
+    stop: async () => {
+      stopping = true;
+      await waitUntilEmpty();
+      writer.close();
+    },
+  };
+}
+
+function heldBy({ phase }: CallProgress): number {
+  if (phase.kind !== 'settling') return 0;
+  return phase.state.kind === 'answered' ? phase.state.body.length : 0;
+}
+
+function refuse(failure: Failure): Promise<OnceOutcome> {
+  return Promise.resolve({ kind: 'failed', failure });
+}
+
+/** A send that threw may have reached the backend server. */
+function describeCrash(): SendOutcome {
+  const reason = 'an unexpected error met the call after it was begun';
+  return { kind: 'unknown', failure: createFailure('outcomeUnknown', { reason }) };
+}
--- /dev/null
+++ b/src/entry/calls/record-writer.ts
@@ -0,0 +1,115 @@
+/**
+ * Carries writes of call records to the platform in batches, as `batching` decides.
+ */
+import type { WriteOutcome } from '../../adapters/platform/types.js';
+import {
+  admitClaim,
+  createBatching,
+  noteBatchFailed,
+  noteBatchTaken,
+  planBatch,
+  type ClaimAdmission,
+  type WaitingWrite,
+  type WriteEvent,
+} from '../../controllers/calls/index.js';
+import { createFailure, type Failure } from '../../core/errors/index.js';
+import type { EntryContext } from '../types.js';
+
+/** Where call records are written. */
+export interface RecordWriter {
+  /** Whether a claim may be submitted now. */
+  admit(): ClaimAdmission;
+  submit(write: WaitingWrite['write'], urgency: WaitingWrite['urgency']): void;
+  /** Writes that wait or are under way. */
+  pending(): number;
+  /** Drops the timer; what waits is left. */
+  close(): void;
+}
+
+type WriterContext = Pick<EntryContext, 'board' | 'clock' | 'random' | 'logger' | 'platform'>;
+
+/** A writer that reports the end of each write to `report`, once, never within `submit`. */
+export function createRecordWriter(
+  context: WriterContext,
+  report: (name: string, event: WriteEvent) => void,
+): RecordWriter {
+  const { board, clock, random, logger, platform } = context;
+  const batching = createBatching();
+  let timer: NodeJS.Timeout | undefined;
+  let closed = false;
+
+  function advance(): void {
+    clearTimeout(timer);
+    timer = undefined;
+    if (closed) return;
+    const entries = board.peers.read().size + 1;
+    const plan = planBatch(batching, entries, clock.now());
+    switch (plan.kind) {
+      case 'idle':
+        return;
+      case 'wait':
+        timer = setTimeout(advance, Math.max(1, plan.until - clock.now()));
+        return;
+      case 'send':
+        void send(plan.batch);
+        advance();
+    }
+  }
+
+  async function send(batch: readonly WaitingWrite[]): Promise<void> {
+    const result = await platform.writeBatch(batch.map(({ write }) => write));
+    if (result.isErr()) {
+      fail(batch, result.error);
+    } else if (result.value.length !== batch.length) {
+      const reason = 'a batch was answered with another number of results';
+      fail(batch, createFailure('messageInvalid', { from: 'the platform', reason }));
+    } else {
+      succeed(batch, result.value);
+    }
+    advance();
+  }
+
+  function succeed(batch: readonly WaitingWrite[], outcomes: readonly WriteOutcome[]): void {
+    if (batching.failures > 0) logger.log('callRecordsAvailable');
+    noteBatchTaken(batching);
+    batch.forEach((waiting, index) => {
+      const outcome = outcomes[index];
+      if (outcome !== undefined) report(waiting.write.name, toEvent(waiting, outcome));
+    });
+  }
+
+  function fail(batch: readonly WaitingWrite[], failure: Failure): void {
+    if (batching.failures === 0) logger.log('callRecordsUnavailable', { reason: failure.message });
+    const refused = noteBatchFailed(batching, clock.now(), random, failure.retryAfterMs);
+    for (const { write } of batch) {
+      report(write.name, { kind: 'writeFailed', nonce: write.nonce, failure, left: true });
+    }
+    for (const { write } of refused) {
+      report(write.name, { kind: 'writeFailed', nonce: write.nonce, failure, left: false });
+    }
+  }
+
+  return {
+    admit: () => admitClaim(batching, clock.now()),
+    submit: (write, urgency) => {
+      const characters = JSON.stringify(write.value).length;
+      batching.waiting.push({ write, urgency, characters });
+      // Requests that arrive in the same turn of the event loop share a batch.
+      queueMicrotask(advance);
+    },
+    pending: () => batching.waiting.length + batching.underWay,
+    close: () => {
+      closed = true;
+      clearTimeout(timer);
+    },
+  };
+}
+
+function toEvent({ write }: WaitingWrite, outcome: WriteOutcome): WriteEvent {
+  switch (outcome.kind) {
+    case 'written':
+      return { kind: 'written', nonce: write.nonce, version: outcome.object.version };
+    case 'conflict':
+      return { kind: 'conflict', nonce: write.nonce, current: outcome.current };
+  }
+}
--- a/src/index.ts
+++ b/src/index.ts
@@ -5,6 +5,7 @@
 export * from './controllers/configuration/index.js';
 export * from './controllers/health/index.js';
 export * from './controllers/membership/index.js';
+export * from './controllers/calls/index.js';
 export * from './core/clock/index.js';
 export * from './core/errors/index.js';
 export * from './core/labels/index.js';
--- a/src/objects/schemas.ts
+++ b/src/objects/schemas.ts
@@ -2,7 +2,7 @@
  * The kinds of object kept in the platform's service, and the schema of each.
  *
  * `model`, `service`, `workspace` and `policy` are what operators write. `instance` is the
- * platform's own lagging list. `domain-plan` and `call-record` are written by the entries.
+ * platform's own lagging list. `domain-plan`, `call-record` and `call-index` are written by the entries.
  * Every stored object carries the platform's revision of its last change as its `version`:
  * revisions are shared by all kinds and only grow.
  */
@@ -184,12 +184,28 @@
       /** Base64. */
       body: z.string(),
     }),
+    /** Ran and was answered, with an answer too large to keep. */
+    z.strictObject({ kind: z.literal('answerTooLarge'), status: z.number().int() }),
     /** Proved not to have reached any backend server: the key may be claimed again. */
     z.strictObject({ kind: z.literal('notRun') }),
     z.strictObject({ kind: z.literal('unknown') }),
+    /** Older than the retention: only that the key was used is still known. */
+    z.strictObject({ kind: z.literal('expired') }),
   ]),
 });
 
+/**
+ * Lists of call records, by which those older than the retention are found without listing all.
+ * An `hour` names the lists made in it; a list names the records settled by one entry.
+ */
+export const callIndexSchema = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('hour'), lists: z.array(nameSchema).max(8_000) }),
+  z.strictObject({
+    kind: z.literal('list'),
+    records: z.array(z.strictObject({ name: nameSchema, version: count, timed: z.boolean() })),
+  }),
+]);
+
 /** The schema of each kind's value. */
 export const OBJECT_SCHEMAS = {
   model: modelSchema,
@@ -199,6 +215,7 @@
   instance: instanceSchema,
   'domain-plan': domainPlanSchema,
   'call-record': callRecordSchema,
+  'call-index': callIndexSchema,
 } as const;
 
 export const OBJECT_KINDS = [
@@ -209,6 +226,7 @@
   'instance',
   'domain-plan',
   'call-record',
+  'call-index',
 ] as const;
 export const objectKindSchema = z.enum(OBJECT_KINDS);
 
@@ -240,6 +258,7 @@
 export type Replica = z.infer<typeof replicaSchema>;
 export type DomainPlan = z.infer<typeof domainPlanSchema>;
 export type CallRecord = z.infer<typeof callRecordSchema>;
+export type CallIndex = z.infer<typeof callIndexSchema>;
 export type ObjectKind = z.infer<typeof objectKindSchema>;
 export type ConfigurationKind = z.infer<typeof configurationKindSchema>;
 export type StoredObject = z.infer<typeof storedObjectSchema>;
