Add bounded metrics and share the proof of unsent calls with the engine client

Cause: histograms per workspace and class were missing; two modules proved the same thing. Change: metrics factory with bounded labels; the services client uses the engines' sending marks; the listener drains gracefully and bounds callers that do not read.

--- a/src/adapters/callers/create-callers.ts
+++ b/src/adapters/callers/create-callers.ts
@@ -12,6 +12,7 @@
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono, type Context } from 'hono';
 import type { Credentials } from '../../controllers/attempts/index.js';
+import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import type { Logger } from '../../core/logger/index.js';
 import type { EntrySettings } from '../../core/settings/index.js';
@@ -36,9 +37,9 @@
 export interface Callers {
   /** Resolves with the `host:port` listened on. */
   listen(): Promise<string>;
-  /** Takes no more connections and closes idle ones; answers under way go on. */
-  closeListener(): void;
-  /** Closes everything. */
+  /** Takes no more connections; resolves when every answer under way has been sent. */
+  drain(): Promise<void>;
+  /** Closes everything, also what is under way. */
   close(): Promise<void>;
 }
 
@@ -52,6 +53,7 @@
 /** Above every service timeout; single bodies have their own bounds. */
 const REQUEST_TIMEOUT_MS = 900_000;
 const CONNECTION_CHECK_MS = 1_000;
+const IDLE_SWEEP_MS = 50;
 const BEARER = /^Bearer +(\S+)$/i;
 
 /**
@@ -77,10 +79,7 @@
   server.on('clientError', answerBadRequest);
   return {
     listen: () => listen(server, options.address),
-    closeListener: () => {
-      server.close();
-      server.closeIdleConnections();
-    },
+    drain: () => drainServer(server),
     close: () => closeServer(server),
   };
 }
@@ -125,9 +124,22 @@
   });
   const head: RequestHead = { id, caller: caller.value, signal: gone.signal };
   await handler(options, head, incoming, outgoing);
+  limitFlush(outgoing, options.settings.bodyTimeoutMs);
   return RESPONSE_ALREADY_SENT;
 }
 
+/**
+ * Closes the connection of a caller that does not take the end of its answer. A phone that went
+ * out of reach would otherwise hold the answer's buffers until TCP gives up, many minutes later.
+ */
+function limitFlush(response: ServerResponse, timeoutMs: Milliseconds): void {
+  if (response.writableFinished || response.destroyed) return;
+  const timer = setTimeout(() => response.destroy(), timeoutMs);
+  response.once('close', () => {
+    clearTimeout(timer);
+  });
+}
+
 function refuseUnread(
   request: IncomingMessage,
   response: ServerResponse,
@@ -170,8 +182,9 @@
   const trusted = settings.workspaceHeader?.toLowerCase();
   const identifiedByHeader = trusted !== undefined && request.headers[trusted] !== undefined;
   // A key that identified the caller here is no business of the backend server's.
-  const used = identifiedByHeader ? [trusted] : ['authorization'];
-  return serveServiceCall(path, head, target, used, request, response);
+  const usedFields = identifiedByHeader ? [trusted] : ['authorization'];
+  const { bodyTimeoutMs } = settings;
+  return serveServiceCall(path, head, target, { usedFields, bodyTimeoutMs }, request, response);
 };
 
 function serveReadiness(context: Context<Env>, { readiness }: CallersOptions): Response {
@@ -230,6 +243,20 @@
   });
 }
 
+function drainServer(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    // A connection goes idle when its last answer has been sent, which may be after this moment.
+    const sweep = setInterval(() => {
+      server.closeIdleConnections();
+    }, IDLE_SWEEP_MS);
+    server.close(() => {
+      clearInterval(sweep);
+      resolve();
+    });
+    server.closeIdleConnections();
+  });
+}
+
 function closeServer(server: Server): Promise<void> {
   return new Promise((resolve) => {
     server.close(() => {
--- a/src/adapters/callers/service-calls.ts
+++ b/src/adapters/callers/service-calls.ts
@@ -6,8 +6,10 @@
 import { pipeline } from 'node:stream/promises';
 import type { HeaderField, StoredAnswer } from '../../controllers/calls/types.js';
 import { removeHopByHop, type ServiceAnswer } from '../services/index.js';
+import type { Milliseconds } from '../../core/clock/index.js';
 import { sendFailure } from './answers.js';
-import type { RequestHead, RequestPath, ServiceCall, ServiceOutput } from './types.js';
+import { readBody } from './body.js';
+import type { CallBody, RequestHead, RequestPath, ServiceCall, ServiceOutput } from './types.js';
 
 /** The name and the rest of a path below `/services/`. */
 export interface ServiceTarget {
@@ -16,6 +18,13 @@
   query: string;
 }
 
+export interface ServiceCallOptions {
+  /** Header fields that are not passed on, in lower case. */
+  usedFields: readonly string[];
+  /** Longest wait for a body that is read whole. */
+  bodyTimeoutMs: Milliseconds;
+}
+
 /** Header fields that this entry sets itself or has used up. */
 const OWN_FIELDS: readonly string[] = ['host', 'expect', 'x-request-id', 'x-workspace'];
 
@@ -36,7 +45,7 @@
   requestPath: RequestPath,
   head: RequestHead,
   target: ServiceTarget,
-  usedFields: readonly string[],
+  { usedFields, bodyTimeoutMs }: ServiceCallOptions,
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
@@ -45,8 +54,7 @@
     ...target,
     method: request.method ?? 'GET',
     headers: listRequestHeaders(request, usedFields),
-    body: hasBody(request) ? request : undefined,
-    bodyBytes: readLength(request),
+    body: hasBody(request) ? createBody(request, bodyTimeoutMs) : undefined,
     idempotencyKey: request.headers['idempotency-key']?.toString(),
   };
   const failure = await requestPath.callService(call, createOutput(response));
@@ -126,6 +134,14 @@
   return headers['content-length'] !== undefined && headers['content-length'] !== '0';
 }
 
+function createBody(request: IncomingMessage, timeoutMs: Milliseconds): CallBody {
+  return {
+    bytes: readLength(request),
+    readWhole: (maxBytes) => readBody(request, { maxBytes, timeoutMs }),
+    stream: request,
+  };
+}
+
 function readLength({ headers }: IncomingMessage): number | undefined {
   if (headers['transfer-encoding'] !== undefined) return undefined;
   return Number(headers['content-length'] ?? 0);
--- a/src/adapters/callers/types.ts
+++ b/src/adapters/callers/types.ts
@@ -36,6 +36,16 @@
   | { kind: 'whole'; reason: 'stop' | 'length'; tokens: Tokens }
   | { kind: 'failed'; failure: Failure };
 
+/** The body of a service call, not read yet. Use either function, once. */
+export interface CallBody {
+  /** Declared length; absent for chunks. */
+  bytes: number | undefined;
+  /** The whole body, unless it is larger than `maxBytes` or comes too slowly. */
+  readWhole(maxBytes: number): Promise<Result<Uint8Array, Failure>>;
+  /** The body as it comes. Nothing has been read while its `readableDidRead` is false. */
+  stream: Readable;
+}
+
 export interface ServiceCall extends RequestHead {
   service: string;
   method: string;
@@ -46,9 +56,7 @@
   /** Without hop-by-hop fields and without credentials that were used here. */
   headers: readonly HeaderField[];
   /** Absent when the request has none. */
-  body: Readable | undefined;
-  /** Absent for a body of unknown length. */
-  bodyBytes: number | undefined;
+  body: CallBody | undefined;
   idempotencyKey: string | undefined;
 }
 
--- a/src/adapters/services/client.ts
+++ b/src/adapters/services/client.ts
@@ -9,8 +9,8 @@
 import type { Readable } from 'node:stream';
 import { Agent, type Dispatcher } from 'undici';
 import type { HeaderField } from '../../controllers/calls/types.js';
+import { markSendings, type Sending } from '../engines/sending.js';
 import { removeHopByHop } from './headers.js';
-import { trackStarts, type StartRecord } from './start-tracking.js';
 import type { ServiceAnswer, ServiceRequest, Services, ServiceStart } from './types.js';
 
 /** Longest wait for a TCP connection; sites are at most tens of milliseconds apart. */
@@ -29,7 +29,7 @@
     maxHeaderSize: MAX_HEADER_BYTES,
     pipelining: 1,
   });
-  const dispatcher = agent.compose(trackStarts);
+  const dispatcher = agent.compose(markSendings);
   return {
     call: (address, request, signal) => callService(dispatcher, address, request, signal),
     close: () => agent.destroy(),
@@ -42,9 +42,9 @@
   request: ServiceRequest,
   signal: AbortSignal,
 ): Promise<ServiceStart> {
-  const record: StartRecord = { started: false };
+  const sending: Sending = { begun: false, signal };
   try {
-    const response = await dispatcher.request({
+    const requested = dispatcher.request({
       origin: `http://${address}`,
       path: request.path,
       method: request.method,
@@ -53,16 +53,30 @@
       headersTimeout: request.timeoutMs,
       bodyTimeout: request.timeoutMs,
       signal,
-      opaque: record,
+      opaque: sending,
       responseHeaders: 'raw',
     });
-    return acceptAnswer(request.method, response);
+    return acceptAnswer(request.method, await raceSignal(requested, signal));
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
-    return { kind: record.started ? 'lost' : 'notSent', reason };
+    return { kind: sending.begun ? 'lost' : 'notSent', reason };
   }
 }
 
+/** Rejects when `signal` is aborted: undici itself notices only once it has a connection. */
+function raceSignal<Value>(work: Promise<Value>, signal: AbortSignal): Promise<Value> {
+  return new Promise((resolve, reject) => {
+    const giveUp = (): void => {
+      reject(new Error('given up'));
+    };
+    if (signal.aborted) giveUp();
+    signal.addEventListener('abort', giveUp, { once: true });
+    work.then(resolve, reject).finally(() => {
+      signal.removeEventListener('abort', giveUp);
+    });
+  });
+}
+
 /**
  * undici destroys a body stream when its call fails. The caller's request must survive that, to be
  * answered, so undici is given an iterator over it.
--- /dev/null
+++ b/src/core/metrics/index.ts
@@ -0,0 +1,1 @@
+export * from './metrics.js';
