Add first versions of dispatch, admission and retry decisions

The request path calls them by these names. Dispatch: bounded queues per workspace, classes in order with a bounded pass-over, start-time fair queueing between workspaces, estimated time to first token in milliseconds, bounded sample of candidates. Admission: token buckets and a count. Retries: budgets per target and workspace, full jitter.

--- a/src/board/types.ts
+++ b/src/board/types.ts
@@ -117,6 +117,11 @@
   requestsPerSecond: number;
   tokensPerSecond: number;
   concurrentRequests: number;
+  /**
+   * From `at` on only `share` may be used. Guards against an entry that was paused and wakes with
+   * a share that has been given to others meanwhile.
+   */
+  lapse?: { at: Milliseconds; share: WorkspaceShare };
 }
 
 /** By workspace name. Written by `limits`. */
--- a/src/controllers/limits/index.ts
+++ b/src/controllers/limits/index.ts
@@ -1,1 +1,2 @@
-export type * from './types.js';
+export * from './admission.js';
+export * from './types.js';
--- a/src/controllers/retries/types.ts
+++ b/src/controllers/retries/types.ts
@@ -30,6 +30,10 @@
   /** Attempts made so far, this one included. */
   attempts: number;
   deadlineAt: Milliseconds;
+  /** An attempt before this one was sent and brought no refusal: it may have run. */
+  mayHaveRun?: boolean;
+  /** Tokens or bytes of the answer that the caller has by now, from all attempts; 0 when absent. */
+  received?: number;
 }
 
 export type RetryDecision =
--- /dev/null
+++ b/src/controllers/routing/dispatch.ts
@@ -0,0 +1,212 @@
+/**
+ * The dispatch decision: which waiting requests go out now, which are refused, and when to look
+ * again.
+ */
+import type { Milliseconds } from '../../core/clock/index.js';
+import { createFailure, type Failure } from '../../core/errors/index.js';
+import type { Random } from '../../core/random/index.js';
+import { concludeGivenUp } from '../retries/given-up.js';
+import { believeSent } from './beliefs.js';
+import { chooseReplica, indexCandidates, indexPeers, type Choice } from './choosing.js';
+import {
+  ACTIVE_MS,
+  LEAST_RETRY_MS,
+  MOST_RETRY_MS,
+  NO_CAPACITY_GRACE_MS,
+  NO_CAPACITY_RETRY_MS,
+  RECHECK_MS,
+} from './constants.js';
+import type { Estimate } from './estimates.js';
+import { chargeLane, orderClasses, orderLanes, removeRequest } from './queues.js';
+import type { CandidateIndex, DispatchState, ModelQueue, SentRequest } from './state.js';
+import { forgetReplicas, openTrack, trackSend } from './tracks.js';
+import type { Dispatch, DispatchAction, DispatchView, WaitingRequest } from './types.js';
+import { countAhead, estimateRetryAfter, recordSend } from './waits.js';
+
+/** One call of {@link dispatch}: its inputs, and the actions gathered so far. */
+interface Round {
+  state: DispatchState;
+  view: DispatchView;
+  now: Milliseconds;
+  random: Random;
+  actions: DispatchAction[];
+}
+
+/**
+ * Sends what has room and refuses what can't be served in time. A request whose estimated wait
+ * passes its deadline is refused at once, not when the deadline has passed. While a model has no
+ * replica, its requests wait for {@link NO_CAPACITY_GRACE_MS}, so that one that comes back at once
+ * causes no storm of repeated requests; after that they are refused on arrival.
+ *
+ * @example const { actions, wakeAt } = dispatch(state, view, clock.now(), random);
+ */
+export function dispatch(
+  state: DispatchState,
+  view: DispatchView,
+  now: Milliseconds,
+  random: Random,
+): Dispatch {
+  const round: Round = { state, view, now, random, actions: [] };
+  indexPeers(state, view.peersSent);
+  forgetReplicas(state, now);
+  refuseLate(round);
+  for (const queue of state.queues.values()) {
+    if (queue.length > 0) dispatchModel(round, queue);
+  }
+  const wakeAt = findWakeAt(state, now);
+  return wakeAt === undefined ? { actions: round.actions } : { actions: round.actions, wakeAt };
+}
+
+function refuseLate(round: Round): void {
+  for (const request of [...round.state.waiting.values()]) {
+    if (request.deadlineAt <= round.now) {
+      refuse(round, request, createFailure('deadlineBeforeStart'));
+    }
+  }
+}
+
+function dispatchModel(round: Round, queue: ModelQueue): void {
+  const index = indexCandidates(round.state, queue.model, round.view);
+  if (index.source.length === 0) {
+    waitForCapacity(round, queue);
+    return;
+  }
+  delete queue.emptySince;
+  while (sendNext(round, queue, index)) {
+    // Each turn sends one request; the next is looked for in the changed order.
+  }
+}
+
+function waitForCapacity(round: Round, queue: ModelQueue): void {
+  queue.emptySince ??= round.now;
+  if (round.now - queue.emptySince < NO_CAPACITY_GRACE_MS) return;
+  for (const request of listWaiting(queue)) {
+    refuse(
+      round,
+      request,
+      createFailure('noCapacity', { name: queue.model }, NO_CAPACITY_RETRY_MS),
+    );
+  }
+}
+
+/** Sends the first request, in serving order, that has room; `false` when there is none. */
+function sendNext(round: Round, queue: ModelQueue, index: CandidateIndex): boolean {
+  for (const classQueue of orderClasses(queue)) {
+    for (const lane of orderLanes(classQueue)) {
+      const request = lane.requests[0];
+      if (request && trySend(round, queue, index, request)) return true;
+    }
+  }
+  return false;
+}
+
+/** `true` when the request has left the queue, sent or refused. */
+function trySend(
+  round: Round,
+  queue: ModelQueue,
+  index: CandidateIndex,
+  request: WaitingRequest,
+): boolean {
+  const { state, view, now, random } = round;
+  const headroom = isOverFairPart(state, request.workspace, now);
+  const choice = chooseReplica(state, index, request, view, headroom, now, random);
+  if (!choice.anyAllowed) {
+    refuse(round, request, createFailure('noCapacity', { name: queue.model }, LEAST_RETRY_MS));
+    return true;
+  }
+  if (choice.chosen && now + choice.chosen.waitMs < request.deadlineAt) {
+    send(round, queue, request, choice.chosen);
+    return true;
+  }
+  return refuseHopeless(round, queue, request, choice);
+}
+
+/** Refuses a request whose estimated wait passes its deadline. */
+function refuseHopeless(
+  round: Round,
+  queue: ModelQueue,
+  request: WaitingRequest,
+  choice: Choice,
+): boolean {
+  const interval = queue.sendIntervalMs ?? choice.slotMs;
+  const wait = (choice.leastWaitMs ?? 0) + interval * countAhead(queue, request);
+  if (round.now + wait < request.deadlineAt) return false;
+  const reason = `the estimated wait of ${Math.ceil(wait)} ms passes the deadline`;
+  const late = round.now + wait - request.deadlineAt;
+  const retryAfterMs = Math.min(
+    MOST_RETRY_MS,
+    Math.max(estimateRetryAfter(queue, 1), Math.ceil(late)),
+  );
+  refuse(round, request, createFailure('overloaded', { reason }, retryAfterMs));
+  return true;
+}
+
+function send(round: Round, queue: ModelQueue, request: WaitingRequest, chosen: Estimate): void {
+  const { state, now } = round;
+  const { candidate } = chosen;
+  chargeLane(queue, request);
+  removeRequest(state, request);
+  recordSend(queue, now);
+  const sent: SentRequest = {
+    ticket: request.ticket,
+    workspace: request.workspace,
+    replica: candidate.replica,
+    sentAt: now,
+    promptTokens: chosen.promptTokens,
+    outputTokens: request.maxTokens,
+    estimatedFirstTokenMs: chosen.firstTokenMs,
+    plainFirstTokenMs: chosen.plainFirstTokenMs,
+  };
+  state.sent.set(request.ticket, sent);
+  const workspace = state.workspaces.get(request.workspace);
+  if (workspace) workspace.inFlight += 1;
+  trackSend(openTrack(state, candidate.replica, now), sent);
+  believeSent(state, candidate.replica, request.prefixes);
+  round.actions.push({
+    kind: 'send',
+    ticket: request.ticket,
+    candidate,
+    estimatedFirstTokenMs: chosen.firstTokenMs,
+  });
+}
+
+function refuse(round: Round, request: WaitingRequest, failure: Failure): void {
+  removeRequest(round.state, request);
+  round.actions.push({
+    kind: 'refuse',
+    ticket: request.ticket,
+    failure: concludeGivenUp(failure, request.mayHaveRun ?? false),
+  });
+}
+
+/**
+ * Whether a workspace has more than its weight's part of this entry's requests in flight while
+ * others are active. Guards against a flood that takes every place in every batch: the others would
+ * wait for one of its requests to end, however short their own queue.
+ */
+function isOverFairPart(state: DispatchState, workspace: string, now: Milliseconds): boolean {
+  const own = state.workspaces.get(workspace);
+  if (!own) return false;
+  let weights = own.weight;
+  let inFlight = own.inFlight;
+  for (const [name, track] of state.workspaces) {
+    if (name === workspace || now - track.activeAt > ACTIVE_MS) continue;
+    weights += track.weight;
+    inFlight += track.inFlight;
+  }
+  if (weights === own.weight) return false;
+  return own.inFlight + 1 > ((inFlight + 1) * own.weight) / weights;
+}
+
+function listWaiting(queue: ModelQueue): WaitingRequest[] {
+  return queue.classes.flatMap((classQueue) =>
+    [...classQueue.lanes.values()].flatMap((lane) => lane.requests),
+  );
+}
+
+function findWakeAt(state: DispatchState, now: Milliseconds): Milliseconds | undefined {
+  if (state.waiting.size === 0) return undefined;
+  let wakeAt = now + RECHECK_MS;
+  for (const request of state.waiting.values()) wakeAt = Math.min(wakeAt, request.deadlineAt);
+  return wakeAt;
+}
--- /dev/null
+++ b/src/controllers/routing/reports.ts
@@ -0,0 +1,44 @@
+/**
+ * What the dispatcher learns of requests that it sent.
+ */
+import type { Milliseconds } from '../../core/clock/index.js';
+import { dropBelief } from './beliefs.js';
+import type { DispatchState } from './state.js';
+import { learnSlowness, trackEnd } from './tracks.js';
+import type { SentOutcome } from './types.js';
+
+/**
+ * The first token of a sent request arrived.
+ *
+ * @example reportFirstToken(state, ticket, clock.now());
+ */
+export function reportFirstToken(state: DispatchState, ticket: string, now: Milliseconds): void {
+  const sent = state.sent.get(ticket);
+  const track = sent && state.replicas.get(sent.replica);
+  if (!track || sent.firstTokenAt !== undefined) return;
+  sent.firstTokenAt = now;
+  track.unanswered.delete(ticket);
+  learnSlowness(track, now - sent.sentAt, sent.plainFirstTokenMs, now);
+}
+
+/**
+ * A sent request has ended. Frees what it was counted for; a replica that could not be reached or
+ * lost the request also loses the belief in its cache.
+ *
+ * @example reportEnd(state, ticket, { kind: 'completed', outputTokens: 80 }, clock.now());
+ */
+export function reportEnd(
+  state: DispatchState,
+  ticket: string,
+  outcome: SentOutcome,
+  now: Milliseconds,
+): void {
+  const sent = state.sent.get(ticket);
+  if (!sent) return;
+  state.sent.delete(ticket);
+  const workspace = state.workspaces.get(sent.workspace);
+  if (workspace) workspace.inFlight -= 1;
+  const track = state.replicas.get(sent.replica);
+  if (track) trackEnd(track, sent, now);
+  if (outcome.kind === 'notSent' || outcome.kind === 'lost') dropBelief(state, sent.replica);
+}
--- a/src/controllers/routing/types.ts
+++ b/src/controllers/routing/types.ts
@@ -5,7 +5,7 @@
  * returns the actions to perform. Nothing here waits: a request that can't be sent yet stays in
  * its workspace's queue, and `dispatch` says when to be called again at the latest.
  */
-import type { ReplicaLoad } from '../../board/index.js';
+import type { ReplicaLoad, SentCount } from '../../board/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { Failure } from '../../core/errors/index.js';
 import type { RequestClass } from '../../objects/index.js';
@@ -51,6 +51,8 @@
   deadlineAt: Milliseconds;
   /** Replicas that it must not go to (again). */
   excluded: readonly string[];
+  /** An earlier attempt may have run: a refusal then never says that the request was not run. */
+  mayHaveRun?: boolean;
 }
 
 /** What the shell has to do. */
@@ -66,6 +68,30 @@
   wakeAt?: Milliseconds;
 }
 
+/** What a decision may look at; nothing here is kept by the dispatcher. */
+export interface DispatchView {
+  /** Where this entry stands. */
+  here: Location;
+  /**
+   * The replicas of a model that may be sent requests now. Return the same array until it changes:
+   * it is indexed once for each array.
+   */
+  candidatesOf(model: string): readonly Candidate[];
+  /** What peers sent lately, from their digests; the same array until it changes. */
+  peersSent: readonly SentCount[];
+  /** The span that `peersSent` covers. */
+  peersPeriodMs?: Milliseconds;
+}
+
+/** How a sent request ended, as far as the dispatcher learns from it. */
+export interface SentOutcome {
+  kind: 'completed' | 'cancelled' | 'refused' | 'notSent' | 'lost' | 'failed';
+  /** Output tokens that were generated, as far as they are known. */
+  outputTokens?: number;
+  /** Prompt tokens that the engine found in its cache. */
+  cachedTokens?: number;
+}
+
 /** A plain service's instance that may be sent calls now. */
 export interface InstanceCandidate {
   instance: string;
--- a/src/index.ts
+++ b/src/index.ts
@@ -11,3 +11,6 @@
 export * from './core/labels/index.js';
 export * from './core/random/index.js';
 export * from './objects/index.js';
+export * from './controllers/limits/index.js';
+export * from './controllers/retries/index.js';
+export * from './controllers/routing/index.js';
