Add the fault-injecting proxy for tests

Cause: partitions, cut answers, delays and reordering have to be caused between real processes. Ruled out: passing bytes on after a cut is over, because the receiver would see a stream with a hole; such connections are reset.

--- a/src/adapters/platform/answers.ts
+++ b/src/adapters/platform/answers.ts
@@ -4,6 +4,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
 import { createFailure } from '../../core/errors/index.js';
+import { parseJson } from '../../core/json/index.js';
 import type { CallFailure, PlatformAnswer } from './call.js';
 import type { PlatformFailure } from './types.js';
 
@@ -48,12 +49,3 @@
   const refusal = refusalSchema.safeParse(parseJson(answer.text));
   return refusal.success ? refusal.data.reason : `status ${answer.status}`;
 }
-
-/** The parsed text, or undefined when it is not JSON. */
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
--- a/src/adapters/platform/watch-loop.ts
+++ b/src/adapters/platform/watch-loop.ts
@@ -65,13 +65,14 @@
 
 async function runLoop(options: WatchLoopOptions, signal: AbortSignal): Promise<void> {
   const { platform, kinds, logger } = options;
+  const isStopped = (): boolean => signal.aborted;
   let revision = options.since ?? 0;
   let failures = 0;
   // The first call does not wait, so that the state is known, or confirmed, at once.
   let waitMs = 0;
-  while (!signal.aborted) {
+  while (!isStopped()) {
     const watched = await platform.watch(kinds, revision, waitMs, signal);
-    if (signal.aborted) return;
+    if (isStopped()) return;
     const answer = watched.andThen((list) => rejectOldCopy(list, revision));
     if (answer.isErr()) {
       failures += 1;
--- /dev/null
+++ b/src/core/json/index.ts
@@ -0,0 +1,1 @@
+export * from './json.js';
--- a/src/stand-ins/listener/listener.ts
+++ b/src/stand-ins/listener/listener.ts
@@ -48,7 +48,7 @@
       const server = serve({ fetch: app.fetch, hostname: host, port }, (bound) => {
         resolve(ok({ address: formatAddress(bound), stop: () => closeServer(server as Server) }));
       });
-      server.once('error', (error) => {
+      server.once('error', (error: Error) => {
         const reason = `cannot listen: ${error.message}`;
         resolve(err(createFailure('unreachable', { name: address, reason })));
       });
--- a/src/stand-ins/platform/control-routes.ts
+++ b/src/stand-ins/platform/control-routes.ts
@@ -8,6 +8,7 @@
 import type { HttpBindings } from '@hono/node-server';
 import { Hono } from 'hono';
 import { z } from 'zod';
+import { parseJson } from '../../core/json/index.js';
 import type { PlatformControls } from './controls.js';
 import { platformControlSchema } from './faults.js';
 
@@ -16,8 +17,7 @@
   const routes = new Hono<{ Bindings: HttpBindings }>();
 
   routes.post('/control', async (context) => {
-    const text = await context.req.text();
-    const control = z.string().transform(parseJson).pipe(platformControlSchema).safeParse(text);
+    const control = platformControlSchema.safeParse(parseJson(await context.req.text()));
     if (!control.success) return context.json({ reason: z.prettifyError(control.error) }, 400);
     controls.control(control.data);
     return context.json({});
@@ -34,12 +34,3 @@
   });
   return routes;
 }
-
-/** The parsed text, or undefined when it is not JSON. */
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
--- a/src/stand-ins/platform/object-routes.ts
+++ b/src/stand-ins/platform/object-routes.ts
@@ -11,6 +11,7 @@
   objectWriteSchema,
   type BatchResult,
 } from '../../adapters/platform/index.js';
+import { parseJson } from '../../core/json/index.js';
 import { nameSchema, objectKindSchema } from '../../objects/index.js';
 import type { CallGuard, ObjectContext } from './call-guard.js';
 import type { Journal } from './journal.js';
@@ -90,7 +91,7 @@
 async function writeOne(context: ObjectContext, sources: ObjectSources): Promise<Response> {
   const kind = objectKindSchema.safeParse(context.req.param('kind'));
   const name = nameSchema.safeParse(context.req.param('name'));
-  const body = objectWriteSchema.safeParse(await readJson(context));
+  const body = objectWriteSchema.safeParse(parseJson(await context.req.text()));
   if (!kind.success) return context.json({ reason: 'no such kind' }, 400);
   if (!name.success) return context.json({ reason: z.prettifyError(name.error) }, 400);
   if (!body.success) return context.json({ reason: z.prettifyError(body.error) }, 400);
@@ -107,7 +108,7 @@
 }
 
 async function writeBatch(context: ObjectContext, sources: ObjectSources): Promise<Response> {
-  const body = batchWriteSchema.safeParse(await readJson(context));
+  const body = batchWriteSchema.safeParse(parseJson(await context.req.text()));
   if (!body.success) return context.json({ reason: z.prettifyError(body.error) }, 400);
   const results = body.data.writes.map((write): BatchResult['results'][number] => {
     const kind = objectKindSchema.safeParse(write.kind);
@@ -129,12 +130,3 @@
   if (result.outcome === 'written') sources.journal.record(result.object);
   return result;
 }
-
-/** The body, or undefined when it is not JSON. */
-async function readJson(context: ObjectContext): Promise<unknown> {
-  try {
-    return await context.req.json<unknown>();
-  } catch {
-    return undefined;
-  }
-}
--- a/src/stand-ins/platform/stand-in.ts
+++ b/src/stand-ins/platform/stand-in.ts
@@ -63,11 +63,14 @@
   const guard = createCallGuard(faults, meter);
   const lag = { instanceMs: options.instanceLagMs ?? 0 };
   const store = createStore((kind) => (kind === 'instance' ? lag.instanceMs : 0));
-  store.subscribe(guard.wake);
+  const wake = (): void => {
+    guard.wake();
+  };
+  store.subscribe(wake);
   const journal = createJournal(options.journalLength ?? DEFAULT_JOURNAL_LENGTH);
   const parts: StandInParts = { store, journal, meter, faults, lag, oldCopy: undefined };
 
-  const controls = createControls(parts, guard.wake);
+  const controls = createControls(parts, wake);
   const app = new Hono<{ Bindings: HttpBindings }>();
   app.route('/', createControlRoutes(controls));
   app.route('/', createObjectRoutes({ store, view: () => parts.oldCopy ?? store, journal, guard }));
--- /dev/null
+++ b/src/stand-ins/proxy/connection.ts
@@ -0,0 +1,79 @@
+/**
+ * One connection through the proxy: the socket of its source, that of its target, and two pipes.
+ */
+import { connect, type Socket } from 'node:net';
+import type { HostAndPort } from '../listener/index.js';
+import type { Link, Way } from './link.js';
+import { createPipe } from './pipe.js';
+
+export interface ProxyConnection {
+  hold(ways: readonly Way[]): void;
+  release(): void;
+  /** Resets both sides. */
+  reset(): void;
+  /** Whether bytes were swallowed on it. */
+  isLossy(): boolean;
+}
+
+/** Joins `source` to a new connection to `target`. `onClose` is called once, when both are gone. */
+export function joinConnection(
+  source: Socket,
+  target: HostAndPort,
+  link: Link,
+  onClose: () => void,
+): ProxyConnection {
+  const destination = connect({ ...target, allowHalfOpen: true, noDelay: true });
+  let isLossy = false;
+  const onLost = (): void => {
+    isLossy = true;
+  };
+
+  const toTarget = createPipe(source, destination, link.toTarget, {
+    onLost,
+    onBreak: () => {
+      close(destination, source);
+    },
+  });
+  const toSource = createPipe(destination, source, link.toSource, {
+    onLost,
+    onBreak: () => {
+      close(source, destination);
+    },
+  });
+
+  /** The receiver still gets what was delivered, the sender a reset. */
+  const close = (receiver: Socket, sender: Socket): void => {
+    toTarget.close();
+    toSource.close();
+    receiver.destroySoon();
+    sender.resetAndDestroy();
+  };
+
+  const reset = (): void => {
+    toTarget.close();
+    toSource.close();
+    source.resetAndDestroy();
+    destination.resetAndDestroy();
+  };
+
+  for (const socket of [source, destination]) {
+    // The pipes see an error as the close that follows it.
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      if (source.destroyed && destination.destroyed) onClose();
+    });
+  }
+
+  return {
+    hold: (ways) => {
+      if (ways.includes('toTarget')) toTarget.hold();
+      if (ways.includes('toSource')) toSource.hold();
+    },
+    release: () => {
+      toTarget.release();
+      toSource.release();
+    },
+    reset,
+    isLossy: () => isLossy,
+  };
+}
--- /dev/null
+++ b/src/stand-ins/proxy/index.ts
@@ -0,0 +1,1 @@
+export * from './proxy.js';
