Add the engine, service and weight store stand-ins and the engine client

Cause: every part needs engines to talk to, and a client that knows what was sent. Change: stand-ins with continuous batching, prefix cache, fencing, membership and faults; the client.

--- /dev/null
+++ b/src/adapters/engines/order-connection.ts
@@ -0,0 +1,67 @@
+/**
+ * One order over a connection of its own, which is reset when the order takes too long.
+ *
+ * An owner may only send an order while its lease has more left than the order can take. A
+ * connection that is merely closed goes on delivering in the background: the kernel repeats what
+ * the peer has not acknowledged, for minutes, and a link that heals would hand the engine an order
+ * of a lease long gone. A reset discards what has not been sent. Bytes that the engine's machine
+ * has already received can't be called back; engines that check the fencing number refuse them.
+ */
+import type { Socket } from 'node:net';
+import { buildConnector, Client, type Dispatcher } from 'undici';
+import type { Milliseconds } from '../../core/clock/index.js';
+
+/** An answer, read whole. */
+export interface WholeAnswer {
+  status: number;
+  body: string;
+}
+
+/** Sends `body` and reads the answer; rejects when all that took longer than `timeoutMs`. */
+export async function sendOnce(
+  origin: string,
+  path: string,
+  body: string,
+  timeoutMs: Milliseconds,
+  maxAnswerBytes: number,
+): Promise<WholeAnswer> {
+  let socket: Socket | undefined;
+  const connect = buildConnector({ timeout: timeoutMs });
+  const client = new Client(origin, {
+    maxResponseSize: maxAnswerBytes,
+    connect: (options, callback) => {
+      connect(options, (...result) => {
+        socket = result[1] ?? undefined;
+        callback(...result);
+      });
+    },
+  });
+  const giveUp = new AbortController();
+  const timer = setTimeout(() => {
+    socket?.resetAndDestroy();
+    giveUp.abort(new Error(`no answer within ${timeoutMs} ms`));
+  }, timeoutMs);
+  try {
+    return await exchange(client, path, body, giveUp.signal);
+  } finally {
+    clearTimeout(timer);
+    await client.destroy();
+  }
+}
+
+async function exchange(
+  client: Client,
+  path: string,
+  body: string,
+  signal: AbortSignal,
+): Promise<WholeAnswer> {
+  const request: Dispatcher.RequestOptions = {
+    method: 'POST',
+    path,
+    headers: { 'content-type': 'application/json' },
+    body,
+    signal,
+  };
+  const answer = await client.request(request);
+  return { status: answer.statusCode, body: await answer.body.text() };
+}
--- /dev/null
+++ b/src/stand-ins/engine/index.ts
@@ -0,0 +1,5 @@
+export { expectedAnswer, type Answer, type AnswerQuestion } from './answers.js';
+export type { CompletionFault, EngineControl } from './control.js';
+export { createEngineStandIn, type EngineStandIn } from './engine.js';
+export type * from './journal.js';
+export type { EngineStandInSettings } from './settings.js';
--- /dev/null
+++ b/src/stand-ins/weights/index.ts
@@ -0,0 +1,1 @@
+export { createWeightStore, type WeightStore, type WeightStoreSettings } from './weight-store.js';
