--- /dev/null
+++ b/features/platform/proxy.feature
@@ -0,0 +1,53 @@
+Feature: Faults of the link to the platform
+  The same client, through the proxy that stands for a poor link.
+
+  Background:
+    Given a platform stand-in and a client of it through the proxy
+
+  Scenario: a cut of the way back
+    A partition lets calls through and swallows the answers. The write takes effect and its
+    writer can't know; when the link is back it must learn the truth.
+    Given the proxy cuts the way to the source
+    When object "m" is written from version 0 with nonce "n1"
+    Then the write's outcome is unknown
+    When the proxy passes everything again
+    And object "m" is written from version 0 with nonce "n1"
+    Then the write was written with nonce "n1"
+    And the platform's journal shows 1 write of "m"
+
+  Scenario: a cut of the way there
+    Given the proxy cuts the way to the target
+    When object "m" is written from version 0 with nonce "n1"
+    Then the write's outcome is unknown
+    And the platform's journal shows 0 writes of "m"
+
+  Scenario: no connection can be made
+    When the proxy refuses new connections
+    And object "m" is written from version 0 with nonce "n1"
+    Then the write failed as platformUnavailable
+
+  Scenario Outline: the connection breaks after the request was delivered
+    When the proxy breaks the next connection after <bytes> bytes of its answer
+    And object "m" is written from version 0 with nonce "n1"
+    Then the write was written with nonce "n1"
+    And the platform's journal shows 1 write of "m"
+
+    Examples:
+      | bytes |
+      | 0     |
+      | 60    |
+
+  Scenario: a write overtaken by its own repeat
+    The first sending is stuck in the network and its repeat, on another connection, arrives
+    first. The first one arrives when its writer has long gone on.
+    Given the proxy holds what the next connection sends
+    When object "m" is written from version 0 with nonce "n1"
+    Then the write was written with nonce "n1"
+    When the proxy releases what it holds and the platform has counted 2 writes
+    Then the platform's journal shows 1 write of "m"
+
+  Scenario: a slow and narrow link
+    Bytes must arrive whole and in order, and not sooner than the link lets them.
+    Given the proxy delays by 20 ms each way and passes 2000000 bytes a second
+    When an object of 300000 bytes is written and read back
+    Then it is the same and took at least 300 ms
--- /dev/null
+++ b/features/platform/proxy.steps.ts
@@ -0,0 +1,81 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { waitFor } from '../support/waiting.js';
+import type { ProxyControl } from '../../src/stand-ins/proxy/index.js';
+import { modelWrite, openClient, openPlatform, type PlatformWorld } from './fixture.js';
+
+const LARGE_CALL_TIMEOUT_MS = 10_000;
+
+async function switchProxy(world: PlatformWorld, control: ProxyControl): Promise<void> {
+  const switched = await world.proxy?.control(control);
+  assert.ok(switched?.isOk());
+}
+
+Given(
+  'a platform stand-in and a client of it through the proxy',
+  async function (this: PlatformWorld) {
+    await openPlatform(this, true);
+  },
+);
+
+Given('the proxy cuts the way to the source', async function (this: PlatformWorld) {
+  await switchProxy(this, { cut: 'toSource' });
+});
+
+Given('the proxy cuts the way to the target', async function (this: PlatformWorld) {
+  await switchProxy(this, { cut: 'toTarget' });
+});
+
+Given('the proxy holds what the next connection sends', async function (this: PlatformWorld) {
+  await switchProxy(this, { holdNext: 1 });
+});
+
+Given(
+  'the proxy delays by {int} ms each way and passes {int} bytes a second',
+  async function (this: PlatformWorld, delayMs: number, bytesPerSecond: number) {
+    const way = { delayMs, bytesPerSecond };
+    await switchProxy(this, { toTarget: way, toSource: way });
+  },
+);
+
+When('the proxy passes everything again', async function (this: PlatformWorld) {
+  await switchProxy(this, { cut: 'none' });
+});
+
+When('the proxy refuses new connections', async function (this: PlatformWorld) {
+  await switchProxy(this, { refuse: true });
+});
+
+When(
+  'the proxy breaks the next connection after {int} bytes of its answer',
+  async function (this: PlatformWorld, afterBytes: number) {
+    await switchProxy(this, { toSource: { breakAfter: { afterBytes } } });
+  },
+);
+
+When(
+  'the proxy releases what it holds and the platform has counted {int} writes',
+  async function (this: PlatformWorld, writes: number) {
+    await switchProxy(this, { release: true });
+    await waitFor('the late write', () => this.platform.counters().write === writes);
+  },
+);
+
+When(
+  'an object of {int} bytes is written and read back',
+  async function (this: PlatformWorld, bytes: number) {
+    const client = openClient(this.proxy?.address ?? '', LARGE_CALL_TIMEOUT_MS);
+    const value = Array.from({ length: bytes / 10 }, (_, index) => String(index).padStart(7, '0'));
+    const startedAt = performance.now();
+    const written = await client.write({ ...modelWrite('m', 0, 'n1'), value });
+    const read = await client.read('model', 'm');
+    this.elapsedMs = performance.now() - startedAt;
+    await client.close();
+    assert.ok(written.isOk());
+    assert.deepEqual(read._unsafeUnwrap()?.value, value);
+  },
+);
+
+Then('it is the same and took at least {int} ms', function (this: PlatformWorld, leastMs: number) {
+  assert.ok(this.elapsedMs >= leastMs, `took ${this.elapsedMs} ms`);
+});
--- a/src/stand-ins/proxy/index.ts
+++ b/src/stand-ins/proxy/index.ts
@@ -1,1 +1,2 @@
+export type { ProxyControl } from './link.js';
 export * from './proxy.js';
