Add the request path shell

Cause: callers, dispatch, attempts and retries have to be tied together for each request. Change: createRequests with dispatcher, in-flight counts, completions, service calls and calls that run once; the conclusion of a failure takes all earlier attempts into account.

--- a/src/controllers/attempts/state.ts
+++ b/src/controllers/attempts/state.ts
@@ -11,8 +11,9 @@
  * - Once an attempt may have run, no failure says "not run".
  */
 import type { EngineChunk } from '../../adapters/engines/protocol.js';
-import { concludeFailure, createFailure, type Failure } from '../../core/errors/index.js';
+import { createFailure, type Failure } from '../../core/errors/index.js';
 import type { AttemptEnd, RetryDecision } from '../retries/types.js';
+import { concludeRequest } from './conclusion.js';
 import type { AttemptAction, AttemptEvent, AttemptState } from './types.js';
 
 type EndMark = Extract<EngineChunk, { kind: 'end' }>;
@@ -48,7 +49,7 @@
     case 'decided':
       return state.phase === 'deciding' ? followDecision(state, event.decision) : NOTHING;
     case 'refused':
-      return state.phase === 'waiting' ? failRequest(state, event.failure) : NOTHING;
+      return failRequest(state, event.failure);
     case 'callerGone':
       return giveUp(state, createFailure('callerGone'));
     case 'deadline':
@@ -144,20 +145,7 @@
 function failRequest(state: AttemptState, failure: Failure): readonly AttemptAction[] {
   state.phase = 'answered';
   state.attempt = undefined;
-  return [{ kind: 'fail', failure: limitConclusion(state, failure) }];
-}
-
-/**
- * `failure`, unless it would say "not run" of a request that may have run: the last attempt was
- * perhaps refused, but an earlier one was lost. The caller would take the first run for none.
- */
-function limitConclusion(state: AttemptState, failure: Failure): Failure {
-  if (state.delivered > 0 && failure.kind !== 'callerGone' && failure.kind !== 'answerCut') {
-    return createFailure('answerCut', { reason: failure.message });
-  }
-  const conclusion = concludeFailure(failure);
-  if (!state.mayHaveRun || conclusion === 'unknown' || conclusion === 'failed') return failure;
-  return createFailure('outcomeUnknown', { reason: failure.message }, failure.retryAfterMs);
+  return [{ kind: 'fail', failure: concludeRequest(failure, state) }];
 }
 
 function createDeadlineFailure(state: AttemptState): Failure {
--- a/src/controllers/attempts/types.ts
+++ b/src/controllers/attempts/types.ts
@@ -16,7 +16,7 @@
   | { kind: 'ended'; attempt: string; end: AttemptEnd }
   /** The answer to a `decide` action. */
   | { kind: 'decided'; decision: RetryDecision }
-  /** The dispatcher or admission will not send the request. */
+  /** The dispatcher will not send the request, or the engine refuses it for good. */
   | { kind: 'refused'; failure: Failure }
   | { kind: 'callerGone' }
   | { kind: 'deadline' };
--- /dev/null
+++ b/src/entry/requests/create-requests.ts
@@ -0,0 +1,91 @@
+/**
+ * The request path of one entry, put together.
+ */
+import { err } from 'neverthrow';
+import type { RequestPath } from '../../adapters/callers/index.js';
+import { listModels, resolveCaller } from '../../controllers/attempts/index.js';
+import { createFailure, type Failure } from '../../core/errors/index.js';
+import type { EntryContext } from '../types.js';
+import { findFailure, runCompletion } from './completions.js';
+import { createDispatcher } from './dispatcher.js';
+import { createAdmissionGate, createRetryGate } from './gates.js';
+import { createInFlight } from './in-flight.js';
+import { createOpenRequests } from './open-requests.js';
+import { runServiceCall } from './service-calls.js';
+import type { RequestDependencies, RequestParts, Requests } from './types.js';
+
+const NOT_READY_RETRY_MS = 1_000;
+
+/** The request path. Start it before the callers' listener, and stop it after that one. */
+export function createRequests(context: EntryContext, dependencies: RequestDependencies): Requests {
+  const { metrics, eligible } = dependencies;
+  const open = createOpenRequests((count) => {
+    metrics.setInFlight(count);
+  });
+  const dispatcher = createDispatcher(context, eligible);
+  const inFlight = createInFlight(context);
+  const parts: RequestParts = {
+    ...dependencies,
+    context,
+    dispatcher,
+    inFlight,
+    open,
+    admission: createAdmissionGate(context),
+    retries: createRetryGate(context),
+  };
+  let stopping = false;
+
+  return {
+    path: createPath(parts, () => stopping),
+    beginStopping: () => {
+      stopping = true;
+    },
+    isStopping: () => stopping,
+    whenIdle: () => open.whenNone(),
+    start: () => {
+      dispatcher.start();
+      inFlight.start();
+    },
+    stop: async () => {
+      await dispatcher.stop();
+      await inFlight.stop();
+    },
+  };
+}
+
+function createPath(parts: RequestParts, isStopping: () => boolean): RequestPath {
+  const { context, open, metrics } = parts;
+  const { configuration } = context.board;
+
+  async function track<Value>(
+    run: () => Promise<Value>,
+    find: (value: Value) => Failure | undefined,
+  ): Promise<Value> {
+    open.begin();
+    try {
+      const value = await run();
+      const failure = find(value);
+      if (failure) metrics.countError(failure.kind);
+      return value;
+    } finally {
+      open.end();
+    }
+  }
+
+  return {
+    identify: (credentials) => {
+      if (isStopping()) return err(createFailure('stopping', undefined, NOT_READY_RETRY_MS));
+      const current = configuration.read();
+      if (current.revision > 0) return resolveCaller(current, credentials, context.clock.now());
+      const reason = 'it has no configuration yet';
+      return err(createFailure('notReady', { reason }, NOT_READY_RETRY_MS));
+    },
+    listModels: (caller) => listModels(configuration.read(), caller.workspace),
+    complete: (request, output) => track(() => runCompletion(parts, request, output), findFailure),
+    callService: (call, output) =>
+      track(
+        () => runServiceCall(parts, call, output),
+        (failure) => failure,
+      ),
+  };
+}
--- /dev/null
+++ b/src/entry/requests/index.ts
@@ -0,0 +1,2 @@
+export * from './create-requests.js';
+export type * from './types.js';
--- a/src/index.ts
+++ b/src/index.ts
@@ -2,6 +2,7 @@
  * What others embed: the board and every decision, without sockets, timers or a wall clock.
  */
 export * from './board/index.js';
+export * from './controllers/attempts/index.js';
 export * from './controllers/configuration/index.js';
 export * from './controllers/health/index.js';
 export * from './controllers/membership/index.js';
