--- /dev/null
+++ b/src/cli/load/index.ts
@@ -0,0 +1,1 @@
+export { runLoadCommand } from './load.js';
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -11,6 +11,8 @@
 
 Commands
   check       Check settings and object files without applying them
+  load        Put open-loop load on entries and sum up the answers
+  stand-in    Run a stand-in for the platform, an engine, a service, a weight store or a poor link
 
 "yuccasail <command> --help" tells more. docs/operators/ lists the exit codes.
 `;
@@ -19,6 +21,8 @@
 
 const COMMANDS: Readonly<Record<string, () => Promise<Run>>> = {
   check: async () => (await import('./check/index.js')).runCheck,
+  load: async () => (await import('./load/index.js')).runLoadCommand,
+  'stand-in': async () => (await import('./stand-in/index.js')).runStandIn,
 };
 
 async function main(): Promise<Exit> {
--- /dev/null
+++ b/src/cli/stand-in/index.ts
@@ -0,0 +1,1 @@
+export * from './stand-in.js';
--- a/src/core/settings/entry-settings.ts
+++ b/src/core/settings/entry-settings.ts
@@ -84,11 +84,37 @@
         .positive()
         .default(3)
         .describe('Entries that one round of digests goes to.'),
+      bytesPerSecond: z
+        .number()
+        .int()
+        .positive()
+        .default(1_500)
+        .describe('What digests may take; rounds are skipped while it is used up.'),
       forgetMs: milliseconds
         .default(10_000)
         .describe('An entry unheard for longer is not counted as live.'),
     })
     .prefault({}),
+  limits: z
+    .strictObject({
+      mostEntries: z
+        .number()
+        .int()
+        .positive()
+        .default(10)
+        .describe('Entries that run at once at most, those being replaced included.'),
+      guaranteedFraction: z
+        .number()
+        .min(0)
+        .max(1)
+        .default(0.3)
+        .describe('Part of each limit that entries may use without any news of the others.'),
+      viewFreshMs: milliseconds
+        .default(30_000)
+        .describe('An entry whose list of entries is older uses its guaranteed part alone.'),
+      splitEveryMs: milliseconds.default(250).describe('How often the limits are split anew.'),
+    })
+    .prefault({}),
   stopping: z
     .strictObject({
       balancerMs: milliseconds
--- a/src/core/settings/issues.ts
+++ b/src/core/settings/issues.ts
@@ -27,10 +27,14 @@
   }
   const value = valueAt(input, issue.path);
   const key = formatPath(issue.path);
-  if (value === undefined) return [{ key, value: '(missing)', fix: `set it: ${issue.message}` }];
+  if (value === undefined) return [{ key, value: '(missing)', fix: describeMissing(issue) }];
   return [{ key, value: formatValue(value), fix: describeFix(key, issue) }];
 }
 
+function describeMissing(issue: z.core.$ZodIssue): string {
+  return issue.code === 'invalid_type' ? `set it (${issue.expected})` : 'set it';
+}
+
 function describeFix(key: string, issue: z.core.$ZodIssue): string {
   const isDuration = key.endsWith('Ms');
   return isDuration ? `must be ${MILLISECONDS_EXAMPLE} (${issue.message})` : issue.message;
