Split the engine stand-in and its client into modules with one job

Cause: engine.ts and the client had grown several jobs each. Change: admission, formation, streams and descriptions stand alone; answers, short calls and completions of the client as well.

--- a/src/adapters/engines/engine-client.ts
+++ b/src/adapters/engines/engine-client.ts
@@ -4,18 +4,19 @@
  * Streams and short calls have connections of their own, so that a probe never waits behind a
  * stream. Nothing is repeated here: whether a call is made again is decided elsewhere.
  */
-import { err, ok, ResultAsync, type Result } from 'neverthrow';
-import { Agent, type Dispatcher } from 'undici';
-import type { z } from 'zod';
+import { err, ResultAsync, type Result } from 'neverthrow';
+import { Agent } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure } from '../../core/errors/index.js';
-import { describeError, readChunks } from './chunk-stream.js';
-import { sendOnce, type WholeAnswer } from './order-connection.js';
-import { parseJson } from './parse-chunk.js';
-import { cacheEventListSchema, engineRefusalSchema, engineReportSchema } from './protocol.js';
-import type { EngineRefusal, EngineReport, EngineRequest, Order } from './protocol.js';
-import { markSendings, type Sending } from './sending.js';
-import type { CompletionStart, EngineFailure, Engines } from './types.js';
+import { readAnswer, readEmpty, readRefusal } from './answers.js';
+import { describeError } from './chunk-stream.js';
+import { startCompletion } from './completion.js';
+import { sendOnce } from './order-connection.js';
+import { cacheEventListSchema, engineReportSchema } from './protocol.js';
+import type { EngineReport, Order } from './protocol.js';
+import { markSendings } from './sending.js';
+import { callWhole } from './short-call.js';
+import type { EngineFailure, Engines } from './types.js';
 
 /** Bounds of the client; what is left out has the default named. */
 export interface EngineClientSettings {
@@ -55,9 +56,6 @@
 const CALLS_PER_ENGINE = 2;
 /** An idle connection is closed here before the engine closes it. */
 const KEEP_ALIVE_MS = 4_000;
-const JSON_HEADERS = { 'content-type': 'application/json' };
-/** Statuses with which an engine refuses a completion before anything ran. */
-const REFUSAL_STATUSES: readonly number[] = [400, 409, 429, 503];
 
 /**
  * A client for all engines.
@@ -114,49 +112,6 @@
   };
 }
 
-/** Makes a short call; rejects at `timeoutMs` also when no connection has been made by then. */
-async function callWhole(
-  dispatcher: Dispatcher,
-  address: string,
-  path: string,
-  method: 'GET' | 'POST',
-  timeoutMs: Milliseconds,
-): Promise<WholeAnswer> {
-  const giveUp = new AbortController();
-  const { signal } = giveUp;
-  const answer = async (): Promise<WholeAnswer> => {
-    const response = await dispatcher.request({
-      origin: `http://${address}`,
-      path,
-      method,
-      signal,
-    });
-    return { status: response.statusCode, body: await response.body.text() };
-  };
-  const timer = setTimeout(() => {
-    giveUp.abort(new Error(`no answer within ${timeoutMs} ms`));
-  }, timeoutMs);
-  try {
-    return await raceSignal(answer(), signal);
-  } finally {
-    clearTimeout(timer);
-  }
-}
-
-/** Rejects when `signal` is aborted: undici itself notices only once it has a connection. */
-async function raceSignal<Value>(work: Promise<Value>, signal: AbortSignal): Promise<Value> {
-  return new Promise((resolve, reject) => {
-    const giveUp = (): void => {
-      reject(signal.reason instanceof Error ? signal.reason : new Error('cancelled'));
-    };
-    if (signal.aborted) giveUp();
-    signal.addEventListener('abort', giveUp, { once: true });
-    work.then(resolve, reject).finally(() => {
-      signal.removeEventListener('abort', giveUp);
-    });
-  });
-}
-
 function sendOrder(
   address: string,
   order: Order,
@@ -179,89 +134,3 @@
     return err(createFailure('orderRefused', { name: address, reason }));
   });
 }
-
-async function startCompletion(
-  dispatcher: Dispatcher,
-  address: string,
-  request: EngineRequest,
-  signal: AbortSignal,
-  maxEventBytes: number,
-): Promise<CompletionStart> {
-  const sending: Sending = { begun: false, signal };
-  try {
-    const requested = dispatcher.request({
-      origin: `http://${address}`,
-      path: '/v1/chat/completions',
-      method: 'POST',
-      headers: JSON_HEADERS,
-      body: JSON.stringify(request),
-      signal,
-      opaque: sending,
-    });
-    const response = await raceSignal(requested, signal);
-    if (isStream(response)) {
-      return { kind: 'started', chunks: readChunks(response.body, request, maxEventBytes) };
-    }
-    return await readNoStream(response, maxEventBytes);
-  } catch (error) {
-    // An engine that closes an idle connection in the moment when a request is written to it
-    // looks like one that could not be reached. The request was begun, so it counts as lost: the
-    // engine may have read it before it closed.
-    return { kind: sending.begun ? 'lost' : 'notSent', reason: describeError(error) };
-  }
-}
-
-function isStream({ statusCode, headers }: Dispatcher.ResponseData<unknown>): boolean {
-  return statusCode === 200 && String(headers['content-type']).startsWith('text/event-stream');
-}
-
-/** A refusal, when it is one that engines give; any other answer proves nothing. */
-async function readNoStream(
-  response: Dispatcher.ResponseData<unknown>,
-  maxBytes: number,
-): Promise<CompletionStart> {
-  const status = response.statusCode;
-  const body = await readBounded(response.body, maxBytes);
-  const refusal = readRefusal({ status, body });
-  if (refusal) return { kind: 'refused', refusal };
-  return { kind: 'lost', reason: `the engine answered with status ${status}` };
-}
-
-async function readBounded(
-  body: Dispatcher.ResponseData['body'],
-  maxBytes: number,
-): Promise<string> {
-  const parts: Uint8Array[] = [];
-  let bytes = 0;
-  for await (const part of body as AsyncIterable<Uint8Array>) {
-    parts.push(part);
-    bytes += part.length;
-    if (bytes > maxBytes) throw new Error(`the answer is longer than ${maxBytes} bytes`);
-  }
-  return Buffer.concat(parts).toString();
-}
-
-function readRefusal({ status, body }: WholeAnswer): EngineRefusal | undefined {
-  if (!REFUSAL_STATUSES.includes(status)) return undefined;
-  return engineRefusalSchema.safeParse(parseJson(body)).data;
-}
-
-function readAnswer<Schema extends z.ZodType>(
-  address: string,
-  { status, body }: WholeAnswer,
-  schema: Schema,
-): Result<z.infer<Schema>, EngineFailure> {
-  if (status !== 200) return err(unexpectedStatus(address, status));
-  const parsed = schema.safeParse(parseJson(body));
-  if (parsed.success) return ok(parsed.data);
-  const reason = parsed.error.issues[0]?.message ?? 'not understood';
-  return err(createFailure('messageInvalid', { from: address, reason }));
-}
-
-function readEmpty(address: string, { status }: WholeAnswer): Result<void, EngineFailure> {
-  return status === 204 ? ok(undefined) : err(unexpectedStatus(address, status));
-}
-
-function unexpectedStatus(address: string, status: number): EngineFailure {
-  return createFailure('messageInvalid', { from: address, reason: `status ${status}` });
-}
--- a/src/adapters/engines/order-connection.ts
+++ b/src/adapters/engines/order-connection.ts
@@ -10,12 +10,7 @@
 import type { Socket } from 'node:net';
 import { buildConnector, Client, type Dispatcher } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
-
-/** An answer, read whole. */
-export interface WholeAnswer {
-  status: number;
-  body: string;
-}
+import type { WholeAnswer } from './short-call.js';
 
 /** Sends `body` and reads the answer; rejects when all that took longer than `timeoutMs`. */
 export async function sendOnce(
--- a/src/stand-ins/engine/completions.ts
+++ b/src/stand-ins/engine/completions.ts
@@ -1,14 +1,13 @@
 /**
- * The completions of one engine: admission to the batch, the token clock and the streams.
+ * The completions of one engine: the batch, its token clock and the prefix cache.
  */
 import type { ServerResponse } from 'node:http';
 import type { EngineRequest } from '../../adapters/engines/index.js';
 import { estimateTokens, hashPrefixes } from '../../controllers/routing/index.js';
 import type { Clock } from '../../core/clock/index.js';
-import { expectedAnswer, type Answer } from './answers.js';
+import { expectedAnswer } from './answers.js';
 import type { CacheEventLog } from './cache-events.js';
 import type { CompletionFault } from './control.js';
-import { deliverEnd, deliverToken, type Delivery } from './delivery.js';
 import { journalEntry, type AttemptEndReason, type JournaledAttempt } from './journal.js';
 import { createLoadHistory, type LaggedFigures } from './load-history.js';
 import { matchPrefix, storePrefixes, type PrefixCache } from './prefix-cache.js';
@@ -18,9 +17,10 @@
   measureScheduler,
   removeJob,
   submitJob,
-  type EmittedToken,
+  type Job,
 } from './scheduler.js';
 import type { ResolvedSettings } from './settings.js';
+import { createStreams, type Stream } from './streams.js';
 
 /** The running completions of one engine. */
 export interface Completions {
@@ -31,7 +31,7 @@
   /** Breaks every stream off. */
   cutAll(reason: AttemptEndReason): void;
   inFlight(): number;
-  /** More requests wait than the queue holds. */
+  /** As many requests wait as the queue holds. */
   isFull(): boolean;
   load(): LaggedFigures;
   setSlowFactor(factor: number): void;
@@ -47,36 +47,23 @@
   journal: JournaledAttempt[];
 }
 
-interface Stream {
-  attempt: string;
-  resumeFrom: number;
-  fault: CompletionFault | undefined;
-  answer: Answer;
-  promptTokens: number;
-  cachedTokens: number;
-  response: ServerResponse;
-  entry: JournaledAttempt;
-}
-
-/** An engine that reads a caller this far behind lets go of it. */
-const MAX_UNREAD_BYTES = 1_048_576;
 const STREAM_HEADERS = { 'content-type': 'text/event-stream', 'cache-control': 'no-store' };
 
 /** The completions of an engine that starts without any. */
 export function createCompletions(parts: CompletionParts): Completions {
-  const { settings, clock, cache, events, journal } = parts;
+  const { settings, clock } = parts;
   const { batchSize, prefillMsPerToken, decodeMsPerToken } = settings;
-  const scheduler = createScheduler({
-    batchSize,
-    prefillMsPerToken,
-    decodeMsPerToken,
-    slowFactor: 1,
-  });
+  const speed = { batchSize, prefillMsPerToken, decodeMsPerToken, slowFactor: 1 };
+  const scheduler = createScheduler(speed);
   const history = createLoadHistory(settings.reportLagMs);
-  const streams = new Map<string, Stream>();
+  const streams = createStreams((attempt) => {
+    removeJob(scheduler, attempt);
+    settle();
+  });
   const faults: CompletionFault[] = [];
   let timer: NodeJS.Timeout | undefined;
 
+  // One timer for the engine, set to the end of the step in progress.
   const settle = (): void => {
     const now = clock.now();
     history.record(measureScheduler(scheduler), now);
@@ -85,127 +72,40 @@
     timer = setTimeout(tick, Math.max(0, scheduler.stepEndsAt - now));
   };
   const tick = (): void => {
-    for (const token of advanceScheduler(scheduler, clock.now())) emit(token);
+    for (const token of advanceScheduler(scheduler, clock.now())) streams.emit(token);
     settle();
   };
-  const emit = (token: EmittedToken): void => {
-    const stream = streams.get(token.id);
-    if (!stream) return;
-    const offset = token.emitted - 1;
-    const text = stream.answer.tokens[stream.resumeFrom + offset] ?? '';
-    stream.entry.firstTokenAt ??= Date.now();
-    stream.entry.tokens = token.emitted;
-    perform(stream, deliverToken(stream, offset, text));
-    if (token.last && streams.has(token.id)) finish(stream);
-  };
-  const finish = (stream: Stream): void => {
-    perform(
-      stream,
-      deliverEnd(stream, {
-        kind: 'end',
-        attempt: stream.attempt,
-        sequence: stream.answer.tokens.length,
-        reason: stream.answer.reason,
-        promptTokens: stream.promptTokens,
-        cachedTokens: stream.cachedTokens,
-      }),
-    );
-  };
-  const perform = (stream: Stream, delivery: Delivery): void => {
-    switch (delivery.kind) {
-      case 'nothing':
-        return;
-      case 'write':
-        stream.response.write(delivery.data);
-        if (stream.response.writableLength > MAX_UNREAD_BYTES) drop(stream, 'disconnected');
-        return;
-      case 'writeAndClose':
-        forget(stream, stream.answer.reason);
-        stream.response.end(delivery.data);
-        return;
-      case 'close':
-        forget(stream, 'fault');
-        stream.response.end();
-        return;
-      case 'cut':
-        drop(stream, 'fault');
-        return;
-    }
-  };
-  const forget = (stream: Stream, reason: AttemptEndReason): void => {
-    streams.delete(stream.attempt);
-    removeJob(scheduler, stream.attempt);
-    stream.entry.end = reason;
-    stream.entry.endedAt = Date.now();
-  };
-  const drop = (stream: Stream, reason: AttemptEndReason): void => {
-    forget(stream, reason);
-    stream.response.destroy();
-  };
-  const open = (request: EngineRequest, response: ServerResponse): Stream => {
-    const prefixes = hashPrefixes(request.messages);
-    const cachedTokens = matchPrefix(cache, prefixes);
-    events.record(storePrefixes(cache, prefixes), clock.now());
-    const entry = describeAttempt(request);
-    journalEntry(journal, entry);
-    return {
-      attempt: request.attempt,
-      resumeFrom: request.resumeFrom,
-      fault: faults.shift(),
-      answer: expectedAnswer(request),
-      promptTokens: estimateTokens(request.messages),
-      cachedTokens,
-      response,
-      entry,
-    };
-  };
 
   return {
     start: (request, response) => {
-      const stream = open(request, response);
-      streams.set(stream.attempt, stream);
-      // A caller that closes its connection frees its place in the batch at once.
-      response.once('close', () => {
-        if (streams.get(stream.attempt) !== stream) return;
-        forget(stream, 'disconnected');
-        settle();
-      });
+      const stream = openStream(parts, request, response, faults.shift());
+      streams.add(stream);
       if (stream.fault?.kind === 'neverAnswer') return;
       if (stream.fault?.kind === 'resetBeforeAnswer') {
-        drop(stream, 'fault');
+        streams.drop(stream.attempt, 'fault');
         return;
       }
       response.writeHead(200, STREAM_HEADERS).flushHeaders();
-      const outputTokens = stream.answer.tokens.length - stream.resumeFrom;
-      if (outputTokens <= 0) {
-        finish(stream);
+      const job = describeJob(stream, request.priority);
+      if (job.outputTokens <= 0) {
+        streams.finish(stream.attempt);
         return;
       }
-      const prefillTokens = Math.max(0, stream.promptTokens - stream.cachedTokens);
-      const { priority } = request;
-      submitJob(
-        scheduler,
-        { id: stream.attempt, priority, prefillTokens, outputTokens },
-        clock.now(),
-      );
+      submitJob(scheduler, job, clock.now());
       settle();
     },
     has: (attempt) => streams.has(attempt),
     cancel: (attempt) => {
-      const stream = streams.get(attempt);
-      if (!stream) return;
-      drop(stream, 'cancelled');
-      settle();
+      streams.drop(attempt, 'cancelled');
     },
     cutAll: (reason) => {
-      for (const stream of [...streams.values()]) drop(stream, reason);
-      settle();
+      streams.dropAll(reason);
     },
-    inFlight: () => streams.size,
+    inFlight: () => streams.count(),
     isFull: () => scheduler.waiting.length >= settings.queueLength,
     load: () => history.read(clock.now()),
     setSlowFactor: (factor) => {
-      scheduler.speed.slowFactor = factor;
+      speed.slowFactor = factor;
     },
     addFaults: (added) => {
       faults.push(...added);
@@ -213,7 +113,30 @@
   };
 }
 
-function describeAttempt(request: EngineRequest): JournaledAttempt {
+/** Looks the prompt up in the prefix cache, which then holds it, and enters it in the journal. */
+function openStream(
+  { clock, cache, events, journal }: CompletionParts,
+  request: EngineRequest,
+  response: ServerResponse,
+  fault: CompletionFault | undefined,
+): Stream {
+  const prefixes = hashPrefixes(request.messages);
+  const cachedTokens = matchPrefix(cache, prefixes);
+  events.record(storePrefixes(cache, prefixes), clock.now());
   const { attempt, model, replica, fence, priority, resumeFrom } = request;
-  return { attempt, model, replica, fence, priority, resumeFrom, startedAt: Date.now(), tokens: 0 };
+  const startedAt = Date.now();
+  const entry = { attempt, model, replica, fence, priority, resumeFrom, startedAt, tokens: 0 };
+  journalEntry(journal, entry);
+  const promptTokens = estimateTokens(request.messages);
+  const answer = expectedAnswer(request);
+  return { attempt, resumeFrom, fault, answer, promptTokens, cachedTokens, response, entry };
+}
+
+function describeJob(stream: Stream, priority: number): Job {
+  return {
+    id: stream.attempt,
+    priority,
+    prefillTokens: Math.max(0, stream.promptTokens - stream.cachedTokens),
+    outputTokens: stream.answer.tokens.length - stream.resumeFrom,
+  };
 }
--- a/src/stand-ins/engine/engine.ts
+++ b/src/stand-ins/engine/engine.ts
@@ -18,6 +18,7 @@
 import type { Failure } from '../../core/errors/index.js';
 import { createRandom } from '../../core/random/index.js';
 import { openListener } from '../listener/index.js';
+import { refuseCompletion } from './admission.js';
 import { createCacheEventLog } from './cache-events.js';
 import { createCompletions } from './completions.js';
 import type { EngineControl } from './control.js';
@@ -28,15 +29,15 @@
   type JournaledOrder,
   type JournaledState,
 } from './journal.js';
-import { loadWeights, type Weights } from './loader.js';
-import { watchMembers } from './member-watch.js';
 import {
   clearPrefixCache,
   createPrefixCache,
   exportPrefix,
   storePrefixes,
 } from './prefix-cache.js';
-import { decideOrder, IDLE_STATE, type FormOrder, type ReplicaState } from './replica-state.js';
+import { describeOrder, describeReplica, describeState } from './descriptions.js';
+import { createFormation } from './formation.js';
+import { decideOrder, IDLE_STATE, promote, type ReplicaState } from './replica-state.js';
 import { createEngineRoutes } from './routes.js';
 import { resolveSettings, type EngineStandInSettings, type ResolvedSettings } from './settings.js';
 
@@ -92,15 +93,18 @@
   }));
 }
 
-function createEngine(settings: ResolvedSettings, clock: Clock) {
+interface Engine {
+  handlers: EngineHandlers;
+  incarnation: string;
+  end: () => Promise<void>;
+}
+
+function createEngine(settings: ResolvedSettings, clock: Clock): Engine {
   const incarnation = randomUUID();
+  const { instance, cacheEventLagMs, cacheEventLoss } = settings;
   const members = createEngineClient();
   const cache = createPrefixCache(settings.cacheTokens);
-  const events = createCacheEventLog(
-    settings.cacheEventLagMs,
-    settings.cacheEventLoss,
-    createRandom(settings.seed),
-  );
+  const events = createCacheEventLog(cacheEventLagMs, cacheEventLoss, createRandom(settings.seed));
   const attempts: JournaledAttempt[] = [];
   const orders: JournaledOrder[] = [];
   const states: JournaledState[] = [];
@@ -108,85 +112,54 @@
   let held: ReplicaState = IDLE_STATE;
   let leaving = false;
   let { fencing } = settings;
-  /** Ends the loading and watching of the replica that it was last ordered into. */
-  let formation = new AbortController();
-  /** Weights stay in memory until others are loaded. */
-  let weights: Weights | undefined;
-  let othersJoined = false;
 
   const change = (next: ReplicaState): void => {
-    const moved = next.state !== held.state || next.formed !== held.formed;
-    held = next;
-    if (!moved) return;
-    const replica = held.formed?.replica;
-    const fence = held.formed?.fence ?? held.fence;
-    journalEntry(states, { at: Date.now(), state: held.state, fence, ...(replica && { replica }) });
-  };
-  const promote = (): void => {
-    if (held.state !== 'loading' || !held.loaded || !held.formed) return;
-    // The leader answers for the whole replica: it is not ready before all others are.
-    if (held.formed.rank === 0 && !othersJoined) return;
-    change({ ...held, state: 'ready' });
-  };
-  const fail = (): void => {
-    if (held.state !== 'loading' && held.state !== 'ready') return;
-    formation.abort();
-    change({ ...held, state: 'failed' });
-    completions.cutAll('replicaLost');
-  };
-  const form = (order: FormOrder): void => {
-    formation = new AbortController();
-    othersJoined = order.members.length === 1;
-    void load(order, formation.signal);
-    if (order.members.length === 1) return;
-    const listener = {
-      allJoined: (): void => {
-        othersJoined = true;
-        promote();
-      },
-      lost: fail,
-    };
-    void watchMembers(members, order, settings, listener, formation.signal);
+    const before = held;
+    held = promote(next);
+    if (held.state === before.state && held.formed === before.formed) return;
+    journalEntry(states, describeState(held));
   };
-  const load = async (order: FormOrder, signal: AbortSignal): Promise<void> => {
-    const wanted = { model: order.model, version: order.weights };
-    try {
-      const held = weights?.model === wanted.model && weights.version === wanted.version;
-      if (!held) {
-        weights = undefined;
-        await loadWeights(settings, wanted, signal);
-        weights = wanted;
-      }
-      await loadWeights(
-        { ...settings, weightStore: undefined, loadMs: settings.startMs },
-        wanted,
-        signal,
-      );
-    } catch {
-      return; // Ordered elsewhere in the meantime.
-    }
-    change({ ...held, loaded: true });
-    promote();
-  };
-  const leave = (reason: 'released' | 'replicaLost'): void => {
-    formation.abort();
+  const formation = createFormation(settings, members, {
+    loaded: () => {
+      change({ ...held, loaded: true });
+    },
+    allJoined: () => {
+      change({ ...held, othersJoined: true });
+    },
+    lost: () => {
+      if (held.state !== 'loading' && held.state !== 'ready') return;
+      // The replica dies as a whole: it answers nothing more until it is formed anew.
+      formation.end();
+      change({ ...held, state: 'failed' });
+      completions.cutAll('replicaLost');
+    },
+  });
+  const leaveReplica = (reason: 'released' | 'replicaLost'): void => {
+    formation.end();
     completions.cutAll(reason);
     events.record(clearPrefixCache(cache), clock.now());
   };
-  const refuseCompletion = (request: EngineRequest): EngineRefusal | undefined => {
-    const { formed } = held;
-    if (leaving) return notReady('leaving');
-    if (held.state !== 'ready' || formed?.rank !== 0)
-      return notReady('not leading a whole replica');
-    if (formed.model !== request.model) return notReady(`serving ${formed.model}`);
-    const isOther = formed.replica !== request.replica || formed.fence !== request.fence;
-    if (isOther && fencing === 'checked')
-      return notReady(`in ${formed.replica}, fence ${formed.fence}`);
-    if (completions.has(request.attempt))
-      return { refusal: 'invalid', reason: 'attempt is running' };
-    if (!completions.isFull()) return undefined;
+  const order = (received: Order): EngineRefusal | undefined => {
+    const decision = decideOrder(held, received, { instance, incarnation, fencing });
+    journalEntry(orders, describeOrder(received, decision));
+    if (decision.kind === 'refused') return decision.refusal;
+    if (decision.effect !== 'none')
+      leaveReplica(decision.effect === 'cut' ? 'released' : 'replicaLost');
+    change(decision.next);
+    if (decision.effect === 'load' && decision.next.formed) formation.begin(decision.next.formed);
+    return undefined;
+  };
+  const complete = (
+    request: EngineRequest,
+    response: ServerResponse,
+  ): EngineRefusal | undefined => {
+    const running = completions.has(request.attempt);
     const retryAfterMs = settings.decodeMsPerToken * RETRY_AFTER_STEPS;
-    return { refusal: 'overloaded', reason: 'the queue is full', retryAfterMs };
+    const full = completions.isFull();
+    const state = { held, leaving, fencing, full, running, retryAfterMs };
+    const refusal = refuseCompletion(request, state);
+    if (!refusal) completions.start(request, response);
+    return refusal;
   };
   const describeLoad = (): EngineLoad => {
     const { figures, ageMs } = completions.load();
@@ -194,75 +167,44 @@
     const cacheUse = Math.min(1, cache.used / cache.capacity);
     return { ...figures, batchSize, prefillMsPerToken, decodeMsPerToken, cacheUse, ageMs };
   };
+  const report = (): EngineReport => ({
+    instance,
+    incarnation,
+    state: held.state,
+    ...(held.formed && { replica: describeReplica(held.formed) }),
+    fence: held.fence,
+    leaving,
+    inFlight: completions.inFlight(),
+    ...(held.state === 'ready' && held.formed?.rank === 0 && { load: describeLoad() }),
+    adapters: [...held.adapters],
+    cacheSequence: events.lastSequence(clock.now()),
+  });
+  const control = (wanted: EngineControl): void => {
+    leaving = wanted.leaving ?? leaving;
+    fencing = wanted.fencing ?? fencing;
+    if (wanted.slowFactor !== undefined) completions.setSlowFactor(wanted.slowFactor);
+    completions.addFaults(wanted.faults ?? []);
+  };
 
-  const handlers: EngineHandlers = {
-    report: () => ({
-      instance: settings.instance,
-      incarnation,
-      state: held.state,
-      ...(held.formed && { replica: describeReplica(held.formed) }),
-      fence: held.fence,
-      leaving,
-      inFlight: completions.inFlight(),
-      ...(held.state === 'ready' && held.formed?.rank === 0 && { load: describeLoad() }),
-      adapters: [...held.adapters],
-      cacheSequence: events.lastSequence(clock.now()),
-    }),
-    order: (order) => {
-      const decision = decideOrder(held, order, {
-        instance: settings.instance,
-        incarnation,
-        fencing,
-      });
-      journalEntry(orders, describeOrder(order, decision));
-      if (decision.kind === 'refused') return decision.refusal;
-      if (decision.effect !== 'none') leave(order.kind === 'release' ? 'released' : 'replicaLost');
-      change(decision.next);
-      if (decision.effect === 'load' && decision.next.formed) form(decision.next.formed);
-      return undefined;
-    },
-    complete: (request, response) => {
-      const refusal = refuseCompletion(request);
-      if (!refusal) completions.start(request, response);
-      return refusal;
-    },
-    cancel: completions.cancel,
-    cacheEvents: (since) => ({ incarnation, ...events.read(since, clock.now()) }),
-    exportCache: (hash) => exportPrefix(cache, hash),
-    importCache: (prefixes) => {
-      events.record(storePrefixes(cache, prefixes), clock.now());
+  return {
+    incarnation,
+    handlers: {
+      report,
+      order,
+      complete,
+      control,
+      cancel: completions.cancel,
+      cacheEvents: (since) => ({ incarnation, ...events.read(since, clock.now()) }),
+      exportCache: (hash) => exportPrefix(cache, hash),
+      importCache: (prefixes) => {
+        events.record(storePrefixes(cache, prefixes), clock.now());
+      },
+      journal: () => ({ instance, incarnation, orders, attempts, states }),
     },
-    control: (change) => {
-      leaving = change.leaving ?? leaving;
-      fencing = change.fencing ?? fencing;
-      if (change.slowFactor !== undefined) completions.setSlowFactor(change.slowFactor);
-      completions.addFaults(change.faults ?? []);
+    end: async () => {
+      formation.end();
+      completions.cutAll('replicaLost');
+      await members.close();
     },
-    journal: () => ({ instance: settings.instance, incarnation, orders, attempts, states }),
-  };
-  const end = async (): Promise<void> => {
-    formation.abort();
-    completions.cutAll('replicaLost');
-    await members.close();
   };
-  return { handlers, incarnation, end };
-}
-
-function describeReplica(formed: FormOrder): NonNullable<EngineReport['replica']> {
-  const { replica, fence, model, weights, rank, members } = formed;
-  return { id: replica, fence, model, weights, rank, size: members.length };
-}
-
-function describeOrder(order: Order, decision: ReturnType<typeof decideOrder>): JournaledOrder {
-  const { kind, replica, fence } = order;
-  const common = { at: Date.now(), kind, replica, fence };
-  if (decision.kind === 'obeyed') {
-    return { ...common, outcome: decision.stale ? 'staleObeyed' : 'obeyed' };
-  }
-  const { refusal, reason } = decision.refusal;
-  return { ...common, outcome: 'refused', reason: `${refusal}: ${reason}` };
-}
-
-function notReady(reason: string): EngineRefusal {
-  return { refusal: 'notReady', reason };
 }
--- a/src/stand-ins/engine/loader.ts
+++ b/src/stand-ins/engine/loader.ts
@@ -15,7 +15,7 @@
 
 /** Ends when the weights are there; rejects only when `signal` is aborted. */
 export async function loadWeights(
-  settings: ResolvedSettings,
+  settings: Pick<ResolvedSettings, 'weightStore' | 'loadMs'>,
   weights: Weights,
   signal: AbortSignal,
 ): Promise<void> {
--- a/src/stand-ins/engine/member-watch.ts
+++ b/src/stand-ins/engine/member-watch.ts
@@ -12,7 +12,7 @@
   /** Every watched member is in the replica. */
   allJoined(): void;
   /** A member is gone; the watch is to be ended. */
-  lost(instance: string): void;
+  lost(): void;
 }
 
 type WatchedMember = FormOrder['members'][number] & { joined: boolean };
@@ -44,8 +44,7 @@
   // The engine may have been ordered elsewhere while the members were asked. What they answered
   // about the old replica would then fail the new one.
   if (signal.aborted) return;
-  const lost = watched.find((_, index) => verdicts[index] === 'lost');
-  if (lost) listener.lost(lost.instance);
+  if (verdicts.includes('lost')) listener.lost();
   else if (watched.every((member) => member.joined)) listener.allJoined();
 }
 
--- a/src/stand-ins/engine/replica-state.ts
+++ b/src/stand-ins/engine/replica-state.ts
@@ -17,6 +17,8 @@
   adapters: readonly string[];
   /** Its own weights are loaded and set up for `formed`. */
   loaded: boolean;
+  /** All members that it watches are in the replica. */
+  othersJoined: boolean;
 }
 
 /** What an engine has to do after an order. `cut` ends running streams at once. */
@@ -33,6 +35,7 @@
   fence: 0,
   adapters: [],
   loaded: false,
+  othersJoined: false,
 };
 
 /** Decides on `order` for the engine `instance` of this `incarnation`. */
@@ -60,6 +63,14 @@
   }
 }
 
+/** Makes a loading engine ready when nothing is missing any more. */
+export function promote(held: ReplicaState): ReplicaState {
+  if (held.state !== 'loading' || !held.loaded || !held.formed) return held;
+  // The leader answers for the whole replica: it is not ready before all others are.
+  if (held.formed.rank === 0 && !held.othersJoined) return held;
+  return { ...held, state: 'ready' };
+}
+
 function decideForm(
   held: ReplicaState,
   order: FormOrder,
@@ -79,6 +90,7 @@
     formed: order,
     adapters: order.adapters,
     loaded: false,
+    othersJoined: false,
   };
   return { kind: 'obeyed', stale, effect: 'load', next };
 }
