Plan fabric domains and own their plans by leases

Cause: nothing formed, repaired or released replicas. Change: one pure planner for each fabric domain, ownership and orders by lease arithmetic that counts the owner's time from before its write, and the part that feeds both.

--- /dev/null
+++ b/src/controllers/replicas/assemble.ts
@@ -0,0 +1,88 @@
+/**
+ * The planner's view of the domains, put together from the board.
+ */
+import type { Fleet, Health } from '../../board/index.js';
+import type { Milliseconds } from '../../core/clock/index.js';
+import type { DomainPlan } from '../../objects/index.js';
+import { isLeaving } from '../health/gate.js';
+import type { DomainSupply, InstanceGroup } from './demand.js';
+import type { DomainPlace } from './lease.js';
+import { measureAbsence } from './standing.js';
+import type { DomainInput, DomainMember } from './types.js';
+
+/** Members of one domain by instance name. */
+export type DomainMembers = ReadonlyMap<string, DomainMember>;
+
+/** The engine instances of the fleet by fabric domain. One without a domain is one of its own. */
+export function groupDomains(fleet: Fleet, health: Health): ReadonlyMap<string, DomainMembers> {
+  const domains = new Map<string, Map<string, DomainMember>>();
+  for (const [name, instance] of fleet.instances) {
+    if (instance.role !== 'engine') continue;
+    const domain = instance.fabricDomain ?? name;
+    const leaving = isLeaving(fleet, name);
+    const members = domains.get(domain) ?? new Map<string, DomainMember>();
+    members.set(name, { name, instance, leaving, health: health.get(name) });
+    domains.set(domain, members);
+  }
+  return domains;
+}
+
+/**
+ * What `domain` can hold. Of a domain of which nothing is heard, while its owner renews the lease,
+ * only this entry is cut off: what its plan has in service is taken to serve.
+ */
+export function describeSupply(
+  domain: string,
+  members: DomainMembers,
+  plan: DomainPlan | undefined,
+  isOwnerLive: boolean,
+  timing: Pick<DomainInput, 'estimates' | 'watchingSince'>,
+  now: Milliseconds,
+): DomainSupply {
+  const replicas = plan?.replicas ?? [];
+  const heard = [...members.values()].filter((member) => isSupply(member, timing, now));
+  if (heard.length > 0 || !isOwnerLive) {
+    return { name: domain, replicas, groups: groupByLabels(heard) };
+  }
+  const whole = replicas.filter(({ phase }) => phase === 'whole');
+  const serving = whole
+    .flatMap((replica) => replica.members.map(({ instance }) => members.get(instance)))
+    .filter((member) => member !== undefined);
+  return { name: domain, replicas: whole, groups: groupByLabels(serving) };
+}
+
+/** Where most of the domain's engines are; the first by name when equal. */
+export function locateDomain(domain: string, members: DomainMembers): DomainPlace {
+  const counts = new Map<string, { count: number; region: string; failureDomain: string }>();
+  for (const { instance } of members.values()) {
+    const { region, failureDomain } = instance;
+    const key = `${region}/${failureDomain}`;
+    const count = (counts.get(key)?.count ?? 0) + 1;
+    counts.set(key, { count, region, failureDomain });
+  }
+  const ordered = [...counts].sort(
+    ([a, { count: countA }], [b, { count: countB }]) => countB - countA || (a < b ? -1 : 1),
+  );
+  const place = ordered[0]?.[1];
+  return { domain, region: place?.region, failureDomain: place?.failureDomain ?? '' };
+}
+
+function isSupply(
+  member: DomainMember,
+  timing: Pick<DomainInput, 'estimates' | 'watchingSince'>,
+  now: Milliseconds,
+): boolean {
+  if (member.leaving || member.health?.report === undefined) return false;
+  return measureAbsence(timing, member, now) < timing.estimates.lossMs;
+}
+
+function groupByLabels(members: readonly DomainMember[]): InstanceGroup[] {
+  const groups = new Map<string, InstanceGroup>();
+  for (const { instance } of members) {
+    const key = JSON.stringify(Object.entries(instance.labels).sort());
+    const group = groups.get(key);
+    if (group === undefined) groups.set(key, { labels: instance.labels, count: 1 });
+    else group.count += 1;
+  }
+  return [...groups.values()];
+}
--- /dev/null
+++ b/src/controllers/replicas/index.ts
@@ -0,0 +1,12 @@
+export * from './assemble.js';
+export * from './check-plan.js';
+export * from './constants.js';
+export * from './demand.js';
+export * from './drained.js';
+export * from './history.js';
+export * from './lease.js';
+export * from './orders.js';
+export * from './ownership.js';
+export * from './plan-domain.js';
+export type * from './types.js';
+export * from './weigh.js';
--- a/src/entry/health/health-part.ts
+++ b/src/entry/health/health-part.ts
@@ -22,6 +22,8 @@
   reportFailure(instance: string): void;
   /** A plain service answered. Engines need none: their reports tell. */
   reportAnswer(instance: string): void;
+  /** Takes a report that an order or another call brought; asked for at `askedAt`. */
+  keepReport(report: EngineReport, askedAt: Milliseconds): void;
   /** What peers passed on: one change per instance. */
   recordPassed(changes: ReadonlyMap<string, InstanceHealth>): void;
 }
@@ -155,6 +157,7 @@
       await Promise.all(running);
     },
     reportFailure,
+    keepReport,
     reportAnswer: (instance) => {
       if (readHealth(instance)?.failingSince === undefined) return;
       heard.set(instance, recordAnswer(clock.now()));
--- /dev/null
+++ b/src/entry/replicas/index.ts
@@ -0,0 +1,1 @@
+export * from './replicas-part.js';
--- a/src/index.ts
+++ b/src/index.ts
@@ -5,6 +5,7 @@
 export * from './controllers/attempts/index.js';
 export * from './controllers/configuration/index.js';
 export * from './controllers/health/index.js';
+export * from './controllers/replicas/index.js';
 export * from './controllers/membership/index.js';
 export * from './controllers/calls/index.js';
 export * from './core/clock/index.js';
