Split fleet-wide limits between entries without a common decision

A guaranteed part per entry needs no news; the rest is divided by the entries in the platform's list, used only while the list is fresh and after a newcomer has waited until all others count it; loans follow demand, their lease runs on the borrower's clock from when it asked. Ruled out: shares by each entry's own view alone (a newcomer and one cut off add up to more than the limit) and one object in the platform (all shares would lapse with the platform, writes grow with changes of demand).

--- a/src/controllers/limits/types.ts
+++ b/src/controllers/limits/types.ts
@@ -21,38 +21,40 @@
 
 const fraction = z.number().min(0).max(1);
 
-/** What an entry would use of one workspace's limits, and what it may use, as parts of the whole. */
-export const shareNeedSchema = z.object({
+/** What an entry lacks of one workspace's limits, as a part of the whole. */
+export const shareNeedSchema = z.strictObject({
   workspace: nameSchema,
-  wanted: z.number().min(0).max(1_000),
-  held: fraction,
+  missing: fraction,
 });
 
-/** A part of the lender's own share that the borrower may use for a while. */
-export const shareLoanSchema = z.object({
+/** A part of the lender's own share of one workspace's limits. */
+export const shareLoanSchema = z.strictObject({
   workspace: nameSchema,
-  borrower: nameSchema,
   fraction,
 });
 
-/** Echo of the borrower's `stamp`: the borrower's lease runs from then on its own clock. */
-export const loanTermSchema = z.object({
+/** All that one entry lends another; it replaces what it lent it before. */
+export const loanGrantSchema = z.strictObject({
   borrower: nameSchema,
   incarnation: incarnationSchema,
-  stamp: z.number(),
+  /** Echo of the `stamp` with which the borrower asked. */
+  askedAt: z.number(),
+  loans: z.array(shareLoanSchema).max(64),
 });
 
 /** What entries tell each other about their shares; part of the digest between them. */
-export const limitDigestSchema = z.object({
+export const limitDigestSchema = z.strictObject({
   incarnation: incarnationSchema,
-  /** The sender's own clock when it made the digest; it also orders the sender's digests. */
+  /**
+   * The sender's own clock when it made the digest. Nobody else reckons with it: it orders the
+   * sender's digests, and comes back to it in grants.
+   */
   stamp: z.number(),
-  needs: z.array(shareNeedSchema).max(1_000),
-  terms: z.array(loanTermSchema).max(1_000),
-  loans: z.array(shareLoanSchema).max(4_000),
+  needs: z.array(shareNeedSchema).max(64),
+  grants: z.array(loanGrantSchema).max(64),
 });
 
 export type ShareNeed = z.infer<typeof shareNeedSchema>;
 export type ShareLoan = z.infer<typeof shareLoanSchema>;
-export type LoanTerm = z.infer<typeof loanTermSchema>;
+export type LoanGrant = z.infer<typeof loanGrantSchema>;
 export type LimitDigest = z.infer<typeof limitDigestSchema>;
--- /dev/null
+++ b/src/entry/limits/create-limits.ts
@@ -0,0 +1,83 @@
+/**
+ * Keeps this entry's share of the workspaces' limits on the board.
+ */
+import {
+  createShareState,
+  exportLimitDigest,
+  importLimitDigest,
+  limitDigestSchema,
+  observeDemands,
+  observeEntries,
+  splitShares,
+  type LimitedWorkspace,
+} from '../../controllers/limits/index.js';
+import type { EntryContext, Part } from '../types.js';
+
+/** The limits part, and what the exchange of digests needs of it. */
+export interface Limits extends Part {
+  /** JSON text for the next round of digests; `undefined` when there is nothing to tell. */
+  exportDigest(): string | undefined;
+  /** Takes in what the entry `from` told; text that is not valid is ignored. */
+  importDigest(from: string, text: string): void;
+}
+
+/**
+ * The limits part of an entry.
+ *
+ * @example const limits = createLimits(context); limits.start();
+ */
+export function createLimits(context: EntryContext): Limits {
+  const { board, clock, identity, settings, writers } = context;
+  const { splitEveryMs, ...options } = settings.limits;
+  const state = createShareState(identity.name, identity.incarnation, options, clock.now());
+  let timer: NodeJS.Timeout | undefined;
+  let unsubscribe: (() => void) | undefined;
+
+  const split = (): void => {
+    const now = clock.now();
+    const workspaces = listWorkspaces(context);
+    observeEntries(state, listEntries(context), board.configuration.read().confirmedAt, now);
+    observeDemands(state, workspaces, board.attempts.read().demands);
+    writers.limits.write(splitShares(state, workspaces, now));
+  };
+  return {
+    exportDigest: () => {
+      const digest = exportLimitDigest(state, clock.now());
+      // What was lent must be off the board before the borrower can hear of it.
+      split();
+      return digest && JSON.stringify(digest);
+    },
+    importDigest: (from, text) => {
+      const digest = limitDigestSchema.safeParse(parseJson(text));
+      if (digest.success) importLimitDigest(state, from, digest.data, clock.now());
+    },
+    start: () => {
+      timer = setInterval(split, splitEveryMs);
+      unsubscribe = board.configuration.subscribe(split);
+      split();
+    },
+    stop: () => {
+      clearInterval(timer);
+      unsubscribe?.();
+      return Promise.resolve();
+    },
+  };
+}
+
+function listWorkspaces({ board }: EntryContext): LimitedWorkspace[] {
+  const { workspaces } = board.configuration.read();
+  return [...workspaces].map(([name, { value }]) => ({ name, limits: value.limits }));
+}
+
+function listEntries({ board }: EntryContext): string[] {
+  const { instances } = board.fleet.read();
+  return [...instances].filter(([, { role }]) => role === 'entry').map(([name]) => name);
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/entry/limits/index.ts
@@ -0,0 +1,1 @@
+export * from './create-limits.js';
