--- a/src/controllers/calls/batching.ts
+++ b/src/controllers/calls/batching.ts
@@ -6,6 +6,7 @@
  * failed call claims wait for a second try; after more they are refused at once until a call
  * succeeds: otherwise an outage would leave one claim of unknown fate behind for each request.
  */
+import { MAX_BATCH_WRITES } from '../../adapters/platform/protocol.js';
 import type { PlatformWrite } from '../../adapters/platform/types.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { Random } from '../../core/random/index.js';
@@ -13,7 +14,6 @@
   FIRST_BACKOFF_MS,
   MAX_BACKOFF_MS,
   MAX_BATCH_CHARACTERS,
-  MAX_BATCH_WRITES,
   MAX_BATCHES_UNDER_WAY,
   MAX_WAITING_WRITES,
   PLATFORM_CALLS_PER_SECOND,
--- a/src/controllers/calls/constants.ts
+++ b/src/controllers/calls/constants.ts
@@ -41,9 +41,6 @@
 /** Most that wall clocks of two entries are apart, in ms; records outlive their keys by it. */
 export const CLOCK_SKEW_MS = 3_600_000;
 
-/** Writes in one platform call; the platform's own bound. */
-export const MAX_BATCH_WRITES = 256;
-
 /** Size of the values in one platform call, in characters, above which no further write joins. */
 export const MAX_BATCH_CHARACTERS = 1_000_000;
 
@@ -68,3 +65,15 @@
 
 /** Answers that one entry holds until they are recorded, in bytes of their bodies. */
 export const MAX_HELD_ANSWER_BYTES = 16 * 1024 * 1024;
+
+/** One hour, in ms. */
+export const HOUR_MS = 3_600_000;
+
+/** How many hours back records that are due are looked for: covers outages of a few days. */
+export const LOOK_BACK_HOURS = 96;
+
+/** Settled records that one entry remembers until it has listed them. */
+export const MAX_UNLISTED_RECORDS = 50_000;
+
+/** Records in one list. */
+export const MAX_LISTED_RECORDS = 5_000;
--- a/src/controllers/calls/index.ts
+++ b/src/controllers/calls/index.ts
@@ -1,5 +1,6 @@
 export * from './batching.js';
 export * from './claimants.js';
+export * from './collection.js';
 export * from './constants.js';
 export * from './judge.js';
 export * from './keys.js';
--- a/src/controllers/calls/judge.ts
+++ b/src/controllers/calls/judge.ts
@@ -5,7 +5,7 @@
 import type { CallRecord, StoredObject } from '../../objects/index.js';
 import { IN_PROGRESS_RETRY_MS, UNAVAILABLE_RETRY_MS } from './constants.js';
 import type { CallFacts, CallProgress, CallRecordState } from './messages.js';
-import { decodeAnswer, parseRecord } from './record.js';
+import { decodeAnswer, readRecord } from './record.js';
 import type { OnceCall, OnceOutcome } from './types.js';
 
 /** What to do about an existing record. */
@@ -26,15 +26,18 @@
     const reason = 'the record was removed while it was claimed';
     return refuse(createFailure('recordUnavailable', { reason }, UNAVAILABLE_RETRY_MS));
   }
-  // Only the collection of old records deletes: the key was used and its outcome is forgotten.
-  if (current.deleted) return refuse(createFailure('keyExpired'));
-  const record = parseRecord(current);
-  if (record === undefined) {
-    const reason = 'its call record is of another version of this program';
-    return refuse(createFailure('messageInvalid', { from: 'the platform', reason }));
+  const content = readRecord(current);
+  switch (content.kind) {
+    case 'expired':
+      return refuse(createFailure('keyExpired'));
+    case 'invalid': {
+      const reason = 'its call record is of another version of this program';
+      return refuse(createFailure('messageInvalid', { from: 'the platform', reason }));
+    }
+    case 'record':
+      if (!isSameCall(call, content.record)) return refuse(createFailure('keyReused'));
+      return judgeState(content.record, current, facts);
   }
-  if (!isSameCall(call, record)) return refuse(createFailure('keyReused'));
-  return judgeState(record, current, facts);
 }
 
 function judgeState(record: CallRecord, current: StoredObject, facts: CallFacts): RecordVerdict {
@@ -49,7 +52,6 @@
     case 'answered':
     case 'answerTooLarge':
     case 'unknown':
-    case 'expired':
       return { kind: 'answer', outcome: replaySettled(record.state) };
   }
 }
@@ -66,8 +68,6 @@
       const reason = 'whether an earlier request with this key took effect was never learnt';
       return failed(createFailure('outcomeUnknown', { reason }));
     }
-    case 'expired':
-      return failed(createFailure('keyExpired'));
   }
 }
 
@@ -90,7 +90,6 @@
     case 'answered':
     case 'answerTooLarge':
     case 'unknown':
-    case 'expired':
       return replaySettled(state);
   }
 }
--- a/src/controllers/calls/messages.ts
+++ b/src/controllers/calls/messages.ts
@@ -19,7 +19,7 @@
 export type CallEvent =
   | { kind: 'written'; nonce: string; version: number }
   | { kind: 'conflict'; nonce: string; current: StoredObject | undefined }
-  /** `left` says whether the write left this process: if it did, it may still take effect. */
+  /** `left` says whether the write left this process, so that it may still take effect. */
   | { kind: 'writeFailed'; nonce: string; failure: Failure; left: boolean }
   | { kind: 'sendEnded'; outcome: SendOutcome }
   /** The time to try an unsettled record again has come. */
--- a/src/controllers/calls/record.ts
+++ b/src/controllers/calls/record.ts
@@ -2,7 +2,7 @@
  * Building and reading call records.
  */
 import type { CallRecord, StoredObject } from '../../objects/index.js';
-import { callRecordSchema } from '../../objects/index.js';
+import { OBJECT_SCHEMAS } from '../../objects/index.js';
 import { MAX_KEPT_BODY_BYTES, MAX_KEPT_HEADER_CHARACTERS } from './constants.js';
 import type { CallRecordState, Claimant } from './messages.js';
 import type { OnceCall, StoredAnswer } from './types.js';
@@ -23,10 +23,21 @@
   };
 }
 
-/** The record in `stored`; undefined when its value is not one that this version knows. */
-export function parseRecord(stored: StoredObject): CallRecord | undefined {
-  const parsed = callRecordSchema.safeParse(stored.value);
-  return parsed.success ? parsed.data : undefined;
+/** What stands in a stored record. */
+export type RecordContent =
+  | { kind: 'record'; record: CallRecord }
+  /** Past the retention: the key was used, and its outcome is forgotten. */
+  | { kind: 'expired' }
+  /** Not of a form that this version of the program knows. */
+  | { kind: 'invalid' };
+
+/** Reads a stored record. */
+export function readRecord(stored: StoredObject): RecordContent {
+  // Only the collection of records past the retention deletes.
+  if (stored.deleted) return { kind: 'expired' };
+  const parsed = OBJECT_SCHEMAS['call-record'].safeParse(stored.value);
+  if (!parsed.success) return { kind: 'invalid' };
+  return 'workspace' in parsed.data ? { kind: 'record', record: parsed.data } : { kind: 'expired' };
 }
 
 /**
--- a/src/entry/calls/index.ts
+++ b/src/entry/calls/index.ts
@@ -1,1 +1,2 @@
 export * from './once-calls.js';
+export * from './record-collector.js';
--- a/src/entry/calls/once-calls.ts
+++ b/src/entry/calls/once-calls.ts
@@ -17,26 +17,32 @@
   type CallFacts,
   type CallProgress,
   type CallStep,
+  type KeyAge,
   type ObservedClaims,
   type OnceCall,
   type OnceCalls,
   type OnceOutcome,
   type SendOutcome,
 } from '../../controllers/calls/index.js';
-import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import type { EntryContext, Part } from '../types.js';
+import { createRecordCollector, type RecordCollector, type WallClock } from './record-collector.js';
 import { createRecordWriter } from './record-writer.js';
 
 /** Longest wait for records to be settled when the entry stops, in ms. */
 const MAX_STOP_WAIT_MS = 10_000;
 
-/** Milliseconds since 1970. */
-export type WallClock = () => Milliseconds;
+/** What tests replace. */
+export interface OnceCallsOptions {
+  /** Compared with the time in keys alone. */
+  wallClock?: WallClock;
+  collector?: RecordCollector;
+}
 
 /** One call that this entry has open: in progress, or its record not settled. */
 interface OpenCall {
   progress: CallProgress;
+  age: KeyAge;
   send: () => Promise<SendOutcome>;
   resolve: (outcome: OnceOutcome) => void;
   deadline: NodeJS.Timeout | undefined;
@@ -45,13 +51,14 @@
 /**
  * The calls of one entry that may run only once.
  *
- * @param wallClock compared with the time in keys alone.
  * @example const calls = createOnceCalls(context); await calls.run(call, () => send(request));
  */
 export function createOnceCalls(
   context: EntryContext,
-  wallClock: WallClock = Date.now,
+  options: OnceCallsOptions = {},
 ): OnceCalls & Part {
+  const { wallClock = Date.now } = options;
+  const collector = options.collector ?? createRecordCollector(context, wallClock);
   const { identity, board, clock } = context;
   const open = new Map<string, OpenCall>();
   const observed: ObservedClaims = new Map();
@@ -84,7 +91,13 @@
     return new Promise((resolve) => {
       const step = beginCall(name, call, createFacts());
       const deadline = startDeadline(name, call);
-      const started: OpenCall = { progress: step.progress, send, resolve, deadline };
+      const started: OpenCall = {
+        progress: step.progress,
+        age: age.value,
+        send,
+        resolve,
+        deadline,
+      };
       open.set(name, started);
       perform(started, step);
     });
@@ -143,6 +156,7 @@
         });
         return;
       case 'settled':
+        collector.note(call.progress.name, action.version, call.age);
         return;
     }
   }
@@ -175,11 +189,14 @@
 
   return {
     run,
-    start: () => undefined,
+    start: () => {
+      collector.start();
+    },
     stop: async () => {
       stopping = true;
       await waitUntilEmpty();
       writer.close();
+      await collector.stop();
     },
   };
 }
--- a/src/entry/calls/record-writer.ts
+++ b/src/entry/calls/record-writer.ts
@@ -81,8 +81,10 @@
   function fail(batch: readonly WaitingWrite[], failure: Failure): void {
     if (batching.failures === 0) logger.log('callRecordsUnavailable', { reason: failure.message });
     const refused = noteBatchFailed(batching, clock.now(), random, failure.retryAfterMs);
+    // Only this kind says that the writes had no effect and never will.
+    const left = failure.kind !== 'platformUnavailable';
     for (const { write } of batch) {
-      report(write.name, { kind: 'writeFailed', nonce: write.nonce, failure, left: true });
+      report(write.name, { kind: 'writeFailed', nonce: write.nonce, failure, left });
     }
     for (const { write } of refused) {
       report(write.name, { kind: 'writeFailed', nonce: write.nonce, failure, left: false });
--- a/src/objects/schemas.ts
+++ b/src/objects/schemas.ts
@@ -189,20 +189,25 @@
     /** Proved not to have reached any backend server: the key may be claimed again. */
     z.strictObject({ kind: z.literal('notRun') }),
     z.strictObject({ kind: z.literal('unknown') }),
-    /** Older than the retention: only that the key was used is still known. */
-    z.strictObject({ kind: z.literal('expired') }),
   ]),
 });
 
+/** What is left of a call record past the retention: only that its key was used. */
+export const expiredCallRecordSchema = z.strictObject({
+  state: z.strictObject({ kind: z.literal('expired') }),
+});
+
 /**
- * Lists of call records, by which those older than the retention are found without listing all.
- * An `hour` names the lists made in it; a list names the records settled by one entry.
+ * By which call records past the retention are found without listing all: an `hour` names the
+ * series of lists whose records are to be removed in it, a `list` names records of one entry.
  */
 export const callIndexSchema = z.discriminatedUnion('kind', [
-  z.strictObject({ kind: z.literal('hour'), lists: z.array(nameSchema).max(8_000) }),
+  z.strictObject({ kind: z.literal('hour'), series: z.array(nameSchema).max(8_000) }),
   z.strictObject({
     kind: z.literal('list'),
-    records: z.array(z.strictObject({ name: nameSchema, version: count, timed: z.boolean() })),
+    records: z
+      .array(z.strictObject({ name: nameSchema, version: count, timed: z.boolean() }))
+      .max(8_000),
   }),
 ]);
 
@@ -214,7 +219,7 @@
   policy: policySchema,
   instance: instanceSchema,
   'domain-plan': domainPlanSchema,
-  'call-record': callRecordSchema,
+  'call-record': z.union([callRecordSchema, expiredCallRecordSchema]),
   'call-index': callIndexSchema,
 } as const;
 
