--- /dev/null
+++ b/features/requests/services.steps.ts
@@ -0,0 +1,172 @@
+/**
+ * Steps of the scenarios on plain services.
+ */
+import assert from 'node:assert/strict';
+import { createHash, randomBytes } from 'node:crypto';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { callFaultSchema } from '../../src/stand-ins/service/control.js';
+import { call, type Received } from './client.js';
+import { KEY } from './fixture.js';
+import type { RequestWorld } from './requests.steps.js';
+
+interface ServiceWorld extends RequestWorld {
+  uploaded: Buffer;
+}
+
+/** What the service's echo says that it saw. */
+interface Echo {
+  method: string;
+  path: string;
+  query: string;
+  headers: Record<string, string>;
+  body: string;
+}
+
+Given(
+  'the next calls of both services have the fault {string}',
+  function (this: ServiceWorld, text: string) {
+    const fault = callFaultSchema.parse(JSON.parse(text));
+    for (const service of this.entry.services) service.control({ faults: [fault] });
+  },
+);
+
+Given(
+  'the next call of one service has the fault {string}',
+  function (this: ServiceWorld, text: string) {
+    const fault = callFaultSchema.parse(JSON.parse(text));
+    this.entry.services[0]?.control({ faults: [fault] });
+    this.entry.writeFleet([...this.entry.engines, ...this.entry.services]);
+  },
+);
+
+Given('the first service instance is gone and still listed', async function (this: ServiceWorld) {
+  await this.entry.services[0]?.stop();
+});
+
+Given('both service instances are gone and still listed', async function (this: ServiceWorld) {
+  await Promise.all(this.entry.services.map((service) => service.stop()));
+});
+
+When('a caller gets {string}', async function (this: ServiceWorld, path: string) {
+  this.received = await call(this.entry.address, path);
+});
+
+When('a caller posts to {string}', async function (this: ServiceWorld, path: string) {
+  this.received = await call(this.entry.address, path, { method: 'POST', body: 'lorry 12' });
+});
+
+When(
+  'a caller posts to {string} with a deadline of {int} ms',
+  async function (this: ServiceWorld, path: string, deadline: number) {
+    const headers = { 'x-request-deadline-ms': String(deadline) };
+    this.received = await call(this.entry.address, path, { method: 'POST', body: 'x', headers });
+  },
+);
+
+When(
+  'a caller posts {int} times to {string}',
+  async function (this: ServiceWorld, times: number, path: string) {
+    for (let done = 0; done < times; done += 1) {
+      this.answers.push(await call(this.entry.address, path, { method: 'POST', body: 'x' }));
+    }
+  },
+);
+
+When('a caller checks in with the key {string}', async function (this: ServiceWorld, key: string) {
+  const sent = { method: 'POST', body: 'rigger 7', headers: { 'idempotency-key': key } };
+  this.received = await call(this.entry.address, '/services/gate/check-ins', sent);
+  this.answers.push(this.received);
+});
+
+When(
+  'a caller posts to {string} with fields of all sorts',
+  async function (this: ServiceWorld, path: string) {
+    const headers = {
+      connection: 'x-hop, keep-alive',
+      'x-hop': '1',
+      te: 'trailers',
+      'x-workspace': 'forged',
+      'x-request-id': 'forged',
+      'x-trace': ['a', 'b'],
+      'content-type': 'text/plain; charset=utf-8',
+    };
+    this.received = await call(this.entry.address, path, { method: 'POST', body: 'é', headers });
+  },
+);
+
+When('a caller uploads {int} bytes in chunks', async function (this: ServiceWorld, bytes: number) {
+  this.uploaded = randomBytes(bytes);
+  const headers = { 'transfer-encoding': 'chunked' };
+  const sent = { method: 'POST', body: this.uploaded, headers };
+  this.received = await call(this.entry.address, '/services/gate/upload', sent);
+});
+
+When('a caller downloads {int} bytes', async function (this: ServiceWorld, bytes: number) {
+  this.received = await call(this.entry.address, `/services/gate/download?bytes=${bytes}`);
+});
+
+Then(
+  'the service saw the method, path, query, body and end-to-end fields',
+  function (this: ServiceWorld) {
+    const echo = readEcho(this.received);
+    assert.equal(echo.method, 'POST');
+    assert.equal(echo.path, '/echo/a%20b');
+    assert.equal(echo.query, '?day=2&x=%26');
+    assert.equal(echo.body, 'é');
+    assert.equal(echo.headers['x-trace'], 'a, b');
+    assert.equal(echo.headers['content-type'], 'text/plain; charset=utf-8');
+  },
+);
+
+Then(
+  'the service saw no hop-by-hop field, no key and no forged field',
+  function (this: ServiceWorld) {
+    const { headers } = readEcho(this.received);
+    assert.equal(headers['x-hop'], undefined);
+    assert.equal(headers.te, undefined);
+    assert.equal(headers.authorization, undefined);
+    assert.ok(!JSON.stringify(headers).includes(KEY));
+    assert.equal(headers['x-workspace'], 'market');
+    assert.equal(headers['x-request-id'], this.received.headers['x-request-id']);
+    assert.notEqual(headers['x-request-id'], 'forged');
+  },
+);
+
+Then('the service saw the same {int} bytes', function (this: ServiceWorld, bytes: number) {
+  const sha256 = createHash('sha256').update(this.uploaded).digest('hex');
+  assert.deepEqual(JSON.parse(this.received.body), { bytes, sha256 });
+});
+
+Then('the caller has {int} bytes in a whole answer', function (this: ServiceWorld, bytes: number) {
+  assert.equal(this.received.broken, false);
+  assert.equal(this.received.bytes, bytes);
+});
+
+Then("the caller's connection was closed in mid-answer", function (this: ServiceWorld) {
+  assert.equal(this.received.broken, true);
+});
+
+Then('the call is answered with {int}', function (this: ServiceWorld, status: number) {
+  assert.equal(this.received.status, status);
+});
+
+Then('all calls are answered with {int}', function (this: ServiceWorld, status: number) {
+  assert.deepEqual(new Set(this.answers.map((answer) => answer.status)), new Set([status]));
+});
+
+Then('the services have run {int} calls', function (this: ServiceWorld, runs: number) {
+  assert.equal(this.entry.countRuns(), runs);
+});
+
+Then('the second answer is the first one, marked as replayed', function (this: ServiceWorld) {
+  const [first, second] = this.answers;
+  assert.ok(first && second);
+  assert.equal(second.body, first.body);
+  assert.equal(second.headers['idempotency-replayed'], 'true');
+  assert.equal(first.headers['idempotency-replayed'], undefined);
+});
+
+function readEcho(received: Received): Echo {
+  assert.equal(received.status, 200, received.body);
+  return JSON.parse(received.body) as Echo;
+}
