Test that a watch outlives a cut and comes back when it is told to

Cause: taking the reset of lossy connections out of a scratch copy left the features green. Change: two scenarios; each fails on a scratch copy without the code that it is for. Option types that nothing outside uses are no longer exported.

--- a/features/platform/fixture.ts
+++ b/features/platform/fixture.ts
@@ -5,6 +5,7 @@
   createPlatformClient,
   createWatchLoop,
   type ObjectList,
+  type Platform,
   type PlatformClient,
   type PlatformFailure,
   type PlatformWrite,
@@ -27,6 +28,9 @@
   batch?: Result<WriteOutcome[], PlatformFailure>;
   watcher?: Watcher;
   elapsedMs: number;
+  /** When a scripted watch was called. */
+  watchedAt: number[];
+  retryAfterMs: number;
 }
 
 /** A watch loop with what it was given. */
@@ -64,7 +68,7 @@
   await world.platform?.stop();
 }
 
-export function startWatcher(client: PlatformClient, since = 0): Watcher {
+export function startWatcher(client: Pick<Platform, 'watch'>, since = 0): Watcher {
   const watcher = { lists: [], seen: new Map(), order: [], failures: [] } as Omit<Watcher, 'loop'>;
   const loop = createWatchLoop({
     platform: client,
--- a/features/platform/platform.feature
+++ b/features/platform/platform.feature
@@ -77,6 +77,10 @@
     When object "m" changes at the platform and the platform is well again
     Then the watch loop has seen the newest "m"
 
+  Scenario: a watch that is told when to come back
+    Given a watch loop whose first call is refused for 300 ms
+    Then the watch loop calls again, and no sooner
+
   Scenario: a watch that is answered from an old copy
     The platform fails over to a copy that lacks the last changes, and an entry that has seen them
     asks it. Taking the answer would put an older configuration in force again.
--- a/features/platform/platform.steps.ts
+++ b/features/platform/platform.steps.ts
@@ -1,8 +1,11 @@
 import assert from 'node:assert/strict';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
+import { errAsync } from 'neverthrow';
 import { request } from 'undici';
+import type { Platform } from '../../src/adapters/platform/index.js';
 import { nextBackoff } from '../../src/core/backoff/index.js';
+import { createFailure } from '../../src/core/errors/index.js';
 import { createRandom } from '../../src/core/random/index.js';
 import { waitFor } from '../support/waiting.js';
 import {
@@ -52,6 +55,21 @@
   await waitFor('the first list', () => watcher.lists.length > 0);
 });
 
+Given(
+  'a watch loop whose first call is refused for {int} ms',
+  function (this: PlatformWorld, retryAfterMs: number) {
+    this.retryAfterMs = retryAfterMs;
+    this.watchedAt = [];
+    const refusal = createFailure('platformUnavailable', { reason: 'busy' }, retryAfterMs);
+    const watch: Platform['watch'] = (kinds, since, waitMs, signal) => {
+      this.watchedAt.push(performance.now());
+      if (this.watchedAt.length === 1) return errAsync(refusal);
+      return this.client.watch(kinds, since, waitMs, signal);
+    };
+    this.watcher = startWatcher({ watch });
+  },
+);
+
 Given(
   'object {string} changed at the platform and the platform answers from its copy of now',
   function (this: PlatformWorld, name: string) {
@@ -151,6 +169,13 @@
   this.elapsedMs = performance.now() - startedAt;
 });
 
+Then('the watch loop calls again, and no sooner', async function (this: PlatformWorld) {
+  await waitFor('the second call', () => this.watchedAt.length >= 2);
+  const [first = 0, second = 0] = this.watchedAt;
+  // Timers may fire up to a millisecond early.
+  assert.ok(second - first >= this.retryAfterMs - 1, `came back after ${second - first} ms`);
+});
+
 Then('it stopped at once', function (this: PlatformWorld) {
   assert.ok(this.elapsedMs < 2_000, `took ${this.elapsedMs} ms of a watch of 5000 ms`);
 });
@@ -219,6 +244,13 @@
   await waitFor('a failed watch', () => (this.watcher?.failures.length ?? 0) > 0);
 });
 
+Then(
+  'the watch loop reports a failure within {int} ms',
+  async function (this: PlatformWorld, withinMs: number) {
+    await waitFor('a failed watch', () => (this.watcher?.failures.length ?? 0) > 0, withinMs);
+  },
+);
+
 Then('the watch loop was given nothing', function (this: PlatformWorld) {
   assert.equal(this.watcher?.lists.length, 0);
 });
--- a/features/platform/proxy.feature
+++ b/features/platform/proxy.feature
@@ -15,6 +15,16 @@
     Then the write was written with nonce "n1"
     And the platform's journal shows 1 write of "m"
 
+  Scenario: a watch whose answer fell into a cut
+    The answer to a waiting watch is swallowed and then the link is back. A connection with a hole
+    in its stream must end, so that the watch is made again and the change is not missed.
+    Given a watch loop over all kinds
+    And the proxy cuts the way to the source
+    When object "m" changes at the platform and the proxy swallows the news
+    And the proxy passes everything again
+    Then the watch loop reports a failure within 2000 ms
+    And the watch loop has seen the newest "m"
+
   Scenario: a cut of the way there
     Given the proxy cuts the way to the target
     When object "m" is written from version 0 with nonce "n1"
--- a/features/platform/proxy.steps.ts
+++ b/features/platform/proxy.steps.ts
@@ -42,6 +42,16 @@
   await switchProxy(this, { cut: 'none' });
 });
 
+When(
+  'object {string} changes at the platform and the proxy swallows the news',
+  async function (this: PlatformWorld, name: string) {
+    // Until the second watch waits at the platform, the change would be news to the first.
+    await waitFor('the waiting watch', () => this.platform.counters().watch >= 2);
+    this.platform.put('model', name, {});
+    await waitFor('swallowed bytes', () => (this.proxy?.counters().swallowedBytes ?? 0) > 0);
+  },
+);
+
 When('the proxy refuses new connections', async function (this: PlatformWorld) {
   await switchProxy(this, { refuse: true });
 });
--- a/src/adapters/platform/client.ts
+++ b/src/adapters/platform/client.ts
@@ -21,7 +21,7 @@
 import { resolveConflict, settleSending, type Sending } from './settle.js';
 import type { Platform, PlatformFailure, PlatformWrite, WriteOutcome } from './types.js';
 
-export interface PlatformClientOptions {
+interface PlatformClientOptions {
   /** `host:port`. */
   address: string;
   /** Longest wait for one call; a watch has its own waiting time on top. */
--- a/src/adapters/platform/protocol.ts
+++ b/src/adapters/platform/protocol.ts
@@ -61,5 +61,4 @@
 export type ObjectList = z.infer<typeof objectListSchema>;
 export type ObjectWrite = z.infer<typeof objectWriteSchema>;
 export type Conflict = z.infer<typeof conflictSchema>;
-export type BatchWrite = z.infer<typeof batchWriteSchema>;
 export type BatchResult = z.infer<typeof batchResultSchema>;
--- a/src/adapters/platform/settle.ts
+++ b/src/adapters/platform/settle.ts
@@ -32,7 +32,7 @@
   | { kind: 'lost'; reason: string };
 
 /** What a repeated sending needs. */
-export interface SettleTools {
+interface SettleTools {
   random: Random;
   logger: Logger;
 }
--- a/src/adapters/platform/types.ts
+++ b/src/adapters/platform/types.ts
@@ -35,7 +35,11 @@
   'platformUnavailable' | 'platformOutcomeUnknown' | 'messageInvalid' | 'objectInvalid'
 >;
 
-/** The object API. Calls end within their timeout; none is repeated except as {@link WriteOutcome} says. */
+/**
+ * The object API. Reads end within their timeout. A write is sent up to three times, as
+ * {@link WriteOutcome} says, and so ends within three timeouts and half a second; it may have taken
+ * effect at any moment since it was first sent.
+ */
 export interface Platform {
   list(kind: ObjectKind): ResultAsync<ObjectList, PlatformFailure>;
   read(kind: ObjectKind, name: string): ResultAsync<StoredObject | undefined, PlatformFailure>;
--- a/src/adapters/platform/watch-loop.ts
+++ b/src/adapters/platform/watch-loop.ts
@@ -12,7 +12,7 @@
 import type { ObjectList } from './protocol.js';
 import type { Platform, PlatformFailure } from './types.js';
 
-export interface WatchLoopOptions {
+interface WatchLoopOptions {
   platform: Pick<Platform, 'watch'>;
   kinds: readonly ObjectKind[];
   /** How long one watch waits for a change. */
--- a/src/stand-ins/platform/object-routes.ts
+++ b/src/stand-ins/platform/object-routes.ts
@@ -10,6 +10,7 @@
   MAX_VALUE_BYTES,
   objectWriteSchema,
   type BatchResult,
+  type Conflict,
 } from '../../adapters/platform/index.js';
 import { parseJson } from '../../core/json/index.js';
 import { nameSchema, objectKindSchema } from '../../objects/index.js';
@@ -18,7 +19,7 @@
 import type { Store, StoreView, StoreWrite } from './store.js';
 
 /** What the routes work on. */
-export interface ObjectSources {
+interface ObjectSources {
   store: Store;
   /** What lists, reads and watches are answered from at the moment. */
   view: () => StoreView;
@@ -101,7 +102,7 @@
     case 'written':
       return context.json(result.object);
     case 'conflict':
-      return context.json({ current: result.current }, 409);
+      return context.json({ current: result.current } satisfies Conflict, 409);
     case 'invalid':
       return context.json({ reason: result.reason }, 413);
   }
--- a/src/stand-ins/platform/stand-in.ts
+++ b/src/stand-ins/platform/stand-in.ts
@@ -20,7 +20,7 @@
 import { createObjectRoutes } from './object-routes.js';
 import { createStore } from './store.js';
 
-export interface PlatformStandInOptions {
+interface PlatformStandInOptions {
   /** Where to listen; port 0 takes a free one. */
   address: string;
   /** How long a change of an `instance` stays unseen by readers, in milliseconds. */
--- a/src/stand-ins/platform/store.ts
+++ b/src/stand-ins/platform/store.ts
@@ -40,7 +40,7 @@
 }
 
 /** How long a change of `kind` stays unseen by readers, in milliseconds. */
-export type VisibilityLag = (kind: ObjectKind) => number;
+type VisibilityLag = (kind: ObjectKind) => number;
 
 interface Entry {
   /** The version that the writer was answered with; a lagging object gets a later one. */
--- a/src/stand-ins/proxy/pipe.ts
+++ b/src/stand-ins/proxy/pipe.ts
@@ -6,14 +6,14 @@
 import type { Breaker, LinkWay } from './link.js';
 
 /** What happened on the way that concerns the whole connection. */
-export interface PipeEvents {
+interface PipeEvents {
   /** Bytes or an end were swallowed: what comes later may not be delivered any more. */
   onLost(): void;
   /** The breaker's count was reached. */
   onBreak(): void;
 }
 
-export interface Pipe {
+interface Pipe {
   /** Keeps bytes back until `release`. */
   hold(): void;
   release(): void;
--- a/src/stand-ins/proxy/proxy.ts
+++ b/src/stand-ins/proxy/proxy.ts
@@ -24,7 +24,7 @@
   type ProxyControl,
 } from './link.js';
 
-export interface ProxyOptions {
+interface ProxyOptions {
   /** Where to listen; port 0 takes a free one. */
   listen: string;
   /** Where connections are passed on to. */
