Put one entry together from its parts

Cause: the parts exist, and nothing starts them as one process. Ruled out: starting the listener for callers first; it would refuse what it could soon serve. Change: createEntry starts the peer listener, the parts, then the callers' listener; stopEntry goes the other way round and cuts off no accepted request.

--- /dev/null
+++ b/src/entry/create-entry.ts
@@ -0,0 +1,177 @@
+/**
+ * One entry, put together from its parts.
+ *
+ * The peer listener comes first, since the entry's own digest names its address; the listener for
+ * callers comes last, when everything behind it runs. A stop goes the other way round.
+ */
+import { randomInt, randomUUID } from 'node:crypto';
+import { createCallers } from '../adapters/callers/index.js';
+import { createEngineClient, type EngineClient } from '../adapters/engines/index.js';
+import {
+  createPeerClient,
+  createPeerServer,
+  type PeerHandlers,
+  type PeerServer,
+} from '../adapters/peers/index.js';
+import { createPlatformClient, type PlatformClient } from '../adapters/platform/index.js';
+import { createServices } from '../adapters/services/index.js';
+import { createBoard } from '../board/index.js';
+import { createEligibleReplicas } from '../controllers/health/index.js';
+import { createSystemClock } from '../core/clock/index.js';
+import { createFailure, type Failure } from '../core/errors/index.js';
+import { createLogger } from '../core/logger/index.js';
+import { createMetrics } from '../core/metrics/index.js';
+import { createRandom } from '../core/random/index.js';
+import type { EntrySettings } from '../core/settings/index.js';
+import { createOnceCalls } from './calls/index.js';
+import { createConfiguration } from './configuration/index.js';
+import { createHealthPart } from './health/index.js';
+import { createLimits } from './limits/index.js';
+import { createMembership } from './membership/index.js';
+import { createReplicasPart } from './replicas/index.js';
+import { createRequests } from './requests/index.js';
+import { stopEntry } from './stop-entry.js';
+import type { Closable, EntryContext, EntryParts, RunningEntry } from './types.js';
+
+const MAX_SEED = 2 ** 31 - 1;
+/** Longest call to another entry; longer than the longest way between regions by far. */
+const PEER_TIMEOUT_MS = 2_000;
+
+/**
+ * Starts an entry and resolves when it listens. It is ready for callers when `/readyz` says so.
+ *
+ * @example
+ * const entry = await createEntry(settings);
+ * process.once('SIGTERM', () => void entry.stop());
+ */
+export async function createEntry(settings: EntrySettings): Promise<RunningEntry> {
+  const late: { handlers?: PeerHandlers; countSent?: (bytes: number) => void } = {};
+  const peerServer = createPeerServer({
+    address: settings.listen.peers,
+    handlers: createLateHandlers(late),
+    onSent: (bytes) => late.countSent?.(bytes),
+  });
+  const peerAddress = await peerServer.listen();
+  const context = createContext(settings, peerAddress);
+  const parts = createParts(context, peerServer, (bytes) => late.countSent?.(bytes));
+  late.handlers = parts.membership.handlers;
+  late.countSent = (bytes) => {
+    parts.membership.countSent(bytes);
+  };
+  for (const part of listInStartOrder(parts)) part.start();
+  const callersAddress = await parts.callers.listen();
+  context.logger.log('entryStarted', { callers: callersAddress, peers: peerAddress });
+  return {
+    callersAddress,
+    peersAddress: peerAddress,
+    stop: () => stopEntry(context, parts),
+  };
+}
+
+/** Peers may call as soon as the listener is open, a moment before the part behind it exists. */
+function createLateHandlers(late: { handlers?: PeerHandlers }): PeerHandlers {
+  const resolve = (): PeerHandlers => {
+    if (late.handlers === undefined) throw new Error('the entry is still starting');
+    return late.handlers;
+  };
+  return {
+    exchange: (message) => resolve().exchange(message),
+    changesSince: (since) => resolve().changesSince(since),
+  };
+}
+
+function createContext(
+  settings: EntrySettings,
+  peerAddress: string,
+): EntryContext & { platform: PlatformClient; engines: EngineClient } {
+  const { name, region, failureDomain } = settings;
+  const board = createBoard();
+  const logger = createLogger(name, settings.logLevel);
+  const random = createRandom(randomInt(MAX_SEED));
+  const { address, timeoutMs } = settings.platform;
+  const platform = createPlatformClient({ address, timeoutMs, random, logger });
+  const engines = createEngineClient();
+  return {
+    identity: {
+      name,
+      incarnation: randomUUID(),
+      address: settings.listen.callers,
+      peerAddress,
+      region,
+      failureDomain,
+    },
+    settings,
+    board,
+    writers: board,
+    clock: createSystemClock(),
+    random,
+    logger,
+    platform,
+    engines,
+  };
+}
+
+function createParts(
+  context: EntryContext & { platform: Closable; engines: Closable },
+  peerServer: PeerServer,
+  countSent: (bytes: number) => void,
+): EntryParts {
+  const { board, logger, settings } = context;
+  const peers = createPeerClient({ timeoutMs: PEER_TIMEOUT_MS, onSent: countSent });
+  const configuration = createConfiguration(context, peers);
+  const health = createHealthPart(context);
+  const limits = createLimits(context);
+  const membership = createMembership(context, configuration, peers, {
+    extensions: [
+      {
+        name: 'limits',
+        export: () => limits.exportDigest(),
+        import: (peer, text) => {
+          limits.importDigest(peer, text);
+        },
+      },
+    ],
+  });
+  const replicas = createReplicasPart(context, {
+    keepReport: (report, askedAt) => {
+      health.keepReport(report, askedAt);
+    },
+  });
+  const onceCalls = createOnceCalls(context);
+  const services = createServices();
+  const metrics = createMetrics();
+  const eligible = createEligibleReplicas(board, settings.health.freshMs);
+  const requests = createRequests(context, { services, onceCalls, eligible, health, metrics });
+  const readiness = (): Failure<'notReady' | 'stopping'> | undefined => {
+    if (parts.isLeaving) return createFailure('stopping');
+    const state = membership.readiness();
+    return state.kind === 'ready' ? undefined : createFailure('notReady', { reason: state.reason });
+  };
+  const callers = createCallers({
+    address: settings.listen.callers,
+    settings: settings.callers,
+    path: requests.path,
+    readiness,
+    isStopping: () => parts.isLeaving,
+    logger,
+  });
+  const parts: EntryParts = {
+    configuration,
+    membership,
+    health,
+    limits,
+    replicas,
+    onceCalls,
+    requests,
+    callers,
+    clients: [services, peers, context.platform, context.engines],
+    peerServer,
+    isLeaving: false,
+  };
+  return parts;
+}
+
+function listInStartOrder(parts: EntryParts) {
+  const { configuration, membership, health, limits, replicas, onceCalls, requests } = parts;
+  return [configuration, membership, health, limits, replicas, onceCalls, requests];
+}
--- /dev/null
+++ b/src/entry/index.ts
@@ -0,0 +1,2 @@
+export * from './create-entry.js';
+export type { RunningEntry } from './types.js';
--- /dev/null
+++ b/src/entry/stop-entry.ts
@@ -0,0 +1,60 @@
+/**
+ * The planned stop of an entry: it cuts off no request in flight.
+ *
+ * First the balancer and the other entries learn that this one leaves and its fabric domains are
+ * given away; new callers are still served while the balancer has not noticed. Then new requests
+ * are refused, and everything accepted is finished. The digest goes on until the end, since others
+ * wait for its counts of requests in flight before they stop a backend server.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Milliseconds } from '../core/clock/index.js';
+import type { EntryContext, EntryParts } from './types.js';
+
+/** How long other entries are waited for to learn that this one has gone. */
+const FAREWELL_MS = 2_000;
+
+/** Ends the entry in order; a second call waits for the first. */
+export function stopEntry(context: EntryContext, parts: EntryParts): Promise<void> {
+  parts.stopped ??= performStop(context, parts);
+  return parts.stopped;
+}
+
+async function performStop(context: EntryContext, parts: EntryParts): Promise<void> {
+  const { logger, settings } = context;
+  const { balancerMs, drainMs } = settings.stopping;
+  logger.log('entryStopping');
+  parts.isLeaving = true;
+  parts.membership.announceStopping();
+  await Promise.all([parts.replicas.handOver(), sleep(balancerMs)]);
+  parts.requests.beginStopping();
+  await withinTime(finishRequests(parts), drainMs);
+  await parts.callers.close();
+  await parts.onceCalls.stop();
+  await parts.membership.whenHandedOver(FAREWELL_MS);
+  await stopParts(parts);
+  await closeConnections(parts);
+  logger.log('entryStopped');
+}
+
+async function finishRequests({ callers, requests }: EntryParts): Promise<void> {
+  await Promise.all([callers.drain(), requests.whenIdle()]);
+}
+
+/** A caller that never takes its answer must not hold up the stop for ever. */
+async function withinTime(work: Promise<void>, limitMs: Milliseconds): Promise<void> {
+  const ended = new AbortController();
+  const limit = sleep(limitMs, undefined, { signal: ended.signal }).catch(() => undefined);
+  await Promise.race([work, limit]);
+  ended.abort();
+}
+
+async function stopParts(parts: EntryParts): Promise<void> {
+  const { requests, replicas, limits, health, membership, configuration } = parts;
+  for (const part of [requests, replicas, limits, health, membership, configuration]) {
+    await part.stop();
+  }
+}
+
+async function closeConnections({ peerServer, clients }: EntryParts): Promise<void> {
+  await Promise.all([peerServer, ...clients].map((closable) => closable.close()));
+}
