--- a/features/platform/fixture.ts
+++ b/features/platform/fixture.ts
@@ -48,7 +48,11 @@
   world.platform = (await createPlatformStandIn({ address: '127.0.0.1:0' }))._unsafeUnwrap();
   let { address } = world.platform;
   if (throughProxy) {
-    const opened = await createProxy({ listen: '127.0.0.1:0', target: address });
+    const opened = await createProxy({
+      listen: '127.0.0.1:0',
+      target: address,
+      control: '127.0.0.1:0',
+    });
     world.proxy = opened._unsafeUnwrap();
     address = world.proxy.address;
   }
--- a/features/platform/platform.feature
+++ b/features/platform/platform.feature
@@ -56,6 +56,14 @@
     Then the write failed as platformUnavailable, to be tried again after 1000 ms
     And the platform's journal shows 0 writes of "m"
 
+  Scenario: the platform stand-in is steered by HTTP during its outage
+    Given object "m" is written from version 0 with nonce "n1"
+    When the platform's control route is told '{ "outage": "hang" }'
+    And object "m" is written from version 1 with nonce "n2"
+    Then the write's outcome is unknown
+    And the platform's control routes still show 1 write of "m" and 4 write calls
+    And the platform's control route refuses '{ "outage": "strike" }'
+
   Scenario: too many calls
     Given the platform takes 1 write a second
     When object "a" is written from version 0 with nonce "n1"
--- a/features/platform/platform.steps.ts
+++ b/features/platform/platform.steps.ts
@@ -7,6 +7,7 @@
 import { nextBackoff } from '../../src/core/backoff/index.js';
 import { createFailure } from '../../src/core/errors/index.js';
 import { createRandom } from '../../src/core/random/index.js';
+import type { CallCounters, JournalEntry } from '../../src/stand-ins/platform/index.js';
 import { waitFor } from '../support/waiting.js';
 import {
   closePlatform,
@@ -19,6 +20,13 @@
 import { checkSettledWrites } from './settled-writes.js';
 import { checkWatchedChanges } from './watched-changes.js';
 
+async function postControl(address: string, control: string): Promise<number> {
+  const url = `http://${address}/control`;
+  const response = await request(url, { method: 'POST', body: control });
+  await response.body.dump();
+  return response.statusCode;
+}
+
 After(async function (this: Partial<PlatformWorld>) {
   if (this.platform && this.client) await closePlatform(this);
 });
@@ -180,6 +188,32 @@
   assert.ok(this.elapsedMs < 2_000, `took ${this.elapsedMs} ms of a watch of 5000 ms`);
 });
 
+When(
+  "the platform's control route is told {string}",
+  async function (this: PlatformWorld, control: string) {
+    assert.equal(await postControl(this.platform.address, control), 200);
+  },
+);
+
+Then(
+  "the platform's control route refuses {string}",
+  async function (this: PlatformWorld, control: string) {
+    assert.equal(await postControl(this.platform.address, control), 400);
+  },
+);
+
+Then(
+  "the platform's control routes still show {int} write of {string} and {int} write calls",
+  async function (this: PlatformWorld, writes: number, name: string, calls: number) {
+    const base = `http://${this.platform.address}/control`;
+    const journal = await (await request(`${base}/journal?kind=model`)).body.json();
+    const counters = await (await request(`${base}/counters`)).body.json();
+    const { entries } = journal as { entries: JournalEntry[] };
+    assert.equal(entries.filter((entry) => entry.object.name === name).length, writes);
+    assert.equal((counters as CallCounters).write, calls);
+  },
+);
+
 Then('one write was written and the other conflicts with it', function (this: PlatformWorld) {
   const outcomes = this.outcomes.map((outcome) => outcome._unsafeUnwrap());
   const won = outcomes.find((outcome) => outcome.kind === 'written');
--- a/features/platform/proxy.feature
+++ b/features/platform/proxy.feature
@@ -31,6 +31,12 @@
     Then the write's outcome is unknown
     And the platform's journal shows 0 writes of "m"
 
+  Scenario: the proxy is steered by HTTP
+    Given the proxy's control route is told '{ "cut": "both" }'
+    When object "m" is written from version 0 with nonce "n1"
+    Then the write's outcome is unknown
+    And the proxy's control route counts swallowed bytes
+
   Scenario: no connection can be made
     When the proxy refuses new connections
     And object "m" is written from version 0 with nonce "n1"
--- a/features/platform/proxy.steps.ts
+++ b/features/platform/proxy.steps.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
+import { request } from 'undici';
 import { waitFor } from '../support/waiting.js';
-import type { ProxyControl } from '../../src/stand-ins/proxy/index.js';
+import type { ProxyControl, ProxyCounters } from '../../src/stand-ins/proxy/index.js';
 import { modelWrite, openClient, openPlatform, type PlatformWorld } from './fixture.js';
 
 const LARGE_CALL_TIMEOUT_MS = 10_000;
@@ -26,6 +27,22 @@
   await switchProxy(this, { cut: 'toTarget' });
 });
 
+Given(
+  "the proxy's control route is told {string}",
+  async function (this: PlatformWorld, control: string) {
+    const url = `http://${this.proxy?.controlAddress ?? ''}/control`;
+    const response = await request(url, { method: 'POST', body: control });
+    await response.body.dump();
+    assert.equal(response.statusCode, 200);
+  },
+);
+
+Then("the proxy's control route counts swallowed bytes", async function (this: PlatformWorld) {
+  const url = `http://${this.proxy?.controlAddress ?? ''}/control/counters`;
+  const counters = (await (await request(url)).body.json()) as ProxyCounters;
+  assert.ok(counters.swallowedBytes > 0);
+});
+
 Given('the proxy holds what the next connection sends', async function (this: PlatformWorld) {
   await switchProxy(this, { holdNext: 1 });
 });
