Add entry and development mode, the documentation and the check for unused code

Cause: a newcomer must see the main job with one command, and every part needs a page. Change: entry and dev commands; README, guide, operators' and developers' pages, glossary, metrics page from the registry; knip.json. Ruled out: processes started by dev, since the product starts no process: the site runs in one.

--- a/features/cli/examples.steps.ts
+++ b/features/cli/examples.steps.ts
@@ -83,7 +83,7 @@
   },
 );
 
-When('the embedding example is run', function (this: ExamplesWorld) {
+When('the embedding example is run', { timeout: 30_000 }, function (this: ExamplesWorld) {
   const run = spawnSync(process.execPath, ['--import', 'tsx', 'examples/embed/plan.ts'], {
     encoding: 'utf8',
     env: { ...process.env, NODE_OPTIONS: '' },
--- a/features/cli/program.steps.ts
+++ b/features/cli/program.steps.ts
@@ -5,6 +5,9 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { runProgram, type Run } from './program.js';
 
+/** A step waits for the program's end; this bounds one that hangs. */
+const PROGRAM_TIMEOUT_MS = 60_000;
+
 interface ProgramWorld {
   run: Run;
   objectFolder?: string;
@@ -17,13 +20,21 @@
   await writeFile(this.objectFile, text);
 });
 
-When('the program is run with {string}', async function (this: ProgramWorld, args: string) {
-  this.run = await runProgram(args.split(' '));
-});
+When(
+  'the program is run with {string}',
+  { timeout: PROGRAM_TIMEOUT_MS },
+  async function (this: ProgramWorld, args: string) {
+    this.run = await runProgram(args.split(' '));
+  },
+);
 
-When('the program checks the object file', async function (this: ProgramWorld) {
-  this.run = await runProgram(['check', this.objectFile]);
-});
+When(
+  'the program checks the object file',
+  { timeout: PROGRAM_TIMEOUT_MS },
+  async function (this: ProgramWorld) {
+    this.run = await runProgram(['check', this.objectFile]);
+  },
+);
 
 Then(
   'the program exits with {int} and prints {string}',
--- a/scripts/reference/pages.ts
+++ b/scripts/reference/pages.ts
@@ -5,6 +5,7 @@
 import { EXITS } from '../../src/cli/exit-codes.js';
 import { ERRORS } from '../../src/core/errors/index.js';
 import { LOG_EVENTS } from '../../src/core/logger/index.js';
+import { createMetrics, MAX_WORKSPACE_LABELS } from '../../src/core/metrics/index.js';
 import { entrySettingsSchema } from '../../src/core/settings/index.js';
 import { CONFIGURATION_KINDS, OBJECT_SCHEMAS } from '../../src/objects/index.js';
 import { listSchemaRows } from './schema-rows.js';
@@ -19,6 +20,7 @@
 
 const GENERATED =
   'This page is rendered from the code by `npm run reference`; a test holds it to it.';
+const METRIC_PREFIX = 'yuccasail_';
 const SCHEMA_COLUMNS = ['Key', 'Type', 'Default', 'Meaning'];
 
 /** All reference pages, formatted. */
@@ -28,6 +30,7 @@
     renderObjects(),
     renderErrors(),
     renderLogEvents(),
+    renderMetrics(),
     renderExitCodes(),
   ];
   return Promise.all(pages.map(formatPage));
@@ -86,6 +89,24 @@
   ]);
 }
 
+function renderMetrics(): Page {
+  const rows = createMetrics()
+    .registry.getMetricsAsArray()
+    .filter(({ name }) => name.startsWith(METRIC_PREFIX))
+    .map((metric) => [`\`${metric.name}\``, listLabels(metric), metric.help])
+    .sort(([one = ''], [other = '']) => (one < other ? -1 : 1));
+  return renderPage('docs/metrics.md', 'Metrics', [
+    `Served in the Prometheus text format at \`GET /metrics\` of the operators' address, beside Node's own \`process_*\` and \`nodejs_*\`. Histograms are kept for each workspace and class; workspaces beyond the first ${MAX_WORKSPACE_LABELS} are counted together as \`other\`.`,
+    renderTable(['Name', 'Labels', 'What it counts'], rows),
+  ]);
+}
+
+/** prom-client's types leave out the names of a metric's labels. */
+function listLabels(metric: object): string {
+  const names = 'labelNames' in metric && Array.isArray(metric.labelNames) ? metric.labelNames : [];
+  return names.length === 0 ? 'none' : names.map((name) => `\`${String(name)}\``).join(', ');
+}
+
 function renderExitCodes(): Page {
   const rows = Object.entries(EXITS).map(([name, { code, meaning }]) => [
     String(code),
--- /dev/null
+++ b/src/cli/dev/index.ts
@@ -0,0 +1,1 @@
+export * from './dev.js';
--- /dev/null
+++ b/src/cli/entry/index.ts
@@ -0,0 +1,1 @@
+export * from './entry.js';
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,6 +10,8 @@
   $ yuccasail <command> [options]
 
 Commands
+  dev         Run a whole site on this machine and show an answer
+  entry       Run an entry
   check       Check settings and object files without applying them
   load        Put open-loop load on entries and sum up the answers
   stand-in    Run a stand-in for the platform, an engine, a service, a weight store or a poor link
@@ -21,6 +23,8 @@
 
 const COMMANDS: Readonly<Record<string, () => Promise<Run>>> = {
   check: async () => (await import('./check/index.js')).runCheck,
+  dev: async () => (await import('./dev/index.js')).runDev,
+  entry: async () => (await import('./entry/index.js')).runEntry,
   load: async () => (await import('./load/index.js')).runLoadCommand,
   'stand-in': async () => (await import('./stand-in/index.js')).runStandIn,
 };
--- a/src/cli/object-file.ts
+++ b/src/cli/object-file.ts
@@ -40,10 +40,7 @@
 }
 
 /** The objects in `text`; `file` only names it in failures. */
-export function parseObjectFile(
-  file: string,
-  text: string,
-): Result<ObjectEntry[], SettingsFailures> {
+function parseObjectFile(file: string, text: string): Result<ObjectEntry[], SettingsFailures> {
   const document = parseToml(text);
   if (document.isErr()) {
     const { line, text: shown, reason } = document.error;
