--- a/features/engines/replicas.feature
+++ b/features/engines/replicas.feature
@@ -25,6 +25,13 @@
     When the engine of rank 1 dies and comes back at once at its address
     Then the leader fails
 
+  # Answers stall and never end. One machine of a replica freezes, or its link dies: connections
+  # stay open and nothing comes. The leader has to give the member up by its own clock.
+  Scenario: A member falls silent while its connections stay open
+    Given a replica of 2 engines with a proxy before the engine of rank 1
+    When nothing passes the proxy before that engine any more
+    Then the leader fails
+
   Scenario: A released member ends its replica
     Given a replica of 2 engines
     When the engine of rank 1 is released with fence 2
--- a/features/engines/replicas.steps.ts
+++ b/features/engines/replicas.steps.ts
@@ -5,6 +5,7 @@
   createEngineStandIn,
   type EngineStandInSettings,
 } from '../../src/stand-ins/engine/index.js';
+import { createProxy, type Proxy } from '../../src/stand-ins/proxy/index.js';
 import { createWeightStore, type WeightStore } from '../../src/stand-ins/weights/index.js';
 import { waitFor } from '../support/waiting.js';
 import {
@@ -23,11 +24,13 @@
 
 interface ReplicaWorld extends EngineWorld {
   weightStore?: WeightStore;
+  memberProxy?: Proxy;
   orderedAt?: number;
 }
 
 After(async function (this: Partial<ReplicaWorld>) {
   await this.weightStore?.stop();
+  await this.memberProxy?.stop();
 });
 
 Given('{int} engines without a replica', async function (this: ReplicaWorld, count: number) {
@@ -42,6 +45,19 @@
   },
 );
 
+Given(
+  'a replica of 2 engines with a proxy before the engine of rank 1',
+  async function (this: ReplicaWorld) {
+    const lab = openLab(this);
+    await startEngines(lab, 2);
+    const member = engineAt(lab, 1);
+    const options = { listen: '127.0.0.1:0', target: member.address };
+    this.memberProxy = (await createProxy(options))._unsafeUnwrap();
+    lab.engines[1] = { ...member, address: this.memberProxy.address };
+    await formReplica(lab, 1);
+  },
+);
+
 Given(
   'a weight store of {int} bytes a second and models of {int} bytes',
   async function (this: ReplicaWorld, bytesPerSecond: number, bytesPerModel: number) {
@@ -89,6 +105,11 @@
   },
 );
 
+When('nothing passes the proxy before that engine any more', async function (this: ReplicaWorld) {
+  const cut = await this.memberProxy?.control({ cut: 'both' });
+  assert.ok(cut?.isOk());
+});
+
 When(
   /^the engine of rank (\d+) is (released|drained) with fence (\d+)$/,
   async function (this: ReplicaWorld, rank: string, done: string, fence: string) {
--- a/src/adapters/engines/answers.ts
+++ b/src/adapters/engines/answers.ts
@@ -4,7 +4,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { z } from 'zod';
 import { createFailure } from '../../core/errors/index.js';
-import { parseJson } from './parse-chunk.js';
+import { parseJson } from '../../core/json/index.js';
 import { engineRefusalSchema, type EngineRefusal } from './protocol.js';
 import type { WholeAnswer } from './short-call.js';
 import type { EngineFailure } from './types.js';
--- a/src/adapters/engines/chunk-sequence.ts
+++ b/src/adapters/engines/chunk-sequence.ts
@@ -7,7 +7,7 @@
 export type ChunkVerdict =
   { kind: 'pass' } | { kind: 'drop'; reason: ChunkDropReason } | { kind: 'broken'; reason: string };
 
-export type ChunkDropReason = 'foreign' | 'duplicate' | 'afterEnd';
+type ChunkDropReason = 'foreign' | 'duplicate' | 'afterEnd';
 
 /** Follows one stream. */
 export interface ChunkSequence {
--- a/src/adapters/engines/engine-client.ts
+++ b/src/adapters/engines/engine-client.ts
@@ -19,7 +19,7 @@
 import type { EngineFailure, Engines } from './types.js';
 
 /** Bounds of the client; what is left out has the default named. */
-export interface EngineClientSettings {
+interface EngineClientSettings {
   /** Longest wait for a connection. Default 1,000. */
   connectTimeoutMs?: Milliseconds;
   /** Longest wait for the first byte of a completion's answer. Default 10,000. */
--- a/src/stand-ins/engine/admission.ts
+++ b/src/stand-ins/engine/admission.ts
@@ -7,7 +7,7 @@
 import type { Fencing } from './settings.js';
 
 /** What the answer depends on besides the replica. */
-export interface AdmissionState {
+interface AdmissionState {
   held: ReplicaState;
   leaving: boolean;
   fencing: Fencing;
--- a/src/stand-ins/engine/answers.ts
+++ b/src/stand-ins/engine/answers.ts
@@ -6,7 +6,7 @@
 import type { Message } from '../../adapters/engines/index.js';
 
 /** What decides an answer. */
-export interface AnswerQuestion {
+interface AnswerQuestion {
   messages: readonly Message[];
   seed: number;
   maxTokens: number;
--- a/src/stand-ins/engine/completions.ts
+++ b/src/stand-ins/engine/completions.ts
@@ -23,7 +23,7 @@
 import { createStreams, type Stream } from './streams.js';
 
 /** The running completions of one engine. */
-export interface Completions {
+interface Completions {
   /** Takes a request that has been found fit to run; the answer goes to `response`. */
   start(request: EngineRequest, response: ServerResponse): void;
   has(attempt: string): boolean;
@@ -39,7 +39,7 @@
 }
 
 /** What the completions of an engine work with. */
-export interface CompletionParts {
+interface CompletionParts {
   settings: ResolvedSettings;
   clock: Clock;
   cache: PrefixCache;
--- a/src/stand-ins/engine/delivery.ts
+++ b/src/stand-ins/engine/delivery.ts
@@ -5,7 +5,7 @@
 import type { CompletionFault } from './control.js';
 
 /** The stream that is written to. */
-export interface DeliveredStream {
+interface DeliveredStream {
   attempt: string;
   resumeFrom: number;
   fault: CompletionFault | undefined;
--- a/src/stand-ins/engine/engine.ts
+++ b/src/stand-ins/engine/engine.ts
@@ -6,14 +6,12 @@
 import type { ResultAsync } from 'neverthrow';
 import {
   createEngineClient,
-  type CacheEventList,
   type EngineLoad,
   type EngineRefusal,
   type EngineReport,
   type EngineRequest,
   type Order,
 } from '../../adapters/engines/index.js';
-import type { Prefix } from '../../controllers/routing/index.js';
 import { createSystemClock, type Clock } from '../../core/clock/index.js';
 import type { Failure } from '../../core/errors/index.js';
 import { createRandom } from '../../core/random/index.js';
@@ -37,6 +35,7 @@
 } from './prefix-cache.js';
 import { describeOrder, describeReplica, describeState } from './descriptions.js';
 import { createFormation } from './formation.js';
+import type { EngineHandlers } from './handlers.js';
 import { decideOrder, IDLE_STATE, promote, type ReplicaState } from './replica-state.js';
 import { createEngineRoutes } from './routes.js';
 import { resolveSettings, type EngineStandInSettings, type ResolvedSettings } from './settings.js';
@@ -54,19 +53,6 @@
   control: (change: EngineControl) => void;
 }
 
-/** What the HTTP routes of an engine need of it. */
-export interface EngineHandlers {
-  report(): EngineReport;
-  order(order: Order): EngineRefusal | undefined;
-  complete(request: EngineRequest, response: ServerResponse): EngineRefusal | undefined;
-  cancel: (attempt: string) => void;
-  cacheEvents(since: number): CacheEventList;
-  exportCache(hash: string): Prefix[] | undefined;
-  importCache(prefixes: readonly Prefix[]): void;
-  control: (change: EngineControl) => void;
-  journal: () => EngineJournal;
-}
-
 const RETRY_AFTER_STEPS = 20;
 
 /**
--- a/src/stand-ins/engine/formation.ts
+++ b/src/stand-ins/engine/formation.ts
@@ -8,7 +8,7 @@
 import type { ResolvedSettings } from './settings.js';
 
 /** What the formation tells the engine. */
-export interface FormationListener {
+interface FormationListener {
   /** The weights are there and set up. */
   loaded(): void;
   /** Every watched member is in the replica; called again with each look. */
@@ -18,7 +18,7 @@
 }
 
 /** At most one replica at a time. */
-export interface Formation {
+interface Formation {
   /** Ends what went before. */
   begin(order: FormOrder): void;
   end(): void;
@@ -41,6 +41,7 @@
       weights = wanted;
     }
     await loadWeights({ weightStore: undefined, loadMs: settings.startMs }, wanted, signal);
+    signal.throwIfAborted();
     listener.loaded();
   };
 
--- a/src/stand-ins/engine/load-history.ts
+++ b/src/stand-ins/engine/load-history.ts
@@ -16,7 +16,7 @@
 }
 
 /** Past figures of one engine; each holds until the next. */
-export interface LoadHistory {
+interface LoadHistory {
   record(figures: SchedulerFigures, now: Milliseconds): void;
   read(now: Milliseconds): LaggedFigures;
 }
--- a/src/stand-ins/engine/member-check.ts
+++ b/src/stand-ins/engine/member-check.ts
@@ -4,7 +4,7 @@
 import type { EngineReport } from '../../adapters/engines/index.js';
 
 /** What the order that formed the replica says of the member. */
-export interface ExpectedMember {
+interface ExpectedMember {
   instance: string;
   incarnation: string;
   replica: string;
--- a/src/stand-ins/engine/member-watch.ts
+++ b/src/stand-ins/engine/member-watch.ts
@@ -8,7 +8,7 @@
 import type { ResolvedSettings } from './settings.js';
 
 /** What the watch tells the engine. */
-export interface WatchListener {
+interface WatchListener {
   /** Every watched member is in the replica. */
   allJoined(): void;
   /** A member is gone; the watch is to be ended. */
--- a/src/stand-ins/engine/routes.ts
+++ b/src/stand-ins/engine/routes.ts
@@ -11,7 +11,7 @@
   type EngineRefusal,
 } from '../../adapters/engines/index.js';
 import { engineControlSchema } from './control.js';
-import type { EngineHandlers } from './engine.js';
+import type { EngineHandlers } from './handlers.js';
 
 interface Bindings {
   Bindings: HttpBindings;
--- a/src/stand-ins/engine/scheduler.ts
+++ b/src/stand-ins/engine/scheduler.ts
@@ -25,7 +25,7 @@
 }
 
 /** How fast the engine is. */
-export interface EngineSpeed {
+interface EngineSpeed {
   batchSize: number;
   prefillMsPerToken: Milliseconds;
   decodeMsPerToken: Milliseconds;
@@ -39,7 +39,7 @@
 }
 
 /** Held by one engine and changed by the functions below. */
-export interface Scheduler {
+interface Scheduler {
   speed: EngineSpeed;
   running: Map<string, ActiveJob>;
   /** Sorted: the first is next. */
--- a/src/stand-ins/engine/settings.ts
+++ b/src/stand-ins/engine/settings.ts
@@ -31,7 +31,7 @@
   cacheEventLagMs?: Milliseconds;
   /** Fraction of the cache events that are never seen. Default 0. */
   cacheEventLoss?: number;
-  /** How often members look at each other. Default 50. */
+  /** How often members look at each other. Default 100. */
   memberCheckMs?: Milliseconds;
   /** How long a member may take to answer. Default 300. */
   memberTimeoutMs?: Milliseconds;
@@ -62,7 +62,7 @@
   reportLagMs: 100,
   cacheEventLagMs: 100,
   cacheEventLoss: 0,
-  memberCheckMs: 50,
+  memberCheckMs: 100,
   memberTimeoutMs: 300,
   seed: 1,
   weightStore: undefined,
--- a/src/stand-ins/engine/streams.ts
+++ b/src/stand-ins/engine/streams.ts
@@ -21,7 +21,7 @@
 }
 
 /** The streams by their attempt. */
-export interface Streams {
+interface Streams {
   add(stream: Stream): void;
   has(attempt: string): boolean;
   emit(token: EmittedToken): void;
--- a/src/stand-ins/service/index.ts
+++ b/src/stand-ins/service/index.ts
@@ -1,7 +1,3 @@
-export type { CallFault, ServiceControl } from './control.js';
-export type { JournaledRun, ServiceJournal } from './journal.js';
-export {
-  createServiceStandIn,
-  type ServiceStandIn,
-  type ServiceStandInSettings,
-} from './service.js';
+export type { ServiceControl } from './control.js';
+export type { ServiceJournal } from './journal.js';
+export { createServiceStandIn, type ServiceStandIn } from './service.js';
--- a/src/stand-ins/service/service.ts
+++ b/src/stand-ins/service/service.ts
@@ -22,7 +22,7 @@
 import { streamBytes } from './payload.js';
 
 /** What a service stand-in is started with. */
-export interface ServiceStandInSettings {
+interface ServiceStandInSettings {
   /** Its name in the platform's list. */
   instance: string;
   /** `host:port`; port 0 takes a free one. Default `127.0.0.1:0`. */
--- a/src/stand-ins/weights/index.ts
+++ b/src/stand-ins/weights/index.ts
@@ -1,1 +1,1 @@
-export { createWeightStore, type WeightStore, type WeightStoreSettings } from './weight-store.js';
+export { createWeightStore, type WeightStore } from './weight-store.js';
--- a/src/stand-ins/weights/weight-store.ts
+++ b/src/stand-ins/weights/weight-store.ts
@@ -12,7 +12,7 @@
 import { advanceShare, nextDone, type FairShare } from './fair-share.js';
 
 /** What a weight store is started with. */
-export interface WeightStoreSettings {
+interface WeightStoreSettings {
   /** `host:port`; port 0 takes a free one. Default `127.0.0.1:0`. */
   listen?: string;
   /** For all loads together. */
