Cover writes that arrive twice in the property over once-calls

Without the recognition of its own nonce a claim answered with a conflict by its own earlier sending stays claimed for ever. The property now draws that case.

--- a/features/calls/interleaving.steps.ts
+++ b/features/calls/interleaving.steps.ts
@@ -6,7 +6,7 @@
 import fc from 'fast-check';
 import { Interleaving, isToldNotRun, type Draw, type Request } from './interleaving.js';
 
-const RUNS = 4_000;
+const RUNS = 2_500;
 const STEPS = 120;
 const SEED = 20_261;
 
--- a/features/calls/interleaving.ts
+++ b/features/calls/interleaving.ts
@@ -125,7 +125,7 @@
   #happen(what: UnderWay, draw: Draw): void {
     switch (what.kind) {
       case 'write':
-        this.#write(what.write, what.target, draw(6));
+        this.#write(what.write, what.target, draw(7));
         return;
       case 'lateWrite':
         this.#platform.apply(what.write);
@@ -162,6 +162,11 @@
       case 5:
         failed(false);
         return;
+      // Sent twice by the client, of which the first answer is lost.
+      case 6:
+        this.#platform.apply(write);
+        this.#answerWrite(write, target);
+        return;
       default:
         this.#answerWrite(write, target);
     }
