Pass on contents before heartbeats, and judge acceptance by domain summaries

Ruled out: a larger budget; 2 KB/s is for all control of an entry. Change: changed contents go first, then summaries, then heartbeats that are a fifth of the forgetting time newer than what the target holds.

--- a/src/controllers/configuration/acceptance.ts
+++ b/src/controllers/configuration/acceptance.ts
@@ -8,7 +8,7 @@
  * nobody on this side can tell that from an entry that died.
  */
 import type { Fleet, Peer } from '../../board/index.js';
-import type { DomainSummary } from '../membership/messages.js';
+import type { SummaryRecord } from '../membership/gossip.js';
 
 /** What acceptance of `revision` is judged from. */
 export interface AcceptanceQuestion {
@@ -18,7 +18,7 @@
   /** Entries heard lately. */
   peers: ReadonlyMap<string, Peer>;
   /** Of failure domains whose entries are not known one by one. */
-  summaries: readonly DomainSummary[];
+  summaries: readonly SummaryRecord[];
 }
 
 /** An entry that does not have the change in force, as far as is known here. */
@@ -47,34 +47,40 @@
 
 function listListed(question: AcceptanceQuestion): LaggingEntry[] {
   const { revision, self, fleet, peers } = question;
-  const covered = listCoveredDomains(question);
   const lagging: LaggingEntry[] = [];
   for (const [name, instance] of fleet.instances) {
     if (instance.role !== 'entry' || name === self.name || peers.has(name)) continue;
     // The balancer sends nobody to a leaving entry, and it can't be asked any more.
-    if (instance.state === 'leaving' || covered.has(instance.failureDomain)) continue;
+    if (instance.state === 'leaving') continue;
+    if (findCover(question, instance.failureDomain) !== undefined) continue;
     lagging.push({ name, ...findReported(question, name) });
   }
   return lagging.filter((entry) => entry.revision === undefined || entry.revision < revision);
 }
 
-/** Failure domains of which a summary says that all their live entries have the change. */
-function listCoveredDomains({ summaries, revision, self }: AcceptanceQuestion): Set<string> {
-  const covering = summaries.filter((summary) => summary.revision >= revision);
-  const domains = covering.map((summary) => summary.failureDomain);
-  return new Set(domains.filter((domain) => domain !== self.failureDomain));
+/** The summary that says that all live entries of another failure domain have the change. */
+function findCover(question: AcceptanceQuestion, domain: string): SummaryRecord | undefined {
+  const { summaries, revision, self } = question;
+  if (domain === self.failureDomain) return undefined;
+  return summaries.find(
+    ({ summary }) => summary.failureDomain === domain && summary.revision >= revision,
+  );
 }
 
 function findReported({ summaries }: AcceptanceQuestion, name: string): { revision?: number } {
-  for (const { behind } of summaries) {
-    const found = behind.find((entry) => entry.name === name);
+  for (const { summary } of summaries) {
+    const found = summary.behind.find((entry) => entry.name === name);
     if (found?.revision !== undefined) return { revision: found.revision };
   }
   return {};
 }
 
-function listHeard({ revision, peers }: AcceptanceQuestion): LaggingEntry[] {
-  return [...peers.values()]
-    .filter((peer) => !peer.stopping && peer.configurationRevision < revision)
-    .map((peer) => ({ name: peer.name, revision: peer.configurationRevision }));
+function listHeard(question: AcceptanceQuestion): LaggingEntry[] {
+  const lagging = [...question.peers.values()].filter((peer) => {
+    if (peer.stopping || peer.configurationRevision >= question.revision) return false;
+    // In a large fleet an entry of another domain is heard by chance; a later summary knows more.
+    const cover = findCover(question, peer.failureDomain);
+    return cover === undefined || cover.madeAt < peer.heardAt;
+  });
+  return lagging.map((peer) => ({ name: peer.name, revision: peer.configurationRevision }));
 }
--- a/src/controllers/drains/judge.ts
+++ b/src/controllers/drains/judge.ts
@@ -31,8 +31,8 @@
 function listEntries(question: DrainQuestion): DrainHolder[] {
   const drained = new Set(
     question.summaries
-      .filter((summary) => summary.drained.includes(question.target))
-      .map((summary) => summary.failureDomain),
+      .filter(({ summary }) => summary.drained.includes(question.target))
+      .map(({ summary }) => summary.failureDomain),
   );
   return question.entries.flatMap((entry) => {
     if (entry.name === question.self.name) return [];
--- a/src/controllers/drains/types.ts
+++ b/src/controllers/drains/types.ts
@@ -2,7 +2,7 @@
  * The messages of the drain decision.
  */
 import type { Peer } from '../../board/index.js';
-import type { DomainSummary } from '../membership/index.js';
+import type { SummaryRecord } from '../membership/index.js';
 
 /** What is known of one target that is to be stopped: an instance or a replica. */
 export interface DrainQuestion {
@@ -13,7 +13,7 @@
   entries: readonly DrainEntry[];
   peers: ReadonlyMap<string, Peer>;
   /** Of other failure domains, where their entries are not known one by one. */
-  summaries: readonly DomainSummary[];
+  summaries: readonly SummaryRecord[];
   /** What the target says is in flight at it; undefined when it has not said, 0 when it says none. */
   reported: number | undefined;
 }
--- a/src/controllers/membership/gossip.ts
+++ b/src/controllers/membership/gossip.ts
@@ -38,6 +38,7 @@
   incarnation: string;
   sequence: number;
   change: number;
+  madeAt: Milliseconds;
 }
 
 /** All that one entry knows of the others. Changed in place by the functions of this module. */
@@ -81,43 +82,64 @@
   };
 }
 
+/** What a message is composed from. */
+export interface MessageQuestion {
+  /** Undefined for an address whose entry is not known yet. */
+  target: string | undefined;
+  /** Digests that may be passed on to the target. */
+  relayed: readonly PeerRecord[];
+  summaries: readonly DomainSummary[];
+  /** A heartbeat is passed on when it is newer by this than the one that the target holds. */
+  heartbeatGapMs: Milliseconds;
+  /** Length of the message before it is encoded. */
+  budgetBytes: number;
+}
+
 /**
- * The message for `target`: this entry's own digest, then what `target` is not known to hold, the
- * latest first, while `budgetBytes` last.
- *
- * `target` is undefined for an address whose entry is not known yet.
+ * The message for a target: this entry's own digest, then what the target is not known to hold,
+ * while the budget lasts. Contents go before summaries and those before mere heartbeats.
  */
 export function composeMessage(
   state: GossipState,
-  target: string | undefined,
-  summaries: readonly DomainSummary[],
-  relayed: readonly PeerRecord[],
+  question: MessageQuestion,
   now: Milliseconds,
-  budgetBytes: number,
 ): DigestMessage {
+  const { target, summaries, budgetBytes } = question;
   const held = target === undefined ? undefined : state.held.get(target);
   const own = describeRecord(state.self, held, now);
   const message: DigestMessage = { digests: [own], summaries: [] };
   let left = budgetBytes - measureLength(own);
-  const latestFirst = [...relayed].sort((a, b) => b.heardAt - a.heardAt);
-  for (const record of latestFirst) {
-    if (record.name === target || holdsLatest(held, record)) continue;
-    const digest = describeRecord(record, held, now);
-    const length = measureLength(digest);
-    if (length > left || message.digests.length >= MESSAGE_LIST_LENGTH) continue;
+  const take = (list: unknown[], value: unknown): void => {
+    const length = measureLength(value);
+    if (length > left || list.length >= MESSAGE_LIST_LENGTH) return;
     left -= length;
-    message.digests.push(digest);
-  }
-  for (const summary of summaries.slice(0, MESSAGE_LIST_LENGTH)) {
-    left -= measureLength(summary);
-    if (left < 0) break;
-    message.summaries.push(summary);
-  }
+    list.push(value);
+  };
+  const news = listNews(question, held, now);
+  for (const digest of news) if (digest.content !== undefined) take(message.digests, digest);
+  for (const summary of summaries) take(message.summaries, summary);
+  for (const digest of news) if (digest.content === undefined) take(message.digests, digest);
   return message;
 }
 
+/** Digests that the target is not known to hold, the latest first. */
+function listNews(
+  { target, relayed, heartbeatGapMs }: MessageQuestion,
+  held: ReadonlyMap<string, HeldDigest> | undefined,
+  now: Milliseconds,
+): Digest[] {
+  const news = relayed.filter((record) => {
+    const known = held?.get(record.name);
+    if (record.name === target) return false;
+    if (known?.incarnation !== record.incarnation) return true;
+    return known.change < record.change || record.heardAt - known.madeAt > heartbeatGapMs;
+  });
+  news.sort((a, b) => b.heardAt - a.heardAt);
+  return news.map((record) => describeRecord(record, held, now));
+}
+
 /** Length of a value on the wire, in bytes; names are ASCII. */
-export function measureLength(value: unknown): number {
+function measureLength(value: unknown): number {
   return JSON.stringify(value).length + 1;
 }
 
@@ -133,14 +155,6 @@
   return holdsContent ? heartbeat : { ...heartbeat, content };
 }
 
-function holdsLatest(
-  held: ReadonlyMap<string, HeldDigest> | undefined,
-  record: PeerRecord,
-): boolean {
-  const known = held?.get(record.name);
-  return known?.incarnation === record.incarnation && known.sequence >= record.sequence;
-}
-
 /**
  * Believes what is newer in `message`. Duplicates, digests in the wrong order and digests of this
  * entry itself change nothing.
@@ -162,7 +176,7 @@
       state.peers.set(digest.name, record);
       updated.push(record);
     }
-    noteHeld(state, from, digest);
+    noteHeld(state, from, digest, now);
   }
   for (const summary of message.summaries) receiveSummary(state, summary, now);
   return { from, updated };
@@ -196,18 +210,23 @@
 }
 
 /** Notes that `peer` holds `digest`: it sent it, or it took a message with it. */
-function noteHeld(state: GossipState, peer: string, digest: Digest): void {
+function noteHeld(state: GossipState, peer: string, digest: Digest, now: Milliseconds): void {
   const held = state.held.get(peer) ?? new Map<string, HeldDigest>();
   state.held.set(peer, held);
   const { name, incarnation, sequence, change } = digest;
   const before = held.get(name);
   if (before?.incarnation === incarnation && before.sequence > sequence) return;
-  held.set(name, { incarnation, sequence, change });
+  held.set(name, { incarnation, sequence, change, madeAt: now - digest.ageMs });
 }
 
 /** Call when `peer` has answered: it has taken all of `message`. */
-export function confirmMessage(state: GossipState, peer: string, message: DigestMessage): void {
-  for (const digest of message.digests) noteHeld(state, peer, digest);
+export function confirmMessage(
+  state: GossipState,
+  peer: string,
+  message: DigestMessage,
+  now: Milliseconds,
+): void {
+  for (const digest of message.digests) noteHeld(state, peer, digest, now);
 }
 
 function receiveSummary(state: GossipState, summary: DomainSummary, now: Milliseconds): void {
--- a/src/controllers/membership/rounds.ts
+++ b/src/controllers/membership/rounds.ts
@@ -8,14 +8,19 @@
 import type { Random } from '../../core/random/index.js';
 import type { PeerRecord } from './gossip.js';
 
-/** Up to this many entries each one hears of every other exactly; beyond, of its own domain. */
-export const EXACT_ENTRIES = 32;
+/** Up to this many other entries each one hears of all exactly; beyond, of its own domain. */
+const EXACT_ENTRIES = 32;
 /** Of the targets of a large fleet, the fraction in the own failure domain. */
 const OWN_DOMAIN_FRACTION = 0.75;
 /** Bytes that may be saved up for a round that has news. */
 export const BURST_SECONDS = 2;
 const SECOND = 1_000;
 
+/** Whether entries of other failure domains are known by summaries only. */
+export function isLargeFleet(otherEntries: number): boolean {
+  return otherEntries > EXACT_ENTRIES;
+}
+
 /** An address that a digest may go to. */
 export interface RoundTarget {
   address: string;
@@ -64,7 +69,7 @@
 }
 
 function pickIndex(pool: readonly RoundTarget[], question: RoundQuestion, random: Random): number {
-  if (question.targets.length < EXACT_ENTRIES) return random.below(pool.length);
+  if (!isLargeFleet(question.targets.length)) return random.below(pool.length);
   const wantsOwn = random.fraction() < OWN_DOMAIN_FRACTION;
   const indices = pool.flatMap((target, index) => {
     const isOwn = target.failureDomain === question.failureDomain;
@@ -73,16 +78,22 @@
   return indices[random.below(Math.max(indices.length, 1))] ?? random.below(pool.length);
 }
 
+/** Who passes digests on to whom, in a fleet of which size. */
+export interface RelayQuestion {
+  peers: readonly PeerRecord[];
+  isLarge: boolean;
+  failureDomain: string;
+  /** Undefined when it is not known. */
+  targetDomain: string | undefined;
+}
+
 /**
- * The digests that may be passed on to an entry of `failureDomain`: all in a small fleet, those of
+ * The digests that may be passed on to an entry of `targetDomain`: all in a small fleet, those of
  * the common domain in a large one, where summaries stand for the others.
  */
-export function listRelayed(
-  peers: readonly PeerRecord[],
-  own: string,
-  failureDomain: string | undefined,
-): readonly PeerRecord[] {
-  if (peers.length < EXACT_ENTRIES) return peers;
-  if (failureDomain !== own) return [];
-  return peers.filter((peer) => peer.content.failureDomain === own);
+export function listRelayed(question: RelayQuestion): readonly PeerRecord[] {
+  const { peers, isLarge, failureDomain, targetDomain } = question;
+  if (!isLarge) return peers;
+  if (targetDomain !== failureDomain) return [];
+  return peers.filter((peer) => peer.content.failureDomain === failureDomain);
 }
--- a/src/controllers/membership/summaries.ts
+++ b/src/controllers/membership/summaries.ts
@@ -5,7 +5,6 @@
 import type { Fleet, InFlightCount } from '../../board/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { GossipState, PeerRecord } from './gossip.js';
-import { EXACT_ENTRIES } from './rounds.js';
 import { DIGEST_LIST_LENGTH, SUMMARY_NAMES, type DomainSummary } from './messages.js';
 
 /** What is known of one live entry of the own domain. */
@@ -18,14 +17,13 @@
 
 /**
  * The summaries that go into messages: this entry's own domain as it sees it now, and the last
- * summaries received of the others. None in a small fleet.
+ * summaries received of the others, latest first.
  */
 export function listSummaries(
   state: GossipState,
   fleet: Fleet,
   now: Milliseconds,
 ): DomainSummary[] {
-  if (state.peers.size < EXACT_ENTRIES) return [];
   const others = [...state.summaries.values()].map(({ summary, madeAt }) => ({
     ...summary,
     ageMs: Math.round(now - madeAt),
--- a/src/entry/membership/create-membership.ts
+++ b/src/entry/membership/create-membership.ts
@@ -122,7 +122,7 @@
       rounds.spend(bytes);
     },
     readiness,
-    summaries: () => [...state.summaries.values()].map(({ summary }) => summary),
+    summaries: () => [...state.summaries.values()],
     announceStopping: () => {
       self.announceStopping();
       rounds.nudge();
--- a/src/entry/membership/rounds.ts
+++ b/src/entry/membership/rounds.ts
@@ -6,6 +6,7 @@
 import {
   composeMessage,
   confirmMessage,
+  isLargeFleet,
   listLive,
   listRelayed,
   listSummaries,
@@ -21,8 +22,10 @@
 
 /** Of a message before it is deflated. */
 const MESSAGE_BUDGET_BYTES = 3_000;
+/** Heartbeats are passed on this often, as a part of the time after which an entry is forgotten. */
+const HEARTBEAT_GAP = 0.2;
 /** What one exchange is reckoned to take; what it took is counted. */
-const EXCHANGE_BYTES = 700;
+const EXCHANGE_BYTES = 500;
 /** News waits this long for more of it. */
 const NEWS_PAUSE_MS = 20;
 /** Rounds are spread by this part of their interval, so that entries don't fall into step. */
@@ -77,16 +80,30 @@
   const compose = (target: string | undefined, failureDomain?: string): DigestMessage => {
     const now = clock.now();
     const live = listLive(state, forgetMs, now);
-    const relayed = listRelayed(live, identity.failureDomain, failureDomain);
-    const summaries = listSummaries(state, board.fleet.read(), now);
-    return composeMessage(state, target, summaries, relayed, now, MESSAGE_BUDGET_BYTES);
+    const isLarge = isLargeFleet(listTargets().length);
+    const own = identity.failureDomain;
+    const relayed = listRelayed({
+      peers: live,
+      isLarge,
+      failureDomain: own,
+      targetDomain: failureDomain,
+    });
+    const summaries = isLarge ? listSummaries(state, board.fleet.read(), now) : [];
+    const question = {
+      target,
+      relayed,
+      summaries,
+      heartbeatGapMs: forgetMs * HEARTBEAT_GAP,
+      budgetBytes: MESSAGE_BUDGET_BYTES,
+    };
+    return composeMessage(state, question, now);
   };
   const exchange = async ({ address, name, failureDomain }: RoundTarget): Promise<void> => {
     const message = compose(name, failureDomain);
     const answer = await peers.exchange(address, message);
     if (answer.isErr() || isStopped) return;
     const { from } = parts.receive(answer.value);
-    confirmMessage(state, from, message);
+    confirmMessage(state, from, message, clock.now());
   };
   const runRound = (): void => {
     budget = refillBudget(budget, bytesPerSecond, clock.now());
--- a/src/entry/membership/types.ts
+++ b/src/entry/membership/types.ts
@@ -3,7 +3,7 @@
  */
 import type { PeerHandlers } from '../../adapters/peers/index.js';
 import type { Readiness } from '../../controllers/configuration/index.js';
-import type { DomainSummary } from '../../controllers/membership/index.js';
+import type { SummaryRecord } from '../../controllers/membership/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { Part } from '../types.js';
 
@@ -31,7 +31,7 @@
   /** Whether configuration and contact with others let this entry take callers. */
   readiness(): Readiness;
   /** Summaries of the other failure domains; empty in a small fleet. */
-  summaries(): readonly DomainSummary[];
+  summaries(): readonly SummaryRecord[];
   /** From now on the digest says that this entry is stopping. */
   announceStopping(): void;
   /** Resolves true when peers know that this entry stops, false after `timeoutMs`. */
