Read TOML tables against a schema in one place

Cause: settings, object files and load plans each parsed and reported on their own. Change: parseTomlFile and checkTable, used by all three. Conclusion: one wording of faults for every file.

--- a/src/cli/load/load.ts
+++ b/src/cli/load/load.ts
@@ -1,12 +1,11 @@
 /**
  * `yuccasail load`: open-loop load on entries, with histograms of what callers saw.
  */
-import { err, ok, type Result, type ResultAsync } from 'neverthrow';
+import type { Result, ResultAsync } from 'neverthrow';
 import {
-  describeIssues,
-  parseToml,
+  checkTable,
+  parseTomlFile,
   readSettingsFile,
-  toFailures,
   type SettingsFailures,
 } from '../../core/settings/index.js';
 import { parseCommandLine } from '../command-line.js';
@@ -72,16 +71,10 @@
   text: string,
   overrides: Overrides,
 ): Result<LoadPlan, SettingsFailures> {
-  const table = parseToml(text);
-  if (table.isErr()) {
-    const { line, text: shown, reason } = table.error;
-    return err(toFailures(file, [{ key: `line ${line}`, value: shown, fix: reason }]));
-  }
   const given = Object.entries(overrides).filter(([, value]) => value !== undefined);
-  const input = { ...table.value, ...Object.fromEntries(given) };
-  const plan = loadPlanSchema.safeParse(input);
-  if (!plan.success) return err(toFailures(file, describeIssues(plan.error, input)));
-  return ok(plan.data);
+  return parseTomlFile(file, text)
+    .map((table) => ({ ...table, ...Object.fromEntries(given) }))
+    .andThen((table) => checkTable(file, table, loadPlanSchema));
 }
 
 function isWhole({ requests, whole }: StreamSummary): boolean {
--- a/src/cli/object-file.ts
+++ b/src/cli/object-file.ts
@@ -9,7 +9,7 @@
 import { z } from 'zod';
 import {
   describeIssues,
-  parseToml,
+  parseTomlFile,
   readSettingsFile,
   toFailures,
   type SettingsFailures,
@@ -36,19 +36,18 @@
 
 /** The objects in `file`, or every fault found in it. */
 export function loadObjectFile(file: string): ResultAsync<ObjectEntry[], SettingsFailures> {
-  return readSettingsFile(file).andThen((text) => parseObjectFile(file, text));
+  return readSettingsFile(file)
+    .andThen((text) => parseTomlFile(file, text))
+    .andThen((document) => readObjects(file, document));
 }
 
-/** The objects in `text`; `file` only names it in failures. */
-function parseObjectFile(file: string, text: string): Result<ObjectEntry[], SettingsFailures> {
-  const document = parseToml(text);
-  if (document.isErr()) {
-    const { line, text: shown, reason } = document.error;
-    return err(toFailures(file, [{ key: `line ${line}`, value: shown, fix: reason }]));
-  }
+function readObjects(
+  file: string,
+  document: Record<string, unknown>,
+): Result<ObjectEntry[], SettingsFailures> {
   const objects: ObjectEntry[] = [];
   const faults: SettingsFault[] = [];
-  for (const [kind, tables] of Object.entries(document.value)) {
+  for (const [kind, tables] of Object.entries(document)) {
     readKind(kind, tables, objects, faults);
   }
   faults.push(...findDuplicates(objects));
--- a/src/core/settings/load.ts
+++ b/src/core/settings/load.ts
@@ -3,6 +3,7 @@
  */
 import { readFile } from 'node:fs/promises';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
+import type { z } from 'zod';
 import { createFailure, type Failure } from '../errors/index.js';
 import { findImpossibleCombinations } from './combinations.js';
 import { entrySettingsSchema, type EntrySettings } from './entry-settings.js';
@@ -40,15 +41,33 @@
   file: string,
   text: string,
 ): Result<EntrySettings, SettingsFailures> {
-  const table = parseToml(text);
-  if (table.isErr()) {
-    const { line, text: shown, reason } = table.error;
-    return err(toFailures(file, [{ key: `line ${line}`, value: shown, fix: reason }]));
-  }
-  const settings = entrySettingsSchema.safeParse(table.value);
-  if (!settings.success) return err(toFailures(file, describeIssues(settings.error, table.value)));
-  const faults = findImpossibleCombinations(settings.data);
-  return faults.length > 0 ? err(toFailures(file, faults)) : ok(settings.data);
+  return parseTomlFile(file, text)
+    .andThen((table) => checkTable(file, table, entrySettingsSchema))
+    .andThen((settings) => {
+      const faults = findImpossibleCombinations(settings);
+      return faults.length > 0 ? err(toFailures(file, faults)) : ok(settings);
+    });
+}
+
+/** The table in `text`, yet to be checked; `file` only names it in failures. */
+export function parseTomlFile(
+  file: string,
+  text: string,
+): Result<Record<string, unknown>, SettingsFailures> {
+  return parseToml(text).mapErr(({ line, text: shown, reason }) =>
+    toFailures(file, [{ key: `line ${line}`, value: shown, fix: reason }]),
+  );
+}
+
+/** `table` as `schema` has it, or every fault found in it. */
+export function checkTable<Value>(
+  file: string,
+  table: Record<string, unknown>,
+  schema: z.ZodType<Value>,
+): Result<Value, SettingsFailures> {
+  const value = schema.safeParse(table);
+  if (value.success) return ok(value.data);
+  return err(toFailures(file, describeIssues(value.error, table)));
 }
 
 /** `faults` of `file` as failures. */
