Hold the attempt state machine to properties over event orders

Cause: the scenarios reach only a few of the orders in which events can come. Ruled out: trusting the engine client's own checks; the state machine is exported by itself. Change: fast-check property with a fixed seed; bound on the metrics' labels.

--- /dev/null
+++ b/features/requests/attempts.steps.ts
@@ -0,0 +1,265 @@
+/**
+ * Steps of the properties of the attempt state machine.
+ */
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import fc from 'fast-check';
+import {
+  advanceAttempt,
+  createAttemptState,
+  type AttemptAction,
+  type AttemptEvent,
+} from '../../src/controllers/attempts/index.js';
+import { concludeFailure, createFailure } from '../../src/core/errors/index.js';
+import { createMetrics } from '../../src/core/metrics/index.js';
+
+/** What one played order of events brought. */
+interface Played {
+  text: string;
+  finals: number;
+  /** Tokens of the whole answer by the engine's count; absent when it was not finished. */
+  countedTokens: number | undefined;
+  actionsAfterFinal: number;
+  saidNotRun: boolean;
+  mayHaveRun: boolean;
+  /** Attempts under way when the request was given up or their stream was broken off. */
+  abandoned: string[];
+  cancelled: string[];
+}
+
+interface PropertyWorld {
+  played: Played[];
+  exposition: string;
+}
+
+/** An attempt of someone else's request. */
+const FOREIGN = 'foreign';
+const ANSWER = ['a', 'b', 'c', 'd', 'e'];
+const SEED = 20_260_101;
+
+const attempt = fc.constantFrom('t1', 't2', 't3');
+const offset = fc.integer({ min: 0, max: ANSWER.length });
+const failure = fc.constantFrom(
+  createFailure('noCapacity', { name: 'm' }),
+  createFailure('overloaded', { reason: 'full' }),
+  createFailure('invalidRequest', { reason: 'odd' }),
+  createFailure('outcomeUnknown', { reason: 'lost' }),
+);
+
+/** Whose chunk it is; the stream that it comes on may be another's. */
+const sender = fc.constantFrom('t1', 't2', 't3', FOREIGN);
+const tokenOffset = fc.integer({ min: 0, max: ANSWER.length - 1 });
+const chunk = fc.oneof(
+  { weight: 8, arbitrary: fc.record({ attempt: sender, sequence: tokenOffset }).map(createToken) },
+  fc.record({ attempt, sequence: offset }).map((mark) => ({
+    kind: 'end' as const,
+    reason: 'stop' as const,
+    promptTokens: 1,
+    cachedTokens: 0,
+    ...mark,
+  })),
+  fc.record({ attempt, sequence: offset }).map((at) => ({
+    kind: 'error' as const,
+    reason: 'broke',
+    ...at,
+  })),
+);
+
+const end = fc.constantFrom(
+  { kind: 'notSent' as const, reason: 'refused' },
+  { kind: 'refused' as const, reason: 'full' },
+  { kind: 'lost' as const, reason: 'reset' },
+  { kind: 'cut' as const, reason: 'reset', received: 0 },
+);
+
+const event: fc.Arbitrary<AttemptEvent> = fc.oneof(
+  { weight: 6, arbitrary: attempt.map((name) => ({ kind: 'sent' as const, attempt: name })) },
+  {
+    weight: 30,
+    arbitrary: fc.record({ attempt, chunk }).map((at) => ({ kind: 'chunk' as const, ...at })),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({ attempt, end }).map((at) => ({ kind: 'ended' as const, ...at })),
+  },
+  {
+    weight: 6,
+    arbitrary: fc.constant<AttemptEvent>({
+      kind: 'decided',
+      decision: { kind: 'resume', afterMs: 0, exclude: 'r', from: 0 },
+    }),
+  },
+  failure.map((one) => ({ kind: 'decided', decision: { kind: 'answer', failure: one } }) as const),
+  failure.map((one) => ({ kind: 'refused', failure: one }) as const),
+  fc.constant<AttemptEvent>({ kind: 'callerGone' }),
+  fc.constant<AttemptEvent>({ kind: 'deadline' }),
+);
+
+/** A run of tokens in order, so that whole answers come up often enough. */
+const run = fc.tuple(attempt, offset, fc.boolean()).map(([name, from, ended]): AttemptEvent[] => {
+  const tokens = ANSWER.slice(from).map((_, index) =>
+    createToken({ attempt: name, sequence: from + index }),
+  );
+  const mark = {
+    kind: 'end' as const,
+    attempt: name,
+    sequence: ANSWER.length,
+    reason: 'stop' as const,
+    promptTokens: 1,
+    cachedTokens: 0,
+  };
+  const chunks = ended ? [...tokens, mark] : tokens;
+  return [
+    { kind: 'sent', attempt: name },
+    ...chunks.map((one) => ({ kind: 'chunk' as const, attempt: name, chunk: one })),
+  ];
+});
+
+const order = fc
+  .array(fc.oneof({ weight: 4, arbitrary: event.map((one) => [one]) }, run), { maxLength: 24 })
+  .map((parts) => parts.flat());
+
+When(
+  '{int} random orders of attempt events are played',
+  function (this: PropertyWorld, count: number) {
+    this.played = fc.sample(order, { numRuns: count, seed: SEED }).map(play);
+    const finished = this.played.filter((one) => one.countedTokens !== undefined).length;
+    const failed = this.played.filter((one) => one.finals > 0).length - finished;
+    assert.ok(
+      finished > count / 50 && failed > count / 50,
+      `${finished} finished, ${failed} failed`,
+    );
+  },
+);
+
+Then(
+  'every request got at most one final answer and nothing after it',
+  function (this: PropertyWorld) {
+    for (const one of this.played) {
+      assert.ok(one.finals <= 1);
+      assert.equal(one.actionsAfterFinal, 0);
+    }
+  },
+);
+
+Then(
+  'every relayed text is the start of the right answer, without holes or repeats',
+  function (this: PropertyWorld) {
+    for (const { text } of this.played) assert.ok(ANSWER.join('').startsWith(text), text);
+  },
+);
+
+Then('every finished answer is whole', function (this: PropertyWorld) {
+  const finished = this.played.filter((one) => one.countedTokens !== undefined);
+  for (const { text, countedTokens } of finished) assert.equal(text.length, countedTokens);
+});
+
+Then(
+  'no request of which an attempt may have run is told that it was not run',
+  function (this: PropertyWorld) {
+    for (const one of this.played) assert.ok(!(one.saidNotRun && one.mayHaveRun));
+  },
+);
+
+Then(
+  'every attempt that was given up while under way was cancelled',
+  function (this: PropertyWorld) {
+    for (const one of this.played) assert.deepEqual(one.cancelled, one.abandoned);
+  },
+);
+
+When('{int} workspaces are timed', async function (this: PropertyWorld, count: number) {
+  const metrics = createMetrics();
+  for (let index = 0; index < count; index += 1) {
+    metrics.timingsOf(`market-${index}`, 'gate').whole(10);
+  }
+  this.exposition = await metrics.render();
+});
+
+Then(
+  'the metrics name at most {int} workspaces, one of them {string}',
+  function (this: PropertyWorld, most: number, other: string) {
+    const names = [...this.exposition.matchAll(/workspace="([^"]+)"/g)].map(([, name]) => name);
+    const distinct = new Set(names);
+    assert.ok(distinct.size <= most && distinct.has(other));
+  },
+);
+
+function createToken(at: { attempt: string; sequence: number }): {
+  kind: 'token';
+  attempt: string;
+  sequence: number;
+  text: string;
+} {
+  return { kind: 'token', ...at, text: at.attempt === FOREIGN ? '?' : (ANSWER[at.sequence] ?? '') };
+}
+
+/** Plays `events` and notes what the caller and the engines would have seen. */
+function play(events: readonly AttemptEvent[]): Played {
+  const state = createAttemptState();
+  const played: Played = {
+    text: '',
+    finals: 0,
+    countedTokens: undefined,
+    actionsAfterFinal: 0,
+    saidNotRun: false,
+    mayHaveRun: false,
+    abandoned: [],
+    cancelled: [],
+  };
+  for (const one of events) {
+    const underWay = state.attempt;
+    const isOver = played.finals > 0;
+    const actions = advanceAttempt(state, one);
+    if (isOver) played.actionsAfterFinal += actions.length;
+    noteMayHaveRun(played, one, underWay, state.attempt);
+    if (underWay !== undefined && isAbandoned(one, actions)) played.abandoned.push(underWay);
+    for (const action of actions) note(played, action);
+  }
+  return played;
+}
+
+/** An attempt that left the state without proof of not having started may have run. */
+function noteMayHaveRun(
+  played: Played,
+  event: AttemptEvent,
+  before: string | undefined,
+  after: string | undefined,
+): void {
+  if (before === undefined || before === after) return;
+  if (event.kind === 'ended' && (event.end.kind === 'notSent' || event.end.kind === 'refused'))
+    return;
+  if (event.kind === 'refused') return;
+  played.mayHaveRun = true;
+}
+
+/** Whether the engine may still be running the attempt that `event` took out of the state. */
+function isAbandoned(event: AttemptEvent, actions: readonly AttemptAction[]): boolean {
+  if (event.kind === 'callerGone' || event.kind === 'deadline') return true;
+  if (event.kind === 'ended') return event.end.kind === 'lost' && actions.length > 0;
+  return event.kind === 'chunk' && actions.some(({ kind }) => kind === 'decide');
+}
+
+function note(played: Played, action: AttemptAction): void {
+  switch (action.kind) {
+    case 'relay':
+      played.text += action.text;
+      return;
+    case 'finish':
+      played.finals += 1;
+      played.countedTokens = action.tokens.completion;
+      return;
+    case 'fail': {
+      played.finals += 1;
+      const conclusion = concludeFailure(action.failure);
+      played.saidNotRun = conclusion === 'notRun' || conclusion === 'refused';
+      return;
+    }
+    case 'cancel':
+      played.cancelled.push(action.attempt);
+      return;
+    case 'decide':
+    case 'ask':
+      return;
+  }
+}
