Add the operators' API, checks of objects and status

Cause: operators had no way to change objects, and nobody told them what is in force. Ruled out: writing without a base version; of two operators who race, one would undo the other's change without being told. Change: conditional writes with a nonce after schema and cross checks, labels, drains, acceptance by name of the entries that lag, status with a reason for whatever does not serve. An entry that said that it stops no longer holds acceptance up.

--- /dev/null
+++ b/src/adapters/operators/index.ts
@@ -0,0 +1,2 @@
+export * from './create-operators.js';
+export type * from './types.js';
--- a/src/controllers/configuration/acceptance.ts
+++ b/src/controllers/configuration/acceptance.ts
@@ -5,7 +5,8 @@
  * older configuration. Every live entry counts: those in the platform's list and those heard
  * lately. An entry of the list that can't be heard is counted as lacking the change until the
  * platform lists it no more or as leaving: a cut-off entry may still be serving callers, and
- * nobody on this side can tell that from an entry that died.
+ * nobody on this side can tell that from an entry that died. Only one that said that it stops is let
+ * go before the list has noticed: when it starts again, it catches up before it takes callers.
  */
 import type { Fleet, Peer } from '../../board/index.js';
 import type { SummaryRecord } from '../membership/gossip.js';
@@ -19,6 +20,8 @@
   peers: ReadonlyMap<string, Peer>;
   /** Of failure domains whose entries are not known one by one. */
   summaries: readonly SummaryRecord[];
+  /** Entries that said that they stop and are heard no more. */
+  departed: ReadonlySet<string>;
 }
 
 /** An entry that does not have the change in force, as far as is known here. */
@@ -33,7 +36,7 @@
 /**
  * Whether `revision` is in force at every live entry, else who lacks it.
  *
- * @example judgeAcceptance({ revision: 12, self, fleet, peers, summaries: [] }).kind // 'accepted'
+ * @example judgeAcceptance({ revision: 12, self, fleet, peers, summaries, departed }).kind
  */
 export function judgeAcceptance(question: AcceptanceQuestion): Acceptance {
   const lagging = [...listOwnLag(question), ...listListed(question), ...listHeard(question)];
@@ -46,12 +49,12 @@
 }
 
 function listListed(question: AcceptanceQuestion): LaggingEntry[] {
-  const { revision, self, fleet, peers } = question;
+  const { revision, self, fleet, peers, departed } = question;
   const lagging: LaggingEntry[] = [];
   for (const [name, instance] of fleet.instances) {
     if (instance.role !== 'entry' || name === self.name || peers.has(name)) continue;
     // The balancer sends nobody to a leaving entry, and it can't be asked any more.
-    if (instance.state === 'leaving') continue;
+    if (instance.state === 'leaving' || departed.has(name)) continue;
     if (findCover(question, instance.failureDomain) !== undefined) continue;
     lagging.push({ name, ...findReported(question, name) });
   }
@@ -77,7 +80,7 @@
 
 function listHeard(question: AcceptanceQuestion): LaggingEntry[] {
   const lagging = [...question.peers.values()].filter((peer) => {
-    if (peer.stopping || peer.configurationRevision >= question.revision) return false;
+    if (peer.configurationRevision >= question.revision) return false;
     // In a large fleet an entry of another domain is heard by chance; a later summary knows more.
     const cover = findCover(question, peer.failureDomain);
     return cover === undefined || cover.madeAt < peer.heardAt;
--- a/src/controllers/configuration/index.ts
+++ b/src/controllers/configuration/index.ts
@@ -3,3 +3,4 @@
 export * from './types.js';
 export * from './acceptance.js';
 export * from './readiness.js';
+export * from './validate.js';
--- a/src/controllers/membership/peers.ts
+++ b/src/controllers/membership/peers.ts
@@ -24,6 +24,18 @@
   return [...state.peers.values()].filter((record) => now - record.heardAt <= forgetMs);
 }
 
+/** Entries that said that they stop and have not been heard for `forgetMs`. */
+export function listDeparted(
+  state: GossipState,
+  forgetMs: Milliseconds,
+  now: Milliseconds,
+): ReadonlySet<string> {
+  const departed = [...state.peers.values()].filter(
+    (record) => record.content.stopping && now - record.heardAt > forgetMs,
+  );
+  return new Set(departed.map((record) => record.name));
+}
+
 function describePeer({ name, incarnation, content, heardAt }: PeerRecord): Peer {
   return {
     name,
--- a/src/controllers/membership/summaries.ts
+++ b/src/controllers/membership/summaries.ts
@@ -21,6 +21,7 @@
  */
 export function listSummaries(
   state: GossipState,
+  live: readonly PeerRecord[],
   fleet: Fleet,
   now: Milliseconds,
 ): DomainSummary[] {
@@ -29,17 +30,21 @@
     ageMs: Math.round(now - madeAt),
   }));
   others.sort((a, b) => a.ageMs - b.ageMs);
-  return [summariseDomain(state, fleet), ...others];
+  return [summariseDomain(state.self, live, fleet), ...others];
 }
 
-/** The own failure domain as this entry sees it. */
-export function summariseDomain(state: GossipState, fleet: Fleet): DomainSummary {
-  const views = listViews(state, fleet);
+/** The failure domain of `self` as it sees it, with the entries heard lately. */
+export function summariseDomain(
+  self: PeerRecord,
+  live: readonly PeerRecord[],
+  fleet: Fleet,
+): DomainSummary {
+  const views = listViews(self, live, fleet);
   const newest = Math.max(...views.map((view) => view.revision ?? 0));
   const behind = views.filter((view) => view.revision !== newest);
   behind.sort((a, b) => (a.revision ?? 0) - (b.revision ?? 0));
   return {
-    failureDomain: state.self.content.failureDomain,
+    failureDomain: self.content.failureDomain,
     ageMs: 0,
     entries: views.length,
     revision: Math.min(...views.map((view) => view.revision ?? 0)),
@@ -47,22 +52,22 @@
       name,
       ...(revision === undefined ? {} : { revision }),
     })),
-    drained: listDrained(state.self, views),
+    drained: listDrained(self, views),
   };
 }
 
 /** Every entry of the domain that is listed or heard; one that is only listed counts as lacking. */
-function listViews(state: GossipState, fleet: Fleet): EntryView[] {
-  const own = state.self.content.failureDomain;
+function listViews(self: PeerRecord, live: readonly PeerRecord[], fleet: Fleet): EntryView[] {
+  const own = self.content.failureDomain;
   const views = new Map<string, EntryView>();
   for (const [name, instance] of fleet.instances) {
     if (instance.role !== 'entry' || instance.failureDomain !== own) continue;
     if (instance.state === 'leaving') continue;
     views.set(name, { name, revision: undefined, draining: [] });
   }
-  for (const record of [state.self, ...state.peers.values()]) {
-    const { failureDomain, stopping, revision, draining } = record.content;
-    if (failureDomain !== own || stopping) continue;
+  for (const record of [self, ...live]) {
+    const { failureDomain, revision, draining } = record.content;
+    if (failureDomain !== own) continue;
     views.set(record.name, { name: record.name, revision, draining });
   }
   return [...views.values()];
--- /dev/null
+++ b/src/controllers/status/status.ts
@@ -0,0 +1,197 @@
+/**
+ * What operators see: for everything they wrote, what is in force and why something is not.
+ */
+import { z } from 'zod';
+import type { Attempts, Board, Configuration, Fleet, Health, Plans } from '../../board/index.js';
+import type { Milliseconds } from '../../core/clock/index.js';
+import { matchesSelector } from '../../core/labels/index.js';
+import { replicaPhaseSchema, type Replica } from '../../objects/index.js';
+import { findObstacle, listServiceInstances } from '../health/index.js';
+
+const count = z.number().int().nonnegative();
+
+export const statusSchema = z.object({
+  entry: z.object({
+    name: z.string(),
+    incarnation: z.string(),
+    failureDomain: z.string(),
+    ready: z.boolean(),
+    /** Why it is not ready. */
+    reason: z.string().optional(),
+  }),
+  configuration: z.object({
+    revision: count,
+    /** Since platform or peers last confirmed it; absent before the first time. */
+    confirmedAgeMs: z.number().optional(),
+    acceptance: z.enum(['accepted', 'pending']),
+    /** Entries that do not have it in force, as far as is known. */
+    lagging: z.array(z.object({ name: z.string(), revision: count.optional() })),
+    rejected: z.array(
+      z.object({ kind: z.string(), name: z.string(), version: count, reason: z.string() }),
+    ),
+  }),
+  peers: z.array(
+    z.object({
+      name: z.string(),
+      failureDomain: z.string(),
+      revision: count,
+      ready: z.boolean(),
+      stopping: z.boolean(),
+      ageMs: z.number(),
+    }),
+  ),
+  models: z.array(
+    z.object({
+      name: z.string(),
+      wanted: count,
+      serving: count,
+      replicas: z.array(
+        z.object({
+          id: z.string(),
+          fabricDomain: z.string(),
+          phase: replicaPhaseSchema,
+          members: z.array(z.string()),
+          serving: z.boolean(),
+          /** Why it does not serve. */
+          reason: z.string().optional(),
+        }),
+      ),
+      /** Why fewer replicas serve than are wanted. */
+      reason: z.string().optional(),
+    }),
+  ),
+  services: z.array(
+    z.object({
+      name: z.string(),
+      instances: z.array(
+        z.object({
+          name: z.string(),
+          serving: z.boolean(),
+          reason: z.string().optional(),
+          inFlight: count,
+        }),
+      ),
+      reason: z.string().optional(),
+    }),
+  ),
+});
+
+export type Status = z.infer<typeof statusSchema>;
+type ModelStatus = Status['models'][number];
+type ReplicaStatus = ModelStatus['replicas'][number];
+type ServiceStatus = Status['services'][number];
+
+/** What the status of models and services is made from. */
+export interface ServingView {
+  configuration: Configuration;
+  fleet: Fleet;
+  plans: Plans;
+  health: Health;
+  attempts: Attempts;
+  freshMs: Milliseconds;
+}
+
+/** The sections of `board` that {@link describeModels} and {@link describeServices} need. */
+export function readServingView(board: Board, freshMs: Milliseconds): ServingView {
+  return {
+    configuration: board.configuration.read(),
+    fleet: board.fleet.read(),
+    plans: board.plans.read(),
+    health: board.health.read(),
+    attempts: board.attempts.read(),
+    freshMs,
+  };
+}
+
+/** Each model with its replicas and what keeps them from serving. */
+export function describeModels(view: ServingView, now: Milliseconds): ModelStatus[] {
+  return [...view.configuration.models].map(([name, { value }]) => {
+    const replicas = listReplicas(view, name, now);
+    const serving = replicas.filter((replica) => replica.serving).length;
+    const status = { name, wanted: value.replicas, serving, replicas };
+    if (serving >= value.replicas) return status;
+    return { ...status, reason: explainMissing(value.replicas, replicas) };
+  });
+}
+
+function listReplicas(view: ServingView, model: string, now: Milliseconds): ReplicaStatus[] {
+  return [...view.plans].flatMap(([fabricDomain, { value }]) =>
+    value.replicas
+      .filter((replica) => replica.model === model && replica.phase !== 'released')
+      .map((replica) => describeReplica(view, replica, fabricDomain, now)),
+  );
+}
+
+function describeReplica(
+  view: ServingView,
+  replica: Replica,
+  fabricDomain: string,
+  now: Milliseconds,
+): ReplicaStatus {
+  const { id, phase } = replica;
+  const members = replica.members.map((member) => member.instance);
+  const obstacle = findObstacle(view, replica, now, view.freshMs);
+  const status = { id, fabricDomain, phase, members, serving: obstacle === undefined };
+  if (obstacle === undefined) return status;
+  return { ...status, reason: explainObstacle(obstacle, phase) };
+}
+
+function explainObstacle(
+  obstacle: NonNullable<ReturnType<typeof findObstacle>>,
+  phase: Replica['phase'],
+): string {
+  switch (obstacle.kind) {
+    case 'phase':
+      return `it is ${phase}`;
+    case 'unknownMember':
+      return `the platform does not list ${obstacle.member}`;
+    case 'leaving':
+      return `${obstacle.member} is leaving`;
+    case 'unheard':
+      return `${obstacle.member} has not been heard lately`;
+    case 'failing':
+      return `${obstacle.member} is failing`;
+    case 'otherIncarnation':
+      return `${obstacle.member} has been restarted`;
+    case 'otherReplica':
+      return `${obstacle.member} reports another replica or fencing number`;
+    case 'notReady':
+      return `${obstacle.member} is not ready`;
+  }
+}
+
+function explainMissing(wanted: number, replicas: readonly ReplicaStatus[]): string {
+  const missing = wanted - replicas.length;
+  const idle = replicas.filter((replica) => !replica.serving).length;
+  const parts: string[] = [];
+  if (missing > 0) parts.push(`${missing} of ${wanted} replicas have no instances`);
+  if (idle > 0) parts.push(`${idle} do not serve`);
+  return parts.join(', ');
+}
+
+/** Each service with its instances and what keeps them from being sent calls. */
+export function describeServices(view: ServingView, now: Milliseconds): ServiceStatus[] {
+  return [...view.configuration.services].map(([name, { value }]) => {
+    const serving = listServiceInstances(view, value, now, view.freshMs).map((c) => c.instance);
+    const matching = [...view.fleet.instances].filter(
+      ([, { role, labels }]) => role === 'service' && matchesSelector(value.selector, labels),
+    );
+    const instances = matching.map(([instance]) =>
+      describeInstance(view, instance, serving.includes(instance)),
+    );
+    if (serving.length > 0) return { name, instances };
+    const reason = matching.length === 0 ? 'no instance matches the selector' : 'none serves';
+    return { name, instances, reason };
+  });
+}
+
+function describeInstance(
+  { fleet, attempts }: ServingView,
+  name: string,
+  serving: boolean,
+): ServiceStatus['instances'][number] {
+  const inFlight = attempts.inFlight.get(name) ?? 0;
+  if (serving) return { name, serving, inFlight };
+  const reason = fleet.leaving.has(name) ? 'it is leaving' : 'it has just failed';
+  return { name, serving, reason, inFlight };
+}
--- a/src/entry/membership/create-membership.ts
+++ b/src/entry/membership/create-membership.ts
@@ -9,6 +9,7 @@
   forgetPeers,
   hasCaughtUp,
   isOwnChangeKnown,
+  listDeparted,
   listLive,
   listPeers,
   receiveMessage,
@@ -123,11 +124,18 @@
     },
     readiness,
     summaries: () => [...state.summaries.values()],
+    departed: () => listDeparted(state, forgetMs, clock.now()),
+    markLeaving: (instance, version) => {
+      fleet.adopt([{ instance, version }]);
+    },
     announceStopping: () => {
       self.announceStopping();
       rounds.nudge();
     },
     whenHandedOver: async (timeoutMs) => {
+      // The last digest has to carry the last counts: others wait for them.
+      self.advance();
+      rounds.nudge();
       const { change } = state.self;
       const endAt = clock.now() + timeoutMs;
       while (!isOwnChangeKnown(state, change, forgetMs, clock.now())) {
--- a/src/entry/membership/rounds.ts
+++ b/src/entry/membership/rounds.ts
@@ -88,7 +88,7 @@
       failureDomain: own,
       targetDomain: failureDomain,
     });
-    const summaries = isLarge ? listSummaries(state, board.fleet.read(), now) : [];
+    const summaries = isLarge ? listSummaries(state, live, board.fleet.read(), now) : [];
     const question = {
       target,
       relayed,
--- a/src/entry/membership/types.ts
+++ b/src/entry/membership/types.ts
@@ -32,6 +32,10 @@
   readiness(): Readiness;
   /** Summaries of the other failure domains; empty in a small fleet. */
   summaries(): readonly SummaryRecord[];
+  /** Entries that said that they stop and are heard no more. */
+  departed(): ReadonlySet<string>;
+  /** An operator marked `instance` as leaving; the platform's list may show it later. */
+  markLeaving(instance: string, version: number): void;
   /** From now on the digest says that this entry is stopping. */
   announceStopping(): void;
   /** Resolves true when peers know that this entry stops, false after `timeoutMs`. */
--- /dev/null
+++ b/src/entry/operations/create-operations.ts
@@ -0,0 +1,124 @@
+/**
+ * What operators can ask of an entry: change objects, and see what is in force.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { errAsync, okAsync, type ResultAsync } from 'neverthrow';
+import type { Operations, Refusal } from '../../adapters/operators/index.js';
+import { judgeAcceptance, type Acceptance } from '../../controllers/configuration/index.js';
+import {
+  describeModels,
+  describeServices,
+  readServingView,
+} from '../../controllers/status/index.js';
+import type { Milliseconds } from '../../core/clock/index.js';
+import { createFailure, type Failure } from '../../core/errors/index.js';
+import type { StoredObject } from '../../objects/index.js';
+import type { ConfigurationPart } from '../configuration/index.js';
+import type { MembershipPart } from '../membership/index.js';
+import type { EntryContext } from '../types.js';
+import { createObjectWriter } from './object-writer.js';
+import { listDrains } from './drains.js';
+
+/** What operations rest on beside the context. */
+export interface OperationParts {
+  configuration: ConfigurationPart;
+  membership: MembershipPart;
+  readiness: Operations['readiness'];
+  metrics: Operations['metrics'];
+}
+
+const ACCEPTANCE_CHECK_MS = 50;
+
+/** The operations of one entry. */
+export function createOperations(context: EntryContext, parts: OperationParts): Operations {
+  const { board, clock, identity, platform, settings } = context;
+  const { configuration, membership } = parts;
+  const writer = createObjectWriter(context, parts);
+
+  const judge = (revision: number): Acceptance =>
+    judgeAcceptance({
+      revision,
+      self: {
+        name: identity.name,
+        failureDomain: identity.failureDomain,
+        revision: configuration.revision(),
+      },
+      fleet: board.fleet.read(),
+      peers: board.peers.read(),
+      summaries: membership.summaries(),
+      departed: membership.departed(),
+    });
+
+  const status: Operations['status'] = () => {
+    const now = clock.now();
+    const { revision, rejected, confirmedAt } = board.configuration.read();
+    const view = readServingView(board, settings.health.freshMs);
+    const failure = parts.readiness();
+    const acceptance = judge(revision);
+    return {
+      entry: {
+        name: identity.name,
+        incarnation: identity.incarnation,
+        failureDomain: identity.failureDomain,
+        ready: failure === undefined,
+        ...(failure === undefined ? {} : { reason: failure.message }),
+      },
+      configuration: {
+        revision,
+        ...(Number.isFinite(confirmedAt) ? { confirmedAgeMs: Math.round(now - confirmedAt) } : {}),
+        acceptance: acceptance.kind,
+        lagging: acceptance.kind === 'pending' ? acceptance.lagging : [],
+        rejected: [...rejected],
+      },
+      peers: listPeerStatus(now),
+      models: describeModels(view, now),
+      services: describeServices(view, now),
+    };
+  };
+  const listPeerStatus = (now: Milliseconds) =>
+    [...board.peers.read().values()].map((peer) => ({
+      name: peer.name,
+      failureDomain: peer.failureDomain,
+      revision: peer.configurationRevision,
+      ready: peer.ready,
+      stopping: peer.stopping,
+      ageMs: Math.round(now - peer.heardAt),
+    }));
+
+  return {
+    list: (kind) => platform.list(kind).mapErr(toRefusal),
+    read: (kind, name) =>
+      platform
+        .read(kind, name)
+        .mapErr(toRefusal)
+        .andThen((object) => requireLive(name, object)),
+    apply: writer.apply,
+    label: writer.label,
+    drain: writer.drain,
+    acceptance: async (revision, waitMs, signal) => {
+      const endAt = clock.now() + waitMs;
+      let acceptance = judge(revision);
+      while (acceptance.kind === 'pending' && clock.now() < endAt && !signal.aborted) {
+        await sleep(ACCEPTANCE_CHECK_MS);
+        acceptance = judge(revision);
+      }
+      return acceptance;
+    },
+    drains: () => listDrains(context, membership),
+    status,
+    readiness: parts.readiness,
+    metrics: parts.metrics,
+  };
+}
+
+function toRefusal(failure: Failure): Refusal {
+  return { failure };
+}
+
+function requireLive(
+  name: string,
+  object: StoredObject | undefined,
+): ResultAsync<StoredObject, Refusal> {
+  if (object !== undefined && !object.deleted) return okAsync(object);
+  return errAsync({ failure: createFailure('objectUnknown', { name }) });
+}
--- /dev/null
+++ b/src/entry/operations/index.ts
@@ -0,0 +1,1 @@
+export * from './create-operations.js';
--- a/src/index.ts
+++ b/src/index.ts
@@ -10,6 +10,7 @@
 export * from './controllers/replicas/index.js';
 export * from './controllers/membership/index.js';
 export * from './controllers/calls/index.js';
+export * from './controllers/status/index.js';
 export * from './core/clock/index.js';
 export * from './core/errors/index.js';
 export * from './core/labels/index.js';
