Reckon each replica's backlog on send by send and give prefixes home replicas

It took work that came after the report as worked off since the report, so that nearly all estimates were 0 and the choice random; and each entry cached a prefix at replicas of its own. Change: a fluid backlog from the report through each own send; the replica sent to longest ago among close estimates in place of a random one; two home replicas for each known prefix by consistent hashing; peers' counts averaged. Ruled out: random choice among ties. Still weak: even prompts with reports 2 s late, and a flooding workspace.

--- a/src/controllers/routing/beliefs.ts
+++ b/src/controllers/routing/beliefs.ts
@@ -62,6 +62,14 @@
   return 0;
 }
 
+/** The longest prefix that any replica is believed to hold. */
+export function longestKnown(
+  state: DispatchState,
+  prefixes: readonly Prefix[],
+): Prefix | undefined {
+  return prefixes.findLast((prefix) => state.holders.has(prefix.hash));
+}
+
 /** Up to `limit` replicas that are believed to hold the longest known prefixes. */
 export function listHolders(
   state: DispatchState,
--- a/src/controllers/routing/choosing.ts
+++ b/src/controllers/routing/choosing.ts
@@ -1,15 +1,14 @@
 /**
  * The choice of a replica: a bounded sample of the candidates, the least estimated time to first
- * token, and a random one of those that come close.
+ * token, and among those that come close the one sent to longest ago.
  *
  * The sample has the replicas that are believed to hold the prompt's prefix, and a few at random
  * from the own failure domain, the own region and elsewhere, so that a choice costs the same at
  * eight candidates and at thousands.
  */
-import type { SentCount } from '../../board/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { Random } from '../../core/random/index.js';
-import { listHolders } from './beliefs.js';
+import { listHolders, longestKnown } from './beliefs.js';
 import {
   AFFINITY_SAMPLE,
   LOCAL_SAMPLE,
@@ -19,6 +18,7 @@
   TIE_MS,
 } from './constants.js';
 import { estimateCandidate, type Estimate } from './estimates.js';
+import { buildRing, listHomes } from './homes.js';
 import type { CandidateIndex, DispatchState } from './state.js';
 import type { Candidate, DispatchView, WaitingRequest } from './types.js';
 
@@ -44,13 +44,16 @@
   now: Milliseconds,
   random: Random,
 ): Choice {
-  const sample = sampleCandidates(state, index, request, random);
+  const known = longestKnown(state, request.prefixes);
+  const homes = known ? listHomes(index, known.hash) : [];
+  const sample = sampleCandidates(state, index, homes, request, random);
+  const asked = { request, leavesHeadroom, knownTokens: known?.tokens ?? 0 };
   const estimates = sample.map((candidate) =>
-    estimateCandidate(state, candidate, request, view, leavesHeadroom, now),
+    estimateCandidate(state, candidate, homes.includes(candidate), asked, view, now),
   );
   const slots = estimates.reduce((sum, estimate) => sum + estimate.slotMs, 0);
   return {
-    chosen: pickAmongBest(estimates, random),
+    chosen: pickAmongBest(estimates),
     leastWaitMs: leastWait(estimates),
     slotMs: estimates.length > 0 ? slots / estimates.length / index.source.length : 0,
     anyAllowed: sample.length > 0,
@@ -72,31 +75,14 @@
     region: [],
     remote: [],
     byReplica: new Map(),
+    ring: [],
   };
   for (const candidate of source) addToIndex(index, candidate, view);
+  index.ring = buildRing([...index.local, ...index.region]);
   state.candidates.set(model, index);
   return index;
 }
 
-/** Indexes what peers sent by replica; only when the array is another one. */
-export function indexPeers(state: DispatchState, source: readonly SentCount[]): void {
-  if (state.peers.source === source) return;
-  const byReplica = new Map<string, SentCount>();
-  for (const count of source) byReplica.set(count.replica, addCounts(byReplica, count));
-  state.peers = { source, byReplica };
-}
-
-function addCounts(byReplica: Map<string, SentCount>, count: SentCount): SentCount {
-  const known = byReplica.get(count.replica);
-  if (!known) return count;
-  return {
-    replica: count.replica,
-    requests: known.requests + count.requests,
-    promptTokens: known.promptTokens + count.promptTokens,
-    outputTokens: known.outputTokens + count.outputTokens,
-  };
-}
-
 function addToIndex(index: CandidateIndex, candidate: Candidate, view: DispatchView): void {
   index.byReplica.set(candidate.replica, candidate);
   if (candidate.location.failureDomain === view.here.failureDomain) index.local.push(candidate);
@@ -107,10 +93,11 @@
 function sampleCandidates(
   state: DispatchState,
   index: CandidateIndex,
+  homes: readonly Candidate[],
   request: WaitingRequest,
   random: Random,
 ): Candidate[] {
-  const sample = new Set<Candidate>();
+  const sample = new Set<Candidate>(homes);
   for (const replica of listHolders(state, request.prefixes, AFFINITY_SAMPLE)) {
     const candidate = index.byReplica.get(replica);
     if (candidate) sample.add(candidate);
@@ -124,7 +111,6 @@
   return index.source.filter((one) => !request.excluded.includes(one.replica));
 }
 
-/** Adds `count` neighbours from a random place on, which costs one random number. */
 function addSample(
   sample: Set<Candidate>,
   from: readonly Candidate[],
@@ -141,12 +127,20 @@
   }
 }
 
-function pickAmongBest(estimates: readonly Estimate[], random: Random): Estimate | undefined {
+/**
+ * Of the estimates close to the least, the replica that this entry sent to longest ago: what peers
+ * do meanwhile is not known, and turns spread requests more evenly than chance.
+ */
+function pickAmongBest(estimates: readonly Estimate[]): Estimate | undefined {
   const open = estimates.filter((estimate) => estimate.hasRoom);
   const best = Math.min(...open.map((estimate) => estimate.firstTokenMs));
   const bound = best + Math.max(TIE_MS, best * TIE_FRACTION);
-  const close = open.filter((estimate) => estimate.firstTokenMs <= bound);
-  return close.length > 0 ? close[random.below(close.length)] : undefined;
+  let chosen: Estimate | undefined;
+  for (const estimate of open) {
+    if (estimate.firstTokenMs > bound) continue;
+    if (!chosen || estimate.lastSentAt < chosen.lastSentAt) chosen = estimate;
+  }
+  return chosen;
 }
 
 function leastWait(estimates: readonly Estimate[]): Milliseconds | undefined {
--- a/src/controllers/routing/constants.ts
+++ b/src/controllers/routing/constants.ts
@@ -25,9 +25,19 @@
 /** Requests beyond the batch that may wait at an engine, as a fraction of its batch. */
 export const BACKLOG_FRACTION = 0.25;
 /** Prefill work beyond which an engine is given no more: what waits here keeps its order. */
-export const MOST_PREFILL_BACKLOG_MS = 250;
-/** Fraction of a batch that a workspace over its fair part leaves free while others are active. */
-export const HEADROOM_FRACTION = 0.15;
+export const MOST_PREFILL_BACKLOG_MS = 1_500;
+/** The same for a workspace that crowds out others, which leaves the engines some headroom. */
+export const CROWDED_PREFILL_BACKLOG_MS = 50;
+/** Fraction of a batch that such a workspace leaves free. */
+export const HEADROOM_FRACTION = 0.2;
+/** Waiting requests from which on a workspace may count as crowding. */
+export const CROWD_LENGTH = 8;
+/** Span over which what peers send is averaged. */
+export const PEERS_AVERAGE_MS = 5_000;
+/** Replicas that all entries look at first for one prefix. */
+export const HOME_SAMPLE = 2;
+/** Part of a known prefix that a home replica is taken to have cached without being believed to. */
+export const HOME_CACHED_PART = 0.5;
 /** A workspace that asked for nothing for longer does not count as active. */
 export const ACTIVE_MS = 10_000;
 /** Taken for an engine that has not reported yet. */
--- a/src/controllers/routing/dispatch.ts
+++ b/src/controllers/routing/dispatch.ts
@@ -7,9 +7,10 @@
 import type { Random } from '../../core/random/index.js';
 import { concludeGivenUp } from '../retries/given-up.js';
 import { believeSent } from './beliefs.js';
-import { chooseReplica, indexCandidates, indexPeers, type Choice } from './choosing.js';
+import { chooseReplica, indexCandidates, type Choice } from './choosing.js';
 import {
   ACTIVE_MS,
+  CROWD_LENGTH,
   LEAST_RETRY_MS,
   MOST_RETRY_MS,
   NO_CAPACITY_GRACE_MS,
@@ -17,6 +18,7 @@
   RECHECK_MS,
 } from './constants.js';
 import type { Estimate } from './estimates.js';
+import { averagePeers } from './peer-rates.js';
 import { chargeLane, orderClasses, orderLanes, removeRequest } from './queues.js';
 import type { CandidateIndex, DispatchState, ModelQueue, SentRequest } from './state.js';
 import { forgetReplicas, openTrack, trackSend } from './tracks.js';
@@ -47,7 +49,7 @@
   random: Random,
 ): Dispatch {
   const round: Round = { state, view, now, random, actions: [] };
-  indexPeers(state, view.peersSent);
+  averagePeers(state, view.peersSent, view.peersPeriodMs, now);
   forgetReplicas(state, now);
   refuseLate(round);
   for (const queue of state.queues.values()) {
@@ -58,10 +60,12 @@
 }
 
 function refuseLate(round: Round): void {
-  for (const request of [...round.state.waiting.values()]) {
-    if (request.deadlineAt <= round.now) {
-      refuse(round, request, createFailure('deadlineBeforeStart'));
-    }
+  const { state, now } = round;
+  if (now < state.nextDeadlineAt) return;
+  state.nextDeadlineAt = Number.POSITIVE_INFINITY;
+  for (const request of [...state.waiting.values()]) {
+    if (request.deadlineAt <= now) refuse(round, request, createFailure('deadlineBeforeStart'));
+    else state.nextDeadlineAt = Math.min(state.nextDeadlineAt, request.deadlineAt);
   }
 }
 
@@ -89,12 +93,22 @@
   }
 }
 
-/** Sends the first request, in serving order, that has room; `false` when there is none. */
+/**
+ * Sends the first request, in serving order, that has room; `false` when there is none. Once a
+ * request found none, others that may use no more of the engines are not tried in this turn.
+ */
 function sendNext(round: Round, queue: ModelQueue, index: CandidateIndex): boolean {
+  let isCrowded = false;
   for (const classQueue of orderClasses(queue)) {
     for (const lane of orderLanes(classQueue)) {
       const request = lane.requests[0];
-      if (request && trySend(round, queue, index, request)) return true;
+      if (!request) continue;
+      const leavesHeadroom = isCrowding(round.state, request.workspace, round.now);
+      if (leavesHeadroom && isCrowded) continue;
+      if (trySend(round, queue, index, request, leavesHeadroom)) return true;
+      if (request.excluded.length > 0) continue;
+      if (!leavesHeadroom) return false;
+      isCrowded = true;
     }
   }
   return false;
@@ -106,10 +120,10 @@
   queue: ModelQueue,
   index: CandidateIndex,
   request: WaitingRequest,
+  leavesHeadroom: boolean,
 ): boolean {
   const { state, view, now, random } = round;
-  const headroom = isOverFairPart(state, request.workspace, now);
-  const choice = chooseReplica(state, index, request, view, headroom, now, random);
+  const choice = chooseReplica(state, index, request, view, leavesHeadroom, now, random);
   if (!choice.anyAllowed) {
     refuse(round, request, createFailure('noCapacity', { name: queue.model }, LEAST_RETRY_MS));
     return true;
@@ -153,6 +167,7 @@
     replica: candidate.replica,
     sentAt: now,
     promptTokens: chosen.promptTokens,
+    prefillMs: chosen.prefillMs,
     outputTokens: request.maxTokens,
     estimatedFirstTokenMs: chosen.firstTokenMs,
     plainFirstTokenMs: chosen.plainFirstTokenMs,
@@ -180,22 +195,20 @@
 }
 
 /**
- * Whether a workspace has more than its weight's part of this entry's requests in flight while
- * others are active. Guards against a flood that takes every place in every batch: the others would
- * wait for one of its requests to end, however short their own queue.
+ * Whether a workspace has a queue here and more in flight for its weight than any other active one.
+ * Guards against a flood that takes every place in every batch: the others would wait for one of
+ * its requests to end, however short their own queue.
  */
-function isOverFairPart(state: DispatchState, workspace: string, now: Milliseconds): boolean {
+function isCrowding(state: DispatchState, workspace: string, now: Milliseconds): boolean {
   const own = state.workspaces.get(workspace);
-  if (!own) return false;
-  let weights = own.weight;
-  let inFlight = own.inFlight;
+  if (!own || (state.waitingOf.get(workspace) ?? 0) < CROWD_LENGTH) return false;
+  let hasOthers = false;
   for (const [name, track] of state.workspaces) {
     if (name === workspace || now - track.activeAt > ACTIVE_MS) continue;
-    weights += track.weight;
-    inFlight += track.inFlight;
+    hasOthers = true;
+    if (track.inFlight / track.weight > own.inFlight / own.weight) return false;
   }
-  if (weights === own.weight) return false;
-  return own.inFlight + 1 > ((inFlight + 1) * own.weight) / weights;
+  return hasOthers;
 }
 
 function listWaiting(queue: ModelQueue): WaitingRequest[] {
@@ -206,7 +219,5 @@
 
 function findWakeAt(state: DispatchState, now: Milliseconds): Milliseconds | undefined {
   if (state.waiting.size === 0) return undefined;
-  let wakeAt = now + RECHECK_MS;
-  for (const request of state.waiting.values()) wakeAt = Math.min(wakeAt, request.deadlineAt);
-  return wakeAt;
+  return Math.min(now + RECHECK_MS, Math.max(now, state.nextDeadlineAt));
 }
--- a/src/controllers/routing/estimates.ts
+++ b/src/controllers/routing/estimates.ts
@@ -3,23 +3,23 @@
  * distance, wait for a place in the batch, prefill of what waits ahead, and prefill of the prompt
  * without what the replica is believed to have cached.
  */
-import type { EngineLoad } from '../../adapters/engines/protocol.js';
-import type { SentCount } from '../../board/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { countCachedTokens } from './beliefs.js';
 import {
   BACKLOG_FRACTION,
+  CROWDED_PREFILL_BACKLOG_MS,
   DEFAULT_BATCH_SIZE,
   DEFAULT_DECODE_MS_PER_TOKEN,
   DEFAULT_PREFILL_MS_PER_TOKEN,
   HEADROOM_FRACTION,
+  HOME_CACHED_PART,
   MOST_PREFILL_BACKLOG_MS,
   OTHER_REGION_MS,
   SAME_DOMAIN_MS,
   SAME_REGION_MS,
 } from './constants.js';
-import type { DispatchState, ReplicaTrack } from './state.js';
-import { currentSlowness, overdueMs, settleReported } from './tracks.js';
+import type { DispatchState, PeerRate, ReplicaTrack } from './state.js';
+import { backlogAt, currentSlowness, overdueMs, settleReport } from './tracks.js';
 import type { Candidate, DispatchView, Location, WaitingRequest } from './types.js';
 
 /** What one choice knows of one candidate. */
@@ -32,42 +32,55 @@
   waitMs: Milliseconds;
   /** Prompt tokens to prefill. */
   promptTokens: number;
+  prefillMs: Milliseconds;
   /** Whether the engine can take the request without much of a queue. */
   hasRoom: boolean;
   /** Mean span until the engine has finished one more request. */
   slotMs: Milliseconds;
+  lastSentAt: Milliseconds;
 }
 
+const MS_PER_SECOND = 1_000;
+
 /** A replica's work as it stands now: the last report and what was sent since. */
 interface Work {
   requests: number;
-  promptTokens: number;
   outputTokens: number;
+  backlogMs: Milliseconds;
   batchSize: number;
   prefillMs: Milliseconds;
   decodeMs: Milliseconds;
 }
 
-/** Estimates `request` at `candidate`. Takes constant time. */
+/** A request as it is estimated. */
+export interface EstimatedRequest {
+  request: WaitingRequest;
+  /** Whether it leaves the engines some headroom. */
+  leavesHeadroom: boolean;
+  /** The longest prefix that is believed to be cached anywhere, in tokens. */
+  knownTokens: number;
+}
+
+/** Estimates a request at `candidate`. Takes constant time. */
 export function estimateCandidate(
   state: DispatchState,
   candidate: Candidate,
-  request: WaitingRequest,
+  isHome: boolean,
+  asked: EstimatedRequest,
   view: DispatchView,
-  leavesHeadroom: boolean,
   now: Milliseconds,
 ): Estimate {
+  const { request, leavesHeadroom } = asked;
   const track = state.replicas.get(candidate.replica);
   const networkMs = distanceMs(view.here, candidate.location);
-  const peer = state.peers.byReplica.get(candidate.replica);
-  const work = sumWork(candidate, track, peer, view, networkMs, now);
-  const cached = countCachedTokens(state, candidate.replica, request.prefixes);
-  const promptTokens = Math.max(1, request.promptTokens - cached);
+  const work = sumWork(state, candidate, track, networkMs, now);
+  const believed = countCachedTokens(state, candidate.replica, request.prefixes);
+  const cached = Math.max(believed, isHome ? asked.knownTokens * HOME_CACHED_PART : 0);
   const slotMs = (meanOutput(work) * work.decodeMs) / work.batchSize;
-  const backlogMs = work.promptTokens * work.prefillMs;
-  const queueMs = backlogMs + slotMs * Math.max(0, work.requests + 1 - work.batchSize);
+  const queueMs = work.backlogMs + slotMs * Math.max(0, work.requests + 1 - work.batchSize);
   const slowness = track ? currentSlowness(track, now) : 1;
   const overdue = track ? overdueMs(track, now) : 0;
+  const promptTokens = Math.max(1, request.promptTokens - cached);
   const prefillMs = promptTokens * work.prefillMs;
   return {
     candidate,
@@ -75,8 +88,10 @@
     plainFirstTokenMs: 2 * networkMs + queueMs + prefillMs,
     waitMs: 2 * networkMs + slowness * queueMs + overdue,
     promptTokens,
-    hasRoom: work.requests < roomOf(work, leavesHeadroom) && backlogMs <= MOST_PREFILL_BACKLOG_MS,
+    prefillMs,
+    hasRoom: hasRoom(work, leavesHeadroom),
     slotMs,
+    lastSentAt: track?.lastSentAt ?? Number.NEGATIVE_INFINITY,
   };
 }
 
@@ -86,67 +101,64 @@
   return here.region === there.region ? SAME_REGION_MS : OTHER_REGION_MS;
 }
 
-function roomOf(work: Work, leavesHeadroom: boolean): number {
-  if (!leavesHeadroom) return work.batchSize * (1 + BACKLOG_FRACTION);
-  return Math.max(1, work.batchSize * (1 - HEADROOM_FRACTION));
+function hasRoom(work: Work, leavesHeadroom: boolean): boolean {
+  if (leavesHeadroom) {
+    const places = Math.max(1, work.batchSize * (1 - HEADROOM_FRACTION));
+    return work.requests < places && work.backlogMs <= CROWDED_PREFILL_BACKLOG_MS;
+  }
+  const places = work.batchSize * (1 + BACKLOG_FRACTION);
+  return work.requests < places && work.backlogMs <= MOST_PREFILL_BACKLOG_MS;
 }
 
 function sumWork(
+  state: DispatchState,
   candidate: Candidate,
   track: ReplicaTrack | undefined,
-  peer: SentCount | undefined,
-  view: DispatchView,
   networkMs: Milliseconds,
   now: Milliseconds,
 ): Work {
   const report = candidate.load;
-  if (!report) return unreportedWork(track);
-  const work = reportedWork(report.load);
+  if (!report) return unreportedWork(track, now);
+  const { load } = report;
   const age = Math.max(0, now - report.measuredAt);
-  if (track) {
-    settleReported(track, report.measuredAt - networkMs);
-    addUnreported(work, track);
-  }
-  if (peer) addPeers(work, peer, Math.min(1, age / (view.peersPeriodMs ?? age)));
-  work.promptTokens = Math.max(0, work.promptTokens - age / Math.max(work.prefillMs, 0.001));
-  return work;
-}
-
-function reportedWork(load: EngineLoad): Work {
-  return {
+  const reportedMs = load.pendingPromptTokens * load.prefillMsPerToken;
+  const work: Work = {
     requests: load.running + load.waiting,
-    promptTokens: load.pendingPromptTokens,
     outputTokens: load.pendingOutputTokens,
+    backlogMs: Math.max(0, reportedMs - age),
     batchSize: load.batchSize,
     prefillMs: load.prefillMsPerToken,
     decodeMs: load.decodeMsPerToken,
   };
+  if (track) {
+    settleReport(track, report.measuredAt - networkMs, reportedMs);
+    work.requests += track.unreported.length;
+    work.outputTokens += track.unreportedOutputTokens;
+    work.backlogMs = backlogAt(track, now);
+  }
+  return addPeers(work, state.peers.rates.get(candidate.replica), age);
 }
 
-function unreportedWork(track: ReplicaTrack | undefined): Work {
-  const work: Work = {
+function unreportedWork(track: ReplicaTrack | undefined, now: Milliseconds): Work {
+  let outputTokens = 0;
+  for (const sent of track?.outstanding.values() ?? []) outputTokens += sent.outputTokens;
+  return {
     requests: track?.outstanding.size ?? 0,
-    promptTokens: 0,
-    outputTokens: 0,
+    outputTokens,
+    backlogMs: track ? backlogAt(track, now) : 0,
     batchSize: DEFAULT_BATCH_SIZE,
     prefillMs: DEFAULT_PREFILL_MS_PER_TOKEN,
     decodeMs: DEFAULT_DECODE_MS_PER_TOKEN,
   };
-  for (const sent of track?.unanswered.values() ?? []) work.promptTokens += sent.promptTokens;
-  for (const sent of track?.outstanding.values() ?? []) work.outputTokens += sent.outputTokens;
-  return work;
 }
 
-function addUnreported(work: Work, track: ReplicaTrack): void {
-  work.requests += track.unreported.length;
-  work.promptTokens += track.unreportedPromptTokens;
-  work.outputTokens += track.unreportedOutputTokens;
-}
-
-function addPeers(work: Work, peer: SentCount, part: number): void {
-  work.requests += peer.requests * part;
-  work.promptTokens += peer.promptTokens * part;
-  work.outputTokens += peer.outputTokens * part;
+/** Adds what peers sent since the report, at their average rate: single counts come too late. */
+function addPeers(work: Work, rate: PeerRate | undefined, age: Milliseconds): Work {
+  if (!rate) return work;
+  const seconds = age / MS_PER_SECOND;
+  work.requests += rate.requests * seconds;
+  work.outputTokens += rate.outputTokens * seconds;
+  return work;
 }
 
 function meanOutput(work: Work): number {
--- a/src/controllers/routing/queues.ts
+++ b/src/controllers/routing/queues.ts
@@ -37,6 +37,7 @@
   insertByArrival(lane.requests, request);
   queue.length += 1;
   state.waiting.set(request.ticket, request);
+  state.nextDeadlineAt = Math.min(state.nextDeadlineAt, request.deadlineAt);
   state.waitingOf.set(request.workspace, waiting + 1);
   return ok(undefined);
 }
--- a/src/controllers/routing/state.ts
+++ b/src/controllers/routing/state.ts
@@ -49,6 +49,8 @@
   sentAt: Milliseconds;
   /** Prompt tokens that the engine was believed not to have cached. */
   promptTokens: number;
+  /** The time that their prefill takes. */
+  prefillMs: Milliseconds;
   outputTokens: number;
   estimatedFirstTokenMs: Milliseconds;
   /** The estimate before the learned ratio was applied. */
@@ -61,8 +63,12 @@
 export interface ReplicaTrack {
   /** Own sends that the last report can't show yet, oldest first. */
   unreported: SentRequest[];
-  unreportedPromptTokens: number;
   unreportedOutputTokens: number;
+  /** Prefill work left at `backlogAt`, reckoned on from the report measured at `reportedAt`. */
+  backlogMs: Milliseconds;
+  backlogAt: Milliseconds;
+  reportedAt: Milliseconds;
+  lastSentAt: Milliseconds;
   /** Own requests in flight, oldest first. */
   outstanding: Map<string, SentRequest>;
   /** Own requests that wait for their first token, oldest first. */
@@ -88,6 +94,22 @@
   region: Candidate[];
   remote: Candidate[];
   byReplica: Map<string, Candidate>;
+  /** Replicas of the own region by the hash of their name, for the homes of prefixes. */
+  ring: RingPlace[];
+}
+
+/** A replica's place on the ring of hashes. */
+export interface RingPlace {
+  hash: number;
+  candidate: Candidate;
+}
+
+/** Requests and tokens that peers send to a replica in a second, averaged. */
+export interface PeerRate {
+  requests: number;
+  promptTokens: number;
+  outputTokens: number;
+  seenAt: Milliseconds;
 }
 
 /** What one workspace has sent and when it last asked for anything. */
@@ -117,7 +139,9 @@
   /** Replicas believed to hold a prefix, by its hash. */
   holders: Map<string, Set<string>>;
   candidates: Map<string, CandidateIndex>;
-  peers: { source: readonly SentCount[]; byReplica: Map<string, SentCount> };
+  peers: { source: readonly SentCount[]; at: Milliseconds; rates: Map<string, PeerRate> };
+  /** No waiting request's deadline is earlier. */
+  nextDeadlineAt: Milliseconds;
   instances: Map<string, InstanceTrack>;
   forgottenAt: Milliseconds;
 }
@@ -138,7 +162,8 @@
     beliefs: new Map(),
     holders: new Map(),
     candidates: new Map(),
-    peers: { source: [], byReplica: new Map() },
+    peers: { source: [], at: Number.NEGATIVE_INFINITY, rates: new Map() },
+    nextDeadlineAt: Number.POSITIVE_INFINITY,
     instances: new Map(),
     forgottenAt: 0,
   };
--- a/src/controllers/routing/tracks.ts
+++ b/src/controllers/routing/tracks.ts
@@ -19,8 +19,11 @@
   if (known) return known;
   const track: ReplicaTrack = {
     unreported: [],
-    unreportedPromptTokens: 0,
     unreportedOutputTokens: 0,
+    backlogMs: 0,
+    backlogAt: now,
+    reportedAt: Number.NEGATIVE_INFINITY,
+    lastSentAt: Number.NEGATIVE_INFINITY,
     outstanding: new Map(),
     unanswered: new Map(),
     slowness: 1,
@@ -34,7 +37,9 @@
 /** Counts a request as sent. */
 export function trackSend(track: ReplicaTrack, sent: SentRequest): void {
   track.unreported.push(sent);
-  track.unreportedPromptTokens += sent.promptTokens;
+  track.backlogMs = backlogAt(track, sent.sentAt) + sent.prefillMs;
+  track.backlogAt = sent.sentAt;
+  track.lastSentAt = sent.sentAt;
   track.unreportedOutputTokens += sent.outputTokens;
   track.outstanding.set(sent.ticket, sent);
   track.unanswered.set(sent.ticket, sent);
@@ -49,12 +54,36 @@
   track.touchedAt = now;
 }
 
-/** Forgets the sends that a report measured at `reportedAt` shows by itself. */
-export function settleReported(track: ReplicaTrack, reportedAt: Milliseconds): void {
+/** The prefill work left at `now`: an engine works it off as time passes. */
+export function backlogAt(track: ReplicaTrack, now: Milliseconds): Milliseconds {
+  return Math.max(0, track.backlogMs - Math.max(0, now - track.backlogAt));
+}
+
+/**
+ * Takes in a report measured at `reportedAt`: forgets the sends that it shows by itself and reckons
+ * the prefill work on from it, send by send, so that work that came late is not taken as worked off
+ * before it came.
+ */
+export function settleReport(
+  track: ReplicaTrack,
+  reportedAt: Milliseconds,
+  reportedBacklogMs: Milliseconds,
+): void {
+  if (track.reportedAt === reportedAt) return;
+  track.reportedAt = reportedAt;
+  dropReported(track, reportedAt);
+  track.backlogMs = reportedBacklogMs;
+  track.backlogAt = reportedAt;
+  for (const sent of track.unreported) {
+    track.backlogMs = backlogAt(track, sent.sentAt) + sent.prefillMs;
+    track.backlogAt = Math.max(track.backlogAt, sent.sentAt);
+  }
+}
+
+function dropReported(track: ReplicaTrack, reportedAt: Milliseconds): void {
   let settled = 0;
   for (const sent of track.unreported) {
     if (sent.sentAt > reportedAt) break;
-    track.unreportedPromptTokens -= sent.promptTokens;
     track.unreportedOutputTokens -= sent.outputTokens;
     settled += 1;
   }
