Keep a service reachable when all its instances failed lately

Ruled out: not reporting failures; a dead instance would be tried by every call. Change: when no sound instance is left, all are candidates and the dispatcher's record of failures in a row decides; scenarios on unframed and stray answers.

--- a/features/requests/services.feature
+++ b/features/requests/services.feature
@@ -41,8 +41,10 @@
     Then the refusal is 504 "deadlineAfterStart" with the conclusion "unknown"
     And the services have run 1 calls
 
-  Scenario: A repeatable call is sent again
-    Given the next call of one service has the fault '{"kind":"resetBeforeRun"}'
+  Scenario: A repeatable call is sent again, also when every instance failed it once
+    # Both instances break a call, one after the other. Neither may be left out for long: with both
+    # left out, one bad call would take the application from everybody.
+    Given the next calls of both services have the fault '{"kind":"resetBeforeRun"}'
     When a caller gets "/services/gate/passes/7"
     Then the call is answered with 200
 
@@ -72,3 +74,19 @@
     Then the refusal is 400 "keyRequired" with the conclusion "refused"
     When a caller posts to "/services/gate//check-ins"
     Then the refusal is 400 "keyRequired" with the conclusion "refused"
+
+  Scenario: An answer that does not say where it ends
+    # An old application marks the end of its answer by closing the connection, as it does when it
+    # dies. Half an answer and a whole one look the same, so neither is passed on.
+    Given a service that answers every call with the raw text "HTTP/1.1 200 OK\r\n\r\nhalf" and closes
+    When a caller posts to "/services/gate/slots"
+    Then the refusal is 502 "outcomeUnknown" with the conclusion "unknown"
+    And the raw service was called 1 times
+
+  Scenario: A second answer that nobody asked for
+    # A confused application sends two answers to one call. The next caller on the same connection
+    # would read the second one as its own.
+    Given a service that answers its first call twice, with "one" and "stray"
+    When a caller gets "/services/gate/passes/1"
+    And a caller gets "/services/gate/passes/2"
+    Then no caller has read "stray"
--- a/features/requests/services.steps.ts
+++ b/features/requests/services.steps.ts
@@ -3,14 +3,16 @@
  */
 import assert from 'node:assert/strict';
 import { createHash, randomBytes } from 'node:crypto';
-import { Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When } from '@cucumber/cucumber';
 import { callFaultSchema } from '../../src/stand-ins/service/control.js';
 import { call, type Received } from './client.js';
 import { KEY } from './fixture.js';
+import { renderAnswer, startRawService, type RawService } from './raw-service.js';
 import type { RequestWorld } from './requests.steps.js';
 
 interface ServiceWorld extends RequestWorld {
   uploaded: Buffer;
+  rawService?: RawService;
 }
 
 /** What the service's echo says that it saw. */
@@ -30,15 +32,6 @@
   },
 );
 
-Given(
-  'the next call of one service has the fault {string}',
-  function (this: ServiceWorld, text: string) {
-    const fault = callFaultSchema.parse(JSON.parse(text));
-    this.entry.services[0]?.control({ faults: [fault] });
-    this.entry.writeFleet([...this.entry.engines, ...this.entry.services]);
-  },
-);
-
 Given('the first service instance is gone and still listed', async function (this: ServiceWorld) {
   await this.entry.services[0]?.stop();
 });
@@ -47,8 +40,32 @@
   await Promise.all(this.entry.services.map((service) => service.stop()));
 });
 
+Given(
+  'a service that answers every call with the raw text {string} and closes',
+  async function (this: ServiceWorld, text: string) {
+    const bytes = text.replaceAll('\\r\\n', '\r\n');
+    useRawService(this, await startRawService((socket) => socket.end(bytes)));
+  },
+);
+
+Given(
+  'a service that answers its first call twice, with {string} and {string}',
+  async function (this: ServiceWorld, first: string, stray: string) {
+    const service = await startRawService((socket, count) => {
+      const answer = renderAnswer(count === 1 ? first : `answer ${count}`);
+      socket.write(count === 1 ? `${answer}${renderAnswer(stray)}` : answer);
+    });
+    useRawService(this, service);
+  },
+);
+
+After(function (this: Partial<ServiceWorld>) {
+  this.rawService?.stop();
+});
+
 When('a caller gets {string}', async function (this: ServiceWorld, path: string) {
   this.received = await call(this.entry.address, path);
+  this.answers.push(this.received);
 });
 
 When('a caller posts to {string}', async function (this: ServiceWorld, path: string) {
@@ -166,6 +183,21 @@
   assert.equal(first.headers['idempotency-replayed'], undefined);
 });
 
+Then('the raw service was called {int} times', function (this: ServiceWorld, calls: number) {
+  assert.equal(this.rawService?.calls(), calls);
+});
+
+Then('no caller has read {string}', function (this: ServiceWorld, text: string) {
+  assert.ok(this.answers.length > 1);
+  for (const { body } of this.answers) assert.ok(!body.includes(text), body);
+});
+
+function useRawService(world: ServiceWorld, service: RawService): void {
+  world.rawService = service;
+  const listed = { instance: 'gate-raw', address: service.address };
+  world.entry.writeFleet([...world.entry.engines, listed]);
+}
+
 function readEcho(received: Received): Echo {
   assert.equal(received.status, 200, received.body);
   return JSON.parse(received.body) as Echo;
--- a/src/entry/requests/instances.ts
+++ b/src/entry/requests/instances.ts
@@ -1,6 +1,7 @@
 /**
  * The choice of an instance of a plain service, with what this entry knows.
  */
+import type { Health } from '../../board/index.js';
 import { listServiceInstances } from '../../controllers/health/index.js';
 import {
   chooseInstance,
@@ -10,6 +11,8 @@
 import type { Service } from '../../objects/index.js';
 import type { RequestParts } from './types.js';
 
+const NO_HEALTH: Health = new Map();
+
 /** The instance to send a call to now, if there is any. */
 export function chooseServiceInstance(
   { context, dispatcher, inFlight }: RequestParts,
@@ -19,7 +22,14 @@
   const { board, clock, random, identity, settings } = context;
   const now = clock.now();
   const view = { fleet: board.fleet.read(), health: board.health.read() };
-  const candidates = listServiceInstances(view, service, now, settings.health.freshMs);
+  const { freshMs } = settings.health;
+  const sound = listServiceInstances(view, service, now, freshMs);
+  // One call that every instance fails would otherwise take the service from everybody. When all
+  // have failed lately, the dispatcher's own record of failures in a row says whom to avoid.
+  const candidates =
+    sound.length > 0
+      ? sound
+      : listServiceInstances({ ...view, health: NO_HEALTH }, service, now, freshMs);
   const here = { region: identity.region, failureDomain: identity.failureDomain };
   return chooseInstance(dispatcher.state, candidates, inFlight.counts, here, excluded, now, random);
 }
