--- a/src/controllers/calls/constants.ts
+++ b/src/controllers/calls/constants.ts
@@ -58,7 +58,7 @@
 
 /** First and longest wait after platform calls that failed, in ms. */
 export const FIRST_BACKOFF_MS = 250;
-export const MAX_BACKOFF_MS = 5_000;
+export const MAX_BACKOFF_MS = 1_000;
 
 /** Calls that one entry keeps open: in progress, or with a record still to be settled. */
 export const MAX_OPEN_CALLS = 8_192;
