Prove configuration: scenarios over loopback and properties of merging and acceptance

Cause: an entry that started after an invalid write past the checks had no model at all, while the others went on with the valid version before it; the scenario showed it as a model that is missing. Ruled out: keeping old versions in the platform; it keeps only the newest. Change: a starting entry asks a ready peer again for objects of which it has seen no valid version, and is not caught up before that.

--- /dev/null
+++ b/features/configuration/properties.steps.ts
@@ -0,0 +1,150 @@
+/**
+ * Properties of merging and of the judgement of acceptance.
+ */
+import assert from 'node:assert/strict';
+import { Then } from '@cucumber/cucumber';
+import fc from 'fast-check';
+import type { Peer } from '../../src/board/index.js';
+import {
+  createObjectState,
+  exportChanges,
+  judgeAcceptance,
+  mergeObjects,
+  type ObjectState,
+} from '../../src/controllers/configuration/index.js';
+import type { Instance, StoredObject } from '../../src/objects/index.js';
+
+const SEED = 1_102;
+const RUNS = 400;
+
+const change = fc.record({
+  name: fc.constantFrom('a', 'b', 'c'),
+  kind: fc.constantFrom('valid', 'invalid', 'deleted'),
+});
+
+/** One platform's history: the index is the version. */
+function toObjects(changes: readonly { name: string; kind: string }[]): StoredObject[] {
+  return changes.map(({ name, kind }, index) => ({
+    kind: 'model',
+    name,
+    version: index + 1,
+    nonce: `n${index}`,
+    deleted: kind === 'deleted',
+    value: kind === 'deleted' ? null : { replicas: kind === 'valid' ? index : -1 },
+  }));
+}
+
+function mergeAll(objects: readonly StoredObject[], revision: number): ObjectState {
+  return mergeObjects(createObjectState(), { since: 0, revision, objects });
+}
+
+function versionsInForce(state: ObjectState): Map<string, number> {
+  return new Map([...state.records].map(([key, { valid }]) => [key, valid?.version ?? 0] as const));
+}
+
+Then('merging object versions in any order gives one state that never goes back', () => {
+  const order = fc.array(fc.nat({ max: 29 }), { maxLength: 60 });
+  const property = fc.property(
+    fc.array(change, { minLength: 1, maxLength: 30 }),
+    order,
+    (changes, indices) => {
+      const objects = toObjects(changes);
+      const revision = objects.length;
+      let state = createObjectState();
+      const deliveries = indices.map((index) => objects[index % revision]);
+      for (const object of [...deliveries, ...objects]) {
+        if (object === undefined) continue;
+        const before = versionsInForce(state);
+        // News of single objects, as of an own write, leave a gap: the revision must not move.
+        const offered = { since: revision, revision, objects: [object] };
+        const next = mergeObjects(state, offered);
+        assert.equal(next.revision, 0);
+        assert.equal(mergeObjects(next, offered), next);
+        const after = versionsInForce(next);
+        for (const [key, version] of before) assert((after.get(key) ?? 0) >= version);
+        state = next;
+      }
+      state = mergeObjects(state, { since: 0, revision, objects: [] });
+      const inOrder = mergeAll(objects, revision);
+      assert.deepEqual(versionsInForce(state), versionsInForce(inOrder));
+      const old = mergeObjects(state, { since: 0, revision: revision - 1, objects });
+      assert.equal(old, state);
+    },
+  );
+  fc.assert(property, { seed: SEED, numRuns: RUNS });
+});
+
+Then("all pages of a peer's changes together give its state", () => {
+  const property = fc.property(
+    fc.array(change, { maxLength: 30 }),
+    fc.integer({ min: 1, max: 5 }),
+    (changes, pageSize) => {
+      const source = mergeAll(toObjects(changes), changes.length + 3);
+      let state = createObjectState();
+      let more = true;
+      while (more) {
+        const page = exportChanges(source, state.revision, pageSize);
+        state = mergeObjects(state, page);
+        ({ more } = page);
+      }
+      assert.equal(state.revision, source.revision);
+      assert.deepEqual(versionsInForce(state), versionsInForce(source));
+    },
+  );
+  fc.assert(property, { seed: SEED, numRuns: RUNS });
+});
+
+const entryState = fc.record({
+  revision: fc.nat({ max: 6 }),
+  lag: fc.nat({ max: 3 }),
+  isListed: fc.boolean(),
+  isHeard: fc.boolean(),
+});
+
+function createPeer(name: string, configurationRevision: number): Peer {
+  return {
+    name,
+    incarnation: name,
+    address: '127.0.0.1:1',
+    failureDomain: 'site',
+    heardAt: 0,
+    configurationRevision,
+    ready: true,
+    stopping: false,
+    draining: [],
+    sent: [],
+    demands: [],
+  };
+}
+
+Then('no change is called accepted while a live entry lacks it', () => {
+  const property = fc.property(
+    fc.array(entryState, { maxLength: 5 }),
+    fc.nat({ max: 6 }),
+    fc.nat({ max: 6 }),
+    (states, own, revision) => {
+      const instances = new Map<string, Instance>();
+      const peers = new Map<string, Peer>();
+      states.forEach(({ revision: actual, lag, isListed, isHeard }, index) => {
+        const name = `entry-${index}`;
+        const value = { role: 'entry', state: 'live', failureDomain: 'site' } as Instance;
+        if (isListed) instances.set(name, value);
+        if (isHeard) peers.set(name, createPeer(name, Math.max(0, actual - lag)));
+      });
+      const acceptance = judgeAcceptance({
+        revision,
+        self: { name: 'self', failureDomain: 'site', revision: own },
+        fleet: { revision: 0, instances, leaving: new Set() },
+        peers,
+        summaries: [],
+        departed: new Set(),
+      });
+      const live = states.filter(({ isListed, isHeard }) => isListed || isHeard);
+      const lacks = own < revision || live.some((entry) => entry.revision < revision);
+      if (lacks) assert.equal(acceptance.kind, 'pending');
+      const known = live.every((e) => e.isHeard && e.revision - e.lag >= revision);
+      if (known && own >= revision) assert.equal(acceptance.kind, 'accepted');
+    },
+  );
+  fc.assert(property, { seed: SEED, numRuns: RUNS });
+});
--- a/features/support/entries.ts
+++ b/features/support/entries.ts
@@ -9,7 +9,12 @@
   type PeerClient,
   type PeerHandlers,
 } from '../../src/adapters/peers/index.js';
-import { createPlatformClient, type Platform } from '../../src/adapters/platform/index.js';
+import {
+  createPlatformClient,
+  type ObjectList,
+  type Platform,
+} from '../../src/adapters/platform/index.js';
+import type { Operations } from '../../src/adapters/operators/index.js';
 import type { Engines } from '../../src/adapters/engines/index.js';
 import { createBoard } from '../../src/board/index.js';
 import { createSystemClock } from '../../src/core/clock/index.js';
@@ -22,7 +27,9 @@
   type ConfigurationPart,
 } from '../../src/entry/configuration/index.js';
 import { createMembership, type MembershipPart } from '../../src/entry/membership/index.js';
+import { createOperations } from '../../src/entry/operations/index.js';
 import type { EntryContext } from '../../src/entry/types.js';
+import { OBJECT_KINDS } from '../../src/objects/index.js';
 import { createPlatformStandIn, type PlatformStandIn } from '../../src/stand-ins/platform/index.js';
 
 /** One entry, without its request path. */
@@ -31,7 +38,7 @@
   context: EntryContext;
   configuration: ConfigurationPart;
   membership: MembershipPart;
-  peers: PeerClient;
+  operations: Operations;
   /** Bytes that it has sent to other entries. */
   sentBytes(): number;
   stop(): Promise<void>;
@@ -50,6 +57,10 @@
   /** No call gets through between the two, in either direction. `platform` names the platform. */
   cut(one: string, other: string): void;
   heal(): void;
+  /** Keeps what the platform would answer now, as a copy that lags behind. */
+  copyPlatform(): Promise<void>;
+  /** From now on the platform's reads and watches come from the copy; writes go through. */
+  answerFromCopy(isOn: boolean): void;
   stop(): Promise<void>;
 }
 
@@ -65,6 +76,7 @@
   const platform = started._unsafeUnwrap();
   const entries = new Map<string, TestEntry>();
   const cuts = new Set<string>();
+  const copy: { list?: ObjectList; isOn: boolean } = { isOn: false };
   const isCut = (one: string, other: string): boolean => cuts.has([one, other].sort().join());
   const nameOf = (address: string): string => {
     const found = [...entries.values()].find((e) => e.context.identity.peerAddress === address);
@@ -122,18 +134,36 @@
       clock: createSystemClock(),
       random,
       logger: silentLogger,
-      platform: cutPlatform(client, () => isCut(name, PLATFORM)),
+      platform: spoilPlatform(
+        client,
+        () => isCut(name, PLATFORM),
+        () => (copy.isOn ? copy.list : undefined),
+      ),
       engines: {} as Engines,
     };
     const configuration = createConfiguration(context, peers);
     const membership = createMembership(context, configuration, peers);
+    const operations = createOperations(context, {
+      configuration,
+      membership,
+      readiness: () => undefined,
+      metrics: () => Promise.resolve(''),
+    });
     const stop = async (): Promise<void> => {
       entries.delete(name);
       await server.close();
       await Promise.all([membership.stop(), configuration.stop()]);
       await Promise.all([peers.close(), client.close()]);
     };
-    const entry = { name, context, configuration, membership, peers, sentBytes: () => sent, stop };
+    const entry: TestEntry = {
+      name,
+      context,
+      configuration,
+      membership,
+      operations,
+      sentBytes: () => sent,
+      stop,
+    };
     entries.set(name, entry);
     if (isListed) {
       const value = { role: 'entry', address: '127.0.0.1:1', failureDomain, peerAddress };
@@ -154,6 +184,17 @@
     heal: () => {
       cuts.clear();
     },
+    copyPlatform: async () => {
+      const random = createRandom(0);
+      const { address } = platform;
+      const options = { address, timeoutMs: PLATFORM_TIMEOUT_MS, random, logger: silentLogger };
+      const client = createPlatformClient(options);
+      copy.list = (await client.watch(OBJECT_KINDS, 0, 0))._unsafeUnwrap();
+      await client.close();
+    },
+    answerFromCopy: (isOn) => {
+      copy.isOn = isOn;
+    },
     stop: async () => {
       await Promise.all([...entries.values()].map((entry) => entry.stop()));
       await platform.stop();
@@ -174,18 +215,28 @@
 }
 
 /** A watch that waits when the link is cut is not answered any more either. */
-function cutPlatform(platform: Platform, isCut: () => boolean): Platform {
+function spoilPlatform(
+  platform: Platform,
+  isCut: () => boolean,
+  oldCopy: () => ObjectList | undefined,
+): Platform {
   const refuse = () => errAsync(createFailure('platformUnavailable', { reason: 'cut' }));
+  const answerFromCopy = (list: ObjectList, since: number): ObjectList => ({
+    objects: list.objects.filter((object) => object.version > since),
+    revision: list.revision,
+  });
   return {
     list: (kind) => (isCut() ? refuse() : platform.list(kind)),
     read: (kind, name) => (isCut() ? refuse() : platform.read(kind, name)),
     write: (write) => (isCut() ? refuse() : platform.write(write)),
     writeBatch: (writes) => (isCut() ? refuse() : platform.writeBatch(writes)),
-    watch: (kinds, since, waitMs, signal) =>
-      isCut()
-        ? refuse()
-        : platform
-            .watch(kinds, since, waitMs, signal)
-            .andThen((list) => (isCut() ? refuse() : okAsync(list))),
+    watch: (kinds, since, waitMs, signal) => {
+      const copied = oldCopy();
+      if (isCut()) return refuse();
+      if (copied !== undefined) return okAsync(answerFromCopy(copied, since));
+      return platform
+        .watch(kinds, since, waitMs, signal)
+        .andThen((list) => (isCut() ? refuse() : okAsync(list)));
+    },
   };
 }
--- a/src/controllers/configuration/merge.ts
+++ b/src/controllers/configuration/merge.ts
@@ -126,6 +126,16 @@
   };
 }
 
+/**
+ * From which revision to ask a peer. Objects of which no valid version was ever seen here are asked
+ * for again: the platform keeps only their newest, invalid version, and a peer that has been up for
+ * longer may still have the valid one before it in force.
+ */
+export function findPullStart(state: ObjectState): number {
+  const gaps = [...state.records.values()].filter((record) => record.valid === undefined);
+  return Math.min(state.revision, ...gaps.map((record) => record.newest.version - 1));
+}
+
 /** Objects of one version stay on one page: the next page starts after that version. */
 function findPageEnd(changed: readonly ObjectRecord[], limit: number): number {
   let end = Math.min(limit, changed.length);
--- a/src/controllers/membership/peers.ts
+++ b/src/controllers/membership/peers.ts
@@ -52,17 +52,26 @@
   };
 }
 
+/** What is missing here, and who was heard. */
+export interface PullQuestion {
+  live: readonly PeerRecord[];
+  /** The configuration revision in force here. */
+  revision: number;
+  /** Any peer that is ready has something that is missing here. */
+  needsPeer: boolean;
+  /** Who has just been heard. */
+  heard: string;
+}
+
 /**
  * The peer to ask for configuration that is missing here: who has just been heard first, else any
  * that has more; undefined when nobody has.
  */
-export function choosePullSource(
-  live: readonly PeerRecord[],
-  revision: number,
-  heard: string | undefined,
-  random: Random,
-): PeerRecord | undefined {
-  const ahead = live.filter((record) => record.content.revision > revision);
+export function choosePullSource(question: PullQuestion, random: Random): PeerRecord | undefined {
+  const { live, revision, needsPeer, heard } = question;
+  const ahead = live.filter(
+    ({ content }) => content.revision > revision || (needsPeer && content.ready),
+  );
   const direct = ahead.find((record) => record.name === heard);
   if (direct !== undefined || ahead.length === 0) return direct;
   return ahead[random.below(ahead.length)];
--- a/src/entry/configuration/create-configuration.ts
+++ b/src/entry/configuration/create-configuration.ts
@@ -9,6 +9,7 @@
   composeInstances,
   createObjectState,
   exportChanges,
+  findPullStart,
   mergeObjects,
   POLICY_NAME,
   type ObjectChanges,
@@ -35,6 +36,7 @@
   let confirmedAt = Number.NEGATIVE_INFINITY;
   let platformAt = Number.NEGATIVE_INFINITY;
   let isStopped = false;
+  let hasAskedPeer = false;
   const instances = createSection(composeInstances(state));
   const calls = { pull: Promise.resolve(), isPulling: false, isProbing: false };
 
@@ -70,14 +72,17 @@
   const watch = createPlatformWatch(context, () => state.revision, takeList);
 
   const pullPages = async (address: string): Promise<void> => {
+    let since = findPullStart(state);
     for (let page = 0; page < PULL_PAGES && !isStopped; page += 1) {
-      const pulled = await peers.changesSince(address, state.revision);
+      const pulled = await peers.changesSince(address, since);
       if (pulled.isErr()) {
         logger.log('configurationPullFailed', { address, reason: pulled.error.message });
         return;
       }
       merge(pulled.value);
       confirm();
+      since = pulled.value.revision;
+      hasAskedPeer ||= !pulled.value.more;
       if (!pulled.value.more) return;
     }
   };
@@ -101,6 +106,7 @@
     merge,
     confirm,
     pull,
+    needsPeer: () => !hasAskedPeer && findPullStart(state) < state.revision,
     revision: () => state.revision,
     platformAt: () => platformAt,
     platformContact: () => watch.contact(),
--- a/src/entry/configuration/types.ts
+++ b/src/entry/configuration/types.ts
@@ -16,6 +16,8 @@
   instances: Section<InstanceList>;
   /** Every change up to this revision is in force here. */
   revision(): number;
+  /** A valid version of some object may be had from peers only, and none has been asked yet. */
+  needsPeer(): boolean;
   /** When the platform last confirmed what is in force here. */
   platformAt(): Milliseconds;
   /** Whether this entry watches the platform, and is answered. */
--- a/src/entry/membership/create-membership.ts
+++ b/src/entry/membership/create-membership.ts
@@ -85,10 +85,11 @@
     for (const record of receipt.updated) self.import(record, now);
     const live = listLive(state, forgetMs, now);
     const revision = configuration.revision();
-    const source = choosePullSource(live, revision, receipt.from, random);
+    const needsPeer = !caughtUp && configuration.needsPeer();
+    const source = choosePullSource({ live, revision, needsPeer, heard: receipt.from }, random);
     if (source === undefined) configuration.confirm();
     else configuration.pull(source.content.peerAddress);
-    caughtUp ||= hasCaughtUp(live, revision);
+    caughtUp ||= !needsPeer && hasCaughtUp(live, revision);
     publishPeers();
   };
   const receive = (message: DigestMessage): Receipt => {
