--- /dev/null
+++ b/src/cli/apply/index.ts
@@ -0,0 +1,1 @@
+export * from './apply.js';
--- /dev/null
+++ b/src/cli/drain/index.ts
@@ -0,0 +1,1 @@
+export * from './drain.js';
--- /dev/null
+++ b/src/cli/get/index.ts
@@ -0,0 +1,1 @@
+export * from './get.js';
--- /dev/null
+++ b/src/cli/label/index.ts
@@ -0,0 +1,1 @@
+export * from './label.js';
--- a/src/cli/load/send.ts
+++ b/src/cli/load/send.ts
@@ -6,6 +6,7 @@
 import { request as sendRequest, type Dispatcher } from 'undici';
 import { z } from 'zod';
 import type { Clock, Milliseconds } from '../../core/clock/index.js';
+import { parseJson } from '../../core/json/index.js';
 import type { CompletionStream, LoadStream, ServiceStream } from './plan.js';
 import type { LoadOutcome, LoadSpans } from './recorder.js';
 
@@ -118,7 +119,7 @@
 }
 
 function carriesToken(data: string): boolean {
-  const chunk = chunkSchema.safeParse(parseText(data));
+  const chunk = chunkSchema.safeParse(parseJson(data));
   if (!chunk.success) return false;
   const content = chunk.data.choices?.[0]?.delta.content;
   return content !== undefined && content !== '';
@@ -147,18 +148,10 @@
 }
 
 function readError(status: number, text: string): LoadOutcome {
-  const error = errorSchema.safeParse(parseText(text));
+  const error = errorSchema.safeParse(parseJson(text));
   return { kind: 'error', name: error.success ? error.data.error.kind : `status ${status}` };
 }
 
-function parseText(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
-
 /** The first half is the same for the whole stream, so that prefix caches have something to find. */
 function writePrompt({ name, promptWords }: CompletionStream, index: number): string {
   const words = [name];
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -13,6 +13,11 @@
   dev         Run a whole site on this machine and show an answer
   entry       Run an entry
   check       Check settings and object files without applying them
+  apply       Write objects from files and wait until they are in force everywhere
+  get         Show objects
+  label       Set and remove labels
+  status      Show what an entry sees
+  drain       Take a backend server out of service so that it may be stopped
   load        Put open-loop load on entries and sum up the answers
   stand-in    Run a stand-in for the platform, an engine, a service, a weight store or a poor link
 
@@ -22,6 +27,11 @@
 type Run = (argv: readonly string[]) => Promise<Exit>;
 
 const COMMANDS: Readonly<Record<string, () => Promise<Run>>> = {
+  apply: async () => (await import('./apply/index.js')).runApply,
+  drain: async () => (await import('./drain/index.js')).runDrain,
+  get: async () => (await import('./get/index.js')).runGet,
+  label: async () => (await import('./label/index.js')).runLabel,
+  status: async () => (await import('./status/index.js')).runStatus,
   check: async () => (await import('./check/index.js')).runCheck,
   dev: async () => (await import('./dev/index.js')).runDev,
   entry: async () => (await import('./entry/index.js')).runEntry,
--- /dev/null
+++ b/src/cli/status/index.ts
@@ -0,0 +1,1 @@
+export * from './status.js';
