--- a/src/entry/operations/object-writer.ts
+++ b/src/entry/operations/object-writer.ts
@@ -64,7 +64,11 @@
       .write(request)
       .mapErr(toRefusal)
       .andThen((outcome): Result<StoredObject, Refusal> => {
-        if (outcome.kind === 'conflict') return err(describeConflict(request, outcome.current));
+        if (outcome.kind === 'conflict') {
+          const refusal = describeConflict(request, outcome.current);
+          logger.log('operatorRefused', { reason: refusal.failure.message });
+          return err(refusal);
+        }
         const { object } = outcome;
         const { version } = object;
         parts.configuration.merge({ since: version, revision: version, objects: [object] });
