Answer HEAD once, keep field bytes, and give large answers the caller's own deadline

Cause: hono answered HEAD calls a second time; fields beyond ASCII were encoded twice; a download longer than the service's timeout was cut; an unexpected throw would have left a count in flight. Ruled out: re-encoding field values, since undici hands their bytes on unchanged. Change: answers already written are left alone; heads are sent with empty bytes; the service's timeout covers the beginning of an answer, the caller's deadline the whole; slow readers are cut only when they take nothing for the time given.

--- a/features/requests/services.feature
+++ b/features/requests/services.feature
@@ -8,6 +8,15 @@
     When a caller posts to "/services/gate/echo/a%20b?day=2&x=%26" with fields of all sorts
     Then the service saw the method, path, query, body and end-to-end fields
     And the service saw no hop-by-hop field, no key and no forged field
+    When a caller asks for the head of "/services/gate/passes/7"
+    Then the call is answered with 200 and the type "application/json" but no body
+
+  Scenario: An answer field that is not ASCII
+    # An application writes a name into a field as UTF-8. Node refuses to write such a character, and
+    # an answer that fails half-way must not take the entry with it.
+    Given a service that answers every call with the raw text "HTTP/1.1 200 OK\r\nX-Name: Ayu é\r\nContent-Length: 2\r\n\r\nok" and closes
+    When a caller gets "/services/gate/passes/7"
+    Then the answer's field "x-name" has the bytes of "Ayu é"
 
   Scenario: Large bodies both ways
     When a caller uploads 3000000 bytes in chunks
--- a/features/requests/services.steps.ts
+++ b/features/requests/services.steps.ts
@@ -68,6 +68,10 @@
   this.answers.push(this.received);
 });
 
+When('a caller asks for the head of {string}', async function (this: ServiceWorld, path: string) {
+  this.received = await call(this.entry.address, path, { method: 'HEAD' });
+});
+
 When('a caller posts to {string}', async function (this: ServiceWorld, path: string) {
   this.received = await call(this.entry.address, path, { method: 'POST', body: 'lorry 12' });
 });
@@ -167,6 +171,25 @@
   assert.equal(this.received.status, status);
 });
 
+Then(
+  'the call is answered with {int} and the type {string} but no body',
+  function (this: ServiceWorld, status: number, type: string) {
+    assert.equal(this.received.status, status);
+    assert.equal(this.received.headers['content-type'], type);
+    assert.equal(this.received.broken, false);
+    assert.equal(this.received.bytes, 0);
+  },
+);
+
+Then(
+  "the answer's field {string} has the bytes of {string}",
+  function (this: ServiceWorld, name: string, value: string) {
+    assert.equal(this.received.status, 200);
+    const received = String(this.received.headers[name]);
+    assert.equal(Buffer.from(received, 'latin1').toString(), value);
+  },
+);
+
 Then('all calls are answered with {int}', function (this: ServiceWorld, status: number) {
   assert.deepEqual(new Set(this.answers.map((answer) => answer.status)), new Set([status]));
 });
--- a/src/adapters/callers/create-callers.ts
+++ b/src/adapters/callers/create-callers.ts
@@ -62,7 +62,7 @@
  * @example const address = await createCallers(options).listen();
  */
 export function createCallers(options: CallersOptions): Callers {
-  const answer = getRequestListener(createApp(options).fetch, { overrideGlobalObjects: false });
+  const answer = createListener(createApp(options));
   const server = createServer(
     {
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -84,6 +84,20 @@
   };
 }
 
+/**
+ * hono answers HEAD with a fresh response made of a route's own one, which loses the mark that the
+ * answer has been written already; it would be written a second time.
+ */
+function createListener(app: Hono<Env>): ReturnType<typeof getRequestListener> {
+  const serveOne = async (request: Request, env: HttpBindings): Promise<Response> => {
+    const response = await app.fetch(request, env);
+    return env.outgoing.headersSent ? RESPONSE_ALREADY_SENT : response;
+  };
+  return getRequestListener((request, env) => serveOne(request, env as HttpBindings), {
+    overrideGlobalObjects: false,
+  });
+}
+
 function createApp(options: CallersOptions): Hono<Env> {
   const app = new Hono<Env>();
   app.get('/livez', (context) => context.text('live\n'));
@@ -129,15 +143,13 @@
 }
 
 /**
- * Closes the connection of a caller that does not take the end of its answer. A phone that went
- * out of reach would otherwise hold the answer's buffers until TCP gives up, many minutes later.
+ * Closes the connection of a caller that takes nothing of the end of its answer for `timeoutMs`. A
+ * phone that went out of reach would otherwise hold the answer's buffers until TCP gives up, many
+ * minutes later. A slow reader is no such caller: each part that it takes starts the span again.
  */
 function limitFlush(response: ServerResponse, timeoutMs: Milliseconds): void {
   if (response.writableFinished || response.destroyed) return;
-  const timer = setTimeout(() => response.destroy(), timeoutMs);
-  response.once('close', () => {
-    clearTimeout(timer);
-  });
+  response.setTimeout(timeoutMs, () => response.destroy());
 }
 
 function refuseUnread(
--- a/src/adapters/callers/service-calls.ts
+++ b/src/adapters/callers/service-calls.ts
@@ -40,6 +40,8 @@
   return service === undefined ? undefined : { service, path, query: search };
 }
 
+const NO_BYTES = new Uint8Array(0);
+
 /** Serves one call of a plain service. Resolves when its answer has been written. */
 export async function serveServiceCall(
   requestPath: RequestPath,
@@ -77,14 +79,17 @@
   answer: ServiceAnswer,
 ): Promise<'whole' | 'cut' | 'callerGone'> {
   const isBroken = watchError(answer.body);
-  writeHead(response, answer.status, answer.headers);
   try {
+    writeHead(response, answer.status, answer.headers);
     // A body that breaks off destroys the caller's connection: the last chunk or the rest of the
     // declared length never comes, so that the part is not taken for the whole.
     await pipeline(answer.body, response);
     return 'whole';
   } catch {
-    return isBroken() ? 'cut' : 'callerGone';
+    const isCut = isBroken() || !response.headersSent;
+    answer.body.destroy();
+    response.destroy();
+    return isCut ? 'cut' : 'callerGone';
   }
 }
 
@@ -114,7 +119,9 @@
     if (name.toLowerCase() !== 'x-request-id') response.appendHeader(name, value);
   }
   response.writeHead(status);
-  response.flushHeaders();
+  // Sends the head without waiting for the body. flushHeaders would write it as UTF-8, which turns
+  // each byte beyond ASCII of a field into two; before bytes it is written as it came.
+  response.write(NO_BYTES);
 }
 
 function listRequestHeaders(
--- a/src/entry/requests/completions.ts
+++ b/src/entry/requests/completions.ts
@@ -253,9 +253,13 @@
   inFlight.recordSent(candidate.replica, run.promptTokens, run.request.maxTokens);
   inFlight.begin(targets);
   apply(run, { kind: 'sent', attempt });
-  const request = describeRequest(run, sending);
-  const start = await context.engines.complete(candidate.address, request, sending.abort.signal);
-  const outcome = await follow(run, sending, start);
+  const outcome = await follow(run, sending).catch((error: unknown) => {
+    // Nothing below is expected to throw. Without an end of the attempt its request would hang and
+    // its replica would never count as drained.
+    const reason = error instanceof Error ? error.message : String(error);
+    context.logger.log('unexpectedError', { reason });
+    return endAttempt(run, sending, { kind: 'lost', reason });
+  });
   inFlight.end(targets);
   dispatcher.reportEnd(attempt, outcome);
 }
@@ -276,11 +280,11 @@
   };
 }
 
-async function follow(
-  run: CompletionRun,
-  sending: Sending,
-  start: CompletionStart,
-): Promise<SentOutcome> {
+async function follow(run: CompletionRun, sending: Sending): Promise<SentOutcome> {
+  const { engines } = run.parts.context;
+  const request = describeRequest(run, sending);
+  const { address } = sending.candidate;
+  const start = await engines.complete(address, request, sending.abort.signal);
   switch (start.kind) {
     case 'started':
       return relayChunks(run, sending, start.chunks);
--- a/src/entry/requests/service-calls.ts
+++ b/src/entry/requests/service-calls.ts
@@ -15,6 +15,7 @@
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import type { Service } from '../../objects/index.js';
+import { createDeadline, type Deadline } from './deadline.js';
 import { chooseServiceInstance, reportInstance } from './instances.js';
 import { runOnceCall } from './once-calls.js';
 import { createNoCapacity, listSentHeaders } from './sent-call.js';
@@ -31,7 +32,9 @@
   service: Service;
   handling: CallHandling;
   body: ServiceRequest['body'];
+  /** For the beginning of the answer. */
   deadlineAt: Milliseconds;
+  deadline: Deadline;
   /** Aborted when the caller is gone or the deadline has passed. */
   signal: AbortSignal;
   attempts: number;
@@ -102,16 +105,10 @@
   handling: CallHandling,
 ): Promise<Failure | undefined> {
   const { clock } = parts.context;
-  const deadlineAt = Math.min(call.caller.deadlineAt, clock.now() + service.timeoutMs);
   const body = await prepareBody(call);
   if (body.isErr()) return body.error;
-  const deadline = new AbortController();
-  const timer = setTimeout(
-    () => {
-      deadline.abort();
-    },
-    Math.max(0, deadlineAt - clock.now()),
-  );
+  const deadlineAt = Math.min(call.caller.deadlineAt, clock.now() + service.timeoutMs);
+  const deadline = createDeadline(clock, deadlineAt);
   const run: CallRun = {
     parts,
     call,
@@ -120,12 +117,13 @@
     handling,
     body: body.value,
     deadlineAt,
+    deadline,
     signal: AbortSignal.any([call.signal, deadline.signal]),
     attempts: 0,
     mayHaveRun: false,
   };
   const failure = await runAttempts(run);
-  clearTimeout(timer);
+  deadline.clear();
   return failure && concludeRequest(failure, { mayHaveRun: run.mayHaveRun, delivered: 0 });
 }
 
@@ -196,6 +194,8 @@
   instance: string,
   answer: Parameters<ServiceOutput['relay']>[0],
 ): Promise<CallEnd> {
+  // A large answer may take longer than its beginning was waited for.
+  run.deadline.moveTo(run.call.caller.deadlineAt);
   const end = await run.output.relay(answer);
   switch (end) {
     case 'whole':
