--- a/src/cli/exit-codes.ts
+++ b/src/cli/exit-codes.ts
@@ -16,7 +16,8 @@
   },
   unreachable: {
     code: 3,
-    meaning: 'The entry could not be reached; whether a change was made is in the message.',
+    meaning:
+      'The entry or its platform could not be reached; whether a change was made is in the message.',
   },
   refused: {
     code: 4,
