Hold back crowding workspaces and drop peers' counts from the estimate

Change: a workspace that asks for most and queues, or fills the entry's part of the batches, keeps to one unanswered request for each replica of that part and leaves 0.2 of the places. Learned slowness counts from 1.75 on; reported prompt tokens are scaled by the mean uncached part.

--- a/bench/routing/balancers.ts
+++ b/bench/routing/balancers.ts
@@ -32,7 +32,8 @@
   timeline: Timeline;
   random: Random;
   here: Location;
-  send: (ticket: string, replica: string) => void;
+  entries: number;
+  send: (ticket: string, replica: string, isCrowding: boolean) => void;
   refuse: (ticket: string) => void;
 }
 
@@ -81,7 +82,7 @@
       add(outstanding, replica, 1);
       add(sentSince, replica, 1);
       sentTo.set(ticket, replica);
-      rim.send(ticket, replica);
+      rim.send(ticket, replica, false);
     },
     firstToken: () => undefined,
     end: (ticket) => {
@@ -106,14 +107,16 @@
       return peersSent;
     },
     peersPeriodMs: PEERS_PERIOD_MS,
+    entries: rim.entries,
   };
   let wakeAt = Number.POSITIVE_INFINITY;
   const run = (): void => {
     if (state.waiting.size === 0) return;
     const decided = dispatch(state, view, rim.timeline.now, rim.random);
     for (const action of decided.actions) {
-      if (action.kind === 'send') rim.send(action.ticket, action.candidate.replica);
-      else rim.refuse(action.ticket);
+      if (action.kind === 'send') {
+        rim.send(action.ticket, action.candidate.replica, action.isCrowding);
+      } else rim.refuse(action.ticket);
     }
     if (decided.wakeAt === undefined || wakeAt <= decided.wakeAt) return;
     wakeAt = decided.wakeAt;
--- a/bench/routing/engine.ts
+++ b/bench/routing/engine.ts
@@ -9,6 +9,7 @@
 export interface EngineRequest {
   ticket: string;
   class: RequestClass;
+  isCrowding: boolean;
   promptTokens: number;
   outputTokens: number;
   maxTokens: number;
@@ -30,7 +31,11 @@
   load: EngineLoad;
 }
 
-const PRIORITY: Record<RequestClass, number> = { gate: 0, interactive: 1, batch: 2 };
+const PRIORITY: Record<RequestClass, number> = {
+  gate: 0,
+  interactive: 1,
+  batch: 2,
+};
 
 export class Engine {
   /** Above 1 for an engine that turned slow and does not know it. */
@@ -141,11 +146,15 @@
 /** First come first served within a class, higher classes first, as the engines honour priorities. */
 function insert(queue: EngineRequest[], request: EngineRequest): void {
   let index = queue.length;
-  const rank = PRIORITY[request.class];
+  const rank = rankOf(request);
   while (index > 0) {
     const before = queue[index - 1];
-    if (!before || PRIORITY[before.class] <= rank) break;
+    if (!before || rankOf(before) <= rank) break;
     index -= 1;
   }
   queue.splice(index, 0, request);
 }
+
+function rankOf(request: EngineRequest): number {
+  return PRIORITY[request.class] + (request.isCrowding ? 0.5 : 0);
+}
--- a/bench/routing/run.ts
+++ b/bench/routing/run.ts
@@ -102,9 +102,10 @@
     const balancer = createBalancer(name, {
       timeline: this.timeline,
       random: createRandom(this.scenario.workload.seed + 100 + index),
+      entries: this.scenario.entries,
       here: { region: 'region', failureDomain },
-      send: (ticket, replica) => {
-        this.send(index, ticket, replica);
+      send: (ticket, replica, isCrowding) => {
+        this.send(index, ticket, replica, isCrowding);
       },
       refuse: () => {
         this.refused += 1;
@@ -113,7 +114,7 @@
     return { failureDomain, balancer, sent, published: [] };
   }
 
-  private send(entryIndex: number, ticket: string, replica: string): void {
+  private send(entryIndex: number, ticket: string, replica: string, isCrowding: boolean): void {
     const arrival = this.byTicket.get(ticket);
     const entry = this.entries[entryIndex];
     const index = Number(replica.split('-')[1]);
@@ -123,6 +124,7 @@
     this.timeline.after(network, () => {
       this.engines[index]?.accept({
         ...arrival,
+        isCrowding,
         onFirstToken: () => {
           this.timeline.after(network, () => {
             this.firstTokenMs.set(ticket, this.timeline.now - arrival.at);
@@ -174,7 +176,10 @@
         leader: `engine-${index}`,
         address: '127.0.0.1:1',
         members: [`engine-${index}`],
-        location: { region: 'region', failureDomain: `domain-${index % FAILURE_DOMAINS}` },
+        location: {
+          region: 'region',
+          failureDomain: `domain-${index % FAILURE_DOMAINS}`,
+        },
         load: snapshot && { load: snapshot.load, measuredAt: snapshot.at },
       };
     });
--- a/bench/routing/workload.ts
+++ b/bench/routing/workload.ts
@@ -85,7 +85,10 @@
   const template = zipf(random, TEMPLATES);
   const shared = templates[template] ?? BLOCK_TOKENS;
   const tail = Math.round(logNormal(random, 150, 0.9));
-  return { promptTokens: shared + tail, prefixes: blocks([`template-${template}`], shared) };
+  return {
+    promptTokens: shared + tail,
+    prefixes: blocks([`template-${template}`], shared),
+  };
 }
 
 function drawTemplates(random: Random): number[] {
--- a/src/controllers/routing/beliefs.ts
+++ b/src/controllers/routing/beliefs.ts
@@ -44,7 +44,8 @@
   prefixes: readonly Prefix[],
 ): void {
   const belief = openBelief(state, replica);
-  for (const prefix of prefixes) remember(state, replica, belief, prefix);
+  // The shortest is remembered last: the ends of prompts, which few requests share, go first.
+  for (const prefix of [...prefixes].reverse()) remember(state, replica, belief, prefix);
 }
 
 /** Tokens at the start of a prompt that `replica` is believed to have cached. */
@@ -54,7 +55,8 @@
   prefixes: readonly Prefix[],
 ): number {
   const belief = state.beliefs.get(replica);
-  if (!belief || belief.prefixes.size === 0) return 0;
+  const [shortest] = prefixes;
+  if (!belief || !shortest || !belief.prefixes.has(shortest.hash)) return 0;
   for (let index = prefixes.length - 1; index >= 0; index -= 1) {
     const prefix = prefixes[index];
     if (prefix && belief.prefixes.has(prefix.hash)) return prefix.tokens;
@@ -107,7 +109,10 @@
   belief.sequence = event.sequence;
   switch (event.kind) {
     case 'stored':
-      remember(state, replica, belief, { hash: event.prefixHash, tokens: event.tokens });
+      remember(state, replica, belief, {
+        hash: event.prefixHash,
+        tokens: event.tokens,
+      });
       return;
     case 'evicted':
       belief.prefixes.delete(event.prefixHash);
--- a/src/controllers/routing/choosing.ts
+++ b/src/controllers/routing/choosing.ts
@@ -6,6 +6,7 @@
  * from the own failure domain, the own region and elsewhere, so that a choice costs the same at
  * eight candidates and at thousands.
  */
+import type { SentCount } from '../../board/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { Random } from '../../core/random/index.js';
 import { listHolders, longestKnown } from './beliefs.js';
@@ -83,6 +84,25 @@
   return index;
 }
 
+/** Indexes what peers sent by replica; only when the array is another one. */
+export function indexPeers(state: DispatchState, source: readonly SentCount[]): void {
+  if (state.peers.source === source) return;
+  const byReplica = new Map<string, SentCount>();
+  for (const count of source) byReplica.set(count.replica, addCounts(byReplica, count));
+  state.peers = { source, byReplica };
+}
+
+function addCounts(byReplica: Map<string, SentCount>, count: SentCount): SentCount {
+  const known = byReplica.get(count.replica);
+  if (!known) return count;
+  return {
+    replica: count.replica,
+    requests: known.requests + count.requests,
+    promptTokens: known.promptTokens + count.promptTokens,
+    outputTokens: known.outputTokens + count.outputTokens,
+  };
+}
+
 function addToIndex(index: CandidateIndex, candidate: Candidate, view: DispatchView): void {
   index.byReplica.set(candidate.replica, candidate);
   if (candidate.location.failureDomain === view.here.failureDomain) index.local.push(candidate);
--- a/src/controllers/routing/constants.ts
+++ b/src/controllers/routing/constants.ts
@@ -18,9 +18,9 @@
 /** Replicas believed to hold the longest prefix that one choice looks at. */
 export const AFFINITY_SAMPLE = 4;
 /** Estimates this close to the best count as equal; one of them is taken at random. */
-export const TIE_MS = 2;
+export const TIE_MS = 10;
 /** The same, as a fraction of the best estimate. */
-export const TIE_FRACTION = 0.05;
+export const TIE_FRACTION = 0.15;
 
 /** Requests beyond the batch that may wait at an engine, as a fraction of its batch. */
 export const BACKLOG_FRACTION = 0.25;
@@ -32,12 +32,10 @@
 export const HEADROOM_FRACTION = 0.2;
 /** Waiting requests from which on a workspace may count as crowding. */
 export const CROWD_LENGTH = 8;
-/** Span over which what peers send is averaged. */
-export const PEERS_AVERAGE_MS = 5_000;
 /** Replicas that all entries look at first for one prefix. */
 export const HOME_SAMPLE = 2;
 /** Part of a known prefix that a home replica is taken to have cached without being believed to. */
-export const HOME_CACHED_PART = 0.5;
+export const HOME_CACHED_PART = 0.9;
 /** A workspace that asked for nothing for longer does not count as active. */
 export const ACTIVE_MS = 10_000;
 /** Taken for an engine that has not reported yet. */
@@ -71,3 +69,7 @@
 export const MAX_HOLDERS = 16;
 /** A replica that is neither sent to nor heard of for this long is forgotten. */
 export const FORGET_REPLICA_MS = 120_000;
+/** A learned ratio below this counts as 1: single first-token times scatter that much. */
+export const SLOW_FROM = 1.75;
+/** Part of its places in use from which on an entry counts as busy. */
+export const BUSY_FRACTION = 0.8;
--- a/src/controllers/routing/dispatch.ts
+++ b/src/controllers/routing/dispatch.ts
@@ -7,10 +7,13 @@
 import type { Random } from '../../core/random/index.js';
 import { concludeGivenUp } from '../retries/given-up.js';
 import { believeSent } from './beliefs.js';
-import { chooseReplica, indexCandidates, type Choice } from './choosing.js';
+import { chooseReplica, indexCandidates, indexPeers, type Choice } from './choosing.js';
 import {
   ACTIVE_MS,
+  BUSY_FRACTION,
   CROWD_LENGTH,
+  DEFAULT_BATCH_SIZE,
+  HEADROOM_FRACTION,
   LEAST_RETRY_MS,
   MOST_RETRY_MS,
   NO_CAPACITY_GRACE_MS,
@@ -18,13 +21,15 @@
   RECHECK_MS,
 } from './constants.js';
 import type { Estimate } from './estimates.js';
-import { averagePeers } from './peer-rates.js';
 import { chargeLane, orderClasses, orderLanes, removeRequest } from './queues.js';
 import type { CandidateIndex, DispatchState, ModelQueue, SentRequest } from './state.js';
 import { forgetReplicas, openTrack, trackSend } from './tracks.js';
 import type { Dispatch, DispatchAction, DispatchView, WaitingRequest } from './types.js';
 import { countAhead, estimateRetryAfter, recordSend } from './waits.js';
 
+/** Weight of the newest send in the mean part of prompts that is not cached. */
+const UNCACHED_RATE = 0.02;
+
 /** One call of {@link dispatch}: its inputs, and the actions gathered so far. */
 interface Round {
   state: DispatchState;
@@ -49,7 +54,7 @@
   random: Random,
 ): Dispatch {
   const round: Round = { state, view, now, random, actions: [] };
-  averagePeers(state, view.peersSent, view.peersPeriodMs, now);
+  indexPeers(state, view.peersSent);
   forgetReplicas(state, now);
   refuseLate(round);
   for (const queue of state.queues.values()) {
@@ -103,8 +108,8 @@
     for (const lane of orderLanes(classQueue)) {
       const request = lane.requests[0];
       if (!request) continue;
-      const leavesHeadroom = isCrowding(round.state, request.workspace, round.now);
-      if (leavesHeadroom && isCrowded) continue;
+      const leavesHeadroom = crowdsOut(round, index, request.workspace);
+      if (leavesHeadroom && (isCrowded || isAtCrowdLimit(round, index, request))) continue;
       if (trySend(round, queue, index, request, leavesHeadroom)) return true;
       if (request.excluded.length > 0) continue;
       if (!leavesHeadroom) return false;
@@ -129,7 +134,7 @@
     return true;
   }
   if (choice.chosen && now + choice.chosen.waitMs < request.deadlineAt) {
-    send(round, queue, request, choice.chosen);
+    send(round, queue, request, choice.chosen, leavesHeadroom);
     return true;
   }
   return refuseHopeless(round, queue, request, choice);
@@ -155,7 +160,13 @@
   return true;
 }
 
-function send(round: Round, queue: ModelQueue, request: WaitingRequest, chosen: Estimate): void {
+function send(
+  round: Round,
+  queue: ModelQueue,
+  request: WaitingRequest,
+  chosen: Estimate,
+  isCrowding: boolean,
+): void {
   const { state, now } = round;
   const { candidate } = chosen;
   chargeLane(queue, request);
@@ -173,8 +184,13 @@
     plainFirstTokenMs: chosen.plainFirstTokenMs,
   };
   state.sent.set(request.ticket, sent);
+  const part = Math.min(1, chosen.promptTokens / Math.max(1, request.promptTokens));
+  state.uncachedPart += UNCACHED_RATE * (part - state.uncachedPart);
   const workspace = state.workspaces.get(request.workspace);
-  if (workspace) workspace.inFlight += 1;
+  if (workspace) {
+    workspace.inFlight += 1;
+    workspace.unanswered += 1;
+  }
   trackSend(openTrack(state, candidate.replica, now), sent);
   believeSent(state, candidate.replica, request.prefixes);
   round.actions.push({
@@ -182,6 +198,7 @@
     ticket: request.ticket,
     candidate,
     estimatedFirstTokenMs: chosen.firstTokenMs,
+    isCrowding,
   });
 }
 
@@ -195,22 +212,50 @@
 }
 
 /**
- * Whether a workspace has a queue here and more in flight for its weight than any other active one.
- * Guards against a flood that takes every place in every batch: the others would wait for one of
- * its requests to end, however short their own queue.
+ * Whether a workspace has a queue here and asks for more, for its weight, than any other active one,
+ * waiting and in flight together. Guards against a flood that takes every place in every batch: the
+ * others would wait for one of its requests to end, however short their own queue.
  */
-function isCrowding(state: DispatchState, workspace: string, now: Milliseconds): boolean {
-  const own = state.workspaces.get(workspace);
-  if (!own || (state.waitingOf.get(workspace) ?? 0) < CROWD_LENGTH) return false;
+function crowdsOut(round: Round, index: CandidateIndex, workspace: string): boolean {
+  const { state, now } = round;
+  const isBusy = state.sent.size >= placesOf(round, index) * BUSY_FRACTION;
+  if (!isBusy && (state.waitingOf.get(workspace) ?? 0) < CROWD_LENGTH) return false;
+  const own = askedByWeight(state, workspace);
   let hasOthers = false;
   for (const [name, track] of state.workspaces) {
     if (name === workspace || now - track.activeAt > ACTIVE_MS) continue;
     hasOthers = true;
-    if (track.inFlight / track.weight > own.inFlight / own.weight) return false;
+    if (askedByWeight(state, name) > own) return false;
   }
   return hasOthers;
 }
 
+function askedByWeight(state: DispatchState, workspace: string): number {
+  const track = state.workspaces.get(workspace);
+  if (!track) return 0;
+  return (track.inFlight + (state.waitingOf.get(workspace) ?? 0)) / track.weight;
+}
+
+/**
+ * Whether a crowding workspace has used up this entry's part of the replicas: one request each that
+ * waits for its first token, and the places of their batches but for some headroom. Guards against
+ * all entries sending a flood on before the first report shows it: each would find every replica
+ * idle, and the engines' own queues, which know no workspaces, would fill.
+ */
+function isAtCrowdLimit(round: Round, index: CandidateIndex, request: WaitingRequest): boolean {
+  const { state, view } = round;
+  const replicas = Math.max(1, index.source.length / (view.entries ?? 1));
+  const unanswered = state.workspaces.get(request.workspace)?.unanswered ?? 0;
+  if (unanswered >= Math.ceil(replicas)) return true;
+  return state.sent.size >= placesOf(round, index) * (1 - HEADROOM_FRACTION);
+}
+
+/** This entry's part of all places in the replicas' batches. */
+function placesOf({ view }: Round, index: CandidateIndex): number {
+  const replicas = Math.max(1, index.source.length / (view.entries ?? 1));
+  return replicas * (index.source[0]?.load?.load.batchSize ?? DEFAULT_BATCH_SIZE);
+}
+
 function listWaiting(queue: ModelQueue): WaitingRequest[] {
   return queue.classes.flatMap((classQueue) =>
     [...classQueue.lanes.values()].flatMap((lane) => lane.requests),
--- a/src/controllers/routing/estimates.ts
+++ b/src/controllers/routing/estimates.ts
@@ -3,6 +3,7 @@
  * distance, wait for a place in the batch, prefill of what waits ahead, and prefill of the prompt
  * without what the replica is believed to have cached.
  */
+import type { SentCount } from '../../board/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { countCachedTokens } from './beliefs.js';
 import {
@@ -18,7 +19,7 @@
   SAME_DOMAIN_MS,
   SAME_REGION_MS,
 } from './constants.js';
-import type { DispatchState, PeerRate, ReplicaTrack } from './state.js';
+import type { DispatchState, ReplicaTrack } from './state.js';
 import { backlogAt, currentSlowness, overdueMs, settleReport } from './tracks.js';
 import type { Candidate, DispatchView, Location, WaitingRequest } from './types.js';
 
@@ -40,8 +41,6 @@
   lastSentAt: Milliseconds;
 }
 
-const MS_PER_SECOND = 1_000;
-
 /** A replica's work as it stands now: the last report and what was sent since. */
 interface Work {
   requests: number;
@@ -110,6 +109,11 @@
   return work.requests < places && work.backlogMs <= MOST_PREFILL_BACKLOG_MS;
 }
 
+/**
+ * The last report and what this entry sent since. What ended since and what peers sent since are
+ * taken to balance: measured, adding peers' counts made the choice worse, as they come later still
+ * than the reports and single counts scatter.
+ */
 function sumWork(
   state: DispatchState,
   candidate: Candidate,
@@ -118,10 +122,10 @@
   now: Milliseconds,
 ): Work {
   const report = candidate.load;
-  if (!report) return unreportedWork(track, now);
+  if (!report) return unreportedWork(track, state.peers.byReplica.get(candidate.replica), now);
   const { load } = report;
   const age = Math.max(0, now - report.measuredAt);
-  const reportedMs = load.pendingPromptTokens * load.prefillMsPerToken;
+  const reportedMs = load.pendingPromptTokens * load.prefillMsPerToken * state.uncachedPart;
   const work: Work = {
     requests: load.running + load.waiting,
     outputTokens: load.pendingOutputTokens,
@@ -136,14 +140,21 @@
     work.outputTokens += track.unreportedOutputTokens;
     work.backlogMs = backlogAt(track, now);
   }
-  return addPeers(work, state.peers.rates.get(candidate.replica), age);
+  return work;
 }
 
-function unreportedWork(track: ReplicaTrack | undefined, now: Milliseconds): Work {
-  let outputTokens = 0;
+/**
+ * A replica without a report, by what this entry and, in their last digests, its peers sent to it.
+ */
+function unreportedWork(
+  track: ReplicaTrack | undefined,
+  peers: SentCount | undefined,
+  now: Milliseconds,
+): Work {
+  let outputTokens = peers?.outputTokens ?? 0;
   for (const sent of track?.outstanding.values() ?? []) outputTokens += sent.outputTokens;
   return {
-    requests: track?.outstanding.size ?? 0,
+    requests: (track?.outstanding.size ?? 0) + (peers?.requests ?? 0),
     outputTokens,
     backlogMs: track ? backlogAt(track, now) : 0,
     batchSize: DEFAULT_BATCH_SIZE,
@@ -152,15 +163,6 @@
   };
 }
 
-/** Adds what peers sent since the report, at their average rate: single counts come too late. */
-function addPeers(work: Work, rate: PeerRate | undefined, age: Milliseconds): Work {
-  if (!rate) return work;
-  const seconds = age / MS_PER_SECOND;
-  work.requests += rate.requests * seconds;
-  work.outputTokens += rate.outputTokens * seconds;
-  return work;
-}
-
 function meanOutput(work: Work): number {
   return work.requests > 0 ? work.outputTokens / work.requests : 0;
 }
--- a/src/controllers/routing/queues.ts
+++ b/src/controllers/routing/queues.ts
@@ -116,7 +116,14 @@
 function noteActive(state: DispatchState, request: WaitingRequest, weight: number): void {
   const known = state.workspaces.get(request.workspace);
   const activeAt = Math.max(known?.activeAt ?? request.arrivedAt, request.arrivedAt);
-  state.workspaces.set(request.workspace, { weight, inFlight: known?.inFlight ?? 0, activeAt });
+  const inFlight = known?.inFlight ?? 0;
+  const unanswered = known?.unanswered ?? 0;
+  state.workspaces.set(request.workspace, {
+    weight,
+    inFlight,
+    unanswered,
+    activeAt,
+  });
 }
 
 function openQueue(state: DispatchState, model: string): ModelQueue {
@@ -145,7 +152,12 @@
     classQueue?.served ?? 0,
     classQueue?.left.get(request.workspace) ?? Number.NEGATIVE_INFINITY,
   );
-  const lane: Lane = { workspace: request.workspace, weight, requests: [], served };
+  const lane: Lane = {
+    workspace: request.workspace,
+    weight,
+    requests: [],
+    served,
+  };
   classQueue?.lanes.set(request.workspace, lane);
   return lane;
 }
--- a/src/controllers/routing/reports.ts
+++ b/src/controllers/routing/reports.ts
@@ -3,7 +3,7 @@
  */
 import type { Milliseconds } from '../../core/clock/index.js';
 import { dropBelief } from './beliefs.js';
-import type { DispatchState } from './state.js';
+import type { DispatchState, SentRequest } from './state.js';
 import { learnSlowness, trackEnd } from './tracks.js';
 import type { SentOutcome } from './types.js';
 
@@ -17,6 +17,7 @@
   const track = sent && state.replicas.get(sent.replica);
   if (!track || sent.firstTokenAt !== undefined) return;
   sent.firstTokenAt = now;
+  countAnswered(state, sent);
   track.unanswered.delete(ticket);
   learnSlowness(track, now - sent.sentAt, sent.plainFirstTokenMs, now);
 }
@@ -36,9 +37,15 @@
   const sent = state.sent.get(ticket);
   if (!sent) return;
   state.sent.delete(ticket);
+  if (sent.firstTokenAt === undefined) countAnswered(state, sent);
   const workspace = state.workspaces.get(sent.workspace);
   if (workspace) workspace.inFlight -= 1;
   const track = state.replicas.get(sent.replica);
   if (track) trackEnd(track, sent, now);
   if (outcome.kind === 'notSent' || outcome.kind === 'lost') dropBelief(state, sent.replica);
 }
+
+function countAnswered(state: DispatchState, sent: SentRequest): void {
+  const workspace = state.workspaces.get(sent.workspace);
+  if (workspace) workspace.unanswered -= 1;
+}
--- a/src/controllers/routing/state.ts
+++ b/src/controllers/routing/state.ts
@@ -104,18 +104,12 @@
   candidate: Candidate;
 }
 
-/** Requests and tokens that peers send to a replica in a second, averaged. */
-export interface PeerRate {
-  requests: number;
-  promptTokens: number;
-  outputTokens: number;
-  seenAt: Milliseconds;
-}
-
 /** What one workspace has sent and when it last asked for anything. */
 export interface WorkspaceTrack {
   weight: number;
   inFlight: number;
+  /** Of those in flight, the ones that wait for their first token. */
+  unanswered: number;
   activeAt: Milliseconds;
 }
 
@@ -139,7 +133,9 @@
   /** Replicas believed to hold a prefix, by its hash. */
   holders: Map<string, Set<string>>;
   candidates: Map<string, CandidateIndex>;
-  peers: { source: readonly SentCount[]; at: Milliseconds; rates: Map<string, PeerRate> };
+  peers: { source: readonly SentCount[]; byReplica: Map<string, SentCount> };
+  /** Mean part of prompt tokens that own sends were estimated to need prefilled. */
+  uncachedPart: number;
   /** No waiting request's deadline is earlier. */
   nextDeadlineAt: Milliseconds;
   instances: Map<string, InstanceTrack>;
@@ -162,7 +158,8 @@
     beliefs: new Map(),
     holders: new Map(),
     candidates: new Map(),
-    peers: { source: [], at: Number.NEGATIVE_INFINITY, rates: new Map() },
+    peers: { source: [], byReplica: new Map() },
+    uncachedPart: 1,
     nextDeadlineAt: Number.POSITIVE_INFINITY,
     instances: new Map(),
     forgottenAt: 0,
--- a/src/controllers/routing/tracks.ts
+++ b/src/controllers/routing/tracks.ts
@@ -8,6 +8,7 @@
   LEARNING_RATE,
   LEAST_SLOWNESS,
   MOST_SLOWNESS,
+  SLOW_FROM,
   SLOWNESS_HALF_LIFE_MS,
 } from './constants.js';
 import { dropBelief } from './beliefs.js';
@@ -52,6 +53,10 @@
   track.outstanding.delete(sent.ticket);
   track.unanswered.delete(sent.ticket);
   track.touchedAt = now;
+  const index = track.unreported.indexOf(sent);
+  if (index < 0) return;
+  track.unreported.splice(index, 1);
+  track.unreportedOutputTokens -= sent.outputTokens;
 }
 
 /** The prefill work left at `now`: an engine works it off as time passes. */
@@ -97,7 +102,7 @@
   estimatedMs: Milliseconds,
   now: Milliseconds,
 ): void {
-  const known = currentSlowness(track, now);
+  const known = fadedSlowness(track, now);
   const ratio = Math.min(MOST_SLOWNESS, Math.max(LEAST_SLOWNESS, measuredMs / estimatedMs));
   track.slowness = known + LEARNING_RATE * (ratio - known);
   track.measuredAt = now;
@@ -108,6 +113,11 @@
  * sends to gives no measurement that could clear it, so its ratio has to fade by itself.
  */
 export function currentSlowness(track: ReplicaTrack, now: Milliseconds): number {
+  const faded = fadedSlowness(track, now);
+  return faded < SLOW_FROM ? 1 : faded;
+}
+
+function fadedSlowness(track: ReplicaTrack, now: Milliseconds): number {
   const age = Math.max(0, now - track.measuredAt);
   return 1 + (track.slowness - 1) * 0.5 ** (age / SLOWNESS_HALF_LIFE_MS);
 }
--- a/src/controllers/routing/types.ts
+++ b/src/controllers/routing/types.ts
@@ -57,7 +57,14 @@
 
 /** What the shell has to do. */
 export type DispatchAction =
-  | { kind: 'send'; ticket: string; candidate: Candidate; estimatedFirstTokenMs: Milliseconds }
+  | {
+      kind: 'send';
+      ticket: string;
+      candidate: Candidate;
+      estimatedFirstTokenMs: Milliseconds;
+      /** Its workspace crowds out others: give it a lower priority at the engine. */
+      isCrowding: boolean;
+    }
   /** Final, to be answered at once. */
   | { kind: 'refuse'; ticket: string; failure: Failure };
 
@@ -81,6 +88,8 @@
   peersSent: readonly SentCount[];
   /** The span that `peersSent` covers. */
   peersPeriodMs?: Milliseconds;
+  /** Entries that send to the same replicas, this one included; 1 when absent. */
+  entries?: number;
 }
 
 /** How a sent request ended, as far as the dispatcher learns from it. */
