Serve a whole streamed answer over separate processes

Cause: parts were proved alone; nothing showed a caller served end to end. Ruled out: embedding the stand-ins in the test process; a kill or a freeze needs a process.

--- a/cucumber.mjs
+++ b/cucumber.mjs
@@ -4,5 +4,5 @@
 export default {
   paths: [`features/${area}/*.feature`],
   import: ['features/support/*.ts', `features/${area}/*.ts`],
-  format: ['progress', './features/support/closing-line.ts'],
+  format: ['./features/support/closing-line.ts'],
 };
--- a/features/support/closing-line.ts
+++ b/features/support/closing-line.ts
@@ -1,10 +1,10 @@
 /**
- * Prints one plain line with the scenario counts at the end of a run, for CI to read.
+ * The progress of a run, its failures, and one plain line with the scenario counts for CI to read.
  */
-import { Formatter, Status, type IFormatterOptions } from '@cucumber/cucumber';
+import { ProgressFormatter, Status, type IFormatterOptions } from '@cucumber/cucumber';
 
 /** Counts finished scenarios by their worst step and prints `N passed, N failed, N skipped`. */
-export default class ClosingLine extends Formatter {
+export default class ClosingLine extends ProgressFormatter {
   constructor(options: IFormatterOptions) {
     super(options);
     options.eventBroadcaster.on('envelope', (envelope: { testRunFinished?: object }) => {
--- a/features/support/processes.ts
+++ b/features/support/processes.ts
@@ -4,6 +4,14 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
 import { createInterface } from 'node:readline';
+import { AfterAll } from '@cucumber/cucumber';
+
+/** Those that still run; a scenario that failed half-way may have lost sight of some. */
+const running = new Set<ChildProcess>();
+
+AfterAll(() => {
+  for (const child of running) child.kill('SIGKILL');
+});
 
 const PROGRAM = 'dist/yuccasail.mjs';
 const KEPT_LOG_LINES = 400;
@@ -29,8 +37,12 @@
  */
 export async function startProcess(args: readonly string[]): Promise<Process> {
   const child = spawn(process.execPath, [PROGRAM, ...args], { stdio: ['ignore', 'pipe', 'pipe'] });
+  running.add(child);
   const logLines = collectLines(child);
-  const exited = once(child, 'exit').then(([code]) => code as number | null);
+  const exited = once(child, 'exit').then(([code]) => {
+    running.delete(child);
+    return code as number | null;
+  });
   const announced = await Promise.race([readAnnouncement(child), exited.then(() => undefined)]);
   if (announced === undefined) {
     throw new Error(`"${args.join(' ')}" ended before it was up:\n${logLines.join('\n')}`);
--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -4,9 +4,10 @@
  * The peer listener comes first, since the entry's own digest names its address; the listener for
  * callers comes last, when everything behind it runs. A stop goes the other way round.
  */
-import { randomInt, randomUUID } from 'node:crypto';
+import { randomBytes, randomInt } from 'node:crypto';
 import { createCallers } from '../adapters/callers/index.js';
 import { createEngineClient, type EngineClient } from '../adapters/engines/index.js';
+import { createOperators } from '../adapters/operators/index.js';
 import {
   createPeerClient,
   createPeerServer,
@@ -28,11 +29,15 @@
 import { createHealthPart } from './health/index.js';
 import { createLimits } from './limits/index.js';
 import { createMembership } from './membership/index.js';
+import { createOperations } from './operations/index.js';
 import { createReplicasPart } from './replicas/index.js';
 import { createRequests } from './requests/index.js';
 import { stopEntry } from './stop-entry.js';
-import type { Closable, EntryContext, EntryParts, RunningEntry } from './types.js';
+import type { Closable, EntryParts, RunningEntry } from './running-entry.js';
+import type { EntryContext } from './types.js';
 
+/** Enough that no two starts of an entry share one; every digest carries it, so it is short. */
+const INCARNATION_BYTES = 9;
 const MAX_SEED = 2 ** 31 - 1;
 /** Longest call to another entry; longer than the longest way between regions by far. */
 const PEER_TIMEOUT_MS = 2_000;
@@ -59,10 +64,12 @@
     parts.membership.countSent(bytes);
   };
   for (const part of listInStartOrder(parts)) part.start();
+  const operatorsAddress = await parts.operators.listen();
   const callersAddress = await parts.callers.listen();
   context.logger.log('entryStarted', { callers: callersAddress, peers: peerAddress });
   return {
     callersAddress,
+    operatorsAddress,
     peersAddress: peerAddress,
     stop: () => stopEntry(context, parts),
   };
@@ -94,7 +101,7 @@
   return {
     identity: {
       name,
-      incarnation: randomUUID(),
+      incarnation: randomBytes(INCARNATION_BYTES).toString('base64url'),
       address: settings.listen.callers,
       peerAddress,
       region,
@@ -155,6 +162,13 @@
     isStopping: () => parts.isLeaving,
     logger,
   });
+  const operations = createOperations(context, {
+    configuration,
+    membership,
+    readiness,
+    metrics: () => metrics.render(),
+  });
+  const operators = createOperators(settings.listen.operators, operations);
   const parts: EntryParts = {
     configuration,
     membership,
@@ -164,6 +178,7 @@
     onceCalls,
     requests,
     callers,
+    operators,
     clients: [services, peers, context.platform, context.engines],
     peerServer,
     isLeaving: false,
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -1,2 +1,2 @@
 export * from './create-entry.js';
-export type { RunningEntry } from './types.js';
+export type { RunningEntry } from './running-entry.js';
--- a/src/entry/requests/completions.ts
+++ b/src/entry/requests/completions.ts
@@ -17,52 +17,15 @@
   listExcluded,
   resolveModel,
   type AttemptAction,
-  type AttemptEvent,
-  type AttemptState,
 } from '../../controllers/attempts/index.js';
 import type { AdmissionRequest } from '../../controllers/limits/types.js';
 import type { AttemptEnd } from '../../controllers/retries/types.js';
-import {
-  estimateTokens,
-  hashPrefixes,
-  type Candidate,
-  type Prefix,
-  type SentOutcome,
-} from '../../controllers/routing/index.js';
-import type { Milliseconds } from '../../core/clock/index.js';
-import { createFailure, type Failure } from '../../core/errors/index.js';
-import type { RequestTimings } from '../../core/metrics/index.js';
+import { estimateTokens, hashPrefixes } from '../../controllers/routing/index.js';
+import type { Failure } from '../../core/errors/index.js';
+import type { CompletionRun } from './completion-run.js';
+import { sendAttempt } from './completion-sending.js';
 import type { RequestParts } from './types.js';
 
-/** An attempt that has been sent and not ended. */
-interface Sending {
-  attempt: string;
-  candidate: Candidate;
-  abort: AbortController;
-}
-
-/** One completion under way. */
-interface CompletionRun {
-  parts: RequestParts;
-  request: CompletionRequest;
-  output: TokenOutput;
-  state: AttemptState;
-  timings: RequestTimings;
-  arrivedAt: Milliseconds;
-  promptTokens: number;
-  prefixes: readonly Prefix[];
-  seed: number;
-  /** The ticket of the current offer, also the id of the attempt made of it. */
-  ticket: string;
-  offers: number;
-  sending: Sending | undefined;
-  /** Pending while the caller can't take more. */
-  flow: Promise<void> | undefined;
-  lastTokenAt: Milliseconds | undefined;
-  retryTimer: NodeJS.Timeout | undefined;
-  resolve: (outcome: CompletionOutcome) => void;
-}
-
 const SEED_BOUND = 2 ** 30;
 
 /** Serves one completion to its only final answer. */
@@ -107,7 +70,7 @@
 ): CompletionRun {
   const { clock, random } = parts.context;
   const { workspace, class: requestClass } = request.caller;
-  return {
+  const run: CompletionRun = {
     parts,
     request,
     output,
@@ -124,7 +87,12 @@
     lastTokenAt: undefined,
     retryTimer: undefined,
     resolve: () => undefined,
+    apply: () => undefined,
+  };
+  run.apply = (event) => {
+    for (const action of advanceAttempt(run.state, event)) perform(run, action);
   };
+  return run;
 }
 
 async function runAttempts(run: CompletionRun): Promise<CompletionOutcome> {
@@ -132,10 +100,10 @@
   const { signal, caller } = request;
   const left = Math.max(0, caller.deadlineAt - parts.context.clock.now());
   const deadline = setTimeout(() => {
-    apply(run, { kind: 'deadline' });
+    run.apply({ kind: 'deadline' });
   }, left);
   const leave = (): void => {
-    apply(run, { kind: 'callerGone' });
+    run.apply({ kind: 'callerGone' });
   };
   signal.addEventListener('abort', leave);
   const outcome = await new Promise<CompletionOutcome>((resolve) => {
@@ -150,10 +118,6 @@
   return outcome;
 }
 
-function apply(run: CompletionRun, event: AttemptEvent): void {
-  for (const action of advanceAttempt(run.state, event)) perform(run, action);
-}
-
 function perform(run: CompletionRun, action: AttemptAction): void {
   switch (action.kind) {
     case 'relay':
@@ -209,7 +173,7 @@
     mayHaveRun: state.mayHaveRun,
     received: state.delivered,
   });
-  apply(run, { kind: 'decided', decision });
+  run.apply({ kind: 'decided', decision });
 }
 
 function offerAgain(run: CompletionRun, failed: string): void {
@@ -237,111 +201,12 @@
       mayHaveRun: state.mayHaveRun,
     },
     (grant) => {
-      if (grant.kind === 'refused') apply(run, grant);
-      else void send(run, ticket, grant.candidate);
+      if (grant.kind === 'refused') run.apply(grant);
+      else void sendAttempt(run, ticket, grant.candidate);
     },
   );
 }
 
-async function send(run: CompletionRun, attempt: string, candidate: Candidate): Promise<void> {
-  const { dispatcher, inFlight, retries, context } = run.parts;
-  const sending: Sending = { attempt, candidate, abort: new AbortController() };
-  const targets = [candidate.replica, ...candidate.members];
-  run.sending = sending;
-  if (run.offers === 1) run.timings.queue(context.clock.now() - run.arrivedAt);
-  if (run.offers === 1) retries.recordFirst(candidate.replica, run.request.caller.workspace);
-  inFlight.recordSent(candidate.replica, run.promptTokens, run.request.maxTokens);
-  inFlight.begin(targets);
-  apply(run, { kind: 'sent', attempt });
-  const outcome = await follow(run, sending).catch((error: unknown) => {
-    // Nothing below is expected to throw. Without an end of the attempt its request would hang and
-    // its replica would never count as drained.
-    const reason = error instanceof Error ? error.message : String(error);
-    context.logger.log('unexpectedError', { reason });
-    return endAttempt(run, sending, { kind: 'lost', reason });
-  });
-  inFlight.end(targets);
-  dispatcher.reportEnd(attempt, outcome);
-}
-
-function describeRequest(run: CompletionRun, { attempt, candidate }: Sending): EngineRequest {
-  const { request, parts, state, seed } = run;
-  const { policy } = parts.context.board.configuration.read();
-  return {
-    attempt,
-    model: request.model,
-    replica: candidate.replica,
-    fence: candidate.fence,
-    messages: [...request.messages],
-    maxTokens: request.maxTokens,
-    priority: policy.classes[request.caller.class].priority,
-    seed,
-    resumeFrom: state.delivered,
-  };
-}
-
-async function follow(run: CompletionRun, sending: Sending): Promise<SentOutcome> {
-  const { engines } = run.parts.context;
-  const request = describeRequest(run, sending);
-  const { address } = sending.candidate;
-  const start = await engines.complete(address, request, sending.abort.signal);
-  switch (start.kind) {
-    case 'started':
-      return relayChunks(run, sending, start.chunks);
-    case 'refused':
-      return acceptRefusal(run, sending, start.refusal);
-    case 'notSent':
-    case 'lost':
-      return endAttempt(run, sending, { kind: start.kind, reason: start.reason });
-  }
-}
-
-async function relayChunks(
-  run: CompletionRun,
-  sending: Sending,
-  chunks: Extract<CompletionStart, { kind: 'started' }>['chunks'],
-): Promise<SentOutcome> {
-  const { attempt } = sending;
-  const { state, parts } = run;
-  let tokens = 0;
-  for await (const chunk of chunks) {
-    if (tokens === 0 && chunk.kind === 'token') parts.dispatcher.reportFirstToken(attempt);
-    tokens += 1;
-    apply(run, { kind: 'chunk', attempt, chunk });
-    if (chunk.kind === 'end' && state.phase === 'answered') {
-      return { kind: 'completed', outputTokens: tokens - 1, cachedTokens: chunk.cachedTokens };
-    }
-    if (state.attempt !== attempt) break;
-    if (run.flow) await run.flow;
-  }
-  const reason = 'the stream ended without an end mark';
-  return endAttempt(run, sending, { kind: 'cut', reason, received: state.delivered });
-}
-
-function acceptRefusal(
-  run: CompletionRun,
-  sending: Sending,
-  { refusal, reason, retryAfterMs }: EngineRefusal,
-): SentOutcome {
-  if (refusal === 'invalid') {
-    apply(run, { kind: 'refused', failure: createFailure('invalidRequest', { reason }) });
-    return { kind: 'refused' };
-  }
-  // An engine that does not lead a whole replica says so before the next probe does.
-  if (refusal !== 'overloaded') run.parts.health.reportFailure(sending.candidate.leader);
-  const end: AttemptEnd = { kind: 'refused', reason, retryAfterMs };
-  apply(run, { kind: 'ended', attempt: sending.attempt, end });
-  return { kind: 'refused' };
-}
-
-/** Reports an attempt that ended badly, unless it was cancelled here. */
-function endAttempt(run: CompletionRun, sending: Sending, end: AttemptEnd): SentOutcome {
-  if (sending.abort.signal.aborted && run.state.phase === 'answered') return { kind: 'cancelled' };
-  run.parts.health.reportFailure(sending.candidate.leader);
-  apply(run, { kind: 'ended', attempt: sending.attempt, end });
-  return { kind: end.kind === 'notSent' ? 'notSent' : 'lost' };
-}
-
 /** The failure of an outcome, for counting. */
 export function findFailure(outcome: CompletionOutcome): Failure | undefined {
   return outcome.kind === 'failed' ? outcome.failure : undefined;
--- a/src/entry/stop-entry.ts
+++ b/src/entry/stop-entry.ts
@@ -8,7 +8,8 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Milliseconds } from '../core/clock/index.js';
-import type { EntryContext, EntryParts } from './types.js';
+import type { EntryParts } from './running-entry.js';
+import type { EntryContext } from './types.js';
 
 /** How long other entries are waited for to learn that this one has gone. */
 const FAREWELL_MS = 2_000;
@@ -55,6 +56,6 @@
   }
 }
 
-async function closeConnections({ peerServer, clients }: EntryParts): Promise<void> {
-  await Promise.all([peerServer, ...clients].map((closable) => closable.close()));
+async function closeConnections({ operators, peerServer, clients }: EntryParts): Promise<void> {
+  await Promise.all([operators, peerServer, ...clients].map((closable) => closable.close()));
 }
