--- /dev/null
+++ b/features/routing/history.ts
@@ -0,0 +1,91 @@
+/**
+ * Random histories of a dispatcher, and what must hold in each.
+ */
+import assert from 'node:assert/strict';
+import {
+  createDispatchState,
+  dispatch,
+  offerRequest,
+  reportEnd,
+  reportFirstToken,
+  withdrawRequest,
+  type DispatchState,
+  type WaitingRequest,
+} from '../../src/controllers/routing/index.js';
+import { createRandom, type Random } from '../../src/core/random/index.js';
+import { makeCandidate, makeRequest, makeView } from './fixtures.js';
+
+const STEPS = 250;
+export const QUEUE_LENGTH = 6;
+
+/** What became of each ticket: one of `refused`, `sent`, `withdrawn`; absent while it waits. */
+export interface History {
+  offered: Map<string, WaitingRequest>;
+  ends: Map<string, string>;
+  longestQueue: number;
+  state: DispatchState;
+}
+
+export function playRouting(seed: number): History {
+  const random = createRandom(seed);
+  const state = createDispatchState();
+  const history: History = { offered: new Map(), ends: new Map(), longestQueue: 0, state };
+  const running: string[] = [];
+  let now = 0;
+  let view = makeView([]);
+  for (let step = 0; step < STEPS; step += 1) {
+    now += random.below(60);
+    if (random.below(6) === 0) view = makeView(drawCandidates(random, now));
+    act(history, running, random, now);
+    for (const action of dispatch(state, view, now, random).actions) {
+      settle(history, action.ticket, action.kind);
+      if (action.kind === 'refuse') continue;
+      running.push(action.ticket);
+      const request = history.offered.get(action.ticket);
+      assert.ok(request && !request.excluded.includes(action.candidate.replica));
+      assert.ok(now < request.deadlineAt, 'sent past its deadline');
+    }
+    for (const count of state.waitingOf.values()) {
+      history.longestQueue = Math.max(history.longestQueue, count);
+    }
+  }
+  return history;
+}
+
+function act(history: History, running: string[], random: Random, now: number): void {
+  const { state, offered } = history;
+  for (let count = random.below(5); count > 0; count -= 1) {
+    const request = makeRequest(`t${offered.size}`, now, {
+      workspace: `w${random.below(3)}`,
+      class: (['gate', 'interactive', 'batch'] as const)[random.below(3)],
+      promptTokens: 1 + random.below(2_000),
+      deadlineAt: now + random.below(4_000),
+      excluded: random.below(3) === 0 ? ['r0'] : [],
+    });
+    offered.set(request.ticket, request);
+    if (offerRequest(state, request, QUEUE_LENGTH, 1).isErr()) {
+      settle(history, request.ticket, 'refuse');
+    }
+  }
+  const ended = running.splice(random.below(running.length + 1), 1)[0];
+  if (ended !== undefined) {
+    if (random.below(2) === 0) reportFirstToken(state, ended, now);
+    reportEnd(state, ended, { kind: random.below(5) === 0 ? 'lost' : 'completed' }, now);
+  }
+  const ticket = `t${random.below(offered.size + 1)}`;
+  if (random.below(4) === 0 && withdrawRequest(state, ticket)) settle(history, ticket, 'withdrawn');
+}
+
+function settle(history: History, ticket: string, end: string): void {
+  assert.ok(!history.ends.has(ticket), `${ticket} was ${history.ends.get(ticket)} before`);
+  history.ends.set(ticket, end);
+}
+
+function drawCandidates(random: Random, now: number): ReturnType<typeof makeCandidate>[] {
+  return Array.from({ length: random.below(4) }, (_, index) =>
+    makeCandidate(`r${index}`, now - random.below(800), {
+      running: random.below(10),
+      pendingPromptTokens: random.below(3_000),
+    }),
+  );
+}
--- a/src/controllers/routing/dispatch.ts
+++ b/src/controllers/routing/dispatch.ts
@@ -7,7 +7,7 @@
 import type { Random } from '../../core/random/index.js';
 import { concludeGivenUp } from '../retries/given-up.js';
 import { believeSent } from './beliefs.js';
-import { chooseReplica, indexCandidates, indexPeers, type Choice } from './choosing.js';
+import { chooseReplica, indexCandidates, indexPeers } from './choosing.js';
 import {
   ACTIVE_MS,
   BUSY_FRACTION,
@@ -84,6 +84,7 @@
   while (sendNext(round, queue, index)) {
     // Each turn sends one request; the next is looked for in the changed order.
   }
+  refuseHopeless(round, queue);
 }
 
 function waitForCapacity(round: Round, queue: ModelQueue): void {
@@ -129,6 +130,7 @@
 ): boolean {
   const { state, view, now, random } = round;
   const choice = chooseReplica(state, index, request, view, leavesHeadroom, now, random);
+  queue.slotMs = choice.slotMs;
   if (!choice.anyAllowed) {
     refuse(round, request, createFailure('noCapacity', { name: queue.model }, LEAST_RETRY_MS));
     return true;
@@ -137,26 +139,35 @@
     send(round, queue, request, choice.chosen, leavesHeadroom);
     return true;
   }
-  return refuseHopeless(round, queue, request, choice);
+  return judgeWait(round, queue, request, choice.leastWaitMs ?? 0);
 }
 
-/** Refuses a request whose estimated wait passes its deadline. */
-function refuseHopeless(
+/**
+ * Refuses those of the requests that came since the last turn whose estimated wait passes their
+ * deadline: to wait in vain would cost their callers the time in which they could go elsewhere.
+ */
+function refuseHopeless(round: Round, queue: ModelQueue): void {
+  for (const ticket of queue.unjudged.splice(0)) {
+    const request = round.state.waiting.get(ticket);
+    if (request) judgeWait(round, queue, request, 0);
+  }
+}
+
+/** Refuses a request whose estimated wait passes its deadline; `false` when it may wait. */
+function judgeWait(
   round: Round,
   queue: ModelQueue,
   request: WaitingRequest,
-  choice: Choice,
+  engineMs: Milliseconds,
 ): boolean {
-  const interval = queue.sendIntervalMs ?? choice.slotMs;
-  const wait = (choice.leastWaitMs ?? 0) + interval * countAhead(queue, request);
-  if (round.now + wait < request.deadlineAt) return false;
-  const reason = `the estimated wait of ${Math.ceil(wait)} ms passes the deadline`;
+  const interval = queue.sendIntervalMs ?? queue.slotMs;
+  const wait = engineMs + interval * countAhead(queue, request);
   const late = round.now + wait - request.deadlineAt;
-  const retryAfterMs = Math.min(
-    MOST_RETRY_MS,
-    Math.max(estimateRetryAfter(queue, 1), Math.ceil(late)),
-  );
-  refuse(round, request, createFailure('overloaded', { reason }, retryAfterMs));
+  if (late < 0) return false;
+  const reason = `the estimated wait of ${Math.ceil(wait)} ms passes the deadline`;
+  const retryAfterMs = Math.max(estimateRetryAfter(queue, 1), Math.ceil(late));
+  const told = Math.min(MOST_RETRY_MS, retryAfterMs);
+  refuse(round, request, createFailure('overloaded', { reason }, told));
   return true;
 }
 
--- a/src/controllers/routing/queues.ts
+++ b/src/controllers/routing/queues.ts
@@ -36,6 +36,7 @@
   const lane = openLane(queue, request, workspaceWeight);
   insertByArrival(lane.requests, request);
   queue.length += 1;
+  queue.unjudged.push(request.ticket);
   state.waiting.set(request.ticket, request);
   state.nextDeadlineAt = Math.min(state.nextDeadlineAt, request.deadlineAt);
   state.waitingOf.set(request.workspace, waiting + 1);
@@ -136,7 +137,7 @@
     left: new Map<string, number>(),
     passedOver: 0,
   }));
-  const queue: ModelQueue = { model, classes, length: 0 };
+  const queue: ModelQueue = { model, classes, length: 0, slotMs: 0, unjudged: [] };
   state.queues.set(model, queue);
   return queue;
 }
--- a/src/controllers/routing/state.ts
+++ b/src/controllers/routing/state.ts
@@ -37,6 +37,10 @@
   emptySince?: Milliseconds;
   /** Mean span between two sends while requests waited; absent until two such sends. */
   sendIntervalMs?: Milliseconds;
+  /** Mean span between two places coming free, by the replicas' reports at the last choice. */
+  slotMs: Milliseconds;
+  /** Tickets whose wait has not been estimated yet. */
+  unjudged: string[];
   /** The last send after which requests still waited. */
   lastBusySendAt?: Milliseconds;
 }
