--- a/src/controllers/replicas/allocate.ts
+++ b/src/controllers/replicas/allocate.ts
@@ -11,7 +11,7 @@
 import { scoreLosses } from './history.js';
 import { chooseDonors } from './donors.js';
 import type { DomainInput } from './types.js';
-import { chooseSpares, estimateReplace, rateDowntime } from './weigh.js';
+import { chooseSpares, estimateReplace, estimateReturn, rateDowntime } from './weigh.js';
 
 /** Free instances, each with what speaks against taking it first. */
 interface Pool {
@@ -131,14 +131,15 @@
   now: Milliseconds,
 ): void {
   const { objective, estimates } = input;
-  const gain =
-    rateDowntime(objective, model, 0) *
-    Math.max(0, estimates.returnMs - estimateReplace(estimates));
+  const missedMs = estimateReturn(estimates, 0);
   const atHand = [...pool.free, ...pool.pending].filter((one) => fits(input, one, model)).length;
   const needed = model.replicaSize - atHand;
-  const donors = chooseDonors(input, draft, { model, needed, gain }, now);
-  if (donors.length === 0) return;
-  for (const donor of donors) {
+  const choice = chooseDonors(input, draft, { model, needed, missedMs }, now);
+  if (choice === undefined) return;
+  const rate = rateDowntime(objective, model, 0);
+  const donorCost = choice.cost + choice.missedRate * missedMs;
+  if (rate * missedMs <= rate * estimateReplace(estimates) + donorCost) return;
+  for (const donor of choice.donors) {
     retireReplica(input, draft, donor, { kind: 'preempted', beneficiary: name }, now);
   }
   pool.free = pool.free.filter((one) => !fits(input, one, model));
--- a/src/controllers/replicas/constants.ts
+++ b/src/controllers/replicas/constants.ts
@@ -7,16 +7,20 @@
 const HOUR_MS = 60 * MINUTE_MS;
 const DAY_MS = 24 * HOUR_MS;
 
-/** At 1,700 instances, 19 fail and 480 are restarted on an ordinary day: one loss in 3.4 days each. */
+/**
+ * Of 1,700 instances, 19 fail and 480 are restarted on an ordinary day, which gives the shares of
+ * the last two classes of loss; that pauses are a quarter of all losses is assumed.
+ */
 export const DEFAULT_ESTIMATES: Estimates = {
   formMs: MINUTE_MS,
   releaseMs: 2_000,
   lossMs: 3_000,
-  pauseShare: 0.3,
-  pauseMs: 10_000,
-  returnMs: 10 * MINUTE_MS,
-  lossEveryMs: 3.4 * DAY_MS,
-  flapLimit: 3,
+  lossClasses: [
+    { share: 0.25, meanMs: 10_000, keepsState: true },
+    { share: 0.72, meanMs: 1.5 * MINUTE_MS, keepsState: false },
+    { share: 0.03, meanMs: 4 * HOUR_MS, keepsState: false },
+  ],
+  lossEveryMs: 2.5 * DAY_MS,
   flapHalfLifeMs: HOUR_MS,
 };
 
--- a/src/controllers/replicas/donors.ts
+++ b/src/controllers/replicas/donors.ts
@@ -14,8 +14,8 @@
   model: Model;
   /** Instances that are missing. */
   needed: number;
-  /** What the replica that they complete is worth; all donors together must cost less. */
-  gain: number;
+  /** How long the donors are expected to be missed; their order of cost depends on it. */
+  missedMs: Milliseconds;
   /** The replica that is to be completed, which is no donor of its own. */
   exclude?: string;
 }
@@ -24,10 +24,20 @@
   replica: Replica;
   useful: number;
   cost: number;
+  missedRate: number;
+}
+
+/** Replicas to take apart, and what that costs altogether. */
+export interface DonorChoice {
+  donors: readonly Replica[];
+  /** Once. */
+  cost: number;
+  /** For each millisecond until instances are back. */
+  missedRate: number;
 }
 
 /**
- * The cheapest replicas that together give what is needed; none when they cost more than the gain.
+ * The cheapest replicas that together give what is needed; undefined when all do not suffice.
  *
  * A donor is less important, or it lacks a member itself and is not more important: of two replicas
  * that lack one member each, one can be made whole with the members of the other.
@@ -37,21 +47,28 @@
   draft: Draft,
   request: DonorRequest,
   now: Milliseconds,
-): Replica[] {
+): DonorChoice | undefined {
   const donors = listDonors(input, draft, request, now);
-  donors.sort((a, b) => a.cost - b.cost || b.replica.fence - a.replica.fence);
+  const sum = (donor: Donor): number => donor.cost + donor.missedRate * request.missedMs;
+  donors.sort((a, b) => sum(a) - sum(b) || b.replica.fence - a.replica.fence);
   const chosen: Replica[] = [];
   let left = request.needed;
   let cost = 0;
+  let missedRate = 0;
   for (const donor of donors) {
     if (left <= 0) break;
     chosen.push(donor.replica);
     left -= donor.useful;
     cost += donor.cost;
+    missedRate += donor.missedRate;
   }
-  return left <= 0 && cost < request.gain ? chosen : [];
+  return left <= 0 ? { donors: chosen, cost, missedRate } : undefined;
 }
 
+/**
+ * A whole donor is down until instances are back, and the members that it does not give are idle
+ * for that time. One that lacks a member is down anyway and loses its chance to go on as it is.
+ */
 function listDonors(
   input: DomainInput,
   draft: Draft,
@@ -67,25 +84,16 @@
     const margin = request.model.importance - other.importance;
     const useful = countUseful(input, replica, request.model, now);
     if (useful === 0 || (isBroken ? margin < 0 : margin <= 0)) continue;
-    donors.push({ replica, useful, cost: estimateCost(input, replica, other, useful, isBroken) });
+    const given = Math.min(useful, request.needed);
+    const { objective, estimates } = input;
+    const cost = isBroken ? rateDowntime(objective, other, 0) * estimates.formMs : 0;
+    const idle = replica.members.length - given;
+    const missedRate = isBroken ? 0 : rateDowntime(objective, other, idle);
+    donors.push({ replica, useful, cost, missedRate });
   }
   return donors;
 }
 
-/** A whole donor is down until instances are back; one that is down already loses its chance. */
-function estimateCost(
-  input: DomainInput,
-  replica: Replica,
-  model: Model,
-  useful: number,
-  isBroken: boolean,
-): number {
-  const { returnMs, formMs } = input.estimates;
-  const idle = replica.members.length - useful;
-  if (isBroken) return rateDowntime(input.objective, model, 0) * formMs;
-  return rateDowntime(input.objective, model, idle) * returnMs;
-}
-
 function isLackingMember(input: DomainInput, replica: Replica, now: Milliseconds): boolean {
   return replica.members.some((_, rank) => {
     const standing = judgeStanding(input, replica, rank, now);
--- a/src/controllers/replicas/free.ts
+++ b/src/controllers/replicas/free.ts
@@ -3,7 +3,7 @@
  */
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { Draft } from './draft.js';
-import { scoreLosses } from './history.js';
+import { isFlapping } from './history.js';
 import { isUsable, measureAbsence } from './standing.js';
 import type { DomainInput } from './types.js';
 
@@ -15,7 +15,7 @@
   pending: readonly string[];
 }
 
-/** The free instances of the domain under the draft; flapping ones are left out. */
+/** The free instances of the domain under the draft; those that flap are left out. */
 export function listFree(input: DomainInput, draft: Draft, now: Milliseconds): FreeInstances {
   const held = new Set<string>();
   const pending: string[] = [];
@@ -29,17 +29,18 @@
   const free: string[] = [];
   for (const [name, member] of input.members) {
     if (held.has(name) || !isUsable(input, member, now)) continue;
-    if (!isFlapping(input, name, now)) free.push(name);
+    if (!isFlapping(input.history, input.estimates, name, now)) free.push(name);
   }
   return { free, pending };
 }
 
 function isComing(input: DomainInput, name: string, now: Milliseconds): boolean {
   const member = input.members.get(name);
-  if (member === undefined || member.leaving || isFlapping(input, name, now)) return false;
+  if (
+    member === undefined ||
+    member.leaving ||
+    isFlapping(input.history, input.estimates, name, now)
+  )
+    return false;
   return measureAbsence(input, member, now) === 0;
 }
-
-function isFlapping(input: DomainInput, name: string, now: Milliseconds): boolean {
-  return scoreLosses(input.history, input.estimates, name, now) >= input.estimates.flapLimit;
-}
--- a/src/controllers/replicas/history.ts
+++ b/src/controllers/replicas/history.ts
@@ -31,6 +31,24 @@
   return record === undefined ? 0 : decayScore(record, estimates, now);
 }
 
+/**
+ * Whether `name` comes and goes so fast that a replica with it would hardly serve between two
+ * losses. One that lasts longer is taken, after all steady ones: some service is better than none.
+ */
+export function isFlapping(
+  history: LossHistory,
+  estimates: Estimates,
+  name: string,
+  now: Milliseconds,
+): boolean {
+  const score = scoreLosses(history, estimates, name, now);
+  const lossEveryMs = estimates.flapHalfLifeMs / (score * Math.LN2);
+  return lossEveryMs < estimates.formMs * MIN_SERVICE_RATIO;
+}
+
+/** Time between two losses, in times to form a replica, from which an instance is worth using. */
+const MIN_SERVICE_RATIO = 2;
+
 function updateRecord(
   input: Pick<DomainInput, 'estimates' | 'watchingSince'>,
   member: DomainMember,
--- a/src/controllers/replicas/repair.ts
+++ b/src/controllers/replicas/repair.ts
@@ -5,13 +5,13 @@
 import { matchesSelector } from '../../core/labels/index.js';
 import type { Model, Replica } from '../../objects/index.js';
 import { sortModels } from './demand.js';
-import { chooseDonors } from './donors.js';
+import { chooseDonors, type DonorChoice } from './donors.js';
 import { isActive, retireReplica, type Draft } from './draft.js';
 import { scoreLosses } from './history.js';
 import { listFree } from './free.js';
 import { judgeStanding, type Standing } from './standing.js';
 import type { DomainInput, RetireCause } from './types.js';
-import { estimateReplace, estimateWait, rateDowntime } from './weigh.js';
+import { chooseWait, estimateReplace, estimateReturn, rateDowntime } from './weigh.js';
 
 /** A replica with what is known of its members. */
 interface Assessed {
@@ -89,8 +89,9 @@
 }
 
 /**
- * Waiting for the same process against replacing it. While nothing can take the place of the lost
- * member, waiting is free: its replica's members would only be idle elsewhere.
+ * Waiting for the lost member against replacing it, by a free instance or by members of another
+ * replica. While nothing can take its place, waiting is free: the others would only be idle
+ * elsewhere.
  */
 function weighLoss(
   input: DomainInput,
@@ -104,36 +105,37 @@
   if (lost === undefined) return undefined;
   const idle = standings.filter(({ kind }) => kind !== 'absent').length;
   const rate = rateDowntime(objective, model, idle);
-  const losses = scoreLosses(input.history, estimates, lost.member, now);
-  const waitCostMs = rate * estimateWait(estimates, lost.forMs, losses);
-  const costMs = rate * estimateReplace(estimates);
-  const missing = model.replicaSize - idle - countReplacements(input, draft, model, now);
-  const gain = waitCostMs - costMs;
-  const isReplaceable = missing <= 0 || takeFromDonors(input, draft, replica, missing, gain, now);
-  if (isReplaceable && gain > 0) {
-    return { kind: 'memberReplaced', member: lost.member, costMs, waitCostMs };
+  const missedMs = estimateReturn(estimates, lost.forMs);
+  const needed = model.replicaSize - idle - countReplacements(input, draft, model, now);
+  const request = { model, needed, missedMs, exclude: replica.id };
+  const choice = needed <= 0 ? NO_DONORS : chooseDonors(input, draft, request, now);
+  if (choice !== undefined) {
+    const replaceCost = rate * estimateReplace(estimates) + choice.cost;
+    const score = scoreLosses(input.history, estimates, lost.member, now);
+    const { missedRate } = choice;
+    const earlierLosses = Math.max(0, score - 1);
+    const costs = { rate, replaceCost, missedRate, earlierLosses };
+    const { waitMs, cost } = chooseWait(estimates, lost.forMs, costs);
+    if (waitMs === 0) {
+      takeFromDonors(input, draft, replica, choice.donors, now);
+      return { kind: 'memberReplaced', member: lost.member, cost };
+    }
   }
   draft.reasons.push({ kind: 'waiting', replica: replica.id, member: lost.member });
   return undefined;
 }
 
-/** Retires the replicas that give what is missing; false when none are worth it. */
+const NO_DONORS: DonorChoice = { donors: [], cost: 0, missedRate: 0 };
+
 function takeFromDonors(
   input: DomainInput,
   draft: Draft,
   replica: Replica,
-  needed: number,
-  gain: number,
+  donors: readonly Replica[],
   now: Milliseconds,
-): boolean {
-  const model = input.models.get(replica.model);
-  if (model === undefined) return false;
-  const donors = chooseDonors(input, draft, { model, needed, gain, exclude: replica.id }, now);
-  for (const donor of donors) {
-    const cause: RetireCause = { kind: 'preempted', beneficiary: replica.model };
-    retireReplica(input, draft, donor, cause, now);
-  }
-  return donors.length > 0;
+): void {
+  const cause: RetireCause = { kind: 'preempted', beneficiary: replica.model };
+  for (const donor of donors) retireReplica(input, draft, donor, cause, now);
 }
 
 interface LostMember {
--- a/src/controllers/replicas/types.ts
+++ b/src/controllers/replicas/types.ts
@@ -14,6 +14,15 @@
   health: InstanceHealth | undefined;
 }
 
+/** One kind of loss. Its length is taken to be exponentially distributed. */
+export interface LossClass {
+  /** Share of all losses. */
+  share: number;
+  meanMs: Milliseconds;
+  /** The same process comes back, as after a pause or a cut link; its replica need not be formed. */
+  keepsState: boolean;
+}
+
 /** What the planner expects of time and chance. All in milliseconds of one instance or replica. */
 export interface Estimates {
   /** From the order to form a replica until it serves. */
@@ -22,16 +31,10 @@
   releaseMs: Milliseconds;
   /** An instance must have been unheard for this long before it counts as lost. */
   lossMs: Milliseconds;
-  /** Share of losses that are pauses or cut links: the same process comes back. */
-  pauseShare: number;
-  /** Mean length of such a pause. */
-  pauseMs: Milliseconds;
-  /** Mean time until a lost instance is back in any other case. */
-  returnMs: Milliseconds;
+  /** What a loss may turn out to be; the shares add up to 1. */
+  lossClasses: readonly LossClass[];
   /** Mean time between two losses of one instance. */
   lossEveryMs: Milliseconds;
-  /** Losses lately, after decay, from which an instance is left out of new replicas. */
-  flapLimit: number;
   /** Time in which the count of an instance's losses decays by half. */
   flapHalfLifeMs: Milliseconds;
 }
@@ -76,8 +79,8 @@
   | { kind: 'memberRestarted'; member: string }
   | { kind: 'memberGone'; member: string }
   | { kind: 'memberMoved'; member: string }
-  /** A lost member is replaced: `costMs` against `waitCostMs` for waiting, both weighed. */
-  | { kind: 'memberReplaced'; member: string; costMs: number; waitCostMs: number }
+  /** A lost member is replaced at once, which costs least. */
+  | { kind: 'memberReplaced'; member: string; cost: number }
   /** Its members repair `beneficiary`. */
   | { kind: 'preempted'; beneficiary: string }
   | { kind: 'surplus' };
--- a/src/controllers/replicas/weigh.ts
+++ b/src/controllers/replicas/weigh.ts
@@ -8,7 +8,7 @@
  */
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { Model, Policy } from '../../objects/index.js';
-import type { Estimates } from './types.js';
+import type { Estimates, LossClass } from './types.js';
 
 /** Importance at which group downtime counts with its bare weight. */
 const USUAL_IMPORTANCE = 50;
@@ -24,25 +24,89 @@
 }
 
 /**
- * The expected time until a replica serves again when it waits for a member that has been away for
- * `forMs`. A pause ends with the same process, which is back in its place at once; after any other
- * loss the replica has to be formed anew. The longer it lasts, the less likely it is a pause.
+ * The classes of loss with their shares after an absence of `forMs`: the longer it lasts, the less
+ * likely it is one of the short ones.
+ */
+export function updateClasses(estimates: Estimates, forMs: Milliseconds): LossClass[] {
+  const still = estimates.lossClasses.map(({ share, meanMs }) => share * Math.exp(-forMs / meanMs));
+  const total = still.reduce((sum, share) => sum + share, 0);
+  return estimates.lossClasses.map((loss, at) => {
+    const share = total === 0 ? loss.share : (still[at] ?? 0) / total;
+    return { ...loss, share };
+  });
+}
+
+/** The mean time until an instance that has been away for `forMs` is back. */
+export function estimateReturn(estimates: Estimates, forMs: Milliseconds): Milliseconds {
+  const classes = updateClasses(estimates, forMs);
+  return classes.reduce((sum, { share, meanMs }) => sum + share * meanMs, 0);
+}
+
+/** What a replica pays for each way to get over a loss. */
+export interface LossCosts {
+  /** For each millisecond that the replica does not serve. */
+  rate: number;
+  /** Of replacing the member, at whatever time. */
+  replaceCost: number;
+  /** For each millisecond until the lost member is back, once it is replaced. */
+  missedRate: number;
+  /** Decayed count of the member's earlier losses. */
+  earlierLosses: number;
+}
+
+/** How much longer to wait before the member is replaced, and what that costs. */
+export interface WaitChoice {
+  waitMs: Milliseconds;
+  cost: number;
+}
+
+const SECOND_MS = 1_000;
+
+/** The spans that are compared; the last stands for waiting without end. */
+const WAIT_CHOICES_MS: readonly Milliseconds[] = [0, 5, 15, 30, 60, 120, 300, 900, 3_600]
+  .map((seconds) => seconds * SECOND_MS)
+  .concat(Number.POSITIVE_INFINITY);
+
+/**
+ * The cheapest time to wait for a member that has been away for `forMs` before it is replaced.
  *
- * `losses` is the member's decayed count of losses: each adds one more expected wait of the same
- * kind, since a member that comes and goes will go again.
+ * Most losses are short and a few are very long, so the mean says little: waiting a while shows
+ * which kind it is. A replica whose member comes back as the same process serves at once; after any
+ * other return it has to be formed anew. A member that has come and gone before will go again: each
+ * earlier loss makes its return worth that much less.
+ *
+ * @example chooseWait(estimates, forMs, costs).waitMs === 0 // replace now
  */
-export function estimateWait(
+export function chooseWait(
   estimates: Estimates,
   forMs: Milliseconds,
-  losses: number,
-): Milliseconds {
-  const { pauseShare, pauseMs, returnMs, formMs } = estimates;
-  const stillPause = pauseShare * Math.exp(-forMs / pauseMs);
-  const stillOther = (1 - pauseShare) * Math.exp(-forMs / returnMs);
-  const total = stillPause + stillOther;
-  const share = total === 0 ? 0 : stillPause / total;
-  const once = share * pauseMs + (1 - share) * (returnMs + formMs);
-  return once * (1 + losses);
+  costs: LossCosts,
+): WaitChoice {
+  const classes = updateClasses(estimates, forMs);
+  const choices = WAIT_CHOICES_MS.map((waitMs) => ({
+    waitMs,
+    cost: estimateCost(estimates, classes, costs, waitMs),
+  }));
+  return choices.reduce((best, choice) => (choice.cost < best.cost ? choice : best));
+}
+
+function estimateCost(
+  estimates: Estimates,
+  classes: readonly LossClass[],
+  { rate, replaceCost, missedRate, earlierLosses }: LossCosts,
+  waitMs: Milliseconds,
+): number {
+  let cost = 0;
+  for (const { share, meanMs, keepsState } of classes) {
+    const backInTime = 1 - Math.exp(-waitMs / meanMs);
+    const waitedMs = meanMs * backInTime;
+    const formMs = keepsState ? 0 : estimates.formMs;
+    const laterMs = earlierLosses * (meanMs + formMs);
+    const backCost = rate * (formMs + laterMs);
+    const lateCost = replaceCost + missedRate * (meanMs + estimates.formMs);
+    cost += share * (rate * waitedMs + backInTime * backCost + (1 - backInTime) * lateCost);
+  }
+  return cost;
 }
 
 /** The time to take a replica apart and form it with free instances. */
@@ -63,7 +127,7 @@
   protectedReplicas: readonly Pick<Model, 'importance' | 'replicaSize'>[],
   forgone: Pick<Model, 'importance' | 'replicaSize'>,
 ): number {
-  const savedMs = Math.max(0, estimates.returnMs - estimates.releaseMs);
+  const savedMs = Math.max(0, estimateReturn(estimates, 0) - estimates.releaseMs);
   let saved = 0;
   for (const model of protectedReplicas) {
     const lossesPerMs = model.replicaSize / estimates.lossEveryMs;
--- a/src/entry/replicas/replicas-part.ts
+++ b/src/entry/replicas/replicas-part.ts
@@ -57,6 +57,9 @@
 /** A tick that comes later than this share of a lease means that the process stood still. */
 const PAUSE_SHARE = 0.5;
 
+/** Times the freshness bound that an engine must be unheard before it counts as lost. */
+const LOSS_RATIO = 1.5;
+
 type WriteAction = Extract<OwnerAction, { kind: 'write' }>;
 
 /**
@@ -68,7 +71,8 @@
   const { board, clock, identity, logger, platform, random, settings } = context;
   const { leaseMs, orderTimeoutMs, planEveryMs } = settings.replicas;
   const self = { entry: identity.name, incarnation: identity.incarnation };
-  const estimates = { ...DEFAULT_ESTIMATES, ...options.estimates };
+  const lossMs = settings.health.freshMs * LOSS_RATIO;
+  const estimates = { ...DEFAULT_ESTIMATES, lossMs, ...options.estimates };
   const store = createPlanStore(context, self);
   const sender = createOrderSender(context, options.keepReport);
   const histories = new Map<string, LossHistory>();
