--- a/src/entry/requests/completions.ts
+++ b/src/entry/requests/completions.ts
@@ -6,11 +6,6 @@
   CompletionRequest,
   TokenOutput,
 } from '../../adapters/callers/index.js';
-import type {
-  CompletionStart,
-  EngineRefusal,
-  EngineRequest,
-} from '../../adapters/engines/index.js';
 import {
   advanceAttempt,
   createAttemptState,
