End a waiting watch of the platform stand-in with its caller

The cause was not in an entry: its watch is aborted at once. The stand-in's timer for the waiting watch outlived the closed connection and kept the process from ending. The wait now ends when its connection closes, and the shorter watch of development mode is gone.

The scenario fails without the change.

--- a/features/cli/dev.feature
+++ b/features/cli/dev.feature
@@ -15,6 +15,7 @@
     And the printed completion line gave a whole stream
     When the running program gets SIGTERM
     Then the running program exits with 0
+    And it was gone within 10000 ms of the signal, though its watches wait for twice as long
 
   # An operator's service manager starts an entry on a file with a slip. The entry must say so and
   # be gone, with no port open that a balancer could find.
--- a/features/cli/dev.steps.ts
+++ b/features/cli/dev.steps.ts
@@ -16,6 +16,8 @@
   ended: Promise<Run>;
   output: string;
   answers: Answer[];
+  signalledAt: number;
+  goneAfterMs: number;
 }
 
 const LAST_LINE = 'Ctrl-C stops everything.';
@@ -80,14 +82,23 @@
 });
 
 When('the running program gets SIGTERM', function (this: DevWorld) {
+  this.signalledAt = performance.now();
   this.child?.kill('SIGTERM');
 });
 
 Then('the running program exits with {int}', async function (this: DevWorld, code: number) {
   const run = await this.ended;
+  this.goneAfterMs = performance.now() - this.signalledAt;
   assert.equal(run.code, code, run.stderr);
 });
 
+Then(
+  'it was gone within {int} ms of the signal, though its watches wait for twice as long',
+  function (this: DevWorld, mostMs: number) {
+    assert.ok(this.goneAfterMs < mostMs, `it took ${Math.round(this.goneAfterMs)} ms`);
+  },
+);
+
 Then('the program has printed no address', function (this: DevWorld) {
   assert.equal(this.run.stdout, '');
 });
--- a/src/cli/dev/site.ts
+++ b/src/cli/dev/site.ts
@@ -43,8 +43,6 @@
 const DECODE_MS_PER_TOKEN = 15;
 /** There is no balancer in front to wait for. */
 const BALANCER_MS = 50;
-/** A stop waits for the watch under way, and Ctrl-C is to be quick. */
-const WATCH_MS = 1_000;
 
 /** Starts everything. Throws when an address on loopback can't be bound. */
 export async function startSite(): Promise<Site> {
@@ -124,7 +122,7 @@
     region: REGION,
     failureDomain,
     listen: { callers: LOOPBACK, operators: LOOPBACK, peers: LOOPBACK },
-    platform: { address: platform, watchMs: WATCH_MS },
+    platform: { address: platform },
     logLevel: 'warn',
     stopping: { balancerMs: BALANCER_MS },
   });
--- a/src/stand-ins/platform/call-guard.ts
+++ b/src/stand-ins/platform/call-guard.ts
@@ -76,7 +76,11 @@
     },
     waitUntil: async (context, isMet, waitMs) => {
       const deadline = performance.now() + waitMs;
-      while (!isMet()) {
+      const { outgoing } = context.env;
+      // A watch whose caller has gone would hold its timer, and with it the process, to the end of
+      // its wait: a stop of the program would take as long as the longest watch.
+      outgoing.once('close', wake);
+      while (!isMet() && !outgoing.destroyed) {
         const leftMs = deadline - performance.now();
         if (leftMs <= 0) return undefined;
         await nextChange(leftMs);
