--- /dev/null
+++ b/features/replicas/owners.feature
@@ -0,0 +1,30 @@
+Feature: Owners of a fabric domain against a platform and engines that fail
+
+  Scenario: The answer to every other write is lost after its effect
+    # The platform stores the plan and the answer never comes. An entry that wrote again would take
+    # the domain from itself or form the replica twice; one that gave up would leave it unformed.
+    Given 4 engines and a platform that loses the answers to the next 5 writes
+    When one entry runs
+    Then its replica of 3 serves, and the domain was taken once
+
+  Scenario: Two entries race for the same domain
+    # Both start at the same moment, neither has heard of the other.
+    Given 4 engines and a platform
+    When two entries run
+    Then its replica of 3 serves, and only one entry gave orders
+
+  Scenario: An owner is held up between storing a plan and giving its orders
+    # The plan is stored, and the owner hears of it only after its lease is over. By then another has
+    # taken the domain over and formed the replica; orders of the first would tear it apart.
+    Given 4 engines that ignore numbers and a platform that holds up the first plan's writer
+    When two entries run
+    And the other entry has taken over and its replica of 3 serves
+    And the first entry is let go on
+    Then the first entry gives no order and the replica goes on serving
+
+  Scenario: An owner that stops gives its domain away at once
+    Given 4 engines and a platform
+    When one entry runs
+    And its replica of 3 serves
+    And it hands over and another entry runs
+    Then the other entry owns the domain within one lease and the replica was not ordered again
