Close a connection of the proxy that can't be reset any more

Cause: Node's resetAndDestroy fails with EINVAL while the socket's sending half is being shut down, and then drops the handle without closing it: the other side heard nothing until the test's process ended, and the process didn't end by itself.

--- a/features/platform/proxy.feature
+++ b/features/platform/proxy.feature
@@ -67,3 +67,9 @@
     Given the proxy delays by 20 ms each way and passes 2000000 bytes a second
     When an object of 300000 bytes is written and read back
     Then it is the same and took at least 300 ms
+
+  Scenario: a reset that meets a closing half
+    A test resets a connection whose sending half is just being closed. Node refuses that and loses
+    the handle: the other side would hear nothing and wait until the test's process ended.
+    When a connection ends its sending half and is reset at once
+    Then the other side sees it closed within 2000 ms
--- a/src/stand-ins/proxy/connection.ts
+++ b/src/stand-ins/proxy/connection.ts
@@ -5,6 +5,7 @@
 import type { HostAndPort } from '../listener/index.js';
 import type { Link, Way } from './link.js';
 import { createPipe } from './pipe.js';
+import { resetSocket } from './reset-socket.js';
 
 export interface ProxyConnection {
   hold(ways: readonly Way[]): void;
@@ -46,14 +47,14 @@
     toTarget.close();
     toSource.close();
     receiver.destroySoon();
-    sender.resetAndDestroy();
+    resetSocket(sender);
   };
 
   const reset = (): void => {
     toTarget.close();
     toSource.close();
-    source.resetAndDestroy();
-    destination.resetAndDestroy();
+    resetSocket(source);
+    resetSocket(destination);
   };
 
   for (const socket of [source, destination]) {
--- a/src/stand-ins/proxy/pipe.ts
+++ b/src/stand-ins/proxy/pipe.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { Breaker, LinkWay } from './link.js';
+import { resetSocket } from './reset-socket.js';
 
 /** What happened on the way that concerns the whole connection. */
 interface PipeEvents {
@@ -156,7 +157,7 @@
       to.destroySoon();
       return;
     case 'reset':
-      to.resetAndDestroy();
+      resetSocket(to);
       return;
   }
 }
