--- a/features/calls/fixture.ts
+++ b/features/calls/fixture.ts
@@ -55,11 +55,10 @@
   #held: (() => void)[] = [];
   readonly #clock = createSystemClock();
 
-  startEntry(name: string, incarnation = '1'): FakeEntry {
-    const link = this.platform.connect();
+  startEntry(name: string, link: Link = this.platform.connect()): FakeEntry {
     const writers = createBoard();
     const context = {
-      identity: { name, incarnation },
+      identity: { name, incarnation: '1' },
       board: writers,
       writers,
       clock: { now: () => this.#clock.now() + this.#skipped },
