--- a/features/calls/once-calls.feature
+++ b/features/calls/once-calls.feature
@@ -195,6 +195,17 @@
       | pass-17                              | expired |
       | 0199c82c-6400-7000-8000-000000000001 | deleted |
 
+  Scenario: The retention is lengthened after records have been removed
+    # A key with a time is refused for its age, until an operator lengthens the retention: then its
+    # age is fine again, and its record is gone. The platform's tombstone tells that it was used.
+    When the call "0199c82c-6400-7000-8000-000000000001" arrives at "a"
+    Then the last once-request is answered
+    When 30 hours pass and "b" collects old call records
+    And the retention of call records at "b" becomes 72 hours
+    And the call "0199c82c-6400-7000-8000-000000000001" arrives at "b"
+    Then the last once-request is told "keyExpired"
+    And the call "0199c82c-6400-7000-8000-000000000001" has run 1 time
+
   Scenario: An entry stops while an answer is not recorded yet
     # The entry has answered its caller and is told to stop. Would it end at once, a retry at
     # another entry could not be given the answer.
--- a/features/calls/once-calls.steps.ts
+++ b/features/calls/once-calls.steps.ts
@@ -194,6 +194,16 @@
   },
 );
 
+When(
+  'the retention of call records at {string} becomes {int} hours',
+  function (this: CallsWorld, name: string, hours: number) {
+    const { configuration } = this.onceCalls.entry(name).context.writers;
+    const before = configuration.read();
+    const policy = { ...before.policy, callRecordRetentionMs: hours * HOUR_MS };
+    configuration.write({ ...before, policy });
+  },
+);
+
 When(
   'the entry {string} is told to stop its once-calls',
   function (this: CallsWorld, name: string) {
