Pass on engines' reports between entries and probe by entity tag

Every entry probed every engine: those that it was not chosen for fell back to one probe a second, since nobody passed reports on.

Ruled out: full reports in the digests (190 characters each, and another text with every load); one prober per replica (a few entries would carry 16 engines); the leader's word for its members (another party's watch, of unknown rhythm); failures alone, without freshness (a prober that is cut off would vouch for what it cannot see).

Change: an engine ready in its planned place is passed on as its plan's fencing number; the text stays the same while nothing changes, so heartbeats keep it fresh. A failure starts a round at once; each entry takes it over once and asks the engine itself, so one cut link stops nobody for long. One prober each; others take over when it is silent. Probes carry If-None-Match.

The freshness bound goes from 2 s to 4 s, since a digest through others takes up to two seconds; loss is judged at 1.1 times the bound (4.4 s, from 3 s).

--- a/src/adapters/engines/engine-client.ts
+++ b/src/adapters/engines/engine-client.ts
@@ -15,6 +15,7 @@
 import { cacheEventListSchema, engineReportSchema } from './protocol.js';
 import type { EngineReport, Order } from './protocol.js';
 import { markSendings } from './sending.js';
+import { createReportCache } from './report-cache.js';
 import { callWhole } from './short-call.js';
 import type { EngineFailure, Engines } from './types.js';
 
@@ -81,15 +82,23 @@
   });
   const marked = streams.compose(markSendings);
 
-  const call = (address: string, path: string, method: 'GET' | 'POST', timeoutMs: Milliseconds) =>
-    ResultAsync.fromPromise(callWhole(calls, address, path, method, timeoutMs), (error) =>
+  const reports = createReportCache();
+
+  const call = (
+    address: string,
+    path: string,
+    method: 'GET' | 'POST',
+    timeoutMs: Milliseconds,
+    headers: Readonly<Record<string, string>> = {},
+  ) =>
+    ResultAsync.fromPromise(callWhole(calls, address, path, method, timeoutMs, headers), (error) =>
       createFailure('unreachable', { name: address, reason: describeError(error) }),
     );
 
   return {
     health: (address, timeoutMs) =>
-      call(address, '/health', 'GET', timeoutMs).andThen((answer) =>
-        readAnswer(address, answer, engineReportSchema),
+      call(address, '/health', 'GET', timeoutMs, reports.listHeaders(address)).andThen((answer) =>
+        reports.read(address, answer),
       ),
     order: (address, order, timeoutMs) =>
       sendOrder(address, order, timeoutMs, settings.maxAnswerBytes),
--- a/src/adapters/engines/protocol.ts
+++ b/src/adapters/engines/protocol.ts
@@ -1,7 +1,7 @@
 /**
  * What a model engine speaks: HTTP with JSON, and server-sent events for streams.
  *
- *     GET  /health                        → engineReport
+ *     GET  /health                        → engineReport; 304 when `If-None-Match` names its entity tag
  *     POST /orders                        order → engineReport; 409 with `fenced` when it is old
  *     POST /v1/chat/completions           engineRequest → SSE of engineChunk, ends with `end`
  *     POST /v1/attempts/:attempt/cancel   → 204, also when there is no such attempt
--- a/src/adapters/engines/short-call.ts
+++ b/src/adapters/engines/short-call.ts
@@ -9,6 +9,8 @@
 export interface WholeAnswer {
   status: number;
   body: string;
+  /** The entity tag, when the answer had one. */
+  etag?: string;
 }
 
 /** Makes a short call; rejects at `timeoutMs` also when no connection has been made by then. */
@@ -18,6 +20,7 @@
   path: string,
   method: 'GET' | 'POST',
   timeoutMs: Milliseconds,
+  headers: Readonly<Record<string, string>> = {},
 ): Promise<WholeAnswer> {
   const giveUp = new AbortController();
   const { signal } = giveUp;
@@ -26,9 +29,12 @@
       origin: `http://${address}`,
       path,
       method,
+      headers,
       signal,
     });
-    return { status: response.statusCode, body: await response.body.text() };
+    const { etag } = response.headers;
+    const whole = { status: response.statusCode, body: await response.body.text() };
+    return typeof etag === 'string' ? { ...whole, etag } : whole;
   };
   const timer = setTimeout(() => {
     giveUp.abort(new Error(`no answer within ${timeoutMs} ms`));
--- a/src/controllers/health/index.ts
+++ b/src/controllers/health/index.ts
@@ -1,4 +1,5 @@
 export * from './eligible.js';
 export * from './gate.js';
+export * from './passing.js';
 export * from './probes.js';
 export * from './record.js';
--- a/src/controllers/health/probes.ts
+++ b/src/controllers/health/probes.ts
@@ -24,8 +24,8 @@
 /** An entry of the same failure domain wins over any other: its links are the short ones. */
 const SAME_DOMAIN_BONUS = 1;
 
-/** Share of the freshness bound after which an engine that others probe is asked all the same. */
-const UNHEARD_SHARE = 0.5;
+/** Part of the freshness bound that is left, at the least, for an entry's own probe. */
+const OWN_PROBE_SHARE = 0.2;
 
 /** The longest time between two probes of an instance that others are to probe. */
 const MAX_PACE_MS = 10_000;
@@ -86,6 +86,7 @@
   states: ReadonlyMap<string, ProbeState>;
   health: Health;
   probeEveryMs: Milliseconds;
+  probeTimeoutMs: Milliseconds;
   freshMs: Milliseconds;
 }
 
@@ -105,13 +106,16 @@
  * the more rarely the longer that lasts: a dead engine must not draw probes from every entry.
  */
 function findPace(schedule: ProbeSchedule, name: string, now: Milliseconds): Milliseconds {
-  const { probeEveryMs, freshMs } = schedule;
+  const { probeEveryMs, probeTimeoutMs, freshMs } = schedule;
   const known = schedule.health.get(name);
   if (schedule.assigned.has(name)) {
     return known?.failingSince === undefined ? probeEveryMs : probeEveryMs / FAILING_PACE;
   }
   const unheardMs = known === undefined ? freshMs : now - known.heardAt;
-  if (unheardMs < freshMs * UNHEARD_SHARE) return Number.POSITIVE_INFINITY;
+  const isFailing = known?.failingSince !== undefined;
+  // The answer has to be there before the engine counts as unheard.
+  const leftMs = Math.max(probeEveryMs + probeTimeoutMs, freshMs * OWN_PROBE_SHARE);
+  if (!isFailing && unheardMs < freshMs - leftMs) return Number.POSITIVE_INFINITY;
   return Math.min(MAX_PACE_MS, Math.max(probeEveryMs, unheardMs / FAILING_PACE));
 }
 
--- a/src/controllers/membership/messages.ts
+++ b/src/controllers/membership/messages.ts
@@ -12,7 +12,7 @@
 /** Most digests, and most summaries, of one message. */
 export const MESSAGE_LIST_LENGTH = 64;
 /** Longest extension of a digest, as JSON text. */
-export const EXTENSION_LENGTH = 600;
+export const EXTENSION_LENGTH = 1_500;
 /** Longest message accepted, in bytes. */
 export const MESSAGE_BYTES = 65_536;
 /** Entries named in a domain's summary. */
--- a/src/core/settings/entry-settings.ts
+++ b/src/core/settings/entry-settings.ts
@@ -71,7 +71,7 @@
         .describe('How often an engine is asked for its report.'),
       probeTimeoutMs: milliseconds.default(400).describe('Longest wait for one report.'),
       freshMs: milliseconds
-        .default(2_000)
+        .default(4_000)
         .describe('A replica with a member unheard for longer gets no requests.'),
     })
     .prefault({}),
--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -130,6 +130,7 @@
   const limits = createLimits(context);
   const membership = createMembership(context, configuration, peers, {
     extensions: [
+      health.extension,
       {
         name: 'limits',
         export: () => limits.exportDigest(),
--- a/src/entry/health/health-part.ts
+++ b/src/entry/health/health-part.ts
@@ -14,7 +14,9 @@
   type Prober,
 } from '../../controllers/health/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
+import type { DigestExtension } from '../membership/index.js';
 import type { EntryContext, Part } from '../types.js';
+import { createHealthPassing } from './health-passing.js';
 
 /** The part, and what the request path tells it. */
 export interface HealthPart extends Part {
@@ -24,15 +26,15 @@
   reportAnswer(instance: string): void;
   /** Takes a report that an order or another call brought; asked for at `askedAt`. */
   keepReport(report: EngineReport, askedAt: Milliseconds): void;
-  /** What peers passed on: one change per instance. */
-  recordPassed(changes: ReadonlyMap<string, InstanceHealth>): void;
+  /** Exchanges reports with the other entries. */
+  extension: DigestExtension;
 }
 
 /** How often the part looks which probes are due. */
 const TICK_MS = 50;
 
-/** Entries that probe each engine once peers are known. */
-const REDUNDANCY = 2;
+/** Entries that probe each engine once peers are known; the others take over when it falls silent. */
+const REDUNDANCY = 1;
 
 /**
  * The part of one entry. Good reports are gathered and written once per tick, so that a thousand
@@ -48,6 +50,22 @@
   let timer: NodeJS.Timeout | undefined;
   let assigned: ReadonlySet<string> = new Set();
   let assignedFor = '';
+  /** Failed here, and not heard well by this entry since. */
+  const failing = new Set<string>();
+  const passing = createHealthPassing(context, {
+    readHealth,
+    readAssigned: () => assigned,
+    readFailing: () => failing,
+    keep: (health, load, failures) => {
+      for (const [name, known] of health) heard.set(name, known);
+      for (const [id, known] of load) {
+        const before = loads.get(id) ?? board.load.read().get(id);
+        if (before === undefined || before.measuredAt < known.measuredAt) loads.set(id, known);
+      }
+      for (const instance of failures) logger.log('instanceFailing', { instance });
+      if (failures.length > 0) flush();
+    },
+  });
 
   function readHealth(name: string): InstanceHealth | undefined {
     return heard.get(name) ?? board.health.read().get(name);
@@ -59,6 +77,7 @@
     const { instances } = board.fleet.read();
     const health = new Map([...board.health.read(), ...heard]);
     for (const name of health.keys()) if (!instances.has(name)) health.delete(name);
+    for (const name of failing) if (!instances.has(name)) failing.delete(name);
     heard.clear();
     writers.health.write(health);
     if (loads.size === 0) return;
@@ -79,6 +98,7 @@
     const next = recordReport(previous, report, askedAt);
     if (next === previous) return;
     heard.set(report.instance, next);
+    if (next.failingSince === undefined) failing.delete(report.instance);
     if (previous?.failingSince !== undefined && next.failingSince === undefined) {
       logger.log('instanceRecovered', { instance: report.instance });
     }
@@ -92,6 +112,9 @@
     if (previous?.failingSince === undefined) logger.log('instanceFailing', { instance });
     heard.set(instance, recordFailure(previous, clock.now()));
     flush();
+    if (failing.has(instance)) return;
+    failing.add(instance);
+    passing.announce();
   }
 
   async function probe(name: string, address: string): Promise<void> {
@@ -124,6 +147,7 @@
   }
 
   function tick(): void {
+    passing.noteTick();
     const targets = [...board.fleet.read().instances]
       .filter(([, instance]) => instance.role === 'engine')
       .map(([name, { address, failureDomain }]) => ({ name, address, failureDomain }));
@@ -136,6 +160,7 @@
         states: probes,
         health: board.health.read(),
         probeEveryMs,
+        probeTimeoutMs,
         freshMs,
       },
       clock.now(),
@@ -161,10 +186,9 @@
     reportAnswer: (instance) => {
       if (readHealth(instance)?.failingSince === undefined) return;
       heard.set(instance, recordAnswer(clock.now()));
+      failing.delete(instance);
       flush();
     },
-    recordPassed: (changes) => {
-      for (const [name, health] of changes) heard.set(name, health);
-    },
+    extension: passing,
   };
 }
--- a/src/entry/membership/rounds.ts
+++ b/src/entry/membership/rounds.ts
@@ -23,7 +23,7 @@
 /** Of a message before it is deflated. */
 const MESSAGE_BUDGET_BYTES = 3_000;
 /** Heartbeats are passed on this often, as a part of the time after which an entry is forgotten. */
-const HEARTBEAT_GAP = 0.2;
+const HEARTBEAT_GAP = 0.05;
 /** What one exchange is reckoned to take; what it took is counted. */
 const EXCHANGE_BYTES = 500;
 /** News waits this long for more of it. */
--- a/src/entry/membership/self-digest.ts
+++ b/src/entry/membership/self-digest.ts
@@ -79,7 +79,13 @@
       isStopping = true;
       advanceSelf(state, compose(), clock.now());
     },
-    onNews: (listener) => watchNews(context, listener),
+    onNews: (listener) => {
+      const stops = extensions.flatMap((extension) => extension.onNews?.(listener) ?? []);
+      stops.push(watchNews(context, listener));
+      return () => {
+        for (const stop of stops) stop();
+      };
+    },
   };
 }
 
--- a/src/entry/membership/types.ts
+++ b/src/entry/membership/types.ts
@@ -14,6 +14,8 @@
   export(): string | undefined;
   /** Called when the digest of `peer` changed; `ageMs` is how old it is. */
   import(peer: string, text: string, ageMs: Milliseconds): void;
+  /** Calls `listener` when what it exports should not wait for the next round. */
+  onNews?(listener: () => void): () => void;
 }
 
 export interface MembershipOptions {
--- a/src/entry/replicas/replicas-part.ts
+++ b/src/entry/replicas/replicas-part.ts
@@ -57,8 +57,11 @@
 /** A tick that comes later than this share of a lease means that the process stood still. */
 const PAUSE_SHARE = 0.5;
 
-/** Times the freshness bound that an engine must be unheard before it counts as lost. */
-const LOSS_RATIO = 1.5;
+/**
+ * Times the freshness bound that an engine must be unheard before it counts as lost. This entry has
+ * asked it itself by then, whoever else probes it.
+ */
+const LOSS_RATIO = 1.1;
 
 type WriteAction = Extract<OwnerAction, { kind: 'write' }>;
 
--- a/src/stand-ins/engine/routes.ts
+++ b/src/stand-ins/engine/routes.ts
@@ -1,6 +1,7 @@
 /**
  * The HTTP routes of an engine stand-in: the protocol, and /control and /journal for tests.
  */
+import { createHash } from 'node:crypto';
 import type { HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono, type Context } from 'hono';
@@ -9,6 +10,7 @@
   engineRequestSchema,
   orderSchema,
   type EngineRefusal,
+  type EngineReport,
 } from '../../adapters/engines/index.js';
 import { engineControlSchema } from './control.js';
 import type { EngineHandlers } from './handlers.js';
@@ -24,11 +26,13 @@
 
 const REFUSAL_STATUSES = { fenced: 409, notReady: 503, overloaded: 429, invalid: 400 } as const;
 const ORDER_REFUSED = 409;
+const NOT_MODIFIED = 304;
+const TAG_LENGTH = 12;
 
 /** The routes in front of `engine`. */
 export function createEngineRoutes(engine: EngineHandlers): Hono<Bindings> {
   const app = new Hono<Bindings>();
-  app.get('/health', (context) => context.json(engine.report()));
+  app.get('/health', (context) => answerReport(context, engine.report()));
   app.post('/orders', async (context) => {
     const order = orderSchema.safeParse(await readJson(context));
     if (!order.success) return refuse(context, invalid(order.error));
@@ -68,6 +72,19 @@
   return app;
 }
 
+/**
+ * The tag leaves out how old the load is: figures that are the same stand for the same report,
+ * measured anew.
+ */
+function answerReport(context: Context, report: EngineReport): Response {
+  const { load, ...rest } = report;
+  const text = JSON.stringify(load === undefined ? rest : { ...rest, load: { ...load, ageMs: 0 } });
+  const digest = createHash('sha256').update(text).digest('base64url');
+  const etag = `W/"${digest.slice(0, TAG_LENGTH)}"`;
+  if (context.req.header('if-none-match') === etag) return context.body(null, NOT_MODIFIED);
+  return context.json(report, { headers: { etag } });
+}
+
 async function readJson(context: Context): Promise<unknown> {
   return context.req.json<unknown>().catch(() => undefined);
 }
