Prove whole answers over separate processes, and refuse answers to other requests

Cause: a service that answers one request twice on a kept-alive connection had its second answer passed to the next caller: the scenario showed "/up" to the caller of "/passes/0". HTTP/1.1 matches answers by order alone, and nothing compared the X-Request-Id that such a service returns.

Ruled out: comparing for equality, since servers that put an id of their own into each answer would be cut off. Only ids that this entry sent to some request count as foreign.

Scenarios with real processes: ten faults of streams at both leaders, a leader killed in mid-answer, an entry killed in mid-answer, and a thousand requests under faults, compared byte for byte. The engine stand-in gives long answers on request; a deployment takes limits and further tables of settings.

Late answers of a service without any id can't be told apart and are not guarded against.

--- a/features/promises/deployment.ts
+++ b/features/promises/deployment.ts
@@ -8,7 +8,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { createProxy, type Proxy } from '../../src/stand-ins/proxy/index.js';
-import type { DomainPlan, Replica } from '../../src/objects/index.js';
+import type { DomainPlan, Replica, Workspace } from '../../src/objects/index.js';
 import { startProcess, type Process } from '../support/processes.js';
 import { waitFor } from '../support/waiting.js';
 import {
@@ -47,6 +47,10 @@
   /** Of the stand-in engines' command line. */
   engineOptions: readonly string[];
   platformOptions: readonly string[];
+  /** More tables of the entries' settings, in TOML. */
+  entryTables: string;
+  /** Limits of the callers' workspace, where they differ from the defaults. */
+  limits: Partial<Workspace['limits']>;
 }
 
 export const SMALL_PLAN: DeploymentPlan = {
@@ -58,6 +62,8 @@
   fencing: 'checked',
   engineOptions: ['--decode-ms-per-token', '5'],
   platformOptions: [],
+  entryTables: '',
+  limits: {},
 };
 
 /** One entry as a process. */
@@ -157,7 +163,7 @@
 
 async function putConfiguration({ platform, plan }: Deployment): Promise<void> {
   const keyHash = createHash('sha256').update(API_KEY).digest('hex');
-  await platform.put('workspace', WORKSPACE, { keyHashes: [keyHash] });
+  await platform.put('workspace', WORKSPACE, { keyHashes: [keyHash], limits: plan.limits });
   const { replicaSize, replicas } = plan;
   await platform.put('model', MODEL, { replicaSize, replicas });
   await platform.put('service', SERVICE, {
@@ -234,7 +240,10 @@
   const platformLink = created._unsafeUnwrap();
   const seeds = [...entries.values()].map(({ peers }) => peers);
   const file = join(folder, `${name}.toml`);
-  await writeFile(file, renderSettings(name, platformLink.address, seeds));
+  await writeFile(
+    file,
+    renderSettings(name, platformLink.address, seeds) + deployment.plan.entryTables,
+  );
   const process = await startProcess(['entry', '--settings', file]);
   const { callers, operators, peers } = process.announced.listening as Record<string, string>;
   const entry: EntryProcess = {
--- a/features/requests/raw-service.ts
+++ b/features/requests/raw-service.ts
@@ -10,18 +10,20 @@
   stop(): void;
 }
 
-/** Hands each call, counted from 1, to `answer`. */
+/** Hands each call, counted from 1, to `answer`, with its text and its place on its connection. */
 export async function startRawService(
-  answer: (socket: Socket, call: number) => void,
+  answer: (socket: Socket, call: number, request: string, place: number) => void,
 ): Promise<RawService> {
   const sockets = new Set<Socket>();
   let calls = 0;
   const server = createServer((socket) => {
     sockets.add(socket);
     socket.on('error', () => undefined);
-    socket.on('data', () => {
+    let place = 0;
+    socket.on('data', (bytes) => {
       calls += 1;
-      answer(socket, calls);
+      place += 1;
+      answer(socket, calls, bytes.toString('latin1'), place);
     });
   });
   server.listen(0, '127.0.0.1');
@@ -37,7 +39,8 @@
   };
 }
 
-/** A whole answer with `body`. */
-export function renderAnswer(body: string): string {
-  return `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+/** A whole answer with `body`, and with the request's id when it is named. */
+export function renderAnswer(body: string, requestId?: string): string {
+  const id = requestId === undefined ? '' : `X-Request-Id: ${requestId}\r\n`;
+  return `HTTP/1.1 200 OK\r\n${id}Content-Length: ${body.length}\r\n\r\n${body}`;
 }
--- a/features/support/processes.ts
+++ b/features/support/processes.ts
@@ -18,6 +18,7 @@
 
 /** A running process of the program. */
 export interface Process {
+  pid: number;
   /** What it printed as its one line of JSON when it was up. */
   announced: Readonly<Record<string, unknown>>;
   /** The last lines of its standard error. */
@@ -48,6 +49,7 @@
     throw new Error(`"${args.join(' ')}" ended before it was up:\n${logLines.join('\n')}`);
   }
   return {
+    pid: child.pid ?? 0,
     announced,
     logLines,
     exited,
--- a/src/adapters/services/client.ts
+++ b/src/adapters/services/client.ts
@@ -4,13 +4,14 @@
  * Bodies are streamed both ways with back-pressure, so that a call holds a few buffers at most. A
  * connection carries one call at a time; undici destroys it when an answer breaks off, ends early
  * or is followed by bytes that nobody asked for, so that no such bytes are taken for the answer to
- * a later call.
+ * a later call. An answer that names another request sent from here closes its connection too.
  */
 import type { Readable } from 'node:stream';
 import { Agent, type Dispatcher } from 'undici';
 import type { HeaderField } from '../../controllers/calls/types.js';
 import { markSendings, type Sending } from '../engines/sending.js';
 import { removeHopByHop } from './headers.js';
+import { createSentIds, type SentIds } from './sent-ids.js';
 import type { ServiceAnswer, ServiceRequest, Services, ServiceStart } from './types.js';
 
 /** Longest wait for a TCP connection; sites are at most tens of milliseconds apart. */
@@ -30,19 +31,22 @@
     pipelining: 1,
   });
   const dispatcher = agent.compose(markSendings);
+  const ids = createSentIds();
   return {
-    call: (address, request, signal) => callService(dispatcher, address, request, signal),
+    call: (address, request, signal) => callService(dispatcher, ids, address, request, signal),
     close: () => agent.destroy(),
   };
 }
 
 async function callService(
   dispatcher: Dispatcher,
+  ids: SentIds,
   address: string,
   request: ServiceRequest,
   signal: AbortSignal,
 ): Promise<ServiceStart> {
   const sending: Sending = { begun: false, signal };
+  const id = ids.add(request.headers);
   try {
     const requested = dispatcher.request({
       origin: `http://${address}`,
@@ -56,7 +60,12 @@
       opaque: sending,
       responseHeaders: 'raw',
     });
-    return acceptAnswer(request.method, await raceSignal(requested, signal));
+    const response = await raceSignal(requested, signal);
+    if (!ids.isForeign(listHeaders(response.headers), id)) {
+      return acceptAnswer(request.method, response);
+    }
+    discard(response);
+    return { kind: 'lost', reason: 'the answer is to another request' };
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
     return { kind: sending.begun ? 'lost' : 'notSent', reason };
@@ -92,7 +101,7 @@
 }
 
 function acceptAnswer(method: string, response: Dispatcher.ResponseData<unknown>): ServiceStart {
-  const headers = listHeaders(response.headers as unknown as readonly string[]);
+  const headers = listHeaders(response.headers);
   const answer: ServiceAnswer = {
     status: response.statusCode,
     headers: removeHopByHop(headers),
@@ -103,10 +112,15 @@
   }
   // Without length or chunks the end of the body is the end of the connection: a backend server
   // that dies in mid-answer would look like one that finished.
-  response.body.on('error', () => undefined).destroy();
+  discard(response);
   return { kind: 'lost', reason: 'the answer does not say where it ends' };
 }
 
+/** Closes the connection, so that nothing more of it is taken for an answer. */
+function discard({ body }: Dispatcher.ResponseData<unknown>): void {
+  body.on('error', () => undefined).destroy();
+}
+
 function isFramed(headers: readonly HeaderField[]): boolean {
   return headers.some(({ name, value }) => {
     const lowered = name.toLowerCase();
@@ -122,7 +136,9 @@
   return headers.flatMap(({ name, value }) => [name, value]);
 }
 
-function listHeaders(raw: readonly string[]): readonly HeaderField[] {
+/** undici hands over names and values in turn when it is asked for raw ones; its types don't say so. */
+function listHeaders(headers: Dispatcher.ResponseData<unknown>['headers']): readonly HeaderField[] {
+  const raw = headers as unknown as readonly string[];
   const fields: HeaderField[] = [];
   for (let index = 0; index + 1 < raw.length; index += 2) {
     fields.push({ name: String(raw[index]), value: String(raw[index + 1]) });
--- a/src/stand-ins/engine/answers.ts
+++ b/src/stand-ins/engine/answers.ts
@@ -21,6 +21,8 @@
 
 const MIN_TOKENS = 8;
 const TOKEN_SPREAD = 120;
+/** Whoever asks for so many tokens gets them all, for tests of long streams. */
+const LONG_ANSWER_TOKENS = 10_000;
 const WORDS = [
   ...['pass ', 'gate ', 'slot ', 'crew ', 'site ', 'lorry ', 'ticket ', 'check '],
   ...['valid ', 'until ', 'today ', 'zone ', 'green ', 'waste ', 'brief ', 'record '],
@@ -34,7 +36,8 @@
  */
 export function expectedAnswer(question: AnswerQuestion): Answer {
   const base = hashQuestion(question);
-  const natural = MIN_TOKENS + (base % TOKEN_SPREAD);
+  const isLong = question.maxTokens >= LONG_ANSWER_TOKENS;
+  const natural = isLong ? question.maxTokens : MIN_TOKENS + (base % TOKEN_SPREAD);
   const length = Math.min(natural, question.maxTokens);
   const tokens = Array.from({ length }, (_, index) => chooseWord(base, index));
   return { tokens, text: tokens.join(''), reason: length < natural ? 'length' : 'stop' };
