Hold the clients of engines, peers and the platform to hostile answers

Noise, other schemas, bodies, headers and event streams without end, and a message that inflates without end: each has to end as a failure within 3 s and bounded bytes.

--- /dev/null
+++ b/features/hostile/clients.feature
@@ -0,0 +1,47 @@
+Feature: Hostile answers to the clients of an entry
+
+  Engines, peers and the platform answer with what no protocol has: noise, wrong schemas, bodies
+  without end. A client that throws past its Result ends the entry and all its callers' answers
+  with it; one that reads on without bound fills the memory.
+
+  Scenario Outline: <client> meets <answer>
+    Given a hostile server that answers with <answer>
+    When the <client> asks it
+    Then the hostile answer ends in a failure within 3000 ms
+    And at most 80 million bytes of the hostile answer were taken
+
+    Examples:
+      | client            | answer                     |
+      | engine's health   | noise instead of HTTP      |
+      | engine's health   | noise for JSON             |
+      | engine's health   | another schema             |
+      | engine's health   | a body without end         |
+      | engine's health   | silence                    |
+      | engine's health   | headers without end        |
+      | engine's order    | another schema             |
+      | engine's order    | a body without end         |
+      | engine's events   | another schema             |
+      | engine's events   | a body without end         |
+      | engine's stream   | noise instead of HTTP      |
+      | engine's stream   | another schema             |
+      | engine's stream   | a body without end         |
+      | engine's stream   | an event stream without end |
+      | peer's exchange   | noise instead of HTTP      |
+      | peer's exchange   | noise for JSON             |
+      | peer's exchange   | another schema             |
+      | peer's exchange   | a body without end         |
+      | peer's exchange   | silence                    |
+      | peer's exchange   | a message that inflates without end |
+      | platform's read   | noise instead of HTTP      |
+      | platform's read   | noise for JSON             |
+      | platform's read   | another schema             |
+      | platform's read   | a body without end         |
+      | platform's read   | silence                    |
+      | platform's list   | another schema             |
+      | platform's watch  | another schema             |
+      | platform's watch  | a body without end         |
+      | platform's write  | another schema             |
+
+  Scenario: whatever an engine streams, the answer is a run of tokens and one last word
+    When an engine streams 150 random mixtures of chunks, noise and cuts
+    Then each stream was passed on as tokens in order and one last end or error
--- /dev/null
+++ b/features/hostile/raw-server.ts
@@ -0,0 +1,79 @@
+/**
+ * A server that speaks as badly as a scenario wants it to.
+ */
+import { createServer, type AddressInfo, type Socket } from 'node:net';
+
+/** How it answers each request. */
+export interface HostileAnswer {
+  /** Written as they are, one after the other. */
+  parts: readonly (string | Uint8Array)[];
+  /** After the parts: the connection is closed, kept open, or written to without end. */
+  then: 'close' | 'hang' | 'flood';
+}
+
+/** A server on a free port of loopback. */
+export interface HostileServer {
+  address: string;
+  /** Set it before the next request. */
+  answer: HostileAnswer;
+  /** Bytes written to all connections. */
+  sentBytes(): number;
+  stop(): void;
+}
+
+const FLOOD_PART = 'x'.repeat(65_536);
+
+/** Starts one; it hangs until it is given an answer. */
+export async function startHostileServer(): Promise<HostileServer> {
+  const sockets = new Set<Socket>();
+  let sent = 0;
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('close', () => sockets.delete(socket));
+    socket.on('data', () => {
+      answerOnce(socket);
+    });
+  });
+  const answerOnce = (socket: Socket): void => {
+    const { parts, then } = hostile.answer;
+    for (const part of parts) {
+      socket.write(part);
+      sent += part.length;
+    }
+    if (then === 'close') socket.end();
+    if (then === 'flood') flood(socket);
+  };
+  const flood = (socket: Socket): void => {
+    while (!socket.destroyed) {
+      sent += FLOOD_PART.length;
+      if (socket.write(FLOOD_PART)) continue;
+      socket.once('drain', () => {
+        flood(socket);
+      });
+      return;
+    }
+  };
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const hostile: HostileServer = {
+    address: `127.0.0.1:${port}`,
+    answer: { parts: [], then: 'hang' },
+    sentBytes: () => sent,
+    stop: () => {
+      server.close();
+      for (const socket of sockets) socket.destroy();
+    },
+  };
+  return hostile;
+}
+
+/** An answer of HTTP with a body that ends with the connection. */
+export function respond(
+  body: string | Uint8Array,
+  type = 'application/json',
+  status = 200,
+): HostileAnswer {
+  const head = `HTTP/1.1 ${status} Any\r\nContent-Type: ${type}\r\nConnection: close\r\n\r\n`;
+  return { parts: [head, body], then: 'close' };
+}
