Keep limits whole in an outage of the platform, and pass on what routing decided

Cause: a list of entries counted as current on any peer's word, so that two entries cut off together kept their divided part for ever while the others divided by fewer. The dispatcher was not told how many entries there are, and no send of a crowding workspace had a lower priority at its engine.

Change: the list is fresh by the platform, by a peer that reaches it, or when all listed entries are heard and none knows a newer one. A new entry asks for loans before its callers come.

Platform alone away for 120 s: sum above 0.95.

--- a/features/limits/limits.feature
+++ b/features/limits/limits.feature
@@ -18,6 +18,36 @@
       Then its limit share is the guaranteed part of one entry
       And the limit shares never add up to more than the whole limit
 
+    # The platform's store is down for minutes. Nothing else has failed, and a lorry at the gate is
+    # refused because every entry, for want of the platform's word, uses a quarter of its part.
+    Scenario: An outage of the platform alone leaves the limit shares whole
+      Given 9 entries that have split a limit
+      When the platform of the limited entries is away for 120 seconds
+      Then the limit shares added up to more than 0.95 of the limit all that time
+
+    # Two entries are cut off from the platform and from all others, but not from each other. The
+    # platform takes them off its list and the others divide by fewer, while the two take each
+    # other's word for a list that has long changed.
+    Scenario: Entries that hear only each other fall back to a smaller limit share
+      Given 9 entries that have split a limit
+      When 2 entries are parted from the others and the list drops them for 60 seconds
+      Then the limit shares never add up to more than the whole limit
+
+    # All entries lose the platform and go on by each other's word. A new one reaches the platform and
+    # none of them: nobody makes room for it, and it finds itself listed all the same.
+    Scenario: An entry that no other knows takes no part of the limit from the rest
+      Given 9 entries that have split a limit
+      When they lose the platform and a new entry reaches it but none of them for 60 seconds
+      Then the limit shares never add up to more than the whole limit
+
+    # All entries are replaced, one every ten seconds, while callers ask for half of their limit. The
+    # callers that the balancer gives to a new entry are refused, for it has hardly a share yet.
+    Scenario: Replacing all entries under load refuses hardly anyone for a limit
+      Given 9 entries that have split a limit
+      When each is replaced under a new name, one every 10 seconds, with half of the limit in demand
+      Then less than 0.01 of that demand was above the limit shares
+      And the limit shares never add up to more than the whole limit
+
     # An entry borrows a part of the limit, is paused for longer than the loan lasts, and serves its
     # first request after waking before any of its loops has run.
     Scenario: A paused entry that wakes does not use a limit share that was lent to it
--- a/features/limits/limits.steps.ts
+++ b/features/limits/limits.steps.ts
@@ -2,7 +2,7 @@
  * Steps for the split of fleet-wide limits and for admission, on manual time.
  */
 import assert from 'node:assert/strict';
-import { Given, Then, When } from '@cucumber/cucumber';
+import { Given, Then, When, type IWorld } from '@cucumber/cucumber';
 import fc from 'fast-check';
 import type { WorkspaceShare } from '../../src/board/index.js';
 import {
@@ -16,16 +16,21 @@
 import { createRandom, type Random } from '../../src/core/random/index.js';
 import { LIMITED, ShareFleet, TICK_MS, type Member } from './share-fleet.js';
 
-const OPTIONS = { mostEntries: 10, guaranteedFraction: 0.3, viewFreshMs: 5_000 };
+const OPTIONS = { mostEntries: 10, guaranteedFraction: 0.3, viewFreshMs: 10_000 };
 const CALM = { loss: 0, trouble: 0 };
 const ROUNDING = 1e-9;
 const SECOND = 1_000 / TICK_MS;
 const SEED = 20_261;
+/** After a change of demand, loans have moved in this time. */
+const LOAN_SECONDS = 10;
 
-interface LimitWorld {
+interface LimitWorld extends IWorld {
   fleet: ShareFleet;
   hot: Member;
   mostSum: number;
+  leastSum: number;
+  asked: number;
+  refused: number;
   limits: LimitState;
 }
 
@@ -47,7 +52,7 @@
     if (fleet.members.length < OPTIONS.mostEntries) fleet.start();
     return;
   }
-  switch (random.below(8)) {
+  switch (random.below(10)) {
     case 0:
       fleet.kill(member);
       return;
@@ -68,11 +73,23 @@
     case 5:
       member.cutFromPeers = !member.cutFromPeers;
       return;
+    case 6:
+      part(fleet, random);
+      return;
+    case 7:
+      fleet.isPlatformDown = !fleet.isPlatformDown;
+      return;
     default:
       member.demand = random.fraction() < 0.5 ? 0 : random.fraction();
   }
 }
 
+/** Ends a partition, or cuts some entries off from the platform and from the others. */
+function part(fleet: ShareFleet, random: Random): void {
+  const isParted = fleet.members.some((one) => one.isFar);
+  for (const member of fleet.members) member.isFar = !isParted && random.below(3) === 0;
+}
+
 function playHistory(seed: number): number {
   const random = createRandom(seed);
   const network = { loss: random.fraction() / 2, trouble: random.fraction() };
@@ -82,9 +99,9 @@
   const count = 2 + random.below(OPTIONS.mostEntries - 2);
   for (let started = 0; started < count; started += 1) fleet.start();
   let most = 0;
-  for (let tick = 0; tick < 120 * SECOND; tick += 1) {
+  for (let tick = 0; tick < 150 * SECOND; tick += 1) {
     // Calm at first, so that shares are divided and lent before trouble begins.
-    if (tick > 20 * SECOND && random.below(4) === 0) disturb(fleet, random);
+    if (tick > 25 * SECOND && random.below(4) === 0) disturb(fleet, random);
     fleet.tick();
     most = Math.max(most, fleet.sum(), fleet.sum('concurrentRequests'));
   }
@@ -168,6 +185,85 @@
   },
 );
 
+When(
+  'the platform of the limited entries is away for {int} seconds',
+  function (this: LimitWorld, seconds: number) {
+    this.fleet.isPlatformDown = true;
+    this.leastSum = 1;
+    for (let second = 0; second < seconds; second += 1) {
+      run(this, 1);
+      this.leastSum = Math.min(this.leastSum, this.fleet.sum());
+    }
+  },
+);
+
+Then(
+  'the limit shares added up to more than {float} of the limit all that time',
+  function (this: LimitWorld, part: number) {
+    assert.ok(this.leastSum > part, `shares added up to ${this.leastSum}`);
+  },
+);
+
+When(
+  '{int} entries are parted from the others and the list drops them for {int} seconds',
+  function (this: LimitWorld, count: number, seconds: number) {
+    for (const member of this.fleet.members.slice(0, count)) {
+      member.isFar = true;
+      this.fleet.delist(member.name);
+    }
+    run(this, seconds);
+  },
+);
+
+When(
+  'they lose the platform and a new entry reaches it but none of them for {int} seconds',
+  function (this: LimitWorld, seconds: number) {
+    for (const member of this.fleet.members) member.cutFromList = true;
+    this.fleet.start().cutFromPeers = true;
+    run(this, seconds);
+  },
+);
+
+When(
+  'each is replaced under a new name, one every {int} seconds, with half of the limit in demand',
+  function (this: LimitWorld, seconds: number) {
+    const demand = 0.5 / this.fleet.members.length;
+    this.asked = 0;
+    this.refused = 0;
+    for (const member of this.fleet.members) member.demand = demand;
+    run(this, LOAN_SECONDS);
+    for (const member of [...this.fleet.members]) {
+      this.fleet.kill(member);
+      this.fleet.delist(member.name);
+      const successor = this.fleet.start();
+      // It is given callers once it is ready, about a second after it is listed.
+      successor.demand = 0;
+      run(this, 1);
+      successor.demand = demand;
+      for (let tick = 0; tick < (seconds - 1) * SECOND; tick += 1) {
+        run(this, 1 / SECOND);
+        countRefused(this);
+      }
+    }
+    this.log(`${((100 * this.refused) / this.asked).toFixed(2)} % of the demand was refused`);
+  },
+);
+
+function countRefused(world: LimitWorld): void {
+  for (const member of world.fleet.members) {
+    const part = world.fleet.usable(member) / LIMITED.limits.requestsPerSecond;
+    world.asked += member.demand;
+    world.refused += Math.max(0, member.demand - part);
+  }
+}
+
+Then(
+  'less than {float} of that demand was above the limit shares',
+  function (this: LimitWorld, part: number) {
+    assert.ok(this.refused < part * this.asked, `${this.refused} of ${this.asked}`);
+  },
+);
+
 Then('the limit shares never add up to more than the whole limit', function (this: LimitWorld) {
   assert.ok(this.mostSum > 0.3, `nothing was shared out: ${this.mostSum}`);
   assert.ok(this.mostSum <= 1 + ROUNDING, `shares added up to ${this.mostSum}`);
--- a/features/limits/share-fleet.ts
+++ b/features/limits/share-fleet.ts
@@ -12,10 +12,11 @@
   splitShares,
   type LimitDigest,
   type LimitedWorkspace,
+  type ListNews,
   type ShareOptions,
   type ShareState,
 } from '../../src/controllers/limits/index.js';
-import type { WorkspaceShare } from '../../src/board/index.js';
+import type { WorkspaceDemand, WorkspaceShare } from '../../src/board/index.js';
 import type { Random } from '../../src/core/random/index.js';
 
 export const LIMITED: LimitedWorkspace = {
@@ -26,6 +27,10 @@
 const DIGEST_EVERY_MS = 500;
 const MOST_LIST_LAG_MS = 4_000;
 const MOST_DELAY_MS = 6_000;
+/** How old a peer's word that it reaches the platform may be. */
+const CONTACT_MS = 1_000;
+/** Chance that a list that a peer has is fetched before its next digest. */
+const PULL_CHANCE = 0.8;
 
 export interface Network {
   /** Chance that a digest is lost, and that one comes late or twice. */
@@ -44,8 +49,16 @@
   paused: boolean;
   cutFromList: boolean;
   cutFromPeers: boolean;
+  /** On the other side of a partition from the platform. */
+  isFar: boolean;
+  /** The newest version of the list that it has. */
+  revision: number;
+  platformAt: number;
+  heard: Map<string, HeardEntry>;
 }
 
+type HeardEntry = ListNews['peers'][number];
+
 interface Delivery {
   at: number;
   from: Member;
@@ -55,6 +68,7 @@
 
 export class ShareFleet {
   now = 0;
+  isPlatformDown = false;
   members: Member[] = [];
   private started = 0;
   private deliveries: Delivery[] = [];
@@ -83,6 +97,10 @@
       paused: false,
       cutFromList: false,
       cutFromPeers: false,
+      isFar: false,
+      revision: 0,
+      platformAt: Number.NEGATIVE_INFINITY,
+      heard: new Map(),
     };
     this.members.push(member);
     this.list([...this.listed().filter((one) => one !== name), name]);
@@ -113,38 +131,74 @@
   /** The sum of what all entries that run would admit now, as parts of the limit. */
   sum(of: 'requestsPerSecond' | 'concurrentRequests' = 'requestsPerSecond'): number {
     let sum = 0;
-    for (const member of this.members) {
-      if (!member.share) continue;
-      sum += shareAt(member.share, this.localNow(member))[of];
-    }
+    for (const member of this.members) sum += this.usable(member, of);
     return sum / LIMITED.limits[of];
   }
 
+  /** What one entry would admit now. */
+  usable(
+    member: Member,
+    of: 'requestsPerSecond' | 'concurrentRequests' = 'requestsPerSecond',
+  ): number {
+    return member.share ? shareAt(member.share, this.localNow(member))[of] : 0;
+  }
+
   private run(member: Member): void {
     const now = this.localNow(member);
-    if (!member.cutFromList) this.readList(member, now);
-    else observeEntries(member.state, this.knownList(member), Number.NEGATIVE_INFINITY, now);
-    const demand = {
-      workspace: LIMITED.name,
-      requestsPerSecond: member.demand * LIMITED.limits.requestsPerSecond,
-      tokensPerSecond: 0,
-      concurrentRequests: 0,
-    };
-    observeDemands(member.state, [LIMITED], [demand]);
+    if (this.reachesPlatform(member)) this.readList(member, now);
+    if (this.now % DIGEST_EVERY_MS === 0) this.hearPeers(member, now);
+    observeEntries(member.state, this.describeNews(member), now);
+    const others = this.members.filter((one) => one !== member && !one.cutFromPeers);
+    const heard = member.cutFromPeers ? [] : others.map((one) => [describeDemand(one)]);
+    observeDemands(member.state, [LIMITED], [describeDemand(member)], heard);
     if (this.now % DIGEST_EVERY_MS === 0) this.exchange(member, now);
     member.share = splitShares(member.state, [LIMITED], now).get(LIMITED.name);
   }
 
-  /** The list as it stood up to the longest lag ago; never older than what was read before. */
+  private reachesPlatform(member: Member): boolean {
+    return !this.isPlatformDown && !member.cutFromList && !member.isFar;
+  }
+
+  /** The list as it stood up to the longest lag ago; never older than what was known before. */
   private readList(member: Member, now: number): void {
     const asOf = this.now - this.random.below(MOST_LIST_LAG_MS);
-    const list = this.lists.findLast((one) => one.at <= asOf) ?? this.lists[0];
-    observeEntries(member.state, list?.names ?? [], now, now);
+    const revision = this.lists.findLastIndex((one) => one.at <= asOf);
+    if (revision < member.revision) return;
+    member.revision = revision;
+    member.platformAt = now;
   }
 
-  private knownList(member: Member): string[] {
-    const known = [...member.state.view.missingSince];
-    return known.filter(([, since]) => since === undefined).map(([name]) => name);
+  /** Digests of the others: whoever knows a newer list passes it on. */
+  private hearPeers(member: Member, now: number): void {
+    for (const other of this.members) {
+      if (other === member || !this.areLinked(member, other)) continue;
+      if (this.random.fraction() < this.network.loss) continue;
+      member.heard.set(other.name, {
+        name: other.name,
+        heardAt: now,
+        configurationRevision: other.revision,
+        platform: this.reachesPlatform(other) ? 'reached' : 'unreached',
+      });
+      if (this.random.fraction() < PULL_CHANCE) {
+        member.revision = Math.max(member.revision, other.revision);
+      }
+    }
+  }
+
+  private areLinked(one: Member, other: Member): boolean {
+    if (one.paused || other.paused || one.isFar !== other.isFar) return false;
+    return !one.cutFromPeers && !other.cutFromPeers;
+  }
+
+  private describeNews(member: Member): ListNews {
+    return {
+      self: member.name,
+      listed: this.lists[member.revision]?.names ?? [],
+      revision: member.revision,
+      platformAt: member.platformAt,
+      peers: [...member.heard.values()],
+      contactMs: CONTACT_MS,
+    };
   }
 
   private exchange(from: Member, now: number): void {
@@ -167,7 +221,7 @@
     const due = this.deliveries.filter((delivery) => delivery.at <= this.now);
     this.deliveries = this.deliveries.filter((delivery) => delivery.at > this.now);
     for (const { from, to, digest } of due) {
-      if (to.paused || to.cutFromPeers) continue;
+      if (to.paused || to.cutFromPeers || from.isFar !== to.isFar) continue;
       importLimitDigest(to.state, from.name, digest, this.localNow(to));
     }
   }
@@ -180,3 +234,12 @@
     return this.now * member.clockRate + member.clockOffset;
   }
 }
+
+function describeDemand({ demand }: Member): WorkspaceDemand {
+  return {
+    workspace: LIMITED.name,
+    requestsPerSecond: demand * LIMITED.limits.requestsPerSecond,
+    tokensPerSecond: 0,
+    concurrentRequests: 0,
+  };
+}
--- a/src/board/types.ts
+++ b/src/board/types.ts
@@ -78,6 +78,8 @@
   heardAt: Milliseconds;
   /** The configuration revision that it has in force. */
   configurationRevision: number;
+  /** Whether its own watch of the platform is answered; absent means not known. */
+  platform?: 'reached' | 'unreached' | 'unwatched';
   ready: boolean;
   stopping: boolean;
   /** Requests in flight at it, for each leaving instance or draining replica. */
--- a/src/controllers/limits/entry-view.ts
+++ b/src/controllers/limits/entry-view.ts
@@ -13,31 +13,27 @@
  */
 import type { Milliseconds } from '../../core/clock/index.js';
 import { LIST_LAG_MS, LOAN_GUARD_MS, LOAN_MS, VIEW_GUARD_MS } from './constants.js';
+import { confirmList, isListKnown, type ListNews } from './list-news.js';
 import type { ShareOptions, ShareState } from './share-state.js';
 
 /**
- * Takes in the platform's list of entries, live and leaving.
+ * Takes in the platform's list of entries, live and leaving, and what is known of its age.
  *
- * @example observeEntries(state, ['entry-1', 'entry-2'], confirmedAt, clock.now());
+ * @example observeEntries(state, news, clock.now());
  */
-export function observeEntries(
-  state: ShareState,
-  listed: readonly string[],
-  confirmedAt: Milliseconds,
-  now: Milliseconds,
-): void {
+export function observeEntries(state: ShareState, news: ListNews, now: Milliseconds): void {
   lapseView(state, now);
   const { view } = state;
-  view.confirmedAt = Math.max(view.confirmedAt, confirmedAt);
-  const names = new Set(listed);
+  view.confirmedAt = Math.max(view.confirmedAt, confirmList(news));
+  const names = new Set(news.listed);
   for (const name of names) view.missingSince.set(name, undefined);
   for (const [name, since] of view.missingSince) {
     if (names.has(name)) continue;
     if (since === undefined) view.missingSince.set(name, now);
     else if (now - since > settleMs(state.options)) view.missingSince.delete(name);
   }
-  if (names.has(state.name) && isFresh(state, now)) view.listedSince ??= now;
-  else delete view.listedSince;
+  if (!names.has(state.name) || !isFresh(state, now)) delete view.listedSince;
+  else if (view.listedSince === undefined && isListKnown(news)) view.listedSince = now;
 }
 
 /** The part of the divided limit that this entry may use now. */
--- a/src/controllers/limits/limit-digest.ts
+++ b/src/controllers/limits/limit-digest.ts
@@ -3,6 +3,7 @@
  */
 import type { Milliseconds } from '../../core/clock/index.js';
 import { DEMAND_HEADROOM, LEAST_LOAN, MAX_NEEDS } from './constants.js';
+import { dividedFraction } from './entry-view.js';
 import { acceptGrant, decideLoans, dropEndedLoans, ownFraction } from './loans.js';
 import type { ShareState } from './share-state.js';
 import type { LimitDigest, ShareNeed } from './types.js';
@@ -54,10 +55,24 @@
 function listNeeds(state: ShareState, now: Milliseconds): ShareNeed[] {
   const own = ownFraction(state, now);
   const needs: ShareNeed[] = [];
-  for (const [workspace, wanted] of state.wanted) {
+  for (const [workspace, wanted] of listWanted(state, now)) {
     const missing = Math.min(1, wanted * DEMAND_HEADROOM) - own;
     if (missing < LEAST_LOAN) continue;
     needs.push({ workspace, missing: Math.ceil(missing * FRACTION_SCALE) / FRACTION_SCALE });
   }
   return needs.sort((one, other) => other.missing - one.missing).slice(0, MAX_NEEDS);
 }
+
+/**
+ * What this entry's callers ask for. An entry without its part of the divided limit asks for what
+ * the others are asked for, before its own callers come: otherwise it would refuse them, far below
+ * their limits, until its first loans arrive.
+ */
+function listWanted(state: ShareState, now: Milliseconds): ReadonlyMap<string, number> {
+  if (dividedFraction(state, now) > 0) return state.wanted;
+  const wanted = new Map(state.expected);
+  for (const [workspace, own] of state.wanted) {
+    wanted.set(workspace, Math.max(own, wanted.get(workspace) ?? 0));
+  }
+  return wanted;
+}
--- a/src/controllers/limits/share-state.ts
+++ b/src/controllers/limits/share-state.ts
@@ -57,6 +57,8 @@
   view: EntryView;
   /** What this entry's callers ask of each workspace's limits. */
   wanted: Map<string, number>;
+  /** What one of the other entries is asked for in the mean: what a new entry will be asked for. */
+  expected: Map<string, number>;
   /** Loans not yet ended, by workspace and borrower. */
   lent: Map<string, Map<string, LentShare[]>>;
   /** By lender. */
@@ -84,6 +86,7 @@
     startedAt: now,
     view: { missingSince: new Map(), confirmedAt: Number.NEGATIVE_INFINITY },
     wanted: new Map(),
+    expected: new Map(),
     lent: new Map(),
     borrowed: new Map(),
     peers: new Map(),
--- a/src/controllers/limits/shares.ts
+++ b/src/controllers/limits/shares.ts
@@ -20,23 +20,41 @@
 }
 
 /**
- * Takes in what this entry's callers ask of the limits, refused requests included.
+ * Takes in what this entry's callers ask of the limits, refused requests included, and what those
+ * of each other entry ask.
  *
- * @example observeDemands(state, workspaces, board.attempts.read().demands);
+ * @example observeDemands(state, workspaces, board.attempts.read().demands, peersDemands);
  */
 export function observeDemands(
   state: ShareState,
   workspaces: readonly LimitedWorkspace[],
   demands: readonly WorkspaceDemand[],
+  peersDemands: readonly (readonly WorkspaceDemand[])[] = [],
 ): void {
   state.wanted.clear();
+  state.expected.clear();
   const asked = new Map(demands.map((demand) => [demand.workspace, demand]));
   for (const { name, limits } of workspaces) {
     const demand = asked.get(name);
     if (demand) state.wanted.set(name, demandedFraction(demand, limits));
+    const expected = meanDemand(name, limits, peersDemands);
+    if (expected > 0) state.expected.set(name, expected);
   }
 }
 
+function meanDemand(
+  workspace: string,
+  limits: Workspace['limits'],
+  peersDemands: readonly (readonly WorkspaceDemand[])[],
+): number {
+  let sum = 0;
+  for (const demands of peersDemands) {
+    const demand = demands.find((one) => one.workspace === workspace);
+    if (demand) sum += demandedFraction(demand, limits);
+  }
+  return sum / Math.max(1, peersDemands.length);
+}
+
 /**
  * This entry's share of each workspace's limits, by workspace name.
  *
--- a/src/controllers/membership/peers.ts
+++ b/src/controllers/membership/peers.ts
@@ -44,6 +44,7 @@
     failureDomain: content.failureDomain,
     heardAt,
     configurationRevision: content.revision,
+    platform: content.platform,
     ready: content.ready,
     stopping: content.stopping,
     draining: content.draining,
--- a/src/core/settings/entry-settings.ts
+++ b/src/core/settings/entry-settings.ts
@@ -110,11 +110,18 @@
         .default(0.3)
         .describe('Part of each limit that entries may use without any news of the others.'),
       viewFreshMs: milliseconds
-        .default(30_000)
+        .default(10_000)
         .describe('An entry whose list of entries is older uses its guaranteed part alone.'),
       splitEveryMs: milliseconds.default(250).describe('How often the limits are split anew.'),
     })
     .prefault({}),
+  calls: z
+    .strictObject({
+      unheardClaimMs: milliseconds
+        .default(60_000)
+        .describe('After this, an unheard entry is given up: its open calls become unknown.'),
+    })
+    .prefault({}),
   stopping: z
     .strictObject({
       balancerMs: milliseconds
--- a/src/entry/configuration/platform-watch.ts
+++ b/src/entry/configuration/platform-watch.ts
@@ -3,6 +3,7 @@
  */
 import { createWatchLoop, type ObjectList, type WatchLoop } from '../../adapters/platform/index.js';
 import { KEPT_KINDS } from '../../controllers/configuration/index.js';
+import { listWatchMs } from '../../controllers/limits/index.js';
 import type { EntryContext } from '../types.js';
 
 /** A watch that can be started again after its end. */
@@ -28,7 +29,7 @@
     const started = createWatchLoop({
       platform,
       kinds: KEPT_KINDS,
-      waitMs: settings.platform.watchMs,
+      waitMs: listWatchMs(settings.limits.viewFreshMs, settings.platform.watchMs),
       since: revision(),
       random,
       logger,
--- a/src/entry/limits/create-limits.ts
+++ b/src/entry/limits/create-limits.ts
@@ -6,11 +6,15 @@
   exportLimitDigest,
   importLimitDigest,
   limitDigestSchema,
+  listWatchMs,
   observeDemands,
   observeEntries,
   splitShares,
   type LimitedWorkspace,
+  type ListNews,
 } from '../../controllers/limits/index.js';
+import type { WorkspaceDemand } from '../../board/index.js';
+import type { Milliseconds } from '../../core/clock/index.js';
 import type { EntryContext, Part } from '../types.js';
 
 /** The limits part, and what the exchange of digests needs of it. */
@@ -24,9 +28,11 @@
 /**
  * The limits part of an entry.
  *
- * @example const limits = createLimits(context); limits.start();
+ * `platformAt` says when this entry itself last reached the platform.
+ *
+ * @example const limits = createLimits(context, () => configuration.platformAt()); limits.start();
  */
-export function createLimits(context: EntryContext): Limits {
+export function createLimits(context: EntryContext, platformAt: () => Milliseconds): Limits {
   const { board, clock, identity, settings, writers } = context;
   const { splitEveryMs, ...options } = settings.limits;
   const state = createShareState(identity.name, identity.incarnation, options, clock.now());
@@ -36,8 +42,8 @@
   const split = (): void => {
     const now = clock.now();
     const workspaces = listWorkspaces(context);
-    observeEntries(state, listEntries(context), board.configuration.read().confirmedAt, now);
-    observeDemands(state, workspaces, board.attempts.read().demands);
+    observeEntries(state, listNews(context, platformAt()), now);
+    observeDemands(state, workspaces, board.attempts.read().demands, listPeerDemands(context));
     writers.limits.write(splitShares(state, workspaces, now));
   };
   return {
@@ -69,9 +75,21 @@
   return [...workspaces].map(([name, { value }]) => ({ name, limits: value.limits }));
 }
 
-function listEntries({ board }: EntryContext): string[] {
-  const { instances } = board.fleet.read();
-  return [...instances].filter(([, { role }]) => role === 'entry').map(([name]) => name);
+function listNews({ board, identity, settings }: EntryContext, platformAt: Milliseconds): ListNews {
+  const { instances, revision } = board.fleet.read();
+  const { watchMs, timeoutMs } = settings.platform;
+  return {
+    self: identity.name,
+    listed: [...instances].filter(([, { role }]) => role === 'entry').map(([name]) => name),
+    revision,
+    platformAt,
+    peers: [...board.peers.read().values()],
+    contactMs: listWatchMs(settings.limits.viewFreshMs, watchMs) + timeoutMs,
+  };
+}
+
+function listPeerDemands({ board }: EntryContext): (readonly WorkspaceDemand[])[] {
+  return [...board.peers.read().values()].map(({ demands }) => demands);
 }
 
 function parseJson(text: string): unknown {
--- a/src/entry/requests/completion-run.ts
+++ b/src/entry/requests/completion-run.ts
@@ -16,6 +16,8 @@
 export interface Sending {
   attempt: string;
   candidate: Candidate;
+  /** Its workspace crowds out others at this entry. */
+  isCrowding: boolean;
   abort: AbortController;
 }
 
--- a/src/entry/requests/completion-sending.ts
+++ b/src/entry/requests/completion-sending.ts
@@ -7,7 +7,7 @@
   EngineRequest,
 } from '../../adapters/engines/index.js';
 import type { AttemptEnd } from '../../controllers/retries/index.js';
-import type { Candidate, SentOutcome } from '../../controllers/routing/index.js';
+import { enginePriority, type SentOutcome } from '../../controllers/routing/index.js';
 import { createFailure } from '../../core/errors/index.js';
 import type { CompletionRun, Sending } from './completion-run.js';
 
@@ -15,10 +15,10 @@
 export async function sendAttempt(
   run: CompletionRun,
   attempt: string,
-  candidate: Candidate,
+  { candidate, isCrowding }: Pick<Sending, 'candidate' | 'isCrowding'>,
 ): Promise<void> {
-  const { dispatcher, inFlight, retries, context } = run.parts;
-  const sending: Sending = { attempt, candidate, abort: new AbortController() };
+  const { dispatcher, inFlight, losses, retries, context } = run.parts;
+  const sending: Sending = { attempt, candidate, isCrowding, abort: new AbortController() };
   const targets = [candidate.replica, ...candidate.members];
   run.sending = sending;
   if (run.offers === 1) run.timings.queue(context.clock.now() - run.arrivedAt);
@@ -26,6 +26,10 @@
   inFlight.recordSent(candidate.replica, run.promptTokens, run.request.maxTokens);
   inFlight.begin(targets);
   run.apply({ kind: 'sent', attempt });
+  const endWatch = losses.watch(candidate, (reason) => {
+    // The attempt ends here and now: what its stream still brings is dropped.
+    run.apply({ kind: 'ended', attempt, end: { kind: 'lost', reason } });
+  });
   const outcome = await follow(run, sending).catch((error: unknown) => {
     // Nothing below is expected to throw. Without an end of the attempt its request would hang and
     // its replica would never count as drained.
@@ -33,11 +37,13 @@
     context.logger.log('unexpectedError', { reason });
     return endAttempt(run, sending, { kind: 'lost', reason });
   });
+  endWatch();
   inFlight.end(targets);
   dispatcher.reportEnd(attempt, outcome);
 }
 
-function describeRequest(run: CompletionRun, { attempt, candidate }: Sending): EngineRequest {
+function describeRequest(run: CompletionRun, sending: Sending): EngineRequest {
+  const { attempt, candidate, isCrowding } = sending;
   const { request, parts, state, seed } = run;
   const { policy } = parts.context.board.configuration.read();
   return {
@@ -47,7 +53,7 @@
     fence: candidate.fence,
     messages: [...request.messages],
     maxTokens: request.maxTokens,
-    priority: policy.classes[request.caller.class].priority,
+    priority: enginePriority(policy.classes[request.caller.class].priority, isCrowding),
     seed,
     resumeFrom: state.delivered,
   };
--- a/src/entry/requests/completions.ts
+++ b/src/entry/requests/completions.ts
@@ -197,7 +197,7 @@
     },
     (grant) => {
       if (grant.kind === 'refused') run.apply(grant);
-      else void sendAttempt(run, ticket, grant.candidate);
+      else void sendAttempt(run, ticket, grant);
     },
   );
 }
--- a/src/entry/requests/dispatcher.ts
+++ b/src/entry/requests/dispatcher.ts
@@ -21,7 +21,9 @@
 import type { EntryContext, Part } from '../types.js';
 
 /** What became of a request that waited. */
-export type Grant = { kind: 'send'; candidate: Candidate } | { kind: 'refused'; failure: Failure };
+export type Grant =
+  | { kind: 'send'; candidate: Candidate; isCrowding: boolean }
+  | { kind: 'refused'; failure: Failure };
 
 export interface Dispatcher extends Part {
   /** Shared with the choice of service instances. */
@@ -51,6 +53,9 @@
       return listPeersSent(board.peers.read());
     },
     peersPeriodMs: settings.membership.digestEveryMs,
+    get entries() {
+      return board.peers.read().size + 1;
+    },
   };
 
   function run(): void {
@@ -67,7 +72,7 @@
     const grant = grants.get(action.ticket);
     grants.delete(action.ticket);
     if (action.kind === 'refuse') grant?.({ kind: 'refused', failure: action.failure });
-    else grant?.({ kind: 'send', candidate: action.candidate });
+    else grant?.(action);
   }
 
   /** Many events of one turn of the event loop cause one decision. */
