--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -127,7 +127,7 @@
   const peers = createPeerClient({ timeoutMs: PEER_TIMEOUT_MS, onSent: countSent });
   const configuration = createConfiguration(context, peers);
   const health = createHealthPart(context);
-  const limits = createLimits(context);
+  const limits = createLimits(context, () => configuration.platformAt());
   const membership = createMembership(context, configuration, peers, {
     extensions: [
       health.extension,
