--- a/bench/capacity/fleet.ts
+++ b/bench/capacity/fleet.ts
@@ -17,6 +17,8 @@
   /** Spread over the failure domains, which are as many. */
   fabricDomains: number;
   failureDomains: number;
+  /** Lines of the settings' `health` table that are not the defaults. */
+  health?: string;
 }
 
 export interface BenchFleet {
@@ -55,7 +57,10 @@
   for (let index = 0; index < size.entries; index += 1) {
     const failureDomain = `site-${index % size.failureDomains}`;
     const file = join(folder, `entry-${index}.toml`);
-    await writeFile(file, renderSettings(index, failureDomain, platform.address, seeds));
+    await writeFile(
+      file,
+      renderSettings(index, failureDomain, platform.address, seeds, size.health),
+    );
     const entry = await startMeasured([PROGRAM, 'entry', '--settings', file], true);
     entries.push(entry);
     const { callers, peers } = entry.announced.listening as Record<string, string>;
@@ -107,12 +112,13 @@
   return replicas.filter(({ phase }) => phase === 'whole').length;
 }
 
-/** All spans are the defaults: they are what is measured. */
+/** All spans but those of `health` are the defaults: they are what is measured. */
 function renderSettings(
   index: number,
   failureDomain: string,
   platform: string,
   seeds: readonly string[],
+  health = '',
 ): string {
   return `
 name = "entry-${index}"
@@ -124,5 +130,7 @@
 peers = "${ANY}"
 [platform]
 address = "${platform}"
+[health]
+${health}
 `;
 }
--- a/src/adapters/platform/watch-loop.ts
+++ b/src/adapters/platform/watch-loop.ts
@@ -18,7 +18,7 @@
   /** How long one watch waits for a change. */
   waitMs: Milliseconds;
   /** Pause after each change, so that many changes a second don't make as many calls. */
-  pauseMs?: Milliseconds;
+  pauseMs?: Milliseconds | (() => Milliseconds);
   random: Random;
   logger: Logger;
   /** Everything up to this revision is known already; 0 by default, which brings all objects. */
@@ -87,7 +87,7 @@
     waitMs = options.waitMs;
     options.onList(answer.value);
     if (answer.value.objects.length > 0) {
-      await pause(options.pauseMs ?? DEFAULT_PAUSE_MS, signal);
+      await pause(findPause(options.pauseMs), signal);
     }
   }
 }
@@ -103,6 +103,10 @@
   return err(createFailure('platformUnavailable', { reason }));
 }
 
+function findPause(pauseMs: WatchLoopOptions['pauseMs']): Milliseconds {
+  return typeof pauseMs === 'function' ? pauseMs() : (pauseMs ?? DEFAULT_PAUSE_MS);
+}
+
 function backOff(failure: PlatformFailure, failures: number, random: Random): Milliseconds {
   return (failure.retryAfterMs ?? 0) + nextBackoff(failures, BACKOFF, random);
 }
--- a/src/controllers/membership/watchers.ts
+++ b/src/controllers/membership/watchers.ts
@@ -1,6 +1,7 @@
 /**
  * Which entries watch the platform. The rest learn from them.
  */
+import type { Fleet } from '../../board/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { PeerRecord } from './gossip.js';
 import { rankByRendezvous } from './rendezvous.js';
@@ -8,6 +9,11 @@
 /** Entries of each failure domain that watch the platform. */
 export const WATCHERS_PER_DOMAIN = 2;
 
+/** Watch calls a second that changes may cause at the platform, by all entries together. */
+const WATCH_CALLS_PER_SECOND = 800;
+const LEAST_PAUSE_MS = 100;
+const SECOND = 1_000;
+
 /** An entry and the failure domain it runs in. */
 export interface EntryPlace {
   name: string;
@@ -24,6 +30,23 @@
   return rankByRendezvous(names, `watchers/${failureDomain}`).slice(0, perDomain);
 }
 
+/** Entries in the platform's list. */
+export function countEntries(fleet: Fleet): number {
+  return [...fleet.instances.values()].filter(({ role }) => role === 'entry').length;
+}
+
+/**
+ * How long an entry waits after a change before it watches on, when all of them watch.
+ *
+ * The failure guarded against: each of many entries makes as many calls as there are changes a
+ * second, and the platform refuses the calls of all. With the pause, changes are gathered.
+ *
+ * @example const pauseMs = findWatchPause(peers.size + 1);
+ */
+export function findWatchPause(entries: number): Milliseconds {
+  return Math.max(LEAST_PAUSE_MS, (entries / WATCH_CALLS_PER_SECOND) * SECOND);
+}
+
 /** What the decision to watch rests on. */
 export interface WatchQuestion {
   self: EntryPlace;
--- a/src/entry/replicas/replicas-part.ts
+++ b/src/entry/replicas/replicas-part.ts
@@ -2,6 +2,7 @@
  * Plans the fabric domains that this entry owns and gives the engines their orders.
  */
 import { createWatchLoop } from '../../adapters/platform/index.js';
+import { countEntries, findWatchPause } from '../../controllers/membership/index.js';
 import {
   beginWrite,
   concludeRead,
@@ -94,6 +95,7 @@
     platform,
     kinds: ['domain-plan'],
     waitMs: settings.platform.watchMs,
+    pauseMs: () => findWatchPause(countEntries(board.fleet.read())),
     random,
     logger,
     onList: ({ objects }) => {
