Keep the replicas of equally important models where they are

Cause: demand was split over the models one after the other, equals by name. Adding a model whose name came first to a full domain took every whole replica of an equally important model apart; its callers got no answer for the 30 s that the scenario waited. Ruled out: a wrong count of supply; six instances were seen, and both models' wishes were right. Change: models of one importance first keep what they have, then the rest is placed by name. A more important model still takes what it needs.

--- a/src/controllers/replicas/demand.ts
+++ b/src/controllers/replicas/demand.ts
@@ -40,7 +40,9 @@
 
 /**
  * Splits the wanted numbers over the domains. Replicas that exist are kept where they are, whole
- * ones first; the rest goes where most instances are left. Models are served by importance.
+ * ones first; the rest goes where most instances are left. Models are served by importance. None
+ * takes the replicas of one that is as important: that would cost forming them anew and leave as
+ * many callers unserved as before, only others.
  *
  * @example splitDemand(models, supplies).find(({ domain }) => domain === 'fabric-1')?.wanted
  */
@@ -50,15 +52,14 @@
 ): DomainShare[] {
   const domains = supplies.map(openDomain).sort((a, b) => compareText(a.name, b.name));
   const ordered = sortModels(models);
-  for (const { name, model } of ordered) {
-    const missing = keepExisting(domains, name, model, ordered);
-    keepClaims(
-      domains,
-      name,
-      model,
-      ordered,
-      placeReplicas(domains, name, model, ordered, missing),
-    );
+  for (const equals of groupByImportance(ordered)) {
+    const kept = equals.map(({ name, model }) => {
+      return { name, model, missing: keepExisting(domains, name, model, ordered) };
+    });
+    for (const { name, model, missing } of kept) {
+      const unplaced = placeReplicas(domains, name, model, ordered, missing);
+      keepClaims(domains, name, model, ordered, unplaced);
+    }
   }
   return domains.map(({ name, wanted }) => ({ domain: name, wanted }));
 }
@@ -76,6 +77,17 @@
     .sort((a, b) => b.model.importance - a.model.importance || compareText(a.name, b.name));
 }
 
+/** Models of the same importance together, in the order given. */
+function groupByImportance(ordered: readonly NamedModel[]): NamedModel[][] {
+  const groups: NamedModel[][] = [];
+  for (const one of ordered) {
+    const last = groups.at(-1);
+    if (last?.[0]?.model.importance === one.model.importance) last.push(one);
+    else groups.push([one]);
+  }
+  return groups;
+}
+
 /** Plain order of code units, the same on every machine whatever its locale. */
 export function compareText(a: string, b: string): number {
   if (a === b) return 0;
