Judge whole replicas by every scenario of the list

Cause: the deployment of the scenarios meant to declare engines that check numbers and gave an empty selector, which means none; so the orders that restore a replica in an outage were never sent and the dark domain stayed dark for the 30 s that the scenario waited. Change: engines carry a label and the policy selects by it. The lease of the dark domain's owner has to lapse before the domain is back, else its orders are allowed for any engine.

--- a/features/promises/deployment.ts
+++ b/features/promises/deployment.ts
@@ -21,6 +21,7 @@
 } from './backends.js';
 import { API_KEY, WORKSPACE } from './callers.js';
 import { getJson } from './http.js';
+import { openPeerLink, type PeerLink } from './peer-link.js';
 
 export const MODEL = 'pass-assistant';
 export const SERVICE = 'slots';
@@ -51,6 +52,8 @@
   entryTables: string;
   /** Limits of the callers' workspace, where they differ from the defaults. */
   limits: Partial<Workspace['limits']>;
+  /** Entries reach each other through proxies. */
+  withPeerLinks: boolean;
 }
 
 export const SMALL_PLAN: DeploymentPlan = {
@@ -64,6 +67,7 @@
   platformOptions: [],
   entryTables: '',
   limits: {},
+  withPeerLinks: false,
 };
 
 /** One entry as a process. */
@@ -76,6 +80,8 @@
   peers: string;
   /** Between this entry and the platform. */
   platformLink: Proxy;
+  /** Between the other entries and this one, when the plan has such links. */
+  peerLink?: Proxy;
   isReady(): Promise<boolean>;
 }
 
@@ -146,7 +152,10 @@
       }
     },
     stop: async () => {
-      const links = [...entries.values()].map(({ platformLink }) => platformLink.stop());
+      const links = [...entries.values()].flatMap(({ platformLink, peerLink }) => [
+        platformLink.stop(),
+        peerLink?.stop(),
+      ]);
       const killed = [...entries.values()].map(({ process }) => process.kill());
       const stopped = [...engines.values(), ...services.values()].map((one) => one.stop());
       await Promise.all([...links, ...killed, ...stopped, platform.process.kill()]);
@@ -173,8 +182,7 @@
       { method: 'POST', pathPrefix: '/check-ins', handling: 'once' },
     ],
   });
-  const fencingChecked =
-    plan.fencing === 'checked' ? [] : [{ key: 'fencing', operator: 'exists' as const }];
+  const fencingChecked = [{ key: 'fencing', operator: 'in', values: ['checked'] }];
   await platform.put('policy', 'default', { fencingChecked });
 }
 
@@ -198,6 +206,7 @@
     address: deployment.engine(name).address,
     failureDomain: 'site-1',
     fabricDomain: domain,
+    labels: { fencing: deployment.plan.fencing },
     state,
   });
 }
@@ -238,11 +247,12 @@
   const name = `entry-${entries.size}`;
   const created = await createProxy({ listen: '127.0.0.1:0', target: platform.address });
   const platformLink = created._unsafeUnwrap();
+  const peerLink = deployment.plan.withPeerLinks ? await openPeerLink() : undefined;
   const seeds = [...entries.values()].map(({ peers }) => peers);
   const file = join(folder, `${name}.toml`);
   await writeFile(
     file,
-    renderSettings(name, platformLink.address, seeds) + deployment.plan.entryTables,
+    renderSettings(name, platformLink.address, seeds, peerLink) + deployment.plan.entryTables,
   );
   const process = await startProcess(['entry', '--settings', file]);
   const { callers, operators, peers } = process.announced.listening as Record<string, string>;
@@ -253,6 +263,7 @@
     operators: operators ?? '',
     peers: pick(peers, 'address for peers'),
     platformLink,
+    ...(peerLink && { peerLink: peerLink.proxy }),
     isReady: async () => (await getJson(entry.callers, '/readyz')).status === 200,
   };
   entries.set(name, entry);
@@ -265,7 +276,13 @@
   return entry;
 }
 
-function renderSettings(name: string, platform: string, seeds: readonly string[]): string {
+function renderSettings(
+  name: string,
+  platform: string,
+  seeds: readonly string[],
+  peerLink: PeerLink | undefined,
+): string {
+  const advertised = peerLink && `advertisedPeers = "${peerLink.proxy.address}"`;
   return `
 name = "${name}"
 failureDomain = "site-1"
@@ -273,7 +290,8 @@
 [listen]
 callers = "127.0.0.1:0"
 operators = "127.0.0.1:0"
-peers = "127.0.0.1:0"
+peers = "${peerLink?.listen ?? '127.0.0.1:0'}"
+${advertised ?? ''}
 [platform]
 address = "${platform}"
 timeoutMs = ${PLATFORM_TIMEOUT_MS}
--- a/features/promises/replicas-whole.feature
+++ b/features/promises/replicas-whole.feature
@@ -107,7 +107,7 @@
   Scenario Outline: A whole fabric domain goes dark and comes back while the platform is down
     Given 2 entries that stream from 2 domains of 3 engines, whose fencing is "<fencing>"
     When all engines of a domain go dark
-    And the platform goes down
+    And the platform goes down until the lease of the domain's owner has lapsed
     And the domain is back
     Then its replica serves again under the same number <when> the platform is back
     And every stream came whole or ended in one explicit error
--- a/features/promises/replicas-whole.steps.ts
+++ b/features/promises/replicas-whole.steps.ts
@@ -15,6 +15,8 @@
 } from './replica-world.js';
 
 const SECOND_MODEL = 'helpline';
+/** Longer than a lease of the deployment; no process tells of a lease that lapses. */
+const LAPSED_MS = 3_000;
 
 Given(
   '{int} entries that stream from {int} replicas of {int} with {int} engine(s) to spare',
@@ -152,9 +154,13 @@
   });
 });
 
-When('the platform goes down', async function (this: WholeWorld) {
-  await this.deployment.platform.control({ outage: 'refuse' });
-});
+When(
+  "the platform goes down until the lease of the domain's owner has lapsed",
+  async function (this: WholeWorld) {
+    await this.deployment.platform.control({ outage: 'refuse' });
+    await sleep(LAPSED_MS);
+  },
+);
 
 When('the domain is back', async function (this: WholeWorld) {
   this.mendedAt = Date.now();
