Tell a flooding workspace by its part of what arrives, and leave others more room

Cause: a flood was told by asking for most of all while the entry was short of batch places. Of all places 0.2 were left free, too few for prompts, which are prefilled one by one.

Change: a workspace crowds out others when it has more than 0.45 of all, and one and a half fair parts, of what is in flight and waits or of late arrivals, and uses more than its fair part. An entry is busy, too, when two prompts for each replica of its part are unanswered. 0.45 of the places stay free.

--- a/src/controllers/routing/constants.ts
+++ b/src/controllers/routing/constants.ts
@@ -29,9 +29,15 @@
 /** The same for a workspace that crowds out others, which leaves the engines some headroom. */
 export const CROWDED_PREFILL_BACKLOG_MS = 50;
 /** Fraction of a batch that such a workspace leaves free. */
-export const HEADROOM_FRACTION = 0.2;
+export const HEADROOM_FRACTION = 0.45;
 /** Requests of it that may wait for their first token, for each replica of this entry's part. */
 export const CROWD_UNANSWERED = 0.5;
+/** Part of all that is asked for, by weight, above which a workspace may count as crowding. */
+export const CROWD_PART = 0.45;
+/** The same in parts that would be fair, so that two equal workspaces do not hold each other up. */
+export const CROWD_FAIR_PARTS = 1.5;
+/** An arrival counts half as much towards a workspace's part after this span. */
+export const ARRIVALS_HALF_LIFE_MS = 300;
 /** Waiting requests from which on a workspace may count as crowding. */
 export const CROWD_LENGTH = 8;
 /** Replicas that all entries look at first for one prefix. */
@@ -75,3 +81,5 @@
 export const SLOW_FROM = 1.75;
 /** Part of its places in use from which on an entry counts as busy. */
 export const BUSY_FRACTION = 0.8;
+/** Requests without a first token, for each replica of its part, from which on it is busy too. */
+export const BUSY_UNANSWERED = 2;
--- a/src/controllers/routing/dispatch.ts
+++ b/src/controllers/routing/dispatch.ts
@@ -9,18 +9,13 @@
 import { believeSent } from './beliefs.js';
 import { chooseReplica, indexCandidates, indexPeers } from './choosing.js';
 import {
-  ACTIVE_MS,
-  BUSY_FRACTION,
-  CROWD_LENGTH,
-  CROWD_UNANSWERED,
-  DEFAULT_BATCH_SIZE,
-  HEADROOM_FRACTION,
   LEAST_RETRY_MS,
   MOST_RETRY_MS,
   NO_CAPACITY_GRACE_MS,
   NO_CAPACITY_RETRY_MS,
   RECHECK_MS,
 } from './constants.js';
+import { crowdsOut, isAtCrowdLimit } from './crowding.js';
 import type { Estimate } from './estimates.js';
 import { chargeLane, orderClasses, orderLanes, removeRequest } from './queues.js';
 import type { CandidateIndex, DispatchState, ModelQueue, SentRequest } from './state.js';
@@ -105,13 +100,16 @@
  * request found none, others that may use no more of the engines are not tried in this turn.
  */
 function sendNext(round: Round, queue: ModelQueue, index: CandidateIndex): boolean {
+  const { state, view, now } = round;
   let isCrowded = false;
   for (const classQueue of orderClasses(queue)) {
     for (const lane of orderLanes(classQueue)) {
       const request = lane.requests[0];
       if (!request) continue;
-      const leavesHeadroom = crowdsOut(round, index, request.workspace);
-      if (leavesHeadroom && (isCrowded || isAtCrowdLimit(round, index, request))) continue;
+      const { workspace } = request;
+      const leavesHeadroom = crowdsOut(state, index, workspace, view, now);
+      const isAtLimit = leavesHeadroom && isAtCrowdLimit(state, index, workspace, view);
+      if (isAtLimit || (leavesHeadroom && isCrowded)) continue;
       if (trySend(round, queue, index, request, leavesHeadroom)) return true;
       if (request.excluded.length > 0) continue;
       if (!leavesHeadroom) return false;
@@ -223,51 +221,6 @@
   });
 }
 
-/**
- * Whether a workspace has a queue here and asks for more, for its weight, than any other active one,
- * waiting and in flight together. Guards against a flood that takes every place in every batch: the
- * others would wait for one of its requests to end, however short their own queue.
- */
-function crowdsOut(round: Round, index: CandidateIndex, workspace: string): boolean {
-  const { state, now } = round;
-  const isBusy = state.sent.size >= placesOf(round, index) * BUSY_FRACTION;
-  if (!isBusy && (state.waitingOf.get(workspace) ?? 0) < CROWD_LENGTH) return false;
-  const own = askedByWeight(state, workspace);
-  let hasOthers = false;
-  for (const [name, track] of state.workspaces) {
-    if (name === workspace || now - track.activeAt > ACTIVE_MS) continue;
-    hasOthers = true;
-    if (askedByWeight(state, name) > own) return false;
-  }
-  return hasOthers;
-}
-
-function askedByWeight(state: DispatchState, workspace: string): number {
-  const track = state.workspaces.get(workspace);
-  if (!track) return 0;
-  return (track.inFlight + (state.waitingOf.get(workspace) ?? 0)) / track.weight;
-}
-
-/**
- * Whether a crowding workspace has used up this entry's part of the replicas: one request for
- * every second of them that waits for its first token, and the places of their batches but for some headroom. Guards against
- * all entries sending a flood on before the first report shows it: each would find every replica
- * idle, and the engines' own queues, which know no workspaces, would fill.
- */
-function isAtCrowdLimit(round: Round, index: CandidateIndex, request: WaitingRequest): boolean {
-  const { state, view } = round;
-  const replicas = Math.max(1, index.source.length / (view.entries ?? 1));
-  const unanswered = state.workspaces.get(request.workspace)?.unanswered ?? 0;
-  if (unanswered >= Math.ceil(replicas * CROWD_UNANSWERED)) return true;
-  return state.sent.size >= placesOf(round, index) * (1 - HEADROOM_FRACTION);
-}
-
-/** This entry's part of all places in the replicas' batches. */
-function placesOf({ view }: Round, index: CandidateIndex): number {
-  const replicas = Math.max(1, index.source.length / (view.entries ?? 1));
-  return replicas * (index.source[0]?.load?.load.batchSize ?? DEFAULT_BATCH_SIZE);
-}
-
 function listWaiting(queue: ModelQueue): WaitingRequest[] {
   return queue.classes.flatMap((classQueue) =>
     [...classQueue.lanes.values()].flatMap((lane) => lane.requests),
--- a/src/controllers/routing/queues.ts
+++ b/src/controllers/routing/queues.ts
@@ -12,6 +12,7 @@
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import { concludeGivenUp } from '../retries/given-up.js';
 import { CLASS_ORDER, STARVATION_FACTOR } from './constants.js';
+import { noteArrival } from './crowding.js';
 import { estimateRetryAfter } from './waits.js';
 import type { ClassQueue, DispatchState, Lane, ModelQueue } from './state.js';
 import type { WaitingRequest } from './types.js';
@@ -32,7 +33,7 @@
   const queue = openQueue(state, request.model);
   if (waiting >= queueLength) return err(refuseFull(queue, request, waiting));
   if (state.waiting.has(request.ticket)) return ok(undefined);
-  noteActive(state, request, workspaceWeight);
+  noteArrival(state, request, workspaceWeight);
   const lane = openLane(queue, request, workspaceWeight);
   insertByArrival(lane.requests, request);
   queue.length += 1;
@@ -114,19 +115,6 @@
   return head !== undefined && classQueue.passedOver >= STARVATION_FACTOR * costOf(head);
 }
 
-function noteActive(state: DispatchState, request: WaitingRequest, weight: number): void {
-  const known = state.workspaces.get(request.workspace);
-  const activeAt = Math.max(known?.activeAt ?? request.arrivedAt, request.arrivedAt);
-  const inFlight = known?.inFlight ?? 0;
-  const unanswered = known?.unanswered ?? 0;
-  state.workspaces.set(request.workspace, {
-    weight,
-    inFlight,
-    unanswered,
-    activeAt,
-  });
-}
-
 function openQueue(state: DispatchState, model: string): ModelQueue {
   const known = state.queues.get(model);
   if (known) return known;
--- a/src/controllers/routing/state.ts
+++ b/src/controllers/routing/state.ts
@@ -114,7 +114,10 @@
   inFlight: number;
   /** Of those in flight, the ones that wait for their first token. */
   unanswered: number;
+  /** When it last asked for anything. */
   activeAt: Milliseconds;
+  /** Requests that arrived of late as they counted then, older ones less. */
+  arrivals: number;
 }
 
 /** Recent failures of one instance of a plain service. */
