--- /dev/null
+++ b/features/promises/graceful-stop.feature
@@ -0,0 +1,24 @@
+Feature: Every planned stop is graceful
+
+  # The operators replace all entries in the middle of the day. Callers know that they may go
+  # elsewhere when they are told that an entry stops, or when nobody listens; whatever an entry has
+  # taken on it must finish.
+  Scenario: All entries are replaced one after the other under load
+    Given 3 entries with callers that go elsewhere only when they are told to
+    When each entry is replaced by a new one, with long answers under way at it
+    Then no answer was cut off, and every old entry has exited with 0
+
+  # An operator takes one machine of a replica out of service while it streams. When the system says
+  # that it is safe, the machine is switched off.
+  Scenario: An instance of a replica is drained with long streams open
+    Given 3 entries before 4 engines in 2 replicas, with long streams at both
+    When an instance of a streaming replica is marked as leaving through one entry
+    And it is killed as soon as an entry says that this is safe
+    Then every stream of the drained replica was whole and had ended before the kill
+
+  # The same with a plain service whose calls take a while.
+  Scenario: A plain server is drained with calls in flight
+    Given 3 entries before 2 plain servers that take 1500 ms for a call, with calls in flight
+    When one of the plain servers is marked as leaving through one entry
+    And that server is killed as soon as an entry says that this is safe
+    Then every call in flight was answered, and the killed server had run some of them
--- /dev/null
+++ b/features/promises/graceful-stop.steps.ts
@@ -0,0 +1,231 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When, type World } from '@cucumber/cucumber';
+import type { DrainStatus } from '../../src/adapters/operators/index.js';
+import { waitFor } from '../support/waiting.js';
+import { callService } from './callers.js';
+import { SERVICE, startDeployment, type Deployment, type EntryProcess } from './deployment.js';
+import { getJson, sendJson } from './http.js';
+import {
+  askOnce,
+  describeFaults,
+  startAsking,
+  startCalling,
+  WIDE_LIMITS,
+  type Load,
+} from './load.js';
+import { answerOf, createQuestion, type PromiseWorld } from './world.js';
+
+interface StopWorld extends PromiseWorld, Pick<World, 'log'> {
+  loads: Load[];
+  /** Entries that callers know. */
+  known: EntryProcess[];
+  /** The seed of the last long stream. */
+  lastSeed: number;
+  longAnswers: Promise<Awaited<ReturnType<typeof askOnce>>>[];
+  calls: ReturnType<typeof callService>[];
+  exits: (number | null)[];
+  drained: string;
+  /** Wall clock, as in the journals. */
+  markedAt: number;
+  killedAt: number;
+}
+
+const TOKENS = 40;
+const LONG_TOKENS = 400;
+/** Of a stream that takes some seconds, in characters; most answers of the engines are shorter. */
+const LONG_TEXT = 550;
+const SLOW_ENGINES = ['--decode-ms-per-token', '10'];
+const LONG_SEED = 1_000_000;
+const STREAMS = 9;
+const CALLS = 12;
+const ANSWERS_BETWEEN = 30;
+
+Given(
+  '3 entries with callers that go elsewhere only when they are told to',
+  async function (this: StopWorld) {
+    const { deployment } = await start(this, { engines: { 'fabric-1': 4 }, replicas: 2 });
+    this.known = [...deployment.entries.values()];
+    this.loads = [startAsking(() => this.known, 9, TOKENS), startCalling(() => this.known, 3)];
+    await waitForAnswers(this.loads);
+  },
+);
+
+When(
+  'each entry is replaced by a new one, with long answers under way at it',
+  async function (this: StopWorld) {
+    this.exits = [];
+    for (const old of [...this.known]) {
+      const added = await this.deployment.startEntry();
+      await waitFor(`${added.name} to be ready`, () => added.isReady());
+      this.known.push(added);
+      openStreams(this, [old], 3);
+      await waitFor('the long answers to begin', () => countStreams(this.deployment, 3));
+      old.process.signal('SIGTERM');
+      // Callers hear from nobody but the entry itself that it stops.
+      this.exits.push(await old.process.exited);
+      this.known = this.known.filter((entry) => entry !== old);
+      await waitForAnswers(this.loads);
+    }
+  },
+);
+
+Then(
+  'no answer was cut off, and every old entry has exited with 0',
+  async function (this: StopWorld) {
+    const outcomes = (await Promise.all(this.loads.map((load) => load.stop()))).flat();
+    const long = await Promise.all(this.longAnswers);
+    const refusals = outcomes.reduce((sum, outcome) => sum + outcome.refusals, 0);
+    this.log(
+      `${outcomes.length} short and ${long.length} long answers, ${refusals} sent elsewhere`,
+    );
+    assert.equal(describeFaults(outcomes), '');
+    assert.deepEqual(long, new Array(long.length).fill({ isRefused: false }));
+    assert.deepEqual(this.exits, [0, 0, 0]);
+  },
+);
+
+Given(
+  '3 entries before 4 engines in 2 replicas, with long streams at both',
+  async function (this: StopWorld) {
+    await start(this, { engines: { 'fabric-1': 4 }, replicas: 2 });
+    openStreams(this, [...this.deployment.entries.values()], STREAMS);
+    await waitFor('the streams to run', () => countStreams(this.deployment, STREAMS));
+  },
+);
+
+When(
+  'an instance of a streaming replica is marked as leaving through one entry',
+  async function (this: StopWorld) {
+    const replicas = await this.deployment.readReplicas();
+    const leader = replicas[0]?.members[0]?.instance ?? '';
+    const { attempts } = await this.deployment.engine(leader).journal();
+    assert.ok(attempts.length > 0, `${leader} streams nothing`);
+    await markLeaving(this, leader);
+  },
+);
+
+When('it is killed as soon as an entry says that this is safe', killWhenSafe);
+
+Then(
+  'every stream of the drained replica was whole and had ended before the kill',
+  async function (this: StopWorld) {
+    const answers = await Promise.all(this.longAnswers);
+    assert.deepEqual(answers, new Array(answers.length).fill({ isRefused: false }));
+    const waitedMs = this.killedAt - this.markedAt;
+    this.log(`${answers.length} streams whole; safe ${waitedMs} ms after the mark`);
+  },
+);
+
+Given(
+  '3 entries before 2 plain servers that take 1500 ms for a call, with calls in flight',
+  async function (this: StopWorld) {
+    const { deployment } = await start(this, { services: 2 });
+    for (const service of deployment.services.values()) await service.control({ latencyMs: 1_500 });
+    const entries = [...deployment.entries.values()];
+    this.calls = Array.from({ length: CALLS }, (_, i) => {
+      const { callers } = pickEntry(entries, i);
+      return callService(callers, 'GET', `${SERVICE}/passes/${i}`);
+    });
+    await waitFor('calls in flight at both', async () => {
+      const first = await readInFlight(deployment, 0);
+      const second = await readInFlight(deployment, 1);
+      return first > 0 && second > 0 && first + second === CALLS;
+    });
+  },
+);
+
+When(
+  'one of the plain servers is marked as leaving through one entry',
+  async function (this: StopWorld) {
+    await markLeaving(this, this.deployment.service(0).name);
+  },
+);
+
+When('that server is killed as soon as an entry says that this is safe', killWhenSafe);
+
+Then(
+  'every call in flight was answered, and the killed server had run some of them',
+  async function (this: StopWorld) {
+    const replies = await Promise.all(this.calls);
+    const bodies = replies.map(({ status, body }) => ({ status, body }));
+    const expected = replies.map((_, i) => ({
+      status: 200,
+      body: JSON.stringify({ id: String(i), valid: true }),
+    }));
+    assert.deepEqual(bodies, expected);
+    const waitedMs = this.killedAt - this.markedAt;
+    this.log(`${replies.length} calls whole; safe ${waitedMs} ms after the mark`);
+  },
+);
+
+async function start(world: StopWorld, plan: Parameters<typeof startDeployment>[0]) {
+  world.deployment = await startDeployment({
+    entries: 3,
+    engineOptions: SLOW_ENGINES,
+    limits: WIDE_LIMITS,
+    ...plan,
+  });
+  world.longAnswers = [];
+  world.lastSeed = LONG_SEED;
+  await world.deployment.whenWhole(plan?.replicas ?? 1);
+  await world.deployment.whenReady();
+  return world;
+}
+
+function openStreams(world: StopWorld, entries: readonly EntryProcess[], count: number): void {
+  for (let i = 0; i < count; i += 1) {
+    do world.lastSeed += 1;
+    while (answerOf(createQuestion(world.lastSeed, LONG_TOKENS)).length < LONG_TEXT);
+    const question = createQuestion(world.lastSeed, LONG_TOKENS);
+    world.longAnswers.push(askOnce(pickEntry(entries, i), question));
+  }
+}
+
+function pickEntry(entries: readonly EntryProcess[], i: number): EntryProcess {
+  const entry = entries[i % entries.length];
+  assert.ok(entry);
+  return entry;
+}
+
+/** Whether so many long streams have begun and not ended, by the engines' journals. */
+async function countStreams(deployment: Deployment, count: number): Promise<boolean> {
+  let running = 0;
+  for (const engine of deployment.engines.values()) {
+    const { attempts } = await engine.journal();
+    running += attempts.filter(({ endedAt, tokens }) => !endedAt && tokens > TOKENS).length;
+  }
+  return running >= count;
+}
+
+async function readInFlight(deployment: Deployment, index: number): Promise<number> {
+  const { body } = await getJson(deployment.service(index).directAddress, '/health');
+  return (body as { inFlight: number }).inFlight;
+}
+
+async function markLeaving(world: StopWorld, instance: string): Promise<void> {
+  const { operators } = world.deployment.entry(0);
+  const answer = await sendJson(operators, 'POST', `/drain/${instance}`, {});
+  assert.equal(answer.status, 200, JSON.stringify(answer.body));
+  world.markedAt = Date.now();
+  world.drained = instance;
+}
+
+/** What is in flight there at that moment is cut off: that is what must not be. */
+async function killWhenSafe(this: StopWorld): Promise<void> {
+  const { deployment, drained } = this;
+  await waitFor(`${drained} to be safe to stop`, async () => {
+    const { body } = await getJson(deployment.entry(1).operators, '/drains');
+    const { drains } = body as { drains: DrainStatus[] };
+    return drains.some(({ target, judgement }) => target === drained && judgement.kind === 'safe');
+  });
+  this.killedAt = Date.now();
+  const server = deployment.engines.get(drained) ?? deployment.services.get(drained);
+  await server?.process.kill();
+}
+
+async function waitForAnswers(loads: readonly Load[]): Promise<void> {
+  const before = loads.map(({ outcomes }) => outcomes.length);
+  await waitFor('answers', () =>
+    loads.every(({ outcomes }, i) => outcomes.length >= (before[i] ?? 0) + ANSWERS_BETWEEN),
+  );
+}
