--- a/bench/capacity/bounds.ts
+++ b/bench/capacity/bounds.ts
@@ -4,6 +4,8 @@
 import type { Measurement } from './measurement.js';
 import { fitLine } from './slopes.js';
 
+const PROBE_MS = 500;
+
 /** One bound and what was measured against it. */
 export interface BoundCheck {
   what: string;
@@ -42,6 +44,11 @@
       most: 4,
       measured: perEngine(oneDomain),
     },
+    {
+      what: 'a dead member known at the last of 9 entries, in probe intervals of 500 ms',
+      most: 4,
+      measured: Math.max(...nineEntries.deadMemberMs) / PROBE_MS,
+    },
     { what: 'bytes of a probe', most: 300, measured: nineEntries.probeBytes / nineEntries.probes },
     {
       what: 'bytes a second to peers that one more entry adds to each',
--- a/bench/capacity/measurement.ts
+++ b/bench/capacity/measurement.ts
@@ -2,6 +2,7 @@
  * One measurement: a fleet of one size at rest, or under changes of configuration.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
+import { measureDeadMember } from './dead-member.js';
 import { startFleet, type BenchFleet, type FleetSize } from './fleet.js';
 import { mean, round } from './slopes.js';
 import type { Traffic, TrafficCount } from './traffic.js';
@@ -24,6 +25,8 @@
   /** Calls to the platform by all entries, those that write and those that wait included. */
   allPlatformCalls: number;
   allPlatformWrites: number;
+  /** After how long each entry had a replica out of service whose member had died. */
+  deadMemberMs: number[];
 }
 
 const SETTLE_MS = 7_000;
@@ -40,8 +43,9 @@
   const fleet = await startFleet(size);
   await sleep(SETTLE_MS);
   const measurement = await measureFleet(traffic, fleet, size, changesPerSecond);
+  const deadMemberMs = await measureDeadMember(fleet);
   await fleet.stop();
-  return measurement;
+  return { ...measurement, deadMemberMs };
 }
 
 async function measureFleet(
@@ -49,7 +53,7 @@
   fleet: BenchFleet,
   size: FleetSize,
   changesPerSecond: number,
-): Promise<Measurement> {
+): Promise<Omit<Measurement, 'deadMemberMs'>> {
   const changes = makeChanges(fleet, changesPerSecond);
   const read = () => ({
     at: performance.now(),
--- a/src/controllers/membership/rounds.ts
+++ b/src/controllers/membership/rounds.ts
@@ -14,6 +14,8 @@
 const OWN_DOMAIN_FRACTION = 0.75;
 /** Bytes that may be saved up for a round that has news. */
 export const BURST_SECONDS = 2;
+/** Of these, what is kept for news. */
+const NEWS_SECONDS = 1;
 const SECOND = 1_000;
 
 /** Whether entries of other failure domains are known by summaries only. */
@@ -45,6 +47,20 @@
   return { left: Math.min(budget.left + gained, bytesPerSecond * BURST_SECONDS), at: now };
 }
 
+/**
+ * Bytes that a round may take. Without news it leaves those of one second: a failure, a leaving
+ * instance or a change of configuration would otherwise wait for the bytes that heartbeats used up.
+ *
+ * @example const bytesLeft = findSpendable(budget, bytesPerSecond, hasNews);
+ */
+export function findSpendable(
+  budget: ByteBudget,
+  bytesPerSecond: number,
+  hasNews: boolean,
+): number {
+  return hasNews ? budget.left : budget.left - bytesPerSecond * NEWS_SECONDS;
+}
+
 /** What a round is planned from. */
 export interface RoundQuestion {
   failureDomain: string;
--- a/src/entry/membership/rounds.ts
+++ b/src/entry/membership/rounds.ts
@@ -6,6 +6,7 @@
 import {
   composeMessage,
   confirmMessage,
+  findSpendable,
   isLargeFleet,
   listLive,
   listRelayed,
@@ -58,6 +59,7 @@
   const { state } = self;
   let budget: ByteBudget = { left: bytesPerSecond, at: clock.now() };
   let wake = new AbortController();
+  let hasNews = true;
   let isStopped = false;
   let running = Promise.resolve();
   const exchanges = new Set<Promise<void>>();
@@ -113,11 +115,12 @@
         failureDomain: identity.failureDomain,
         targets: listTargets(),
         fanOut,
-        bytesLeft: budget.left,
+        bytesLeft: findSpendable(budget, bytesPerSecond, hasNews),
         bytesPerExchange: EXCHANGE_BYTES,
       },
       random,
     );
+    hasNews = false;
     for (const target of targets) {
       const call = exchange(target).finally(() => exchanges.delete(call));
       exchanges.add(call);
@@ -145,6 +148,7 @@
       budget = { ...budget, left: budget.left - bytes };
     },
     nudge: () => {
+      hasNews = true;
       wake.abort();
     },
     start: (tend) => {
