Let operators set when the claim of an unheard entry is given up

Cause: the 60 s after which a claim of an entry that is not heard of turns into "outcome unknown" were a constant.

Ruled out: a shorter default. Giving up a living entry's claim never leads to a second run, but it costs the caller its answer.

Change: calls.unheardClaimMs in the settings (60,000 ms as before), passed to observeClaim.

--- a/bench/calls/ways.ts
+++ b/bench/calls/ways.ts
@@ -92,6 +92,7 @@
   writers.peers.write(new Map(peers.map((name) => [name, { name, incarnation: '1' } as Peer])));
   return {
     identity: { name: `entry-${index}`, incarnation: '1' },
+    settings: { calls: { unheardClaimMs: 60_000 } },
     board: writers,
     writers,
     clock: createSystemClock(),
--- a/features/calls/fixture.ts
+++ b/features/calls/fixture.ts
@@ -22,6 +22,7 @@
 import { FakePlatform, type Link } from './fake-platform.js';
 
 const WALL_START = 1_760_000_000_000;
+const UNHEARD_CLAIM_MS = 60_000;
 
 export interface FakeEntry {
   name: string;
@@ -59,6 +60,7 @@
     const writers = createBoard();
     const context = {
       identity: { name, incarnation: '1' },
+      settings: { calls: { unheardClaimMs: UNHEARD_CLAIM_MS } },
       board: writers,
       writers,
       clock: { now: () => this.#clock.now() + this.#skipped },
--- a/src/controllers/calls/claimants.ts
+++ b/src/controllers/calls/claimants.ts
@@ -8,12 +8,7 @@
 import type { Peers } from '../../board/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { CallRecord, StoredObject } from '../../objects/index.js';
-import {
-  HEARD_CLAIM_MS,
-  MAX_OBSERVED_CLAIMS,
-  REPLACED_CLAIM_MS,
-  UNHEARD_CLAIM_MS,
-} from './constants.js';
+import { HEARD_CLAIM_MS, MAX_OBSERVED_CLAIMS, REPLACED_CLAIM_MS } from './constants.js';
 import type { Claimant } from './messages.js';
 
 /** Claims of others that this entry met, by record and version, and when it first did. */
@@ -23,6 +18,7 @@
  * Whether the claimant of `record` is lost, and notes the claim in `observed`.
  *
  * @param self the entry that asks.
+ * @param unheardClaimMs how long a claim stands when its claimant is not heard of.
  */
 export function observeClaim(
   observed: ObservedClaims,
@@ -30,6 +26,7 @@
   stored: StoredObject,
   self: Claimant,
   peers: Peers,
+  unheardClaimMs: Milliseconds,
   now: Milliseconds,
 ): boolean {
   // Names of entries are unique: an earlier start of this very entry has ended.
@@ -38,13 +35,18 @@
   const id = `${stored.name}@${stored.version}`;
   const since = observed.get(id) ?? now;
   noteClaim(observed, id, since);
-  return now - since >= boundClaim(record, self, peers);
+  return now - since >= boundClaim(record, self, peers, unheardClaimMs);
 }
 
-function boundClaim(record: CallRecord, self: Claimant, peers: Peers): Milliseconds {
+function boundClaim(
+  record: CallRecord,
+  self: Claimant,
+  peers: Peers,
+  unheardClaimMs: Milliseconds,
+): Milliseconds {
   if (record.entry === self.entry) return HEARD_CLAIM_MS;
   const peer = peers.get(record.entry);
-  if (peer === undefined) return UNHEARD_CLAIM_MS;
+  if (peer === undefined) return unheardClaimMs;
   return peer.incarnation === record.incarnation ? HEARD_CLAIM_MS : REPLACED_CLAIM_MS;
 }
 
--- a/src/controllers/calls/constants.ts
+++ b/src/controllers/calls/constants.ts
@@ -26,9 +26,6 @@
  */
 export const REPLACED_CLAIM_MS = 10_000;
 
-/** How long a claim stands before it is given up when its claimant is not heard of, in ms. */
-export const UNHEARD_CLAIM_MS = 60_000;
-
 /** How long a claim stands before it is given up though its claimant is heard of, in ms. */
 export const HEARD_CLAIM_MS = 900_000;
 
--- a/src/entry/calls/once-calls.ts
+++ b/src/entry/calls/once-calls.ts
@@ -59,7 +59,7 @@
 ): OnceCalls & Part {
   const { wallClock = Date.now } = options;
   const collector = options.collector ?? createRecordCollector(context, wallClock);
-  const { identity, board, clock } = context;
+  const { identity, board, clock, settings } = context;
   const open = new Map<string, OpenCall>();
   const observed: ObservedClaims = new Map();
   const writer = createRecordWriter(context, handle);
@@ -75,7 +75,15 @@
       claimant,
       createNonce: randomUUID,
       isClaimantLost: (record, stored) =>
-        observeClaim(observed, record, stored, claimant, board.peers.read(), now),
+        observeClaim(
+          observed,
+          record,
+          stored,
+          claimant,
+          board.peers.read(),
+          settings.calls.unheardClaimMs,
+          now,
+        ),
     };
   }
 
