--- a/features/hostile/clients.steps.ts
+++ b/features/hostile/clients.steps.ts
@@ -158,7 +158,8 @@
 Then(
   'at most {int} million bytes of the hostile answer were taken',
   function (this: ClientsWorld, millions: number) {
-    assert.ok((this.server?.sentBytes() ?? 0) <= millions * 1e6);
+    const sent = this.server?.sentBytes() ?? 0;
+    assert.ok(sent <= millions * 1e6, `${sent} bytes`);
   },
 );
 
@@ -174,7 +175,13 @@
   'each stream was passed on as tokens in order and one last end or error',
   function (this: ClientsWorld) {
     // Each was checked when it was read; both ways to end must have been met.
-    assert.ok(this.mixtures.some((kinds) => kinds.endsWith('end')));
-    assert.ok(this.mixtures.some((kinds) => kinds.endsWith('error')));
+    assert.ok(
+      this.mixtures.some((kinds) => kinds.endsWith('end')),
+      'a whole stream',
+    );
+    assert.ok(
+      this.mixtures.some((kinds) => kinds.endsWith('error')),
+      'a broken stream',
+    );
   },
 );
--- a/features/hostile/parsers.steps.ts
+++ b/features/hostile/parsers.steps.ts
@@ -56,11 +56,14 @@
 
 Then("each is refused with the file's name, or is valid", function (this: ParsersWorld) {
   const refused = this.settings.filter((result) => result.isErr());
-  assert.ok(refused.length > 0);
+  assert.ok(refused.length > 0, 'something is refused');
   for (const result of refused) {
     const failures = result._unsafeUnwrapErr();
-    assert.ok(failures.length > 0);
-    assert.ok(failures.every(({ message }) => message.startsWith(FILE)));
+    assert.ok(failures.length > 0, 'a refusal has failures');
+    assert.ok(
+      failures.every(({ message }) => message.startsWith(FILE)),
+      'the file is named',
+    );
   }
 });
 
@@ -74,7 +77,7 @@
   "they are refused with the file's name within {int} ms",
   function (this: ParsersWorld, boundMs: number) {
     const failures = this.settings[0]?._unsafeUnwrapErr() ?? [];
-    assert.ok(failures[0]?.message.startsWith(FILE));
+    assert.ok(failures[0]?.message.startsWith(FILE), 'the file is named');
     assert.ok(this.tookMs < boundMs, `${this.tookMs} ms`);
   },
 );
@@ -102,8 +105,12 @@
   'each decodes to the message or is refused within {int} ms',
   function (this: ParsersWorld, boundMs: number) {
     assert.deepEqual(this.decoded[0]?.value, MESSAGE);
-    assert.ok(this.decoded.every(({ tookMs }) => tookMs < boundMs));
-    assert.ok(this.decoded.some(({ isRefused }) => isRefused));
+    const longestMs = Math.max(...this.decoded.map(({ tookMs }) => tookMs));
+    assert.ok(longestMs < boundMs, `${longestMs} ms`);
+    assert.ok(
+      this.decoded.some(({ isRefused }) => isRefused),
+      'something is refused',
+    );
   },
 );
 
--- a/src/stand-ins/platform/controls.ts
+++ b/src/stand-ins/platform/controls.ts
@@ -30,6 +30,8 @@
   lag: { instanceMs: number };
   /** Present while answers come from a frozen copy. */
   oldCopy: StoreView | undefined;
+  /** Frozen earlier, for when answers are to come from a copy. */
+  takenCopy?: StoreView;
 }
 
 /** The controls of one stand-in; `wake` is called after each switch. */
@@ -55,7 +57,8 @@
     faults.loseAnswersAfterEffect = change.loseAnswersAfterEffect ?? faults.loseAnswersAfterEffect;
     faults.holdWrites = change.holdWrites ?? faults.holdWrites;
     if (releaseWrites) faults.releases += 1;
-    if (oldCopy === true) parts.oldCopy ??= store.freeze();
+    if (change.takeCopy) parts.takenCopy = store.freeze();
+    if (oldCopy === true) parts.oldCopy ??= parts.takenCopy ?? store.freeze();
     if (oldCopy === false) parts.oldCopy = undefined;
     parts.lag.instanceMs = instanceLagMs ?? parts.lag.instanceMs;
     if (readsPerSecond !== undefined || writesPerSecond !== undefined) {
--- a/src/stand-ins/platform/faults.ts
+++ b/src/stand-ins/platform/faults.ts
@@ -15,7 +15,9 @@
   holdWrites: z.number().int().nonnegative().optional(),
   /** Lets held writes take effect, also those whose writer has gone. */
   releaseWrites: z.literal(true).optional(),
-  /** While on, lists, reads and watches are answered from a copy frozen when it was put on. */
+  /** Freezes a copy now, for `oldCopy` to answer from later. */
+  takeCopy: z.literal(true).optional(),
+  /** While on, reads of all sorts are answered from the copy taken before, else from one of now. */
   oldCopy: z.boolean().optional(),
   /** How long a change of an `instance` stays unseen by readers. */
   instanceLagMs: z.number().nonnegative().optional(),
