Prove the serving gate against a leader that does not notice a loss

Change: the engine stand-in can be told to go on when a member is gone; then the entries alone keep callers away.

--- a/features/promises/replicas-whole.feature
+++ b/features/promises/replicas-whole.feature
@@ -14,6 +14,18 @@
     And every stream came whole or ended in one explicit error
     And no plan had an instance in two replicas
 
+  # The same, but the leader does not notice that it computes without one machine: it takes whatever it
+  # is sent and writes on. Only the entries can keep callers away from it.
+  Scenario: A member is killed and its leader does not notice
+    Given 2 entries that stream from 2 replicas of 3 with 1 engine to spare
+    And no engine notices that a member of its replica is gone
+    When a member that does not lead is killed
+    Then the replica it was in serves nothing more after 1500 ms
+    And 2 replicas are whole again without the killed member
+    And every stream came whole or ended in one explicit error
+    And no attempt began more than 1000 ms after a member had left its replica
+    And no plan had an instance in two replicas
+
   # A machine stalls. Before its replica is missed, or long after, it wakes as if nothing had happened
   # and goes on where it was, while the others of its replica have long given it up.
   Scenario Outline: A member is frozen and wakes
--- a/features/promises/replicas-whole.steps.ts
+++ b/features/promises/replicas-whole.steps.ts
@@ -59,6 +59,10 @@
   },
 );
 
+Given('no engine notices that a member of its replica is gone', async function (this: WholeWorld) {
+  for (const engine of this.deployment.engines.values()) await engine.control({ blind: true });
+});
+
 When('a member that does not lead is killed', killMember);
 
 When(
--- a/src/stand-ins/engine/control.ts
+++ b/src/stand-ins/engine/control.ts
@@ -35,6 +35,8 @@
   /** Steps take so many times as long. */
   slowFactor: z.number().positive().max(10_000).optional(),
   fencing: z.enum(['checked', 'ignored']).optional(),
+  /** Goes on serving when another member of its replica is gone. */
+  blind: z.boolean().optional(),
   /** Faults of the next completions, one each. */
   faults: z.array(completionFaultSchema).max(1_000).optional(),
 });
--- a/src/stand-ins/engine/engine.ts
+++ b/src/stand-ins/engine/engine.ts
@@ -97,6 +97,7 @@
   const completions = createCompletions({ settings, clock, cache, events, journal: attempts });
   let held: ReplicaState = IDLE_STATE;
   let leaving = false;
+  let blind = false;
   let { fencing } = settings;
 
   const change = (next: ReplicaState): void => {
@@ -113,6 +114,7 @@
       change({ ...held, othersJoined: true });
     },
     lost: () => {
+      if (blind) return;
       if (held.state !== 'loading' && held.state !== 'ready') return;
       // The replica dies as a whole: it answers nothing more until it is formed anew.
       formation.end();
@@ -168,6 +170,7 @@
   const control = (wanted: EngineControl): void => {
     leaving = wanted.leaving ?? leaving;
     fencing = wanted.fencing ?? fencing;
+    blind = wanted.blind ?? blind;
     if (wanted.slowFactor !== undefined) completions.setSlowFactor(wanted.slowFactor);
     completions.addFaults(wanted.faults ?? []);
   };
