Don't take an entry's own pause for failing engines

Ruled out: longer timeouts, which delay true failures.

Change: a probe during which the process stood still for over 500 ms counts as unknown and is repeated at the next tick. The bytes from peers are bounded by what is received, since lines of the log count among the bytes written.

--- a/bench/capacity/bounds.ts
+++ b/bench/capacity/bounds.ts
@@ -29,7 +29,7 @@
   const { small, manyEngines, manyDomains, nineEntries, manyEntries, oneDomain } = sizes;
   const peerBytes = [small, nineEntries, manyEntries];
   const bytesLine = fitLine(
-    peerBytes.map(({ entries, peerBytesWritten }) => ({ at: entries, value: peerBytesWritten })),
+    peerBytes.map(({ entries, peerBytesRead }) => ({ at: entries, value: peerBytesRead })),
   );
   const perEngine = ({ probes, entries, engines }: Measurement): number =>
     (probes * entries) / engines;
@@ -51,7 +51,8 @@
     },
     { what: 'bytes of a probe', most: 300, measured: nineEntries.probeBytes / nineEntries.probes },
     {
-      what: 'bytes a second to peers that one more entry adds to each',
+      // Received: what is written to sockets can't be told from lines of the log.
+      what: 'bytes a second from peers that one more entry adds to each',
       most: 40,
       measured: bytesLine.slope,
     },
--- a/features/health/passing.feature
+++ b/features/health/passing.feature
@@ -39,6 +39,14 @@
     And the same digests arrive again
     Then no member's report there is of the new number
 
+  Scenario: An entry that was paused tells nobody that its probes failed
+    # An entry is paused for seconds. On waking its probes are past their timeouts, and the digests
+    # that waited in its sockets look fresh. Were either believed, healthy replicas would go out of
+    # service at every entry, or a dead one would stay in service at this one.
+    Given the exchange of an entry that asked an engine and was then paused for 3000 ms
+    Then it counts that probe as unknown, and a later one as any
+    And a digest that waited meanwhile teaches it nothing
+
   Scenario: A digest that does not fit leaves engines out and never breaks off
     When an entry composes its digest of 400 engines within 1500 characters
     Then the digest is valid, names some engines and is no longer than that
--- a/features/health/passing.steps.ts
+++ b/features/health/passing.steps.ts
@@ -5,7 +5,10 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
 import { createEngineClient, type EngineReport } from '../../src/adapters/engines/index.js';
-import type { InstanceHealth, Plans } from '../../src/board/index.js';
+import { createBoard, type InstanceHealth, type Plans } from '../../src/board/index.js';
+import { createManualClock } from '../../src/core/clock/index.js';
+import { createHealthPassing, type HealthPassing } from '../../src/entry/health/health-passing.js';
+import type { EntryContext } from '../../src/entry/types.js';
 import {
   composeHealthDigest,
   healthDigestSchema,
@@ -34,6 +37,9 @@
   former: HealthDigest;
   engines: EngineStandIn[];
   client: ReturnType<typeof createEngineClient>;
+  passing: HealthPassing;
+  clock: ReturnType<typeof createManualClock>;
+  kept: number;
   answers: { report: EngineReport; bytes: number }[];
   counted: WeakMap<Socket, number>;
 }
@@ -226,6 +232,46 @@
   },
 );
 
+Given(
+  'the exchange of an entry that asked an engine and was then paused for {int} ms',
+  function (this: PassingWorld, pauseMs: number) {
+    const board = createBoard();
+    this.plans = createPlans(7);
+    board.plans.write(this.plans);
+    const clock = createManualClock(START);
+    const settings = { health: { probeEveryMs: PROBE_MS } };
+    const context = { board, clock, settings } as unknown as EntryContext;
+    this.kept = 0;
+    const passing = createHealthPassing(context, {
+      readHealth: () => undefined,
+      readAssigned: () => [],
+      readFailing: () => [],
+      keep: (health) => {
+        this.kept += health.size;
+      },
+    });
+    clock.advance(pauseMs);
+    this.passing = passing;
+    this.clock = clock;
+  },
+);
+
+Then('it counts that probe as unknown, and a later one as any', function (this: PassingWorld) {
+  assert.equal(this.passing.hasPausedSince(START), true);
+});
+
+Then('a digest that waited meanwhile teaches it nothing', function (this: PassingWorld) {
+  const text = JSON.stringify(compose(this.plans, [createReport(0)]));
+  this.passing.import('entry-2', text, 0);
+  assert.equal(this.kept, 0);
+  this.passing.noteTick();
+  assert.equal(this.passing.hasPausedSince(START), true);
+  this.clock.advance(50);
+  assert.equal(this.passing.hasPausedSince(this.clock.now()), false);
+  this.passing.import('entry-2', text, 0);
+  assert.equal(this.kept, 1);
+});
+
 async function probe(world: PassingWorld): Promise<void> {
   const address = world.engines[0]?.address ?? '';
   const { counted } = world;
--- a/src/entry/health/health-part.ts
+++ b/src/entry/health/health-part.ts
@@ -124,6 +124,9 @@
     probes.set(name, { askedAt, underWay: false });
     // Another engine at a reused address must not speak for the one that was there before.
     if (result.isOk() && result.value.instance === name) keepReport(result.value, askedAt);
+    // A process that was paused finds that its probes are overdue, whatever became of the engines.
+    // Telling that to all would take healthy replicas out of service everywhere; it asks again.
+    else if (passing.hasPausedSince(askedAt)) return;
     else if (board.fleet.read().instances.has(name)) reportFailure(name);
   }
 
--- a/src/entry/health/health-passing.ts
+++ b/src/entry/health/health-passing.ts
@@ -31,6 +31,8 @@
 export interface HealthPassing extends DigestExtension {
   /** Call at every tick of the part: a long gap between two means that the process stood still. */
   noteTick(): void;
+  /** Whether the process stood still at some time after `since`. */
+  hasPausedSince(since: Milliseconds): boolean;
   /** Tells the others of a failure without waiting for the next round. */
   announce(): void;
 }
@@ -59,14 +61,17 @@
   const known = new Map<string, KnownDigest>();
   const listeners = new Set<() => void>();
   let tickedAt = clock.now();
+  let wokeAt = Number.NEGATIVE_INFINITY;
 
   const announce = (): void => {
     for (const listener of [...listeners]) listener();
   };
 
+  const isOverdue = (now: Milliseconds): boolean => now - tickedAt > PAUSED_MS;
+
   function importText(peer: string, text: string, ageMs: Milliseconds): void {
     const now = clock.now();
-    if (now - tickedAt > PAUSED_MS) return;
+    if (isOverdue(now)) return;
     const before = known.get(peer);
     const digest = before?.text === text ? before.digest : readText(text);
     if (digest === undefined) return;
@@ -99,8 +104,11 @@
       return () => listeners.delete(listener);
     },
     announce,
+    hasPausedSince: (since) => wokeAt >= since || isOverdue(clock.now()),
     noteTick: () => {
-      tickedAt = clock.now();
+      const now = clock.now();
+      if (isOverdue(now)) wokeAt = now;
+      tickedAt = now;
       const peers = board.peers.read();
       for (const peer of known.keys()) if (!peers.has(peer)) known.delete(peer);
     },
