Freeze an entry past its caller's deadline, and fail at a second run by name

Change: the scenario freezes the entry a first time for as long as the caller's deadline and lets nobody give the claim up. Repeats of a lost entry's check-in end at an answer as well, so that a run after the loss is named instead of running into the timeout.

--- a/features/promises/at-most-once.feature
+++ b/features/promises/at-most-once.feature
@@ -44,10 +44,14 @@
     And callers repeat each check-in at the other entries, and the held writes take effect
     Then every check-in is answered, has run once, and callers were told the truth
 
-  Scenario: An entry freezes with a claim and wakes after others have given it up
-    # The host of an entry is paused just after a claim. The others hear nothing of it, and tell the
-    # callers that the outcome is unknown. Then it wakes, with the claim in hand and as if nothing
-    # had happened. Its caller's deadline has passed: it must not send the check-in now.
+  Scenario: An entry freezes with a claim, for a moment and until others have given it up
+    # The host of an entry is paused just after a claim, and wakes with the claim in hand as if
+    # nothing had happened. Its caller's deadline has passed, so it must not send the check-in now:
+    # the caller is told that it was not run. The second time the others have told callers meanwhile
+    # that the outcome is unknown, and that stays so.
+    When an entry with a claim is frozen until its caller's deadline has passed, and wakes
+    Then its caller is told that the check-in was not run, and it has not
+    And a repeat of that check-in is answered
     When an entry is frozen while a check-in waits for its claim, which then takes effect
     Then repeats of that check-in are told that the outcome is unknown, at each other entry
     When the frozen entry wakes
--- a/features/promises/at-most-once.steps.ts
+++ b/features/promises/at-most-once.steps.ts
@@ -247,18 +247,27 @@
   },
 );
 
+When(
+  "an entry with a claim is frozen until its caller's deadline has passed, and wakes",
+  async function (this: OnceWorld) {
+    await freezeWithClaim(this, 'overslept');
+    const frozenAt = performance.now();
+    // Nobody asks for the key meanwhile, so nobody gives the claim up.
+    await waitFor('the deadline to pass', () => elapsed(frozenAt) > DEADLINE_MS);
+    this.deployment.entry(FORMER_ENTRY).process.signal('SIGCONT');
+  },
+);
+
+Then('a repeat of that check-in is answered', async function (this: OnceWorld) {
+  await this.checkIns.repeat(OTHERS, 'overslept', isAnswered);
+  await this.checkIns.whenState('overslept', 'answered');
+  await judge(this);
+});
+
 When(
   'an entry is frozen while a check-in waits for its claim, which then takes effect',
   async function (this: OnceWorld) {
-    const { deployment, checkIns } = this;
-    const options = { deadlineMs: DEADLINE_MS };
-    const held = await checkIns.sendHeld(FORMER_ENTRY, 'frozen', options);
-    this.underWay = held.answer;
-    deployment.entry(FORMER_ENTRY).process.signal('SIGSTOP');
-    this.lostAt.set('frozen', performance.now());
-    await deployment.platform.control({ releaseWrites: true });
-    await checkIns.whenState('frozen', 'claimed');
-    this.keys = ['frozen'];
+    await freezeWithClaim(this, 'frozen');
   },
 );
 
@@ -278,16 +287,15 @@
   async function (this: OnceWorld) {
     const told = await this.underWay;
     assert.equal(told.conclusion, 'notRun', told.body);
-    assert.equal((await this.checkIns.countRuns()).get('frozen'), undefined);
+    // Its entry has done with the claim once a later check-in of its own is on record.
+    await settleMarker(this, `after-${told.key}`);
+    assert.equal((await this.checkIns.countRuns()).get(told.key), undefined);
   },
 );
 
 Then(
   'repeats of that check-in are still told that its outcome is unknown, at every entry',
   async function (this: OnceWorld) {
-    // A check-in that the woken entry answers and records marks that its older writes are done.
-    await this.checkIns.repeat([FORMER_ENTRY], 'marker', isAnswered);
-    await this.checkIns.whenState('marker', 'answered');
     for (const entry of ENTRIES) {
       assert.ok(isUnknown(await this.checkIns.send(entry, 'frozen')));
     }
@@ -375,7 +383,8 @@
   entries: readonly number[],
   key: string,
 ): Promise<void> {
-  await checkIns.repeat(entries, key, isUnknown);
+  const told = await checkIns.repeat(entries, key, (one) => isUnknown(one) || isAnswered(one));
+  assert.ok(isUnknown(told), `${key} was run after its claimant was lost: ${told.body}`);
   log(`${key}: unknown ${elapsed(lostAt.get(key) ?? 0)} ms after its claimant was lost`);
 }
 
@@ -383,6 +392,23 @@
   await Promise.all(keys.map((key) => checkIns.repeat(entries, key, isAnswered)));
 }
 
+/** The claim is in effect, and its answer waits for the frozen entry. */
+async function freezeWithClaim(world: OnceWorld, key: string): Promise<void> {
+  const { deployment, checkIns } = world;
+  const held = await checkIns.sendHeld(FORMER_ENTRY, key, { deadlineMs: DEADLINE_MS });
+  world.underWay = held.answer;
+  deployment.entry(FORMER_ENTRY).process.signal('SIGSTOP');
+  world.lostAt.set(key, performance.now());
+  await deployment.platform.control({ releaseWrites: true });
+  await checkIns.whenState(key, 'claimed');
+  world.keys = [key];
+}
+
+async function settleMarker({ checkIns }: OnceWorld, key: string): Promise<void> {
+  await checkIns.repeat([FORMER_ENTRY], key, isAnswered);
+  await checkIns.whenState(key, 'answered');
+}
+
 async function killEntry(world: OnceWorld, entry: number, keys: readonly string[]): Promise<void> {
   await world.deployment.entry(entry).process.kill();
   for (const key of keys) world.lostAt.set(key, performance.now());
