Ask a failing engine once, and count the probes of every connection

Told of a failure, each entry asked the engine at the prober's pace. Ruled out: not asking at all, since a cut link of one prober would then take a replica out everywhere. Change: one look, then every half freshness bound and more rarely; the prober's digest tells when the engine is back. The capacity run also left out connections of entries whose port one of its own had used in an earlier fleet: counts of its later cases were too low.

--- a/bench/capacity/traffic.ts
+++ b/bench/capacity/traffic.ts
@@ -29,7 +29,11 @@
   const counts = new Map<number, TrafficCount>();
   subscribe('undici:client:connected', (message) => {
     const { socket } = message as { socket: Socket };
-    if (socket.localPort !== undefined) ownPorts.add(socket.localPort);
+    const { localPort } = socket;
+    if (localPort === undefined) return;
+    ownPorts.add(localPort);
+    // An entry of a later fleet may be given the same port.
+    socket.once('close', () => ownPorts.delete(localPort));
   });
   subscribe('http.server.response.finish', (message) => {
     const { request } = message as { request: IncomingMessage };
--- a/features/health/passing.feature
+++ b/features/health/passing.feature
@@ -14,6 +14,7 @@
     When a prober's digest calls one member failing
     Then the replica is out of service there at once
     And the entry asks that member itself
+    But it does not ask again at the pace of the prober
 
   Scenario: One entry's cut link takes a replica out of service nowhere else for long
     # The link between a prober and an engine is cut, the engine is well. The prober goes on to call
--- a/features/health/passing.steps.ts
+++ b/features/health/passing.steps.ts
@@ -91,9 +91,9 @@
   return listEligibleReplicas({ plans, fleet, health, load: new Map() }, now, FRESH_MS).length;
 }
 
-/** Long after the entry's last own probes. */
-function listAsked({ health, now }: PassingWorld): string[] {
-  const states = new Map(MEMBERS.map((name) => [name, { askedAt: 0, underWay: false }]));
+/** By default long after the entry's last own probes. */
+function listAsked({ health, now }: PassingWorld, askedAt = 0): string[] {
+  const states = new Map(MEMBERS.map((name) => [name, { askedAt, underWay: false }]));
   const assigned = new Set<string>();
   const rhythm = { probeEveryMs: PROBE_MS, probeTimeoutMs: 400, freshMs: FRESH_MS };
   return listDueProbes({ targets: MEMBERS, assigned, states, health, ...rhythm }, now);
@@ -169,6 +169,12 @@
   assert.deepEqual(listAsked(this), [DEAD]);
 });
 
+Then('it does not ask again at the pace of the prober', function (this: PassingWorld) {
+  const askedAt = this.now;
+  this.now += PROBE_MS;
+  assert.equal(listAsked(this, askedAt).includes(DEAD), false);
+});
+
 When("the entry's own probe of that member succeeds", function (this: PassingWorld) {
   this.now += 100;
   this.health.set(DEAD, recordReport(this.health.get(DEAD), createReport(1), this.now));
--- a/src/controllers/health/probes.ts
+++ b/src/controllers/health/probes.ts
@@ -96,7 +96,7 @@
     const state = schedule.states.get(name);
     if (state === undefined) return true;
     if (state.underWay) return false;
-    return now - state.askedAt >= findPace(schedule, name, now);
+    return now - state.askedAt >= findPace(schedule, name, state.askedAt, now);
   });
 }
 
@@ -105,17 +105,27 @@
  * replica waits for its recovery. One of the others that nobody is heard to have reached is asked
  * the more rarely the longer that lasts: a dead engine must not draw probes from every entry.
  */
-function findPace(schedule: ProbeSchedule, name: string, now: Milliseconds): Milliseconds {
+function findPace(
+  schedule: ProbeSchedule,
+  name: string,
+  askedAt: Milliseconds,
+  now: Milliseconds,
+): Milliseconds {
   const { probeEveryMs, probeTimeoutMs, freshMs } = schedule;
   const known = schedule.health.get(name);
   if (schedule.assigned.has(name)) {
     return known?.failingSince === undefined ? probeEveryMs : probeEveryMs / FAILING_PACE;
   }
   const unheardMs = known === undefined ? freshMs : now - known.heardAt;
-  const isFailing = known?.failingSince !== undefined;
+  // One look of its own; after that the prober's digest tells when the engine is back. Were all to
+  // ask at the prober's pace, a dark domain would draw hundreds of probes a second from each entry.
+  if (known?.failingSince !== undefined) {
+    if (askedAt < known.failingSince) return 0;
+    return Math.min(MAX_PACE_MS, Math.max(freshMs / 2, unheardMs / FAILING_PACE));
+  }
   // The answer has to be there before the engine counts as unheard.
   const leftMs = Math.max(probeEveryMs + probeTimeoutMs, freshMs * OWN_PROBE_SHARE);
-  if (!isFailing && unheardMs < freshMs - leftMs) return Number.POSITIVE_INFINITY;
+  if (unheardMs < freshMs - leftMs) return Number.POSITIVE_INFINITY;
   return Math.min(MAX_PACE_MS, Math.max(probeEveryMs, unheardMs / FAILING_PACE));
 }
 
