--- a/features/promises/load.ts
+++ b/features/promises/load.ts
@@ -32,7 +32,11 @@
 type Ask = (entry: EntryProcess, turn: number) => Promise<Try>;
 
 /** What is refused for a workspace's limits says nothing of a stop, so they are out of the way. */
-export const WIDE_LIMITS = { requestsPerSecond: 50_000, tokensPerSecond: 5_000_000 };
+export const WIDE_LIMITS = {
+  requestsPerSecond: 50_000,
+  tokensPerSecond: 5_000_000,
+  concurrentRequests: 50_000,
+};
 
 const MOST_REFUSALS = 200;
 const REFUSED_PAUSE_MS = 20;
