Order all members together when a replica has to be formed again

Ruled out: the planner (the plan stayed whole under one number) and a member that was still away (all answered). Change: when one member needs the order, all get it; to those in place it is a repetition.

--- a/src/controllers/replicas/orders.ts
+++ b/src/controllers/replicas/orders.ts
@@ -74,17 +74,24 @@
   }
 }
 
-/** Only with all members at hand: a replica that lacks one would load for nothing. */
+/**
+ * Only with all members at hand: a replica that lacks one would load for nothing.
+ *
+ * When one needs the order, all get it. A member that loads while another has failed fails as well;
+ * ordered one by one as their reports come in, members that failed can take each other down over and
+ * over, which shows as a replica that stays `whole` in the plan and never serves. To those that are
+ * in place the order is a repetition without effect.
+ */
 function listFormOrders(input: OrderInput, replica: Replica, now: Milliseconds): OrderTask[] {
   const model = input.models.get(replica.model);
   if (model === undefined) return [];
   const standings = replica.members.map((_, rank) => judgeStanding(input, replica, rank, now));
   const isAtHand = standings.every(({ kind }) => kind === 'inPlace' || kind === 'unformed');
   if (!isAtHand) return [];
-  return standings.flatMap(({ kind }, rank) => {
-    if (kind !== 'unformed') return [];
+  if (standings.every(({ kind }) => kind === 'inPlace')) return [];
+  return replica.members.flatMap(({ instance }, rank) => {
     const order = createFormOrder(input, replica, model, rank);
-    return createTask(input, replica.members[rank]?.instance, order);
+    return createTask(input, instance, order);
   });
 }
 
