--- a/features/routing/wiring.steps.ts
+++ b/features/routing/wiring.steps.ts
@@ -128,8 +128,9 @@
 When(
   '{int} request of one workspace and {int} of another are offered to it',
   async function (this: WiringWorld, few: number, many: number) {
+    const arrivedAt = createSystemClock().now();
     const offer = (workspace: string, index: number): void => {
-      const request = makeRequest(`${workspace}-${index}`, 0, {
+      const request = makeRequest(`${workspace}-${index}`, arrivedAt, {
         workspace,
         deadlineAt: Number.MAX_SAFE_INTEGER,
       });
--- a/src/controllers/routing/constants.ts
+++ b/src/controllers/routing/constants.ts
@@ -29,7 +29,7 @@
 /** The same for a workspace that crowds out others, which leaves the engines some headroom. */
 export const CROWDED_PREFILL_BACKLOG_MS = 50;
 /** Fraction of a batch that such a workspace leaves free. */
-export const HEADROOM_FRACTION = 0.45;
+export const HEADROOM_FRACTION = 0.55;
 /** Requests of it that may wait for their first token, for each replica of this entry's part. */
 export const CROWD_UNANSWERED = 0.5;
 /** Part of all that is asked for, by weight, above which a workspace may count as crowding. */
@@ -63,6 +63,15 @@
 export const NO_CAPACITY_GRACE_MS = 2_000;
 /** `Retry-After` while nothing is in service: about the time in which a replica is re-formed. */
 export const NO_CAPACITY_RETRY_MS = 5_000;
+/** Weight of the newest span between two sends: they come in bursts, and few would say little. */
+export const SEND_RATE = 0.05;
+/** Weight of the newest answer in the mean span that answers take. */
+export const ANSWER_RATE = 0.05;
+/**
+ * What a request on its arrival is reckoned to wait and to take, of the estimate: one that is let in
+ * should be served, also when those ahead of it take longer than most.
+ */
+export const ARRIVAL_MARGIN = 1.5;
 /** Bounds of `Retry-After` for an overload. */
 export const LEAST_RETRY_MS = 100;
 export const MOST_RETRY_MS = 60_000;
--- a/src/controllers/routing/dispatch.ts
+++ b/src/controllers/routing/dispatch.ts
@@ -9,6 +9,7 @@
 import { believeSent } from './beliefs.js';
 import { chooseReplica, indexCandidates, indexPeers } from './choosing.js';
 import {
+  ARRIVAL_MARGIN,
   LEAST_RETRY_MS,
   MOST_RETRY_MS,
   NO_CAPACITY_GRACE_MS,
@@ -21,7 +22,7 @@
 import type { CandidateIndex, DispatchState, ModelQueue, SentRequest } from './state.js';
 import { forgetReplicas, openTrack, trackSend } from './tracks.js';
 import type { Dispatch, DispatchAction, DispatchView, WaitingRequest } from './types.js';
-import { countAhead, estimateRetryAfter, recordSend } from './waits.js';
+import { countAhead, estimateAnswer, estimateRetryAfter, recordSend } from './waits.js';
 
 /** Weight of the newest send in the mean part of prompts that is not cached. */
 const UNCACHED_RATE = 0.02;
@@ -130,15 +131,16 @@
   const { state, view, now, random } = round;
   const choice = chooseReplica(state, index, request, view, leavesHeadroom, now, random);
   queue.slotMs = choice.slotMs;
+  queue.engineWaitMs = choice.leastWaitMs ?? 0;
   if (!choice.anyAllowed) {
     refuse(round, request, createFailure('noCapacity', { name: queue.model }, LEAST_RETRY_MS));
     return true;
   }
-  if (choice.chosen && now + choice.chosen.waitMs < request.deadlineAt) {
+  if (choice.chosen && !isTooLate(round, queue, request, choice.chosen.waitMs)) {
     send(round, queue, request, choice.chosen, leavesHeadroom);
     return true;
   }
-  return judgeWait(round, queue, request, choice.leastWaitMs ?? 0);
+  return judgeWait(round, queue, request, 1);
 }
 
 /**
@@ -148,20 +150,40 @@
 function refuseHopeless(round: Round, queue: ModelQueue): void {
   for (const ticket of queue.unjudged.splice(0)) {
     const request = round.state.waiting.get(ticket);
-    if (request) judgeWait(round, queue, request, 0);
+    if (request) judgeWait(round, queue, request, ARRIVAL_MARGIN);
   }
 }
 
+/** Whether an answer that begins after `waitMs` would not be whole before the deadline. */
+function isTooLate(
+  round: Round,
+  queue: ModelQueue,
+  request: WaitingRequest,
+  waitMs: Milliseconds,
+): boolean {
+  return round.now + waitMs + answerMs(round, queue, request) >= request.deadlineAt;
+}
+
+/**
+ * What a request's answer is reckoned to take. Only of one that has waited here, or that others
+ * wait with: an idle replica has nothing better to do, and what it does corrects the reckoning.
+ */
+function answerMs(round: Round, queue: ModelQueue, request: WaitingRequest): Milliseconds {
+  const hasWaited = round.now - request.arrivedAt > RECHECK_MS;
+  return hasWaited || queue.length > 1 ? estimateAnswer(queue, request) : 0;
+}
+
 /** Refuses a request whose estimated wait passes its deadline; `false` when it may wait. */
 function judgeWait(
   round: Round,
   queue: ModelQueue,
   request: WaitingRequest,
-  engineMs: Milliseconds,
+  margin: number,
 ): boolean {
   const interval = queue.sendIntervalMs ?? queue.slotMs;
-  const wait = engineMs + interval * countAhead(queue, request);
-  const late = round.now + wait - request.deadlineAt;
+  const wait = queue.engineWaitMs + interval * countAhead(queue, request);
+  const span = margin * (wait + answerMs(round, queue, request));
+  const late = round.now + span - request.deadlineAt;
   if (late < 0) return false;
   const reason = `the estimated wait of ${Math.ceil(wait)} ms passes the deadline`;
   const retryAfterMs = Math.max(estimateRetryAfter(queue, 1), Math.ceil(late));
@@ -185,6 +207,7 @@
   const sent: SentRequest = {
     ticket: request.ticket,
     workspace: request.workspace,
+    model: request.model,
     replica: candidate.replica,
     sentAt: now,
     promptTokens: chosen.promptTokens,
--- a/src/controllers/routing/queues.ts
+++ b/src/controllers/routing/queues.ts
@@ -125,7 +125,7 @@
     left: new Map<string, number>(),
     passedOver: 0,
   }));
-  const queue: ModelQueue = { model, classes, length: 0, slotMs: 0, unjudged: [] };
+  const queue: ModelQueue = { model, classes, length: 0, slotMs: 0, engineWaitMs: 0, unjudged: [] };
   state.queues.set(model, queue);
   return queue;
 }
--- a/src/controllers/routing/reports.ts
+++ b/src/controllers/routing/reports.ts
@@ -6,6 +6,7 @@
 import type { DispatchState, SentRequest } from './state.js';
 import { learnSlowness, trackEnd } from './tracks.js';
 import type { SentOutcome } from './types.js';
+import { recordAnswer } from './waits.js';
 
 /**
  * The first token of a sent request arrived.
@@ -42,6 +43,8 @@
   if (workspace) workspace.inFlight -= 1;
   const track = state.replicas.get(sent.replica);
   if (track) trackEnd(track, sent, now);
+  const queue = state.queues.get(sent.model);
+  if (queue && outcome.kind === 'completed') recordAnswer(queue, sent, now);
   if (outcome.kind === 'notSent' || outcome.kind === 'lost') dropBelief(state, sent.replica);
 }
 
--- a/src/controllers/routing/state.ts
+++ b/src/controllers/routing/state.ts
@@ -39,6 +39,10 @@
   sendIntervalMs?: Milliseconds;
   /** Mean span between two places coming free, by the replicas' reports at the last choice. */
   slotMs: Milliseconds;
+  /** The least wait at a replica as the last choice found it. */
+  engineWaitMs: Milliseconds;
+  /** Mean span from first token to end, for each token that was asked for at most. */
+  answerMsPerToken?: Milliseconds;
   /** Tickets whose wait has not been estimated yet. */
   unjudged: string[];
   /** The last send after which requests still waited. */
@@ -49,6 +53,7 @@
 export interface SentRequest {
   ticket: string;
   workspace: string;
+  model: string;
   replica: string;
   sentAt: Milliseconds;
   /** Prompt tokens that the engine was believed not to have cached. */
