--- a/bench/capacity/report-memory.mjs
+++ b/bench/capacity/report-memory.mjs
@@ -14,4 +14,6 @@
   const { heapUsed, external, rss } = process.memoryUsage();
   process.send?.({ heapBytes: heapUsed + external, residentBytes: rss });
 });
+// A benchmark that fails half-way must leave no process behind.
+process.on('disconnect', () => process.exit());
 process.channel?.unref();
