Give calls that must not be repeated a connection of their own

Cause: a kept-alive connection may be closed by the backend server as idle at the moment at which a call is written to it; the call never ran, and its caller is told that the outcome is unknown. Ruled out: closing idle connections sooner, which makes the race rarer and doesn't end it; calling it not run, which the entry cannot know. Change: only repeatable calls use kept connections.

--- a/src/adapters/services/client.ts
+++ b/src/adapters/services/client.ts
@@ -25,16 +25,23 @@
  * @example const start = await createServices().call('10.0.0.9:8080', request, signal);
  */
 export function createServices(): Services {
-  const agent = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
-    maxHeaderSize: MAX_HEADER_BYTES,
-    pipelining: 1,
-  });
-  const dispatcher = agent.compose(markSendings);
+  const connections = { connect: { timeout: CONNECT_TIMEOUT_MS }, maxHeaderSize: MAX_HEADER_BYTES };
+  const kept = new Agent({ ...connections, pipelining: 1 });
+  // A backend server may close an idle connection just as a call is written to it. That call was
+  // not run but looks as if it might have been, and one that must not be repeated then ends as
+  // `unknown`. A new connection cannot be idle; without pipelining undici asks that it be closed.
+  const fresh = new Agent({ ...connections, pipelining: 0 });
+  const keptDispatcher = kept.compose(markSendings);
+  const freshDispatcher = fresh.compose(markSendings);
   const ids = createSentIds();
   return {
-    call: (address, request, signal) => callService(dispatcher, ids, address, request, signal),
-    close: () => agent.destroy(),
+    call: (address, request, signal) => {
+      const dispatcher = request.repeatable ? keptDispatcher : freshDispatcher;
+      return callService(dispatcher, ids, address, request, signal);
+    },
+    close: async () => {
+      await Promise.all([kept.destroy(), fresh.destroy()]);
+    },
   };
 }
 
--- a/src/adapters/services/types.ts
+++ b/src/adapters/services/types.ts
@@ -13,6 +13,8 @@
   headers: readonly HeaderField[];
   /** Bytes may be sent again; a stream only while nothing has been read from it. */
   body: Uint8Array | Readable | undefined;
+  /** Whether it may be sent again after an unknown outcome; others get a connection of their own. */
+  repeatable: boolean;
   /** Longest silence of the backend server, before and during its answer. */
   timeoutMs: Milliseconds;
 }
--- a/src/entry/requests/once-calls.ts
+++ b/src/entry/requests/once-calls.ts
@@ -99,6 +99,7 @@
       path: `${call.path}${call.query}`,
       headers: listSentHeaders(call, body),
       body,
+      repeatable: false,
       timeoutMs: service.timeoutMs,
     },
     // Not the caller's signal: a caller that comes back with the same key gets the stored answer.
--- a/src/entry/requests/service-calls.ts
+++ b/src/entry/requests/service-calls.ts
@@ -177,6 +177,7 @@
       path: `${call.path}${call.query}`,
       headers: listSentHeaders(call, body),
       body,
+      repeatable: run.handling === 'repeatable',
       timeoutMs: service.timeoutMs,
     },
     signal,
