Read the answers of a scenario with a stream consumer

Cause: the linter has no room for a loop that drops what it reads. Change: the text of each answer is read whole.

--- a/features/requests/fresh-connections.steps.ts
+++ b/features/requests/fresh-connections.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
+import { text } from 'node:stream/consumers';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { createServices, type ServiceStart } from '../../src/adapters/services/index.js';
 
