--- a/bench/plan/faults.ts
+++ b/bench/plan/faults.ts
@@ -24,7 +24,7 @@
 export const DAY_MS = 24 * HOUR_MS;
 
 /** Of 1,700 instances, 19 fail and 480 are restarted a day; pauses are assumed. */
-export const LOSS_KINDS: readonly LossKind[] = [
+const LOSS_KINDS: readonly LossKind[] = [
   { kind: 'failure', perDay: 19 / 1_700, meanMs: 4 * HOUR_MS },
   { kind: 'restart', perDay: 480 / 1_700, meanMs: 90 * SECOND_MS },
   { kind: 'pause', perDay: 0.1, meanMs: 8 * SECOND_MS },
