--- a/bench/overload/site.ts
+++ b/bench/overload/site.ts
@@ -90,7 +90,7 @@
     logLevel: 'error',
     stopping: { balancerMs: 50 },
   });
-  const entry = await createEntry(settings);
+  const entry = (await createEntry(settings))._unsafeUnwrap();
   platform.put('instance', name, {
     role: 'entry',
     address: entry.callersAddress,
--- a/bench/relay/worker.ts
+++ b/bench/relay/worker.ts
@@ -21,14 +21,14 @@
   });
 }
 
-function start(role: Role, engine: string): Promise<string> {
+async function start(role: Role, engine: string): Promise<string> {
   switch (role) {
     case 'engine':
       return listen(createEngine());
     case 'baseline':
       return listen(createBaseline(engine));
     case 'entry':
-      return createBenchEntry(engine).listen();
+      return (await createBenchEntry(engine).listen())._unsafeUnwrap();
   }
 }
 
--- a/features/configuration/operators.steps.ts
+++ b/features/configuration/operators.steps.ts
@@ -22,7 +22,7 @@
   const entry = await fleet.startEntry('entry-1', 'site');
   await waitFor('it to be ready', () => entry.membership.readiness().kind === 'ready');
   this.listener = createOperators('127.0.0.1:0', entry.operations);
-  this.operatorsAddress = await this.listener.listen();
+  this.operatorsAddress = (await this.listener.listen())._unsafeUnwrap();
 });
 
 After(async function (this: OperatorWorld) {
--- a/features/requests/fixture.ts
+++ b/features/requests/fixture.ts
@@ -92,7 +92,7 @@
     this.board.plans.write(new Map([['fabric-1', { version: 1, value: this.#describePlan() }]]));
     this.requests.start();
     this.health.start();
-    this.address = await this.callers.listen();
+    this.address = (await this.callers.listen())._unsafeUnwrap();
     await waitFor('all replicas to be eligible', () => this.#countEligible() === ENGINES.length);
   }
 
--- a/features/support/entries.ts
+++ b/features/support/entries.ts
@@ -117,7 +117,7 @@
       changesSince: (since) => membership.handlers.changesSince(since),
     };
     const server = createPeerServer({ address: settings.listen.peers, handlers, onSent });
-    const peerAddress = await server.listen();
+    const peerAddress = (await server.listen())._unsafeUnwrap();
     const writers = createBoard();
     const context: EntryContext = {
       identity: {
--- a/src/adapters/callers/create-callers.ts
+++ b/src/adapters/callers/create-callers.ts
@@ -6,14 +6,16 @@
  * Content-Length and Transfer-Encoding or with more than one length before they get here.
  */
 import { createHash, randomUUID } from 'node:crypto';
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { getRequestListener, type HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono, type Context } from 'hono';
+import type { ResultAsync } from 'neverthrow';
 import type { Credentials } from '../../controllers/attempts/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
+import { closeServer, drainServer, listenOn } from '../../core/listening/index.js';
 import type { Logger } from '../../core/logger/index.js';
 import type { EntrySettings } from '../../core/settings/index.js';
 import { renderFailure, sendFailure, sendJson } from './answers.js';
@@ -36,9 +38,12 @@
 /** The listener for callers. */
 export interface Callers {
   /** Resolves with the `host:port` listened on. */
-  listen(): Promise<string>;
-  /** Takes no more connections; resolves when every answer under way has been sent. */
-  drain(): Promise<void>;
+  listen(): ResultAsync<string, Failure<'unreachable'>>;
+  /**
+   * Resolves when every answer under way has been sent and no connection is left. Idle ones are
+   * given `graceMs` to be closed by their callers; then no more connections are taken.
+   */
+  drain(graceMs: Milliseconds): Promise<void>;
   /** Closes everything, also what is under way. */
   close(): Promise<void>;
 }
@@ -53,7 +58,6 @@
 /** Above every service timeout; single bodies have their own bounds. */
 const REQUEST_TIMEOUT_MS = 900_000;
 const CONNECTION_CHECK_MS = 1_000;
-const IDLE_SWEEP_MS = 50;
 const BEARER = /^Bearer +(\S+)$/i;
 
 /**
@@ -78,8 +82,8 @@
   );
   server.on('clientError', answerBadRequest);
   return {
-    listen: () => listen(server, options.address),
-    drain: () => drainServer(server),
+    listen: () => listenOn(server, options.address),
+    drain: (graceMs) => drainServer(server, graceMs),
     close: () => closeServer(server),
   };
 }
@@ -240,40 +244,3 @@
   ];
   socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
 }
-
-function listen(server: Server, address: string): Promise<string> {
-  const separator = address.lastIndexOf(':');
-  const host = address.slice(0, separator);
-  const port = Number(address.slice(separator + 1));
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, () => {
-      server.off('error', reject);
-      const bound = server.address() as AddressInfo;
-      resolve(`${bound.address}:${bound.port}`);
-    });
-  });
-}
-
-function drainServer(server: Server): Promise<void> {
-  return new Promise((resolve) => {
-    // A connection goes idle when its last answer has been sent, which may be after this moment.
-    const sweep = setInterval(() => {
-      server.closeIdleConnections();
-    }, IDLE_SWEEP_MS);
-    server.close(() => {
-      clearInterval(sweep);
-      resolve();
-    });
-    server.closeIdleConnections();
-  });
-}
-
-function closeServer(server: Server): Promise<void> {
-  return new Promise((resolve) => {
-    server.close(() => {
-      resolve();
-    });
-    server.closeAllConnections();
-  });
-}
--- a/src/adapters/operators/create-operators.ts
+++ b/src/adapters/operators/create-operators.ts
@@ -2,15 +2,17 @@
  * The listener for operators. It knows no users: bind it to a network that only operators reach.
  */
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { getRequestListener } from '@hono/node-server';
+import type { ResultAsync } from 'neverthrow';
+import type { Failure } from '../../core/errors/index.js';
+import { closeServer, listenOn } from '../../core/listening/index.js';
 import { createOperatorRoutes } from './routes.js';
 import type { Operations } from './types.js';
 
 /** The listener for operators. */
 export interface Operators {
   /** Resolves with the `host:port` listened on. */
-  listen(): Promise<string>;
+  listen(): ResultAsync<string, Failure<'unreachable'>>;
   close(): Promise<void>;
 }
 
@@ -24,22 +26,8 @@
   const handle = getRequestListener(app.fetch, { overrideGlobalObjects: false });
   // hono's adapter rejects only when it could not answer; the connection is closed by then.
   const server = createServer((request, response) => void handle(request, response));
-  const [host = '', port = ''] = address.split(':');
   return {
-    listen: () =>
-      new Promise((resolve, reject) => {
-        server.once('error', reject);
-        server.listen(Number(port), host, () => {
-          server.off('error', reject);
-          resolve(`${host}:${(server.address() as AddressInfo).port}`);
-        });
-      }),
-    close: () =>
-      new Promise((resolve) => {
-        server.close(() => {
-          resolve();
-        });
-        server.closeAllConnections();
-      }),
+    listen: () => listenOn(server, address),
+    close: () => closeServer(server),
   };
 }
--- a/src/adapters/peers/server.ts
+++ b/src/adapters/peers/server.ts
@@ -2,9 +2,12 @@
  * The listener at which other entries reach this one.
  */
 import { createServer, type ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
+import type { ResultAsync } from 'neverthrow';
 import { MESSAGE_BYTES } from '../../controllers/membership/index.js';
+import type { Failure } from '../../core/errors/index.js';
+import { closeServer, listenOn } from '../../core/listening/index.js';
 import { createPeerRouter } from './router.js';
 import type { PeerHandlers } from './types.js';
 
@@ -14,7 +17,7 @@
 /** A listener for peers. */
 export interface PeerServer {
   /** Resolves with the `host:port` that it listens on; port 0 takes a free one. */
-  listen(): Promise<string>;
+  listen(): ResultAsync<string, Failure<'unreachable'>>;
   close(): Promise<void>;
 }
 
@@ -44,23 +47,9 @@
     handle(request, response);
   });
   server.keepAliveTimeout = KEEP_ALIVE_MS;
-  const [host = '', port = ''] = options.address.split(':');
   return {
-    listen: () =>
-      new Promise((resolve, reject) => {
-        server.once('error', reject);
-        server.listen(Number(port), host, () => {
-          server.off('error', reject);
-          resolve(`${host}:${(server.address() as AddressInfo).port}`);
-        });
-      }),
-    close: () =>
-      new Promise((resolve) => {
-        server.close(() => {
-          resolve();
-        });
-        server.closeAllConnections();
-      }),
+    listen: () => listenOn(server, options.address),
+    close: () => closeServer(server),
   };
 }
 
--- a/src/cli/dev/site.ts
+++ b/src/cli/dev/site.ts
@@ -102,7 +102,7 @@
   failureDomain: string,
 ): Promise<SiteEntry & Stoppable> {
   const name = `entry-${failureDomain}`;
-  const entry = await createEntry(createSettings(name, failureDomain, platform.address));
+  const entry = await unwrap(createEntry(createSettings(name, failureDomain, platform.address)));
   platform.put('instance', name, {
     role: 'entry',
     address: entry.callersAddress,
--- a/src/cli/entry/entry.ts
+++ b/src/cli/entry/entry.ts
@@ -30,7 +30,12 @@
   }
   // Before the start: a signal during it would otherwise end the process where it stands.
   const stopSignal = waitForStopSignal();
-  const entry = await createEntry(settings.value);
+  const started = await createEntry(settings.value);
+  if (started.isErr()) {
+    printFailures([started.error]);
+    return 'unreachable';
+  }
+  const entry = started.value;
   printJson({
     listening: {
       callers: entry.callersAddress,
--- /dev/null
+++ b/src/core/listening/index.ts
@@ -0,0 +1,1 @@
+export * from './listening.js';
--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -5,6 +5,7 @@
  * callers comes last, when everything behind it runs. A stop goes the other way round.
  */
 import { randomBytes, randomInt } from 'node:crypto';
+import { err, ResultAsync } from 'neverthrow';
 import { createCallers } from '../adapters/callers/index.js';
 import { createEngineClient, type EngineClient } from '../adapters/engines/index.js';
 import { createOperators } from '../adapters/operators/index.js';
@@ -32,8 +33,8 @@
 import { createOperations } from './operations/index.js';
 import { createReplicasPart } from './replicas/index.js';
 import { createRequests } from './requests/index.js';
-import { stopEntry } from './stop-entry.js';
-import type { Closable, EntryParts, RunningEntry } from './running-entry.js';
+import { abandonEntry, stopEntry } from './stop-entry.js';
+import type { EntryParts, RunningEntry } from './running-entry.js';
 import type { EntryContext } from './types.js';
 
 /** Enough that no two starts of an entry share one; every digest carries it, so it is short. */
@@ -44,40 +45,77 @@
 
 /**
  * Starts an entry and resolves when it listens. It is ready for callers when `/readyz` says so.
+ * Fails with `unreachable` when one of its addresses can't be bound.
  *
  * @example
  * const entry = await createEntry(settings);
- * process.once('SIGTERM', () => void entry.stop());
+ * if (entry.isOk()) process.once('SIGTERM', () => void entry.value.stop());
  */
-export async function createEntry(settings: EntrySettings): Promise<RunningEntry> {
-  const late: { handlers?: PeerHandlers; countSent?: (bytes: number) => void } = {};
+export function createEntry(
+  settings: EntrySettings,
+): ResultAsync<RunningEntry, Failure<'unreachable'>> {
+  const late: LateParts = {};
   const peerServer = createPeerServer({
     address: settings.listen.peers,
     handlers: createLateHandlers(late),
     onSent: (bytes) => late.countSent?.(bytes),
   });
-  const boundPeers = await peerServer.listen();
-  const peerAddress = settings.listen.advertisedPeers ?? boundPeers;
-  const context = createContext(settings, peerAddress);
+  return peerServer.listen().andThen((bound) => {
+    const context = createContext(settings, settings.listen.advertisedPeers ?? bound);
+    return openEntry(context, peerServer, late);
+  });
+}
+
+function openEntry(
+  context: EntryContext & Connections,
+  peerServer: PeerServer,
+  late: LateParts,
+): ResultAsync<RunningEntry, Failure<'unreachable'>> {
   const parts = createParts(context, peerServer, (bytes) => late.countSent?.(bytes));
   late.handlers = parts.membership.handlers;
   late.countSent = (bytes) => {
     parts.membership.countSent(bytes);
   };
   for (const part of listInStartOrder(parts)) part.start();
-  const operatorsAddress = await parts.operators.listen();
-  const callersAddress = await parts.callers.listen();
-  context.logger.log('entryStarted', { callers: callersAddress, peers: peerAddress });
+  return parts.operators
+    .listen()
+    .andThen((operators) => parts.callers.listen().map((callers) => ({ operators, callers })))
+    .map(({ operators, callers }) => describeEntry(context, parts, operators, callers))
+    .orElse((failure) =>
+      ResultAsync.fromSafePromise(abandonEntry(parts)).andThen(() => err(failure)),
+    );
+}
+
+function describeEntry(
+  context: EntryContext,
+  parts: EntryParts,
+  operatorsAddress: string,
+  callersAddress: string,
+): RunningEntry {
+  const peersAddress = context.identity.peerAddress;
+  context.logger.log('entryStarted', { callers: callersAddress, peers: peersAddress });
   return {
     callersAddress,
     operatorsAddress,
-    peersAddress: peerAddress,
+    peersAddress,
     stop: () => stopEntry(context, parts),
   };
 }
 
+/** The clients whose connections end with the entry. */
+interface Connections {
+  platform: PlatformClient;
+  engines: EngineClient;
+}
+
+/** What exists only after the peer listener is open, since it needs that listener's address. */
+interface LateParts {
+  handlers?: PeerHandlers;
+  countSent?: (bytes: number) => void;
+}
+
 /** Peers may call as soon as the listener is open, a moment before the part behind it exists. */
-function createLateHandlers(late: { handlers?: PeerHandlers }): PeerHandlers {
+function createLateHandlers(late: LateParts): PeerHandlers {
   const resolve = (): PeerHandlers => {
     if (late.handlers === undefined) throw new Error('the entry is still starting');
     return late.handlers;
@@ -88,10 +126,7 @@
   };
 }
 
-function createContext(
-  settings: EntrySettings,
-  peerAddress: string,
-): EntryContext & { platform: PlatformClient; engines: EngineClient } {
+function createContext(settings: EntrySettings, peerAddress: string): EntryContext & Connections {
   const { name, region, failureDomain } = settings;
   const board = createBoard();
   const logger = createLogger(name, settings.logLevel);
@@ -120,7 +155,7 @@
 }
 
 function createParts(
-  context: EntryContext & { platform: Closable; engines: Closable },
+  context: EntryContext & Connections,
   peerServer: PeerServer,
   countSent: (bytes: number) => void,
 ): EntryParts {
--- a/src/entry/stop-entry.ts
+++ b/src/entry/stop-entry.ts
@@ -20,6 +20,13 @@
   return parts.stopped;
 }
 
+/** Ends an entry that could not open all its listeners; it never had a caller. */
+export async function abandonEntry(parts: EntryParts): Promise<void> {
+  await parts.onceCalls.stop();
+  await stopParts(parts);
+  await closeConnections(parts);
+}
+
 async function performStop(context: EntryContext, parts: EntryParts): Promise<void> {
   const { logger, settings } = context;
   const { balancerMs, drainMs } = settings.stopping;
@@ -28,7 +35,7 @@
   parts.membership.announceStopping();
   await Promise.all([parts.replicas.handOver(), sleep(balancerMs)]);
   parts.requests.beginStopping();
-  await withinTime(finishRequests(parts), drainMs);
+  await withinTime(finishRequests(parts, balancerMs), drainMs);
   await parts.callers.close();
   await parts.onceCalls.stop();
   await parts.membership.whenHandedOver(FAREWELL_MS);
@@ -37,8 +44,11 @@
   logger.log('entryStopped');
 }
 
-async function finishRequests({ callers, requests }: EntryParts): Promise<void> {
-  await Promise.all([callers.drain(), requests.whenIdle()]);
+async function finishRequests(
+  { callers, requests }: EntryParts,
+  graceMs: Milliseconds,
+): Promise<void> {
+  await Promise.all([callers.drain(graceMs), requests.whenIdle()]);
 }
 
 /** A caller that never takes its answer must not hold up the stop for ever. */
--- a/src/stand-ins/proxy/connection.ts
+++ b/src/stand-ins/proxy/connection.ts
@@ -2,7 +2,7 @@
  * One connection through the proxy: the socket of its source, that of its target, and two pipes.
  */
 import { connect, type Socket } from 'node:net';
-import type { HostAndPort } from '../listener/index.js';
+import type { HostAndPort } from '../../core/listening/index.js';
 import type { Link, Way } from './link.js';
 import { createPipe } from './pipe.js';
 import { resetSocket } from './reset-socket.js';
--- a/src/stand-ins/proxy/proxy.ts
+++ b/src/stand-ins/proxy/proxy.ts
@@ -8,13 +8,8 @@
 import { z } from 'zod';
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import { parseJson } from '../../core/json/index.js';
-import {
-  formatAddress,
-  openListener,
-  parseAddress,
-  type HostAndPort,
-  type Listener,
-} from '../listener/index.js';
+import { formatAddress, parseAddress, type HostAndPort } from '../../core/listening/index.js';
+import { openListener, type Listener } from '../listener/index.js';
 import { joinConnection, type ProxyConnection } from './connection.js';
 import {
   controlLink,
