--- a/bench/relay/entry.ts
+++ b/bench/relay/entry.ts
@@ -3,7 +3,7 @@
  */
 import { createHash } from 'node:crypto';
 import { createCallers, type Callers } from '../../src/adapters/callers/index.js';
-import { createEngineClient } from '../../src/adapters/engines/index.js';
+import { createEngineClient, engineReportSchema } from '../../src/adapters/engines/index.js';
 import type { Platform } from '../../src/adapters/platform/index.js';
 import { createServices } from '../../src/adapters/services/index.js';
 import { createBoard, type BoardWriters } from '../../src/board/index.js';
@@ -16,10 +16,12 @@
 import { entrySettingsSchema } from '../../src/core/settings/index.js';
 import { createRequests } from '../../src/entry/requests/index.js';
 import type { EntryContext } from '../../src/entry/types.js';
-import { modelSchema, workspaceSchema } from '../../src/objects/index.js';
+import { modelSchema, replicaSchema, workspaceSchema } from '../../src/objects/index.js';
 
 export const MODEL = 'assistant';
 export const KEY = 'bench-key';
+const REPLICA = 'replica-1';
+const ENGINE = 'engine-1';
 const ADDRESS = '127.0.0.1:0';
 const PLENTY = { requestsPerSecond: 1e9, tokensPerSecond: 1e12, concurrentRequests: 1e9 };
 const BATCH_SIZE = 4_096;
@@ -60,6 +62,28 @@
     workspaces: new Map([['bench', workspace]]),
   });
   board.limits.write(new Map([['bench', PLENTY]]));
+  fillReplica(board);
+}
+
+/** A replica of one engine whose report never grows old: without it requests are moved away. */
+function fillReplica(board: BoardWriters): void {
+  const place = { id: REPLICA, fence: 1, model: MODEL, weights: '1' };
+  const members = [{ instance: ENGINE, incarnation: '1' }];
+  const replica = replicaSchema.parse({ ...place, phase: 'whole', members });
+  const plan = { fence: 1, replicas: [replica], spares: [] };
+  board.plans.write(new Map([['fabric', { version: 1, value: plan }]]));
+  const report = engineReportSchema.parse({
+    instance: ENGINE,
+    incarnation: '1',
+    state: 'ready',
+    replica: { ...place, rank: 0, size: 1 },
+    fence: 1,
+    leaving: false,
+    inFlight: 0,
+    adapters: [],
+    cacheSequence: 0,
+  });
+  board.health.write(new Map([[ENGINE, { report, heardAt: Number.POSITIVE_INFINITY }]]));
 }
 
 function createContext(board: BoardWriters): EntryContext {
@@ -103,12 +127,12 @@
     ageMs: 0,
   };
   const candidate: Candidate = {
-    replica: 'replica-1',
+    replica: REPLICA,
     model: MODEL,
     fence: 1,
-    leader: 'engine-1',
+    leader: ENGINE,
     address,
-    members: ['engine-1'],
+    members: [ENGINE],
     location: { region: 'default', failureDomain: 'west' },
     load: { load, measuredAt: 0 },
   };
--- a/features/promises/load.ts
+++ b/features/promises/load.ts
@@ -95,10 +95,11 @@
   let isStopped = false;
   let turn = 0;
   const run = async (caller: number): Promise<void> => {
+    const left = new Set<EntryProcess>();
     for (let at = caller; !isStopped; at += 1) {
       turn += 1;
       const number = turn;
-      outcomes.push(await askSomewhere(listEntries, at, (entry) => ask(entry, number)));
+      outcomes.push(await askSomewhere(listEntries, left, at, (entry) => ask(entry, number)));
       await sleep(PACE_MS);
     }
   };
@@ -113,18 +114,24 @@
   };
 }
 
-/** Goes elsewhere only when the entry cannot have taken the request on. */
+/**
+ * Goes elsewhere only when the entry cannot have taken the request on, and notes it in `left`: a
+ * caller that was told that an entry stops does not come back to it. Nobody can answer one that
+ * connects at the instant at which the listener closes.
+ */
 async function askSomewhere(
   listEntries: () => readonly EntryProcess[],
+  left: Set<EntryProcess>,
   first: number,
   ask: (entry: EntryProcess) => Promise<Try>,
 ): Promise<Outcome> {
   for (let refusals = 0; refusals < MOST_REFUSALS; refusals += 1) {
-    const entries = listEntries();
+    const entries = listEntries().filter((entry) => !left.has(entry));
     const entry = entries[(first + refusals) % entries.length];
     if (entry === undefined) break;
     const { isRefused, fault } = await ask(entry);
     if (!isRefused) return { entry: entry.name, refusals, ...(fault !== undefined && { fault }) };
+    left.add(entry);
     await sleep(REFUSED_PAUSE_MS);
   }
   return { entry: 'none', refusals: MOST_REFUSALS, fault: 'refused everywhere' };
