Compose calls to plain services, parse JSON and name the policy in one place each

Cause: three pieces stood two or three times: the request to a plain service in both kinds of call, the parsing of JSON from outside beside core/json, and the policy's name beside its controller. Ruled out: joining the two ways of sending themselves; they end differently and share no more. Change: composeRequest, parseJson and POLICY_NAME serve all. Behaviour and tests stay as they are.

--- a/src/adapters/operators/routes.ts
+++ b/src/adapters/operators/routes.ts
@@ -19,6 +19,7 @@
 import { err, ok, type Result, type ResultAsync } from 'neverthrow';
 import { z } from 'zod';
 import { createFailure, ERRORS } from '../../core/errors/index.js';
+import { parseJson } from '../../core/json/index.js';
 import { describeIssues } from '../../core/settings/issues.js';
 import { configurationKindSchema, nameSchema, objectKindSchema } from '../../objects/index.js';
 import type { Operations, Refusal } from './types.js';
@@ -150,14 +151,6 @@
   return err({ failure: createFailure('invalidRequest', { reason }), faults });
 }
 
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
-
 async function answer<Value>(
   context: Context,
   result: ResultAsync<Value, Refusal>,
--- a/src/cli/object-file.ts
+++ b/src/cli/object-file.ts
@@ -7,6 +7,7 @@
  */
 import { err, ok, type Result, type ResultAsync } from 'neverthrow';
 import { z } from 'zod';
+import { POLICY_NAME } from '../controllers/configuration/index.js';
 import {
   describeIssues,
   parseTomlFile,
@@ -30,7 +31,6 @@
   value: unknown;
 }
 
-const POLICY_NAME = 'default';
 const KINDS_FIX = `use one of [[${CONFIGURATION_KINDS.join(']], [[')}]]`;
 const namedTableSchema = z.looseObject({ name: nameSchema });
 
--- a/src/entry/limits/create-limits.ts
+++ b/src/entry/limits/create-limits.ts
@@ -15,6 +15,7 @@
 } from '../../controllers/limits/index.js';
 import type { WorkspaceDemand } from '../../board/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
+import { parseJson } from '../../core/json/index.js';
 import type { EntryContext, Part } from '../types.js';
 
 /** The limits part, and what the exchange of digests needs of it. */
@@ -91,11 +92,3 @@
 function listPeerDemands({ board }: EntryContext): (readonly WorkspaceDemand[])[] {
   return [...board.peers.read().values()].map(({ demands }) => demands);
 }
-
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
--- a/src/entry/requests/once-calls.ts
+++ b/src/entry/requests/once-calls.ts
@@ -9,7 +9,7 @@
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import type { Service } from '../../objects/index.js';
 import { chooseServiceInstance, reportInstance } from './instances.js';
-import { createNoCapacity, listSentHeaders } from './sent-call.js';
+import { composeRequest, createNoCapacity } from './sent-call.js';
 import type { RequestParts } from './types.js';
 
 /** Largest answer that is read; one too large for a record is still passed on. */
@@ -94,14 +94,7 @@
   parts.inFlight.begin(targets);
   const start = await parts.services.call(
     address,
-    {
-      method: call.method,
-      path: `${call.path}${call.query}`,
-      headers: listSentHeaders(call, body),
-      body,
-      repeatable: false,
-      timeoutMs: service.timeoutMs,
-    },
+    composeRequest(call, body, service, false),
     // Not the caller's signal: a caller that comes back with the same key gets the stored answer.
     AbortSignal.timeout(service.timeoutMs),
   );
--- a/src/entry/requests/sent-call.ts
+++ b/src/entry/requests/sent-call.ts
@@ -4,11 +4,29 @@
 import type { ServiceCall } from '../../adapters/callers/index.js';
 import type { ServiceRequest } from '../../adapters/services/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
+import type { Service } from '../../objects/index.js';
 
 const NO_CAPACITY_RETRY_MS = 1_000;
 
-/** What goes to the backend server: the caller's fields and this entry's own. */
-export function listSentHeaders(
+/** The call as it goes to the backend server; `body` is the caller's, whole or as it comes. */
+export function composeRequest(
+  call: ServiceCall,
+  body: ServiceRequest['body'],
+  service: Service,
+  repeatable: boolean,
+): ServiceRequest {
+  return {
+    method: call.method,
+    path: `${call.path}${call.query}`,
+    headers: listSentHeaders(call, body),
+    body,
+    repeatable,
+    timeoutMs: service.timeoutMs,
+  };
+}
+
+/** The caller's fields and this entry's own. */
+function listSentHeaders(
   call: ServiceCall,
   body: ServiceRequest['body'],
 ): ServiceRequest['headers'] {
--- a/src/entry/requests/service-calls.ts
+++ b/src/entry/requests/service-calls.ts
@@ -19,7 +19,7 @@
 import { chooseServiceInstance, reportInstance } from './instances.js';
 import { runOnceCall } from './once-calls.js';
 import { logRetry } from './request-log.js';
-import { createNoCapacity, listSentHeaders } from './sent-call.js';
+import { composeRequest, createNoCapacity } from './sent-call.js';
 import type { RequestParts } from './types.js';
 
 /** Bodies up to this size are held, so that a call can be sent again; larger ones are streamed. */
@@ -172,14 +172,7 @@
   parts.inFlight.begin(targets);
   const start = await parts.services.call(
     address,
-    {
-      method: call.method,
-      path: `${call.path}${call.query}`,
-      headers: listSentHeaders(call, body),
-      body,
-      repeatable: run.handling === 'repeatable',
-      timeoutMs: service.timeoutMs,
-    },
+    composeRequest(call, body, service, run.handling === 'repeatable'),
     signal,
   );
   const end = start.kind === 'started' ? await relay(run, instance, start.answer) : start;
