Stage a second model before traffic, and form replicas only from instances with weights at hand

Cause: members of new groups held up warm ones through loads of 12 to 16 s, and 14 of 59 engines stood in joining groups. Orders and probes to dead engines took undici's connect timeout of 10 s. Ruled out: store latency, planning pace.

--- a/src/controllers/forwarding/stall.ts
+++ b/src/controllers/forwarding/stall.ts
@@ -9,25 +9,36 @@
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { EngineProfile, GroupModel } from '../../ports/index.js';
 
-/** Usual pauses after which a target counts as stalled. Below 6, full prompts looked like stalls. */
-const PAUSES_UNTIL_STALLED = 7;
+/**
+ * Longest usual pauses after which a target counts as stalled. A pause is longest when every step
+ * between two events also reads a whole piece of somebody's prompt.
+ */
+const PAUSES_UNTIL_STALLED = 2;
 /** Least wait before a stall is believed: delays of links and of a busy entry stay below it. */
 const LEAST_STALL_MS: Milliseconds = 300;
-/** Wait for the first event of a request when nothing else moves at the target. */
+/** Wait for the first event of a request that found a free slot. */
 const FIRST_EVENT_MS: Milliseconds = 700;
 /** Wait for a plain answer, as a multiple of the route's aim. */
 const PLAIN_TARGETS_UNTIL_STALLED = 2;
 
 /** How long a stream of `model` may stand still before its replica is suspected. */
 export function stallAfter(profile: EngineProfile, model: GroupModel): Milliseconds {
-  const step = profile.stepMs + profile.stepPerRequestMs * profile.slots;
-  const pause = profile.stride * step * model.pace;
+  const generating = profile.stepMs + profile.stepPerRequestMs * profile.slots;
+  const reading = profile.promptChunk / profile.promptTokensPerMs;
+  const pause = profile.stride * (generating + reading) * model.pace;
   return Math.max(LEAST_STALL_MS, PAUSES_UNTIL_STALLED * pause);
 }
 
-/** How long a request may wait for its first event before its replica is suspected. */
-export function firstEventAfter(profile: EngineProfile, model: GroupModel, tokens: number): Milliseconds {
-  return FIRST_EVENT_MS + (2 * tokens * model.pace) / profile.promptTokensPerMs;
+/**
+ * How long a request may wait for its first event before its replica is suspected, when a slot was
+ * free for it. One that has to queue may wait for as long as others take.
+ */
+export function firstEventAfter(
+  profile: EngineProfile,
+  model: GroupModel,
+  promptTokens: number,
+): Milliseconds {
+  return FIRST_EVENT_MS + (2 * promptTokens * model.pace) / profile.promptTokensPerMs;
 }
 
 /** How long a plain answer may take before its backend server is suspected. */
--- a/src/controllers/forwarding/suspicion.ts
+++ b/src/controllers/forwarding/suspicion.ts
@@ -12,6 +12,8 @@
   until: Milliseconds;
   /** Times in a row that it was found. */
   count: number;
+  /** Found here, and not told by a peer: only these are told on, or they would never lapse. */
+  own: boolean;
 }
 
 /** First stay out of service; it doubles with each finding in a row. */
@@ -32,7 +34,7 @@
     const isRecent = known !== undefined && now - known.until < FORGET_AFTER_MS;
     const count = isRecent ? known.count + 1 : 1;
     const stay = Math.min(LONGEST_STAY_MS, FIRST_STAY_MS * 2 ** (count - 1));
-    this.entries.set(server, { server, since: now, until: now + stay, count });
+    this.entries.set(server, { server, since: now, until: now + stay, count, own: true });
     return true;
   }
 
@@ -42,7 +44,7 @@
     const until = now + Math.min(leftMs, LONGEST_STAY_MS);
     if (known && known.until >= until) return false;
     const isNew = known === undefined || now >= known.until;
-    this.entries.set(server, { server, since: now - ageMs, until, count: known?.count ?? 1 });
+    this.entries.set(server, { server, since: now - ageMs, until, count: known?.count ?? 1, own: false });
     return isNew;
   }
 
@@ -60,7 +62,12 @@
   }
 
   /** Suspicions in force. */
-  list(now: Milliseconds): Suspicion[] {
+  listAll(now: Milliseconds): Suspicion[] {
     return [...this.entries.values()].filter(({ until }) => now < until);
   }
+
+  /** Suspicions in force that were found here. */
+  listOwn(now: Milliseconds): Suspicion[] {
+    return this.listAll(now).filter(({ own }) => own);
+  }
 }
--- a/src/controllers/groups/orders.ts
+++ b/src/controllers/groups/orders.ts
@@ -63,7 +63,11 @@
   };
 }
 
-/** Free instances get the weights of the model that has the fewest spares for its size. */
+/**
+ * Free instances without weights get those of the model that has the fewest spares for its size.
+ * Before there is traffic, hosts of members get the weights of another model as well: an engine
+ * keeps its own in memory, and can then change from one model to the other in a warm load.
+ */
 function listStaging(plan: GroupPlan, view: DomainView, weights: ModelWeights): DueOrder[] {
   const free = listFree(view, plan);
   const usable = [...view.servers.keys()].filter((id) => isUsable(view, id)).length;
@@ -71,15 +75,36 @@
   const models = targets.filter(({ groups }) => groups > 0).map(({ model }) => model);
   const bare = free.filter(({ engine }) => engine?.staged.length === 0);
   const spares = new Map(models.map(({ name }) => [name, countStaged(free, name)]));
-  return bare.flatMap((server): DueOrder[] => {
+  const orders = bare.flatMap((server): DueOrder[] => {
     const model = pickStaging(models, spares);
     if (model === undefined) return [];
     spares.set(model.name, (spares.get(model.name) ?? 0) + 1);
-    const to = { id: server.id, address: server.address };
-    return [{ to, order: { kind: 'stage', model: model.name } }];
+    return [stage(server, model)];
+  });
+  return view.beforeTraffic ? [...orders, ...listSecondModels(plan, view, models)] : orders;
+}
+
+function listSecondModels(
+  plan: GroupPlan,
+  view: DomainView,
+  models: readonly GroupModel[],
+): DueOrder[] {
+  return plan.groups.flatMap((group) => {
+    const other = models.find(({ name }) => name !== group.model);
+    if (other === undefined || group.closing !== 'no') return [];
+    return group.members.flatMap(({ id }): DueOrder[] => {
+      const server = view.servers.get(id);
+      const isLoaded = server?.engine?.model === group.model;
+      if (!server || !isLoaded || server.engine?.staged.includes(other.name)) return [];
+      return [stage(server, other)];
+    });
   });
 }
 
+function stage({ id, address }: BackendServer, model: GroupModel): DueOrder {
+  return { to: { id, address }, order: { kind: 'stage', model: model.name } };
+}
+
 function countStaged(free: readonly BackendServer[], model: string): number {
   return free.filter(({ engine }) => engine?.staged.includes(model)).length;
 }
--- a/src/controllers/groups/revise.ts
+++ b/src/controllers/groups/revise.ts
@@ -10,7 +10,7 @@
  * late is refused by each engine that has seen a newer one.
  */
 import type { BackendServer, GroupModel } from '../../ports/index.js';
-import { planTargets, type ModelWeights } from './targets.js';
+import { planTargets, type GroupTarget, type ModelWeights } from './targets.js';
 import type { GroupPlan, PlannedGroup } from './types.js';
 import { isUsable, listFree, membershipIn, type DomainView } from './view.js';
 
@@ -44,42 +44,91 @@
   return group.members.every(({ id }) => isUsable(view, id)) ? 'no' : 'drain';
 }
 
+/**
+ * One change at a time: a group of a model that has too few; else, where instances are left over
+ * that no such group can use, one more of another model; else a surplus group is given up so that
+ * its members can make good a lack.
+ */
 function formMissing(plan: GroupPlan, view: DomainView, weights: ModelWeights): GroupPlan {
   const usable = [...view.servers.keys()].filter((id) => isUsable(view, id)).length;
   const targets = planTargets(usable, view.profile.models, weights);
-  const missing = targets
-    .map(({ model, groups }) => ({ model, missing: groups - countGroups(plan, model) }))
-    .filter((entry) => entry.missing > 0)
-    .sort((a, b) => rankModel(a.model, plan) - rankModel(b.model, plan));
-  for (const { model } of missing) {
-    const members = pickMembers(listFree(view, plan), model);
-    if (members !== undefined) return addGroup(plan, view, model, members);
+  const free = listFree(view, plan);
+  const lacking = targets
+    .filter((target) => countGroups(plan, target.model) < target.groups)
+    .sort((a, b) => fillOf(a, plan) - fillOf(b, plan) || b.model.size - a.model.size);
+  for (const { model } of lacking) {
+    const members = pickMembers(free, model, view);
+    if (members) return addGroup(plan, view, model, members);
   }
-  return plan;
+  if (lacking.length === 0) return plan;
+  const extra = [...targets].sort((a, b) => fillOf(a, plan) - fillOf(b, plan));
+  for (const { model } of extra) {
+    const members = pickMembers(free, model, view);
+    if (members) return addGroup(plan, view, model, members);
+  }
+  return giveUpSurplus(plan, view, targets, lacking, free);
 }
 
-/** The model with the smallest part of the domain comes first; a larger one on equal parts. */
-function rankModel(model: GroupModel, plan: GroupPlan): number {
-  return countGroups(plan, model) * model.size - model.size / 1_000;
+/** Part of its target that a model has; a model without a target has more than enough. */
+function fillOf({ model, groups }: GroupTarget, plan: GroupPlan): number {
+  const count = countGroups(plan, model);
+  return groups > 0 ? count / groups : count + 1;
 }
 
 function countGroups(plan: GroupPlan, model: GroupModel): number {
   return plan.groups.filter((group) => group.model === model.name && group.closing === 'no').length;
 }
 
+function giveUpSurplus(
+  plan: GroupPlan,
+  view: DomainView,
+  targets: readonly GroupTarget[],
+  lacking: readonly GroupTarget[],
+  free: readonly BackendServer[],
+): GroupPlan {
+  // What is being given up already comes free first.
+  if (plan.groups.some(({ closing }) => closing !== 'no')) return plan;
+  const surplus = targets
+    .filter((target) => countGroups(plan, target.model) > target.groups)
+    .flatMap(({ model }) => plan.groups.filter((group) => group.model === model.name));
+  for (const { model } of lacking) {
+    const group = surplus.find(({ members }) => {
+      const servers = members.flatMap(({ id }) => view.servers.get(id) ?? []);
+      return pickMembers([...free, ...servers], model, view) !== undefined;
+    });
+    if (group === undefined) continue;
+    const groups = plan.groups.map((other) =>
+      other === group ? { ...group, closing: 'drain' as const } : other,
+    );
+    return { ...plan, groups };
+  }
+  return plan;
+}
+
+/**
+ * The members that a group of `model` would be ready with soonest. Once there is traffic, only those
+ * with the weights at hand: others get them first, and hold up nobody meanwhile.
+ */
 function pickMembers(
   free: readonly BackendServer[],
   model: GroupModel,
+  view: DomainView,
 ): BackendServer[] | undefined {
-  if (free.length < model.size) return undefined;
-  const ranked = [...free].sort((a, b) => joinEffort(a, model) - joinEffort(b, model));
+  const able = free.filter(
+    (server) => view.beforeTraffic || joinEffort(server, model) <= WARM_EFFORT,
+  );
+  if (able.length < model.size) return undefined;
+  const ranked = [...able].sort((a, b) => joinEffort(a, model) - joinEffort(b, model));
   return ranked.slice(0, model.size);
 }
 
+/** The model is in memory or on the host. */
+const WARM_EFFORT = 1;
+
 /** Lower joins sooner: the model in memory, on the host, nothing there, another model there. */
 function joinEffort({ engine }: BackendServer, model: GroupModel): number {
   if (engine?.model === model.name) return 0;
-  if (engine?.staged.includes(model.name)) return 1;
+  if (engine?.staged.includes(model.name)) return WARM_EFFORT;
   return engine === undefined || engine.staged.length === 0 ? 2 : 3;
 }
 
--- a/src/controllers/groups/targets.ts
+++ b/src/controllers/groups/targets.ts
@@ -4,10 +4,10 @@
 import type { GroupModel } from '../../ports/index.js';
 
 /**
- * Part of a domain's instances kept free, with weights on their hosts. A lost member is replaced
- * from them within the time of a warm load, a tenth of a load from the weight store.
+ * Part of a domain's instances kept free, rounded down, with weights on their hosts. A lost member
+ * is replaced from them within the time of a warm load, a tenth of a load from the weight store.
  */
-const SPARE_PART = 0.15;
+const SPARE_PART = 0.1;
 
 /** Wanted replicas of one model. */
 export interface GroupTarget {
@@ -30,7 +30,7 @@
   weights: ModelWeights,
 ): GroupTarget[] {
   const targets = models.map((model) => ({ model, groups: 0 }));
-  let left = instances - Math.ceil(instances * SPARE_PART);
+  let left = instances - Math.floor(instances * SPARE_PART);
   for (;;) {
     const next = targets
       .filter(({ model }) => model.size <= left && weigh(model, weights) > 0)
--- a/src/controllers/groups/view.ts
+++ b/src/controllers/groups/view.ts
@@ -13,6 +13,11 @@
   lost: ReadonlySet<string>;
   /** Groups whose head has confirmed that it left, or has certainly ended. */
   released: ReadonlySet<string>;
+  /**
+   * No gateway has seen a request yet: loads disturb nobody, and weights may go to every host ahead
+   * of need.
+   */
+  beforeTraffic: boolean;
   /** Groups that an engine refused for good, or whose work stands still with all members there. */
   failed: ReadonlySet<string>;
 }
--- /dev/null
+++ b/src/core/timeout/index.ts
@@ -0,0 +1,1 @@
+export * from './timeout.js';
--- a/src/gateway/backends/short-call.ts
+++ b/src/gateway/backends/short-call.ts
@@ -3,6 +3,7 @@
  */
 import { Agent } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
+import { callWithin } from '../../core/timeout/index.js';
 import type { EngineCall, OrderDialect, OrderOutcome } from '../../ports/index.js';
 import type { DueOrder, GroupMember } from '../../controllers/groups/index.js';
 
@@ -20,6 +21,8 @@
 const ORDER_TIMEOUT_MS: Milliseconds = 700;
 /** Reports need no slot. The longest ways of a region and a busy entry stay well below. */
 const PROBE_TIMEOUT_MS: Milliseconds = 300;
+/** Orders to one engine come in quick succession, or not at all. */
+const KEPT_MS: Milliseconds = 2_000;
 const OTHER_INSTANCE_STATUS = 421;
 
 interface EngineCallsOptions {
@@ -29,23 +32,24 @@
 }
 
 export function createEngineCalls({ dialect, onOrder, onProbe }: EngineCallsOptions): EngineCalls {
-  const agent = new Agent({ connections: 2, pipelining: 1, keepAliveTimeout: 2_000 });
-  const call = async (
+  const agent = new Agent({
+    connections: 4,
+    pipelining: 1,
+    keepAliveTimeout: KEPT_MS,
+    connect: { timeout: PROBE_TIMEOUT_MS },
+  });
+  const call = (
     address: string,
     { method, path, headers, body }: EngineCall,
     timeoutMs: Milliseconds,
-  ): Promise<number> => {
-    const answer = await agent.request({
-      origin: `http://${address}`,
-      method,
-      path,
-      headers,
-      body: body ?? null,
-      signal: AbortSignal.timeout(timeoutMs),
+  ): Promise<number> =>
+    callWithin(timeoutMs, async (signal) => {
+      const origin = `http://${address}`;
+      const request = { origin, method, path, headers, body: body ?? null, signal };
+      const answer = await agent.request(request);
+      await answer.body.dump();
+      return answer.statusCode;
     });
-    await answer.body.dump();
-    return answer.statusCode;
-  };
   return {
     order: async ({ to, order }) => {
       onOrder();
--- a/src/gateway/groups/domain-keeper.ts
+++ b/src/gateway/groups/domain-keeper.ts
@@ -26,6 +26,7 @@
   profile: EngineProfile;
   servers: readonly BackendServer[];
   weights: ModelWeights;
+  beforeTraffic: boolean;
 }
 
 /** Plans and orders for one domain. */
@@ -115,13 +116,14 @@
     servers: new Map(state.servers.map((server) => [server.id, server])),
     lost: losses.lost,
     released,
+    beforeTraffic: state.beforeTraffic,
     failed: new Set([...refused, ...losses.stuck]),
   });
   const examineSuspects = (plan: GroupPlan): void => {
     const now = clock.now();
     for (const group of plan.groups) {
       const isSuspect = group.members.some(({ id }) => backends.suspicions.isSuspect(id, now));
-      if (isSuspect && group.closing === 'no') losses.examine(group);
+      if (isSuspect && group.closing === 'no') losses.examine(group, now);
     }
     losses.recheck(now);
   };
--- a/src/gateway/groups/groups-part.ts
+++ b/src/gateway/groups/groups-part.ts
@@ -54,6 +54,8 @@
   const listDomains = (): DomainState[] => {
     const services = board.serving.read()?.services;
     if (services === undefined) return [];
+    const beforeTraffic =
+      !options.backends.hasServed() && [...board.peers.read().values()].every((p) => !p.hasServed);
     const domains = new Map<string, BackendServer[]>();
     for (const server of board.fleet.read().servers.values()) {
       if (server.engine === undefined || !services.get(server.service)?.engine) continue;
@@ -67,9 +69,9 @@
       const profile = first && services.get(first.service)?.engine;
       if (!first?.engine || !profile) return [];
       const { service } = first;
-      return [
-        { service, domain: first.engine.fabricDomain, profile, servers, weights: options.weights() },
-      ];
+      const weights = options.weights();
+      const domain = first.engine.fabricDomain;
+      return [{ service, domain, profile, servers, weights, beforeTraffic }];
     });
   };
   const round = (): void => {
--- a/src/gateway/groups/losses.ts
+++ b/src/gateway/groups/losses.ts
@@ -13,7 +13,7 @@
   /** Groups at which nothing moves although all members answer. */
   stuck: ReadonlySet<string>;
   /** Asks the members of a group at which nothing moves, unless that is under way. */
-  examine(group: PlannedGroup): void;
+  examine(group: PlannedGroup, now: Milliseconds): void;
   /** Asks an instance that was lost whether it answers again. */
   recheck(now: Milliseconds): void;
   /** Forgets what is not in `known` any more. */
@@ -23,8 +23,18 @@
 /** A silent engine is asked again before it counts as lost: a packet may have been. */
 const PROBES = 2;
 const RECHECK_EVERY_MS: Milliseconds = 1_000;
+/** Between two examinations of a group while it is under suspicion. */
+const EXAMINE_EVERY_MS: Milliseconds = 500;
 /** Examinations in a row that find all members before the group itself counts as stuck. */
-const EXAMINATIONS_UNTIL_STUCK = 3;
+const EXAMINATIONS_UNTIL_STUCK = 5;
+/** A group that was not suspected for this long starts anew. */
+const FORGET_AFTER_MS: Milliseconds = 1_500;
+
+interface Examination {
+  startedAt: Milliseconds;
+  /** In a row that found all members. */
+  rounds: number;
+}
 
 export function createLossFinder(
   { clock, logger }: Pick<GatewayContext, 'clock' | 'logger'>,
@@ -32,8 +42,7 @@
 ): LossFinder {
   const lost = new Map<string, GroupMember>();
   const stuck = new Set<string>();
-  const examinations = new Map<string, number>();
-  const underWay = new Set<string>();
+  const examinations = new Map<string, Examination>();
   let recheckAt = 0;
 
   const isSilent = async (member: GroupMember): Promise<boolean> => {
@@ -44,13 +53,13 @@
     }
     return true;
   };
-  const examineMembers = async (group: PlannedGroup): Promise<void> => {
-    const startedAt = clock.now();
+  const examineMembers = async (group: PlannedGroup, examination: Examination): Promise<void> => {
+    const { startedAt } = examination;
     const silent = await Promise.all(group.members.map(isSilent));
     const missing = group.members.filter((_, index) => silent[index]);
     for (const member of missing) lost.set(member.id, member);
-    const rounds = missing.length > 0 ? 0 : (examinations.get(group.name) ?? 0) + 1;
-    examinations.set(group.name, rounds);
+    const rounds = missing.length > 0 ? 0 : examination.rounds + 1;
+    examination.rounds = rounds;
     if (rounds >= EXAMINATIONS_UNTIL_STUCK) stuck.add(group.name);
     logger.log('groupExamined', {
       group: group.name,
@@ -64,12 +73,14 @@
       return new Set(lost.keys());
     },
     stuck,
-    examine: (group) => {
-      if (underWay.has(group.name)) return;
-      underWay.add(group.name);
-      void examineMembers(group).finally(() => {
-        underWay.delete(group.name);
-      });
+    examine: (group, now) => {
+      const last = examinations.get(group.name);
+      const since = last ? now - last.startedAt : Infinity;
+      if (since < EXAMINE_EVERY_MS) return;
+      const rounds = since < FORGET_AFTER_MS ? (last?.rounds ?? 0) : 0;
+      const examination = { startedAt: now, rounds };
+      examinations.set(group.name, examination);
+      void examineMembers(group, examination);
     },
     recheck: (now) => {
       if (now < recheckAt || lost.size === 0) return;
--- a/src/gateway/peers/digest.ts
+++ b/src/gateway/peers/digest.ts
@@ -18,6 +18,7 @@
   incarnation: z.string(),
   storeReachable: z.boolean(),
   stopping: z.boolean(),
+  hasServed: z.boolean(),
   configurationVersion: count,
   fleetRevision: count,
   /** Requests under way, by backend server. */
--- a/src/gateway/peers/link.ts
+++ b/src/gateway/peers/link.ts
@@ -10,6 +10,7 @@
 import { z } from 'zod';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { Failure } from '../../core/errors/index.js';
+import { callWithin } from '../../core/timeout/index.js';
 import { closeServer, listenOn } from '../../core/listening/index.js';
 import type { BackendServer, ServingConfiguration } from '../../ports/index.js';
 import { digestSchema, type Digest } from './digest.js';
@@ -83,9 +84,11 @@
   };
   return {
     exchange: (address, digest) =>
-      clientOf(address).exchange.mutate(digest, { signal: AbortSignal.timeout(CALL_TIMEOUT_MS) }),
+      callWithin(CALL_TIMEOUT_MS, (signal) =>
+        clientOf(address).exchange.mutate(digest, { signal }),
+      ),
     catchUp: (address, since) =>
-      clientOf(address).catchUp.query(since, { signal: AbortSignal.timeout(CALL_TIMEOUT_MS) }),
+      callWithin(CALL_TIMEOUT_MS, (signal) => clientOf(address).catchUp.query(since, { signal })),
     close: () => agent.destroy(),
   };
 }
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -69,10 +69,11 @@
       incarnation,
       storeReachable: board.storeContact.read().reachable,
       stopping: isStopping,
+      hasServed: backends.hasServed(),
       configurationVersion: board.serving.read()?.configuration.version ?? 0,
       fleetRevision: board.fleet.read().revision,
       load: [...backends.inFlight()],
-      suspicions: backends.suspicions.list(now).map(({ server, since, until }) => ({
+      suspicions: backends.suspicions.listOwn(now).map(({ server, since, until }) => ({
         server,
         ageMs: Math.round(now - since),
         leftMs: Math.round(until - now),
@@ -100,7 +101,7 @@
       logger.log('peerHeard', { peer: digest.name, address: digest.address });
     }
     for (const { server, ageMs, leftMs } of digest.suspicions) {
-      if (backends.suspicions.learn(server, ageMs, leftMs, now)) {
+      if (backends.learnSuspicion(server, ageMs, leftMs)) {
         logger.log('suspicionLearned', { server, peer: digest.name, ageMs });
       }
     }
@@ -272,6 +273,7 @@
     heardAt: now,
     storeReachable,
     stopping,
+    hasServed: digest.hasServed,
     configurationVersion: digest.configurationVersion,
     fleetRevision: digest.fleetRevision,
     load: new Map(digest.load),
--- a/src/gateway/requests/backends.ts
+++ b/src/gateway/requests/backends.ts
@@ -8,6 +8,7 @@
   ProgressTracker,
   RepeatBudget,
   SuspicionTable,
+  type ServingFleet,
   type Target,
   type TargetDirectory,
   type TargetState,
@@ -40,8 +41,12 @@
   lastProgress(server: string): Milliseconds;
   /** Nothing moves there, as `evidence` says. */
   suspect(server: string, evidence: string): void;
+  /** A peer found that nothing moves there; true when that is news and nothing has moved since. */
+  learnSuspicion(server: string, ageMs: Milliseconds, leftMs: Milliseconds): boolean;
   answered(server: string, failed: boolean): void;
   recordRequest(service: string): void;
+  /** A request was to be forwarded since the start. */
+  hasServed(): boolean;
   takeRepeat(service: string): boolean;
   suspicions: SuspicionTable;
   /** Called with each server that newly came under suspicion here. */
@@ -55,14 +60,28 @@
   const suspicions = new SuspicionTable();
   const failures = new FailureRates();
   const budgets = new Map<string, RepeatBudget>();
+  let served = false;
   const listeners: ((server: string) => void)[] = [];
   let directory: TargetDirectory = createTargetDirectory(board.fleet.read());
+  let known = board.fleet.read();
   board.fleet.subscribe(() => {
     const fleet = board.fleet.read();
+    clearRejoined(fleet);
+    known = fleet;
     directory = createTargetDirectory(fleet);
     for (const server of load.keys()) if (!fleet.servers.has(server)) progress.forget(server);
   });
 
+  /** What was seen of a server in its old replica says nothing of the new one. */
+  const clearRejoined = (fleet: ServingFleet): void => {
+    const now = clock.now();
+    for (const { server } of suspicions.listAll(now)) {
+      const before = known.servers.get(server)?.engine?.membership?.group;
+      if (fleet.servers.get(server)?.engine?.membership?.group !== before) {
+        suspicions.clear(server, now);
+      }
+    }
+  };
   const countAll = (server: string): number => {
     let total = load.get(server) ?? 0;
     for (const peer of board.peers.read().values()) total += peer.load.get(server) ?? 0;
@@ -117,10 +136,17 @@
       logger.log('serverSuspected', { server, evidence });
       for (const listener of listeners) listener(server);
     },
+    learnSuspicion: (server, ageMs, leftMs) => {
+      const now = clock.now();
+      if (progress.lastProgress(server) > now - ageMs) return false;
+      return suspicions.learn(server, ageMs, leftMs, now);
+    },
     answered: (server, failed) => {
       failures.record(server, failed);
     },
+    hasServed: () => served,
     recordRequest: (service) => {
+      served = true;
       budgetOf(service).recordRequest(clock.now());
     },
     takeRepeat: (service) => budgetOf(service).take(clock.now(), 1 + board.peers.read().size),
--- a/src/gateway/requests/run.ts
+++ b/src/gateway/requests/run.ts
@@ -171,7 +171,7 @@
     });
     tools.backends.sent(server.id);
     stream?.startRun();
-    const watched = this.watch(server.id, now);
+    const watched = this.watch(chosen, now);
     const sending: Sending = { watched, body: [], isOver: false } as unknown as Sending;
     this.sendings.add(sending);
     tools.watchdog.attempts.add(watched);
@@ -205,20 +205,19 @@
     );
   }
 
-  private watch(server: string, now: Milliseconds): WatchedAttempt {
+  private watch({ target, inFlight, slots }: ChosenTarget, now: Milliseconds): WatchedAttempt {
     const { route, model, service, caller } = this.request;
     const profile = service.engine;
-    const serverLimitMs =
-      profile && model
-        ? firstEventAfter(profile, model, caller.promptTokens)
-        : plainStallAfter(route.targetMs);
+    const common = { server: target.server.id, movedAt: now, paused: false, onStall: () => undefined };
+    if (!profile || !model) {
+      const limitMs = plainStallAfter(route.targetMs);
+      return { ...common, serverLimitMs: limitMs, ownLimitMs: limitMs };
+    }
+    const firstEventMs = firstEventAfter(profile, model, caller.promptTokens);
     return {
-      server,
-      movedAt: now,
-      serverLimitMs,
-      ownLimitMs: this.stream ? Math.max(LOST_ANSWER_MS, 3 * serverLimitMs) : serverLimitMs,
-      paused: false,
-      onStall: () => undefined,
+      ...common,
+      serverLimitMs: inFlight < slots ? firstEventMs : Infinity,
+      ownLimitMs: Math.max(LOST_ANSWER_MS, 2 * firstEventMs),
     };
   }
 
--- a/src/gateway/store/client.ts
+++ b/src/gateway/store/client.ts
@@ -5,6 +5,7 @@
 import { Pool } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
+import { callWithin } from '../../core/timeout/index.js';
 import type {
   StoreCall,
   StoreChanges,
@@ -53,6 +54,8 @@
 }
 
 const CONNECTIONS = 8;
+/** The store answers within milliseconds; a connection that takes longer is made anew. */
+const CONNECT_TIMEOUT_MS: Milliseconds = 800;
 /** Pages of one list at most; a page holds about 500 objects. */
 const MOST_PAGES = 100;
 const STATUS_BUSY = 503;
@@ -68,7 +71,7 @@
   const pool = new Pool(`http://${options.address}`, {
     connections: CONNECTIONS,
     pipelining: 1,
-    connect: { timeout: timeoutMs },
+    connect: { timeout: CONNECT_TIMEOUT_MS },
     headersTimeout: 0,
     bodyTimeout: 0,
   });
@@ -78,16 +81,20 @@
     signal?: AbortSignal,
   ): ResultAsync<StoreAnswer, StoreFailure> => {
     options.onCall();
-    const timeout = AbortSignal.timeout(waitMs);
-    const request = pool
-      .request({
-        method: call.method,
-        path: call.path,
-        headers: call.body === undefined ? {} : { 'content-type': 'application/json' },
-        body: call.body ?? null,
-        signal: signal ? AbortSignal.any([signal, timeout]) : timeout,
-      })
-      .then(async ({ statusCode, body }) => ({ status: statusCode, body: await body.text() }));
+    const request = callWithin(
+      waitMs,
+      async (ended) => {
+        const { statusCode, body } = await pool.request({
+          method: call.method,
+          path: call.path,
+          headers: call.body === undefined ? {} : { 'content-type': 'application/json' },
+          body: call.body ?? null,
+          signal: ended,
+        });
+        return { status: statusCode, body: await body.text() };
+      },
+      signal,
+    );
     return ResultAsync.fromPromise(request, (error) =>
       createFailure('platformUnavailable', { reason: describeError(error) }),
     );
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -51,6 +51,8 @@
   heardAt: Milliseconds;
   storeReachable: boolean;
   stopping: boolean;
+  /** It has had a request to forward since its start. */
+  hasServed: boolean;
   configurationVersion: number;
   fleetRevision: number;
   /** Requests under way from there, by backend server. */
