Give up surplus replicas together, and form none over target before traffic

Cause: lacking replicas of the large model waited while single surplus groups of two were too small to make one.

--- a/src/controllers/groups/revise.ts
+++ b/src/controllers/groups/revise.ts
@@ -60,7 +60,8 @@
     const members = pickMembers(free, model, view);
     if (members) return addGroup(plan, view, model, members);
   }
-  if (lacking.length === 0) return plan;
+  // Instances still appear and load: what is left over now has its use in a moment.
+  if (lacking.length === 0 || view.beforeTraffic) return plan;
   const extra = [...targets].sort((a, b) => fillOf(a, plan) - fillOf(b, plan));
   for (const { model } of extra) {
     const members = pickMembers(free, model, view);
@@ -88,23 +89,39 @@
 ): GroupPlan {
   // What is being given up already comes free first.
   if (plan.groups.some(({ closing }) => closing !== 'no')) return plan;
-  const surplus = targets
-    .filter((target) => countGroups(plan, target.model) > target.groups)
-    .flatMap(({ model }) => plan.groups.filter((group) => group.model === model.name));
+  const surplus = targets.flatMap(({ model, groups }) =>
+    plan.groups
+      .filter((group) => group.model === model.name)
+      .slice(0, Math.max(0, countGroups(plan, model) - groups)),
+  );
   for (const { model } of lacking) {
-    const group = surplus.find(({ members }) => {
-      const servers = members.flatMap(({ id }) => view.servers.get(id) ?? []);
-      return pickMembers([...free, ...servers], model, view) !== undefined;
-    });
-    if (group === undefined) continue;
-    const groups = plan.groups.map((other) =>
-      other === group ? { ...group, closing: 'drain' as const } : other,
+    const givenUp = pickSurplus(surplus, free, model, view);
+    if (givenUp === undefined) continue;
+    const groups = plan.groups.map((group) =>
+      givenUp.includes(group) ? { ...group, closing: 'drain' as const } : group,
     );
     return { ...plan, groups };
   }
   return plan;
 }
 
+/** The fewest of `surplus`, in their order, whose members with those free make a group of `model`. */
+function pickSurplus(
+  surplus: readonly PlannedGroup[],
+  free: readonly BackendServer[],
+  model: GroupModel,
+  view: DomainView,
+): PlannedGroup[] | undefined {
+  const picked: PlannedGroup[] = [];
+  for (const group of surplus) {
+    picked.push(group);
+    const members = picked.flatMap((each) => each.members.map(({ id }) => id));
+    const servers = members.flatMap((id) => view.servers.get(id) ?? []);
+    if (pickMembers([...free, ...servers], model, view)) return picked;
+  }
+  return undefined;
+}
+
 /**
  * The members that a group of `model` would be ready with soonest. Once there is traffic, only those
  * with the weights at hand: others get them first, and hold up nobody meanwhile.
