Keep no idle spares: instances serve the small model with the weights of the large one at hand

Cause: spares held one model's weights each, and 15 to 19 of 59 instances stood idle while the other model lacked groups. Ruled out: too few loads (12 of 30 allowed).

--- a/src/controllers/groups/orders.ts
+++ b/src/controllers/groups/orders.ts
@@ -2,7 +2,7 @@
  * The orders that bring a fabric domain closer to its stored plan.
  */
 import type { BackendServer, GroupModel } from '../../ports/index.js';
-import { planTargets, type ModelWeights } from './targets.js';
+import { planTargets, type GroupTarget, type ModelWeights } from './targets.js';
 import type { DueOrder, GroupPlan, PlannedGroup } from './types.js';
 import { isUsable, listFree, listStrayHeads, membershipIn, type DomainView } from './view.js';
 
@@ -81,7 +81,34 @@
     spares.set(model.name, (spares.get(model.name) ?? 0) + 1);
     return [stage(server, model)];
   });
-  return view.beforeTraffic ? [...orders, ...listSecondModels(plan, view, models)] : orders;
+  if (view.beforeTraffic) return [...orders, ...listSecondModels(plan, view, models)];
+  return [...orders, ...listRestaging(free, plan, targets)];
+}
+
+/**
+ * Idle instances with the weights of a model that needs no more groups get those of one that does:
+ * left as they are, they would serve nobody until an instance of their own model is lost.
+ */
+function listRestaging(
+  free: readonly BackendServer[],
+  plan: GroupPlan,
+  targets: readonly GroupTarget[],
+): DueOrder[] {
+  const lacking = targets.find(({ model, groups }) => {
+    const count = plan.groups.filter(
+      (group) => group.model === model.name && group.closing === 'no',
+    ).length;
+    return count < groups;
+  });
+  if (lacking === undefined) return [];
+  const { model } = lacking;
+  const isReady = ({ engine }: BackendServer): boolean =>
+    engine?.model === model.name || engine?.staged.includes(model.name) === true;
+  const missing = model.size - free.filter(isReady).length;
+  return free
+    .filter((server) => !isReady(server) && server.engine?.staged.length !== 0)
+    .slice(0, Math.max(0, missing))
+    .map((server) => stage(server, model));
 }
 
 function listSecondModels(
--- a/src/controllers/groups/targets.ts
+++ b/src/controllers/groups/targets.ts
@@ -3,12 +3,6 @@
  */
 import type { GroupModel } from '../../ports/index.js';
 
-/**
- * Part of a domain's instances kept free, rounded down, with weights on their hosts. A lost member
- * is replaced from them within the time of a warm load, a tenth of a load from the weight store.
- */
-const SPARE_PART = 0.1;
-
 /** Wanted replicas of one model. */
 export interface GroupTarget {
   model: GroupModel;
@@ -22,6 +16,10 @@
  * Splits `instances` between `models` by `weights`: each step gives a replica to the model whose
  * part is smallest for its weight. Models without a weight take their configured share.
  *
+ * Nothing is kept free: an instance that serves in a group of the small model, with the weights of
+ * the large one on its host, replaces a lost member as soon as an idle one would, and serves until
+ * then.
+ *
  * @example planTargets(10, profile.models, new Map())
  */
 export function planTargets(
@@ -30,7 +28,7 @@
   weights: ModelWeights,
 ): GroupTarget[] {
   const targets = models.map((model) => ({ model, groups: 0 }));
-  let left = instances - Math.floor(instances * SPARE_PART);
+  let left = instances;
   for (;;) {
     const next = targets
       .filter(({ model }) => model.size <= left && weigh(model, weights) > 0)
