--- /dev/null
+++ b/features/gateway/beliefs.steps.ts
@@ -0,0 +1,125 @@
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import { waitFor } from '../support/waiting.js';
+import type { Answer } from './site.js';
+import type { GatewayWorld } from './world.js';
+
+const LIST = { path: '/list/slots' };
+
+When('the operator takes the key away in a newer version', function (this: GatewayWorld) {
+  this.site.configure({ version: 9, keys: ['another-key'] });
+});
+
+Then(
+  'a caller is refused with 401 within {int} ms',
+  async function (this: GatewayWorld, ms: number) {
+    await waitFor(
+      'the refusal',
+      async () => (await this.site.ask(this.gateway, LIST)).status === 401,
+      ms,
+    );
+  },
+);
+
+When(
+  'the store shows a version below the one in force without the key',
+  async function (this: GatewayWorld) {
+    const revision = this.site.store.calls;
+    this.site.configure({ version: 1, keys: ['another-key'] });
+    await waitFor('the next watch', () => this.site.store.calls > revision);
+  },
+);
+
+When('the store shows a configuration that makes no sense', function (this: GatewayWorld) {
+  this.site.store.put('config', 'main', { version: 9, routes: 'none' });
+});
+
+Then('a caller is still served', async function (this: GatewayWorld) {
+  assert.equal((await this.site.ask(this.gateway, LIST)).status, 200);
+});
+
+When(
+  'the store is down and returns without its entries, and these come back',
+  async function (this: GatewayWorld) {
+    const { store, servers } = this.site;
+    const asked: Promise<Answer>[] = [];
+    const timer = setInterval(() => {
+      asked.push(this.site.ask(this.gateway, LIST));
+    }, 50);
+    try {
+      store.fault = 'down';
+      store.compact();
+      await waitFor('the gateway to notice', () =>
+        this.gateway.lines.some(({ name }) => name === 'storeLost'),
+      );
+      for (const { options } of servers) store.remove('servers', options.id);
+      store.fault = 'none';
+      await waitFor('the gateway to hear the store', () => {
+        const regained = this.gateway.lines.filter(({ name }) => name === 'storeRegained');
+        return regained.length > 1;
+      });
+      for (const server of servers) server.report();
+      await waitFor('a few more answers', () => asked.length > 20);
+    } finally {
+      clearInterval(timer);
+    }
+    this.answers = await Promise.all(asked);
+  },
+);
+
+Then('every caller was served meanwhile', function (this: GatewayWorld) {
+  for (const { status, body } of this.answers) assert.equal(status, 200, body);
+});
+
+When('the first server says that it leaves', function (this: GatewayWorld) {
+  this.site.servers[0]?.drain();
+});
+
+Then(
+  'no request reaches it later than {int} ms after that',
+  async function (this: GatewayWorld, ms: number) {
+    const id = this.site.servers[0]?.options.id;
+    await waitFor(
+      'the gateway to know',
+      () => this.gateway.lines.some((line) => line.server === id && line.leaving === true),
+      ms,
+    );
+    const before = this.site.journal.length;
+    for (let index = 0; index < 10; index += 1) await this.site.ask(this.gateway, LIST);
+    const late = this.site.journal.slice(before).filter(({ server }) => server === id);
+    assert.equal(late.length, 0);
+  },
+);
+
+When(
+  'the store drops its history and a second server appears',
+  async function (this: GatewayWorld) {
+    this.site.store.compact();
+    await this.site.addServer({ id: 'plain-late', service: 'app' });
+  },
+);
+
+Then('requests reach the second server', async function (this: GatewayWorld) {
+  await waitFor('a request there', async () => {
+    await this.site.ask(this.gateway, LIST);
+    return this.site.journal.some(({ server }) => server === 'plain-late');
+  });
+});
+
+When(
+  'the gateway is told to stop while a request is under way',
+  async function (this: GatewayWorld) {
+    this.lastId = this.site.nextId();
+    const pending = this.site.ask(this.gateway, { path: '/check/in' });
+    await waitFor('the request at its server', () => this.site.ranAt(this.lastId).length > 0);
+    this.gateway.signal('SIGTERM');
+    this.answers = [await pending];
+  },
+);
+
+Then(
+  'the gateway ends by itself with code {int}',
+  async function (this: GatewayWorld, code: number) {
+    assert.equal(await this.gateway.exited, code);
+  },
+);
--- /dev/null
+++ b/features/gateway/site.ts
@@ -0,0 +1,204 @@
+/**
+ * A small site for scenarios: the store, engines and services as stand-ins, gateways as processes.
+ */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { request as httpRequest, type IncomingHttpHeaders } from 'node:http';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { createInterface } from 'node:readline';
+import { nextAddress } from '../support/ports.js';
+import { waitFor } from '../support/waiting.js';
+import {
+  exampleConfiguration,
+  KEY,
+  MODEL,
+  type ExampleOptions,
+} from './stand-ins/configuration.js';
+import { EngineStandIn, type Arrival, type EngineOptions } from './stand-ins/engine.js';
+import { StoreStandIn } from './stand-ins/store.js';
+
+const PROGRAM = 'target/yuccasail-gateway.mjs';
+const GATEWAY_ZONE = 'north';
+
+/** One line of a gateway's log. */
+export type LogLine = Readonly<Record<string, unknown>>;
+
+/** A gateway process. */
+export interface GatewayProcess {
+  callers: string;
+  readiness: string;
+  metrics: string;
+  lines: LogLine[];
+  signal(name: NodeJS.Signals): void;
+  exited: Promise<number | null>;
+}
+
+/** What a caller got. */
+export interface Answer {
+  status: number;
+  headers: IncomingHttpHeaders;
+  body: string;
+  /** The answer was whole. */
+  whole: boolean;
+}
+
+export interface Ask {
+  method?: string;
+  path: string;
+  headers?: Record<string, string>;
+  body?: string;
+}
+
+/** Everything of one scenario; `close` ends just what it started. */
+export class Site {
+  readonly store = new StoreStandIn();
+  readonly journal: Arrival[] = [];
+  readonly servers: EngineStandIn[] = [];
+  readonly gateways: GatewayProcess[] = [];
+  private readonly children: ChildProcess[] = [];
+  private folder = '';
+  private asked = 0;
+
+  async open(): Promise<void> {
+    await this.store.listen();
+    this.folder = await mkdtemp(join(tmpdir(), 'gateway-'));
+  }
+
+  configure(options: ExampleOptions = {}): void {
+    this.store.put('config', 'main', exampleConfiguration(options));
+  }
+
+  async addServer(
+    options: Partial<EngineOptions> & { id: string; service: string },
+  ): Promise<EngineStandIn> {
+    const server = new EngineStandIn({
+      zone: GATEWAY_ZONE,
+      store: this.store,
+      journal: this.journal,
+      ...options,
+    });
+    this.servers.push(server);
+    await server.listen();
+    return server;
+  }
+
+  async startGateway(): Promise<GatewayProcess> {
+    const index = this.gateways.length;
+    const [callers, readiness, peers, metrics] = [
+      nextAddress(),
+      nextAddress(),
+      nextAddress(),
+      nextAddress(),
+    ];
+    const file = join(this.folder, `gateway-${index}.toml`);
+    const settings = [
+      `name = "gateway-${index}"`,
+      `failureDomain = "${GATEWAY_ZONE}"`,
+      '[listen]',
+      `callers = "${callers}"`,
+      `readiness = "${readiness}"`,
+      `peers = "${peers}"`,
+      `metrics = "${metrics}"`,
+      '[store]',
+      `address = "${this.store.address}"`,
+      '[engines]',
+      'stallMs = 1000',
+    ];
+    await writeFile(file, settings.join('\n'));
+    const child = spawn(process.execPath, [PROGRAM, file], {
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    this.children.push(child);
+    const lines: LogLine[] = [];
+    createInterface({ input: child.stdout }).on('line', (line) => {
+      lines.push(JSON.parse(line) as LogLine);
+    });
+    const gateway: GatewayProcess = {
+      callers,
+      readiness,
+      metrics,
+      lines,
+      signal: (name) => child.kill(name),
+      exited: once(child, 'exit').then(([code]) => code as number | null),
+    };
+    this.gateways.push(gateway);
+    await waitFor('the gateway to start', () =>
+      lines.some(({ name }) => name === 'gatewayStarted'),
+    );
+    return gateway;
+  }
+
+  async whenReady(gateway: GatewayProcess): Promise<void> {
+    await waitFor('the gateway to be ready', async () => {
+      const answer = await this.ask(gateway, { path: '/readyz' }, gateway.readiness);
+      return answer.status === 200;
+    });
+  }
+
+  /** The id that the next request will carry, unless its headers say another. */
+  nextId(): string {
+    return `request-${this.asked + 1}`;
+  }
+
+  async ask(gateway: GatewayProcess, ask: Ask, address = gateway.callers): Promise<Answer> {
+    this.asked += 1;
+    const [host = '', port = ''] = address.split(':');
+    const headers = {
+      host: 'passes.example',
+      'Attempt-Id': `request-${this.asked}`,
+      'Deadline-Ms': '2000',
+      Authorization: `Bearer ${KEY}`,
+      Model: MODEL,
+      'Token-Count': '100,50',
+      'Prompt-Prefix': 'aa:40,bb:60',
+      ...ask.headers,
+    };
+    const outgoing = httpRequest({
+      host,
+      port,
+      method: ask.method ?? 'GET',
+      path: ask.path,
+      headers,
+    });
+    outgoing.end(ask.body);
+    const [incoming] = (await once(outgoing, 'response')) as [import('node:http').IncomingMessage];
+    let body = '';
+    try {
+      for await (const chunk of incoming) body += String(chunk);
+    } catch {
+      // A broken answer shows as not complete below.
+    }
+    return {
+      status: incoming.statusCode ?? 0,
+      headers: incoming.headers,
+      body,
+      whole: incoming.complete,
+    };
+  }
+
+  /** Servers that ran the request `id`. */
+  ranAt(id: string): string[] {
+    return this.journal
+      .filter((arrival) => arrival.id === id && arrival.ran)
+      .map(({ server }) => server);
+  }
+
+  /** Resolves when as many groups are open. */
+  async whenOpen(groups: number): Promise<void> {
+    await waitFor(`${groups} open groups`, () => this.listOpen().length === groups);
+  }
+
+  listOpen(): EngineStandIn[] {
+    return this.servers.filter(({ membership }) => membership?.state === 'open');
+  }
+
+  async close(): Promise<void> {
+    for (const child of this.children) child.kill('SIGKILL');
+    await Promise.all(this.gateways.map(({ exited }) => exited));
+    for (const server of this.servers) server.close();
+    this.store.close();
+    await rm(this.folder, { recursive: true, force: true });
+  }
+}
--- /dev/null
+++ b/features/gateway/stand-ins/configuration.ts
@@ -0,0 +1,70 @@
+/**
+ * A configuration as an operator writes it on the platform.
+ */
+
+export interface ExampleOptions {
+  version?: number;
+  /** Overrides of the fields of all routes. */
+  route?: Record<string, unknown>;
+  keys?: readonly string[];
+}
+
+export const MODEL = 'small';
+export const KEY = 'key-1';
+
+/** One plain service with a safe and an unsafe route, one engine service with a stream. */
+export function exampleConfiguration(options: ExampleOptions = {}): unknown {
+  const { version = 2, route = {}, keys = [KEY] } = options;
+  const common = {
+    host: 'passes.example',
+    timeout_ms: 2_000,
+    target_latency_ms: 300,
+    priority: 1,
+    max_attempts: 2,
+    allow_anonymous: false,
+    ...route,
+  };
+  return {
+    version,
+    routes: [
+      { ...common, name: 'list', path_prefix: '/list/', kind: 'safe', service: 'app' },
+      { ...common, name: 'check', path_prefix: '/check/', kind: 'unsafe', service: 'app' },
+      {
+        ...common,
+        name: 'chat',
+        path_prefix: '/chat/',
+        kind: 'streaming',
+        service: 'models',
+        stream_resume: true,
+        gap_target_ms: 200,
+      },
+    ],
+    services: [
+      { name: 'app', health_path: '/healthz', max_connections: 50 },
+      {
+        name: 'models',
+        health_path: '/healthz',
+        max_connections: 50,
+        engine: {
+          slots: 12,
+          stride: 5,
+          models: [{ name: MODEL, size: 2, share: 1, pace: 0.6, load_s: 0.1, warm_s: 0.05 }],
+          step_ms: 1,
+          per_seq_ms: 0.1,
+          read_per_s: 45_900,
+          chunk: 2_048,
+          loads_per_s: 5,
+          loads_at_once: 7,
+          form_ms: 10,
+        },
+      },
+    ],
+    tenants: [{ name: 'market', api_keys: keys, priority: 1 }],
+    limits: {
+      max_header_bytes: 16_384,
+      max_body_bytes: 65_536,
+      header_timeout_ms: 3_000,
+      idle_timeout_ms: 15_000,
+    },
+  };
+}
--- /dev/null
+++ b/features/gateway/stand-ins/store.ts
@@ -0,0 +1,209 @@
+/**
+ * A stand-in for the platform's object store, with the faults that gateways must live with.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+interface Stored {
+  metadata: { name: string; revision: number; created_rev: number };
+  spec: unknown;
+}
+
+interface Change {
+  revision: number;
+  kind: string;
+  object: Stored;
+  deleted: boolean;
+}
+
+/** How the store treats calls. */
+export type StoreFault = 'none' | 'down' | 'silent' | 'loseWrites';
+
+/** The store, in the process of the scenario. */
+export class StoreStandIn {
+  fault: StoreFault = 'none';
+  /** Conditional writes taken, newest last: kind and name. */
+  readonly writes: string[] = [];
+  calls = 0;
+  private readonly kinds = new Map<string, Map<string, Stored>>();
+  private readonly changes: Change[] = [];
+  private readonly waiting = new Set<() => void>();
+  private revision = 1;
+  private readonly server: Server;
+
+  constructor() {
+    this.server = createServer((request, response) => {
+      void this.handle(request, response);
+    });
+  }
+
+  get address(): string {
+    const { address, port } = this.server.address() as AddressInfo;
+    return `${address}:${port}`;
+  }
+
+  listen(): Promise<void> {
+    return new Promise((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /** Writes as an operator or backend server does. */
+  put(kind: string, name: string, spec: unknown): void {
+    this.store(kind, name, spec);
+  }
+
+  remove(kind: string, name: string): void {
+    const object = this.kinds.get(kind)?.get(name);
+    if (!object) return;
+    this.kinds.get(kind)?.delete(name);
+    this.revision += 1;
+    const metadata = { ...object.metadata, revision: this.revision };
+    this.record({ revision: this.revision, kind, object: { ...object, metadata }, deleted: true });
+  }
+
+  read(kind: string, name: string): unknown {
+    return this.kinds.get(kind)?.get(name)?.spec;
+  }
+
+  /** Drops the history: watches from before are told that it is gone. */
+  compact(): void {
+    this.changes.length = 0;
+    this.revision += 1;
+    this.wake();
+  }
+
+  private store(kind: string, name: string, spec: unknown): Stored {
+    this.revision += 1;
+    const objects = this.kinds.get(kind) ?? new Map<string, Stored>();
+    this.kinds.set(kind, objects);
+    const created = objects.get(name)?.metadata.created_rev ?? this.revision;
+    const object = { metadata: { name, revision: this.revision, created_rev: created }, spec };
+    objects.set(name, object);
+    this.record({ revision: this.revision, kind, object, deleted: false });
+    return object;
+  }
+
+  private record(change: Change): void {
+    this.changes.push(change);
+    this.wake();
+  }
+
+  private wake(): void {
+    for (const wake of [...this.waiting]) wake();
+  }
+
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.calls += 1;
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    if (this.fault === 'silent') return;
+    if (this.fault === 'down') {
+      answer(response, 503, { error: 'down' });
+      return;
+    }
+    const url = new URL(request.url ?? '/', 'http://store');
+    const [, , kind = '', name] = url.pathname.split('/').map(decodeURIComponent);
+    const body =
+      chunks.length > 0 ? (JSON.parse(Buffer.concat(chunks).toString()) as Stored) : undefined;
+    if (request.method === 'GET') await this.get(kind, name, url, response);
+    else if (body) this.write(kind, name ?? body.metadata.name, body, request.method, response);
+  }
+
+  private async get(
+    kind: string,
+    name: string | undefined,
+    url: URL,
+    response: ServerResponse,
+  ): Promise<void> {
+    const objects = this.kinds.get(kind) ?? new Map<string, Stored>();
+    if (name !== undefined) {
+      const object = objects.get(name);
+      answer(response, object ? 200 : 404, object ?? { as_of: this.revision });
+      return;
+    }
+    const watch = url.searchParams.get('watch');
+    if (watch === null) {
+      answer(response, 200, {
+        items: [...objects.values()],
+        has_more: false,
+        as_of: this.revision,
+      });
+      return;
+    }
+    await this.watch(kind, Number(watch), Number(url.searchParams.get('wait_ms')), response);
+  }
+
+  private async watch(
+    kind: string,
+    since: number,
+    waitMs: number,
+    response: ServerResponse,
+  ): Promise<void> {
+    const endAt = performance.now() + waitMs;
+    for (;;) {
+      const oldest = this.changes[0]?.revision ?? this.revision;
+      if (since + 1 < oldest && since < this.revision) {
+        answer(response, 410, { as_of: this.revision });
+        return;
+      }
+      const events = this.changes.filter(
+        (change) => change.kind === kind && change.revision > since,
+      );
+      const leftMs = endAt - performance.now();
+      if (events.length > 0 || leftMs <= 0 || response.destroyed) {
+        const listed = events.map(({ object, deleted }) => ({ object, deleted }));
+        answer(response, 200, { events: listed, as_of: this.revision });
+        return;
+      }
+      await new Promise<void>((resolve) => {
+        const done = (): void => {
+          this.waiting.delete(done);
+          clearTimeout(timer);
+          resolve();
+        };
+        const timer = setTimeout(done, leftMs);
+        this.waiting.add(done);
+      });
+    }
+  }
+
+  private write(
+    kind: string,
+    name: string,
+    body: Stored,
+    method: string | undefined,
+    response: ServerResponse,
+  ): void {
+    const current = this.kinds.get(kind)?.get(name);
+    const isCreate = method === 'POST';
+    const expected = (body.metadata as Partial<Stored['metadata']>).revision;
+    const conflicts = isCreate
+      ? current !== undefined
+      : expected !== undefined && current?.metadata.revision !== expected;
+    if (conflicts) {
+      answer(response, 409, current ?? {});
+      return;
+    }
+    if (!isCreate && current === undefined) {
+      answer(response, 404, {});
+      return;
+    }
+    this.writes.push(`${kind}/${name}`);
+    const object = this.store(kind, name, body.spec);
+    if (this.fault === 'loseWrites') response.destroy();
+    else answer(response, 200, object);
+  }
+}
+
+function answer(response: ServerResponse, status: number, body: unknown): void {
+  const text = JSON.stringify(body);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  response.end(text);
+}
--- a/src/controllers/forwarding/fleet.ts
+++ b/src/controllers/forwarding/fleet.ts
@@ -18,8 +18,7 @@
 
 /** One change of a backend server's entry. */
 export type FleetChange =
-  | { kind: 'present'; server: BackendServer }
-  | { kind: 'absent'; id: string };
+  { kind: 'present'; server: BackendServer } | { kind: 'absent'; id: string };
 
 /**
  * `fleet` after `changes`. `absentFrom` is the instant from which entries that are now absent count
--- a/src/controllers/forwarding/suspicion.ts
+++ b/src/controllers/forwarding/suspicion.ts
@@ -44,7 +44,13 @@
     const until = now + Math.min(leftMs, LONGEST_STAY_MS);
     if (known && known.until >= until) return false;
     const isNew = known === undefined || now >= known.until;
-    this.entries.set(server, { server, since: now - ageMs, until, count: known?.count ?? 1, own: false });
+    this.entries.set(server, {
+      server,
+      since: now - ageMs,
+      until,
+      count: known?.count ?? 1,
+      own: false,
+    });
     return isNew;
   }
 
--- a/src/core/logger/bounded-logger.ts
+++ b/src/core/logger/bounded-logger.ts
@@ -49,7 +49,15 @@
   const write = (name: LogEventName, values: object): void => {
     const event: LogEvent = LOG_EVENTS[name];
     const at = Math.round(clock.now());
-    winston.log({ level: event.level, at, event: event.number, name, source, message: event.message, ...values });
+    winston.log({
+      level: event.level,
+      at,
+      event: event.number,
+      name,
+      source,
+      message: event.message,
+      ...values,
+    });
   };
   const startWindow = (now: Milliseconds): void => {
     windowStart = now;
--- a/src/gateway/backends/attempt.ts
+++ b/src/gateway/backends/attempt.ts
@@ -116,14 +116,16 @@
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
     if (this.isOver || status < 200) return;
     const headers = readRawHeaders(controller.rawHeaders);
-    const head = this.dialect.decodeAnswer(headers);
+    const head = this.dialect.decodeAnswer(status, headers);
     const { requestId } = this.request;
     // A late answer to an earlier request of this connection arrives where ours is due.
-    if (requestId !== undefined && head.requestId !== requestId) {
+    const isForeign = head.requestId === undefined ? !head.notRun : head.requestId !== requestId;
+    if (requestId !== undefined && isForeign) {
       this.fail(new Error(`the answer carries the id ${head.requestId ?? '(none)'}`));
       return;
     }
-    this.isUnframed = !hasHeader(headers, 'content-length') && !hasHeader(headers, 'transfer-encoding');
+    this.isUnframed =
+      !hasHeader(headers, 'content-length') && !hasHeader(headers, 'transfer-encoding');
     this.closesAfter = this.isUnframed || /close/i.test(findHeader(headers, 'connection') ?? '');
     this.observer.onAnswer({ ...head, status, headers });
   }
--- a/src/gateway/backends/connection.ts
+++ b/src/gateway/backends/connection.ts
@@ -57,7 +57,9 @@
   return { client, state };
 }
 
-type ConnectCallback = (...args: [error: null, socket: Socket] | [error: Error, socket: null]) => void;
+type ConnectCallback = (
+  ...args: [error: null, socket: Socket] | [error: Error, socket: null]
+) => void;
 
 function connectSocket(address: string, state: ConnectionState, callback: ConnectCallback): void {
   const { host, port } = parseAddress(address);
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -4,7 +4,11 @@
 import { randomBytes, randomInt } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createSection } from '../board/index.js';
-import { EMPTY_FLEET, type ServingFleet, type ServingIndex } from '../controllers/forwarding/index.js';
+import {
+  EMPTY_FLEET,
+  type ServingFleet,
+  type ServingIndex,
+} from '../controllers/forwarding/index.js';
 import { createSystemClock, type Milliseconds } from '../core/clock/index.js';
 import { createBoundedLogger } from '../core/logger/index.js';
 import { createRandom } from '../core/random/index.js';
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -37,6 +37,8 @@
 const NEAR_EVERY_MS: Milliseconds = 200;
 /** Between failure domains bytes are dear, and requests seldom go there. */
 const FAR_EVERY_MS: Milliseconds = 600;
+/** Periods without a call after which the other side calls. */
+const TAKE_OVER_PERIODS = 2;
 /** Three digests of the slower pace missed. */
 const SILENT_AFTER_MS: Milliseconds = 2_000;
 const FORGET_AFTER_MS: Milliseconds = 15_000;
@@ -85,7 +87,11 @@
     if (peer.name === self.name) return;
     // A seed is known by its address until it says its name.
     if (peer.name !== peer.address) known.delete(peer.address);
-    known.set(peer.name, { name: peer.name, address: peer.address, failureDomain: peer.failureDomain });
+    known.set(peer.name, {
+      name: peer.name,
+      address: peer.address,
+      failureDomain: peer.failureDomain,
+    });
   };
   const takeDigest = (digest: Digest): void => {
     if (digest.name === self.name) return;
@@ -135,9 +141,12 @@
   };
   const sendDue = (now: Milliseconds): void => {
     for (const peer of known.values()) {
-      if (now < (dueAt.get(peer.name) ?? 0)) continue;
-      const isNear = peer.failureDomain === self.failureDomain;
-      dueAt.set(peer.name, now + (isNear ? NEAR_EVERY_MS : FAR_EVERY_MS));
+      const everyMs = peer.failureDomain === self.failureDomain ? NEAR_EVERY_MS : FAR_EVERY_MS;
+      const heardAt = section.read().get(peer.name)?.heardAt ?? Number.NEGATIVE_INFINITY;
+      // An exchange tells both sides: one of them calls, the other only when that one is silent.
+      const waitMs = self.name < peer.name ? everyMs : TAKE_OVER_PERIODS * everyMs;
+      if (now < (dueAt.get(peer.name) ?? 0) || now - heardAt < waitMs - TICK_MS) continue;
+      dueAt.set(peer.name, now + everyMs);
       void exchange(peer);
     }
   };
@@ -174,7 +183,8 @@
     const { revision } = board.fleet.read();
     const ahead = [...section.read().values()].filter(
       (peer) =>
-        peer.configurationVersion > version || (peer.storeReachable && peer.fleetRevision > revision),
+        peer.configurationVersion > version ||
+        (peer.storeReachable && peer.fleetRevision > revision),
     );
     const isNear = (peer: GatewayPeer): boolean => peer.failureDomain === self.failureDomain;
     return ahead.find(isNear) ?? ahead[0];
@@ -254,7 +264,9 @@
     },
     announceStop: async () => {
       isStopping = true;
-      await Promise.allSettled([...known.values()].map((peer) => calls.exchange(peer.address, writeDigest())));
+      await Promise.allSettled(
+        [...known.values()].map((peer) => calls.exchange(peer.address, writeDigest())),
+      );
     },
     stop: async () => {
       clearInterval(timer);
--- a/src/gateway/requests/admission.ts
+++ b/src/gateway/requests/admission.ts
@@ -3,7 +3,11 @@
  */
 import type { IncomingMessage } from 'node:http';
 import { err, ok, type Result } from 'neverthrow';
-import { pickService, type KeyHolder, type ServingIndex } from '../../controllers/forwarding/index.js';
+import {
+  pickService,
+  type KeyHolder,
+  type ServingIndex,
+} from '../../controllers/forwarding/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import type { CallerRequest } from '../../ports/index.js';
@@ -43,7 +47,9 @@
   const name = pickService(route, context.random);
   const service = name === undefined ? undefined : index.services.get(name);
   if (service === undefined) {
-    return err(createFailure('noCapacity', { name: name ?? route.name }, NO_CONFIGURATION_RETRY_MS));
+    return err(
+      createFailure('noCapacity', { name: name ?? route.name }, NO_CONFIGURATION_RETRY_MS),
+    );
   }
   const model = service.engine?.models.find((entry) => entry.name === caller.model);
   if (service.engine && model === undefined) {
--- a/src/gateway/requests/run.ts
+++ b/src/gateway/requests/run.ts
@@ -5,15 +5,15 @@
  * run it, or when no byte of it can have arrived. Everything else may be sent to another backend
  * server within the route's attempts and the budget of repeats.
  */
-import { EventStream, firstEventAfter, plainStallAfter, stallAfter } from '../../controllers/forwarding/index.js';
+import {
+  EventStream,
+  firstEventAfter,
+  plainStallAfter,
+  stallAfter,
+} from '../../controllers/forwarding/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
-import type {
-  Attempt,
-  AttemptAnswer,
-  AttemptFailure,
-  AttemptSender,
-} from '../backends/attempt.js';
+import type { Attempt, AttemptAnswer, AttemptFailure, AttemptSender } from '../backends/attempt.js';
 import type { GatewayContext } from '../types.js';
 import type { Backends, ChosenTarget } from './backends.js';
 import type { Reply } from './reply.js';
@@ -208,7 +208,12 @@
   private watch({ target, inFlight, slots }: ChosenTarget, now: Milliseconds): WatchedAttempt {
     const { route, model, service, caller } = this.request;
     const profile = service.engine;
-    const common = { server: target.server.id, movedAt: now, paused: false, onStall: () => undefined };
+    const common = {
+      server: target.server.id,
+      movedAt: now,
+      paused: false,
+      onStall: () => undefined,
+    };
     if (!profile || !model) {
       const limitMs = plainStallAfter(route.targetMs);
       return { ...common, serverLimitMs: limitMs, ownLimitMs: limitMs };
@@ -315,7 +320,11 @@
     const { requests } = this.tools.context.platform;
     const { stream, reply } = this;
     if (stream === undefined) {
-      reply.sendWhole(answer.status, requests.relayAnswer(answer.headers), Buffer.concat(sending.body));
+      reply.sendWhole(
+        answer.status,
+        requests.relayAnswer(answer.headers),
+        Buffer.concat(sending.body),
+      );
     } else if (stream.isMidEvent) {
       this.afterBroken('the answer ended within an event');
       return;
--- a/src/gateway/store/client.ts
+++ b/src/gateway/store/client.ts
@@ -99,7 +99,10 @@
       createFailure('platformUnavailable', { reason: describeError(error) }),
     );
   };
-  const listAfter = (kind: string, pages: readonly StorePage[]): Promise<Result<StorePage, StoreFailure>> =>
+  const listAfter = (
+    kind: string,
+    pages: readonly StorePage[],
+  ): Promise<Result<StorePage, StoreFailure>> =>
     listPages({ dialect, kind, pages, send: (call) => send(call, timeoutMs) });
 
   return {
--- a/src/gateway/store/fleet-part.ts
+++ b/src/gateway/store/fleet-part.ts
@@ -23,8 +23,11 @@
   follower: Follower;
 }
 
-/** Changes within this span make one call; a lost member is found sooner by other signs. */
-const PAUSE_MS: Milliseconds = 60;
+/**
+ * Changes within this span make one call, which all gateways pay for: a replica that forms makes
+ * several changes in a row. A lost member is found sooner by other signs.
+ */
+const PAUSE_MS: Milliseconds = 150;
 const EXPIRY_EVERY_MS: Milliseconds = 200;
 
 export function createFleetPart(
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -32,8 +32,7 @@
 
 /** A configuration as read, or why it can't be. */
 export type DecodedConfiguration =
-  | { kind: 'decoded'; configuration: ServingConfiguration }
-  | { kind: 'invalid'; reason: string };
+  { kind: 'decoded'; configuration: ServingConfiguration } | { kind: 'invalid'; reason: string };
 
 /** How this gateway stands with the store. */
 export interface StoreContact {
--- a/src/ports/requests.ts
+++ b/src/ports/requests.ts
@@ -50,7 +50,7 @@
   decodeRequest(headers: RawHeaders): CallerRequest;
   /** The headers for a backend server: those of the caller that concern it, and ours. */
   encodeRequest(headers: RawHeaders, sent: SentRequest): string[];
-  decodeAnswer(headers: RawHeaders): AnswerHead;
+  decodeAnswer(status: number, headers: RawHeaders): AnswerHead;
   /** The headers of an answer that go on to the caller. */
   relayAnswer(headers: RawHeaders): string[];
 }
