--- a/src/controllers/forwarding/fleet.ts
+++ b/src/controllers/forwarding/fleet.ts
@@ -40,7 +40,7 @@
   for (const change of changes) {
     switch (change.kind) {
       case 'present':
-        servers.set(change.server.id, change.server);
+        servers.set(change.server.id, keepLastModel(servers.get(change.server.id), change.server));
         vanished.delete(change.server.id);
         break;
       case 'absent':
@@ -52,6 +52,14 @@
   return { revision, servers, vanished };
 }
 
+/** `server` with the model that it was last seen with, under the same id and so in the same life. */
+function keepLastModel(before: BackendServer | undefined, server: BackendServer): BackendServer {
+  const { engine } = server;
+  const lastModel = engine?.model ?? before?.engine?.lastModel;
+  if (engine === undefined || lastModel === undefined) return server;
+  return { ...server, engine: { ...engine, lastModel } };
+}
+
 /** `fleet` as a whole list shows it: what the list lacks is absent. */
 export function applyFleetList(
   fleet: ServingFleet,
--- a/src/controllers/forwarding/repeat-budget.ts
+++ b/src/controllers/forwarding/repeat-budget.ts
@@ -40,14 +40,19 @@
 
   /** Takes one repeat; false, and nothing taken, when none is left. `entries` share the slack. */
   take(now: Milliseconds, entries: number): boolean {
-    const slice = this.current(now);
+    if (!this.hasLeft(now, entries)) return false;
+    this.current(now).repeats += 1;
+    return true;
+  }
+
+  /** Whether a repeat is left. */
+  hasLeft(now: Milliseconds, entries: number): boolean {
+    this.current(now);
     const requests = sum(this.slices, 'requests');
     const repeats = sum(this.slices, 'repeats');
     const { ratio, slack } = this.bounds;
     const most = USED_PART * (ratio * requests + slack / Math.max(1, entries));
-    if (repeats + 1 > most) return false;
-    slice.repeats += 1;
-    return true;
+    return repeats + 1 <= most;
   }
 
   private current(now: Milliseconds): Slice {
--- a/src/controllers/groups/orders.ts
+++ b/src/controllers/groups/orders.ts
@@ -81,7 +81,9 @@
     return [stage(server, model)];
   });
   if (view.beforeTraffic) return [...orders, ...listSecondModels(plan, view, models)];
-  return [...orders, ...listRestaging(free, plan, targets)];
+  const wanted = [...orders, ...listRestaging(free, plan, targets)];
+  const left = Math.max(0, view.loadSlots - view.staging.size);
+  return wanted.filter(({ to }) => !view.staging.has(to.id)).slice(0, left);
 }
 
 /**
@@ -102,7 +104,7 @@
   if (lacking === undefined) return [];
   const { model } = lacking;
   const isReady = ({ engine }: BackendServer): boolean =>
-    engine?.model === model.name || engine?.staged.includes(model.name) === true;
+    engine?.lastModel === model.name || engine?.staged.includes(model.name) === true;
   const missing = model.size - free.filter(isReady).length;
   return free
     .filter((server) => !isReady(server) && server.engine?.staged.length !== 0)
--- a/src/controllers/groups/revise.ts
+++ b/src/controllers/groups/revise.ts
@@ -45,9 +45,10 @@
 }
 
 /**
- * One change at a time: a group of a model that has too few; else, where instances are left over
- * that no such group can use, one more of another model; else a surplus group is given up so that
- * its members can make good a lack.
+ * One change at a time: a group of a model that has too few; else a surplus group is given up so that
+ * its members can make good the lack; else, where instances are left over that no such group can use,
+ * one more group of another model. The last comes last because it is hard to undo: an instance that
+ * joins by a warm load has the weights of one model only from then on.
  */
 function formMissing(plan: GroupPlan, view: DomainView, weights: ModelWeights): GroupPlan {
   const usable = [...view.servers.keys()].filter((id) => isUsable(view, id)).length;
@@ -62,12 +63,19 @@
   }
   // Instances still appear and load: what is left over now has its use in a moment.
   if (lacking.length === 0 || view.beforeTraffic) return plan;
+  const givenUp = giveUpSurplus(plan, view, targets, lacking, free);
+  if (givenUp !== plan || isClosing(plan)) return givenUp;
   const extra = [...targets].sort((a, b) => fillOf(a, plan) - fillOf(b, plan));
   for (const { model } of extra) {
     const members = pickMembers(free, model, view);
     if (members) return addGroup(plan, view, model, members);
   }
-  return giveUpSurplus(plan, view, targets, lacking, free);
+  return plan;
+}
+
+/** Members of a group that is being taken apart come free in a moment. */
+function isClosing(plan: GroupPlan): boolean {
+  return plan.groups.some(({ closing }) => closing !== 'no');
 }
 
 /** Part of its target that a model has; a model without a target has more than enough. */
@@ -87,8 +95,7 @@
   lacking: readonly GroupTarget[],
   free: readonly BackendServer[],
 ): GroupPlan {
-  // What is being given up already comes free first.
-  if (plan.groups.some(({ closing }) => closing !== 'no')) return plan;
+  if (isClosing(plan)) return plan;
   const surplus = targets.flatMap(({ model, groups }) =>
     plan.groups
       .filter((group) => group.model === model.name)
@@ -135,16 +142,23 @@
     (server) => view.beforeTraffic || joinEffort(server, model) <= WARM_EFFORT,
   );
   if (able.length < model.size) return undefined;
-  const ranked = [...able].sort((a, b) => joinEffort(a, model) - joinEffort(b, model));
+  const ranked = [...able].sort(
+    (a, b) => joinEffort(a, model) - joinEffort(b, model) || countModels(a) - countModels(b),
+  );
   return ranked.slice(0, model.size);
 }
 
+/** Models that an instance can join soon; those with only one are used first. */
+function countModels({ engine }: BackendServer): number {
+  return new Set([...(engine?.staged ?? []), engine?.lastModel].filter(Boolean)).size;
+}
+
 /** The model is in memory or on the host. */
 const WARM_EFFORT = 1;
 
 /** Lower joins sooner: the model in memory, on the host, nothing there, another model there. */
 function joinEffort({ engine }: BackendServer, model: GroupModel): number {
-  if (engine?.model === model.name) return 0;
+  if (engine?.lastModel === model.name) return 0;
   if (engine?.staged.includes(model.name)) return WARM_EFFORT;
   return engine === undefined || engine.staged.length === 0 ? 2 : 3;
 }
--- a/src/controllers/groups/view.ts
+++ b/src/controllers/groups/view.ts
@@ -11,6 +11,10 @@
   servers: ReadonlyMap<string, BackendServer>;
   /** Instances that answer no probe, although their entries may still be there. */
   lost: ReadonlySet<string>;
+  /** Instances that bring weights to their hosts now. */
+  staging: ReadonlySet<string>;
+  /** Loads that the domain may have under way; more would slow down those of all domains. */
+  loadSlots: number;
   /**
    * No gateway has seen a request yet: loads disturb nobody, and weights may go to every host ahead
    * of need.
--- a/src/gateway/backends/attempt.ts
+++ b/src/gateway/backends/attempt.ts
@@ -23,6 +23,8 @@
 export interface AttemptAnswer extends AnswerHead {
   status: number;
   headers: string[];
+  /** How the end of the body is told: by its length, by chunks, or by the end of the connection. */
+  framing: 'length' | 'chunks' | 'connection';
 }
 
 /** Why there is no whole answer. */
@@ -62,7 +64,9 @@
   private readonly connection: BackendConnection;
   private controller: Dispatcher.DispatchController | undefined;
   private isOver = false;
-  private isUnframed = false;
+  private framing: AttemptAnswer['framing'] = 'length';
+  private bytes = 0;
+  private expectedBytes: number | undefined;
   private closesAfter = false;
 
   constructor(
@@ -124,22 +128,34 @@
       this.fail(new Error(`the answer carries the id ${head.requestId ?? '(none)'}`));
       return;
     }
-    this.isUnframed =
-      !hasHeader(headers, 'content-length') && !hasHeader(headers, 'transfer-encoding');
-    this.closesAfter = this.isUnframed || /close/i.test(findHeader(headers, 'connection') ?? '');
-    this.observer.onAnswer({ ...head, status, headers });
+    this.readFraming(headers);
+    this.observer.onAnswer({ ...head, status, headers, framing: this.framing });
+  }
+
+  private readFraming(headers: readonly string[]): void {
+    const length = findHeader(headers, 'content-length');
+    const isChunked = findHeader(headers, 'transfer-encoding') !== undefined;
+    this.framing = isChunked ? 'chunks' : length === undefined ? 'connection' : 'length';
+    this.expectedBytes = this.framing === 'length' ? Number(length) : undefined;
+    const connection = findHeader(headers, 'connection') ?? '';
+    this.closesAfter = this.framing === 'connection' || /close/i.test(connection);
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.bytes += chunk.length;
     if (!this.isOver) this.observer.onData(chunk);
   }
 
   onResponseEnd(): void {
     if (this.isOver) return;
-    if (this.isUnframed && this.connection.state.reset) {
+    if (this.framing === 'connection' && this.connection.state.reset) {
       this.fail(new Error('the connection was reset before the end'));
       return;
     }
+    if (this.expectedBytes !== undefined && this.bytes !== this.expectedBytes) {
+      this.fail(new Error(`the body has ${this.bytes} of ${this.expectedBytes} bytes`));
+      return;
+    }
     this.isOver = true;
     if (this.closesAfter) this.discard();
     else this.pool.release(this.to, this.connection);
@@ -176,7 +192,3 @@
   }
   return undefined;
 }
-
-function hasHeader(headers: readonly string[], name: string): boolean {
-  return findHeader(headers, name) !== undefined;
-}
--- a/src/gateway/groups/domain-keeper.ts
+++ b/src/gateway/groups/domain-keeper.ts
@@ -27,6 +27,7 @@
   servers: readonly BackendServer[];
   weights: ModelWeights;
   beforeTraffic: boolean;
+  loadSlots: number;
 }
 
 /** Plans and orders for one domain. */
@@ -55,6 +56,11 @@
 /** Pause after a store call that failed. */
 const STORE_PAUSE_MS: Milliseconds = 150;
 
+interface StagingUnderWay {
+  model: string;
+  since: Milliseconds;
+}
+
 interface StoredPlan {
   plan: GroupPlan;
   /** Absent while the object does not exist. */
@@ -67,6 +73,7 @@
   const losses = createLossFinder(context, calls);
   const refused = new Set<string>();
   const sentAt = new Map<string, Milliseconds>();
+  const staging = new Map<string, StagingUnderWay>();
   let stored: StoredPlan | undefined;
   let isBusy = false;
   let storePausedUntil = 0;
@@ -110,10 +117,24 @@
         .join(' '),
     });
   };
+  const listStaging = ({ servers }: DomainState): ReadonlySet<string> => {
+    const now = clock.now();
+    for (const { id, engine } of servers) {
+      const entry = staging.get(id);
+      if (entry === undefined) continue;
+      const isOver = engine?.staged.includes(entry.model) ?? false;
+      if (isOver || now - entry.since > REPEAT_STAGE_MS) staging.delete(id);
+    }
+    const known = new Set(servers.map(({ id }) => id));
+    for (const id of staging.keys()) if (!known.has(id)) staging.delete(id);
+    return new Set(staging.keys());
+  };
   const viewOf = (state: DomainState): DomainView => ({
     profile: state.profile,
     servers: new Map(state.servers.map((server) => [server.id, server])),
     lost: losses.lost,
+    staging: listStaging(state),
+    loadSlots: state.loadSlots,
     beforeTraffic: state.beforeTraffic,
     failed: new Set([...refused, ...losses.stuck]),
   });
@@ -141,7 +162,10 @@
     });
     takeOutcome(due, outcome);
   };
-  const takeOutcome = ({ order }: DueOrder, outcome: OrderOutcome): void => {
+  const takeOutcome = ({ order, to }: DueOrder, outcome: OrderOutcome): void => {
+    if (order.kind === 'stage' && (outcome.kind === 'accepted' || outcome.kind === 'unknown')) {
+      staging.set(to.id, { model: order.model, since: clock.now() });
+    }
     const isOutdated = outcome.kind === 'refused' && outcome.status === OUTDATED_STATUS;
     if (order.kind === 'join' && isOutdated) refused.add(order.group);
   };
--- a/src/gateway/groups/groups-part.ts
+++ b/src/gateway/groups/groups-part.ts
@@ -77,7 +77,8 @@
       const { service } = first;
       const weights = options.weights();
       const domain = first.engine.fabricDomain;
-      return [{ service, domain, profile, servers, weights, beforeTraffic }];
+      const loadSlots = Math.ceil(profile.loadsAtOnce / domains.size);
+      return [{ service, domain, profile, servers, weights, beforeTraffic, loadSlots }];
     });
   };
   const round = (): void => {
--- a/src/gateway/requests/backends.ts
+++ b/src/gateway/requests/backends.ts
@@ -48,6 +48,7 @@
   /** A request was to be forwarded since the start. */
   hasServed(): boolean;
   takeRepeat(service: string): boolean;
+  hasRepeat(service: string): boolean;
   suspicions: SuspicionTable;
   /** Called with each server that newly came under suspicion here. */
   onSuspicion(listener: (server: string) => void): void;
@@ -150,6 +151,7 @@
       budgetOf(service).recordRequest(clock.now());
     },
     takeRepeat: (service) => budgetOf(service).take(clock.now(), 1 + board.peers.read().size),
+    hasRepeat: (service) => budgetOf(service).hasLeft(clock.now(), 1 + board.peers.read().size),
     suspicions,
     onSuspicion: (listener) => {
       listeners.push(listener);
--- a/src/gateway/requests/run.ts
+++ b/src/gateway/requests/run.ts
@@ -43,6 +43,8 @@
 /** Longest wait for a target, as a part of the time that the caller has left. */
 const WAIT_PART = 0.4;
 const LONGEST_WAIT_MS: Milliseconds = 1_500;
+/** Before a target that refused a request is asked again: a slot comes free in about this time. */
+const RETRY_SAME_MS: Milliseconds = 150;
 /** A replica that is being formed opens within about this time. */
 const RETRY_AFTER_MS: Milliseconds = 700;
 /** An answer that stands still alone is lost: many times the longest pause between two events. */
@@ -64,6 +66,7 @@
   private sends = 0;
   private isFinished = false;
   private waitsUntil: Milliseconds | undefined;
+  private nextTryAt = 0;
   private firstByteAt: Milliseconds | undefined;
   private lastEventAt: Milliseconds | undefined;
   /** A backend server's own failure, passed on when nothing better comes. */
@@ -101,7 +104,7 @@
       return;
     }
     if (this.waitsUntil === undefined) return;
-    if (this.sendings.size === 0) this.sendNext('waited');
+    if (this.sendings.size === 0 && now >= this.nextTryAt) this.sendNext('waited');
     if (this.waitsUntil !== undefined && now >= this.waitsUntil) this.giveUp('no target in time');
   }
 
@@ -120,6 +123,10 @@
       this.waitForTarget(why);
       return;
     }
+    if (this.sends > 0 && !tools.backends.takeRepeat(service.name)) {
+      this.giveUp('no repeats left');
+      return;
+    }
     this.waitsUntil = undefined;
     this.sendTo(chosen, why);
   }
@@ -136,7 +143,8 @@
         tried: this.tried.size,
       });
     }
-    // A target that failed before may be the only one there is.
+    // A target that refused or failed before may be the only one there is; it needs a moment.
+    if (this.tried.size > 0) this.nextTryAt = now + RETRY_SAME_MS;
     if (this.isRepeatable) this.tried.clear();
   }
 
@@ -332,7 +340,7 @@
       if (reply.isUnsent) reply.begin(answer.status, requests.relayAnswer(answer.headers));
       reply.end();
     }
-    this.finish('answered', String(answer.status));
+    this.finish('answered', `${answer.status} by ${answer.framing}`);
   }
 
   private onFailure(sending: Sending, failure: AttemptFailure): void {
@@ -357,7 +365,7 @@
     const { backends } = this.tools;
     const { service, model } = this.request;
     if (backends.choose(service, model?.name, this.tried) === undefined) return;
-    if (!backends.takeRepeat(service.name)) return;
+    if (!backends.hasRepeat(service.name)) return;
     const why = kind === 'server' ? 'nothing moved there' : 'the answer stood still';
     if (this.stream) {
       sending.attempt.cancel();
@@ -385,10 +393,6 @@
       this.giveUp('refused everywhere');
       return;
     }
-    if (!this.tools.backends.takeRepeat(this.request.service.name)) {
-      this.giveUp('no repeats left');
-      return;
-    }
     this.sendNext('not run');
   }
 
@@ -398,7 +402,7 @@
     const mayRepeat = this.isRepeatable && !isFinal && this.mayRunAgain();
     this.runs += 1;
     if (this.sendings.size > 0) return;
-    if (mayRepeat && this.tools.backends.takeRepeat(this.request.service.name)) {
+    if (mayRepeat) {
       this.sendNext(reason);
       return;
     }
--- a/src/gateway/store/fleet-part.ts
+++ b/src/gateway/store/fleet-part.ts
@@ -120,7 +120,9 @@
       leaving: server.leaving,
       group: membership?.group,
       state: membership?.state,
+      lastModel: server.engine?.lastModel,
       staged: server.engine?.staged.join(','),
+      domain: server.engine?.fabricDomain,
       revision,
     });
   }
--- a/src/ports/fleet.ts
+++ b/src/ports/fleet.ts
@@ -37,5 +37,11 @@
   staged: readonly string[];
   /** The model of its replica, as far as it is loaded. */
   model?: string;
+  /**
+   * The model of the last replica that it was ready in since its start. It joins another replica of
+   * that model sooner than a warm load takes, also after it has left. Not told by the engine: kept
+   * from what it reported before.
+   */
+  lastModel?: string;
   membership?: GroupMembership;
 }
