--- a/features/gateway/forwarding.feature
+++ b/features/gateway/forwarding.feature
@@ -92,3 +92,12 @@
     When a caller asks for "/check/in"
     Then the answer is 503 with a time to come back
     And the request did not run
+
+  Scenario: An answer without a length keeps its form
+    A server that crashes closes its connection, and an answer without a length that is cut there
+    looks like a whole one. With a length of ours it would be framed as complete; passed on as it
+    came, its end is the end of the connection.
+    Given a site with 1 plain server and a ready gateway
+    And each server answers without a length
+    When a caller asks for "/check/in"
+    Then the answer is 200 and ends with its connection
--- a/features/gateway/forwarding.steps.ts
+++ b/features/gateway/forwarding.steps.ts
@@ -53,6 +53,7 @@
   refuses: { kind: 'refuse' },
   'sends answers of another request': { kind: 'foreignAnswer' },
   'resets answers without a length': { kind: 'resetUnframed' },
+  'answers without a length': { kind: 'unframed' },
   'encodes its answers': { kind: 'encode' },
   fails: { kind: 'fail' },
 };
@@ -126,6 +127,18 @@
   assert.ok(Number(answer.headers['retry-after']) > 0);
 });
 
+Then(
+  'the answer is {int} and ends with its connection',
+  function (this: GatewayWorld, status: number) {
+    const { headers, body, ...answer } = lastAnswer(this);
+    assert.equal(answer.status, status, body);
+    assert.equal(headers['content-length'], undefined);
+    assert.equal(headers['transfer-encoding'], undefined);
+    assert.equal(headers.connection, 'close');
+    assert.equal(body, 'answer');
+  },
+);
+
 Then('each answer is {int} and whole', function (this: GatewayWorld, status: number) {
   for (const answer of this.answers) {
     assert.equal(answer.status, status, answer.body);
--- a/features/gateway/stand-ins/engine.ts
+++ b/features/gateway/stand-ins/engine.ts
@@ -49,6 +49,8 @@
   | { kind: 'foreignAnswer' }
   /** Answers without a length and resets before the end. */
   | { kind: 'resetUnframed' }
+  /** Answers without a length and ends the connection. */
+  | { kind: 'unframed' }
   | { kind: 'fail' }
   | { kind: 'encode' };
 
@@ -266,6 +268,11 @@
           .writeHead(200, { ...head, 'Attempt-Id': 'another', 'content-length': 7 })
           .end('foreign');
         return;
+      case 'unframed':
+        response.socket?.end(
+          `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nResponse-Seal: s\r\n\r\nanswer`,
+        );
+        return;
       case 'resetUnframed':
         response.socket?.write(
           `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nResponse-Seal: s\r\n\r\nanswer`,
--- a/src/gateway/requests/reply.ts
+++ b/src/gateway/requests/reply.ts
@@ -10,8 +10,11 @@
   /** Nothing of the answer has been sent yet. */
   readonly isUnsent: boolean;
   sendWhole(status: number, headers: readonly string[], body: Buffer): void;
-  /** Starts an answer whose length is not known. */
-  begin(status: number, headers: readonly string[]): void;
+  /**
+   * Starts an answer whose length is not known. `endsWithConnection`: it has no other mark of its
+   * end, as it had none when it came.
+   */
+  begin(status: number, headers: readonly string[], endsWithConnection: boolean): void;
   /** False when the caller reads more slowly than data comes; `onDrain` tells when to go on. */
   write(bytes: Buffer): boolean;
   onDrain(listener: () => void): void;
@@ -35,8 +38,10 @@
       response.writeHead(status, [...headers, ...length, ...closing()]);
       response.end(body);
     },
-    begin: (status, headers) => {
-      response.writeHead(status, [...headers, ...closing()]);
+    begin: (status, headers, endsWithConnection) => {
+      if (endsWithConnection) response.useChunkedEncodingByDefault = false;
+      const close = endsWithConnection ? ['Connection', 'close'] : closing();
+      response.writeHead(status, [...headers, ...close]);
     },
     write: (bytes) => response.write(bytes),
     onDrain: (listener) => {
--- a/src/gateway/requests/run.ts
+++ b/src/gateway/requests/run.ts
@@ -276,7 +276,8 @@
     this.tightenWatch(sending);
     if (this.reply.isUnsent) {
       this.firstByteAt = now;
-      this.reply.begin(answer.status, platform.requests.relayAnswer(answer.headers));
+      const headers = platform.requests.relayAnswer(answer.headers);
+      this.reply.begin(answer.status, headers, answer.framing === 'connection');
     }
     this.lastEventAt = now;
     if (this.reply.write(part.bytes)) return;
@@ -325,20 +326,17 @@
   }
 
   private complete(sending: Sending, answer: AttemptAnswer): void {
-    const { requests } = this.tools.context.platform;
+    const headers = this.tools.context.platform.requests.relayAnswer(answer.headers);
     const { stream, reply } = this;
-    if (stream === undefined) {
-      reply.sendWhole(
-        answer.status,
-        requests.relayAnswer(answer.headers),
-        Buffer.concat(sending.body),
-      );
-    } else if (stream.isMidEvent) {
+    if (stream?.isMidEvent) {
       this.afterBroken('the answer ended within an event');
       return;
-    } else {
-      if (reply.isUnsent) reply.begin(answer.status, requests.relayAnswer(answer.headers));
+    }
+    if (stream) {
+      if (reply.isUnsent) reply.begin(answer.status, headers, false);
       reply.end();
+    } else {
+      sendPlain(reply, answer, headers, Buffer.concat(sending.body));
     }
     this.finish('answered', `${answer.status} by ${answer.framing}`);
   }
@@ -502,6 +500,26 @@
   }
 }
 
+/**
+ * Guards against an answer that is cut off and looks whole. One without a length may have been cut
+ * with nothing to show it; it is passed on as it came, and its end is no more than the end of the
+ * connection for the caller as well.
+ */
+function sendPlain(
+  reply: Reply,
+  { status, framing }: AttemptAnswer,
+  headers: readonly string[],
+  body: Buffer,
+): void {
+  if (framing !== 'connection') {
+    reply.sendWhole(status, headers, body);
+    return;
+  }
+  reply.begin(status, headers, true);
+  reply.write(body);
+  reply.end();
+}
+
 function isGood(answer: AttemptAnswer): boolean {
   const isSuccess = answer.status >= 200 && answer.status < 300;
   return isSuccess && answer.signed && !answer.encoded && !answer.notRun;
