Split instances among domains together, replace slow members, and drain kept connections when stopping

A group with a slow member was formed again with it every 3 s; reports now tell the slow one, and it is replaced only when another is there. Domains of ten gave the large model one group each whatever its share; all domains are split together.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['dist/', 'node_modules/', 'bench/out/'] },
+  { ignores: ['dist/', 'target/', 'node_modules/', 'bench/out/', '.scratch/'] },
   eslint.configs.recommended,
   {
     files: ['**/*.ts'],
--- a/features/gateway/beliefs.feature
+++ b/features/gateway/beliefs.feature
@@ -39,3 +39,12 @@
     When the gateway is told to stop while a request is under way
     Then the answer is 200, whole and signed by the server that ran it
     And the gateway ends by itself with code 0
+
+  Scenario: A gateway stops while callers keep their connections open
+    Callers use their open connections on and on. Each is told with an answer that the connection
+    ends; idle ones are closed when the balancer sends nobody any more. A gateway that waited for the
+    callers would be killed with requests under way.
+    Given a site with 1 plain server that takes 50 ms and a ready gateway
+    When the gateway is told to stop while 3 callers ask on open connections
+    Then no answer was broken off
+    And the gateway ends by itself with code 0
--- a/features/gateway/beliefs.steps.ts
+++ b/features/gateway/beliefs.steps.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict';
+import { Agent } from 'node:http';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import { Then, When } from '@cucumber/cucumber';
 import { waitFor } from '../support/waiting.js';
 import type { Answer } from './site.js';
@@ -123,3 +125,35 @@
     assert.equal(await this.gateway.exited, code);
   },
 );
+
+When(
+  'the gateway is told to stop while {int} callers ask on open connections',
+  async function (this: GatewayWorld, callers: number) {
+    this.answers = [];
+    const agent = new Agent({ keepAlive: true, maxSockets: callers });
+    let hasEnded = false;
+    void this.gateway.exited.then(() => {
+      hasEnded = true;
+    });
+    const askOn = async (): Promise<void> => {
+      while (!hasEnded) {
+        // A connection that is refused or closed unanswered was never a request of this gateway.
+        const answer = await this.site.ask(this.gateway, { ...LIST, agent }).catch(() => undefined);
+        if (answer) this.answers.push(answer);
+        else await nextTurn();
+      }
+    };
+    const running = Array.from({ length: callers }, askOn);
+    await waitFor('some answers', () => this.answers.length > 2 * callers);
+    this.gateway.signal('SIGTERM');
+    await Promise.all(running);
+    agent.destroy();
+  },
+);
+
+Then('no answer was broken off', function (this: GatewayWorld) {
+  for (const { status, whole, body } of this.answers) {
+    assert.equal(status, 200, body);
+    assert.ok(whole);
+  }
+});
--- a/features/gateway/site.ts
+++ b/features/gateway/site.ts
@@ -4,7 +4,12 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
-import { request as httpRequest, type IncomingHttpHeaders } from 'node:http';
+import {
+  request as httpRequest,
+  type Agent,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+} from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { createInterface } from 'node:readline';
@@ -49,6 +54,7 @@
   path: string;
   headers?: Record<string, string>;
   body?: string;
+  agent?: Agent;
 }
 
 /** Everything of one scenario; `close` ends just what it started. */
@@ -160,10 +166,11 @@
       port,
       method: ask.method ?? 'GET',
       path: ask.path,
+      ...(ask.agent && { agent: ask.agent }),
       headers,
     });
     outgoing.end(ask.body);
-    const [incoming] = (await once(outgoing, 'response')) as [import('node:http').IncomingMessage];
+    const [incoming] = (await once(outgoing, 'response')) as [IncomingMessage];
     let body = '';
     try {
       for await (const chunk of incoming) body += String(chunk);
--- a/src/controllers/forwarding/choose.ts
+++ b/src/controllers/forwarding/choose.ts
@@ -50,7 +50,7 @@
 }
 
 /** Estimated wait at a target with its penalties, in milliseconds. */
-export function estimateCost(state: TargetState): Milliseconds {
+function estimateCost(state: TargetState): Milliseconds {
   const { inFlight, slots, isRemote, failing } = state;
   const queued = Math.max(0, inFlight + 1 - slots);
   return (
--- a/src/controllers/groups/orders.ts
+++ b/src/controllers/groups/orders.ts
@@ -2,16 +2,16 @@
  * The orders that bring a fabric domain closer to its stored plan.
  */
 import type { BackendServer, GroupModel } from '../../ports/index.js';
-import { planTargets, type GroupTarget, type ModelWeights } from './targets.js';
+import type { GroupTarget } from './targets.js';
 import type { DueOrder, GroupPlan, PlannedGroup } from './types.js';
-import { isHeard, isUsable, listFree, listStrays, membershipIn, type DomainView } from './view.js';
+import { isHeard, listFree, listStrays, membershipIn, type DomainView } from './view.js';
 
 /** The orders due now. `plan` must be stored: an order is never sent for a plan that may be lost. */
-export function listOrders(plan: GroupPlan, view: DomainView, weights: ModelWeights): DueOrder[] {
+export function listOrders(plan: GroupPlan, view: DomainView): DueOrder[] {
   return [
     ...plan.groups.flatMap((group) => listGroupOrders(group, view)),
     ...listStrays(view, plan).flatMap(takeStrayApart),
-    ...listStaging(plan, view, weights),
+    ...listStaging(plan, view),
   ];
 }
 
@@ -67,10 +67,9 @@
  * Before there is traffic, hosts of members get the weights of another model as well: an engine
  * keeps its own in memory, and can then change from one model to the other in a warm load.
  */
-function listStaging(plan: GroupPlan, view: DomainView, weights: ModelWeights): DueOrder[] {
+function listStaging(plan: GroupPlan, view: DomainView): DueOrder[] {
   const free = listFree(view, plan);
-  const usable = [...view.servers.keys()].filter((id) => isUsable(view, id)).length;
-  const targets = planTargets(usable, view.profile.models, weights);
+  const { targets } = view;
   const models = targets.filter(({ groups }) => groups > 0).map(({ model }) => model);
   const bare = free.filter(({ engine }) => engine?.staged.length === 0);
   const spares = new Map(models.map(({ name }) => [name, countStaged(free, name)]));
--- a/src/controllers/groups/revise.ts
+++ b/src/controllers/groups/revise.ts
@@ -10,12 +10,12 @@
  * by each engine that has seen a newer one.
  */
 import type { BackendServer, GroupModel } from '../../ports/index.js';
-import { planTargets, type GroupTarget, type ModelWeights } from './targets.js';
+import type { GroupTarget } from './targets.js';
 import type { GroupPlan, PlannedGroup } from './types.js';
 import { isHeard, isUsable, listFree, membershipIn, type DomainView } from './view.js';
 
 /** The plan that should be stored next; `plan` itself when nothing has to change. */
-export function revisePlan(plan: GroupPlan, view: DomainView, weights: ModelWeights): GroupPlan {
+export function revisePlan(plan: GroupPlan, view: DomainView): GroupPlan {
   const kept = plan.groups
     .filter((group) => !isGone(group, view))
     .map((group) => ({ ...group, closing: judgeClosing(group, view) }));
@@ -23,7 +23,7 @@
     kept.length < plan.groups.length ||
     kept.some(({ closing }, index) => closing !== plan.groups[index]?.closing);
   const cleaned = isChanged ? { ...plan, groups: kept } : plan;
-  return formMissing(cleaned, view, weights);
+  return formMissing(cleaned, view);
 }
 
 /** Nobody who is heard belongs to it any more. */
@@ -50,10 +50,11 @@
  * one more group of another model. The last comes last because it is hard to undo: an instance that
  * joins by a warm load has the weights of one model only from then on.
  */
-function formMissing(plan: GroupPlan, view: DomainView, weights: ModelWeights): GroupPlan {
-  const usable = [...view.servers.keys()].filter((id) => isUsable(view, id)).length;
-  const targets = planTargets(usable, view.profile.models, weights);
+function formMissing(plan: GroupPlan, view: DomainView): GroupPlan {
+  const { targets } = view;
   const free = listFree(view, plan);
+  const relieved = replaceSlow(plan, view, free);
+  if (relieved !== plan) return relieved;
   const lacking = targets
     .filter((target) => countGroups(plan, target.model) < target.groups)
     .sort((a, b) => fillOf(a, plan) - fillOf(b, plan) || b.model.size - a.model.size);
@@ -63,7 +64,7 @@
   }
   // Instances still appear and load: what is left over now has its use in a moment.
   if (lacking.length === 0 || view.beforeTraffic) return plan;
-  const givenUp = giveUpSurplus(plan, view, targets, lacking, free);
+  const givenUp = giveUpSurplus(plan, view, lacking, free);
   if (givenUp !== plan || isClosing(plan)) return givenUp;
   const extra = [...targets].sort((a, b) => fillOf(a, plan) - fillOf(b, plan));
   for (const { model } of extra) {
@@ -73,6 +74,26 @@
   return plan;
 }
 
+/** A group with a slow member finishes what it has and is formed anew, if there is somebody to take its place. */
+function replaceSlow(plan: GroupPlan, view: DomainView, free: readonly BackendServer[]): GroupPlan {
+  if (view.slow.size === 0 || isClosing(plan)) return plan;
+  const group = plan.groups.find(({ model, members }) => {
+    const size = members.length;
+    const good = members.flatMap(({ id }) =>
+      view.slow.has(id) ? [] : (view.servers.get(id) ?? []),
+    );
+    if (good.length === size) return false;
+    const profile = view.profile.models.find(({ name }) => name === model);
+    const spare = free.filter(({ id }) => !view.slow.has(id));
+    return profile !== undefined && pickMembers([...good, ...spare], profile, view) !== undefined;
+  });
+  if (group === undefined) return plan;
+  const groups = plan.groups.map((each) =>
+    each === group ? { ...each, closing: 'drain' as const } : each,
+  );
+  return { ...plan, groups };
+}
+
 /** Members of a group that is being taken apart come free in a moment. */
 function isClosing(plan: GroupPlan): boolean {
   return plan.groups.some(({ closing }) => closing !== 'no');
@@ -91,12 +112,11 @@
 function giveUpSurplus(
   plan: GroupPlan,
   view: DomainView,
-  targets: readonly GroupTarget[],
   lacking: readonly GroupTarget[],
   free: readonly BackendServer[],
 ): GroupPlan {
   if (isClosing(plan)) return plan;
-  const surplus = targets.flatMap(({ model, groups }) =>
+  const surplus = view.targets.flatMap(({ model, groups }) =>
     plan.groups
       .filter((group) => group.model === model.name)
       .slice(0, Math.max(0, countGroups(plan, model) - groups)),
@@ -143,7 +163,10 @@
   );
   if (able.length < model.size) return undefined;
   const ranked = [...able].sort(
-    (a, b) => joinEffort(a, model) - joinEffort(b, model) || countModels(a) - countModels(b),
+    (a, b) =>
+      Number(view.slow.has(a.id)) - Number(view.slow.has(b.id)) ||
+      joinEffort(a, model) - joinEffort(b, model) ||
+      countModels(a) - countModels(b),
   );
   return ranked.slice(0, model.size);
 }
--- a/src/controllers/groups/view.ts
+++ b/src/controllers/groups/view.ts
@@ -2,15 +2,20 @@
  * What a planner knows of one fabric domain at one moment.
  */
 import type { BackendServer, EngineProfile, GroupMembership } from '../../ports/index.js';
+import type { GroupTarget } from './targets.js';
 import type { GroupPlan, PlannedGroup } from './types.js';
 
 /** The instances of one fabric domain and service, and what orders and probes showed of them. */
 export interface DomainView {
   profile: EngineProfile;
+  /** How many replicas of each model the domain should have. */
+  targets: readonly GroupTarget[];
   /** By id; only instances whose own entries are known. */
   servers: ReadonlyMap<string, BackendServer>;
   /** Instances that answer no probe, although their entries may still be there. */
   lost: ReadonlySet<string>;
+  /** Instances that have turned slow: a replica runs at the pace of its slowest member. */
+  slow: ReadonlySet<string>;
   /** Instances that bring weights to their hosts now. */
   staging: ReadonlySet<string>;
   /** Loads that the domain may have under way; more would slow down those of all domains. */
@@ -42,7 +47,7 @@
 }
 
 /** Ids of all members of all groups of `plan`. */
-export function listPlanned(plan: GroupPlan): Set<string> {
+function listPlanned(plan: GroupPlan): Set<string> {
   return new Set(plan.groups.flatMap(({ members }) => members.map(({ id }) => id)));
 }
 
--- a/src/core/logger/bounded-logger.ts
+++ b/src/core/logger/bounded-logger.ts
@@ -12,7 +12,7 @@
   level: LogEvent['level'];
   clock: Clock;
   /** Called with the number of lines that were left out. */
-  onSuppressed(lines: number): void;
+  onSuppressed: (lines: number) => void;
 }
 
 /** Lines a second of one kind of event: twice what the planned rate of requests writes of each. */
--- a/src/gateway/backends/attempt.ts
+++ b/src/gateway/backends/attempt.ts
@@ -84,7 +84,7 @@
     try {
       this.connection.client.dispatch(
         {
-          method: method as Dispatcher.HttpMethod,
+          method: method,
           path,
           headers,
           body: body ?? null,
--- a/src/gateway/backends/pool.ts
+++ b/src/gateway/backends/pool.ts
@@ -24,7 +24,7 @@
 interface PoolOptions {
   clock: Clock;
   /** Called with each connection that is opened. */
-  onOpen(): void;
+  onOpen: () => void;
 }
 
 /** Older idle connections may be closed by the other side at the moment they are used. */
--- a/src/gateway/backends/short-call.ts
+++ b/src/gateway/backends/short-call.ts
@@ -8,7 +8,11 @@
 import type { DueOrder, GroupMember } from '../../controllers/groups/index.js';
 
 /** What a probe showed of an engine. */
-export type ProbeOutcome = 'answers' | 'silent' | 'gone';
+export type ProbeOutcome =
+  | { kind: 'answers'; pace: number }
+  | { kind: 'silent' }
+  /** Nothing listens there, or another backend server does. */
+  | { kind: 'gone' };
 
 /** Orders and probes of engines. No call is repeated here. */
 export interface EngineCalls {
@@ -25,10 +29,15 @@
 const KEPT_MS: Milliseconds = 2_000;
 const OTHER_INSTANCE_STATUS = 421;
 
+interface CallAnswer {
+  status: number;
+  body: string;
+}
+
 interface EngineCallsOptions {
   dialect: OrderDialect;
-  onOrder(): void;
-  onProbe(): void;
+  onOrder: () => void;
+  onProbe: () => void;
 }
 
 export function createEngineCalls({ dialect, onOrder, onProbe }: EngineCallsOptions): EngineCalls {
@@ -42,20 +51,20 @@
     address: string,
     { method, path, headers, body }: EngineCall,
     timeoutMs: Milliseconds,
-  ): Promise<number> =>
+  ): Promise<CallAnswer> =>
     callWithin(timeoutMs, async (signal) => {
       const origin = `http://${address}`;
       const request = { origin, method, path, headers, body: body ?? null, signal };
       const answer = await agent.request(request);
-      await answer.body.dump();
-      return answer.statusCode;
+      return { status: answer.statusCode, body: await answer.body.text() };
     });
   return {
     order: async ({ to, order }) => {
       onOrder();
       try {
         const encoded = dialect.encodeOrder(order, to.id);
-        return dialect.decodeOrder(await call(to.address, encoded, ORDER_TIMEOUT_MS));
+        const { status } = await call(to.address, encoded, ORDER_TIMEOUT_MS);
+        return dialect.decodeOrder(status);
       } catch (error) {
         return isRefused(error)
           ? { kind: 'gone' }
@@ -65,11 +74,12 @@
     probe: async ({ id, address }) => {
       onProbe();
       try {
-        const status = await call(address, dialect.encodeReport(id), PROBE_TIMEOUT_MS);
-        return status === OTHER_INSTANCE_STATUS ? 'gone' : 'answers';
+        const { status, body } = await call(address, dialect.encodeReport(id), PROBE_TIMEOUT_MS);
+        if (status === OTHER_INSTANCE_STATUS) return { kind: 'gone' };
+        return { kind: 'answers', pace: dialect.decodeReport(body)?.pace ?? 1 };
       } catch (error) {
         // The reason is not lost: the caller logs what it makes of the outcome.
-        return isRefused(error) ? 'gone' : 'silent';
+        return { kind: isRefused(error) ? 'gone' : 'silent' };
       }
     },
     close: () => agent.destroy(),
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -45,8 +45,7 @@
 const INCARNATION_BYTES = 9;
 const MAX_SEED = 2 ** 31 - 1;
 /** The balancer asks once a second and takes an instance out after two misses. */
-const BALANCER_MS: Milliseconds = 2_600;
-const STOP_POLL_MS: Milliseconds = 50;
+const BALANCER_MS: Milliseconds = 3_200;
 /** Left of the grace for closing connections and writing the last lines. */
 const STOP_MARGIN_MS: Milliseconds = 700;
 const PRUNE_EVERY_MS: Milliseconds = 1_000;
@@ -99,9 +98,8 @@
     configuration,
     fleet,
     section: board.peers,
-    work: () => new Map(),
   });
-  const groups = createGroupsPart({ context, store, calls, backends, weights: () => new Map() });
+  const groups = createGroupsPart({ context, store, calls, backends });
   watchdog.onPause(() => {
     groups.releaseAll();
   });
@@ -132,14 +130,13 @@
     logger,
     stop: async () => {
       isStopping = true;
-      requestPath.beginStop();
       const startedAt = clock.now();
       logger.log('gatewayStopping', { inFlight: requestPath.inFlight() });
-      await Promise.race([peers.announceStop(), sleep(BALANCER_MS)]);
       await groups.stop();
-      const endAt = startedAt + settings.stopping.graceMs - STOP_MARGIN_MS;
-      await sleep(Math.max(0, startedAt + BALANCER_MS - clock.now()));
-      while (requestPath.inFlight() > 0 && clock.now() < endAt) await sleep(STOP_POLL_MS);
+      await Promise.race([
+        Promise.allSettled([requestPath.drain(BALANCER_MS), peers.announceStop()]),
+        sleep(settings.stopping.graceMs - STOP_MARGIN_MS),
+      ]);
       logger.log('gatewayStopped', {
         inFlight: requestPath.inFlight(),
         tookMs: Math.round(clock.now() - startedAt),
--- a/src/gateway/groups/domain-keeper.ts
+++ b/src/gateway/groups/domain-keeper.ts
@@ -9,7 +9,7 @@
   type DomainView,
   type DueOrder,
   type GroupPlan,
-  type ModelWeights,
+  type GroupTarget,
 } from '../../controllers/groups/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { BackendServer, EngineProfile, OrderOutcome } from '../../ports/index.js';
@@ -25,7 +25,7 @@
   domain: string;
   profile: EngineProfile;
   servers: readonly BackendServer[];
-  weights: ModelWeights;
+  targets: readonly GroupTarget[];
   beforeTraffic: boolean;
   loadSlots: number;
 }
@@ -131,8 +131,10 @@
   };
   const viewOf = (state: DomainState): DomainView => ({
     profile: state.profile,
+    targets: state.targets,
     servers: new Map(state.servers.map((server) => [server.id, server])),
     lost: losses.lost,
+    slow: losses.slow,
     staging: listStaging(state),
     loadSlots: state.loadSlots,
     beforeTraffic: state.beforeTraffic,
@@ -189,13 +191,13 @@
     losses.keepOnly((id) => known.has(id), names);
     examineSuspects(stored.plan);
     const view = viewOf(state);
-    const next = revisePlan(stored.plan, view, state.weights);
+    const next = revisePlan(stored.plan, view);
     if (next !== stored.plan && clock.now() >= storePausedUntil) await writePlan(state, next);
     // The store's answer takes its time, and may have been that another plan stands.
     const current = stored as StoredPlan | undefined;
     if (current === undefined) return;
     const now = clock.now();
-    const due = listOrders(current.plan, view, state.weights).filter((order) => isDue(order, now));
+    const due = listOrders(current.plan, view).filter((order) => isDue(order, now));
     for (const order of due) void sendOrder(order);
   };
   return {
--- a/src/gateway/groups/groups-part.ts
+++ b/src/gateway/groups/groups-part.ts
@@ -2,7 +2,7 @@
  * Shares the fabric domains among the gateways and keeps those that are this one's.
  */
 import { rankByRendezvous } from '../../controllers/membership/rendezvous.js';
-import type { ModelWeights } from '../../controllers/groups/index.js';
+import { splitDomains, type DomainCapacity } from '../../controllers/groups/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { BackendServer } from '../../ports/index.js';
 import type { EngineCalls } from '../backends/short-call.js';
@@ -16,7 +16,6 @@
   store: ObjectStore;
   calls: EngineCalls;
   backends: Backends;
-  weights(): ModelWeights;
 }
 
 const ROUND_EVERY_MS: Milliseconds = 100;
@@ -62,24 +61,22 @@
     if (services === undefined) return [];
     const beforeTraffic =
       !options.backends.hasServed() && [...board.peers.read().values()].every((p) => !p.hasServed);
-    const domains = new Map<string, BackendServer[]>();
-    for (const server of board.fleet.read().servers.values()) {
-      if (server.engine === undefined || !services.get(server.service)?.engine) continue;
-      const key = `${server.service} ${server.engine.fabricDomain}`;
-      const servers = domains.get(key);
-      if (servers) servers.push(server);
-      else domains.set(key, [server]);
-    }
-    return [...domains.values()].flatMap((servers): DomainState[] => {
-      const [first] = servers;
-      const profile = first && services.get(first.service)?.engine;
-      if (!first?.engine || !profile) return [];
-      const { service } = first;
-      const weights = options.weights();
-      const domain = first.engine.fabricDomain;
-      const loadSlots = Math.ceil(profile.loadsAtOnce / domains.size);
-      return [{ service, domain, profile, servers, weights, beforeTraffic, loadSlots }];
-    });
+    return [...groupByService(board.fleet.read().servers.values())].flatMap(
+      ([service, servers]) => {
+        const profile = services.get(service)?.engine;
+        if (!profile) return [];
+        const domains = groupByDomain(servers);
+        const capacities = [...domains].map(([domain, members]) =>
+          measureCapacity(domain, members, beforeTraffic),
+        );
+        const split = splitDomains(capacities, profile.models);
+        const loadSlots = Math.ceil(profile.loadsAtOnce / domains.size);
+        return [...domains].map(([domain, members]): DomainState => {
+          const targets = split.get(domain) ?? [];
+          return { service, domain, profile, servers: members, targets, beforeTraffic, loadSlots };
+        });
+      },
+    );
   };
   const round = (): void => {
     // Others may own the domains by now, and what is known of their plans is as old as the contact.
@@ -121,3 +118,46 @@
     },
   };
 }
+
+function groupByService(servers: Iterable<BackendServer>): Map<string, BackendServer[]> {
+  return groupBy(servers, ({ engine, service }) => (engine ? service : undefined));
+}
+
+function groupByDomain(servers: Iterable<BackendServer>): Map<string, BackendServer[]> {
+  return groupBy(servers, ({ engine }) => engine?.fabricDomain);
+}
+
+function groupBy(
+  servers: Iterable<BackendServer>,
+  keyOf: (server: BackendServer) => string | undefined,
+): Map<string, BackendServer[]> {
+  const groups = new Map<string, BackendServer[]>();
+  for (const server of servers) {
+    const key = keyOf(server);
+    if (key === undefined) continue;
+    const group = groups.get(key);
+    if (group) group.push(server);
+    else groups.set(key, [server]);
+  }
+  return groups;
+}
+
+/** Instances without any weights count only before there is traffic: they load in no time then. */
+function measureCapacity(
+  domain: string,
+  servers: readonly BackendServer[],
+  beforeTraffic: boolean,
+): DomainCapacity {
+  const able = servers.filter(
+    ({ leaving, engine }) =>
+      !leaving && (beforeTraffic || engine?.lastModel !== undefined || engine?.staged.length !== 0),
+  );
+  const groups = new Map<string, number>();
+  for (const { engine } of servers) {
+    const { membership, lastModel } = engine ?? {};
+    if (membership?.rank !== 0 || lastModel === undefined) continue;
+    groups.set(lastModel, (groups.get(lastModel) ?? 0) + 1);
+  }
+  const failureDomain = servers[0]?.failureDomain ?? '';
+  return { domain, failureDomain, instances: able.length, groups };
+}
--- a/src/gateway/groups/losses.ts
+++ b/src/gateway/groups/losses.ts
@@ -10,7 +10,9 @@
 export interface LossFinder {
   /** Instances that answer no probe. */
   lost: ReadonlySet<string>;
-  /** Groups at which nothing moves although all members answer. */
+  /** Instances that said they have turned slow. */
+  slow: ReadonlySet<string>;
+  /** Groups at which nothing moves although all members answer at their usual pace. */
   stuck: ReadonlySet<string>;
   /** Asks the members of a group at which nothing moves, unless that is under way. */
   examine(group: PlannedGroup, now: Milliseconds): void;
@@ -20,6 +22,10 @@
   keepOnly(known: (id: string) => boolean, groups: ReadonlySet<string>): void;
 }
 
+/** An engine this much slower than usual holds its whole replica up. */
+const SLOW_PACE = 1.8;
+/** How long that is believed without asking again. */
+const SLOW_FOR_MS: Milliseconds = 6_000;
 /** A silent engine is asked again before it counts as lost: a packet may have been. */
 const PROBES = 2;
 const RECHECK_EVERY_MS: Milliseconds = 1_000;
@@ -42,28 +48,45 @@
 ): LossFinder {
   const lost = new Map<string, GroupMember>();
   const stuck = new Set<string>();
+  const slowUntil = new Map<string, Milliseconds>();
   const examinations = new Map<string, Examination>();
   let recheckAt = 0;
 
   const isSilent = async (member: GroupMember): Promise<boolean> => {
     for (let probe = 1; probe <= PROBES; probe += 1) {
       const outcome = await calls.probe(member);
-      if (outcome === 'answers') return false;
-      if (outcome === 'gone') return true;
+      switch (outcome.kind) {
+        case 'answers':
+          if (outcome.pace >= SLOW_PACE) slowUntil.set(member.id, clock.now() + SLOW_FOR_MS);
+          else slowUntil.delete(member.id);
+          return false;
+        case 'gone':
+          return true;
+        case 'silent':
+          break;
+      }
     }
     return true;
   };
+  const listSlow = (): Set<string> => {
+    const now = clock.now();
+    for (const [id, until] of slowUntil) if (now >= until) slowUntil.delete(id);
+    return new Set(slowUntil.keys());
+  };
   const examineMembers = async (group: PlannedGroup, examination: Examination): Promise<void> => {
     const { startedAt } = examination;
     const silent = await Promise.all(group.members.map(isSilent));
     const missing = group.members.filter((_, index) => silent[index]);
     for (const member of missing) lost.set(member.id, member);
-    const rounds = missing.length > 0 ? 0 : examination.rounds + 1;
+    const slow = listSlow();
+    const isSlow = group.members.some(({ id }) => slow.has(id));
+    const rounds = missing.length > 0 || isSlow ? 0 : examination.rounds + 1;
     examination.rounds = rounds;
     if (rounds >= EXAMINATIONS_UNTIL_STUCK) stuck.add(group.name);
     logger.log('groupExamined', {
       group: group.name,
       lost: missing.map(({ id }) => id).join(','),
+      slow: [...slow].join(','),
       rounds,
       tookMs: Math.round(clock.now() - startedAt),
     });
@@ -72,6 +95,9 @@
     get lost() {
       return new Set(lost.keys());
     },
+    get slow() {
+      return listSlow();
+    },
     stuck,
     examine: (group, now) => {
       const last = examinations.get(group.name);
@@ -87,7 +113,7 @@
       recheckAt = now + RECHECK_EVERY_MS;
       for (const member of lost.values()) {
         void calls.probe(member).then((outcome) => {
-          if (outcome !== 'answers') return;
+          if (outcome.kind !== 'answers') return;
           lost.delete(member.id);
           logger.log('serverAnswersAgain', { server: member.id });
         });
--- a/src/gateway/operations/listener.ts
+++ b/src/gateway/operations/listener.ts
@@ -37,7 +37,7 @@
       for (const address of new Set([settings.listen.readiness, settings.listen.metrics])) {
         const { host, port } = parseAddress(address);
         const server = serve({ fetch: app.fetch, hostname: host, port });
-        server.on('error', (error) => {
+        server.on('error', (error: Error) => {
           logger.log('listenFailed', { address, reason: error.message });
         });
         servers.push(server);
--- a/src/gateway/peers/digest.ts
+++ b/src/gateway/peers/digest.ts
@@ -25,8 +25,6 @@
   load: z.array(z.tuple([z.string(), count])).max(10_000),
   /** Backend servers at which nothing moves: found how long ago, out of service for how long more. */
   suspicions: z.array(z.object({ server: z.string(), ageMs: count, leftMs: count })).max(10_000),
-  /** Tokens a second asked for, by model. */
-  work: z.array(z.tuple([z.string(), count])).max(1_000),
   /** Gateways that the sender knows; sent to those who ask. */
   known: z.array(knownPeerSchema).max(2_000).optional(),
   asksForKnown: z.boolean().optional(),
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -27,8 +27,6 @@
   configuration: ConfigurationPart;
   fleet: FleetPart;
   section: WritableSection<ReadonlyMap<string, GatewayPeer>>;
-  /** Tokens a second asked for here, by model. */
-  work(): ReadonlyMap<string, number>;
 }
 
 /** Kind of the objects by which gateways find each other; one for each name. */
@@ -80,7 +78,6 @@
         ageMs: Math.round(now - since),
         leftMs: Math.round(until - now),
       })),
-      work: [...options.work()].map(([model, tokens]) => [model, Math.round(tokens)]),
     };
   };
   const learn = (peer: KnownPeer): void => {
@@ -289,6 +286,5 @@
     configurationVersion: digest.configurationVersion,
     fleetRevision: digest.fleetRevision,
     load: new Map(digest.load),
-    work: new Map(digest.work),
   };
 }
--- a/src/gateway/requests/request-path.ts
+++ b/src/gateway/requests/request-path.ts
@@ -8,7 +8,7 @@
 import type { ResultAsync } from 'neverthrow';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
-import { listenOn } from '../../core/listening/index.js';
+import { drainServer, listenOn } from '../../core/listening/index.js';
 import type { AttemptSender } from '../backends/attempt.js';
 import type { GatewayContext } from '../types.js';
 import { admitRequest, type RequestHead } from './admission.js';
@@ -23,8 +23,11 @@
   listen(): ResultAsync<string, Failure<'unreachable'>>;
   /** Requests that have not had their final answer. */
   inFlight(): number;
-  /** Answers from now on tell callers to close their connections. */
-  beginStop(): void;
+  /**
+   * Answers from now on tell callers to close their connections; those that stay idle are closed
+   * after `graceMs`, when the balancer sends nobody any more. Resolves when none is left.
+   */
+  drain(graceMs: Milliseconds): Promise<void>;
   close(): void;
 }
 
@@ -104,8 +107,9 @@
   return {
     listen: () => listenOn(server, context.settings.listen.callers),
     inFlight: () => inFlight,
-    beginStop: () => {
+    drain: (graceMs) => {
       isStopping = true;
+      return drainServer(server, graceMs);
     },
     close: () => {
       server.close();
--- a/src/gateway/requests/run.ts
+++ b/src/gateway/requests/run.ts
@@ -105,7 +105,12 @@
     }
     if (this.waitsUntil === undefined) return;
     if (this.sendings.size === 0 && now >= this.nextTryAt) this.sendNext('waited');
-    if (this.waitsUntil !== undefined && now >= this.waitsUntil) this.giveUp('no target in time');
+    this.endWait(now);
+  }
+
+  private endWait(now: Milliseconds): void {
+    const isOver = this.waitsUntil !== undefined && now >= this.waitsUntil;
+    if (isOver && !this.isFinished && this.sendings.size === 0) this.giveUp('no target in time');
   }
 
   private get isRepeatable(): boolean {
@@ -238,7 +243,7 @@
 
   private onAnswer(sending: Sending, answer: AttemptAnswer): void {
     const { backends } = this.tools;
-    const server = sending.attempt?.to.id ?? sending.watched.server;
+    const { server } = sending.watched;
     sending.answer = answer;
     sending.watched.movedAt = this.tools.context.clock.now();
     if (!answer.notRun) backends.progressed(server);
--- a/src/gateway/run-gateway.ts
+++ b/src/gateway/run-gateway.ts
@@ -20,12 +20,13 @@
     process.on('SIGTERM', resolve);
     process.on('SIGINT', resolve);
   });
-  let gateway: RunningGateway | undefined;
+  const started: { gateway?: RunningGateway } = {};
   process.on('SIGHUP', () => {
-    if (gateway) void reload(file, gateway);
+    if (started.gateway) void reload(file, started.gateway);
   });
-  survive(() => gateway);
-  gateway = await createGateway(settings.value, platform);
+  survive(() => started.gateway);
+  const gateway = await createGateway(settings.value, platform);
+  started.gateway = gateway;
   await stopSignal;
   await gateway.stop();
   process.exit(0);
--- a/src/gateway/store/client.ts
+++ b/src/gateway/store/client.ts
@@ -143,7 +143,7 @@
   dialect: StoreDialect;
   kind: string;
   pages: readonly StorePage[];
-  send(call: StoreCall): ResultAsync<StoreAnswer, StoreFailure>;
+  send: (call: StoreCall) => ResultAsync<StoreAnswer, StoreFailure>;
 }
 
 async function listPages(progress: ListProgress): Promise<Result<StorePage, StoreFailure>> {
--- a/src/gateway/store/follow.ts
+++ b/src/gateway/store/follow.ts
@@ -14,10 +14,10 @@
   random: Random;
   /** Pause after a change, so that changes in quick succession make one call. */
   pauseMs: Milliseconds;
-  onList(page: StorePage): void;
-  onChanges(changes: StoreChanges): void;
+  onList: (page: StorePage) => void;
+  onChanges: (changes: StoreChanges) => void;
   /** Called with each answer and each failure of a call. */
-  onContact(failure: StoreFailure | undefined): void;
+  onContact: (failure: StoreFailure | undefined) => void;
 }
 
 /** A loop that follows until it is stopped. */
@@ -39,14 +39,15 @@
   const stop = new AbortController();
   let watch = new AbortController();
   let running: Promise<void> | undefined;
+  const isStopped = (): boolean => stop.signal.aborted;
 
   const run = async (): Promise<void> => {
     let failures = 0;
     let revision: number | undefined;
-    while (!stop.signal.aborted) {
+    while (!isStopped()) {
       watch = new AbortController();
       const next = await step(options, revision, AbortSignal.any([stop.signal, watch.signal]));
-      if (stop.signal.aborted) return;
+      if (isStopped()) return;
       if (watch.signal.aborted) {
         revision = undefined;
         continue;
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -56,8 +56,6 @@
   fleetRevision: number;
   /** Requests under way from there, by backend server. */
   load: ReadonlyMap<string, number>;
-  /** Tokens a second asked for there, by model. */
-  work: ReadonlyMap<string, number>;
 }
 
 /** Where the parts leave what they know. Each section has one writer. */
--- a/src/ports/orders.ts
+++ b/src/ports/orders.ts
@@ -37,6 +37,14 @@
   encodeOrder(order: EngineOrder, server: string): EngineCall;
   decodeOrder(status: number): OrderOutcome;
   encodeReport(server: string): EngineCall;
+  /** Undefined when the body is no report. */
+  decodeReport(body: string): EngineReportHead | undefined;
+}
+
+/** What matters here of an engine's report. */
+export interface EngineReportHead {
+  /** Factor on its processing times now; well above 1 when it has turned slow. */
+  pace: number;
 }
 
 /** A short call to an engine, ready to send. */
