--- a/src/controllers/forwarding/repeat-budget.ts
+++ b/src/controllers/forwarding/repeat-budget.ts
@@ -48,7 +48,10 @@
   /** Whether a repeat is left. */
   hasLeft(now: Milliseconds, entries: number): boolean {
     this.current(now);
-    const requests = sum(this.slices, 'requests');
+    const newest = this.slices.at(-1)?.index ?? 0;
+    const inWindow = this.slices.filter(({ index }) => index > newest - SLICES);
+    const requests = sum(inWindow, 'requests');
+    // One slice more: a window that slides holds the end of it as well as all of the newest.
     const repeats = sum(this.slices, 'repeats');
     const { ratio, slack } = this.bounds;
     const most = USED_PART * (ratio * requests + slack / Math.max(1, entries));
@@ -57,7 +60,7 @@
 
   private current(now: Milliseconds): Slice {
     const index = Math.floor(now / (this.bounds.windowMs / SLICES));
-    this.slices = this.slices.filter((slice) => slice.index > index - SLICES);
+    this.slices = this.slices.filter((slice) => slice.index >= index - SLICES);
     const last = this.slices.at(-1);
     if (last?.index === index) return last;
     const created = { index, requests: 0, repeats: 0 };
