--- a/src/gateway/backends/short-call.ts
+++ b/src/gateway/backends/short-call.ts
@@ -36,11 +36,10 @@
 
 interface EngineCallsOptions {
   dialect: OrderDialect;
-  onOrder: () => void;
   onProbe: () => void;
 }
 
-export function createEngineCalls({ dialect, onOrder, onProbe }: EngineCallsOptions): EngineCalls {
+export function createEngineCalls({ dialect, onProbe }: EngineCallsOptions): EngineCalls {
   const agent = new Agent({
     connections: 4,
     pipelining: 1,
@@ -60,7 +59,6 @@
     });
   return {
     order: async ({ to, order }) => {
-      onOrder();
       try {
         const encoded = dialect.encodeOrder(order, to.id);
         const { status } = await call(to.address, encoded, ORDER_TIMEOUT_MS);
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -82,7 +82,6 @@
   });
   const calls = createEngineCalls({
     dialect: platform.orders,
-    onOrder: () => undefined,
     onProbe: () => {
       metrics.probes.inc();
     },
