--- /dev/null
+++ b/src/gateway/requests/run-report.ts
@@ -0,0 +1,46 @@
+/**
+ * The last line of a request's log, and its metrics.
+ */
+import type { Milliseconds } from '../../core/clock/index.js';
+import type { GatewayContext } from '../types.js';
+import type { AdmittedRequest, RequestOutcome } from './types.js';
+
+/** What a run was like, as told when it ends. */
+export interface RunSummary {
+  outcome: RequestOutcome;
+  reason: string;
+  sends: number;
+  /** Sendings that may have run. */
+  runs: number;
+  startedAt: Milliseconds;
+  firstByteAt: Milliseconds | undefined;
+  lastEventAt: Milliseconds | undefined;
+  lastEventId: string | undefined;
+}
+
+/** Tells the end of a request to the metrics and the log. */
+export function reportEnd(
+  { clock, metrics, logger }: GatewayContext,
+  { id, route, holder, arrivedAt }: AdmittedRequest,
+  summary: RunSummary,
+): void {
+  const { outcome, firstByteAt, lastEventAt } = summary;
+  const now = clock.now();
+  metrics.requests.inc({ route: route.repeatability, outcome });
+  const timings = metrics.timingsOf(holder?.workspace ?? '', route.repeatability);
+  timings.whole(now - arrivedAt);
+  if (firstByteAt !== undefined) timings.firstToken(firstByteAt - arrivedAt);
+  logger.log(outcome === 'answered' ? 'requestAnswered' : 'requestEnded', {
+    request: id,
+    outcome,
+    reason: summary.reason,
+    route: route.name,
+    sends: summary.sends,
+    runs: summary.runs,
+    tookMs: Math.round(now - arrivedAt),
+    firstMs: firstByteAt && Math.round(firstByteAt - arrivedAt),
+    lastEventAgoMs: lastEventAt && Math.round(now - lastEventAt),
+    lastEventId: summary.lastEventId,
+    waitedMs: Math.round(summary.startedAt - arrivedAt),
+  });
+}
--- a/src/gateway/requests/run.ts
+++ b/src/gateway/requests/run.ts
@@ -5,20 +5,19 @@
  * run it, or when no byte of it can have arrived. Everything else may be sent to another backend
  * server within the route's attempts and the budget of repeats.
  */
-import {
-  EventStream,
-  firstEventAfter,
-  plainStallAfter,
-  stallAfter,
-} from '../../controllers/forwarding/index.js';
+import { EventStream } from '../../controllers/forwarding/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
-import type { Attempt, AttemptAnswer, AttemptFailure, AttemptSender } from '../backends/attempt.js';
+import type { AttemptAnswer, AttemptFailure, AttemptSender } from '../backends/attempt.js';
 import type { GatewayContext } from '../types.js';
+import { isGood, relayEvents, sendPlain } from './answering.js';
 import type { Backends, ChosenTarget } from './backends.js';
 import type { Reply } from './reply.js';
+import { reportEnd } from './run-report.js';
+import { Sending, type SendingOwner } from './sending.js';
+import { limitsBeforeAnswer, limitsWithinAnswer } from './stall-limits.js';
 import type { AdmittedRequest, RequestOutcome } from './types.js';
-import type { WatchedAttempt, Watchdog, WatchedRequest } from './watchdog.js';
+import type { Watchdog, WatchedRequest } from './watchdog.js';
 
 /** What a run needs beside its request. */
 export interface RunTools {
@@ -28,16 +27,6 @@
   send: AttemptSender;
 }
 
-/** One sending with what came of it. */
-interface Sending {
-  attempt: Attempt;
-  watched: WatchedAttempt;
-  answer?: AttemptAnswer;
-  body: Buffer[];
-  /** Moved on from: what still comes of it is not used. */
-  isOver: boolean;
-}
-
 /** Sendings that backend servers refused unrun, beyond which a request is given up. */
 const MOST_REFUSALS = 4;
 /** Longest wait for a target, as a part of the time that the caller has left. */
@@ -47,15 +36,13 @@
 const RETRY_SAME_MS: Milliseconds = 150;
 /** A replica that is being formed opens within about this time. */
 const RETRY_AFTER_MS: Milliseconds = 700;
-/** An answer that stands still alone is lost: many times the longest pause between two events. */
-const LOST_ANSWER_MS: Milliseconds = 1_500;
 /** Of the time left, what a backend server is not given: the way back takes some of it. */
 const DEADLINE_MARGIN_MS: Milliseconds = 5;
 /** Less time than this is not worth a sending. */
 const LEAST_DEADLINE_MS: Milliseconds = 20;
 
 /** Drives one request. */
-export class RequestRun implements WatchedRequest {
+export class RequestRun implements WatchedRequest, SendingOwner {
   private readonly sendings = new Set<Sending>();
   private readonly tried = new Set<string>();
   private readonly stream: EventStream | undefined;
@@ -70,7 +57,7 @@
   private firstByteAt: Milliseconds | undefined;
   private lastEventAt: Milliseconds | undefined;
   /** A backend server's own failure, passed on when nothing better comes. */
-  private failedAnswer: Sending | undefined;
+  private failedSending: Sending | undefined;
   private lastReason = '';
 
   constructor(
@@ -118,18 +105,27 @@
     return repeatability === 'safe' || (repeatability === 'stream' && resumable);
   }
 
+  /** What a backend server may be given. */
+  private get sendableMs(): Milliseconds {
+    return this.request.answerBy - this.tools.context.clock.now() - DEADLINE_MARGIN_MS;
+  }
+
   // --- sending ---
 
   private sendNext(why: string): void {
     const { request, tools } = this;
     const { service, model } = request;
+    if (this.sendableMs < LEAST_DEADLINE_MS) {
+      if (this.sendings.size === 0) this.giveUp('too little time is left');
+      return;
+    }
     const chosen = tools.backends.choose(service, model?.name, this.tried);
     if (chosen === undefined) {
       this.waitForTarget(why);
       return;
     }
     if (this.sends > 0 && !tools.backends.takeRepeat(service.name)) {
-      this.giveUp('no repeats left');
+      if (this.sendings.size === 0) this.giveUp('no repeats left');
       return;
     }
     this.waitsUntil = undefined;
@@ -155,21 +151,11 @@
 
   private sendTo(chosen: ChosenTarget, why: string): void {
     const { request, tools, stream } = this;
-    const { clock, platform } = tools.context;
-    const now = clock.now();
-    const leftMs = request.answerBy - now - DEADLINE_MARGIN_MS;
-    if (leftMs < LEAST_DEADLINE_MS) return;
     const { server } = chosen.target;
     this.tried.add(server.id);
     this.sends += 1;
+    const leftMs = this.sendableMs;
     const lastEventId = stream ? stream.lastEventId : request.caller.lastEventId;
-    const headers = platform.requests.encodeRequest(request.incoming.rawHeaders, {
-      server: server.id,
-      deadlineMs: leftMs,
-      priority: clampPriority(request.holder?.priority ?? request.route.priority),
-      ...(request.holder && { workspace: request.holder.workspace }),
-      ...(lastEventId !== undefined && { lastEventId }),
-    });
     this.log('requestSent', {
       why,
       server: server.id,
@@ -184,85 +170,43 @@
     });
     tools.backends.sent(server.id);
     stream?.startRun();
-    const watched = this.watch(chosen, now);
-    const sending: Sending = { watched, body: [], isOver: false } as unknown as Sending;
+    const limits = limitsBeforeAnswer(request, chosen);
+    const sending = new Sending(server.id, limits, this, tools.context.clock);
     this.sendings.add(sending);
-    tools.watchdog.attempts.add(watched);
-    watched.onStall = (kind) => {
-      this.onStall(sending, kind);
-    };
-    sending.attempt = tools.send(
-      {
-        to: { id: server.id, address: server.address },
-        method: request.incoming.method ?? 'GET',
-        path: request.incoming.url ?? '/',
-        headers,
-        body: request.body,
-        requestId: request.caller.id,
-        fresh: !this.isRepeatable,
-      },
-      {
-        onAnswer: (answer) => {
-          this.onAnswer(sending, answer);
-        },
-        onData: (chunk) => {
-          this.onData(sending, chunk);
-        },
-        onEnd: () => {
-          this.onEnd(sending);
-        },
-        onFailure: (failure) => {
-          this.onFailure(sending, failure);
-        },
-      },
-    );
-  }
-
-  private watch({ target, inFlight, slots }: ChosenTarget, now: Milliseconds): WatchedAttempt {
-    const { route, model, service, caller } = this.request;
-    const profile = service.engine;
-    const common = {
-      server: target.server.id,
-      movedAt: now,
-      paused: false,
-      onStall: () => undefined,
-    };
-    if (!profile || !model) {
-      const limitMs = plainStallAfter(route.targetMs);
-      return { ...common, serverLimitMs: limitMs, ownLimitMs: limitMs };
-    }
-    const firstEventMs = firstEventAfter(profile, model, caller.promptTokens);
-    return {
-      ...common,
-      serverLimitMs: inFlight < slots ? firstEventMs : Infinity,
-      ownLimitMs: Math.max(LOST_ANSWER_MS, 2 * firstEventMs),
-    };
+    tools.watchdog.attempts.add(sending);
+    sending.start(tools.send, {
+      to: { id: server.id, address: server.address },
+      method: request.incoming.method ?? 'GET',
+      path: request.incoming.url ?? '/',
+      headers: tools.context.platform.requests.encodeRequest(request.incoming.rawHeaders, {
+        server: server.id,
+        deadlineMs: leftMs,
+        priority: clampPriority(request.holder?.priority ?? request.route.priority),
+        ...(request.holder && { workspace: request.holder.workspace }),
+        ...(lastEventId !== undefined && { lastEventId }),
+      }),
+      body: request.body,
+      requestId: request.caller.id,
+      fresh: !this.isRepeatable,
+    });
   }
 
   // --- what comes back ---
 
-  private onAnswer(sending: Sending, answer: AttemptAnswer): void {
-    const { backends } = this.tools;
-    const { server } = sending.watched;
-    sending.answer = answer;
-    sending.watched.movedAt = this.tools.context.clock.now();
-    if (!answer.notRun) backends.progressed(server);
+  onAnswer({ server }: Sending, { notRun }: AttemptAnswer): void {
+    if (!notRun) this.tools.backends.progressed(server);
   }
 
-  private onData(sending: Sending, chunk: Buffer): void {
-    const { answer } = sending;
-    if (this.isFinished || sending.isOver || answer === undefined) return;
-    const { clock } = this.tools.context;
-    sending.watched.movedAt = clock.now();
+  onData(sending: Sending, answer: AttemptAnswer, chunk: Buffer): void {
     if (this.stream && isGood(answer)) {
-      this.tools.backends.progressed(sending.watched.server);
-      this.relayEvents(sending, answer, this.stream, chunk);
+      this.tools.backends.progressed(sending.server);
+      this.takeEvents(sending, answer, this.stream, chunk);
     } else {
       sending.body.push(chunk);
     }
   }
 
-  private relayEvents(
+  private takeEvents(
     sending: Sending,
     answer: AttemptAnswer,
     stream: EventStream,
@@ -271,43 +215,22 @@
     const part = stream.push(chunk);
     if (part.kind === 'gap') {
       this.end(sending, 'events are missing');
-      sending.attempt.cancel();
+      sending.cancel();
       this.afterBroken('events are missing in the answer');
       return;
     }
     if (part.count === 0) return;
     const { clock, platform } = this.tools.context;
-    const now = clock.now();
-    this.tightenWatch(sending);
-    if (this.reply.isUnsent) {
-      this.firstByteAt = now;
-      const headers = platform.requests.relayAnswer(answer.headers);
-      this.reply.begin(answer.status, headers, answer.framing === 'connection');
-    }
-    this.lastEventAt = now;
-    if (this.reply.write(part.bytes)) return;
-    sending.attempt.pause();
-    sending.watched.paused = true;
-    this.reply.onDrain(() => {
-      sending.watched.paused = false;
-      sending.watched.movedAt = clock.now();
-      sending.attempt.resume();
-    });
-  }
-
-  /** After its first event a stream is held to the pauses between events. */
-  private tightenWatch({ watched }: Sending): void {
-    const { service, model } = this.request;
-    if (!service.engine || !model) return;
-    watched.serverLimitMs = stallAfter(service.engine, model);
-    watched.ownLimitMs = LOST_ANSWER_MS;
+    const limits = limitsWithinAnswer(this.request);
+    if (limits) sending.tighten(limits);
+    this.lastEventAt = clock.now();
+    this.firstByteAt ??= this.lastEventAt;
+    relayEvents(this.reply, platform.requests, sending, answer, part.bytes);
   }
 
-  private onEnd(sending: Sending): void {
-    const { answer } = sending;
-    if (this.isFinished || sending.isOver || answer === undefined) return;
+  onEnd(sending: Sending, answer: AttemptAnswer): void {
     const { backends } = this.tools;
-    const server = sending.watched.server;
+    const { server } = sending;
     if (answer.notRun) {
       this.end(sending, `refused with ${answer.status}`);
       backends.answered(server, true);
@@ -326,57 +249,54 @@
       this.afterBroken(`an answer with status ${answer.status} that is not the backend server's`);
       return;
     }
-    this.failedAnswer = sending;
+    this.failedSending = sending;
     this.afterBroken(`the backend server answered ${answer.status}`, answer.status < 500);
   }
 
   private complete(sending: Sending, answer: AttemptAnswer): void {
-    const headers = this.tools.context.platform.requests.relayAnswer(answer.headers);
     const { stream, reply } = this;
+    const { requests } = this.tools.context.platform;
     if (stream?.isMidEvent) {
       this.afterBroken('the answer ended within an event');
       return;
     }
     if (stream) {
-      if (reply.isUnsent) reply.begin(answer.status, headers, false);
+      relayEvents(reply, requests, sending, answer, NOTHING);
       reply.end();
     } else {
-      sendPlain(reply, answer, headers, Buffer.concat(sending.body));
+      sendPlain(reply, requests, answer, Buffer.concat(sending.body));
     }
     this.finish('answered', `${answer.status} by ${answer.framing}`);
   }
 
-  private onFailure(sending: Sending, failure: AttemptFailure): void {
-    if (this.isFinished || sending.isOver) return;
-    const { server } = sending.watched;
+  onFailure(sending: Sending, failure: AttemptFailure): void {
+    const { backends } = this.tools;
     this.end(sending, failure.reason, failure.kind);
     switch (failure.kind) {
       case 'notSent':
-        this.tools.backends.suspect(server, failure.reason);
+        backends.suspect(sending.server, failure.reason);
         this.afterRefusal();
         break;
       case 'broken':
-        this.tools.backends.answered(server, true);
+        backends.answered(sending.server, true);
         this.afterBroken(failure.reason);
         break;
     }
   }
 
-  private onStall(sending: Sending, kind: 'server' | 'answer'): void {
-    if (this.isFinished || sending.isOver || !this.isRepeatable) return;
-    if (!this.mayRunAgain()) return;
-    const { backends } = this.tools;
+  onStall(sending: Sending, kind: 'server' | 'answer'): void {
+    if (!this.isRepeatable || !this.mayRunAgain()) return;
+    const { backends, watchdog } = this.tools;
     const { service, model } = this.request;
     if (backends.choose(service, model?.name, this.tried) === undefined) return;
     if (!backends.hasRepeat(service.name)) return;
     const why = kind === 'server' ? 'nothing moved there' : 'the answer stood still';
     if (this.stream) {
-      sending.attempt.cancel();
+      sending.cancel();
       this.end(sending, why);
     } else {
-      // A plain answer that is only slow may still come first.
-      sending.watched.onStall = () => undefined;
-      this.tools.watchdog.attempts.delete(sending.watched);
+      // A plain answer that is only slow may still come first; it has had its one stall.
+      watchdog.attempts.delete(sending);
     }
     this.runs += 1;
     this.sendNext(why);
@@ -413,16 +333,15 @@
   }
 
   private giveUp(reason: string): void {
-    const { reply, failedAnswer } = this;
+    const { reply, failedSending } = this;
     this.lastReason = reason;
     if (!reply.isUnsent) {
       this.cutStream(reason);
       return;
     }
-    if (failedAnswer?.answer) {
-      const { status, headers } = failedAnswer.answer;
+    if (failedSending?.answer) {
       const { requests } = this.tools.context.platform;
-      reply.sendWhole(status, requests.relayAnswer(headers), Buffer.concat(failedAnswer.body));
+      sendPlain(reply, requests, failedSending.answer, Buffer.concat(failedSending.body));
       this.finish('failedThere', reason);
       return;
     }
@@ -459,12 +378,10 @@
     if (sending.isOver) return;
     sending.isOver = true;
     this.sendings.delete(sending);
-    this.tools.watchdog.attempts.delete(sending.watched);
-    this.tools.backends.ended(sending.watched.server);
+    this.tools.watchdog.attempts.delete(sending);
+    this.tools.backends.ended(sending.server);
     this.tools.context.metrics.attempts.inc({ outcome: kind });
-    if (how !== 'answered') {
-      this.log('attemptEnded', { server: sending.watched.server, how, kind });
-    }
+    if (how !== 'answered') this.log('attemptEnded', { server: sending.server, how, kind });
   }
 
   private finish(outcome: RequestOutcome, reason: string): void {
@@ -472,63 +389,31 @@
     this.isFinished = true;
     this.tools.watchdog.requests.delete(this);
     for (const sending of [...this.sendings]) {
-      sending.attempt.cancel();
+      sending.cancel();
       this.end(sending, outcome === 'answered' ? 'answered' : outcome);
     }
-    const { clock, metrics } = this.tools.context;
-    const now = clock.now();
-    const { route, holder, arrivedAt } = this.request;
-    metrics.requests.inc({ route: route.repeatability, outcome });
-    const timings = metrics.timingsOf(holder?.workspace ?? '', route.repeatability);
-    timings.whole(now - arrivedAt);
-    if (this.firstByteAt !== undefined) timings.firstToken(this.firstByteAt - arrivedAt);
-    this.log(outcome === 'answered' ? 'requestAnswered' : 'requestEnded', {
+    reportEnd(this.tools.context, this.request, {
       outcome,
       reason,
-      route: route.name,
       sends: this.sends,
       runs: this.runs,
-      tookMs: Math.round(now - arrivedAt),
-      firstMs: this.firstByteAt && Math.round(this.firstByteAt - arrivedAt),
-      lastEventAgoMs: this.lastEventAt && Math.round(now - this.lastEventAt),
+      startedAt: this.startedAt,
+      firstByteAt: this.firstByteAt,
+      lastEventAt: this.lastEventAt,
       lastEventId: this.stream?.lastEventId,
-      waitedMs: Math.round(this.startedAt - arrivedAt),
     });
     this.onFinish();
   }
 
   private log(
-    event: 'requestSent' | 'requestWaits' | 'requestAnswered' | 'requestEnded' | 'attemptEnded',
+    event: 'requestSent' | 'requestWaits' | 'attemptEnded',
     values: Record<string, string | number | boolean | undefined>,
   ): void {
     this.tools.context.logger.log(event, { request: this.request.id, ...values });
   }
 }
 
-/**
- * Guards against an answer that is cut off and looks whole. One without a length may have been cut
- * with nothing to show it; it is passed on as it came, and its end is no more than the end of the
- * connection for the caller as well.
- */
-function sendPlain(
-  reply: Reply,
-  { status, framing }: AttemptAnswer,
-  headers: readonly string[],
-  body: Buffer,
-): void {
-  if (framing !== 'connection') {
-    reply.sendWhole(status, headers, body);
-    return;
-  }
-  reply.begin(status, headers, true);
-  reply.write(body);
-  reply.end();
-}
-
-function isGood(answer: AttemptAnswer): boolean {
-  const isSuccess = answer.status >= 200 && answer.status < 300;
-  return isSuccess && answer.signed && !answer.encoded && !answer.notRun;
-}
+const NOTHING = Buffer.alloc(0);
 
 /** Callers' ranks go from 0; backend servers know 0 to 9. */
 function clampPriority(priority: number): number {
