Explain a request from the logs, soak gateways under faults, and notice a silent configuration watch

yuccasail explain <id> reads gateways' logs, names one of 14 causes and shows what the gateway learnt near that time. The page for those on call starts from it; a test holds its names to the code, and three kinds of failed request are explained from the lines of real processes. With nobody reading the log a gateway answers 3,000 of 3,000 and counts the lines that it leaves out.

npm run soak: gateways as processes behind proxies, 20 kinds of fault by seed, in series and overlapping; seven promises judged from callers and servers.

News of the servers, which come from another gateway now, reset the clock by which it notices that it is behind, so that a silent watch of the configuration stayed unnoticed. The two are timed apart; a scenario fails without that.

--- /dev/null
+++ b/bench/soak/callers.ts
@@ -0,0 +1,128 @@
+/**
+ * Callers that keep their connections open until the gateway closes them, and what each got.
+ */
+import { Agent, request as httpRequest, type IncomingMessage } from 'node:http';
+import { once } from 'node:events';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { MODEL } from '../../features/gateway/stand-ins/configuration.js';
+import type { SoakGateway, SoakSite } from './site.js';
+
+export type AskedKind = 'list' | 'check' | 'chat';
+
+/** One request and how it ended; times are of the run's clock. */
+export interface AskedRecord {
+  id: string;
+  kind: AskedKind;
+  gateway: string;
+  key: string;
+  sentAt: number;
+  endedAt: number;
+  /** Absent when the connection ended before a head. */
+  status?: number;
+  seal?: string;
+  body: string;
+  /** The answer had its proper end. */
+  whole: boolean;
+  /** Nobody took the connection. */
+  refused: boolean;
+}
+
+const KINDS: readonly AskedKind[] = ['list', 'check', 'chat', 'chat'];
+const DEADLINE_MS = 2_000;
+const PAUSE_MS = 15;
+const PATHS = { list: '/list/x', check: '/check/x', chat: '/chat/x' } as const;
+
+/** Callers of one run. */
+export class Callers {
+  readonly records: AskedRecord[] = [];
+  private isStopped = false;
+  private readonly running: Promise<void>[] = [];
+  private asked = 0;
+
+  constructor(private readonly site: SoakSite) {}
+
+  start(count: number): void {
+    for (let index = 0; index < count; index += 1) this.running.push(this.runCaller(index));
+  }
+
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    await Promise.all(this.running);
+  }
+
+  private async runCaller(index: number): Promise<void> {
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    for (let at = index; !this.isStopped;) {
+      const { gateways } = this.site;
+      const gateway = gateways[at % gateways.length];
+      const kind = KINDS[this.asked % KINDS.length];
+      if (!gateway || !kind) break;
+      const record = await this.ask(gateway, kind, agent);
+      // A caller stays with its gateway until that one is not there.
+      if (record.refused || record.status === undefined) at += 1;
+      await sleep(PAUSE_MS);
+    }
+    agent.destroy();
+  }
+
+  /** Asks once with the newest key and records what came of it. */
+  async ask(
+    gateway: SoakGateway,
+    kind: AskedKind,
+    agent?: Agent,
+    key?: string,
+  ): Promise<AskedRecord> {
+    this.asked += 1;
+    const record: AskedRecord = {
+      id: `request-${this.asked}`,
+      kind,
+      gateway: gateway.plan.name,
+      key: key ?? this.site.keys.at(-1) ?? '',
+      sentAt: performance.now(),
+      endedAt: 0,
+      body: '',
+      whole: false,
+      refused: false,
+    };
+    this.records.push(record);
+    await send(record, gateway.plan.callers, agent);
+    record.endedAt = performance.now();
+    return record;
+  }
+}
+
+async function send(record: AskedRecord, address: string, agent?: Agent): Promise<void> {
+  const [host = '', port = ''] = address.split(':');
+  const outgoing = httpRequest({
+    host,
+    port,
+    path: PATHS[record.kind],
+    ...(agent && { agent }),
+    headers: {
+      host: 'passes.example',
+      'Attempt-Id': record.id,
+      'Deadline-Ms': String(DEADLINE_MS),
+      Authorization: `Bearer ${record.key}`,
+      ...(record.kind === 'chat' && {
+        Model: MODEL,
+        'Token-Count': '100,50',
+        'Prompt-Prefix': 'aa:40,bb:60',
+      }),
+    },
+  });
+  const timer = setTimeout(() => outgoing.destroy(), 2 * DEADLINE_MS);
+  try {
+    outgoing.end();
+    const [incoming] = (await once(outgoing, 'response')) as [IncomingMessage];
+    record.status = incoming.statusCode ?? 0;
+    const seal = incoming.headers['response-seal'];
+    if (typeof seal === 'string') record.seal = seal;
+    for await (const chunk of incoming) record.body += String(chunk);
+    record.whole = incoming.complete;
+  } catch (error) {
+    // How a connection ends is what is judged; the record shows it by what it lacks.
+    record.refused = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+  } finally {
+    clearTimeout(timer);
+  }
+}
--- /dev/null
+++ b/bench/soak/inject.ts
@@ -0,0 +1,133 @@
+/**
+ * Doing what the schedule says, from outside the gateways, and undoing it.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { EngineFault } from '../../features/gateway/stand-ins/engine.js';
+import type { StoreFault } from '../../features/gateway/stand-ins/store.js';
+import type { FaultKind, ScheduledFault } from './schedule.js';
+import type { SoakServer, SoakSite } from './site.js';
+
+/** A fault as it was, with the instants of its begin and end. */
+export interface InjectedFault {
+  kind: FaultKind;
+  target: string;
+  from: number;
+  to: number;
+}
+
+const DELAY_MS = 180;
+const NOTHING = 'nothing';
+
+/** Carries out one fault and resolves when it is over, with what it met. */
+export async function inject(site: SoakSite, fault: ScheduledFault): Promise<InjectedFault> {
+  const from = performance.now();
+  const target = await carryOut(site, fault);
+  return { kind: fault.kind, target, from, to: performance.now() };
+}
+
+async function carryOut(site: SoakSite, { kind, target, forMs }: ScheduledFault): Promise<string> {
+  const gateway = pick(site.gateways, target);
+  const engines = site.servers.filter(({ standIn }) => standIn.options.domain !== undefined);
+  const engine = pick(engines, target);
+  const plain = pick(
+    site.servers.filter((server) => !engines.includes(server)),
+    target,
+  );
+  const server = target % 2 === 0 ? engine : plain;
+  switch (kind) {
+    case 'killGateway':
+      await site.restart(gateway, 'SIGKILL');
+      return gateway.plan.name;
+    case 'stopGateway':
+      await site.restart(gateway, 'SIGTERM');
+      return gateway.plan.name;
+    case 'pauseGateway':
+      if (gateway.isAway) return NOTHING;
+      gateway.process.signal('SIGSTOP');
+      await sleep(forMs);
+      gateway.process.signal('SIGCONT');
+      return gateway.plan.name;
+    case 'cutStore':
+      await gateway.storeLink.control({ cut: target % 2 === 0 ? 'both' : 'toSource' });
+      await sleep(forMs);
+      await gateway.storeLink.control({ cut: 'none', resetAll: true });
+      return gateway.plan.name;
+    case 'delayStore':
+      await gateway.storeLink.control({ toSource: { delayMs: DELAY_MS } });
+      await sleep(forMs);
+      await gateway.storeLink.control({ toSource: { delayMs: 0 } });
+      return gateway.plan.name;
+    case 'resetStore':
+      await gateway.storeLink.control({ resetAll: true });
+      return gateway.plan.name;
+    case 'storeDown':
+      return failStore(site, 'down', forMs);
+    case 'storeSilent':
+      return failStore(site, 'silent', forMs);
+    case 'storeLosesAnswers':
+      return failStore(site, 'loseWrites', forMs);
+    case 'storeForgets':
+      site.site.store.compact();
+      return 'store';
+    case 'changeKey':
+      site.changeKey();
+      return 'operator';
+    case 'crashEngine':
+      await site.crash(server);
+      return nameOf(server);
+    case 'drainEngine':
+      await site.drain(server, forMs + DRAIN_MS);
+      return nameOf(server);
+    case 'stallEngine':
+      return spoil(server, { kind: 'stall' }, forMs);
+    case 'loseAnswers':
+      return spoil(plain, { kind: 'loseAnswer' }, forMs);
+    case 'cutStreams':
+      return spoil(engine, { kind: 'cutStream', events: 1 + (target % 9) }, forMs);
+    case 'cutEngine':
+      await server.link.control({ cut: target % 3 === 0 ? 'toSource' : 'both' });
+      await sleep(forMs);
+      await server.link.control({ cut: 'none', resetAll: true });
+      return nameOf(server);
+    case 'delayEngine':
+      await server.link.control({ toSource: { delayMs: DELAY_MS } });
+      await sleep(forMs);
+      await server.link.control({ toSource: { delayMs: 0 } });
+      return nameOf(server);
+    case 'resetEngine':
+      await server.link.control({ resetAll: true });
+      return nameOf(server);
+    case 'lateOrders':
+      engine.standIn.lateByMs = forMs;
+      await sleep(forMs);
+      engine.standIn.lateByMs = 0;
+      return nameOf(engine);
+  }
+}
+
+/** A server that leaves serves at least this much longer. */
+const DRAIN_MS = 2_000;
+
+async function failStore({ site }: SoakSite, fault: StoreFault, forMs: number): Promise<string> {
+  site.store.fault = fault;
+  await sleep(forMs);
+  site.store.fault = 'none';
+  return 'store';
+}
+
+async function spoil(server: SoakServer, fault: EngineFault, forMs: number): Promise<string> {
+  server.standIn.fault = fault;
+  await sleep(forMs);
+  server.standIn.fault = { kind: 'none' };
+  return nameOf(server);
+}
+
+function nameOf({ standIn }: SoakServer): string {
+  return standIn.options.id;
+}
+
+function pick<Value>(values: readonly Value[], target: number): Value {
+  const value = values[target % values.length];
+  if (value === undefined) throw new Error('the site has nothing to pick from');
+  return value;
+}
--- /dev/null
+++ b/bench/soak/judge.ts
@@ -0,0 +1,105 @@
+/**
+ * The promises, judged from what callers got and what backend servers ran.
+ */
+import type { Arrival } from '../../features/gateway/stand-ins/engine.js';
+import type { AskedRecord } from './callers.js';
+import type { InjectedFault } from './inject.js';
+import type { FaultKind } from './schedule.js';
+
+/** A promise that was broken, with the evidence. */
+export interface Breach {
+  promise: 'once' | 'refusal' | 'own answer' | 'order' | 'asked' | 'planned stop' | 'late answer';
+  detail: string;
+}
+
+/** What one run left behind. */
+export interface Evidence {
+  records: readonly AskedRecord[];
+  arrivals: readonly Arrival[];
+  faults: readonly InjectedFault[];
+}
+
+/** These say that the request has not run and never will. */
+const REFUSALS = new Set([408, 421, 429, 503]);
+/** Only these are planned: with nothing else under way, no request that was taken on may be lost. */
+const PLANNED = new Set<FaultKind>(['stopGateway', 'changeKey', 'drainEngine', 'storeForgets']);
+/** Consequences of a fault reach a little beyond it. */
+const AFTERMATH_MS = 4_000;
+/** The final answer is due with the deadline of the request. */
+const DUE_MS = 2_000;
+const LATE_MS = 700;
+
+/** Every promise that the evidence shows as broken. */
+export function judge(evidence: Evidence): Breach[] {
+  const runs = countRuns(evidence.arrivals);
+  return [
+    ...evidence.records.flatMap((record) => judgeRecord(record, runs.get(record.id) ?? 0)),
+    ...judgeArrivals(evidence),
+    ...evidence.records.flatMap((record) => judgeEnd(record, evidence.faults)),
+  ];
+}
+
+function countRuns(arrivals: readonly Arrival[]): ReadonlyMap<string, number> {
+  const runs = new Map<string, number>();
+  for (const { id, ran } of arrivals) if (ran) runs.set(id, (runs.get(id) ?? 0) + 1);
+  return runs;
+}
+
+function judgeRecord(record: AskedRecord, runs: number): Breach[] {
+  const { id, kind, status, whole, body } = record;
+  const breaches: Breach[] = [];
+  if (kind === 'check' && runs > 1) {
+    breaches.push({ promise: 'once', detail: `${id} ran ${runs} times` });
+  }
+  if (kind === 'check' && status !== undefined && REFUSALS.has(status) && runs > 0) {
+    breaches.push({ promise: 'refusal', detail: `${id} got ${status} and ran` });
+  }
+  if (status === 200 && whole) {
+    const isOwn = kind === 'chat' ? isWholeStream(body) : body === `answer to ${id}`;
+    if (!isOwn) breaches.push({ promise: 'own answer', detail: `${id} got ${body.slice(0, 80)}` });
+    if (!record.seal) breaches.push({ promise: 'own answer', detail: `${id} has no seal` });
+  }
+  if (status === 200 && kind === 'chat' && !isPrefixOfStream(body)) {
+    breaches.push({ promise: 'order', detail: `${id} got ${body.slice(-160)}` });
+  }
+  return breaches;
+}
+
+const EVENT = /id: (\d+)\ndata: token (\d+)\n\n/g;
+const EVENTS = 20;
+
+function readEvents(body: string): number[] {
+  return [...body.matchAll(EVENT)].map(([, id]) => Number(id));
+}
+
+function isPrefixOfStream(body: string): boolean {
+  return readEvents(body).every((id, index) => id === index + 1);
+}
+
+function isWholeStream(body: string): boolean {
+  const isClean = body.replace(EVENT, '') === '';
+  return isClean && isPrefixOfStream(body) && readEvents(body).length === EVENTS;
+}
+
+function judgeArrivals({ arrivals, records }: Evidence): Breach[] {
+  const asked = new Map(records.map((record) => [record.id, record]));
+  return arrivals.flatMap(({ id, server, path }): Breach[] => {
+    if (asked.has(id) || path === '/healthz') return [];
+    return [{ promise: 'asked', detail: `${server} got ${id} that nobody sent` }];
+  });
+}
+
+/** With nothing but planned work near it, each request ends with an answer, and in time. */
+function judgeEnd(record: AskedRecord, faults: readonly InjectedFault[]): Breach[] {
+  const { id, gateway, sentAt, endedAt, status, whole, refused } = record;
+  const near = faults.filter(({ from, to }) => from <= endedAt && to + AFTERMATH_MS >= sentAt);
+  if (near.some(({ kind }) => !PLANNED.has(kind))) return [];
+  const tookMs = Math.round(endedAt - sentAt);
+  if (tookMs > DUE_MS + LATE_MS) {
+    return [{ promise: 'late answer', detail: `${id} at ${gateway} took ${tookMs} ms` }];
+  }
+  if (refused || (status !== undefined && whole)) return [];
+  // The end of a stopping gateway's listener crosses a connection that is being made.
+  if (status === undefined && near.some(({ kind }) => kind === 'stopGateway')) return [];
+  return [{ promise: 'planned stop', detail: `${id} at ${gateway} was cut, status ${status}` }];
+}
--- /dev/null
+++ b/bench/soak/run.ts
@@ -0,0 +1,143 @@
+/**
+ * One run: a site, callers, faults by a seed, recovery, and the judgement.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { waitFor } from '../../features/support/waiting.js';
+import { Callers, type AskedKind, type AskedRecord } from './callers.js';
+import { inject, type InjectedFault } from './inject.js';
+import { judge, type Breach } from './judge.js';
+import { drawSchedule } from './schedule.js';
+import { SoakSite, type SoakGateway } from './site.js';
+
+export interface SoakOptions {
+  seed: number;
+  seconds: number;
+  gateways: number;
+}
+
+/** What one run showed. */
+export interface SoakReport {
+  seed: number;
+  breaches: readonly (Breach | { promise: 'recovery' | 'replicas' | 'own exit'; detail: string })[];
+  faults: readonly InjectedFault[];
+  tally: { requests: number; faults: number; ends: Readonly<Record<string, number>> };
+  /** The last lines of each gateway. */
+  logs: Readonly<Record<string, readonly object[]>>;
+}
+
+const CALLERS = 14;
+const MS_PER_SECOND = 1_000;
+/** After the last fault everything serves again within this time. */
+const RECOVERY_MS = 12_000;
+const KINDS: readonly AskedKind[] = ['list', 'check', 'chat'];
+const KEPT_LINES = 4_000;
+
+export async function runSoak({ seed, seconds, gateways }: SoakOptions): Promise<SoakReport> {
+  const site = new SoakSite();
+  try {
+    await site.open(gateways);
+    const callers = new Callers(site);
+    callers.start(CALLERS);
+    const faults = await playFaults(site, seed, seconds * MS_PER_SECOND);
+    const recovery = await checkRecovery(site, callers);
+    await callers.stop();
+    const { records } = callers;
+    const breaches = [
+      ...judge({ records, arrivals: site.site.journal, faults }),
+      ...recovery.map((detail) => ({ promise: 'recovery' as const, detail })),
+      ...site.breaches.map((detail) => ({ promise: 'replicas' as const, detail })),
+      ...site.gateways.flatMap(({ plan, ownExits }) =>
+        ownExits.map((code) => ({
+          promise: 'own exit' as const,
+          detail: `${plan.name} ended by itself with ${code}`,
+        })),
+      ),
+    ];
+    return {
+      seed,
+      breaches,
+      faults,
+      tally: { requests: records.length, faults: faults.length, ends: countEnds(records) },
+      logs: Object.fromEntries(
+        site.gateways.map(({ plan, process }) => [plan.name, process.lines.slice(-KEPT_LINES)]),
+      ),
+    };
+  } finally {
+    await site.close();
+  }
+}
+
+/** Requests by how they ended: a status, cut off, or not taken. */
+function countEnds(records: readonly AskedRecord[]): Record<string, number> {
+  const ends: Record<string, number> = {};
+  for (const { status, whole, refused } of records) {
+    const answer = status === undefined ? 'cut' : whole ? String(status) : `${status} cut`;
+    const end = refused ? 'notTaken' : answer;
+    ends[end] = (ends[end] ?? 0) + 1;
+  }
+  return ends;
+}
+
+async function playFaults(site: SoakSite, seed: number, forMs: number): Promise<InjectedFault[]> {
+  const startedAt = performance.now();
+  const running: Promise<InjectedFault>[] = [];
+  for (const fault of drawSchedule(seed, forMs)) {
+    await sleep(Math.max(0, startedAt + fault.atMs - performance.now()));
+    running.push(inject(site, fault));
+  }
+  return Promise.all(running);
+}
+
+/** Asks each gateway for each kind until it is answered; an old key must be refused again. */
+async function checkRecovery(site: SoakSite, callers: Callers): Promise<string[]> {
+  const healedAt = performance.now();
+  const problems = await Promise.all(
+    site.gateways.flatMap((gateway) => [
+      ...KINDS.map((kind) => checkServed(gateway, kind, callers, healedAt)),
+      checkRefused(gateway, site, callers, healedAt),
+    ]),
+  );
+  return problems.filter((problem) => problem !== undefined);
+}
+
+async function checkServed(
+  gateway: SoakGateway,
+  kind: AskedKind,
+  callers: Callers,
+  healedAt: number,
+): Promise<string | undefined> {
+  let last: number | undefined;
+  while (performance.now() - healedAt < RECOVERY_MS) {
+    const { status, whole } = await callers.ask(gateway, kind);
+    if (status === 200 && whole) return undefined;
+    last = status;
+    await sleep(PAUSE_MS);
+  }
+  return `${gateway.plan.name} does not serve ${kind}, last status ${last}`;
+}
+
+const PAUSE_MS = 100;
+
+async function checkRefused(
+  gateway: SoakGateway,
+  site: SoakSite,
+  callers: Callers,
+  healedAt: number,
+): Promise<string | undefined> {
+  const [oldKey] = site.keys;
+  if (site.keys.length < 2 || oldKey === undefined) return undefined;
+  const isRefused = async (): Promise<boolean> => {
+    const { status } = await callers.ask(gateway, 'list', undefined, oldKey);
+    return status === 401;
+  };
+  try {
+    await waitFor(
+      'the old key to be refused',
+      isRefused,
+      RECOVERY_MS - (performance.now() - healedAt),
+    );
+    return undefined;
+  } catch {
+    return `${gateway.plan.name} lets a key in that was taken away`;
+  }
+}
--- /dev/null
+++ b/bench/soak/schedule.ts
@@ -0,0 +1,59 @@
+/**
+ * Which faults come when: drawn from a seed. Faults overlap, and some come in series.
+ */
+import { createRandom, type Random } from '../../src/core/random/index.js';
+
+export type FaultKind = (typeof KINDS)[number];
+
+/** A fault of one target; the target is a number, taken among those that are there by then. */
+export interface ScheduledFault {
+  atMs: number;
+  kind: FaultKind;
+  target: number;
+  forMs: number;
+}
+
+/** Common ones stand more than once. */
+const KINDS = [
+  ...(['killGateway', 'stopGateway', 'stopGateway', 'pauseGateway', 'pauseGateway'] as const),
+  ...(['cutStore', 'delayStore', 'resetStore', 'storeDown', 'storeSilent'] as const),
+  ...(['storeLosesAnswers', 'storeForgets', 'changeKey', 'changeKey'] as const),
+  ...(['crashEngine', 'crashEngine', 'drainEngine', 'stallEngine', 'cutEngine'] as const),
+  ...(['delayEngine', 'resetEngine', 'loseAnswers', 'cutStreams', 'lateOrders'] as const),
+] as const;
+
+const SHORTEST_GAP_MS = 60;
+const GAP_SPREAD_MS = 700;
+const SHORTEST_FAULT_MS = 150;
+/** Beyond the silence after which gateways drop each other, 2 s. */
+const FAULT_SPREAD_MS = 2_800;
+const TARGETS = 1_000;
+/** One in so many faults comes again at once at the next target. */
+const SERIES_ONE_IN = 5;
+const SERIES_LENGTH = 3;
+const SERIES_GAP_MS = 120;
+
+/** Faults within `forMs`, in the order of their time. */
+export function drawSchedule(seed: number, forMs: number): ScheduledFault[] {
+  const random = createRandom(seed);
+  const faults: ScheduledFault[] = [];
+  for (let atMs = drawGap(random); atMs < forMs; atMs += drawGap(random)) {
+    const kind = KINDS[random.below(KINDS.length)] ?? 'stopGateway';
+    const target = random.below(TARGETS);
+    const spanMs = SHORTEST_FAULT_MS + random.below(FAULT_SPREAD_MS);
+    const times = random.below(SERIES_ONE_IN) === 0 ? SERIES_LENGTH : 1;
+    for (let index = 0; index < times; index += 1) {
+      faults.push({
+        atMs: atMs + index * SERIES_GAP_MS,
+        kind,
+        target: target + index,
+        forMs: spanMs,
+      });
+    }
+  }
+  return faults.sort((a, b) => a.atMs - b.atMs);
+}
+
+function drawGap(random: Random): number {
+  return SHORTEST_GAP_MS + random.below(GAP_SPREAD_MS);
+}
--- /dev/null
+++ b/bench/soak/site.ts
@@ -0,0 +1,153 @@
+/**
+ * The processes and stand-ins of one run, with a proxy before each engine and before the store of
+ * each gateway.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { createProxy, type Proxy } from '../../src/stand-ins/proxy/index.js';
+import { Site, type GatewayPlan, type GatewayProcess } from '../../features/gateway/site.js';
+import type { EngineStandIn } from '../../features/gateway/stand-ins/engine.js';
+import { waitFor } from '../../features/support/waiting.js';
+
+/** One gateway over all its lives. */
+export interface SoakGateway {
+  plan: GatewayPlan;
+  process: GatewayProcess;
+  storeLink: Proxy;
+  /** It ended, or was told to, and is not up again. */
+  isAway: boolean;
+  /** Ends that nobody asked for, with their exit codes. */
+  ownExits: (number | null)[];
+  expectsExit: boolean;
+}
+
+/** One backend server over one life. */
+export interface SoakServer {
+  standIn: EngineStandIn;
+  link: Proxy;
+}
+
+const ENGINES = 8;
+const PLAIN_SERVERS = 3;
+const EVENTS = 20;
+const GAP_MS = 25;
+const PLAIN_MS = 20;
+/** A crashed server's entry stays this long. */
+const LAPSE_MS = 900;
+const RESTART_MS = 300;
+
+/** Everything of one run; `close` ends just what it started. */
+export class SoakSite {
+  readonly site = new Site();
+  readonly gateways: SoakGateway[] = [];
+  readonly breaches: string[] = [];
+  servers: SoakServer[] = [];
+  readonly keys = ['key-1'];
+  private readonly fleet = new Map<string, EngineStandIn>();
+  private readonly links: Proxy[] = [];
+  private version = 2;
+  private added = 0;
+
+  async open(gateways: number): Promise<void> {
+    await this.site.open();
+    this.site.configure({ keys: this.keys });
+    for (let index = 0; index < ENGINES; index += 1) await this.addServer(`fabric-${index % 2}`);
+    for (let index = 0; index < PLAIN_SERVERS; index += 1) await this.addServer();
+    for (let index = 0; index < gateways; index += 1) await this.addGateway();
+    for (const { process } of this.gateways) await this.site.whenReady(process);
+    await waitFor('replicas to open', () => this.site.listOpen().length >= ENGINES / 2);
+  }
+
+  private async addGateway(): Promise<void> {
+    const storeLink = await this.openLink(this.site.store.address);
+    const plan = this.site.planGateway(storeLink.address);
+    plan.seeds = this.gateways.map((gateway) => gateway.plan.peers);
+    const process = await this.site.launch(plan);
+    const gateway = { plan, process, storeLink, isAway: false, ownExits: [], expectsExit: false };
+    this.gateways.push(gateway);
+    this.watchExit(gateway);
+  }
+
+  private watchExit(gateway: SoakGateway): void {
+    const { process } = gateway;
+    void process.exited.then((code) => {
+      if (gateway.process === process && !gateway.expectsExit) gateway.ownExits.push(code);
+    });
+  }
+
+  /** Ends a gateway by `signal` and starts it again at the same addresses. */
+  async restart(gateway: SoakGateway, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
+    if (gateway.isAway) return;
+    gateway.isAway = true;
+    gateway.expectsExit = true;
+    gateway.process.signal('SIGCONT');
+    gateway.process.signal(signal);
+    await gateway.process.exited;
+    await sleep(RESTART_MS);
+    gateway.process = await this.site.launch(gateway.plan);
+    gateway.expectsExit = false;
+    this.watchExit(gateway);
+    gateway.isAway = false;
+  }
+
+  async addServer(domain?: string): Promise<void> {
+    this.added += 1;
+    let link: Proxy | undefined;
+    const standIn = await this.site.addServer({
+      id: `server-${this.added}`,
+      service: domain ? 'models' : 'app',
+      ...(domain && { domain }),
+      events: EVENTS,
+      gapMs: domain ? GAP_MS : PLAIN_MS,
+      fleet: this.fleet,
+      breaches: this.breaches,
+      advertised: async (address) => {
+        link = await this.openLink(address);
+        return link.address;
+      },
+    });
+    this.fleet.set(standIn.options.id, standIn);
+    if (link) this.servers.push({ standIn, link });
+  }
+
+  /** The server ends without a word; another one of its kind comes soon. */
+  async crash(server: SoakServer): Promise<void> {
+    const { id, domain } = server.standIn.options;
+    this.servers = this.servers.filter((each) => each !== server);
+    server.standIn.crash();
+    await sleep(LAPSE_MS);
+    this.site.store.remove('servers', id);
+    await this.addServer(domain);
+  }
+
+  /** The server says that it leaves, serves on for `forMs` and ends. */
+  async drain(server: SoakServer, forMs: number): Promise<void> {
+    const { id, domain } = server.standIn.options;
+    this.servers = this.servers.filter((each) => each !== server);
+    server.standIn.drain();
+    await this.addServer(domain);
+    await sleep(forMs);
+    this.site.store.remove('servers', id);
+    server.standIn.crash();
+  }
+
+  /** A new version replaces the callers' key; the old one is taken away. */
+  changeKey(): void {
+    this.version += 1;
+    const key = `key-${this.version}`;
+    this.keys.push(key);
+    this.site.configure({ version: this.version, keys: [key] });
+  }
+
+  async close(): Promise<void> {
+    for (const gateway of this.gateways) gateway.expectsExit = true;
+    await this.site.close();
+    await Promise.all(this.links.map((link) => link.stop()));
+  }
+
+  private async openLink(target: string): Promise<Proxy> {
+    const created = await createProxy({ listen: '127.0.0.1:0', target });
+    if (created.isErr()) throw new Error(created.error.message);
+    this.links.push(created.value);
+    return created.value;
+  }
+}
--- /dev/null
+++ b/features/gateway/explaining.feature
@@ -0,0 +1,43 @@
+Feature: From a failed request's id to its cause, by logs alone
+
+  # Somebody complains the day after. Those on call have the id and the logs of the gateways, and
+  # nothing that they could ask any more.
+
+  Scenario: No backend server was there
+    Given a site with 1 plain server and a ready gateway
+    And the first server has ended
+    When a caller asks for "/check/1"
+    Then explaining the request tells "noTarget" and shows "requestWaits"
+
+  Scenario: The answer was lost after the request had run
+    Given a site with 2 plain servers and a ready gateway
+    And each server loses its answers
+    When a caller asks for "/check/1"
+    Then explaining the request tells "connectionBroken" and shows "requestSent"
+
+  Scenario: The backend server failed by itself
+    Given a site with 1 plain server and a ready gateway
+    And each server fails
+    When a caller asks for "/check/1"
+    Then explaining the request tells "serverFailed" and shows "requestEnded"
+
+  Scenario: The server was silent until the caller's time was up
+    Given a site with 1 plain server and a ready gateway
+    And each server says nothing
+    When a caller asks for "/list/1"
+    Then explaining the request tells "timeUp" and shows "serverSuspected"
+
+  Scenario: An id that no gateway has seen
+    Given a site with 1 plain server and a ready gateway
+    Then explaining the request "nobody" tells "notLogged"
+
+  Scenario: The page for those on call names what there is
+    Then every event, cause and metric that the operations page names exists
+
+  Scenario: Nobody reads the log
+    # The collector of the logs has stopped reading. The gateway must go on answering, and must not
+    # hold more for the collector than a bounded part of its memory.
+    Given a site with 1 plain server and a ready gateway whose log nobody reads
+    When 3000 callers ask for "/list/1", 50 at once
+    Then all of them were answered
+    And the gateway has left lines out and counted them
--- a/features/gateway/forwarding.steps.ts
+++ b/features/gateway/forwarding.steps.ts
@@ -56,6 +56,7 @@
   'answers without a length': { kind: 'unframed' },
   'encodes its answers': { kind: 'encode' },
   fails: { kind: 'fail' },
+  'says nothing': { kind: 'stall' },
 };
 
 function findFault(what: string): EngineFault {
@@ -77,6 +78,16 @@
   },
 );
 
+Given('the first server has ended', async function (this: GatewayWorld) {
+  const [first] = this.site.servers;
+  assert.ok(first);
+  first.crash();
+  this.site.store.remove('servers', first.options.id);
+  await waitFor('the gateway to know', () =>
+    this.gateway.lines.some(({ name }) => name === 'serverGone'),
+  );
+});
+
 When('a caller asks for {string}', async function (this: GatewayWorld, path: string) {
   this.lastId = this.site.nextId();
   this.answers = [await this.site.ask(this.gateway, { path })];
--- a/features/gateway/peering.feature
+++ b/features/gateway/peering.feature
@@ -45,3 +45,10 @@
 
   Scenario: Gateways die and come back in any order
     Then after any deaths and returns all that live know each other again
+
+  Scenario: News of the servers hide that the configuration stands still
+    # The connection of a gateway's watch of the configuration goes silent without an end. News of
+    # the backend servers go on coming from another gateway. Callers whose route was added seconds
+    # ago are told that there is none.
+    Given a gateway that hears of the servers every 100 ms and is behind in the configuration
+    Then it fetches the configuration from another gateway within 500 ms
--- a/features/gateway/peering.steps.ts
+++ b/features/gateway/peering.steps.ts
@@ -4,15 +4,17 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
-import { addLoad } from '../../src/controllers/peering/index.js';
+import { addLoad, LagTracker } from '../../src/controllers/peering/index.js';
 import { PeeringModel, type ModelGateway } from './peering-model.js';
 
 interface PeeringWorld {
   model: PeeringModel;
+  lateAfterMs: number | undefined;
 }
 
 const SEED = 2_212;
 const RUNS = 25;
+const LONGEST_LAG_MS = 10_000;
 /** Time in which a fleet settles after the last change: both silences, and the rounds after them. */
 const SETTLE_MS = 9_000;
 
@@ -82,6 +84,26 @@
   },
 );
 
+Given(
+  'a gateway that hears of the servers every {int} ms and is behind in the configuration',
+  function (this: PeeringWorld, everyMs: number) {
+    const lag = new LagTracker();
+    this.lateAfterMs = undefined;
+    for (let now = 0; this.lateAfterMs === undefined && now < LONGEST_LAG_MS; now += everyMs) {
+      const own = { configurationVersion: 1, fleetRevision: now };
+      const known = { configurationVersion: 2, fleetRevision: now + 1 };
+      if (lag.isLate(own, known, now)) this.lateAfterMs = now;
+    }
+  },
+);
+
+Then(
+  'it fetches the configuration from another gateway within {int} ms',
+  function (this: PeeringWorld, ms: number) {
+    assert.ok(this.lateAfterMs !== undefined && this.lateAfterMs <= ms, `${this.lateAfterMs} ms`);
+  },
+);
+
 Then('after any deaths and returns all that live know each other again', () => {
   const event = fc.record({
     at: fc.nat({ max: 23 }),
--- a/features/gateway/site.ts
+++ b/features/gateway/site.ts
@@ -26,6 +26,7 @@
 
 const PROGRAM = 'target/yuccasail-gateway.mjs';
 const GATEWAY_ZONE = 'north';
+const KEPT_LINES = 20_000;
 
 /** One line of a gateway's log. */
 export type LogLine = Readonly<Record<string, unknown>>;
@@ -40,6 +41,19 @@
   exited: Promise<number | null>;
 }
 
+/** Where a gateway listens and what it is told. */
+export interface GatewayPlan {
+  name: string;
+  callers: string;
+  readiness: string;
+  peers: string;
+  metrics: string;
+  store: string;
+  seeds: string[];
+  /** Somebody reads what it logs. */
+  readsLog: boolean;
+}
+
 /** What a caller got. */
 export interface Answer {
   status: number;
@@ -66,6 +80,7 @@
   private readonly children: ChildProcess[] = [];
   private folder = '';
   private asked = 0;
+  private planned = 0;
 
   async open(): Promise<void> {
     await this.store.listen();
@@ -90,25 +105,46 @@
     return server;
   }
 
-  async startGateway(): Promise<GatewayProcess> {
-    const index = this.gateways.length;
+  /** Starts a gateway at addresses of its own and resolves when it listens. */
+  startGateway(): Promise<GatewayProcess> {
+    return this.launch(this.planGateway());
+  }
+
+  /** Addresses for one more gateway, to be started any number of times. */
+  planGateway(store = this.store.address): GatewayPlan {
+    this.planned += 1;
     const [callers, readiness, peers, metrics] = [
       nextAddress(),
       nextAddress(),
       nextAddress(),
       nextAddress(),
     ];
-    const file = join(this.folder, `gateway-${index}.toml`);
+    return {
+      name: `gateway-${this.planned - 1}`,
+      callers,
+      readiness,
+      peers,
+      metrics,
+      store,
+      seeds: [],
+      readsLog: true,
+    };
+  }
+
+  async launch(plan: GatewayPlan): Promise<GatewayProcess> {
+    const { name, callers, readiness, peers, metrics, store, seeds } = plan;
+    const file = join(this.folder, `${name}.toml`);
     const settings = [
-      `name = "gateway-${index}"`,
+      `name = "${name}"`,
       `failureDomain = "${GATEWAY_ZONE}"`,
+      `seeds = ${JSON.stringify(seeds)}`,
       '[listen]',
       `callers = "${callers}"`,
       `readiness = "${readiness}"`,
       `peers = "${peers}"`,
       `metrics = "${metrics}"`,
       '[store]',
-      `address = "${this.store.address}"`,
+      `address = "${store}"`,
       '[engines]',
       'stallMs = 1000',
     ];
@@ -118,21 +154,26 @@
     });
     this.children.push(child);
     const lines: LogLine[] = [];
-    createInterface({ input: child.stdout }).on('line', (line) => {
-      lines.push(JSON.parse(line) as LogLine);
-    });
+    if (plan.readsLog) {
+      createInterface({ input: child.stdout }).on('line', (line) => {
+        lines.push(JSON.parse(line) as LogLine);
+        if (lines.length > KEPT_LINES) lines.splice(0, lines.length - KEPT_LINES);
+      });
+    }
     const gateway: GatewayProcess = {
       callers,
       readiness,
       metrics,
       lines,
-      signal: (name) => child.kill(name),
+      signal: (signal) => child.kill(signal),
       exited: once(child, 'exit').then(([code]) => code as number | null),
     };
     this.gateways.push(gateway);
-    await waitFor('the gateway to start', () =>
-      lines.some(({ name }) => name === 'gatewayStarted'),
-    );
+    if (plan.readsLog) {
+      await waitFor('the gateway to start', () =>
+        lines.some(({ name: event }) => event === 'gatewayStarted'),
+      );
+    }
     return gateway;
   }
 
--- a/features/gateway/stand-ins/engine.ts
+++ b/features/gateway/stand-ins/engine.ts
@@ -20,6 +20,7 @@
 }
 
 interface Membership {
+  members: readonly string[];
   name: string;
   epoch: number;
   rank: number;
@@ -65,6 +66,12 @@
   /** Events of each stream. */
   events?: number;
   gapMs?: number;
+  /** Where others reach it, if not at its own address. */
+  advertised?: (address: string) => Promise<string>;
+  /** All engines, for those that check what members of a replica must never see. */
+  fleet?: ReadonlyMap<string, EngineStandIn>;
+  /** What no engine must see, as it was seen. */
+  breaches?: string[];
 }
 
 const JOIN_MS = 30;
@@ -76,12 +83,18 @@
   /** Models on the host. */
   staged: string[] = [];
   orders: string[] = [];
+  /** Orders are not answered and carried out this much later. */
+  lateByMs = 0;
+  /** Replicas that this life was ready in. */
+  readonly readyIn = new Set<string>();
+  hasCrashed = false;
   private model: string | undefined;
   private seenEpoch = 0;
   private leaving = false;
   private readonly sockets = new Set<Socket>();
   private readonly server: Server;
   private port = 0;
+  private reached = '';
 
   constructor(readonly options: EngineOptions) {
     this.server = createServer((request, response) => {
@@ -98,15 +111,18 @@
   async listen(): Promise<void> {
     await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
     this.port = (this.server.address() as AddressInfo).port;
+    const own = `127.0.0.1:${this.port}`;
+    this.reached = (await this.options.advertised?.(own)) ?? own;
     this.report();
   }
 
   get address(): string {
-    return `127.0.0.1:${this.port}`;
+    return this.reached;
   }
 
   /** Ends at once, without a word to the store. */
   crash(): void {
+    this.hasCrashed = true;
     this.server.close();
     for (const socket of this.sockets) hardReset(socket);
   }
@@ -121,6 +137,7 @@
   }
 
   report(): void {
+    if (this.hasCrashed) return;
     const { id, service, zone, domain, store } = this.options;
     const group = this.membership ?? null;
     const models = this.model ? [{ name: this.model, version: 1, adapters: [] }] : [];
@@ -157,6 +174,11 @@
   }
 
   private async takeOrder(order: Order, response: ServerResponse): Promise<void> {
+    if (this.lateByMs > 0) {
+      response.destroy();
+      await sleep(this.lateByMs);
+      if (this.hasCrashed) return;
+    }
     this.orders.push(`${order.operation} ${order.group}`);
     const answer = (status: number): void => {
       response.writeHead(status, { 'content-length': 0 }).end();
@@ -202,14 +224,40 @@
   }
 
   private async join(order: Order): Promise<void> {
+    this.checkLeft(order);
     this.seenEpoch = order.epoch;
-    const rank = order.members.indexOf(this.options.id);
-    this.membership = { name: order.group, epoch: order.epoch, rank, state: 'joining' };
+    const { group, epoch, members } = order;
+    const rank = members.indexOf(this.options.id);
+    this.membership = { name: group, epoch, members, rank, state: 'joining' };
     this.report();
     await sleep(JOIN_MS);
     this.model = order.model;
     if (this.staged.length === 0) this.staged = [order.model];
-    if (this.membership.name === order.group) this.setState('ready');
+    if (this.membership.name !== order.group) return;
+    this.readyIn.add(keyOf(this.membership));
+    this.setState('ready');
+  }
+
+  /** No member may go to another replica while the head of its own still takes requests. */
+  private checkLeft(order: Order): void {
+    const { membership, options } = this;
+    if (membership === undefined || membership.name === order.group) return;
+    const head = options.fleet?.get(membership.members[0] ?? '');
+    const isServing = head?.membership?.state === 'open' || head?.membership?.state === 'closing';
+    const isSame = head?.membership?.name === membership.name && !head.hasCrashed;
+    if (!isSame || !isServing) return;
+    options.breaches?.push(`${options.id} joined ${order.group} while ${membership.name} is open`);
+  }
+
+  /** No request may begin in a replica with a member that never was ready in it. */
+  private checkWhole(): void {
+    const { membership, options } = this;
+    for (const id of membership?.members ?? []) {
+      const member = options.fleet?.get(id);
+      if (!membership || !member || member.hasCrashed) continue;
+      if (member.readyIn.has(keyOf(membership))) continue;
+      options.breaches?.push(`${membership.name} served while ${id} was never ready in it`);
+    }
   }
 
   private setState(state: Membership['state']): void {
@@ -243,6 +291,7 @@
       return;
     }
     arrival.ran = true;
+    this.checkWhole();
     if (domain) await this.stream(request, response, id);
     else await this.answer(response, id);
   }
@@ -313,6 +362,10 @@
   }
 }
 
+function keyOf({ name, epoch }: Membership): string {
+  return `${name} ${epoch}`;
+}
+
 /** What was written is on its way first: a reset in the same moment would overtake its own data. */
 async function resetSoon(response: ServerResponse): Promise<void> {
   await sleep(RESET_AFTER_MS);
--- /dev/null
+++ b/src/cli/explain/index.ts
@@ -0,0 +1,1 @@
+export * from './explain.js';
--- a/src/controllers/peering/index.ts
+++ b/src/controllers/peering/index.ts
@@ -1,3 +1,4 @@
+export * from './lag.js';
 export * from './load.js';
 export * from './peer-table.js';
 export * from './types.js';
--- /dev/null
+++ b/src/controllers/peering/lag.ts
@@ -0,0 +1,53 @@
+/**
+ * Telling a gateway that is late from one whose news are on their way.
+ */
+import type { Milliseconds } from '../../core/clock/index.js';
+
+/** A peer is this long ahead before its news are fetched: usually they are on their way already. */
+const LATE_AFTER_MS: Milliseconds = 350;
+
+/** What a gateway has in force. */
+export interface Versions {
+  configurationVersion: number;
+  fleetRevision: number;
+}
+
+/** How long one of the two has been behind without any news of its own. */
+class Lag {
+  private since: Milliseconds | undefined;
+  private at: number | undefined;
+
+  /** Whether `own` has stood still for too long below `known`. */
+  isLate(own: number, known: number, now: Milliseconds): boolean {
+    if (own !== this.at) this.since = undefined;
+    this.at = own;
+    if (known <= own) {
+      this.since = undefined;
+      return false;
+    }
+    this.since ??= now;
+    return now - this.since >= LATE_AFTER_MS;
+  }
+}
+
+/**
+ * The lag of one gateway. Changed in place, owned by one shell.
+ *
+ * Guards against a connection to the store that has gone silent: nothing ends it, and news of the
+ * backend servers, which come another way, must not hide that the configuration stands still.
+ */
+export class LagTracker {
+  private readonly configuration = new Lag();
+  private readonly fleet = new Lag();
+
+  /** Whether `own` is late against the newest that others know; to be asked in every round. */
+  isLate(own: Versions, known: Versions, now: Milliseconds): boolean {
+    const isConfigurationLate = this.configuration.isLate(
+      own.configurationVersion,
+      known.configurationVersion,
+      now,
+    );
+    const isFleetLate = this.fleet.isLate(own.fleetRevision, known.fleetRevision, now);
+    return isConfigurationLate || isFleetLate;
+  }
+}
--- a/src/gateway/peers/behind.ts
+++ b/src/gateway/peers/behind.ts
@@ -1,82 +1,70 @@
 /**
- * Noticing that others know more than this gateway, and fetching it from one of them.
+ * Fetching what others know and this gateway has not heard.
  */
-import type { GatewayPeer } from '../../controllers/peering/index.js';
-import type { Milliseconds } from '../../core/clock/index.js';
+import { LagTracker, type Digest, type Versions } from '../../controllers/peering/index.js';
 import type { GatewayContext } from '../types.js';
 import type { PeerCalls } from './link.js';
-import type { CatchUp, Versions } from './messages.js';
-
-/** A gateway that said what it has in force. */
-export interface VersionedPeer extends Pick<
-  GatewayPeer,
-  'name' | 'address' | 'failureDomain' | 'storeReachable'
-> {
-  versions: Versions;
-}
+import type { CatchUp } from './messages.js';
 
 /** What the news of others lead to. */
 export interface BehindHandlers {
-  listPeers(): readonly VersionedPeer[];
+  listHeard(): readonly Digest[];
   own(): Versions;
   take(answer: CatchUp): void;
 }
 
-/** A peer is this long ahead before its news is fetched: usually they are on their way already. */
-const BEHIND_MS: Milliseconds = 350;
-
 /** A check to be made in each round; it makes one call at a time. */
 export function createBehindCheck(
   { clock, logger, settings }: GatewayContext,
   calls: PeerCalls,
   handlers: BehindHandlers,
 ): () => void {
-  let behindSince: Milliseconds | undefined;
-  let behindAt = '';
+  const lag = new LagTracker();
   let isCatchingUp = false;
 
-  /** The nearest peer that knows more than this gateway. */
-  const findSource = (own: Versions): VersionedPeer | undefined => {
+  /** The nearest of those that know more than this gateway. */
+  const findSource = (own: Versions): Digest | undefined => {
     const ahead = handlers
-      .listPeers()
+      .listHeard()
       .filter(
-        ({ versions, storeReachable }) =>
-          versions.configurationVersion > own.configurationVersion ||
-          (storeReachable && versions.fleetRevision > own.fleetRevision),
+        (peer) =>
+          peer.configurationVersion > own.configurationVersion ||
+          findRevision(peer) > own.fleetRevision,
       );
     return ahead.find(({ failureDomain }) => failureDomain === settings.failureDomain) ?? ahead[0];
   };
-  const catchUp = async (source: VersionedPeer, own: Versions, since: number): Promise<void> => {
+  const catchUp = async (source: Digest, own: Versions): Promise<void> => {
     isCatchingUp = true;
     try {
       const answer = await calls.catchUp(source.address, own);
       logger.log('caughtUpFromPeer', {
         peer: source.name,
-        behindMs: Math.round(clock.now() - since),
         configuration: answer.configuration?.version,
+        configurationBefore: own.configurationVersion,
         fleet: answer.fleet?.revision,
+        fleetBefore: own.fleetRevision,
       });
       handlers.take(answer);
     } catch (error) {
       logger.log('peerCallFailed', { peer: source.name, reason: String(error) });
     } finally {
       isCatchingUp = false;
-      behindSince = undefined;
     }
   };
   return () => {
     const own = handlers.own();
+    const heard = handlers.listHeard();
+    const known = {
+      configurationVersion: Math.max(0, ...heard.map((peer) => peer.configurationVersion)),
+      fleetRevision: Math.max(0, ...heard.map(findRevision)),
+    };
+    if (!lag.isLate(own, known, clock.now()) || isCatchingUp) return;
     const source = findSource(own);
-    if (source === undefined) {
-      behindSince = undefined;
-      return;
-    }
-    const now = clock.now();
-    // Still hearing news of its own, this gateway is only a moment behind.
-    const knows = `${own.configurationVersion} ${own.fleetRevision}`;
-    if (knows !== behindAt) behindSince = undefined;
-    behindAt = knows;
-    behindSince ??= now;
-    if (now - behindSince >= BEHIND_MS && !isCatchingUp) void catchUp(source, own, behindSince);
+    if (source) void catchUp(source, own);
   };
 }
+
+/** What is known by one that does not reach the store may be older than it looks. */
+function findRevision({ storeReachable, fleetRevision }: Digest): number {
+  return storeReachable ? fleetRevision : 0;
+}
--- a/src/gateway/peers/link.ts
+++ b/src/gateway/peers/link.ts
@@ -8,13 +8,13 @@
 import type { ResultAsync } from 'neverthrow';
 import { Agent } from 'undici';
 import { createRpcLink } from '../../adapters/peers/index.js';
-import { digestSchema, type Digest } from '../../controllers/peering/index.js';
+import { digestSchema, type Digest, type Versions } from '../../controllers/peering/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { Failure } from '../../core/errors/index.js';
 import { closeServer, listenOn } from '../../core/listening/index.js';
 import { callWithin } from '../../core/timeout/index.js';
 import type { FleetNews } from '../store/fleet-part.js';
-import { fleetNewsSchema, versionsSchema, type CatchUp, type Versions } from './messages.js';
+import { fleetNewsSchema, versionsSchema, type CatchUp } from './messages.js';
 
 /** What this gateway answers to others. */
 export interface PeerHandlers {
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -45,9 +45,6 @@
 
 export const versionsSchema = z.object({ configurationVersion: count, fleetRevision: count });
 
-/** What a gateway has in force. */
-export type Versions = z.infer<typeof versionsSchema>;
-
 /** What one gateway gives another that is behind; only what is newer there. */
 export interface CatchUp {
   configuration?: ServingConfiguration;
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -9,6 +9,7 @@
   type Digest,
   type GatewayPeer,
   type KnownPeer,
+  type Versions,
 } from '../../controllers/peering/index.js';
 import type { Failure } from '../../core/errors/index.js';
 import type { Backends } from '../requests/backends.js';
@@ -18,7 +19,7 @@
 import type { GatewayContext, GatewayPart } from '../types.js';
 import { createBehindCheck } from './behind.js';
 import { createPeerCalls, createPeerListener } from './link.js';
-import type { CatchUp, Versions } from './messages.js';
+import type { CatchUp } from './messages.js';
 import { createStoreShare } from './store-share.js';
 
 /** Membership and news between gateways. */
@@ -120,11 +121,7 @@
   };
   const share = createStoreShare({ context, table, fleet, calls });
   const checkBehind = createBehindCheck(context, calls, {
-    listPeers: () =>
-      table.listHeard().map(({ digest }) => ({
-        ...digest,
-        versions: digest,
-      })),
+    listHeard: () => table.listHeard().map(({ digest }) => digest),
     own: ownVersions,
     take: ({ configuration: version, fleet: copy }: CatchUp) => {
       if (version) {
