--- /dev/null
+++ b/features/gateway/soak.steps.ts
@@ -0,0 +1,26 @@
+/**
+ * Short runs of the fault soak.
+ */
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import { runSoak, type SoakReport } from '../../bench/soak/run.js';
+
+interface SoakWorld {
+  report: SoakReport;
+}
+
+/** Beyond the faults: they end, everything recovers, processes stop. */
+const STEP_TIMEOUT_MS = 60_000;
+
+When(
+  '{int} gateways live through the faults of seed {int} for {int} seconds',
+  { timeout: STEP_TIMEOUT_MS },
+  async function (this: SoakWorld, gateways: number, seed: number, seconds: number) {
+    this.report = await runSoak({ seed, seconds, gateways });
+  },
+);
+
+Then('no promise was broken', function (this: SoakWorld) {
+  const { breaches, faults } = this.report;
+  assert.deepEqual(breaches, [], JSON.stringify(faults));
+});
--- a/src/gateway/groups/groups-part.ts
+++ b/src/gateway/groups/groups-part.ts
@@ -5,7 +5,7 @@
 import { splitDomains, type DomainCapacity } from '../../controllers/groups/index.js';
 import type { ServingFleet, ServingIndex } from '../../controllers/forwarding/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
-import type { BackendServer } from '../../ports/index.js';
+import type { BackendServer, EngineProfile } from '../../ports/index.js';
 import type { EngineCalls } from '../backends/short-call.js';
 import type { Backends } from '../requests/backends.js';
 import type { ObjectStore } from '../store/client.js';
@@ -20,6 +20,8 @@
 }
 
 const ROUND_EVERY_MS: Milliseconds = 100;
+/** Starts of loads are counted over this long, in seconds. */
+const LOAD_WINDOW_S = 5;
 /** Others must have had the time to be heard before a domain without an owner is taken. */
 const SETTLE_MS: Milliseconds = 700;
 
@@ -137,7 +139,7 @@
       measureCapacity(domain, members, beforeTraffic),
     );
     const targetsOf = splitDomains(capacities, profile.models);
-    const loadSlots = Math.ceil(profile.loadsAtOnce / domains.size);
+    const loadSlots = Math.ceil(countLoads(profile) / domains.size);
     return [...domains].map(([domain, members]): DomainState => {
       const targets = targetsOf.get(domain) ?? [];
       return { service, domain, profile, servers: members, targets, beforeTraffic, loadSlots };
@@ -145,6 +147,11 @@
   });
 }
 
+/** A load takes longer than the span over which starts are counted, so that no slot starts two in it. */
+function countLoads({ loadsAtOnce, loadsPerSecond }: EngineProfile): number {
+  return Math.min(loadsAtOnce, loadsPerSecond * LOAD_WINDOW_S);
+}
+
 function groupByService(servers: Iterable<BackendServer>): Map<string, BackendServer[]> {
   return groupBy(servers, ({ engine, service }) => (engine ? service : undefined));
 }
