--- a/src/controllers/groups/index.ts
+++ b/src/controllers/groups/index.ts
@@ -1,3 +1,4 @@
+export * from './loads.js';
 export * from './orders.js';
 export * from './revise.js';
 export * from './targets.js';
