Leave targets alone that have shown to be full

Change: a quick refusal at a target with no free slot shows how many its service takes; beyond that nothing is sent, and the request waits for a place at the gateway. The limit rises by one a second.

--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -36,3 +36,31 @@
     Given a fleet of 3 backend servers
     When the store returns without them and brings 2 back in time
     Then all 3 count until then, and 2 afterwards
+
+  Scenario Outline: Weights go where they let a replica form
+    Two instances that replaced lost ones got the weights of two models, one each, and served nobody
+    for the rest of the day.
+    Given a domain where <idle> idle instances have the weights of "<model>" and <bare> have none
+    When the domain is planned
+    Then the weights of "<loaded>" are brought to <loads> of them
+
+    Examples:
+      | idle | model | bare | loaded | loads |
+      | 0    | large | 2    | small  | 2     |
+      | 3    | large | 1    | large  | 1     |
+      | 1    | small | 1    | small  | 1     |
+      | 0    | small | 4    | large  | 4     |
+      | 2    | large | 2    | large  | 2     |
+
+  Scenario: Domains share the loads that the weight store bears
+    More loads at once make each slower, and none of the replicas that wait for them forms early.
+    Then whatever instances lack weights, all domains together load at most what it bears
+    And a domain gets as many as it has instances without weights before another gets more
+
+  Scenario: What is full is left alone
+    A replica with a full queue refuses at once what is sent to it, and each such sending uses up a
+    repeat that a lost answer would have needed.
+    Given a service whose targets take 36 requests, and a gateway that has been refused at one with 36
+    Then it sends nothing to a target with 36, and sends to one with 35
+    And after 10 seconds without a refusal it tries one with 40 again
+    And a refusal at a target with free slots, or after a second, changes nothing
--- a/features/gateway/decisions.steps.ts
+++ b/features/gateway/decisions.steps.ts
@@ -7,6 +7,7 @@
   EMPTY_FLEET,
   EventStream,
   expireVanished,
+  QueueLimit,
   RepeatBudget,
   type ServingFleet,
 } from '../../src/controllers/forwarding/index.js';
@@ -15,6 +16,7 @@
   listOrders,
   revisePlan,
   splitDomains,
+  splitLoads,
   type DomainCapacity,
   type DomainTargets,
   type DomainView,
@@ -62,6 +64,7 @@
   split: DomainTargets;
   fleet: ServingFleet;
   counts: number[];
+  limit: QueueLimit;
 }
 
 function createServer(id: string, engine: Partial<BackendServer['engine']> = {}): BackendServer {
@@ -89,7 +92,7 @@
     servers: new Map(servers.map((server) => [server.id, server])),
     lost: new Set(),
     slow: new Set(),
-    staging: new Set(),
+    staging: new Map(),
     loadSlots: 2,
     beforeTraffic: false,
     failed: new Set(),
@@ -208,6 +211,91 @@
   },
 );
 
+Given(
+  'a domain where {int} idle instances have the weights of {string} and {int} have none',
+  function (this: DecisionWorld, idle: number, model: string, bare: number) {
+    const servers = [
+      ...Array.from({ length: idle }, (_, i) => createServer(`idle-${i}`, { staged: [model] })),
+      ...Array.from({ length: bare }, (_, i) => createServer(`bare-${i}`, { staged: [] })),
+    ];
+    this.view = createView(servers, { loadSlots: bare });
+  },
+);
+
+Then(
+  'the weights of {string} are brought to {int} of them',
+  function (this: DecisionWorld, model: string, loads: number) {
+    const orders = this.rounds.flatMap((round) => round.orders).map(({ order }) => order);
+    const staged = orders.filter((order) => order.kind === 'stage').map((order) => order.model);
+    assert.deepEqual(staged, new Array(loads).fill(model));
+  },
+);
+
+const demands = fc.uniqueArray(
+  fc.record({ domain: fc.string({ minLength: 1, maxLength: 3 }), bare: fc.nat({ max: 12 }) }),
+  { selector: ({ domain }) => domain, minLength: 1, maxLength: 12 },
+);
+
+Then(
+  'whatever instances lack weights, all domains together load at most what it bears',
+  function () {
+    const property = fc.property(demands, fc.integer({ min: 1, max: 30 }), (wanted, atOnce) => {
+      const slots = [...splitLoads(wanted, atOnce).values()];
+      assert.equal(
+        slots.reduce((sum, count) => sum + count, 0),
+        atOnce,
+      );
+    });
+    fc.assert(property, { seed: SEED });
+  },
+);
+
+Then(
+  'a domain gets as many as it has instances without weights before another gets more',
+  function () {
+    const property = fc.property(demands, fc.integer({ min: 1, max: 30 }), (wanted, atOnce) => {
+      const slots = splitLoads(wanted, atOnce);
+      const served = wanted.map(({ domain, bare }) => (slots.get(domain) ?? 0) - bare);
+      const isShort = served.some((surplus) => surplus < 0);
+      assert.ok(!isShort || served.every((surplus) => surplus <= 0));
+    });
+    fc.assert(property, { seed: SEED });
+  },
+);
+
+Given(
+  'a service whose targets take {int} requests, and a gateway that has been refused at one with {int}',
+  function (this: DecisionWorld, _places: number, inFlight: number) {
+    this.limit = new QueueLimit();
+    this.limit.recordRefusal({ inFlight, slots: 12, tookMs: 2 }, 0);
+  },
+);
+
+Then(
+  'it sends nothing to a target with {int}, and sends to one with {int}',
+  function (this: DecisionWorld, full: number, free: number) {
+    assert.equal(this.limit.isFull(full, 0), true);
+    assert.equal(this.limit.isFull(free, 0), false);
+  },
+);
+
+Then(
+  'after {int} seconds without a refusal it tries one with {int} again',
+  function (this: DecisionWorld, seconds: number, inFlight: number) {
+    assert.equal(this.limit.isFull(inFlight, 0), true);
+    assert.equal(this.limit.isFull(inFlight, seconds * 1_000), false);
+  },
+);
+
+Then(
+  'a refusal at a target with free slots, or after a second, changes nothing',
+  function (this: DecisionWorld) {
+    this.limit.recordRefusal({ inFlight: 3, slots: 12, tookMs: 2 }, 0);
+    this.limit.recordRefusal({ inFlight: 20, slots: 12, tookMs: 1_000 }, 0);
+    assert.equal(this.limit.isFull(35, 0), false);
+  },
+);
+
 When('the domain is planned', function (this: DecisionWorld) {
   const after = revisePlan(EMPTY_PLAN, this.view);
   const orders = listOrders(after, this.view);
