--- /dev/null
+++ b/features/gateway/planning.steps.ts
@@ -0,0 +1,207 @@
+/**
+ * Plans of replicas, loads of weights and the split of domains, driven without sockets.
+ */
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import fc from 'fast-check';
+import {
+  EMPTY_PLAN,
+  listOrders,
+  revisePlan,
+  splitDomains,
+  splitLoads,
+  type DomainCapacity,
+  type DomainTargets,
+  type DomainView,
+  type DueOrder,
+} from '../../src/controllers/groups/index.js';
+import {
+  createServer,
+  createView,
+  LARGE,
+  planDomain,
+  PROFILE,
+  type PlannedRound,
+} from './planning-model.js';
+
+interface PlanningWorld {
+  rounds: PlannedRound[];
+  view: DomainView;
+  domains: DomainCapacity[];
+  split: DomainTargets;
+}
+
+const SEED = 7_411;
+
+When(
+  '{int} random fabric domains are planned for several rounds',
+  function (this: PlanningWorld, domains: number) {
+    const draws = fc.array(fc.nat({ max: 10_000 }), { minLength: 300, maxLength: 400 });
+    this.rounds = fc.sample(draws, { numRuns: domains, seed: SEED }).flatMap(planDomain);
+    const formed = this.rounds.filter(({ before, after }) => after.lastEpoch > before.lastEpoch);
+    const opened = this.rounds.flatMap(({ orders }) => orders).filter(isOpen);
+    assert.ok(formed.length > domains && opened.length > 0, 'the draws must reach what is checked');
+  },
+);
+
+function isOpen({ order }: DueOrder): boolean {
+  return order.kind === 'open';
+}
+
+Then('no plan has an instance in two groups', function (this: PlanningWorld) {
+  for (const { after } of this.rounds) {
+    const ids = after.groups.flatMap(({ members }) => members.map(({ id }) => id));
+    assert.equal(new Set(ids).size, ids.length);
+  }
+});
+
+Then(
+  'each new group has the size of its model and members that reported no group',
+  function (this: PlanningWorld) {
+    for (const { before, after, view } of this.rounds) {
+      const known = new Set(before.groups.map(({ name }) => name));
+      for (const group of after.groups.filter(({ name }) => !known.has(name))) {
+        assert.equal(group.members.length, group.model === 'large' ? 4 : 2);
+        for (const { id } of group.members) {
+          assert.equal(view.servers.get(id)?.engine?.membership, undefined);
+          assert.ok(!view.lost.has(id) && view.servers.get(id)?.leaving === false);
+        }
+      }
+    }
+  },
+);
+
+Then(
+  'a head is told to open only when every member is ready in just this forming',
+  function (this: PlanningWorld) {
+    for (const { after, view, orders } of this.rounds) {
+      for (const { to, order } of orders) {
+        if (order.kind !== 'open') continue;
+        const group = after.groups.find(({ name }) => name === order.group);
+        assert.ok(group);
+        assert.equal(group.members[0]?.id, to.id);
+        for (const { id } of group.members) {
+          const membership = view.servers.get(id)?.engine?.membership;
+          assert.equal(membership?.state, 'ready');
+          assert.equal(membership.group, order.group);
+          assert.equal(membership.epoch, order.epoch);
+        }
+      }
+    }
+  },
+);
+
+Given(
+  'a domain whose plan is empty and an instance that is ready in an unknown group',
+  function (this: PlanningWorld) {
+    const membership = { group: 'gone', epoch: 4, rank: 0, state: 'ready' as const };
+    this.view = createView([createServer('i-1', { membership }), createServer('i-2')]);
+  },
+);
+
+Given(
+  'a domain where {int} idle instances have the weights of {string} and {int} have none',
+  function (this: PlanningWorld, idle: number, model: string, bare: number) {
+    const servers = [
+      ...Array.from({ length: idle }, (_, i) => createServer(`idle-${i}`, { staged: [model] })),
+      ...Array.from({ length: bare }, (_, i) => createServer(`bare-${i}`, { staged: [] })),
+    ];
+    this.view = createView(servers, { loadSlots: bare });
+  },
+);
+
+Then(
+  'the weights of {string} are brought to {int} of them',
+  function (this: PlanningWorld, model: string, loads: number) {
+    const orders = this.rounds.flatMap((round) => round.orders).map(({ order }) => order);
+    const staged = orders.filter((order) => order.kind === 'stage').map((order) => order.model);
+    assert.deepEqual(staged, new Array(loads).fill(model));
+  },
+);
+
+const demands = fc.uniqueArray(
+  fc.record({ domain: fc.string({ minLength: 1, maxLength: 3 }), bare: fc.nat({ max: 12 }) }),
+  { selector: ({ domain }) => domain, minLength: 1, maxLength: 12 },
+);
+
+Then(
+  'whatever instances lack weights, all domains together load at most what it bears',
+  function () {
+    const property = fc.property(demands, fc.integer({ min: 1, max: 30 }), (wanted, atOnce) => {
+      const slots = [...splitLoads(wanted, atOnce).values()];
+      assert.equal(
+        slots.reduce((sum, count) => sum + count, 0),
+        atOnce,
+      );
+    });
+    fc.assert(property, { seed: SEED });
+  },
+);
+
+Then(
+  'a domain gets as many as it has instances without weights before another gets more',
+  function () {
+    const property = fc.property(demands, fc.integer({ min: 1, max: 30 }), (wanted, atOnce) => {
+      const slots = splitLoads(wanted, atOnce);
+      const served = wanted.map(({ domain, bare }) => (slots.get(domain) ?? 0) - bare);
+      const isShort = served.some((surplus) => surplus < 0);
+      assert.ok(!isShort || served.every((surplus) => surplus <= 0));
+    });
+    fc.assert(property, { seed: SEED });
+  },
+);
+When('the domain is planned', function (this: PlanningWorld) {
+  const after = revisePlan(EMPTY_PLAN, this.view);
+  const orders = listOrders(after, this.view);
+  this.rounds = [{ before: EMPTY_PLAN, after, view: this.view, orders }];
+});
+
+Then(
+  'the instance is told to leave and is in no group of the plan',
+  function (this: PlanningWorld) {
+    const [round] = this.rounds;
+    assert.ok(round);
+    assert.deepEqual(round.after.groups, []);
+    const leaves = round.orders.filter(({ order }) => order.kind === 'leave');
+    assert.deepEqual(
+      leaves.map(({ to, order }) => [to.id, order]),
+      [['i-1', { kind: 'leave', group: 'gone', epoch: 4 }]],
+    );
+  },
+);
+Given(
+  '{int} domains of {int} instances, and models of 4 and of 2 with equal shares',
+  function (this: PlanningWorld, domains: number, instances: number) {
+    this.domains = Array.from({ length: domains }, (_, index) => ({
+      domain: `fabric-${index}`,
+      failureDomain: `zone-${Math.floor(index / 2)}`,
+      instances,
+      groups: new Map<string, number>(),
+    }));
+  },
+);
+
+When('they are split', function (this: PlanningWorld) {
+  this.split = splitDomains(this.domains, PROFILE.models);
+});
+
+Then('no domain is promised more instances than it has', function (this: PlanningWorld) {
+  for (const { domain, instances } of this.domains) {
+    const targets = this.split.get(domain) ?? [];
+    const used = targets.reduce((sum, { model, groups }) => sum + model.size * groups, 0);
+    assert.ok(used > 0 && used <= instances);
+  }
+});
+
+Then(
+  'the failure domains differ by one group of the large model at most',
+  function (this: PlanningWorld) {
+    const counts = new Map<string, number>();
+    for (const { domain, failureDomain } of this.domains) {
+      const target = this.split.get(domain)?.find(({ model }) => model === LARGE);
+      counts.set(failureDomain, (counts.get(failureDomain) ?? 0) + (target?.groups ?? 0));
+    }
+    const most = Math.max(...counts.values());
+    assert.ok(most > 0 && most - Math.min(...counts.values()) <= 1, JSON.stringify([...counts]));
+  },
+);
--- a/src/controllers/peering/peer-table.ts
+++ b/src/controllers/peering/peer-table.ts
@@ -16,7 +16,7 @@
  * Gateways up to which all exchange pairwise: with 12 each has 11 others, which at the paces below
  * are some 30 exchanges a second, under 1 in 100 of a core at a third of a millisecond each.
  */
-export const PAIRWISE_MOST = 12;
+const PAIRWISE_MOST = 12;
 /** Within a failure domain bytes are free; the load of a replica changes in some hundred ms. */
 const NEAR_EVERY_MS: Milliseconds = 200;
 /** Of a hub's members each adds this, so that a hub answers some 30 of them a second, whatever their number. */
--- a/src/controllers/peering/types.ts
+++ b/src/controllers/peering/types.ts
@@ -62,8 +62,6 @@
 
 /** Where another gateway is. */
 export type KnownPeer = z.infer<typeof knownPeerSchema>;
-/** What a gateway is and has in force. */
-export type PeerNews = z.infer<typeof peerNewsSchema>;
 /** One gateway's news of itself, and of others where it speaks for them. */
 export type Digest = z.infer<typeof digestSchema>;
 export type DomainSummary = z.infer<typeof domainSummarySchema>;
