--- a/features/gateway/planning-model.ts
+++ b/features/gateway/planning-model.ts
@@ -81,7 +81,7 @@
     servers: new Map(servers.map((server) => [server.id, server])),
     lost: new Set(),
     slow: new Set(),
-    staging: new Map(),
+    staging: new Set(),
     loadSlots: 2,
     beforeTraffic: false,
     failed: new Set(),
--- a/features/gateway/planning.feature
+++ b/features/gateway/planning.feature
@@ -20,23 +20,3 @@
     When they are split
     Then no domain is promised more instances than it has
     And the failure domains differ by one group of the large model at most
-
-  Scenario Outline: Weights go where they let a replica form
-    Two instances that replaced lost ones got the weights of two models, one each, and served nobody
-    for the rest of the day.
-    Given a domain where <idle> idle instances have the weights of "<model>" and <bare> have none
-    When the domain is planned
-    Then the weights of "<loaded>" are brought to <loads> of them
-
-    Examples:
-      | idle | model | bare | loaded | loads |
-      | 0    | large | 2    | small  | 2     |
-      | 3    | large | 1    | large  | 1     |
-      | 1    | small | 1    | small  | 1     |
-      | 0    | small | 4    | large  | 4     |
-      | 2    | large | 2    | large  | 2     |
-
-  Scenario: Domains share the loads that the weight store bears
-    More loads at once make each slower, and none of the replicas that wait for them forms early.
-    Then whatever instances lack weights, all domains together load at most what it bears
-    And a domain gets as many as it has instances without weights before another gets more
--- a/src/controllers/groups/index.ts
+++ b/src/controllers/groups/index.ts
@@ -1,4 +1,3 @@
-export * from './loads.js';
 export * from './orders.js';
 export * from './revise.js';
 export * from './targets.js';
--- a/src/controllers/groups/orders.ts
+++ b/src/controllers/groups/orders.ts
@@ -1,10 +1,10 @@
 /**
  * The orders that bring a fabric domain closer to its stored plan.
  */
-import type { BackendServer } from '../../ports/index.js';
-import { listStaging } from './staging.js';
+import type { BackendServer, GroupModel } from '../../ports/index.js';
+import type { GroupTarget } from './targets.js';
 import type { DueOrder, GroupPlan, PlannedGroup } from './types.js';
-import { isHeard, listStrays, membershipIn, type DomainView } from './view.js';
+import { isHeard, listFree, listStrays, membershipIn, type DomainView } from './view.js';
 
 /** The orders due now. `plan` must be stored: an order is never sent for a plan that may be lost. */
 export function listOrders(plan: GroupPlan, view: DomainView): DueOrder[] {
@@ -61,3 +61,85 @@
   const { group, epoch } = membership;
   return [{ to: { id, address }, order: { kind: 'leave', group, epoch } }];
 }
+
+/**
+ * Free instances without weights get those of the model that has the fewest spares for its size.
+ * Before there is traffic, hosts of members get the weights of another model as well: an engine
+ * keeps its own in memory, and can then change from one model to the other in a warm load.
+ */
+function listStaging(plan: GroupPlan, view: DomainView): DueOrder[] {
+  const free = listFree(view, plan);
+  const { targets } = view;
+  const models = targets.filter(({ groups }) => groups > 0).map(({ model }) => model);
+  const bare = free.filter(({ engine }) => engine?.staged.length === 0);
+  const spares = new Map(models.map(({ name }) => [name, countStaged(free, name)]));
+  const orders = bare.flatMap((server): DueOrder[] => {
+    const model = pickStaging(models, spares);
+    if (model === undefined) return [];
+    spares.set(model.name, (spares.get(model.name) ?? 0) + 1);
+    return [stage(server, model)];
+  });
+  if (view.beforeTraffic) return [...orders, ...listSecondModels(plan, view, models)];
+  const wanted = [...orders, ...listRestaging(free, plan, targets)];
+  const left = Math.max(0, view.loadSlots - view.staging.size);
+  return wanted.filter(({ to }) => !view.staging.has(to.id)).slice(0, left);
+}
+
+/**
+ * Idle instances with the weights of a model that needs no more groups get those of one that does:
+ * left as they are, they would serve nobody until an instance of their own model is lost.
+ */
+function listRestaging(
+  free: readonly BackendServer[],
+  plan: GroupPlan,
+  targets: readonly GroupTarget[],
+): DueOrder[] {
+  const lacking = targets.find(({ model, groups }) => {
+    const count = plan.groups.filter(
+      (group) => group.model === model.name && group.closing === 'no',
+    ).length;
+    return count < groups;
+  });
+  if (lacking === undefined) return [];
+  const { model } = lacking;
+  const isReady = ({ engine }: BackendServer): boolean =>
+    engine?.lastModel === model.name || engine?.staged.includes(model.name) === true;
+  const missing = model.size - free.filter(isReady).length;
+  return free
+    .filter((server) => !isReady(server) && server.engine?.staged.length !== 0)
+    .slice(0, Math.max(0, missing))
+    .map((server) => stage(server, model));
+}
+
+function listSecondModels(
+  plan: GroupPlan,
+  view: DomainView,
+  models: readonly GroupModel[],
+): DueOrder[] {
+  return plan.groups.flatMap((group) => {
+    const other = models.find(({ name }) => name !== group.model);
+    if (other === undefined || group.closing !== 'no') return [];
+    return group.members.flatMap(({ id }): DueOrder[] => {
+      const server = view.servers.get(id);
+      const isLoaded = server?.engine?.model === group.model;
+      if (!server || !isLoaded || server.engine?.staged.includes(other.name)) return [];
+      return [stage(server, other)];
+    });
+  });
+}
+
+function stage({ id, address }: BackendServer, model: GroupModel): DueOrder {
+  return { to: { id, address }, order: { kind: 'stage', model: model.name } };
+}
+
+function countStaged(free: readonly BackendServer[], model: string): number {
+  return free.filter(({ engine }) => engine?.staged.includes(model)).length;
+}
+
+function pickStaging(
+  models: readonly GroupModel[],
+  spares: ReadonlyMap<string, number>,
+): GroupModel | undefined {
+  const count = (model: GroupModel): number => spares.get(model.name) ?? 0;
+  return [...models].sort((a, b) => count(a) - count(b) || b.size - a.size)[0];
+}
--- a/src/controllers/groups/view.ts
+++ b/src/controllers/groups/view.ts
@@ -16,8 +16,8 @@
   lost: ReadonlySet<string>;
   /** Instances that have turned slow: a replica runs at the pace of its slowest member. */
   slow: ReadonlySet<string>;
-  /** Models whose weights instances bring to their hosts now, by the instance. */
-  staging: ReadonlyMap<string, string>;
+  /** Instances that bring weights to their hosts now. */
+  staging: ReadonlySet<string>;
   /** Loads that the domain may have under way; more would slow down those of all domains. */
   loadSlots: number;
   /**
--- a/src/gateway/groups/domain-keeper.ts
+++ b/src/gateway/groups/domain-keeper.ts
@@ -117,7 +117,7 @@
         .join(' '),
     });
   };
-  const listStaging = ({ servers }: DomainState): ReadonlyMap<string, string> => {
+  const listStaging = ({ servers }: DomainState): ReadonlySet<string> => {
     const now = clock.now();
     for (const { id, engine } of servers) {
       const entry = staging.get(id);
@@ -127,7 +127,7 @@
     }
     const known = new Set(servers.map(({ id }) => id));
     for (const id of staging.keys()) if (!known.has(id)) staging.delete(id);
-    return new Map([...staging].map(([id, { model }]) => [id, model]));
+    return new Set(staging.keys());
   };
   const viewOf = (state: DomainState): DomainView => ({
     profile: state.profile,
--- a/src/gateway/groups/groups-part.ts
+++ b/src/gateway/groups/groups-part.ts
@@ -2,12 +2,7 @@
  * Shares the fabric domains among the gateways and keeps those that are this one's.
  */
 import { rankByRendezvous } from '../../controllers/membership/rendezvous.js';
-import {
-  splitDomains,
-  splitLoads,
-  type DomainCapacity,
-  type LoadDemand,
-} from '../../controllers/groups/index.js';
+import { splitDomains, type DomainCapacity } from '../../controllers/groups/index.js';
 import type { ServingFleet, ServingIndex } from '../../controllers/forwarding/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { BackendServer, EngineProfile } from '../../ports/index.js';
@@ -144,20 +139,14 @@
       measureCapacity(domain, members, beforeTraffic),
     );
     const targetsOf = splitDomains(capacities, profile.models);
-    const slots = splitLoads([...domains].map(measureDemand), countLoads(profile));
+    const loadSlots = Math.ceil(countLoads(profile) / domains.size);
     return [...domains].map(([domain, members]): DomainState => {
       const targets = targetsOf.get(domain) ?? [];
-      const loadSlots = slots.get(domain) ?? 0;
       return { service, domain, profile, servers: members, targets, beforeTraffic, loadSlots };
     });
   });
 }
 
-function measureDemand([domain, servers]: readonly [string, readonly BackendServer[]]): LoadDemand {
-  const bare = servers.filter(({ leaving, engine }) => !leaving && engine?.staged.length === 0);
-  return { domain, bare: bare.length };
-}
-
 /** A load takes longer than the span over which starts are counted, so that no slot starts two in it. */
 function countLoads({ loadsAtOnce, loadsPerSecond }: EngineProfile): number {
   return Math.min(loadsAtOnce, loadsPerSecond * LOAD_WINDOW_S);
