Take back the limit on what is sent to full targets

Likely, not proved: one quick refusal of another cause, by a replica that broke with 13 requests under way, sets the limit of all targets of the service to 13, and it rises by one a second only.

To be tried again by replica, and with refusals told apart.

--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -15,11 +15,3 @@
     Given a fleet of 3 backend servers
     When the store returns without them and brings 2 back in time
     Then all 3 count until then, and 2 afterwards
-
-  Scenario: What is full is left alone
-    A replica with a full queue refuses at once what is sent to it, and each such sending uses up a
-    repeat that a lost answer would have needed.
-    Given a service whose targets take 36 requests, and a gateway that has been refused at one with 36
-    Then it sends nothing to a target with 36, and sends to one with 35
-    And after 10 seconds without a refusal it tries one with 40 again
-    And a refusal at a target with free slots, or after a second, changes nothing
--- a/src/controllers/forwarding/index.ts
+++ b/src/controllers/forwarding/index.ts
@@ -3,7 +3,6 @@
 export * from './event-stream.js';
 export * from './failing.js';
 export * from './fleet.js';
-export * from './queue-limit.js';
 export * from './repeat-budget.js';
 export * from './routes.js';
 export * from './serving-index.js';
--- a/src/gateway/requests/backends.ts
+++ b/src/gateway/requests/backends.ts
@@ -6,10 +6,8 @@
   createTargetDirectory,
   FailureRates,
   ProgressTracker,
-  QueueLimit,
   RepeatBudget,
   SuspicionTable,
-  type RefusedSending,
   type ServingFleet,
   type Target,
   type TargetDirectory,
@@ -46,8 +44,6 @@
   /** A peer found that nothing moves there; true when that is news and nothing has moved since. */
   learnSuspicion(server: string, ageMs: Milliseconds, leftMs: Milliseconds): boolean;
   answered(server: string, failed: boolean): void;
-  /** A server of the service refused a sending without running it. */
-  refused(service: string, sending: RefusedSending): void;
   recordRequest(service: string): void;
   /** A request was to be forwarded since the start. */
   hasServed(): boolean;
@@ -65,7 +61,6 @@
   const suspicions = new SuspicionTable();
   const failures = new FailureRates();
   const budgets = new Map<string, RepeatBudget>();
-  const limits = new Map<string, QueueLimit>();
   let served = false;
   const listeners: ((server: string) => void)[] = [];
   let directory: TargetDirectory = createTargetDirectory(board.fleet.read());
@@ -113,8 +108,7 @@
       const states = directory
         .find(service, model)
         .filter((target) => !excluded.has(target.server.id) && isUsable(target, now))
-        .map((target) => describe(target, service))
-        .filter(({ inFlight }) => limits.get(service.name)?.isFull(inFlight, now) !== true);
+        .map((target) => describe(target, service));
       const chosen = chooseTarget(states, random);
       return chosen && { ...chosen, candidates: states.length };
     },
@@ -148,11 +142,6 @@
     answered: (server, failed) => {
       failures.record(server, failed);
     },
-    refused: (service, sending) => {
-      const limit = limits.get(service) ?? new QueueLimit();
-      limits.set(service, limit);
-      limit.recordRefusal(sending, clock.now());
-    },
     hasServed: () => served,
     recordRequest: (service) => {
       served = true;
--- a/src/gateway/requests/run.ts
+++ b/src/gateway/requests/run.ts
@@ -171,7 +171,7 @@
     tools.backends.sent(server.id);
     stream?.startRun();
     const limits = limitsBeforeAnswer(request, chosen);
-    const sending = new Sending(chosen, limits, this, tools.context.clock);
+    const sending = new Sending(server.id, limits, this, tools.context.clock);
     this.sendings.add(sending);
     tools.watchdog.attempts.add(sending);
     sending.start(tools.send, {
@@ -234,7 +234,6 @@
     if (answer.notRun) {
       this.end(sending, `refused with ${answer.status}`);
       backends.answered(server, true);
-      backends.refused(this.request.service.name, sending.describeRefusal());
       this.afterRefusal();
       return;
     }
--- a/src/gateway/requests/sending.ts
+++ b/src/gateway/requests/sending.ts
@@ -1,7 +1,6 @@
 /**
  * One sending of a request to one backend server, as its run and the watchdog see it.
  */
-import type { RefusedSending } from '../../controllers/forwarding/index.js';
 import type { Clock, Milliseconds } from '../../core/clock/index.js';
 import type {
   Attempt,
@@ -11,7 +10,6 @@
   AttemptRequest,
   AttemptSender,
 } from '../backends/attempt.js';
-import type { ChosenTarget } from './backends.js';
 import type { StallLimits } from './stall-limits.js';
 import type { WatchedAttempt } from './watchdog.js';
 
@@ -38,26 +36,15 @@
   isOver = false;
   private attempt: Attempt | undefined;
 
-  readonly server: string;
-  private readonly sentAt: Milliseconds;
-
   constructor(
-    private readonly chosen: ChosenTarget,
+    readonly server: string,
     limits: StallLimits,
     private readonly owner: SendingOwner,
     private readonly clock: Clock,
   ) {
-    this.server = chosen.target.server.id;
     this.serverLimitMs = limits.serverLimitMs;
     this.ownLimitMs = limits.ownLimitMs;
-    this.sentAt = clock.now();
-    this.movedAt = this.sentAt;
-  }
-
-  /** What a refusal of it says of its target. */
-  describeRefusal(): RefusedSending {
-    const { inFlight, slots } = this.chosen;
-    return { inFlight, slots, tookMs: this.clock.now() - this.sentAt };
+    this.movedAt = clock.now();
   }
 
   start(send: AttemptSender, request: AttemptRequest): void {
