Show which configuration a gateway handles requests by, and how old the proof is that it is the newest

Kept logs and metrics of the incident could not tell three hypotheses apart: that a gateway's call for changes waited in vain, that it had the version and decoded it late, or that nobody it heard knew the version. Added: version and age of both beliefs (configuration, backend servers) on the metrics address, the version with its age in each line of a sending, and the age of the version before in the line of a new one. No change of logic.

--- /dev/null
+++ b/src/controllers/freshness/index.ts
@@ -0,0 +1,1 @@
+export * from './proof.js';
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -9,6 +9,7 @@
   type ServingFleet,
   type ServingIndex,
 } from '../controllers/forwarding/index.js';
+import type { Proof } from '../controllers/freshness/index.js';
 import type { GatewayPeer } from '../controllers/peering/index.js';
 import { createSystemClock, type Milliseconds } from '../core/clock/index.js';
 import { createBoundedLogger } from '../core/logger/index.js';
@@ -17,6 +18,7 @@
 import { createConnectionPool } from './backends/pool.js';
 import { createEngineCalls } from './backends/short-call.js';
 import { createGroupsPart } from './groups/groups-part.js';
+import { observeBeliefs } from './operations/beliefs.js';
 import { createOperationsListener } from './operations/listener.js';
 import { createGatewayMetrics } from './operations/metrics.js';
 import { createPeersPart } from './peers/peers-part.js';
@@ -62,6 +64,7 @@
   const board = createBoard();
   const context = createContext(settings, platform, board);
   const { logger, metrics, clock } = context;
+  observeBeliefs(context);
   const store = createObjectStore({
     address: settings.store.address,
     dialect: platform.store,
@@ -71,8 +74,20 @@
     },
   });
   const contact = createContactKeeper(context, board.storeContact);
-  const configuration = createConfigurationPart(context, store, contact, board.serving);
-  const fleet = createFleetPart(context, store, contact, board.fleet);
+  const configuration = createConfigurationPart({
+    context,
+    store,
+    contact,
+    section: board.serving,
+    proof: board.configurationProof,
+  });
+  const fleet = createFleetPart({
+    context,
+    store,
+    contact,
+    section: board.fleet,
+    proof: board.fleetProof,
+  });
   const pool = createConnectionPool({
     clock,
     onOpen: () => {
@@ -155,7 +170,9 @@
 function createBoard(): GatewayBoardWriters {
   return {
     serving: createSection<ServingIndex | undefined>(undefined),
+    configurationProof: createSection<Proof | undefined>(undefined),
     fleet: createSection<ServingFleet>(EMPTY_FLEET),
+    fleetProof: createSection<Proof | undefined>(undefined),
     storeContact: createSection<StoreContact>({ reachable: false, since: 0 }),
     peers: createSection<ReadonlyMap<string, GatewayPeer>>(new Map()),
     peerLoad: createSection<ReadonlyMap<string, number>>(new Map()),
--- a/src/gateway/requests/run.ts
+++ b/src/gateway/requests/run.ts
@@ -5,6 +5,7 @@
  * run it, or when no byte of it can have arrived. Everything else may be sent to another backend
  * server within the route's attempts and the budget of repeats.
  */
+import { roundedAge } from '../../controllers/freshness/index.js';
 import { EventStream } from '../../controllers/forwarding/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
@@ -165,6 +166,7 @@
       candidates: chosen.candidates,
       remote: chosen.isRemote,
       fleetRevision: tools.context.board.fleet.read().revision,
+      ...describeConfiguration(tools.context),
       leftMs: Math.round(leftMs),
       from: lastEventId,
     });
@@ -413,6 +415,17 @@
   }
 }
 
+/** The version that a request is handled by, and how old the proof is that it is the newest. */
+function describeConfiguration({
+  board,
+  clock,
+}: GatewayContext): Record<string, number | undefined> {
+  return {
+    configuration: board.serving.read()?.configuration.version,
+    configurationAgeMs: roundedAge(board.configurationProof.read(), clock.now()),
+  };
+}
+
 const NOTHING = Buffer.alloc(0);
 
 /** Callers' ranks go from 0; backend servers know 0 to 9. */
--- a/src/gateway/store/configuration-part.ts
+++ b/src/gateway/store/configuration-part.ts
@@ -2,6 +2,7 @@
  * The configuration in force: the highest version seen, from the store or from a peer.
  */
 import type { WritableSection } from '../../board/index.js';
+import { laterProof, roundedAge, type Proof } from '../../controllers/freshness/index.js';
 import { indexConfiguration, type ServingIndex } from '../../controllers/forwarding/index.js';
 import type { ServingConfiguration, StoreObject } from '../../ports/index.js';
 import type { GatewayContext, GatewayPart } from '../types.js';
@@ -16,16 +17,20 @@
   follower: Follower;
 }
 
+interface ConfigurationPartOptions {
+  context: GatewayContext;
+  store: ObjectStore;
+  contact: ContactKeeper;
+  section: WritableSection<ServingIndex | undefined>;
+  proof: WritableSection<Proof | undefined>;
+}
+
 /**
  * Guards against going back: an old copy of the store, or a peer that was away, may offer an older
  * version than the one in force, and requests would then be handled as operators no longer allow.
  */
-export function createConfigurationPart(
-  context: GatewayContext,
-  store: ObjectStore,
-  contact: ContactKeeper,
-  section: WritableSection<ServingIndex | undefined>,
-): ConfigurationPart {
+export function createConfigurationPart(options: ConfigurationPartOptions): ConfigurationPart {
+  const { context, store, contact, section, proof } = options;
   const { platform, logger, clock } = context;
   const take: ConfigurationPart['take'] = (configuration, source) => {
     const current = section.read()?.configuration.version;
@@ -34,6 +39,7 @@
     logger.log('servingConfigurationTaken', {
       version: configuration.version,
       before: current,
+      beforeAgeMs: roundedAge(proof.read(), clock.now()),
       source,
       routes: configuration.routes.length,
     });
@@ -62,6 +68,7 @@
     random: context.random,
     watchMs: context.settings.store.watchMs,
     pauseMs: 0,
+    clock,
     onList: ({ objects }) => {
       objects.forEach(takeObject);
     },
@@ -71,6 +78,9 @@
     onContact: (failure) => {
       contact.record(failure);
     },
+    onProof: (at) => {
+      proof.write(laterProof(proof.read(), { at, source: 'store' }));
+    },
   });
   return {
     take,
--- a/src/gateway/store/fleet-part.ts
+++ b/src/gateway/store/fleet-part.ts
@@ -2,6 +2,7 @@
  * The backend servers: their own entries in the store, or what a peer knows while the store is away.
  */
 import type { WritableSection } from '../../board/index.js';
+import { laterProof, type Proof } from '../../controllers/freshness/index.js';
 import {
   applyFleetChanges,
   expireVanished,
@@ -50,6 +51,14 @@
   takeCopy(copy: FleetCopy): void;
 }
 
+interface FleetPartOptions {
+  context: GatewayContext;
+  store: ObjectStore;
+  contact: ContactKeeper;
+  section: WritableSection<ServingFleet>;
+  proof: WritableSection<Proof | undefined>;
+}
+
 /**
  * Changes within this span make one call, which is paid for: a replica that forms makes several
  * changes in a row. A lost member is found sooner by other signs.
@@ -62,12 +71,8 @@
 const WATCH_MS: Milliseconds = 600;
 const EXPIRY_EVERY_MS: Milliseconds = 200;
 
-export function createFleetPart(
-  context: GatewayContext,
-  store: ObjectStore,
-  contact: ContactKeeper,
-  section: WritableSection<ServingFleet>,
-): FleetPart {
+export function createFleetPart(options: FleetPartOptions): FleetPart {
+  const { context, store, contact, section, proof } = options;
   const { platform, logger, clock } = context;
   const listeners: ((news: FleetNews) => void)[] = [];
   let expiry: NodeJS.Timeout | undefined;
@@ -113,6 +118,7 @@
       random: context.random,
       watchMs: WATCH_MS,
       pauseMs: PAUSE_MS,
+      clock,
       onList: ({ objects, revision }) => {
         if (follower !== created || revision < section.read().revision) return;
         const servers = objects.map(decode).filter((server) => server !== undefined);
@@ -128,6 +134,9 @@
       onContact: (failure) => {
         if (follower === created) contact.record(failure);
       },
+      onProof: (at) => {
+        proof.write(laterProof(proof.read(), { at, source: 'store' }));
+      },
     });
     return created;
   };
--- a/src/gateway/store/follow.ts
+++ b/src/gateway/store/follow.ts
@@ -3,7 +3,7 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { nextBackoff, type Backoff } from '../../core/backoff/index.js';
-import type { Milliseconds } from '../../core/clock/index.js';
+import type { Clock, Milliseconds } from '../../core/clock/index.js';
 import type { Random } from '../../core/random/index.js';
 import type { StoreChanges, StorePage } from '../../ports/index.js';
 import type { ObjectStore, StoreFailure } from './client.js';
@@ -11,6 +11,7 @@
 interface FollowOptions {
   store: ObjectStore;
   kind: string;
+  clock: Clock;
   random: Random;
   /** How long one watch waits for a change. */
   watchMs: Milliseconds;
@@ -20,6 +21,8 @@
   onChanges: (changes: StoreChanges) => void;
   /** Called with each answer and each failure of a call. */
   onContact: (failure: StoreFailure | undefined) => void;
+  /** Called after an answer was taken, with the time at which its call was sent. */
+  onProof: (at: Milliseconds) => void;
 }
 
 /** A loop that follows until it is stopped. */
@@ -48,6 +51,7 @@
     let revision: number | undefined;
     while (!isStopped()) {
       watch = new AbortController();
+      const sentAt = options.clock.now();
       const next = await step(options, revision, AbortSignal.any([stop.signal, watch.signal]));
       if (isStopped()) return;
       if (watch.signal.aborted) {
@@ -55,6 +59,7 @@
         continue;
       }
       options.onContact(next.failure);
+      if (!next.failure && next.revision !== undefined) options.onProof(sentAt);
       failures = next.failure ? failures + 1 : 0;
       revision = next.revision;
       const pauseMs = next.failure
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -3,6 +3,7 @@
  */
 import type { Section, WritableSection } from '../board/index.js';
 import type { ServingFleet, ServingIndex } from '../controllers/forwarding/index.js';
+import type { Proof } from '../controllers/freshness/index.js';
 import type { GatewayPeer } from '../controllers/peering/index.js';
 import type { Clock, Milliseconds } from '../core/clock/index.js';
 import type { Logger } from '../core/logger/index.js';
@@ -46,7 +47,11 @@
 export interface GatewayBoard {
   /** The version in force; absent before the first. */
   serving: Section<ServingIndex | undefined>;
+  /** Since when the version in force is known to be the newest. */
+  configurationProof: Section<Proof | undefined>;
   fleet: Section<ServingFleet>;
+  /** Since when what is known of the backend servers is known to be the newest. */
+  fleetProof: Section<Proof | undefined>;
   storeContact: Section<StoreContact>;
   /** By name. */
   peers: Section<ReadonlyMap<string, GatewayPeer>>;
@@ -57,7 +62,9 @@
 /** The writers of all sections, handed out one by one. */
 export interface GatewayBoardWriters extends GatewayBoard {
   serving: WritableSection<ServingIndex | undefined>;
+  configurationProof: WritableSection<Proof | undefined>;
   fleet: WritableSection<ServingFleet>;
+  fleetProof: WritableSection<Proof | undefined>;
   storeContact: WritableSection<StoreContact>;
   peers: WritableSection<ReadonlyMap<string, GatewayPeer>>;
   peerLoad: WritableSection<ReadonlyMap<string, number>>;
