--- a/features/gateway/forwarding.steps.ts
+++ b/features/gateway/forwarding.steps.ts
@@ -1,18 +1,8 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { waitFor } from '../support/waiting.js';
-import { Site } from './site.js';
 import type { EngineFault } from './stand-ins/engine.js';
-import { lastAnswer, type GatewayWorld } from './world.js';
-
-async function openSite(world: GatewayWorld, plainServers: number, gapMs = 5): Promise<void> {
-  world.site = new Site();
-  world.answers = [];
-  await world.site.open();
-  for (let index = 0; index < plainServers; index += 1) {
-    await world.site.addServer({ id: `plain-${index}`, service: 'app', gapMs });
-  }
-}
+import { lastAnswer, openSite, type GatewayWorld } from './world.js';
 
 async function startReady(world: GatewayWorld): Promise<void> {
   world.gateway = await world.site.startGateway();
--- a/features/gateway/stand-ins/store.ts
+++ b/features/gateway/stand-ins/store.ts
@@ -16,12 +16,15 @@
   deleted: boolean;
 }
 
-/** How the store treats calls. */
+/**
+ * How the store treats calls. `silent`: calls that come, and watches that wait, are never answered,
+ * also after the store's return; it takes in no change meanwhile.
+ */
 export type StoreFault = 'none' | 'down' | 'silent' | 'loseWrites';
 
 /** The store, in the process of the scenario. */
 export class StoreStandIn {
-  fault: StoreFault = 'none';
+  private currentFault: StoreFault = 'none';
   /** Conditional writes taken, newest last: kind and name. */
   readonly writes: string[] = [];
   calls = 0;
@@ -29,6 +32,8 @@
   private readonly changes: Change[] = [];
   private readonly waiting = new Set<() => void>();
   private revision = 1;
+  /** Times that the store fell silent: a call from before one is never answered. */
+  private silences = 0;
   private readonly server: Server;
 
   constructor() {
@@ -37,6 +42,15 @@
     });
   }
 
+  get fault(): StoreFault {
+    return this.currentFault;
+  }
+
+  set fault(fault: StoreFault) {
+    this.currentFault = fault;
+    if (fault === 'silent') this.silences += 1;
+  }
+
   get address(): string {
     const { address, port } = this.server.address() as AddressInfo;
     return `${address}:${port}`;
@@ -144,6 +158,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const endAt = performance.now() + waitMs;
+    const { silences } = this;
     for (;;) {
       const oldest = this.changes[0]?.revision ?? this.revision;
       if (since + 1 < oldest && since < this.revision) {
@@ -168,6 +183,7 @@
         const timer = setTimeout(done, leftMs);
         this.waiting.add(done);
       });
+      if (silences !== this.silences) return;
     }
   }
 
--- a/features/gateway/world.ts
+++ b/features/gateway/world.ts
@@ -25,6 +25,8 @@
   lastId: string;
   stream: RunningStream;
   pending: Promise<Answer>;
+  /** When the store acknowledged the change of the scenario. */
+  acknowledgedAt: number;
   /** Groups that were open before the event of the scenario. */
   groupsBefore: string[];
 }
@@ -33,6 +35,20 @@
   await this.site?.close();
 });
 
+/** Opens a site with plain servers, of which each takes `gapMs` for an answer. */
+export async function openSite(
+  world: GatewayWorld,
+  plainServers: number,
+  gapMs = 5,
+): Promise<void> {
+  world.site = new Site();
+  world.answers = [];
+  await world.site.open();
+  for (let index = 0; index < plainServers; index += 1) {
+    await world.site.addServer({ id: `plain-${index}`, service: 'app', gapMs });
+  }
+}
+
 /** The only answer of the last question. */
 export function lastAnswer(world: GatewayWorld): Answer {
   const answer = world.answers.at(-1);
