--- a/features/gateway/site.ts
+++ b/features/gateway/site.ts
@@ -25,7 +25,7 @@
 import { StoreStandIn } from './stand-ins/store.js';
 
 const PROGRAM = 'target/yuccasail-gateway.mjs';
-const GATEWAY_ZONE = 'north';
+const HOME_ZONE = 'north';
 const KEPT_LINES = 20_000;
 
 /** One line of a gateway's log. */
@@ -44,6 +44,7 @@
 /** Where a gateway listens and what it is told. */
 export interface GatewayPlan {
   name: string;
+  failureDomain: string;
   callers: string;
   readiness: string;
   peers: string;
@@ -95,7 +96,7 @@
     options: Partial<EngineOptions> & { id: string; service: string },
   ): Promise<EngineStandIn> {
     const server = new EngineStandIn({
-      zone: GATEWAY_ZONE,
+      zone: HOME_ZONE,
       store: this.store,
       journal: this.journal,
       ...options,
@@ -121,6 +122,7 @@
     ];
     return {
       name: `gateway-${this.planned - 1}`,
+      failureDomain: HOME_ZONE,
       callers,
       readiness,
       peers,
@@ -132,11 +134,11 @@
   }
 
   async launch(plan: GatewayPlan): Promise<GatewayProcess> {
-    const { name, callers, readiness, peers, metrics, store, seeds } = plan;
+    const { name, failureDomain, callers, readiness, peers, metrics, store, seeds } = plan;
     const file = join(this.folder, `${name}.toml`);
     const settings = [
       `name = "${name}"`,
-      `failureDomain = "${GATEWAY_ZONE}"`,
+      `failureDomain = "${failureDomain}"`,
       `seeds = ${JSON.stringify(seeds)}`,
       '[listen]',
       `callers = "${callers}"`,
--- a/features/gateway/stand-ins/store.ts
+++ b/features/gateway/stand-ins/store.ts
@@ -3,6 +3,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { hardReset } from './hard-reset.js';
 
 interface Stored {
   metadata: { name: string; revision: number; created_rev: number };
@@ -18,9 +19,9 @@
 
 /**
  * How the store treats calls. `silent`: calls that come, and watches that wait, are never answered,
- * also after the store's return; it takes in no change meanwhile.
+ * also after the store's return. `silentWatches`: the same of watches that wait for a change alone.
  */
-export type StoreFault = 'none' | 'down' | 'silent' | 'loseWrites';
+export type StoreFault = 'none' | 'down' | 'reset' | 'silent' | 'silentWatches' | 'loseWrites';
 
 /** The store, in the process of the scenario. */
 export class StoreStandIn {
@@ -48,7 +49,7 @@
 
   set fault(fault: StoreFault) {
     this.currentFault = fault;
-    if (fault === 'silent') this.silences += 1;
+    if (fault === 'silent' || fault === 'silentWatches') this.silences += 1;
   }
 
   get address(): string {
@@ -115,6 +116,10 @@
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     if (this.fault === 'silent') return;
+    if (this.fault === 'reset') {
+      hardReset(request.socket);
+      return;
+    }
     if (this.fault === 'down') {
       answer(response, 503, { error: 'down' });
       return;
@@ -183,7 +188,7 @@
         const timer = setTimeout(done, leftMs);
         this.waiting.add(done);
       });
-      if (silences !== this.silences) return;
+      if (silences !== this.silences || this.fault === 'silentWatches') return;
     }
   }
 
--- a/features/gateway/store-feed.feature
+++ b/features/gateway/store-feed.feature
@@ -10,3 +10,41 @@
     When the store is silent for 3000 ms
     And the operator takes the key away as the store returns
     Then every gateway refuses with 401 within 2000 ms of the acknowledgement
+
+  Scenario Outline: The store or the way to it <fails> for <ms> ms, and then a change is acknowledged
+    # However the store was away, what gateways then know of it must not hang on calls, connections or
+    # pauses that began while it was: a change at its return is in force everywhere within a second.
+    Given a site with 1 plain server and 4 ready gateways in 2 failure domains
+    When the store <fails> for <ms> ms
+    And the operator takes the key away as the store returns
+    Then every gateway refuses with 401 within 1000 ms of the acknowledgement
+
+    Examples:
+      | fails                              | ms   |
+      | is silent                          | 1000 |
+      | is silent                          | 6000 |
+      | is silent                          | 9000 |
+      | turns everybody away               | 3000 |
+      | resets connections                 | 3000 |
+      | drops its history                  | 1000 |
+      | is cut off from half of them       | 3000 |
+      | turns half of them away            | 3000 |
+      | can not be heard                   | 3000 |
+      | does not hear                      | 3000 |
+      | answers 800 ms late                | 3000 |
+      | is silent, and half of them start anew | 3000 |
+
+  Scenario: The store answers short calls, and watches wait in vain
+    # A connection on which a watch waits brings nothing any more and does not end. To the gateway it
+    # looks as if there were no change.
+    Given a site with 1 plain server and 4 ready gateways in 2 failure domains
+    When watches of the store are never answered
+    And the operator takes the key away
+    Then every gateway refuses with 401 within 2000 ms of the acknowledgement
+
+  Scenario: A steady store
+    Given a site with 1 plain server and 4 ready gateways in 2 failure domains
+    When the operator takes the key away
+    Then every gateway refuses with 401 within 500 ms of the acknowledgement
+    And the proof of every gateway's configuration stays younger than 2000 ms for 4000 ms
+    And one gateway of each failure domain follows the store
--- a/features/gateway/store-feed.steps.ts
+++ b/features/gateway/store-feed.steps.ts
@@ -3,12 +3,27 @@
  */
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { createProxy, type Proxy, type ProxyControl } from '../../src/stand-ins/proxy/index.js';
 import { waitFor } from '../support/waiting.js';
-import type { GatewayProcess } from './site.js';
+import type { GatewayPlan, GatewayProcess } from './site.js';
+import type { StoreFault } from './stand-ins/store.js';
 import { openSite, type GatewayWorld } from './world.js';
 
 const LIST = { path: '/list/slots' };
+const FAILURE_DOMAINS = ['north', 'south'];
+/** Two hundred times the usual 4 ms. */
+const LATE_MS = 800;
+
+/** Gateways, each behind a proxy of its own to the store. */
+interface FeedWorld extends GatewayWorld {
+  plans: GatewayPlan[];
+  links: Proxy[];
+}
+
+After(async function (this: Partial<FeedWorld>) {
+  for (const link of this.links ?? []) await link.stop();
+});
 
 Given(
   'a site with {int} plain server and {int} ready gateways',
@@ -16,22 +31,127 @@
     await openSite(this, servers);
     this.site.configure();
     const started = Array.from({ length: gateways }, () => this.site.startGateway());
-    for (const gateway of await Promise.all(started)) await this.site.whenReady(gateway);
-    await waitFor('the gateways to know each other', () => this.site.gateways.every(hasHeardAll));
-    function hasHeardAll({ lines }: GatewayProcess): boolean {
-      return lines.filter(({ name }) => name === 'peerHeard').length >= gateways - 1;
+    await whenTogether(this, await Promise.all(started));
+  },
+);
+
+Given(
+  'a site with {int} plain server and {int} ready gateways in {int} failure domains',
+  async function (this: FeedWorld, servers: number, gateways: number, domains: number) {
+    await openSite(this, servers);
+    this.site.configure();
+    this.links = [];
+    this.plans = [];
+    for (let index = 0; index < gateways; index += 1) {
+      const link = await createProxy({ listen: '127.0.0.1:0', target: this.site.store.address });
+      this.links.push(link._unsafeUnwrap());
+      const failureDomain = FAILURE_DOMAINS[index % domains] ?? '';
+      const plan = this.site.planGateway(this.links.at(-1)?.address);
+      this.plans.push({ ...plan, failureDomain });
     }
+    await whenTogether(this, await Promise.all(this.plans.map((plan) => this.site.launch(plan))));
   },
 );
 
-When('the store is silent for {int} ms', async function (this: GatewayWorld, ms: number) {
-  const { store } = this.site;
-  store.fault = 'silent';
+async function whenTogether(world: GatewayWorld, gateways: GatewayProcess[]): Promise<void> {
+  for (const gateway of gateways) await world.site.whenReady(gateway);
+  await waitFor('the gateways to know each other', () =>
+    gateways.every(({ lines }) => countLines(lines, 'peerHeard') >= gateways.length - 1),
+  );
+}
+
+function countLines(lines: GatewayProcess['lines'], event: string): number {
+  return lines.filter(({ name }) => name === event).length;
+}
+
+When('the store is silent for {int} ms', async function (this: FeedWorld, ms: number) {
+  await failStore(this, 'silent', ms);
+});
+
+When('the store turns everybody away for {int} ms', async function (this: FeedWorld, ms: number) {
+  await failStore(this, 'down', ms);
+});
+
+When('the store resets connections for {int} ms', async function (this: FeedWorld, ms: number) {
+  await failStore(this, 'reset', ms);
+});
+
+When('the store drops its history for {int} ms', async function (this: FeedWorld, ms: number) {
+  this.site.store.compact();
   await sleep(ms);
-  store.fault = 'none';
+  this.site.store.compact();
 });
 
-When('the operator takes the key away as the store returns', function (this: GatewayWorld) {
+When(
+  'the store is cut off from half of them for {int} ms',
+  async function (this: FeedWorld, ms: number) {
+    await failLinks(halfOf(this.links), { cut: 'both' }, { cut: 'none' }, ms);
+  },
+);
+
+When(
+  'the store turns half of them away for {int} ms',
+  async function (this: FeedWorld, ms: number) {
+    await failLinks(halfOf(this.links), { refuse: true, resetAll: true }, { refuse: false }, ms);
+  },
+);
+
+When('the store can not be heard for {int} ms', async function (this: FeedWorld, ms: number) {
+  await failLinks(this.links, { cut: 'toSource' }, { cut: 'none' }, ms);
+});
+
+When('the store does not hear for {int} ms', async function (this: FeedWorld, ms: number) {
+  await failLinks(this.links, { cut: 'toTarget' }, { cut: 'none' }, ms);
+});
+
+When('the store answers 800 ms late for {int} ms', async function (this: FeedWorld, ms: number) {
+  await failLinks(this.links, { toSource: { delayMs: LATE_MS } }, { toSource: { delayMs: 0 } }, ms);
+});
+
+When(
+  'the store is silent, and half of them start anew for {int} ms',
+  async function (this: FeedWorld, ms: number) {
+    const { site } = this;
+    site.store.fault = 'silent';
+    const stopping = halfOf(site.gateways);
+    for (const gateway of stopping) gateway.signal('SIGKILL');
+    await Promise.all(stopping.map(({ exited }) => exited));
+    site.gateways.splice(
+      0,
+      site.gateways.length,
+      ...site.gateways.filter((g) => !stopping.includes(g)),
+    );
+    await Promise.all([sleep(ms), ...halfOf(this.plans).map((plan) => site.launch(plan))]);
+    site.store.fault = 'none';
+  },
+);
+
+async function failStore({ site }: GatewayWorld, fault: StoreFault, ms: number): Promise<void> {
+  site.store.fault = fault;
+  await sleep(ms);
+  site.store.fault = 'none';
+}
+
+async function failLinks(
+  links: readonly Proxy[],
+  fault: ProxyControl,
+  end: ProxyControl,
+  ms: number,
+): Promise<void> {
+  for (const link of links) await link.control(fault);
+  await sleep(ms);
+  for (const link of links) await link.control(end);
+}
+
+function halfOf<Item>(items: readonly Item[]): Item[] {
+  return items.slice(0, items.length / 2);
+}
+
+When('watches of the store are never answered', function (this: GatewayWorld) {
+  this.site.store.fault = 'silentWatches';
+});
+
+When(/^the operator takes the key away(?: as the store returns)?$/, function (this: GatewayWorld) {
   this.site.configure({ version: 9, keys: ['another-key'] });
   this.acknowledgedAt = performance.now();
 });
@@ -47,6 +167,29 @@
       }),
     );
     const worst = Math.round(Math.max(...took));
+    this.log(`in force everywhere after ${worst} ms`);
     assert.ok(worst <= ms, `in force everywhere only after ${worst} ms`);
   },
 );
+
+Then(
+  "the proof of every gateway's configuration stays younger than {int} ms for {int} ms",
+  async function (this: GatewayWorld, youngerMs: number, forMs: number) {
+    const endAt = performance.now() + forMs;
+    while (performance.now() < endAt) {
+      for (const gateway of this.site.gateways) {
+        const { body } = await this.site.ask(gateway, { path: '/metrics' }, gateway.metrics);
+        const age = /belief_age_seconds\{subject="configuration".*\} (\S+)/.exec(body)?.[1];
+        assert.ok(Number(age) * 1_000 < youngerMs, `the proof is ${String(age)} s old`);
+      }
+      await sleep(100);
+    }
+  },
+);
+
+Then('one gateway of each failure domain follows the store', function (this: FeedWorld) {
+  const following = this.site.gateways.filter(
+    ({ lines }) => countLines(lines, 'followingBegan') > countLines(lines, 'followingEnded'),
+  );
+  assert.equal(following.length, FAILURE_DOMAINS.length);
+});
--- a/features/gateway/world.ts
+++ b/features/gateway/world.ts
@@ -27,6 +27,8 @@
   pending: Promise<Answer>;
   /** When the store acknowledged the change of the scenario. */
   acknowledgedAt: number;
+  /** Adds a line to the report of the run. */
+  log(text: string): void;
   /** Groups that were open before the event of the scenario. */
   groupsBefore: string[];
 }
--- a/src/core/timeout/timeout.ts
+++ b/src/core/timeout/timeout.ts
@@ -17,20 +17,25 @@
 ): Promise<Value> {
   const timeout = new AbortController();
   const signal = outer ? AbortSignal.any([outer, timeout.signal]) : timeout.signal;
-  let timer: NodeJS.Timeout | undefined;
+  let stopWaiting = (): void => undefined;
   const expiry = new Promise<never>((_, reject) => {
     const end = (): void => {
       reject(new DOMException('no answer in time', 'TimeoutError'));
     };
-    timer = setTimeout(() => {
+    const timer = setTimeout(() => {
       timeout.abort();
       end();
     }, ms);
     outer?.addEventListener('abort', end, { once: true });
+    stopWaiting = () => {
+      clearTimeout(timer);
+      // A signal may outlive many calls, which would otherwise all stay with it.
+      outer?.removeEventListener('abort', end);
+    };
   });
   try {
     return await Promise.race([call(signal), expiry]);
   } finally {
-    clearTimeout(timer);
+    stopWaiting();
   }
 }
