Show a gateway that starts in an outage of the store and learns nothing: listed as known red

The table of peers drops a digest that says "stopping". Second: with gateways killed in an outage, each that came back heard others after 100 ms and took the configuration 500 ms after its start, as it waits 350 ms for news that may be on their way; one that has nothing has no reason to wait. Both scenarios fail on this code (503 in place of 200; 400 ms).

--- /dev/null
+++ b/features/gateway/start-in-outage.feature
@@ -0,0 +1,19 @@
+Feature: A gateway that starts while the store is away learns from those that run
+
+  @known-red
+  Scenario: All gateways that know the configuration are stopping
+    # Gateways are stopped in turn, faster than a stop takes, while the store is away. Those that come
+    # back first refuse all callers until the store returns: every gateway that could tell them the
+    # configuration is still finishing its requests, and whoever stops is no source any more.
+    Given a gateway that is ready, and one more that is to start
+    And the store is away
+    When the first is told to stop and the other one starts
+    Then the other one serves callers before the first has ended
+
+  @known-red
+  Scenario: A gateway that knows nothing yet asks at once
+    # A gateway is killed and starts again while the store is away. It hears others after 100 ms and
+    # then waits for news that may be on their way, as one that runs does; it refuses its callers
+    # meanwhile, and has just missed the balancer's question.
+    Given a gateway that has just started and hears of a configuration every 100 ms
+    Then it fetches the configuration from another gateway within 100 ms
