Take an engine for lost when an order shows that another one answers at its address, or that nobody does

Cause: the outcome of an order was looked at only where it was accepted, unknown or refused; "another instance" and "nothing listens" were sent again each 0.9 s until the entry lapsed. Ruled out: that an engine that lives is given up for good by one wrong answer, as a lost one is probed each second and comes back with its first answer.

--- a/features/gateway/former-lives.feature
+++ b/features/gateway/former-lives.feature
@@ -1,6 +1,5 @@
 Feature: The entry of a process that has ended takes no engine out of service
 
-  @known-red
   Scenario: An entry comes back while another engine holds its address
     # An engine that was cut off from the store crashed there and started again. The last word of its
     # former life arrives late, and its entry stands beside that of the engine now at the address.
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -234,6 +234,11 @@
     level: 'info',
     message: 'An engine that was lost answers again.',
   },
+  serverLost: {
+    number: 2305,
+    level: 'warn',
+    message: 'The answer to an order shows that an engine has ended.',
+  },
   groupPlanWritten: {
     number: 2400,
     level: 'info',
--- a/src/gateway/groups/domain-keeper.ts
+++ b/src/gateway/groups/domain-keeper.ts
@@ -164,12 +164,27 @@
     });
     takeOutcome(due, outcome);
   };
+  /**
+   * Guards against an entry that outlives its process, or comes back with a word that arrives late:
+   * replicas planned with it never form, and their other members serve nobody until it lapses, after
+   * seconds. The answer at its address proves that it has ended; probes go on asking for it.
+   */
   const takeOutcome = ({ order, to }: DueOrder, outcome: OrderOutcome): void => {
-    if (order.kind === 'stage' && (outcome.kind === 'accepted' || outcome.kind === 'unknown')) {
-      staging.set(to.id, { model: order.model, since: clock.now() });
+    switch (outcome.kind) {
+      case 'accepted':
+      case 'unknown':
+        if (order.kind === 'stage') staging.set(to.id, { model: order.model, since: clock.now() });
+        break;
+      case 'refused':
+        if (order.kind === 'join' && outcome.status === OUTDATED_STATUS) refused.add(order.group);
+        break;
+      case 'otherInstance':
+      case 'gone':
+        losses.lose({ id: to.id, address: to.address }, outcome.kind);
+        break;
+      case 'done':
+        break;
     }
-    const isOutdated = outcome.kind === 'refused' && outcome.status === OUTDATED_STATUS;
-    if (order.kind === 'join' && isOutdated) refused.add(order.group);
   };
   const isDue = (due: DueOrder, now: Milliseconds): boolean => {
     const { order, to } = due;
--- a/src/gateway/groups/losses.ts
+++ b/src/gateway/groups/losses.ts
@@ -16,6 +16,8 @@
   stuck: ReadonlySet<string>;
   /** Asks the members of a group at which nothing moves, unless that is under way. */
   examine(group: PlannedGroup, now: Milliseconds): void;
+  /** An answer to an order showed that this instance has ended, whatever its entry says. */
+  lose(member: GroupMember, evidence: string): void;
   /** Asks an instance that was lost whether it answers again. */
   recheck(now: Milliseconds): void;
   /** Forgets what is not in `known` any more. */
@@ -108,6 +110,11 @@
       examinations.set(group.name, examination);
       void examineMembers(group, examination);
     },
+    lose: (member, evidence) => {
+      if (lost.has(member.id)) return;
+      lost.set(member.id, member);
+      logger.log('serverLost', { server: member.id, address: member.address, evidence });
+    },
     recheck: (now) => {
       if (now < recheckAt || lost.size === 0) return;
       recheckAt = now + RECHECK_EVERY_MS;
