--- a/src/controllers/groups/index.ts
+++ b/src/controllers/groups/index.ts
@@ -1,4 +1,5 @@
 export * from './orders.js';
+export * from './ownership.js';
 export * from './revise.js';
 export * from './targets.js';
 export * from './types.js';
--- a/src/gateway/groups/groups-part.ts
+++ b/src/gateway/groups/groups-part.ts
@@ -1,8 +1,7 @@
 /**
  * Shares the fabric domains among the gateways and keeps those that are this one's.
  */
-import { rankByRendezvous } from '../../controllers/membership/rendezvous.js';
-import { splitDomains, type DomainCapacity } from '../../controllers/groups/index.js';
+import { findOwner, splitDomains, type DomainCapacity } from '../../controllers/groups/index.js';
 import type { ServingFleet, ServingIndex } from '../../controllers/forwarding/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { groupBy } from '../../core/collections/index.js';
@@ -49,18 +48,10 @@
     keepers.set(key, created);
     return created;
   };
-  /**
-   * All gateways that reach the store are candidates, those in the domain's own failure domain
-   * before all others: orders are short there and cost nothing between failure domains.
-   */
   const isOwner = (key: string, failureDomain: string): boolean => {
-    const candidates = [
-      { name: settings.name, failureDomain: settings.failureDomain },
-      ...[...board.peers.read().values()].filter(({ storeReachable }) => storeReachable),
-    ];
-    const near = candidates.filter((candidate) => candidate.failureDomain === failureDomain);
-    const names = (near.length > 0 ? near : candidates).map(({ name }) => name);
-    return rankByRendezvous(names, key)[0] === settings.name;
+    const self = { name: settings.name, failureDomain: settings.failureDomain };
+    const peers = [...board.peers.read().values()];
+    return findOwner({ key, failureDomain, self, peers }) === settings.name;
   };
   const listDomains = (): readonly DomainState[] => {
     const services = board.serving.read()?.services;
