Choose a domain's owner among all that live until they can have been heard after an outage of the store

Cause: the candidates were those last heard to reach the store; at its return nobody has said so yet, and each gateway took every domain. For 700 ms, the slowest news of another gateway and a tick, all that live are candidates, so all agree at once and no repair waits unless the owner stays cut off.

--- a/features/gateway/ownership.feature
+++ b/features/gateway/ownership.feature
@@ -1,6 +1,5 @@
 Feature: Each fabric domain has one gateway that plans its replicas
 
-  @known-red
   Scenario: All gateways hear the store again at one moment
     # The store was away. On its return each gateway knows of all others only what they said before
     # it, that they don't reach the store, and takes every domain for its own. For some tenths of a
--- a/features/gateway/ownership.steps.ts
+++ b/features/gateway/ownership.steps.ts
@@ -73,5 +73,6 @@
     .map((peer) => ({ ...peer, storeReachable: world.told(peer) }));
   const failureDomain = `domain-${index % 3}`;
   const key = `models fabric-${index}`;
-  return findOwner({ key, failureDomain, self, peers }) === self.name;
+  const { heardStoreForMs } = world;
+  return findOwner({ key, failureDomain, self, peers, heardStoreForMs }) === self.name;
 }
--- a/src/gateway/groups/groups-part.ts
+++ b/src/gateway/groups/groups-part.ts
@@ -1,7 +1,12 @@
 /**
  * Shares the fabric domains among the gateways and keeps those that are this one's.
  */
-import { findOwner, splitDomains, type DomainCapacity } from '../../controllers/groups/index.js';
+import {
+  findOwner,
+  PEERS_HEARD_MS,
+  splitDomains,
+  type DomainCapacity,
+} from '../../controllers/groups/index.js';
 import type { ServingFleet, ServingIndex } from '../../controllers/forwarding/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { groupBy } from '../../core/collections/index.js';
@@ -22,8 +27,6 @@
 const ROUND_EVERY_MS: Milliseconds = 100;
 /** Starts of loads are counted over this long, in seconds. */
 const LOAD_WINDOW_S = 5;
-/** Others must have had the time to be heard before a domain without an owner is taken. */
-const SETTLE_MS: Milliseconds = 700;
 
 /** The keeper of this gateway's domains. */
 export interface GroupsPart extends GatewayPart {
@@ -51,7 +54,9 @@
   const isOwner = (key: string, failureDomain: string): boolean => {
     const self = { name: settings.name, failureDomain: settings.failureDomain };
     const peers = [...board.peers.read().values()];
-    return findOwner({ key, failureDomain, self, peers }) === settings.name;
+    const heardStoreForMs = clock.now() - board.storeContact.read().since;
+    const owner = findOwner({ key, failureDomain, self, peers, heardStoreForMs });
+    return owner === settings.name;
   };
   const listDomains = (): readonly DomainState[] => {
     const services = board.serving.read()?.services;
@@ -73,7 +78,8 @@
       releaseAll();
       return;
     }
-    if (clock.now() - startedAt < SETTLE_MS) return;
+    // Others must have had the time to be heard before a domain without an owner is taken.
+    if (clock.now() - startedAt < PEERS_HEARD_MS) return;
     for (const state of listDomains()) {
       const key = `${state.service} ${state.domain}`;
       const failureDomain = state.servers[0]?.failureDomain ?? '';
