--- a/src/gateway/groups/groups-part.ts
+++ b/src/gateway/groups/groups-part.ts
@@ -1,8 +1,12 @@
 /**
  * Shares the fabric domains among the gateways and keeps those that are this one's.
  */
-import { rankByRendezvous } from '../../controllers/membership/rendezvous.js';
-import { splitDomains, type DomainCapacity } from '../../controllers/groups/index.js';
+import {
+  findOwner,
+  PEERS_HEARD_MS,
+  splitDomains,
+  type DomainCapacity,
+} from '../../controllers/groups/index.js';
 import type { ServingFleet, ServingIndex } from '../../controllers/forwarding/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { groupBy } from '../../core/collections/index.js';
@@ -23,8 +27,6 @@
 const ROUND_EVERY_MS: Milliseconds = 100;
 /** Starts of loads are counted over this long, in seconds. */
 const LOAD_WINDOW_S = 5;
-/** Others must have had the time to be heard before a domain without an owner is taken. */
-const SETTLE_MS: Milliseconds = 700;
 
 /** The keeper of this gateway's domains. */
 export interface GroupsPart extends GatewayPart {
@@ -49,18 +51,12 @@
     keepers.set(key, created);
     return created;
   };
-  /**
-   * All gateways that reach the store are candidates, those in the domain's own failure domain
-   * before all others: orders are short there and cost nothing between failure domains.
-   */
   const isOwner = (key: string, failureDomain: string): boolean => {
-    const candidates = [
-      { name: settings.name, failureDomain: settings.failureDomain },
-      ...[...board.peers.read().values()].filter(({ storeReachable }) => storeReachable),
-    ];
-    const near = candidates.filter((candidate) => candidate.failureDomain === failureDomain);
-    const names = (near.length > 0 ? near : candidates).map(({ name }) => name);
-    return rankByRendezvous(names, key)[0] === settings.name;
+    const self = { name: settings.name, failureDomain: settings.failureDomain };
+    const peers = [...board.peers.read().values()];
+    const heardStoreForMs = clock.now() - board.storeContact.read().since;
+    const owner = findOwner({ key, failureDomain, self, peers, heardStoreForMs });
+    return owner === settings.name;
   };
   const listDomains = (): readonly DomainState[] => {
     const services = board.serving.read()?.services;
@@ -82,7 +78,8 @@
       releaseAll();
       return;
     }
-    if (clock.now() - startedAt < SETTLE_MS) return;
+    // Others must have had the time to be heard before a domain without an owner is taken.
+    if (clock.now() - startedAt < PEERS_HEARD_MS) return;
     for (const state of listDomains()) {
       const key = `${state.service} ${state.domain}`;
       const failureDomain = state.servers[0]?.failureDomain ?? '';
