--- a/features/gateway/store-feed.feature
+++ b/features/gateway/store-feed.feature
@@ -48,3 +48,18 @@
     Then every gateway refuses with 401 within 500 ms of the acknowledgement
     And the proof of every gateway's configuration stays younger than 2000 ms for 4000 ms
     And one gateway of each failure domain follows the store
+
+  Scenario: A server goes as the store drops its history
+    # The gateway that follows for the others has to list, and finds a server missing. No object that is
+    # left shows when it went: the others took the news for old, kept the server and sent to it.
+    Given a site with 2 plain server and 3 ready gateways
+    When the store drops its history and the first server goes
+    Then every gateway knows within 2000 ms that it has gone
+
+  Scenario: A gateway that does not follow is cut off from the store
+    # It plans replicas in its fabric domains and has nothing else to ask the store for: it has to find
+    # out all the same, so that another one takes its domains.
+    Given a site with 1 plain server and 4 ready gateways in 2 failure domains
+    And one gateway of each failure domain has come to follow the store
+    When one that does not follow is cut off from the store
+    Then it knows within 7000 ms that it does not reach the store
--- a/features/gateway/store-feed.steps.ts
+++ b/features/gateway/store-feed.steps.ts
@@ -188,8 +188,54 @@
 );
 
 Then('one gateway of each failure domain follows the store', function (this: FeedWorld) {
-  const following = this.site.gateways.filter(
-    ({ lines }) => countLines(lines, 'followingBegan') > countLines(lines, 'followingEnded'),
-  );
-  assert.equal(following.length, FAILURE_DOMAINS.length);
+  assert.equal(this.site.gateways.filter(isFollowing).length, FAILURE_DOMAINS.length);
+});
+
+Given(
+  'one gateway of each failure domain has come to follow the store',
+  async function (this: FeedWorld) {
+    await waitFor(
+      'the others to stop following',
+      () => this.site.gateways.filter(isFollowing).length === FAILURE_DOMAINS.length,
+    );
+  },
+);
+
+function isFollowing({ lines }: GatewayProcess): boolean {
+  return countLines(lines, 'followingBegan') > countLines(lines, 'followingEnded');
+}
+
+When('one that does not follow is cut off from the store', async function (this: FeedWorld) {
+  const gateway = this.site.gateways.find((one) => !isFollowing(one));
+  assert.ok(gateway);
+  this.gateway = gateway;
+  const index = this.plans.findIndex(({ callers }) => callers === gateway.callers);
+  await this.links[index]?.control({ cut: 'both' });
+});
+
+Then(
+  'it knows within {int} ms that it does not reach the store',
+  async function (this: FeedWorld, ms: number) {
+    const { lines } = this.gateway;
+    await waitFor('the loss', () => countLines(lines, 'storeLost') > 0, ms);
+  },
+);
+
+When('the store drops its history and the first server goes', function (this: FeedWorld) {
+  const [server] = this.site.servers;
+  assert.ok(server);
+  server.crash();
+  this.site.store.remove('servers', server.options.id);
+  this.site.store.compact();
 });
+
+Then(
+  'every gateway knows within {int} ms that it has gone',
+  async function (this: FeedWorld, ms: number) {
+    await waitFor(
+      'all to know',
+      () => this.site.gateways.every(({ lines }) => countLines(lines, 'serverGone') > 0),
+      ms,
+    );
+  },
+);
--- a/src/controllers/freshness/bounds.ts
+++ b/src/controllers/freshness/bounds.ts
@@ -1,5 +1,5 @@
 /**
- * How old a proof may grow, as parts of the time within which a change must be in force.
+ * How old a proof may grow, as parts of the time within which gateways must know of a change.
  */
 import type { Milliseconds } from '../../core/clock/index.js';
 
@@ -7,22 +7,26 @@
 export interface ProofBounds {
   /** Who follows the store asks it again. */
   askAfterMs: Milliseconds;
-  /** Who relies on another's news follows the store itself. */
-  distrustAfterMs: Milliseconds;
+  /** Who relies on another's news, heard every `periodMs`, follows the store itself. */
+  distrustAfterMs(periodMs: Milliseconds): Milliseconds;
 }
 
 /**
  * A change may have come at the moment of the last proof; what is left of the time is for the call, a
  * second one on another connection and the way to the other gateways, some 0.5 s together.
  */
-const ASK_PART = 0.6;
-/**
- * Above the age of a hub's proof while the store answers, with one exchange on top, so that nobody
- * follows for nothing; what is left is for one call.
- */
-const DISTRUST_PART = 0.9;
+const ASK_PART = 0.5;
+/** What is left is for one call, and a second one on another connection. */
+const DISTRUST_PART = 0.75;
+/** The way of an answer and of an exchange; with less all would follow for nothing. */
+const WAY_MS: Milliseconds = 200;
 
-/** The bounds where a change must be in force after `applyMs`. */
-export function boundProofs(applyMs: Milliseconds): ProofBounds {
-  return { askAfterMs: ASK_PART * applyMs, distrustAfterMs: DISTRUST_PART * applyMs };
+/** The bounds where a change must be known after `boundMs`. */
+export function boundProofs(boundMs: Milliseconds): ProofBounds {
+  const askAfterMs = ASK_PART * boundMs;
+  return {
+    askAfterMs,
+    distrustAfterMs: (periodMs) =>
+      Math.max(DISTRUST_PART * boundMs, askAfterMs + periodMs + WAY_MS),
+  };
 }
--- a/src/controllers/freshness/proof.ts
+++ b/src/controllers/freshness/proof.ts
@@ -23,7 +23,7 @@
 /** {@link ageOf} in whole milliseconds, for logs and digests. */
 export function roundedAge(proof: Proof | undefined, now: Milliseconds): Milliseconds | undefined {
   const age = ageOf(proof, now);
-  return age === undefined ? undefined : Math.round(age);
+  return age === undefined ? undefined : Math.ceil(age);
 }
 
 /** How long ago a belief was proved; undefined when it never was. */
--- a/src/controllers/peering/peer-table.ts
+++ b/src/controllers/peering/peer-table.ts
@@ -335,6 +335,11 @@
     return rankByRendezvous(names, domain)[0] ?? '';
   }
 
+  /** How often a member of this failure domain calls its hub. */
+  hubPeriod(): Milliseconds {
+    return this.periodOf(this.self);
+  }
+
   private periodOf(peer: KnownPeer): Milliseconds {
     if (!this.isNear(peer)) return FAR_EVERY_MS;
     if (this.isPairwise()) return NEAR_EVERY_MS;
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -21,13 +21,14 @@
 import { observeBeliefs } from './operations/beliefs.js';
 import { createOperationsListener } from './operations/listener.js';
 import { createGatewayMetrics } from './operations/metrics.js';
-import { createPeersPart } from './peers/peers-part.js';
+import { createPeersPart, GATEWAY_KIND } from './peers/peers-part.js';
 import { createBackends } from './requests/backends.js';
 import { createRequestPath } from './requests/request-path.js';
 import { createWatchdog } from './requests/watchdog.js';
 import type { GatewaySettings } from './settings.js';
 import { createObjectStore } from './store/client.js';
 import { createConfigurationPart } from './store/configuration-part.js';
+import { createContactCheck } from './store/contact-check.js';
 import { createContactKeeper } from './store/contact.js';
 import { createFleetPart } from './store/fleet-part.js';
 import type {
@@ -120,6 +121,7 @@
     section: board.peers,
     load: board.peerLoad,
   });
+  const contactCheck = createContactCheck({ context, store, contact, kind: GATEWAY_KIND });
   const groups = createGroupsPart({ context, store, calls, backends });
   watchdog.onPause(() => {
     groups.releaseAll();
@@ -140,7 +142,7 @@
   if (listening.isErr()) logger.log('listenFailed', { reason: listening.error.message });
   const peersListening = await peers.listen();
   if (peersListening.isErr()) logger.log('listenFailed', { reason: peersListening.error.message });
-  const parts = [operations, configuration, fleet, watchdog, peers, groups];
+  const parts = [operations, configuration, fleet, watchdog, peers, groups, contactCheck];
   for (const part of parts) part.start();
   logger.log('gatewayStarted', {
     callers: settings.listen.callers,
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -43,7 +43,7 @@
 }
 
 /** Kind of the objects by which gateways find each other; one for each name. */
-const GATEWAY_KIND = 'gateways';
+export const GATEWAY_KIND = 'gateways';
 
 export function createPeersPart(options: PeersPartOptions): PeersPart {
   const { context, section, backends, configuration, fleet, store } = options;
--- a/src/gateway/peers/store-share.ts
+++ b/src/gateway/peers/store-share.ts
@@ -11,7 +11,7 @@
  * the store, or is behind others, and, whatever it says, as soon as the last proof that what they
  * believe is the newest has grown old.
  */
-import { ageOf, boundProofs } from '../../controllers/freshness/index.js';
+import { ageOf, boundProofs, type Proof } from '../../controllers/freshness/index.js';
 import type { PeerTable } from '../../controllers/peering/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { ConfigurationPart } from '../store/configuration-part.js';
@@ -42,20 +42,20 @@
 export function createStoreShare(options: StoreShareOptions): StoreShare {
   const { context, table, configuration, fleet, calls } = options;
   const { board, clock, logger, settings } = context;
-  const { distrustAfterMs } = boundProofs(settings.configuration.applyMs);
   let followsUntil = Number.NEGATIVE_INFINITY;
   let mode: FollowMode = 'off';
 
-  const isOld = (now: Milliseconds): boolean =>
-    [board.configurationProof, board.fleetProof].some(
-      (section) => (ageOf(section.read(), now) ?? Infinity) > distrustAfterMs,
-    );
+  const isOld = (proof: Proof | undefined, boundMs: Milliseconds, now: Milliseconds): boolean =>
+    (ageOf(proof, now) ?? Infinity) > boundProofs(boundMs).distrustAfterMs(table.hubPeriod());
+  const isAnyOld = (now: Milliseconds): boolean =>
+    isOld(board.configurationProof.read(), settings.configuration.applyMs, now) ||
+    isOld(board.fleetProof.read(), settings.servers.drainMs, now);
   /** Why the hub can't be relied on; undefined when it can. */
   const findDoubt = (now: Milliseconds): string | undefined => {
     const trust = table.judgeHub(now);
     if (trust !== 'trusted') return `the hub is ${trust}`;
     if (!board.storeContact.read().reachable) return 'a call to the store has failed';
-    return isOld(now) ? 'no recent proof has come over the hub' : undefined;
+    return isAnyOld(now) ? 'no recent proof has come over the hub' : undefined;
   };
   const findMode = (doubt: string | undefined, now: Milliseconds): FollowMode => {
     if (table.isHub()) return 'forDomain';
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -33,6 +33,13 @@
         .describe('After this a change that the store has acknowledged must be in force.'),
     })
     .prefault({}),
+  servers: z
+    .strictObject({
+      drainMs: milliseconds
+        .default(2_000)
+        .describe('A server serves on for this long after the store has taken its word to leave.'),
+    })
+    .prefault({}),
   seeds: z.array(address).default([]).describe('Peer addresses of some gateways to start from.'),
   retries: z
     .strictObject({
--- a/src/gateway/store/client.ts
+++ b/src/gateway/store/client.ts
@@ -40,6 +40,8 @@
     value: unknown,
     revision?: number,
   ): ResultAsync<WriteAnswer, StoreFailure>;
+  /** Asks for as little as there is to ask for, whether the store answers. */
+  check(kind: string, name: string): ResultAsync<void, StoreFailure>;
   /**
    * Uses connections that were made before now for no further call; those under way on them go on.
    * For connections that may bring nothing any more, which only the silence of one of them shows.
@@ -62,6 +64,7 @@
 
 /** What one call showed: the store answered it, or not. */
 export interface CallOutcome {
+  kind: 'read' | 'write';
   sentAt: Milliseconds;
   failure: StoreFailure | undefined;
 }
@@ -82,6 +85,7 @@
 /** Pages of one list at most; a page holds about 500 objects. */
 const MOST_PAGES = 100;
 const STATUS_BUSY = 503;
+const LEAST_ERROR_STATUS = 500;
 const STATUS_TOO_MANY = 429;
 
 /**
@@ -110,6 +114,7 @@
     signal?: AbortSignal,
   ): ResultAsync<StoreAnswer, StoreFailure> => {
     options.onCall();
+    const kind = call.method === 'GET' ? 'read' : 'write';
     const sentAt = clock.now();
     const used = pool;
     const request = callWithin(
@@ -130,13 +135,13 @@
       createFailure('platformUnavailable', { reason: describeError(error) }),
     )
       .map((answer) => {
-        options.onOutcome({ sentAt, failure: findRefusal(answer) });
+        options.onOutcome({ kind, sentAt, failure: findRefusal(answer) });
         return answer;
       })
       .mapErr((failure) => {
         if (signal?.aborted) return failure;
         doubt(used);
-        options.onOutcome({ sentAt, failure });
+        options.onOutcome({ kind, sentAt, failure });
         return failure;
       });
   };
@@ -166,6 +171,7 @@
         const changes = status === 200 ? dialect.decodeChanges(body) : undefined;
         return changes ? ok({ kind: 'changes', changes }) : err(unreadable(status));
       }),
+    check: (kind, name) => send(dialect.check(kind, name), timeoutMs).map(() => undefined),
     write: (kind, name, value, revision) => {
       const call =
         revision === undefined
@@ -196,9 +202,9 @@
   });
 }
 
-/** The store answers, but turns this gateway away. */
+/** Something answers, but does nothing for this gateway. */
 function findRefusal({ status }: StoreAnswer): StoreFailure | undefined {
-  const isTurnedAway = status === STATUS_BUSY || status === STATUS_TOO_MANY;
+  const isTurnedAway = status === STATUS_TOO_MANY || status >= LEAST_ERROR_STATUS;
   return isTurnedAway ? unreadable(status) : undefined;
 }
 
--- a/src/gateway/store/configuration-part.ts
+++ b/src/gateway/store/configuration-part.ts
@@ -52,6 +52,8 @@
   const { platform, logger, clock } = context;
   const listeners: (() => void)[] = [];
   let isReading = false;
+  /** The newest version that a peer has in force. */
+  let heard = 0;
 
   const versionInForce = (): number | undefined => section.read()?.configuration.version;
   const take: ConfigurationPart['take'] = (configuration, source) => {
@@ -93,21 +95,31 @@
       .some(takeObject);
     if (versionInForce() !== before) for (const listener of listeners) listener();
   };
-  const read = async (): Promise<void> => {
-    isReading = true;
+  /** False when it brought nothing, which shows in the contact with the store. */
+  const read = async (): Promise<boolean> => {
     const at = clock.now();
     const object = await store.read(platform.configurationKind, platform.configurationName);
-    isReading = false;
-    // A failure shows in the contact with the store; whoever told of the version does so again.
-    if (object.isErr() || object.value === undefined) return;
+    if (object.isErr() || object.value === undefined) return false;
     takeNewest([object.value]);
     proof.write(laterProof(proof.read(), { at, source: 'store' }));
+    return true;
+  };
+  /** Reads until the newest version that was heard of is there; on a failure whoever told tells again. */
+  const readNewest = async (): Promise<void> => {
+    if (isReading) return;
+    isReading = true;
+    for (let before = -1; before < heard && (versionInForce() ?? 0) < heard;) {
+      before = heard;
+      if (!(await read())) break;
+    }
+    isReading = false;
   };
   const follower = createFollowerSwitch({
     store,
     kind: platform.configurationKind,
     context,
     proof,
+    boundMs: context.settings.configuration.applyMs,
     pauseMs: 0,
     onList: ({ objects }) => {
       takeNewest(objects);
@@ -121,8 +133,9 @@
     take,
     hearOf: (version) => {
       if (version <= (versionInForce() ?? 0)) return;
+      heard = Math.max(heard, version);
       if (follower.isOn()) follower.doubtCallsBefore(clock.now() - ON_ITS_WAY_MS);
-      else if (!isReading) void read();
+      else void readNewest();
     },
     takeProof: (version, at) => {
       if (version > (versionInForce() ?? 0)) return;
--- a/src/gateway/store/contact.ts
+++ b/src/gateway/store/contact.ts
@@ -12,6 +12,8 @@
 /** Keeps the section `storeContact`. */
 export interface ContactKeeper {
   record(outcome: CallOutcome): void;
+  /** When the last call was sent that the store answered. */
+  answeredAt(): Milliseconds;
   /** From when on an entry that vanishes now counts as gone: now, or later after an outage. */
   absentFrom(now: Milliseconds): Milliseconds;
   /**
@@ -43,9 +45,12 @@
     logger.log('storeRegained', { awayMs: Math.round(awayMs) });
   };
   return {
-    record: ({ sentAt, failure }) => {
+    answeredAt: () => answeredAt,
+    record: ({ kind, sentAt, failure }) => {
       const { reachable, since } = section.read();
       const isReachable = failure === undefined;
+      // What is wrong with a write may be wrong with writes alone: reads tell whether the store is there.
+      if (!isReachable && kind === 'write') return;
       // A later call was answered: this one says nothing of the store as it is now.
       if (!isReachable && sentAt < answeredAt) return;
       if (isReachable) answeredAt = Math.max(answeredAt, sentAt);
--- a/src/gateway/store/first-answer.ts
+++ b/src/gateway/store/first-answer.ts
@@ -2,15 +2,19 @@
  * Asking until somebody answers.
  */
 import { err, type Result, type ResultAsync } from 'neverthrow';
-import type { Milliseconds } from '../../core/clock/index.js';
+import type { Clock, Milliseconds } from '../../core/clock/index.js';
 import { createFailure } from '../../core/errors/index.js';
 import type { StoreFailure } from './client.js';
 
+/** How often it is looked whether to ask again; small against every pause between two calls. */
+const TICK_MS: Milliseconds = 25;
+
 interface Question<Value> {
   /** Sends one call; ends it when `signal` aborts. */
   call: (signal: AbortSignal) => ResultAsync<Value, StoreFailure>;
-  /** A further call is sent each time that this has passed without an answer. */
-  everyMs: Milliseconds;
+  /** A further call is sent when this has passed without an answer; it may change meanwhile. */
+  everyMs: () => Milliseconds;
+  clock: Clock;
   /** Called before each further call. */
   onSilence: () => void;
   signal: AbortSignal;
@@ -32,6 +36,7 @@
   if (signal.aborted) return Promise.resolve(err(dropped));
   return new Promise((resolve) => {
     let underWay = 0;
+    let askedAt = 0;
     const finish = (result: Result<Value, StoreFailure>): void => {
       clearInterval(timer);
       question.signal.removeEventListener('abort', abandon);
@@ -42,15 +47,17 @@
       finish(err(dropped));
     };
     const ask = async (): Promise<void> => {
+      askedAt = question.clock.now();
       underWay += 1;
       const result = await question.call(signal);
       underWay -= 1;
       if (result.isOk() || underWay === 0) finish(result);
     };
     const timer = setInterval(() => {
+      if (question.clock.now() - askedAt < question.everyMs()) return;
       question.onSilence();
       void ask();
-    }, question.everyMs);
+    }, TICK_MS);
     question.signal.addEventListener('abort', abandon, { once: true });
     void ask();
   });
--- a/src/gateway/store/fleet-part.ts
+++ b/src/gateway/store/fleet-part.ts
@@ -107,12 +107,16 @@
     kind: platform.serverKind,
     context,
     proof,
+    boundMs: context.settings.servers.drainMs,
     pauseMs: PAUSE_MS,
     onList: ({ objects, revision }) => {
       if (revision < section.read().revision) return;
+      const known = section.read();
       const servers = objects.map(decode).filter((server) => server !== undefined);
-      const newest = Math.max(section.read().revision, findNewest(objects));
-      takeFromStore(newest, listChanges(section.read(), servers));
+      // No object shows that another one has gone: only the list's own revision is later than that.
+      const isOneGone = hasLeft(known, objects);
+      const newest = Math.max(known.revision, isOneGone ? revision : findNewest(objects));
+      takeFromStore(newest, listChanges(known, servers));
     },
     onChanges: ({ changes }) => {
       const newest = findNewest(changes.map(({ object }) => object));
@@ -166,6 +170,12 @@
   };
 }
 
+/** A server that is known, and not about to be forgotten, is not among `objects`. */
+function hasLeft({ servers, vanished }: ServingFleet, objects: readonly StoreObject[]): boolean {
+  const names = new Set(objects.map(({ name }) => name));
+  return [...servers.keys()].some((id) => !names.has(id) && !vanished.has(id));
+}
+
 /**
  * The last revision of any of `objects`. The store's own revision grows with objects of all kinds,
  * and would make a gateway that has just listed look ahead of one that knows as much.
--- a/src/gateway/store/follow.ts
+++ b/src/gateway/store/follow.ts
@@ -30,6 +30,8 @@
   onChanges: (changes: StoreChanges) => void;
   /** Called when a watch that waited for `waitedMs` has not brought what a short call found. */
   onSilentWatch: (waitedMs: Milliseconds) => void;
+  /** Called when taking what the store brought has thrown. */
+  onError: (error: unknown) => void;
   /** Called after an answer was taken, with the time at which its call was sent. */
   onProof: (at: Milliseconds) => void;
 }
@@ -48,6 +50,11 @@
 const LEAST_PAUSE_PART = 0.5;
 /** Of the sleep until a proof is due, the least; timers may fire a little early. */
 const LEAST_PROOF_MS: Milliseconds = 5;
+/**
+ * Calls that bring no change are at least this far apart: a store that answers watches at once, or has
+ * always just dropped its history, would be asked as fast as it answers.
+ */
+const LEAST_ROUND_MS: Milliseconds = 100;
 
 /** Starts nothing by itself. */
 export function createFollower(options: FollowOptions): Follower {
@@ -68,18 +75,27 @@
     while (!isStopped()) {
       call = new AbortController();
       const signal = AbortSignal.any([stop.signal, call.signal]);
-      const next = await step({ options, position, signal, onSent });
+      const startedAt = clock.now();
+      const next = await step({ options, position, signal, onSent }).catch(recover);
       if (isStopped()) return;
       if (isDoubted()) {
         position = { ...position, isInTouch: false };
         continue;
       }
       position = next;
-      const pauseMs = next.changed ? options.pauseMs : 0;
-      await pause(next.isInTouch ? pauseMs : spread(options.askAgainMs(), random));
+      await pause(pauseAfter(next, clock.now() - startedAt));
       if (isDoubted()) position = { ...position, isInTouch: false };
     }
   };
+  /** Guards against an object that throws when it is taken: nobody would follow any more. */
+  const recover = (error: unknown): StepResult => {
+    options.onError(error);
+    return { revision: undefined, isInTouch: false, changed: false };
+  };
+  const pauseAfter = ({ isInTouch, changed }: StepResult, tookMs: Milliseconds): Milliseconds => {
+    if (!isInTouch) return spread(options.askAgainMs(), random);
+    return changed ? options.pauseMs : LEAST_ROUND_MS - tookMs;
+  };
   const pause = async (ms: Milliseconds): Promise<void> => {
     if (ms <= 0) return;
     const signal = AbortSignal.any([stop.signal, call.signal]);
@@ -108,6 +124,11 @@
   isInTouch: boolean;
 }
 
+/** Where a call has led. */
+interface StepResult extends Position {
+  changed: boolean;
+}
+
 interface Step {
   options: FollowOptions;
   position: Position;
@@ -122,7 +143,7 @@
   sentAt: Milliseconds;
 }
 
-async function step(current: Step): Promise<Position & { changed: boolean }> {
+async function step(current: Step): Promise<StepResult> {
   const { position, options, signal } = current;
   const { revision } = position;
   const lost = { revision, isInTouch: false, changed: false };
@@ -140,7 +161,7 @@
   const { changes } = value;
   const changed = changes.changes.length > 0;
   if (changed) options.onChanges(changes);
-  options.onProof(sentAt);
+  if (changes.revision >= revision) options.onProof(sentAt);
   return { revision: Math.max(revision, changes.revision), isInTouch: true, changed };
 }
 
@@ -185,16 +206,20 @@
     await sleep(dueInMs, undefined, { signal }).catch(ignoreEnd);
     if (options.proofDueInMs() > 0 && !signal.aborted) continue;
     const answer = await peek({ ...current, onSent }, revision);
-    if (!isQuiet(answer)) return answer;
+    if (!isQuiet(answer, revision)) return answer;
     options.onProof(answer.value.sentAt);
   }
 }
 
-/** There is no change, and nothing else to do either. */
-function isQuiet(answer: WatchResult): answer is Ok<Timed<WatchAnswer>, StoreFailure> {
+/** There is no change since `revision`, from a store that is that far at least. */
+function isQuiet(
+  answer: WatchResult,
+  revision: number,
+): answer is Ok<Timed<WatchAnswer>, StoreFailure> {
   if (answer.isErr()) return false;
   const { value } = answer.value;
-  return value.kind === 'changes' && value.changes.changes.length === 0;
+  if (value.kind !== 'changes') return false;
+  return value.changes.changes.length === 0 && value.changes.revision >= revision;
 }
 
 /** Asks for the changes that are there. */
@@ -213,7 +238,8 @@
       const sentAt = onSent();
       return call(ended).map((value) => ({ value, sentAt }));
     },
-    everyMs: options.askAgainMs(),
+    everyMs: options.askAgainMs,
+    clock: options.clock,
     onSilence: () => {
       options.store.renew();
     },
--- a/src/gateway/store/follower-switch.ts
+++ b/src/gateway/store/follower-switch.ts
@@ -40,6 +40,8 @@
   'store' | 'kind' | 'pauseMs' | 'onList' | 'onChanges'
 > {
   context: GatewayContext;
+  /** Within this, gateways must know of a change. */
+  boundMs: Milliseconds;
   /** Of the belief that the follower keeps, whoever brought it. */
   proof: WritableSection<Proof | undefined>;
 }
@@ -51,7 +53,7 @@
   ...options
 }: FollowerSwitchOptions): FollowerSwitch {
   const { clock, logger, random, settings } = context;
-  const { askAfterMs } = boundProofs(settings.configuration.applyMs);
+  const { askAfterMs } = boundProofs(options.boundMs);
   let mode: FollowMode = 'off';
   let follower: Follower | undefined;
   let ending: Promise<unknown> = Promise.resolve();
@@ -64,6 +66,12 @@
       watchMs: settings.store.watchMs,
       proofDueInMs: () => askAfterMs - (ageOf(proof.read(), clock.now()) ?? Infinity),
       askAgainMs: () => ASK_AGAIN_MS[mode],
+      onError: (error) => {
+        logger.log('unexpectedError', {
+          reason: String(error),
+          where: `following ${options.kind}`,
+        });
+      },
       onSilentWatch: (waitedMs) => {
         logger.log('watchSilent', { kind: options.kind, waitedMs: Math.round(waitedMs) });
       },
--- a/src/ports/object-store.ts
+++ b/src/ports/object-store.ts
@@ -52,6 +52,8 @@
   read(kind: string, name: string): StoreCall;
   watch(kind: string, since: number, waitMs: Milliseconds): StoreCall;
   create(kind: string, name: string, value: unknown): StoreCall;
+  /** A cheap call whose answer may be old: that one comes is all that counts. */
+  check(kind: string, name: string): StoreCall;
   /** Takes effect only while the object has `revision`. */
   replace(kind: string, name: string, value: unknown, revision: number): StoreCall;
   decodePage(body: string): StorePage | undefined;
