Show a stream that a stopping gateway takes late and cuts: listed as known red

The gateway has 8 s; a stream of 6 s is asked for on a kept connection 3 s after the signal. It is taken and its connection ends in the middle of the answer (42 of 60 events, not whole). What is left of the grace and how long a request may take decide nothing yet.

--- a/features/gateway/site.ts
+++ b/features/gateway/site.ts
@@ -52,6 +52,8 @@
   seeds: string[];
   /** Somebody reads what it logs. */
   readsLog: boolean;
+  /** From the signal to stop to the end; the default of the settings when absent. */
+  graceMs?: number;
 }
 
 /** What a caller got. */
@@ -147,6 +149,7 @@
       `address = "${store}"`,
       '[engines]',
       'stallMs = 1000',
+      ...(plan.graceMs === undefined ? [] : ['[stopping]', `graceMs = ${plan.graceMs}`]),
     ];
     await writeFile(file, settings.join('\n'));
     const child = spawn(process.execPath, [PROGRAM, file], {
