Begin after the signal only what ends before the grace does

Cause: after SIGTERM every request was begun as before, and when the grace less its margin was over all connections were closed under their answers. Nothing compared how long a request may take with what was left, and the process could exit before the ends were written.

Change: - A pure decision (controllers/forwarding/stopping.ts): a request whose answer is due before the last answers end is begun; any other only while the balancer still sends callers here, and only if twice its expected time is left (three times where it may run once). All others are refused at once: 503 "stopping", Retry-After 0.05, Connection: close. - The expected time (expected-time.ts): prompt, most output tokens and the engine profile, times the worst that requests of that model took lately. - Slow bodies are given up at the same moment, and such an answer waits for the rest of the body before it closes, so that no reset overtakes it. - Backend servers are given no more time than the grace leaves, so that they end by themselves. - When the grace is over each request gets its own end: a promise if nothing ran, 502 if it may have run, and only a stream that has begun is broken off. Each writes its line with graceLeftMs (at the door: leftMs), and lines are flushed before the exit. A caller that leaves within its body has a line now, too.

Chosen: streams that may be resumed run until the last moment. Ending them sooner breaks off for certain what mostly ends by itself, and the caller's way elsewhere is the same at either time; a callers' protocol without a form for "go on elsewhere" leaves the broken connection as the only one.

--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -15,3 +15,16 @@
     Given a fleet of 3 backend servers
     When the store returns without them and brings 2 back in time
     Then all 3 count until then, and 2 afterwards
+
+  Scenario: A stop begins only what ends before its grace does
+    A request that takes up to twice its expected time (three times where it may run once), or until
+    its answer is due, must never be under way when the grace is over; whatever is surely finished
+    in time must not be refused.
+    When 500 random requests arrive at random moments of a stop
+    Then none that is begun outlasts the grace
+    And none is refused whose answer is due before the grace is over
+
+  Scenario: What others took lately tells what a request will take
+    When a stream estimated at 1000 ms took 4000 ms
+    Then the next is expected to take 4 times its estimate, and 2.5 times 10000 ms later
+    And an estimate without the most output tokens is infinite
--- a/features/gateway/decisions.steps.ts
+++ b/features/gateway/decisions.steps.ts
@@ -7,10 +7,15 @@
 import {
   applyFleetChanges,
   EMPTY_FLEET,
+  estimateStream,
   EventStream,
   expireVanished,
+  latestBeginning,
   listChanges,
+  planStop,
   RepeatBudget,
+  SlownessTable,
+  type RequestTime,
   type ServingFleet,
 } from '../../src/controllers/forwarding/index.js';
 import { createServer } from './planning-model.js';
@@ -20,6 +25,14 @@
   repeats: { at: number; requests: number; repeats: number }[][];
   fleet: ServingFleet;
   counts: number[];
+  arrivals: StopArrival[];
+  slowness: SlownessTable;
+}
+
+/** A request that arrives after the signal, at the moment 0. */
+interface StopArrival extends RequestTime {
+  at: number;
+  isBegun: boolean;
 }
 
 const SEED = 7_411;
@@ -149,3 +162,83 @@
     assert.deepEqual(this.counts, [before, after]);
   },
 );
+
+const STOP_GRACE_MS = 8_000;
+/** What is left of the grace by then goes into closing. */
+const LAST_ANSWER_MS = planStop(0, STOP_GRACE_MS).lastAnswerAt;
+
+When(
+  '{int} random requests arrive at random moments of a stop',
+  function (this: DecisionWorld, count: number) {
+    const requests = fc.record({
+      at: fc.nat({ max: STOP_GRACE_MS }),
+      waitMs: fc.integer({ min: 1, max: 12_000 }),
+      expectedMs: fc.integer({ min: 1, max: 6_000 }),
+      isRepeatable: fc.boolean(),
+    });
+    const plan = planStop(0, STOP_GRACE_MS);
+    this.arrivals = fc
+      .sample(requests, { numRuns: count, seed: SEED })
+      .map(({ at, waitMs, ...rest }) => {
+        const request = { ...rest, at, answerBy: at + waitMs };
+        return { ...request, isBegun: at <= latestBeginning(plan, request) };
+      });
+  },
+);
+
+Then('none that is begun outlasts the grace', function (this: DecisionWorld) {
+  const begun = this.arrivals.filter(({ isBegun }) => isBegun);
+  assert.ok(begun.length > 0 && begun.length < this.arrivals.length);
+  for (const { at, answerBy, expectedMs, isRepeatable } of begun) {
+    const endAt = Math.min(answerBy, at + (isRepeatable ? 2 : 3) * expectedMs);
+    assert.ok(endAt <= LAST_ANSWER_MS, `begun at ${at}, ends at ${endAt}`);
+  }
+});
+
+Then(
+  'none is refused whose answer is due before the grace is over',
+  function (this: DecisionWorld) {
+    const refused = this.arrivals.filter(({ isBegun }) => !isBegun);
+    assert.ok(refused.every(({ answerBy }) => answerBy > LAST_ANSWER_MS));
+  },
+);
+
+const SLOW_KIND = 'models small';
+
+When(
+  'a stream estimated at {int} ms took {int} ms',
+  function (this: DecisionWorld, estimateMs: number, tookMs: number) {
+    this.slowness = new SlownessTable();
+    this.slowness.record(SLOW_KIND, estimateMs, tookMs, 0);
+    // A quick one afterwards takes nothing back.
+    this.slowness.record(SLOW_KIND, estimateMs, estimateMs / 2, 0);
+  },
+);
+
+Then(
+  'the next is expected to take {int} times its estimate, and {float} times {int} ms later',
+  function (this: DecisionWorld, times: number, later: number, afterMs: number) {
+    assert.equal(this.slowness.slownessOf(SLOW_KIND, 0), times);
+    assert.equal(this.slowness.slownessOf(SLOW_KIND, afterMs), later);
+    assert.equal(this.slowness.slownessOf('others', 0), 1);
+  },
+);
+
+Then('an estimate without the most output tokens is infinite', () => {
+  const profile = {
+    models: [],
+    slots: 10,
+    stride: 5,
+    stepMs: 8,
+    stepPerRequestMs: 0.2,
+    promptTokensPerMs: 50,
+    promptChunk: 2_048,
+    loadsAtOnce: 1,
+    loadsPerSecond: 1,
+    formMs: 1,
+  };
+  const model = { name: 'small', size: 2, pace: 0.5, share: 1, loadMs: 1, warmMs: 1 };
+  assert.equal(estimateStream(profile, model, 1_000, 0), Infinity);
+  // Reading takes 1000 / 50, each of 100 tokens 8 + 0.2 x 10, and the model half of that.
+  assert.equal(estimateStream(profile, model, 1_000, 100), 510);
+});
--- a/src/controllers/forwarding/routes.ts
+++ b/src/controllers/forwarding/routes.ts
@@ -54,6 +54,11 @@
   return (colon < 0 ? host : host.slice(0, colon)).toLowerCase();
 }
 
+/** Whether a request of `route` may run again, as far as the route's attempts go. */
+export function isRepeatable({ repeatability, resumable }: Route): boolean {
+  return repeatability === 'safe' || (repeatability === 'stream' && resumable);
+}
+
 /** One of the route's services, with the probability of its weight. */
 export function pickService(route: Route, random: Random): string | undefined {
   const { targets } = route;
--- a/src/core/logger/bounded-logger.ts
+++ b/src/core/logger/bounded-logger.ts
@@ -1,6 +1,7 @@
 /**
  * Logging to standard output that stays within a budget and never waits for a reader.
  */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { createLogger as createWinston, format, transports } from 'winston';
 import type { Clock, Milliseconds } from '../clock/index.js';
 import { LOG_EVENTS, type LogEvent, type LogEventName } from './events.js';
@@ -15,6 +16,12 @@
   onSuppressed: (lines: number) => void;
 }
 
+/** A logger whose last lines can be waited for. */
+export interface BoundedLogger extends Logger {
+  /** Tells what was left out, and resolves when all lines are with the reader, or after `ms`. */
+  flush(ms: Milliseconds): Promise<void>;
+}
+
 /** Lines a second of one kind of event: twice what the planned rate of requests writes of each. */
 const LINES_PER_SECOND = 60;
 /** Lines a second of an event that tells of something gone wrong. */
@@ -22,6 +29,8 @@
 /** Bytes that may wait for a reader; beyond it lines are left out until it reads on. */
 const MOST_WAITING_BYTES = 262_144;
 const SECOND_MS: Milliseconds = 1_000;
+/** Between two looks at whether the reader has all lines. */
+const FLUSH_POLL_MS: Milliseconds = 5;
 
 interface EventCount {
   lines: number;
@@ -34,7 +43,7 @@
  * Guards against logs that cost requests: a burst of failures would fill the reader's pipe and the
  * process would stand still in its writes. What is left out is counted, and the count is written.
  */
-export function createBoundedLogger(options: BoundedLoggerOptions): Logger {
+export function createBoundedLogger(options: BoundedLoggerOptions): BoundedLogger {
   const { source, level, clock, onSuppressed } = options;
   const winston = createWinston({
     level,
@@ -69,6 +78,11 @@
     counts.clear();
   };
   return {
+    flush: async (ms) => {
+      const endAt = clock.now() + ms;
+      startWindow(clock.now());
+      while (process.stdout.writableLength > 0 && clock.now() < endAt) await sleep(FLUSH_POLL_MS);
+    },
     log: (name, values = {}) => {
       const now = clock.now();
       if (now - windowStart >= SECOND_MS) startWindow(now);
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -6,12 +6,14 @@
 import { createSection } from '../board/index.js';
 import {
   EMPTY_FLEET,
+  planStop,
   type ServingFleet,
   type ServingIndex,
+  type StopPlan,
 } from '../controllers/forwarding/index.js';
 import type { GatewayPeer } from '../controllers/peering/index.js';
 import { createSystemClock, type Milliseconds } from '../core/clock/index.js';
-import { createBoundedLogger } from '../core/logger/index.js';
+import { createBoundedLogger, type BoundedLogger } from '../core/logger/index.js';
 import { createRandom } from '../core/random/index.js';
 import { createAttemptSender } from './backends/attempt.js';
 import { createConnectionPool } from './backends/pool.js';
@@ -46,8 +48,12 @@
 const MAX_SEED = 2 ** 31 - 1;
 /** The balancer asks once a second and takes an instance out after two misses. */
 const BALANCER_MS: Milliseconds = 3_200;
-/** Left of the grace for closing connections and writing the last lines. */
-const STOP_MARGIN_MS: Milliseconds = 700;
+/** For the last answers to reach their callers, before their connections are closed. */
+const LAST_ANSWERS_MS: Milliseconds = 250;
+/** For the last lines to reach a reader that has fallen behind. */
+const LAST_LINES_MS: Milliseconds = 100;
+/** For the parts to close; the grace leaves about as much after the last answers and lines. */
+const CLOSE_MS: Milliseconds = 250;
 const PRUNE_EVERY_MS: Milliseconds = 1_000;
 
 /**
@@ -102,9 +108,8 @@
   watchdog.onPause(() => {
     groups.releaseAll();
   });
-  let isStopping = false;
   const operations = createOperationsListener(context, () => {
-    if (isStopping) return 'it is stopping';
+    if (board.stop.read() !== undefined) return 'it is stopping';
     if (board.serving.read() === undefined) return 'it has no configuration yet';
     if (board.fleet.read().revision === 0) return 'it knows no backend servers yet';
     return undefined;
@@ -128,26 +133,33 @@
   return {
     logger,
     stop: async () => {
-      isStopping = true;
       const startedAt = clock.now();
+      const plan = planStop(startedAt, settings.stopping.graceMs);
+      board.stop.write(plan);
       logger.log('gatewayStopping', { inFlight: requestPath.inFlight() });
-      await groups.stop();
-      await Promise.race([
-        Promise.allSettled([requestPath.drain(BALANCER_MS), peers.announceStop()]),
-        sleep(settings.stopping.graceMs - STOP_MARGIN_MS),
+      const drained = Promise.allSettled([
+        groups.stop(),
+        requestPath.drain(BALANCER_MS),
+        peers.announceStop(),
       ]);
+      await Promise.race([drained, sleep(plan.lastAnswerAt - startedAt)]);
+      const unfinished = requestPath.inFlight();
+      requestPath.endAll();
+      await Promise.race([drained, sleep(LAST_ANSWERS_MS)]);
       logger.log('gatewayStopped', {
-        inFlight: requestPath.inFlight(),
+        inFlight: unfinished,
         tookMs: Math.round(clock.now() - startedAt),
       });
       clearInterval(pruning);
       requestPath.close();
-      await Promise.allSettled([
+      const closed = Promise.allSettled([
         ...parts.map((part) => part.stop()),
         store.close(),
         pool.close(),
         calls.close(),
       ]);
+      await Promise.race([closed, sleep(CLOSE_MS)]);
+      await logger.flush(LAST_LINES_MS);
     },
   };
 }
@@ -159,6 +171,7 @@
     storeContact: createSection<StoreContact>({ reachable: false, since: 0 }),
     peers: createSection<ReadonlyMap<string, GatewayPeer>>(new Map()),
     peerLoad: createSection<ReadonlyMap<string, number>>(new Map()),
+    stop: createSection<StopPlan | undefined>(undefined),
   };
 }
 
@@ -166,7 +179,7 @@
   settings: GatewaySettings,
   platform: ServingPlatform,
   board: GatewayBoardWriters,
-): GatewayContext {
+): GatewayContext & { logger: BoundedLogger } {
   const clock = createSystemClock();
   const metrics = createGatewayMetrics();
   return {
--- a/src/gateway/requests/admission.ts
+++ b/src/gateway/requests/admission.ts
@@ -12,10 +12,7 @@
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import type { CallerRequest } from '../../ports/index.js';
 import type { GatewayContext } from '../types.js';
-import type { AdmittedRequest } from './types.js';
-
-/** A request whose body is yet to be read. */
-export type RequestHead = Omit<AdmittedRequest, 'body'>;
+import type { RequestHead } from './types.js';
 
 /** A gateway without a configuration gets one within this time, unless the store is away. */
 const NO_CONFIGURATION_RETRY_MS: Milliseconds = 500;
--- a/src/gateway/requests/reply.ts
+++ b/src/gateway/requests/reply.ts
@@ -3,6 +3,7 @@
  */
 import type { ServerResponse } from 'node:http';
 import { renderFailure } from '../../adapters/callers/answers.js';
+import type { Milliseconds } from '../../core/clock/index.js';
 import { ERRORS, type Failure } from '../../core/errors/index.js';
 
 /** An answer to one request. Exactly one of `sendWhole`, `fail`, `end` or `cut` ends it. */
@@ -26,6 +27,8 @@
 }
 
 const MS_PER_SECOND = 1_000;
+/** For the rest of a body that nobody reads: what callers' sockets and links hold is through by then. */
+const LINGER_MS: Milliseconds = 1_000;
 
 export function createReply(response: ServerResponse, isStopping: () => boolean): Reply {
   const closing = (): string[] => (isStopping() ? ['Connection', 'close'] : []);
@@ -58,10 +61,28 @@
         headers.push('Retry-After', (failure.retryAfterMs / MS_PER_SECOND).toFixed(2));
       }
       response.writeHead(ERRORS[failure.kind].status, [...headers, ...closing()]);
-      response.end(body);
+      if (isStopping() && !response.req.complete) endAfterBody(response, body);
+      else response.end(body);
     },
     cut: () => {
       response.destroy();
     },
   };
 }
+
+/**
+ * Sends a whole answer now and closes the connection once the rest of the request has come.
+ *
+ * Guards against an answer that its caller never sees: a socket that is closed with bytes unread
+ * resets the connection, and the reset overtakes what was sent.
+ */
+function endAfterBody(response: ServerResponse, body: Buffer): void {
+  response.write(body);
+  const end = (): void => {
+    clearTimeout(timer);
+    response.end();
+  };
+  const timer = setTimeout(end, LINGER_MS);
+  response.req.once('close', end);
+  response.req.resume();
+}
--- a/src/gateway/requests/request-path.ts
+++ b/src/gateway/requests/request-path.ts
@@ -11,12 +11,15 @@
 import { drainServer, listenOn } from '../../core/listening/index.js';
 import type { AttemptSender } from '../backends/attempt.js';
 import type { GatewayContext } from '../types.js';
-import { admitRequest, type RequestHead } from './admission.js';
+import { admitRequest } from './admission.js';
 import type { Backends } from './backends.js';
-import { readBody } from './body.js';
+import { readBody, type BodyRead } from './body.js';
 import { createReply, type Reply } from './reply.js';
-import { RequestRun } from './run.js';
-import type { Watchdog } from './watchdog.js';
+import { reportUnread } from './run-report.js';
+import { RequestRun, type RunTools } from './run.js';
+import { createStopping, refuseStopped } from './stopping.js';
+import type { RequestHead } from './types.js';
+import type { Watchdog, WatchedRequest } from './watchdog.js';
 
 /** The listener for callers. */
 export interface RequestPath {
@@ -24,10 +27,12 @@
   /** Requests that have not had their final answer. */
   inFlight(): number;
   /**
-   * Answers from now on tell callers to close their connections; those that stay idle are closed
-   * after `graceMs`, when the balancer sends nobody any more. Resolves when none is left.
+   * Connections that stay idle are closed after `graceMs`, when the balancer sends nobody any more;
+   * answers tell callers to close theirs sooner. Resolves when none is left.
    */
   drain(graceMs: Milliseconds): Promise<void>;
+  /** Gives every request that is still under way its end. */
+  endAll(): void;
   close(): void;
 }
 
@@ -46,10 +51,11 @@
 const DEFAULT_BODY_BYTES = 4_194_304;
 
 export function createRequestPath(options: RequestPathOptions): RequestPath {
-  const { context } = options;
+  const { context, watchdog } = options;
   const { board, clock, metrics, logger } = context;
+  const stopping = createStopping(context);
+  const tools: RunTools = { ...options, stopping };
   let inFlight = 0;
-  let isStopping = false;
 
   const count = (change: 1 | -1): void => {
     inFlight += change;
@@ -57,24 +63,47 @@
   };
   const handle = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
     const arrivedAt = clock.now();
-    const reply = createReply(response, () => isStopping);
+    const reply = createReply(response, () => stopping.isUnderWay());
     const admitted = admitRequest(context, incoming, arrivedAt);
     if (admitted.isErr()) {
       refuse(context, reply, incoming, admitted.error);
       return;
     }
+    const head = admitted.value;
     const maxBytes = board.serving.read()?.configuration.limits.maxBodyBytes ?? DEFAULT_BODY_BYTES;
-    const body = await readBody(incoming, maxBytes);
+    const body = await readWhileItMayBegin(head, maxBytes);
     switch (body.kind) {
       case 'aborted':
+        reportUnread(context, head);
+        return;
+      case 'givenUp':
+        refuse(context, reply, incoming, refuseStopped());
         return;
       case 'tooLarge':
         refuse(context, reply, incoming, createFailure('bodyTooLarge', { limitBytes: maxBytes }));
         return;
       case 'read':
-        run(admitted.value, body.body, response, reply);
+        run(head, body.body, response, reply);
     }
   };
+  /** A body that comes slowly may be whole only when what is left of a stop is too short. */
+  const readWhileItMayBegin = async (head: RequestHead, maxBytes: number): Promise<BodyRead> => {
+    const reading = readBody(head.incoming, maxBytes);
+    const giveUpLate = (now: Milliseconds): void => {
+      if (!stopping.mayBegin(head, now)) reading.giveUp();
+    };
+    const watched: WatchedRequest = {
+      onTick: giveUpLate,
+      onGraceOver: () => {
+        reading.giveUp();
+      },
+    };
+    giveUpLate(clock.now());
+    watchdog.requests.add(watched);
+    const read = await reading.result;
+    watchdog.requests.delete(watched);
+    return read;
+  };
   const run = (
     head: RequestHead,
     body: Buffer | undefined,
@@ -82,7 +111,7 @@
     reply: Reply,
   ): void => {
     count(1);
-    const requestRun = new RequestRun({ ...head, body }, reply, options, () => {
+    const requestRun = new RequestRun({ ...head, body }, reply, tools, () => {
       count(-1);
     });
     response.once('close', () => {
@@ -107,9 +136,9 @@
   return {
     listen: () => listenOn(server, context.settings.listen.callers),
     inFlight: () => inFlight,
-    drain: (graceMs) => {
-      isStopping = true;
-      return drainServer(server, graceMs);
+    drain: (graceMs) => drainServer(server, graceMs),
+    endAll: () => {
+      for (const request of [...watchdog.requests]) request.onGraceOver();
     },
     close: () => {
       server.close();
@@ -123,7 +152,7 @@
 }
 
 function refuse(
-  { logger, metrics, platform }: GatewayContext,
+  { board, clock, logger, metrics, platform }: GatewayContext,
   reply: Reply,
   incoming: IncomingMessage,
   failure: Failure,
@@ -131,6 +160,12 @@
   const id = platform.requests.decodeRequest(incoming.rawHeaders).id ?? '(none)';
   metrics.countError(failure.kind);
   metrics.requests.inc({ route: 'none', outcome: 'refused' });
-  logger.log('requestRefusedAtDoor', { request: id, kind: failure.kind, reason: failure.message });
+  const stop = board.stop.read();
+  logger.log('requestRefusedAtDoor', {
+    request: id,
+    kind: failure.kind,
+    reason: failure.message,
+    leftMs: stop && Math.round(stop.lastAnswerAt - clock.now()),
+  });
   reply.fail(failure, id);
 }
--- a/src/gateway/requests/run-report.ts
+++ b/src/gateway/requests/run-report.ts
@@ -3,7 +3,7 @@
  */
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { GatewayContext } from '../types.js';
-import type { AdmittedRequest, RequestOutcome } from './types.js';
+import type { RequestHead, RequestOutcome } from './types.js';
 
 /** What a run was like, as told when it ends. */
 export interface RunSummary {
@@ -20,12 +20,13 @@
 
 /** Tells the end of a request to the metrics and the log. */
 export function reportEnd(
-  { clock, metrics, logger }: GatewayContext,
-  { id, route, holder, arrivedAt }: AdmittedRequest,
+  { board, clock, metrics, logger }: GatewayContext,
+  { id, route, holder, arrivedAt }: RequestHead,
   summary: RunSummary,
 ): void {
   const { outcome, firstByteAt, lastEventAt } = summary;
   const now = clock.now();
+  const stop = board.stop.read();
   metrics.requests.inc({ route: route.repeatability, outcome });
   const timings = metrics.timingsOf(holder?.workspace ?? '', route.repeatability);
   timings.whole(now - arrivedAt);
@@ -42,5 +43,20 @@
     lastEventAgoMs: lastEventAt && Math.round(now - lastEventAt),
     lastEventId: summary.lastEventId,
     waitedMs: Math.round(summary.startedAt - arrivedAt),
+    graceLeftMs: stop && Math.round(stop.lastAnswerAt - now),
+  });
+}
+
+/** Tells the end of a request whose caller left within its body. */
+export function reportUnread(context: GatewayContext, head: RequestHead): void {
+  reportEnd(context, head, {
+    outcome: 'callerGone',
+    reason: 'the caller left within its body',
+    sends: 0,
+    runs: 0,
+    startedAt: context.clock.now(),
+    firstByteAt: undefined,
+    lastEventAt: undefined,
+    lastEventId: undefined,
   });
 }
--- a/src/gateway/requests/run.ts
+++ b/src/gateway/requests/run.ts
@@ -5,7 +5,7 @@
  * run it, or when no byte of it can have arrived. Everything else may be sent to another backend
  * server within the route's attempts and the budget of repeats.
  */
-import { EventStream } from '../../controllers/forwarding/index.js';
+import { EventStream, isRepeatable } from '../../controllers/forwarding/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import type { AttemptAnswer, AttemptFailure, AttemptSender } from '../backends/attempt.js';
@@ -16,6 +16,7 @@
 import { reportEnd } from './run-report.js';
 import { Sending, type SendingOwner } from './sending.js';
 import { limitsBeforeAnswer, limitsWithinAnswer } from './stall-limits.js';
+import { refuseStopped, STOPPED, type Stopping } from './stopping.js';
 import type { AdmittedRequest, RequestOutcome } from './types.js';
 import type { Watchdog, WatchedRequest } from './watchdog.js';
 
@@ -25,6 +26,7 @@
   backends: Backends;
   watchdog: Watchdog;
   send: AttemptSender;
+  stopping: Stopping;
 }
 
 /** Sendings that backend servers refused unrun, beyond which a request is given up. */
@@ -95,19 +97,41 @@
     this.endWait(now);
   }
 
+  /**
+   * A stream that may be resumed is let run until this moment. Ended sooner it would be broken off
+   * for certain, while most streams still end by themselves; and its caller, who goes on elsewhere
+   * after the last whole event that it has, needs the same new way at either time.
+   */
+  onGraceOver(): void {
+    if (this.isFinished) return;
+    if (!this.reply.isUnsent) this.cutStream(STOPPED);
+    else if (this.mayHaveRun) {
+      this.failWith(createFailure('outcomeUnknown', { reason: STOPPED }), 'failed', STOPPED);
+    } else this.failWith(refuseStopped(), 'refused', STOPPED);
+  }
+
   private endWait(now: Milliseconds): void {
     const isOver = this.waitsUntil !== undefined && now >= this.waitsUntil;
     if (isOver && !this.isFinished && this.sendings.size === 0) this.giveUp('no target in time');
   }
 
   private get isRepeatable(): boolean {
-    const { repeatability, resumable } = this.request.route;
-    return repeatability === 'safe' || (repeatability === 'stream' && resumable);
+    return isRepeatable(this.request.route);
   }
 
-  /** What a backend server may be given. */
+  /** A backend server may have worked on it, or still does. */
+  private get mayHaveRun(): boolean {
+    return this.runs > 0 || this.sendings.size > 0;
+  }
+
+  /**
+   * What a backend server may be given. No longer than a stop leaves: it ends its work then by itself
+   * and says so, instead of being cut off in the middle.
+   */
   private get sendableMs(): Milliseconds {
-    return this.request.answerBy - this.tools.context.clock.now() - DEADLINE_MARGIN_MS;
+    const { context, stopping } = this.tools;
+    const until = Math.min(this.request.answerBy, stopping.lastAnswerAt());
+    return until - context.clock.now() - DEADLINE_MARGIN_MS;
   }
 
   // --- sending ---
@@ -115,8 +139,14 @@
   private sendNext(why: string): void {
     const { request, tools } = this;
     const { service, model } = request;
+    if (!this.mayHaveRun && !tools.stopping.mayBegin(request, tools.context.clock.now())) {
+      this.failWith(refuseStopped(), 'refused', STOPPED);
+      return;
+    }
     if (this.sendableMs < LEAST_DEADLINE_MS) {
-      if (this.sendings.size === 0) this.giveUp('too little time is left');
+      const isCutShort = tools.stopping.lastAnswerAt() < request.answerBy;
+      const reason = isCutShort ? STOPPED : 'too little time is left';
+      if (this.sendings.size === 0) this.giveUp(reason);
       return;
     }
     const chosen = tools.backends.choose(service, model?.name, this.tried);
@@ -358,7 +388,7 @@
       this.cutStream('the time was up');
       return;
     }
-    const mayHaveRun = this.runs > 0 || this.sendings.size > 0;
+    const { mayHaveRun } = this;
     const kind = mayHaveRun ? 'deadlineAfterStart' : 'deadlineBeforeStart';
     this.failWith(createFailure(kind), mayHaveRun ? 'failed' : 'refused', this.lastReason);
   }
@@ -392,7 +422,9 @@
       sending.cancel();
       this.end(sending, outcome === 'answered' ? 'answered' : outcome);
     }
-    reportEnd(this.tools.context, this.request, {
+    const { context, stopping } = this.tools;
+    if (this.sends > 0) stopping.recordEnd(this.request, context.clock.now() - this.startedAt);
+    reportEnd(context, this.request, {
       outcome,
       reason,
       sends: this.sends,
--- a/src/gateway/requests/types.ts
+++ b/src/gateway/requests/types.ts
@@ -23,6 +23,9 @@
   answerBy: Milliseconds;
 }
 
+/** A request whose body is yet to be read. */
+export type RequestHead = Omit<AdmittedRequest, 'body'>;
+
 /** How a request ended, for logs and metrics. */
 export type RequestOutcome =
   | 'answered'
--- a/src/gateway/requests/watchdog.ts
+++ b/src/gateway/requests/watchdog.ts
@@ -24,6 +24,8 @@
 export interface WatchedRequest {
   /** Called in each round. */
   onTick(now: Milliseconds): void;
+  /** The grace of a stop is over: its final answer is due at once. */
+  onGraceOver(): void;
 }
 
 /** The watch over everything that is under way. */
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -2,7 +2,7 @@
  * What the parts of a gateway share.
  */
 import type { Section, WritableSection } from '../board/index.js';
-import type { ServingFleet, ServingIndex } from '../controllers/forwarding/index.js';
+import type { ServingFleet, ServingIndex, StopPlan } from '../controllers/forwarding/index.js';
 import type { GatewayPeer } from '../controllers/peering/index.js';
 import type { Clock, Milliseconds } from '../core/clock/index.js';
 import type { Logger } from '../core/logger/index.js';
@@ -52,6 +52,8 @@
   peers: Section<ReadonlyMap<string, GatewayPeer>>;
   /** Requests of all other gateways under way, by backend server. */
   peerLoad: Section<ReadonlyMap<string, number>>;
+  /** Absent until the gateway is told to stop. */
+  stop: Section<StopPlan | undefined>;
 }
 
 /** The writers of all sections, handed out one by one. */
@@ -61,6 +63,7 @@
   storeContact: WritableSection<StoreContact>;
   peers: WritableSection<ReadonlyMap<string, GatewayPeer>>;
   peerLoad: WritableSection<ReadonlyMap<string, number>>;
+  stop: WritableSection<StopPlan | undefined>;
 }
 
 /** What every part of a gateway is given. */
