Judge long streams by their own estimate, and tell the stop as a cause

- The estimate of a stream now has the operator's time up to the first event.
Without it a stream of one event that waited 0.5 s counted as a replica ten times too slow, and long streams were refused for it at the start of a stop.
- The margins follow: 1.25 of the expected time (2 where it may run once), since the worst of the last requests is in it already.
- explain: gatewayStopped, for what was refused at a stop and what its grace ended; the operations page shows the lines.

--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -17,8 +17,8 @@
     Then all 3 count until then, and 2 afterwards
 
   Scenario: A stop begins only what ends before its grace does
-    A request that takes up to twice its expected time (three times where it may run once), or until
-    its answer is due, must never be under way when the grace is over; whatever is surely finished
+    A request that takes up to 1.25 times its expected time (twice where it may run once), or until its
+    answer is due, must never be under way when the grace is over; whatever is surely finished
     in time must not be refused.
     When 500 random requests arrive at random moments of a stop
     Then none that is begun outlasts the grace
--- a/src/cli/explain/findings.ts
+++ b/src/cli/explain/findings.ts
@@ -18,6 +18,9 @@
   serverFailed: 'The backend server answered with a failure of its own.',
   wrongAnswer: "What came was not the backend server's own whole answer to this request.",
   timeUp: 'The time that the caller or the route gives was over before the answer was whole.',
+  gatewayStopped:
+    'Its gateway was told to stop: it was refused so that its caller goes on elsewhere, or the grace ' +
+    'was over before its answer was whole.',
   callerLeft: 'The caller closed its connection.',
   notLogged: 'No line has its id: it did not arrive, or the lines of its kind were left out.',
   unknown: 'The lines do not tell; they may have been left out to keep the volume bounded.',
@@ -35,6 +38,13 @@
   around: readonly LoggedLine[];
 }
 
+/** How gateways write that a stop ended a request. */
+const STOPPED = 'the gateway stopped';
+/**
+ * Backend servers are given no more time than the grace: one that gives up so short a time before its
+ * end did so because of the stop.
+ */
+const END_OF_GRACE_MS = 50;
 /** Beliefs this long before a request may have decided it: the longest stay of a suspicion. */
 const BEFORE_MS = 6_000;
 const AFTER_MS = 1_000;
@@ -62,7 +72,8 @@
 
 function findCause(lines: readonly LoggedLine[]): Cause {
   if (lines.length === 0) return 'notLogged';
-  if (lines.some(({ name }) => name === 'requestRefusedAtDoor')) return 'refusedAtDoor';
+  const refusal = lines.find(({ name }) => name === 'requestRefusedAtDoor');
+  if (refusal) return textOf(refusal, 'kind') === 'stopping' ? 'gatewayStopped' : 'refusedAtDoor';
   if (lines.some(({ name }) => name === 'requestAnswered')) {
     return lines.some(({ name }) => name === 'attemptEnded') ? 'answeredElsewhere' : 'answered';
   }
@@ -74,6 +85,7 @@
   const outcome = textOf(end, 'outcome');
   const reason = textOf(end, 'reason');
   if (outcome === 'callerGone') return 'callerLeft';
+  if (reason === STOPPED || isAtEndOfGrace(end)) return 'gatewayStopped';
   if (outcome === 'failedThere') return 'serverFailed';
   if (reason === 'no repeats left') return 'noRepeats';
   const attempts = lines.filter(({ name }) => name === 'attemptEnded');
@@ -83,6 +95,10 @@
   return findCauseOfAttempt(last, textOf(attempts.at(-1), 'kind')) ?? 'timeUp';
 }
 
+function isAtEndOfGrace({ graceLeftMs }: LoggedLine): boolean {
+  return typeof graceLeftMs === 'number' && graceLeftMs <= END_OF_GRACE_MS;
+}
+
 function findCauseOfAttempt(how: string, kind: string): Cause | undefined {
   if (/nothing moved there|stood still/.test(how)) return 'stalled';
   if (/carries the id|events are missing|that is not the backend/.test(how)) return 'wrongAnswer';
--- a/src/controllers/forwarding/expected-time.ts
+++ b/src/controllers/forwarding/expected-time.ts
@@ -2,16 +2,21 @@
  * How long a request may take, from what it asks for and from what others took lately.
  */
 import type { Milliseconds } from '../../core/clock/index.js';
-import type { EngineProfile, GroupModel } from '../../ports/index.js';
+import type { EngineProfile, GroupModel, Route } from '../../ports/index.js';
 
 /** The slowness that was seen loses half of its distance from 1 in this span, as replicas are repaired. */
 const SLOWNESS_HALF_LIFE_MS: Milliseconds = 10_000;
 
 /**
- * A whole stream on a replica whose slots are all taken: reading the prompt, then every output token
- * that the caller allows. Infinite when the caller doesn't say how many.
+ * A whole stream on a replica whose slots are all taken: the time that the operator allows up to the
+ * first event, reading the prompt, then every output token that the caller allows. Infinite when the
+ * caller doesn't say how many.
+ *
+ * Without the first part the estimates of short streams would be so small that their waits count as
+ * slowness of the replica, and long streams would be refused for it.
  */
 export function estimateStream(
+  { targetMs }: Pick<Route, 'targetMs'>,
   profile: EngineProfile,
   model: GroupModel,
   promptTokens: number,
@@ -20,7 +25,7 @@
   if (outputTokens <= 0) return Infinity;
   const reading = promptTokens / profile.promptTokensPerMs;
   const step = profile.stepMs + profile.stepPerRequestMs * profile.slots;
-  return model.pace * (reading + outputTokens * step);
+  return targetMs + model.pace * (reading + outputTokens * step);
 }
 
 interface Worst {
--- a/src/controllers/forwarding/stopping.ts
+++ b/src/controllers/forwarding/stopping.ts
@@ -31,10 +31,13 @@
  * nobody any more after this time.
  */
 const BALANCER_OUT_MS: Milliseconds = 2_500;
-/** Multiples of the expected time that must be left: single requests scatter about that much. */
-const REPEATABLE_MARGIN = 2;
+/**
+ * Multiples of the expected time that must be left. That already follows the slowest of the last
+ * requests; a quarter more is for one that is slower than all of them.
+ */
+const REPEATABLE_MARGIN = 1.25;
 /** More where a cut can't be made good by asking again. */
-const ONCE_MARGIN = 3;
+const ONCE_MARGIN = 2;
 
 /** A stop that begins now and has `graceMs` from the signal to the end of the process. */
 export function planStop(now: Milliseconds, graceMs: Milliseconds): StopPlan {
--- a/src/gateway/requests/stopping.ts
+++ b/src/gateway/requests/stopping.ts
@@ -53,7 +53,8 @@
 /** Without a model to tell, the operator's aim is the estimate. */
 function estimate({ service, model, caller, route }: RequestHead): Milliseconds {
   if (!service.engine || !model) return route.targetMs;
-  return estimateStream(service.engine, model, caller.promptTokens, caller.maxOutputTokens);
+  const { promptTokens, maxOutputTokens } = caller;
+  return estimateStream(route, service.engine, model, promptTokens, maxOutputTokens);
 }
 
 function kindOf({ service, model }: RequestHead): string {
