--- a/src/core/logger/bounded-logger.ts
+++ b/src/core/logger/bounded-logger.ts
@@ -24,8 +24,11 @@
 
 /** Lines a second of one kind of event: twice what the planned rate of requests writes of each. */
 const LINES_PER_SECOND = 60;
-/** Lines a second of an event that tells of something gone wrong. */
-const FAILURE_LINES_PER_SECOND = 200;
+/**
+ * Lines a second of an event that tells of something gone wrong, or how a request ended: a gateway
+ * takes several times its planned rate while others of its failure domain stop.
+ */
+const KEPT_LINES_PER_SECOND = 200;
 /** Bytes that may wait for a reader; beyond it lines are left out until it reads on. */
 const MOST_WAITING_BYTES = 262_144;
 const SECOND_MS: Milliseconds = 1_000;
@@ -88,9 +91,9 @@
       if (now - windowStart >= SECOND_MS) startWindow(now);
       const count = counts.get(name) ?? { lines: 0, suppressed: 0 };
       counts.set(name, count);
-      const { level: eventLevel } = LOG_EVENTS[name] as LogEvent;
-      const isFailure = eventLevel === 'warn' || eventLevel === 'error';
-      const most = isFailure ? FAILURE_LINES_PER_SECOND : LINES_PER_SECOND;
+      const { level: eventLevel, isEnd } = LOG_EVENTS[name] as LogEvent;
+      const isKept = eventLevel === 'warn' || eventLevel === 'error' || isEnd === true;
+      const most = isKept ? KEPT_LINES_PER_SECOND : LINES_PER_SECOND;
       if (count.lines >= most || process.stdout.writableLength > MOST_WAITING_BYTES) {
         count.suppressed += 1;
         return;
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -12,6 +12,8 @@
   number: number;
   level: 'error' | 'warn' | 'info' | 'debug';
   message: string;
+  /** Tells how a request ended: kept as those of failures are, for without it nothing can be told. */
+  isEnd?: true;
 }
 
 export const LOG_EVENTS = {
@@ -262,7 +264,12 @@
     level: 'warn',
     message: 'A sending ended without an answer that could be passed on.',
   },
-  requestAnswered: { number: 2503, level: 'info', message: 'A request was answered.' },
+  requestAnswered: {
+    number: 2503,
+    level: 'info',
+    message: 'A request was answered.',
+    isEnd: true,
+  },
   requestEnded: { number: 2504, level: 'warn', message: 'A request ended without a good answer.' },
   requestRefusedAtDoor: {
     number: 2505,
