--- a/features/gateway/stand-ins/engine.ts
+++ b/features/gateway/stand-ins/engine.ts
@@ -110,6 +110,22 @@
     });
   }
 
+  /** Ends at once and starts again under its id, at its address, with nothing of before. */
+  async restart(): Promise<void> {
+    this.crash();
+    this.born = Math.max(Date.now(), this.born + 1);
+    this.membership = undefined;
+    this.model = undefined;
+    this.staged = [];
+    this.orders = [];
+    this.readyIn.clear();
+    this.seenEpoch = 0;
+    this.leaving = false;
+    await new Promise<void>((resolve) => this.server.listen(this.port, '127.0.0.1', resolve));
+    this.hasCrashed = false;
+    this.report();
+  }
+
   async listen(): Promise<void> {
     await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
     this.port = (this.server.address() as AddressInfo).port;
@@ -187,7 +203,8 @@
     const answer = (status: number): void => {
       response.writeHead(status, { 'content-length': 0 }).end();
     };
-    const isMine = this.membership?.name === order.group && this.membership.epoch === order.epoch;
+    const own = this.membership && keyOf(this.membership);
+    const isMine = own === keyOf({ name: order.group, epoch: order.epoch });
     switch (order.operation) {
       case 'join':
         if (order.epoch < this.seenEpoch) {
@@ -234,7 +251,9 @@
     const rank = members.indexOf(this.options.id);
     this.membership = { name: group, epoch, members, rank, state: 'joining' };
     this.report();
+    const { born } = this;
     await sleep(JOIN_MS);
+    if (born !== this.born) return;
     this.model = order.model;
     if (this.staged.length === 0) this.staged = [order.model];
     if (this.membership.name !== order.group) return;
@@ -366,7 +385,7 @@
   }
 }
 
-function keyOf({ name, epoch }: Membership): string {
+function keyOf({ name, epoch }: Pick<Membership, 'name' | 'epoch'>): string {
   return `${name} ${epoch}`;
 }
 
