Tell the lives of a backend server apart; nothing of the former one counts for the next

Cause: all that a gateway remembers of a server was kept by its id, and an engine may start again under it. Its group was formed on with the new life behind the head's back, orders to bring weights to its host were held back for 30 s, its kept connections led to the former process, and failures, stalls, load and suspicions of the former life counted for the new one. A plan names the life of each member; a member in another life has left its group, which is taken apart. Losses, staging and repeats of orders are kept by life; a probe that another life answers shows that the asked one is gone. Sendings of a former life count apart until they have ended, and a server's silence is judged only by what was sent to its present life. Ending these sendings at once was ruled out: an entry of another writer would break off answers that come. Nothing compares sequence (searched in platform/, src/gateway, src/controllers/forwarding and groups).

--- a/features/gateway/entries.steps.ts
+++ b/features/gateway/entries.steps.ts
@@ -10,6 +10,8 @@
 
 const LIST = { path: '/list/slots' };
 const ASKED = 12;
+const USUAL_LINES: ReadonlySet<string> = new Set(['requestSent', 'requestAnswered']);
+const TOLD_LINES = 40;
 const HUGE = 'x'.repeat(300_000);
 
 /** Items that are no objects, or objects of which not more than the name can be read. */
@@ -126,12 +128,17 @@
   },
 );
 
-/** Resolves when new requests have reached all servers. */
+/** Resolves when new requests have reached all servers; what the gateway logged says why not. */
 async function whenAllServe({ site, gateway }: GatewayWorld): Promise<void> {
   const before = site.journal.length;
-  await waitFor('requests at all servers', async () => {
-    await site.ask(gateway, LIST);
-    const reached = new Set(site.journal.slice(before).map(({ server }) => server));
-    return reached.size === site.servers.length;
-  });
+  try {
+    await waitFor('requests at all servers', async () => {
+      await site.ask(gateway, LIST);
+      const reached = new Set(site.journal.slice(before).map(({ server }) => server));
+      return reached.size === site.servers.length;
+    });
+  } catch (error) {
+    const told = gateway.lines.filter(({ name }) => !USUAL_LINES.has(String(name)));
+    throw new Error(JSON.stringify(told.slice(0, TOLD_LINES)), { cause: error });
+  }
 }
--- a/src/controllers/forwarding/fleet.ts
+++ b/src/controllers/forwarding/fleet.ts
@@ -60,10 +60,11 @@
   if (!isDeepStrictEqual(before, after)) servers.set(server.id, after);
 }
 
-/** `server` with the model that it was last seen with, under the same id and so in the same life. */
+/** `server` with the model that it was last seen with in the same life; another one has none. */
 function keepLastModel(before: BackendServer | undefined, server: BackendServer): BackendServer {
   const { engine } = server;
-  const lastModel = engine?.model ?? before?.engine?.lastModel;
+  const known = before?.startedAt === server.startedAt ? before?.engine?.lastModel : undefined;
+  const lastModel = engine?.model ?? known;
   if (engine === undefined || lastModel === undefined) return server;
   return { ...server, engine: { ...engine, lastModel } };
 }
--- a/src/controllers/forwarding/index.ts
+++ b/src/controllers/forwarding/index.ts
@@ -3,6 +3,7 @@
 export * from './event-stream.js';
 export * from './failing.js';
 export * from './fleet.js';
+export * from './lives.js';
 export * from './repeat-budget.js';
 export * from './routes.js';
 export * from './serving-index.js';
--- a/src/controllers/groups/orders.ts
+++ b/src/controllers/groups/orders.ts
@@ -3,11 +3,12 @@
  */
 import type { BackendServer, GroupModel } from '../../ports/index.js';
 import type { GroupTarget } from './targets.js';
-import type { DueOrder, GroupPlan, PlannedGroup } from './types.js';
+import { toMember, type DueOrder, type GroupPlan, type PlannedGroup } from './types.js';
 import {
   countGroups,
   hasAtHand,
   isHeard,
+  isOtherLife,
   listFree,
   listStrays,
   membershipIn,
@@ -29,6 +30,8 @@
 
 function listForming(group: PlannedGroup, view: DomainView): DueOrder[] {
   const { name, epoch, model, members } = group;
+  // Until the plan without it is stored, a new life must not join in the place of its former one.
+  if (members.some((member) => isOtherLife(view, member))) return [];
   const ids = members.map(({ id }) => id);
   const outside = members.filter(({ id }) => membershipIn(view, group, id) === undefined);
   if (outside.length > 0) {
@@ -63,11 +66,11 @@
     .map((to) => ({ to, order: { kind: 'leave', group: name, epoch } }));
 }
 
-function takeStrayApart({ id, address, engine }: BackendServer): DueOrder[] {
-  const membership = engine?.membership;
+function takeStrayApart(server: BackendServer): DueOrder[] {
+  const membership = server.engine?.membership;
   if (membership === undefined) return [];
   const { group, epoch } = membership;
-  return [{ to: { id, address }, order: { kind: 'leave', group, epoch } }];
+  return [{ to: toMember(server), order: { kind: 'leave', group, epoch } }];
 }
 
 /**
@@ -130,8 +133,8 @@
   });
 }
 
-function stage({ id, address }: BackendServer, model: GroupModel): DueOrder {
-  return { to: { id, address }, order: { kind: 'stage', model: model.name } };
+function stage(server: BackendServer, model: GroupModel): DueOrder {
+  return { to: toMember(server), order: { kind: 'stage', model: model.name } };
 }
 
 function countStaged(free: readonly BackendServer[], model: string): number {
--- a/src/controllers/groups/revise.ts
+++ b/src/controllers/groups/revise.ts
@@ -11,11 +11,12 @@
  */
 import type { BackendServer, GroupModel } from '../../ports/index.js';
 import type { GroupTarget } from './targets.js';
-import type { GroupPlan, PlannedGroup } from './types.js';
+import { toMember, type GroupPlan, type PlannedGroup } from './types.js';
 import {
   countGroups,
   hasAtHand,
   isHeard,
+  isOtherLife,
   isUsable,
   listFree,
   membershipIn,
@@ -44,7 +45,10 @@
 
 function judgeClosing(group: PlannedGroup, view: DomainView): PlannedGroup['closing'] {
   if (group.closing === 'preempt') return 'preempt';
-  const isCut = group.members.some(({ id }) => !view.servers.has(id) || view.lost.has(id));
+  const isCut = group.members.some(
+    (member) =>
+      !view.servers.has(member.id) || view.lost.has(member.id) || isOtherLife(view, member),
+  );
   const [head] = group.members;
   const isBroken = head !== undefined && membershipIn(view, group, head.id)?.state === 'broken';
   if (isCut || isBroken || view.failed.has(group.name)) return 'preempt';
@@ -198,7 +202,7 @@
     name: `${head?.engine?.fabricDomain ?? 'domain'}.${epoch}`,
     epoch,
     model: model.name,
-    members: members.map(({ id, address }) => ({ id, address })),
+    members: members.map(toMember),
     closing: 'no',
   };
   return { lastEpoch: epoch, groups: [...plan.groups, group] };
--- a/src/controllers/groups/types.ts
+++ b/src/controllers/groups/types.ts
@@ -2,9 +2,14 @@
  * Plans of replicas, one for each fabric domain and service.
  */
 import { z } from 'zod';
-import type { EngineOrder } from '../../ports/index.js';
+import type { BackendServer, EngineOrder } from '../../ports/index.js';
 
-const memberSchema = z.object({ id: z.string(), address: z.string() });
+const memberSchema = z.object({
+  id: z.string(),
+  address: z.string(),
+  /** Of the life that was planned with; absent where it was not told. */
+  startedAt: z.number().exactOptional(),
+});
 
 const plannedGroupSchema = z.object({
   /** Unique for all time; never used again once the group is gone. */
@@ -24,8 +29,19 @@
   groups: z.array(plannedGroupSchema),
 });
 
-/** An instance as a plan names it; the address is that of the moment of planning. */
+/** An instance as a plan names it; address and life are those of the moment of planning. */
 export type GroupMember = z.infer<typeof memberSchema>;
+
+/** `server` as a plan or an order names it. */
+export function toMember({ id, address, startedAt }: BackendServer): GroupMember {
+  return { id, address, ...(startedAt !== undefined && { startedAt }) };
+}
+
+/** A key for what is remembered of one life of an instance, and ends with it. */
+export function lifeKey({ id, startedAt }: Pick<GroupMember, 'id' | 'startedAt'>): string {
+  return startedAt === undefined ? id : `${id} ${startedAt}`;
+}
+
 /** A replica as it should be. */
 export type PlannedGroup = z.infer<typeof plannedGroupSchema>;
 /** All replicas of one fabric domain. */
--- a/src/controllers/groups/view.ts
+++ b/src/controllers/groups/view.ts
@@ -8,7 +8,7 @@
   GroupModel,
 } from '../../ports/index.js';
 import type { GroupTarget } from './targets.js';
-import type { GroupPlan, PlannedGroup } from './types.js';
+import type { GroupMember, GroupPlan, PlannedGroup } from './types.js';
 
 /** The instances of one fabric domain and service, and what orders and probes showed of them. */
 export interface DomainView {
@@ -45,6 +45,16 @@
   return isSame ? membership : undefined;
 }
 
+/**
+ * Whether `member` has ended and another life has begun under its id. That one holds nothing of the
+ * group, whatever its entry says: the group has lost a member.
+ */
+export function isOtherLife(view: DomainView, { id, startedAt }: GroupMember): boolean {
+  const server = view.servers.get(id);
+  if (server === undefined || startedAt === undefined) return false;
+  return server.startedAt !== startedAt;
+}
+
 /** Whether `id` may take part in a group. */
 export function isUsable(view: DomainView, id: string): boolean {
   const server = view.servers.get(id);
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -193,6 +193,11 @@
   serverAppeared: { number: 2105, level: 'info', message: 'A backend server is known now.' },
   serverChanged: { number: 2106, level: 'info', message: "A backend server's entry changed." },
   serverGone: { number: 2107, level: 'info', message: 'A backend server is gone.' },
+  serverRestarted: {
+    number: 2108,
+    level: 'info',
+    message: 'A backend server has started again under its id; nothing of before counts for it.',
+  },
   storeItemsDropped: {
     number: 2109,
     level: 'warn',
--- a/src/gateway/backends/connection.ts
+++ b/src/gateway/backends/connection.ts
@@ -20,6 +20,8 @@
   reset: boolean;
   /** No further request may use it. */
   ended: boolean;
+  /** Lives of its backend server that had ended here when it was opened. */
+  life: number;
   /** Since when no request uses it. */
   idleSince: Milliseconds;
 }
@@ -37,8 +39,18 @@
  * Guards against an answer without a length that is cut by a reset: the parser takes the end of the
  * connection for the end of the answer in both cases. `reset` tells them apart.
  */
-export function openConnection(address: string, onEnd: () => void): BackendConnection {
-  const state: ConnectionState = { connected: false, reset: false, ended: false, idleSince: 0 };
+export function openConnection(
+  address: string,
+  life: number,
+  onEnd: () => void,
+): BackendConnection {
+  const state: ConnectionState = {
+    connected: false,
+    reset: false,
+    ended: false,
+    life,
+    idleSince: 0,
+  };
   const client = new Client(`http://${address}`, {
     pipelining: 1,
     connect: (_options, callback) => {
--- a/src/gateway/backends/pool.ts
+++ b/src/gateway/backends/pool.ts
@@ -16,6 +16,11 @@
   acquire(to: BackendAddress, fresh: boolean): BackendConnection;
   /** The request on it has its whole answer. */
   release(to: BackendAddress, connection: BackendConnection): void;
+  /**
+   * The server has started again under its id: closes what is kept to its former life, and keeps
+   * nothing of it later. Its connections lead to a process that has ended, or to another address.
+   */
+  endLife(id: string): void;
   /** Closes what is kept to servers that `isKnown` does not hold. */
   prune(isKnown: (id: string) => boolean): void;
   close(): Promise<void>;
@@ -34,7 +39,10 @@
 
 export function createConnectionPool({ clock, onOpen }: PoolOptions): ConnectionPool {
   const idle = new Map<string, BackendConnection[]>();
+  /** Lives that have ended, by id; only ids that have started again are in it. */
+  const ended = new Map<string, number>();
 
+  const lifeOf = (id: string): number => ended.get(id) ?? 0;
   const drop = (id: string, connection: BackendConnection): void => {
     const kept = idle.get(id)?.filter((other) => other !== connection) ?? [];
     if (kept.length > 0) idle.set(id, kept);
@@ -44,6 +52,11 @@
     connection.state.ended = true;
     void connection.client.destroy();
   };
+  const closeIdle = (id: string): void => {
+    const connections = idle.get(id) ?? [];
+    idle.delete(id);
+    connections.forEach(discard);
+  };
   return {
     acquire: (to, fresh) => {
       const kept = fresh ? undefined : idle.get(to.id);
@@ -53,7 +66,7 @@
         discard(connection);
       }
       onOpen();
-      const created = openConnection(to.address, () => {
+      const created = openConnection(to.address, lifeOf(to.id), () => {
         drop(to.id, created);
       });
       return created;
@@ -61,7 +74,8 @@
     release: (to, connection) => {
       if (connection.state.ended) return;
       const kept = idle.get(to.id) ?? [];
-      if (kept.length >= MOST_IDLE) {
+      const isFormer = connection.state.life !== lifeOf(to.id);
+      if (isFormer || kept.length >= MOST_IDLE) {
         discard(connection);
         return;
       }
@@ -69,12 +83,12 @@
       kept.push(connection);
       idle.set(to.id, kept);
     },
+    endLife: (id) => {
+      ended.set(id, lifeOf(id) + 1);
+      closeIdle(id);
+    },
     prune: (isKnown) => {
-      for (const [id, connections] of [...idle]) {
-        if (isKnown(id)) continue;
-        idle.delete(id);
-        connections.forEach(discard);
-      }
+      for (const id of [...idle.keys()]) if (!isKnown(id)) closeIdle(id);
     },
     close: async () => {
       const all = [...idle.values()].flat();
--- a/src/gateway/backends/short-call.ts
+++ b/src/gateway/backends/short-call.ts
@@ -11,7 +11,7 @@
 export type ProbeOutcome =
   | { kind: 'answers'; pace: number }
   | { kind: 'silent' }
-  /** Nothing listens there, or another backend server does. */
+  /** Nothing listens there, or another backend server does, or another life of this one. */
   | { kind: 'gone' };
 
 /** Orders and probes of engines. No call is repeated here. */
@@ -69,12 +69,15 @@
           : { kind: 'unknown', reason: error instanceof Error ? error.message : 'unknown error' };
       }
     },
-    probe: async ({ id, address }) => {
+    probe: async ({ id, address, startedAt }) => {
       onProbe();
       try {
         const { status, body } = await call(address, dialect.encodeReport(id), PROBE_TIMEOUT_MS);
         if (status === OTHER_INSTANCE_STATUS) return { kind: 'gone' };
-        return { kind: 'answers', pace: dialect.decodeReport(body)?.pace ?? 1 };
+        const report = dialect.decodeReport(body);
+        const isOther = report?.startedAt !== undefined && report.startedAt !== startedAt;
+        if (isOther && startedAt !== undefined) return { kind: 'gone' };
+        return { kind: 'answers', pace: report?.pace ?? 1 };
       } catch (error) {
         // The reason is not lost: the caller logs what it makes of the outcome.
         return { kind: isRefused(error) ? 'gone' : 'silent' };
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -87,6 +87,9 @@
     },
   });
   const backends = createBackends(context);
+  backends.onRestart((server) => {
+    pool.endLife(server);
+  });
   const watchdog = createWatchdog(context, backends);
   const send = createAttemptSender(pool, platform.requests);
   const requestPath = createRequestPath({ context, backends, watchdog, send });
--- a/src/gateway/groups/domain-keeper.ts
+++ b/src/gateway/groups/domain-keeper.ts
@@ -4,6 +4,7 @@
 import {
   EMPTY_PLAN,
   groupPlanSchema,
+  lifeKey,
   listOrders,
   revisePlan,
   type DomainView,
@@ -73,6 +74,7 @@
   const losses = createLossFinder(context, calls);
   const refused = new Set<string>();
   const sentAt = new Map<string, Milliseconds>();
+  /** By life, like all that is remembered of an engine here. */
   const staging = new Map<string, StagingUnderWay>();
   let stored: StoredPlan | undefined;
   let isBusy = false;
@@ -119,15 +121,15 @@
   };
   const listStaging = ({ servers }: DomainState): ReadonlySet<string> => {
     const now = clock.now();
-    for (const { id, engine } of servers) {
-      const entry = staging.get(id);
+    for (const server of servers) {
+      const entry = staging.get(lifeKey(server));
       if (entry === undefined) continue;
-      const isOver = engine?.staged.includes(entry.model) ?? false;
-      if (isOver || now - entry.since > REPEAT_STAGE_MS) staging.delete(id);
+      const isOver = server.engine?.staged.includes(entry.model) ?? false;
+      if (isOver || now - entry.since > REPEAT_STAGE_MS) staging.delete(lifeKey(server));
     }
-    const known = new Set(servers.map(({ id }) => id));
-    for (const id of staging.keys()) if (!known.has(id)) staging.delete(id);
-    return new Set(staging.keys());
+    const known = new Set(servers.map(lifeKey));
+    for (const life of staging.keys()) if (!known.has(life)) staging.delete(life);
+    return new Set(servers.filter((server) => staging.has(lifeKey(server))).map(({ id }) => id));
   };
   const viewOf = (state: DomainState): DomainView => ({
     profile: state.profile,
@@ -166,14 +168,14 @@
   };
   const takeOutcome = ({ order, to }: DueOrder, outcome: OrderOutcome): void => {
     if (order.kind === 'stage' && (outcome.kind === 'accepted' || outcome.kind === 'unknown')) {
-      staging.set(to.id, { model: order.model, since: clock.now() });
+      staging.set(lifeKey(to), { model: order.model, since: clock.now() });
     }
     const isOutdated = outcome.kind === 'refused' && outcome.status === OUTDATED_STATUS;
     if (order.kind === 'join' && isOutdated) refused.add(order.group);
   };
   const isDue = (due: DueOrder, now: Milliseconds): boolean => {
     const { order, to } = due;
-    const key = `${to.id} ${order.kind} ${'group' in order ? order.group : order.model}`;
+    const key = `${lifeKey(to)} ${order.kind} ${'group' in order ? order.group : order.model}`;
     const last = sentAt.get(key);
     const repeatMs = order.kind === 'stage' ? REPEAT_STAGE_MS : REPEAT_ORDER_MS;
     if (last !== undefined && now - last < repeatMs) return false;
@@ -186,9 +188,10 @@
       await readPlan(state);
     }
     if (stored === undefined) return;
-    const known = new Set(state.servers.map(({ id }) => id));
     const names = new Set(stored.plan.groups.map(({ name }) => name));
-    losses.keepOnly((id) => known.has(id), names);
+    // A plan may name a member without its life; then its id alone has to do.
+    const lives = state.servers.flatMap((server) => [server.id, lifeKey(server)]);
+    losses.keepOnly(new Set(lives), names);
     examineSuspects(stored.plan);
     const view = viewOf(state);
     const next = revisePlan(stored.plan, view);
--- a/src/gateway/groups/losses.ts
+++ b/src/gateway/groups/losses.ts
@@ -1,7 +1,7 @@
 /**
  * Which members of a suspected replica do not answer.
  */
-import type { GroupMember, PlannedGroup } from '../../controllers/groups/index.js';
+import { lifeKey, type GroupMember, type PlannedGroup } from '../../controllers/groups/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { EngineCalls } from '../backends/short-call.js';
 import type { GatewayContext } from '../types.js';
@@ -18,8 +18,11 @@
   examine(group: PlannedGroup, now: Milliseconds): void;
   /** Asks an instance that was lost whether it answers again. */
   recheck(now: Milliseconds): void;
-  /** Forgets what is not in `known` any more. */
-  keepOnly(known: (id: string) => boolean, groups: ReadonlySet<string>): void;
+  /**
+   * Forgets what is not there any more; `lives` are the keys of all lives that are. A probe of a
+   * former life that ends late may add it once more, until this is called again before the next plan.
+   */
+  keepOnly(lives: ReadonlySet<string>, groups: ReadonlySet<string>): void;
 }
 
 /** An engine this much slower than usual holds its whole replica up. */
@@ -36,6 +39,11 @@
 /** A group that was not suspected for this long starts anew. */
 const FORGET_AFTER_MS: Milliseconds = 1_500;
 
+interface SlowMember {
+  id: string;
+  until: Milliseconds;
+}
+
 interface Examination {
   startedAt: Milliseconds;
   /** In a row that found all members. */
@@ -46,9 +54,10 @@
   { clock, logger }: Pick<GatewayContext, 'clock' | 'logger'>,
   calls: EngineCalls,
 ): LossFinder {
+  /** By life, so that a server that starts again is neither lost nor slow for what it was before. */
   const lost = new Map<string, GroupMember>();
   const stuck = new Set<string>();
-  const slowUntil = new Map<string, Milliseconds>();
+  const slow = new Map<string, SlowMember>();
   const examinations = new Map<string, Examination>();
   let recheckAt = 0;
 
@@ -57,8 +66,8 @@
       const outcome = await calls.probe(member);
       switch (outcome.kind) {
         case 'answers':
-          if (outcome.pace >= SLOW_PACE) slowUntil.set(member.id, clock.now() + SLOW_FOR_MS);
-          else slowUntil.delete(member.id);
+          if (outcome.pace < SLOW_PACE) slow.delete(lifeKey(member));
+          else slow.set(lifeKey(member), { id: member.id, until: clock.now() + SLOW_FOR_MS });
           return false;
         case 'gone':
           return true;
@@ -70,30 +79,30 @@
   };
   const listSlow = (): Set<string> => {
     const now = clock.now();
-    for (const [id, until] of slowUntil) if (now >= until) slowUntil.delete(id);
-    return new Set(slowUntil.keys());
+    for (const [life, { until }] of slow) if (now >= until) slow.delete(life);
+    return new Set([...slow.values()].map(({ id }) => id));
   };
   const examineMembers = async (group: PlannedGroup, examination: Examination): Promise<void> => {
     const { startedAt } = examination;
     const silent = await Promise.all(group.members.map(isSilent));
     const missing = group.members.filter((_, index) => silent[index]);
-    for (const member of missing) lost.set(member.id, member);
-    const slow = listSlow();
-    const isSlow = group.members.some(({ id }) => slow.has(id));
+    for (const member of missing) lost.set(lifeKey(member), member);
+    const slowIds = listSlow();
+    const isSlow = group.members.some(({ id }) => slowIds.has(id));
     const rounds = missing.length > 0 || isSlow ? 0 : examination.rounds + 1;
     examination.rounds = rounds;
     if (rounds >= EXAMINATIONS_UNTIL_STUCK) stuck.add(group.name);
     logger.log('groupExamined', {
       group: group.name,
       lost: missing.map(({ id }) => id).join(','),
-      slow: [...slow].join(','),
+      slow: [...slowIds].join(','),
       rounds,
       tookMs: Math.round(clock.now() - startedAt),
     });
   };
   return {
     get lost() {
-      return new Set(lost.keys());
+      return new Set([...lost.values()].map(({ id }) => id));
     },
     get slow() {
       return listSlow();
@@ -114,13 +123,14 @@
       for (const member of lost.values()) {
         void calls.probe(member).then((outcome) => {
           if (outcome.kind !== 'answers') return;
-          lost.delete(member.id);
+          lost.delete(lifeKey(member));
           logger.log('serverAnswersAgain', { server: member.id });
         });
       }
     },
-    keepOnly: (isKnown, groups) => {
-      for (const id of lost.keys()) if (!isKnown(id)) lost.delete(id);
+    keepOnly: (lives, groups) => {
+      for (const life of lost.keys()) if (!lives.has(life)) lost.delete(life);
+      for (const life of slow.keys()) if (!lives.has(life)) slow.delete(life);
       for (const name of stuck) if (!groups.has(name)) stuck.delete(name);
       for (const name of examinations.keys()) if (!groups.has(name)) examinations.delete(name);
     },
--- a/src/gateway/requests/backends.ts
+++ b/src/gateway/requests/backends.ts
@@ -5,6 +5,7 @@
   chooseTarget,
   createTargetDirectory,
   FailureRates,
+  LifeTable,
   ProgressTracker,
   RepeatBudget,
   SuspicionTable,
@@ -34,8 +35,11 @@
   /** All targets, those under suspicion included. */
   count(service: ServingService, model: string | undefined): number;
   sent(server: string): void;
+  /** Of the server's former life first, where sendings of it are still under way. */
   ended(server: string): void;
   inFlight(): ReadonlyMap<string, number>;
+  /** What was sent at `sentAt` went to a former life of the server. */
+  isFormer(server: string, sentAt: Milliseconds): boolean;
   /** Something came from the server: it moves. */
   progressed(server: string): void;
   lastProgress(server: string): Milliseconds;
@@ -50,6 +54,8 @@
   takeRepeat(service: string): boolean;
   hasRepeat(service: string): boolean;
   suspicions: SuspicionTable;
+  /** Called with each server that has begun another life under its id. */
+  onRestart(listener: (server: string) => void): void;
   /** Called with each server that newly came under suspicion here. */
   onSuspicion(listener: (server: string) => void): void;
 }
@@ -57,16 +63,26 @@
 export function createBackends(context: GatewayContext): Backends {
   const { board, clock, random, logger, metrics, settings } = context;
   const load = new Map<string, number>();
+  /**
+   * Sendings to former lives that have not ended. Their news come under the id that the new life has:
+   * until the last has ended, no news under that id say anything of the new life. They end with their
+   * connections, or with the time of their requests.
+   */
+  const former = new Map<string, number>();
+  const lives = new LifeTable();
   const progress = new ProgressTracker();
   const suspicions = new SuspicionTable();
   const failures = new FailureRates();
   const budgets = new Map<string, RepeatBudget>();
   let served = false;
   const listeners: ((server: string) => void)[] = [];
+  const restartListeners: ((server: string) => void)[] = [];
   let directory: TargetDirectory = createTargetDirectory(board.fleet.read());
   let known = board.fleet.read();
+  lives.update(known.servers, clock.now());
   board.fleet.subscribe(() => {
     const fleet = board.fleet.read();
+    for (const server of lives.update(fleet.servers, clock.now())) beginLife(server);
     clearRejoined(fleet);
     for (const server of known.servers.keys()) {
       if (fleet.servers.has(server)) continue;
@@ -77,6 +93,23 @@
     directory = createTargetDirectory(fleet);
   });
 
+  /** A new life starts from nothing. */
+  const beginLife = (server: string): void => {
+    const under = (former.get(server) ?? 0) + (load.get(server) ?? 0);
+    if (under > 0) former.set(server, under);
+    load.delete(server);
+    progress.forget(server);
+    failures.forget(server);
+    suspicions.clear(server, clock.now());
+    logger.log('serverRestarted', { server, formerInFlight: under });
+    for (const listener of restartListeners) listener(server);
+  };
+  /** Takes one off the sendings to `server` in `counts`. */
+  const countDown = (counts: Map<string, number>, server: string): void => {
+    const left = (counts.get(server) ?? 1) - 1;
+    if (left > 0) counts.set(server, left);
+    else counts.delete(server);
+  };
   /** What was seen of a server in its old replica says nothing of the new one. */
   const clearRejoined = (fleet: ServingFleet): void => {
     const now = clock.now();
@@ -121,18 +154,19 @@
       load.set(server, (load.get(server) ?? 0) + 1);
     },
     ended: (server) => {
-      const left = (load.get(server) ?? 1) - 1;
-      if (left > 0) load.set(server, left);
-      else load.delete(server);
+      countDown(former.has(server) ? former : load, server);
     },
     inFlight: () => load,
+    isFormer: (server, sentAt) => sentAt < lives.since(server),
     progressed: (server) => {
+      if (former.has(server)) return;
       const now = clock.now();
       progress.record(server, now);
       if (suspicions.clear(server, now)) logger.log('suspicionCleared', { server });
     },
     lastProgress: (server) => progress.lastProgress(server),
     suspect: (server, evidence) => {
+      if (former.has(server)) return;
       if (!suspicions.suspect(server, clock.now())) return;
       metrics.suspicions.inc();
       logger.log('serverSuspected', { server, evidence });
@@ -140,11 +174,12 @@
     },
     learnSuspicion: (server, ageMs, leftMs) => {
       const now = clock.now();
-      if (progress.lastProgress(server) > now - ageMs) return false;
+      const foundAt = now - ageMs;
+      if (progress.lastProgress(server) > foundAt || foundAt < lives.since(server)) return false;
       return suspicions.learn(server, ageMs, leftMs, now);
     },
     answered: (server, failed) => {
-      failures.record(server, failed);
+      if (!former.has(server)) failures.record(server, failed);
     },
     hasServed: () => served,
     recordRequest: (service) => {
@@ -154,6 +189,9 @@
     takeRepeat: (service) => budgetOf(service).take(clock.now(), 1 + board.peers.read().size),
     hasRepeat: (service) => budgetOf(service).hasLeft(clock.now(), 1 + board.peers.read().size),
     suspicions,
+    onRestart: (listener) => {
+      restartListeners.push(listener);
+    },
     onSuspicion: (listener) => {
       listeners.push(listener);
     },
--- a/src/gateway/requests/sending.ts
+++ b/src/gateway/requests/sending.ts
@@ -28,6 +28,7 @@
   /** Of an answer that is passed on whole. */
   readonly body: Buffer[] = [];
   answer: AttemptAnswer | undefined;
+  readonly sentAt: Milliseconds;
   movedAt: Milliseconds;
   serverLimitMs: Milliseconds;
   ownLimitMs: Milliseconds;
@@ -44,7 +45,8 @@
   ) {
     this.serverLimitMs = limits.serverLimitMs;
     this.ownLimitMs = limits.ownLimitMs;
-    this.movedAt = clock.now();
+    this.sentAt = clock.now();
+    this.movedAt = this.sentAt;
   }
 
   start(send: AttemptSender, request: AttemptRequest): void {
--- a/src/gateway/requests/watchdog.ts
+++ b/src/gateway/requests/watchdog.ts
@@ -8,6 +8,7 @@
 /** A sending whose progress is watched. */
 export interface WatchedAttempt {
   server: string;
+  sentAt: Milliseconds;
   /** When something last came of this sending, or when it was sent. */
   movedAt: Milliseconds;
   /** Silence of the whole backend server that counts as a stall. */
@@ -64,12 +65,16 @@
   const checkAttempt = (attempt: WatchedAttempt, now: Milliseconds): void => {
     if (attempt.paused || !attempts.has(attempt)) return;
     const ownSilence = now - Math.max(attempt.movedAt, resumedAt);
+    const isFormer = backends.isFormer(attempt.server, attempt.sentAt);
     const serverSilence = Math.min(ownSilence, now - backends.lastProgress(attempt.server));
     if (serverSilence > attempt.serverLimitMs) {
       const evidence = `nothing came from it for ${Math.round(serverSilence)} ms`;
-      backends.suspect(attempt.server, evidence);
+      // A former life is silent for good; that is no evidence against the one that has its id now.
+      if (!isFormer) backends.suspect(attempt.server, evidence);
       for (const other of [...attempts]) {
-        if (other.server === attempt.server && !other.paused) other.onStall('server');
+        const isSame = other.server === attempt.server;
+        const isSameLife = isSame && backends.isFormer(other.server, other.sentAt) === isFormer;
+        if (isSameLife && !other.paused) other.onStall('server');
       }
     } else if (ownSilence > attempt.ownLimitMs) {
       attempt.onStall('answer');
--- a/src/ports/orders.ts
+++ b/src/ports/orders.ts
@@ -45,6 +45,8 @@
 export interface EngineReportHead {
   /** Factor on its processing times now; well above 1 when it has turned slow. */
   pace: number;
+  /** Of the life that reports, as in its entry. */
+  startedAt?: number;
 }
 
 /** A short call to an engine, ready to send. */
