Count an engine as lost when its orders find nobody, or another, at its address

Cause: the outcomes gone and otherInstance of an order were logged and changed nothing. A replica that was planned with such an entry waited for its join without end and held its other members: with 4 engines and one entry that names the address of another, 2 groups did not open within 30 s. Now the member counts as lost, its replica is taken apart, and it is asked once a second whether it answers.

--- a/features/gateway/entries.feature
+++ b/features/gateway/entries.feature
@@ -15,7 +15,6 @@
     When the operator takes the key away in a newer version
     Then a caller is refused with 401 within 2000 ms
 
-  @known-red
   Scenario: An entry names the address of another engine
     # The entry looks like that of an engine that would be ready soonest. Nobody takes its orders: who
     # is at the address says that it is another. A replica planned with it would never form, and hold
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -244,6 +244,11 @@
     level: 'info',
     message: 'An engine that was lost answers again.',
   },
+  serverMissed: {
+    number: 2305,
+    level: 'warn',
+    message: 'An order found nobody at the address of an engine, or another; it counts as lost.',
+  },
   groupPlanWritten: {
     number: 2400,
     level: 'info',
--- a/src/gateway/groups/domain-keeper.ts
+++ b/src/gateway/groups/domain-keeper.ts
@@ -170,6 +170,8 @@
     if (order.kind === 'stage' && (outcome.kind === 'accepted' || outcome.kind === 'unknown')) {
       staging.set(lifeKey(to), { model: order.model, since: clock.now() });
     }
+    // Its entry may be another writer's: a replica planned with it would be waited for without end.
+    if (outcome.kind === 'gone' || outcome.kind === 'otherInstance') losses.missed(to);
     const isOutdated = outcome.kind === 'refused' && outcome.status === OUTDATED_STATUS;
     if (order.kind === 'join' && isOutdated) refused.add(order.group);
   };
--- a/src/gateway/groups/losses.ts
+++ b/src/gateway/groups/losses.ts
@@ -16,6 +16,8 @@
   stuck: ReadonlySet<string>;
   /** Asks the members of a group at which nothing moves, unless that is under way. */
   examine(group: PlannedGroup, now: Milliseconds): void;
+  /** An order showed that nobody answers for `member`, or another does; it is asked again later. */
+  missed(member: GroupMember): void;
   /** Asks an instance that was lost whether it answers again. */
   recheck(now: Milliseconds): void;
   /**
@@ -117,6 +119,10 @@
       examinations.set(group.name, examination);
       void examineMembers(group, examination);
     },
+    missed: (member) => {
+      lost.set(lifeKey(member), member);
+      logger.log('serverMissed', { server: member.id, address: member.address });
+    },
     recheck: (now) => {
       if (now < recheckAt || lost.size === 0) return;
       recheckAt = now + RECHECK_EVERY_MS;
