--- a/features/gateway/stand-ins/engine.ts
+++ b/features/gateway/stand-ins/engine.ts
@@ -88,6 +88,8 @@
   /** Replicas that this life was ready in. */
   readonly readyIn = new Set<string>();
   hasCrashed = false;
+  /** Unix millisecond of its start. */
+  private born = Date.now();
   private model: string | undefined;
   private seenEpoch = 0;
   private leaving = false;
@@ -108,6 +110,22 @@
     });
   }
 
+  /** Ends at once and starts again under its id, at its address, with nothing of before. */
+  async restart(): Promise<void> {
+    this.crash();
+    this.born = Math.max(Date.now(), this.born + 1);
+    this.membership = undefined;
+    this.model = undefined;
+    this.staged = [];
+    this.orders = [];
+    this.readyIn.clear();
+    this.seenEpoch = 0;
+    this.leaving = false;
+    await new Promise<void>((resolve) => this.server.listen(this.port, '127.0.0.1', resolve));
+    this.hasCrashed = false;
+    this.report();
+  }
+
   async listen(): Promise<void> {
     await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
     this.port = (this.server.address() as AddressInfo).port;
@@ -148,6 +166,7 @@
       version: 'v1',
       slots: 12,
       state: this.leaving ? 'draining' : 'ready',
+      born: this.born,
       sequence: 1,
       cold_remaining_ms: 0,
       ...(domain && { stage: 'dual', models, domain, staged: this.staged, group }),
@@ -165,7 +184,8 @@
     }
     if (this.fault.kind === 'stall') return;
     if (request.url === '/report') {
-      response.writeHead(200, { 'content-type': 'application/json' }).end('{}');
+      response.writeHead(200, { 'content-type': 'application/json' });
+      response.end(JSON.stringify({ born: this.born }));
     } else if (request.url === '/order') {
       await this.takeOrder(JSON.parse(body) as Order, response);
     } else {
@@ -183,7 +203,8 @@
     const answer = (status: number): void => {
       response.writeHead(status, { 'content-length': 0 }).end();
     };
-    const isMine = this.membership?.name === order.group && this.membership.epoch === order.epoch;
+    const own = this.membership && keyOf(this.membership);
+    const isMine = own === keyOf({ name: order.group, epoch: order.epoch });
     switch (order.operation) {
       case 'join':
         if (order.epoch < this.seenEpoch) {
@@ -230,7 +251,9 @@
     const rank = members.indexOf(this.options.id);
     this.membership = { name: group, epoch, members, rank, state: 'joining' };
     this.report();
+    const { born } = this;
     await sleep(JOIN_MS);
+    if (born !== this.born) return;
     this.model = order.model;
     if (this.staged.length === 0) this.staged = [order.model];
     if (this.membership.name !== order.group) return;
@@ -362,7 +385,7 @@
   }
 }
 
-function keyOf({ name, epoch }: Membership): string {
+function keyOf({ name, epoch }: Pick<Membership, 'name' | 'epoch'>): string {
   return `${name} ${epoch}`;
 }
 
--- a/src/controllers/forwarding/fleet.ts
+++ b/src/controllers/forwarding/fleet.ts
@@ -60,14 +60,33 @@
   if (!isDeepStrictEqual(before, after)) servers.set(server.id, after);
 }
 
-/** `server` with the model that it was last seen with, under the same id and so in the same life. */
+/** `server` with the model that it was last seen with in the same life; another one has none. */
 function keepLastModel(before: BackendServer | undefined, server: BackendServer): BackendServer {
   const { engine } = server;
-  const lastModel = engine?.model ?? before?.engine?.lastModel;
+  const known = before?.startedAt === server.startedAt ? before?.engine?.lastModel : undefined;
+  const lastModel = engine?.model ?? known;
   if (engine === undefined || lastModel === undefined) return server;
   return { ...server, engine: { ...engine, lastModel } };
 }
 
+/**
+ * What the newest entry of a server says of it, with `known` as what was known of it and `read` as
+ * what could be read of the entry; undefined when it names no server that is known.
+ *
+ * Guards against an entry that another writer has left: its server may be there or not, so it gets
+ * nothing new from now on. What is known of it is kept: its replica finishes what it has, and it
+ * comes back as it was when its own entry can be read again. An entry without its start is one of
+ * another writer's where the server has told its start before.
+ */
+export function readEntry(
+  known: BackendServer | undefined,
+  read: BackendServer | undefined,
+): BackendServer | undefined {
+  const lacksStart = known?.startedAt !== undefined && read?.startedAt === undefined;
+  if (read !== undefined && !lacksStart) return read;
+  return known && { ...known, leaving: true };
+}
+
 /** What a whole list says: what it lacks is absent. */
 export function listChanges(
   fleet: ServingFleet,
--- a/src/controllers/forwarding/index.ts
+++ b/src/controllers/forwarding/index.ts
@@ -4,6 +4,7 @@
 export * from './expected-time.js';
 export * from './failing.js';
 export * from './fleet.js';
+export * from './lives.js';
 export * from './repeat-budget.js';
 export * from './routes.js';
 export * from './serving-index.js';
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -32,6 +32,7 @@
 import { createConfigurationPart } from './store/configuration-part.js';
 import { createContactCheck } from './store/contact-check.js';
 import { createContactKeeper } from './store/contact.js';
+import { reportDropped } from './store/dropped-items.js';
 import { createFleetPart } from './store/fleet-part.js';
 import type {
   GatewayBoardWriters,
@@ -75,7 +76,7 @@
   const contact = createContactKeeper(context, board.storeContact);
   const store = createObjectStore({
     address: settings.store.address,
-    dialect: platform.store,
+    dialect: reportDropped(platform.store, logger),
     timeoutMs: settings.store.timeoutMs,
     clock,
     onCall: () => {
@@ -115,6 +116,9 @@
     },
   });
   const backends = createBackends(context);
+  backends.onRestart((server) => {
+    pool.endLife(server);
+  });
   const watchdog = createWatchdog(context, backends);
   const send = createAttemptSender(pool, platform.requests);
   const requestPath = createRequestPath({ context, backends, watchdog, send });
