Let a repeat wait for the record when this entry's own claim is undecided

An entry that was paused with a claim holds the call as open until the platform answers its claim, or its note that the call was not run. A repeat that came before was told callInProgress, or recordUnavailable, by what the entry held from before the pause. It now waits for that answer (at most its own deadline, or what three tries of a write take) and is judged by the record. When the platform does not take the write, it is told so at once.

--- a/features/calls/once-calls.feature
+++ b/features/calls/once-calls.feature
@@ -116,7 +116,6 @@
     When the held writes of "a" arrive
     Then the call "k1" sent again to "b" until it is answered has run 1 time
 
-  @known-red
   Scenario: A repeat meets an entry that has not learnt yet how its claim ended
     # An entry is paused while the answer to its claim is on the way. Others give the claim up and
     # tell callers that the outcome is unknown. The entry wakes and tells its own caller "not run"; a
--- a/src/controllers/calls/judge.ts
+++ b/src/controllers/calls/judge.ts
@@ -71,6 +71,28 @@
   }
 }
 
+/**
+ * Whether the record decides about a repeat of `open`, and this entry has yet to learn what it says.
+ *
+ * Guards against an entry that was paused after its claim: others may have recorded meanwhile that
+ * the outcome is unknown, and this one would tell a repeat that the call is in progress. It shows as
+ * a call that is open here though its own caller has been answered, because its claim, or the note
+ * that it was not run, is under way. What the platform answers to that write tells.
+ */
+export function isFateOpen({ answered, phase }: CallProgress): boolean {
+  if (!answered) return false;
+  switch (phase.kind) {
+    case 'claiming':
+      return true;
+    case 'settling':
+      return phase.state.kind === 'notRun';
+    case 'sending':
+    case 'givingUp':
+    case 'ended':
+      return false;
+  }
+}
+
 /**
  * What a request is told whose key this entry has open: nothing new is begun for it.
  *
@@ -94,7 +116,8 @@
   }
 }
 
-function isSameCall(call: OnceCall, other: CallRecord | OnceCall): boolean {
+/** Whether a request asks for the very call that a key was used for before. */
+export function isSameCall(call: OnceCall, other: CallRecord | OnceCall): boolean {
   return (
     call.workspace === other.workspace &&
     call.service === other.service &&
--- a/src/entry/calls/once-calls.ts
+++ b/src/entry/calls/once-calls.ts
@@ -2,9 +2,12 @@
  * Runs calls that may run only once: feeds the state machine of each and performs its actions.
  */
 import { randomUUID } from 'node:crypto';
+import { setTimeout as sleep } from 'node:timers/promises';
 import {
   beginCall,
   checkKey,
+  isFateOpen,
+  isSameCall,
   joinOpenCall,
   MAX_HELD_ANSWER_BYTES,
   MAX_OPEN_CALLS,
@@ -24,6 +27,7 @@
   type OnceOutcome,
   type SendOutcome,
 } from '../../controllers/calls/index.js';
+import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import type { EntryContext, Part } from '../types.js';
 import { createRecordCollector, type RecordCollector, type WallClock } from './record-collector.js';
@@ -32,6 +36,12 @@
 /** Longest wait for records to be settled when the entry stops, in ms. */
 const MAX_STOP_WAIT_MS = 10_000;
 
+/**
+ * Longest wait of a repeat for the record of a call that was given up, in ms: three tries of a
+ * write, each within its default timeout of two seconds, and the pauses between them.
+ */
+const MAX_RECORD_WAIT_MS = 6_500;
+
 /** What tests replace. */
 export interface OnceCallsOptions {
   /** Compared with the time in keys alone. */
@@ -46,6 +56,9 @@
   send: () => Promise<SendOutcome>;
   resolve: (outcome: OnceOutcome) => void;
   deadline: NodeJS.Timeout | undefined;
+  /** What the record says is known here, or the platform does not take the write that tells. */
+  recordLearnt: Promise<void>;
+  noteRecordLearnt: () => void;
 }
 
 /**
@@ -93,24 +106,53 @@
     if (age.isErr()) return refuse(age.error);
     const name = nameRecord(call);
     const before = open.get(name);
-    if (before) return Promise.resolve(joinOpenCall(before.progress, call));
+    if (before) return joinOpen(name, before, call, send);
     const refusal = stopping ? createFailure('stopping') : refuseNew();
     if (refusal) return refuse(refusal);
     return new Promise((resolve) => {
       const step = beginCall(name, call, createFacts());
       const deadline = startDeadline(name, call);
+      const learnt = createWaiting();
       const started: OpenCall = {
         progress: step.progress,
         age: age.value,
         send,
         resolve,
         deadline,
+        recordLearnt: learnt.whenDone,
+        noteRecordLearnt: learnt.done,
       };
       open.set(name, started);
       perform(started, step);
     });
   }
 
+  /** A repeat of a call whose record decides waits for it, at most until its own deadline. */
+  async function joinOpen(
+    name: string,
+    before: OpenCall,
+    call: OnceCall,
+    send: () => Promise<SendOutcome>,
+  ): Promise<OnceOutcome> {
+    if (!isFateOpen(before.progress) || !isSameCall(call, before.progress.call)) {
+      return joinOpenCall(before.progress, call);
+    }
+    await waitForRecord(before, call.deadlineAt);
+    const after = open.get(name);
+    return after ? joinOpenCall(after.progress, call) : run(call, send);
+  }
+
+  async function waitForRecord(
+    { recordLearnt }: OpenCall,
+    deadlineAt: Milliseconds = Number.POSITIVE_INFINITY,
+  ): Promise<void> {
+    const left = Math.min(MAX_RECORD_WAIT_MS, Math.max(0, deadlineAt - clock.now()));
+    const ended = new AbortController();
+    const limit = sleep(left, undefined, { signal: ended.signal }).catch(() => undefined);
+    await Promise.race([recordLearnt, limit]);
+    ended.abort();
+  }
+
   function refuseNew(): Failure | undefined {
     const admission = writer.admit();
     if (admission.kind === 'refuse') {
@@ -158,6 +200,7 @@
         call.resolve(action.outcome);
         return;
       case 'retryLater':
+        call.noteRecordLearnt();
         // The writer holds the write back for as long as the platform is to be left alone.
         queueMicrotask(() => {
           handle(call.progress.name, { kind: 'retryDue' });
@@ -192,6 +235,7 @@
   function close(call: OpenCall): void {
     clearTimeout(call.deadline);
     if (open.get(call.progress.name) === call) open.delete(call.progress.name);
+    call.noteRecordLearnt();
     if (open.size === 0) whenEmpty?.();
   }
 
@@ -209,6 +253,14 @@
   };
 }
 
+function createWaiting(): { whenDone: Promise<void>; done: () => void } {
+  let done = (): void => undefined;
+  const whenDone = new Promise<void>((resolve) => {
+    done = resolve;
+  });
+  return { whenDone, done };
+}
+
 function heldBy({ phase }: CallProgress): number {
   if (phase.kind !== 'settling') return 0;
   return phase.state.kind === 'answered' ? phase.state.body.length : 0;
