Close a connection at a stop only when its last answer has been sent

Which connections are idle is followed here instead of asked of Node: an answer counts until the system has taken its last byte, a request from its first byte on.

--- a/features/promises/graceful-stop.feature
+++ b/features/promises/graceful-stop.feature
@@ -12,7 +12,6 @@
   # A caller on a slow line has the beginning of a long answer when its entry is replaced. The entry
   # has handed all of the answer to the connection and took that for sent: at the end of its grace it
   # closed the connection as idle, and the caller got a broken answer of a check-in that had run.
-  @known-red
   Scenario: An entry stops while a caller takes a long answer slowly
     Given an entry whose caller has taken only the beginning of a long answer
     When that entry is told to stop and takes no more connections
--- a/src/core/listening/listening.ts
+++ b/src/core/listening/listening.ts
@@ -2,11 +2,12 @@
  * Opening and closing the listeners of HTTP servers.
  */
 import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { Server as SocketServer, type AddressInfo } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import type { Milliseconds } from '../clock/index.js';
 import { createFailure, type Failure } from '../errors/index.js';
+import { trackIdleConnections, type IdleConnections } from './idle-connections.js';
 
 /** Where to listen. */
 export interface HostAndPort {
@@ -15,6 +16,7 @@
 }
 
 const CONNECTION_SWEEP_MS = 50;
+const idleConnections = new WeakMap<Server, IdleConnections>();
 
 /** Splits `host:port`. */
 export function parseAddress(address: string): HostAndPort {
@@ -38,6 +40,7 @@
   address: string,
 ): ResultAsync<string, Failure<'unreachable'>> {
   const { host, port } = parseAddress(address);
+  idleConnections.set(server, trackIdleConnections(server));
   return new ResultAsync(
     new Promise<Result<string, Failure<'unreachable'>>>((resolve) => {
       const refuse = (error: Error): void => {
@@ -64,7 +67,8 @@
 }
 
 /**
- * Resolves when every answer under way has been sent and no connection is left.
+ * Resolves when every answer under way has been sent and no connection is left. Only for a server
+ * that listens by {@link listenOn}.
  *
  * A connection closed here as idle may have a request on its way: its caller sees a broken
  * connection for a request in flight. So requests are still answered for `graceMs`, and callers
@@ -90,9 +94,11 @@
   return new Promise((resolve) => {
     // A connection goes idle when its last answer has been sent, which may be after this moment.
     const sweep = setInterval(() => {
-      server.closeIdleConnections();
+      idleConnections.get(server)?.closeIdle();
     }, CONNECTION_SWEEP_MS);
-    server.close(() => {
+    // Not the HTTP server's own close: at once it would close connections whose answer has ended
+    // here and is still being sent, and their callers would get a part of it.
+    SocketServer.prototype.close.call(server, () => {
       clearInterval(sweep);
       resolve();
     });
