Say in the log of a repeated or resumed request how the attempt before ended

Beside three busy processes the stop scenario's requests were resumed on the other replica, and no line told whether the stream broke, the replica was taken for lost or the engine refused.

--- a/src/entry/requests/completions.ts
+++ b/src/entry/requests/completions.ts
@@ -133,7 +133,6 @@
       return;
     case 'ask':
       run.parts.metrics.countRetry();
-      logRetry(run.parts.context.logger, run.request, action.exclude, action.resumeFrom);
       run.retryTimer = setTimeout(() => {
         offerAgain(run, action.exclude);
       }, action.afterMs);
@@ -170,6 +169,7 @@
     mayHaveRun: state.mayHaveRun,
     received: state.delivered,
   });
+  if (decision.kind !== 'answer') logRetry(parts.context.logger, request, decision, end);
   run.apply({ kind: 'decided', decision });
 }
 
--- a/src/entry/requests/request-log.ts
+++ b/src/entry/requests/request-log.ts
@@ -3,6 +3,7 @@
  * again. Requests that go well are left to the metrics.
  */
 import type { RequestHead } from '../../adapters/callers/index.js';
+import type { AttemptEnd, RetryDecision } from '../../controllers/retries/types.js';
 import { concludeFailure, type Failure } from '../../core/errors/index.js';
 import type { LogEventName, Logger, LogValues } from '../../core/logger/index.js';
 
@@ -12,16 +13,19 @@
   logger.log(nameEnd(failure), { ...describeRequest(request), kind, reason: message });
 }
 
-/** Logs that a request is sent again, from the token `resumeFrom` of its answer. */
+/** Logs that a request is sent again, and how the attempt before had ended. */
 export function logRetry(
   logger: Logger,
   request: RequestHead,
-  excluded: string,
-  resumeFrom = 0,
+  decision: Exclude<RetryDecision, { kind: 'answer' }>,
+  { kind, reason }: AttemptEnd,
 ): void {
-  const values = { ...describeRequest(request), excluded };
-  if (resumeFrom > 0) logger.log('requestResumed', { ...values, resumeFrom });
-  else logger.log('requestRetried', values);
+  const values = { ...describeRequest(request), excluded: decision.exclude, end: kind, reason };
+  if (decision.kind === 'resume') {
+    logger.log('requestResumed', { ...values, resumeFrom: decision.from });
+  } else {
+    logger.log('requestRetried', values);
+  }
 }
 
 function nameEnd(failure: Failure): LogEventName {
--- a/src/entry/requests/service-calls.ts
+++ b/src/entry/requests/service-calls.ts
@@ -156,7 +156,7 @@
     const decision = run.parts.retries.decide(describeEnd(run, end, instance.instance));
     if (decision.kind === 'answer') return decision.failure;
     run.parts.metrics.countRetry();
-    logRetry(run.parts.context.logger, run.call, decision.exclude);
+    logRetry(run.parts.context.logger, run.call, decision, end);
     excluded = [decision.exclude];
     await sleep(decision.afterMs, undefined, { signal: run.signal }).catch(() => undefined);
   }
