--- a/features/platform/fixture.ts
+++ b/features/platform/fixture.ts
@@ -13,7 +13,7 @@
   type WriteOutcome,
 } from '../../src/adapters/platform/index.js';
 import { silentLogger } from '../../src/core/logger/index.js';
-import { createRandom } from '../../src/core/random/index.js';
+import { createRandom, type Random } from '../../src/core/random/index.js';
 import { OBJECT_KINDS, type StoredObject } from '../../src/objects/index.js';
 import type { Result } from 'neverthrow';
 import { createPlatformStandIn, type PlatformStandIn } from '../../src/stand-ins/platform/index.js';
@@ -72,14 +72,18 @@
   await world.platform?.stop();
 }
 
-export function startWatcher(client: Pick<Platform, 'watch'>, since = 0): Watcher {
+export function startWatcher(
+  client: Pick<Platform, 'watch'>,
+  since = 0,
+  random: Random = createRandom(2),
+): Watcher {
   const watcher = { lists: [], seen: new Map(), order: [], failures: [] } as Omit<Watcher, 'loop'>;
   const loop = createWatchLoop({
     platform: client,
     kinds: OBJECT_KINDS,
     waitMs: 5_000,
     pauseMs: 0,
-    random: createRandom(2),
+    random,
     logger: silentLogger,
     since,
     onList: (list) => {
--- a/features/platform/platform.steps.ts
+++ b/features/platform/platform.steps.ts
@@ -63,6 +63,19 @@
   await waitFor('the first list', () => watcher.lists.length > 0);
 });
 
+Given('its watch waits', async function (this: PlatformWorld) {
+  await waitFor('the waiting watch', () => this.platform.counters().watch >= 2);
+});
+
+Given(
+  'a watch loop over all kinds whose waits are the longest',
+  async function (this: PlatformWorld) {
+    const watcher = startWatcher(this.client, 0, { ...createRandom(2), fraction: () => 1 });
+    this.watcher = watcher;
+    await waitFor('the first list', () => watcher.lists.length > 0);
+  },
+);
+
 Given(
   'a watch loop whose first call is refused for {int} ms',
   function (this: PlatformWorld, retryAfterMs: number) {
@@ -170,6 +183,30 @@
   },
 );
 
+When(
+  'the platform falls silent and object {string} changes',
+  function (this: PlatformWorld, name: string) {
+    this.platform.control({ outage: 'hang' });
+    this.platform.put('model', name, {});
+  },
+);
+
+When(
+  'another call gets no answer until the platform speaks again',
+  async function (this: PlatformWorld) {
+    assert.ok((await this.client.read('policy', 'default')).isErr());
+    this.platform.control({ outage: 'none' });
+  },
+);
+
+When(
+  'the platform cuts every connection until the watch loop has failed {int} times',
+  async function (this: PlatformWorld, failures: number) {
+    this.platform.control({ outage: 'reset' });
+    await waitFor('the failures', () => this.watcher?.failures.length === failures);
+  },
+);
+
 When('the watch loop is stopped while its watch waits', async function (this: PlatformWorld) {
   await waitFor('the waiting watch', () => this.platform.counters().watch >= 2);
   const startedAt = performance.now();
@@ -299,6 +336,18 @@
   },
 );
 
+Then(
+  'the watch loop has the newest {string} within {int} ms of the next answered call',
+  async function (this: PlatformWorld, name: string, boundMs: number) {
+    assert.ok((await this.client.read('policy', 'default')).isOk());
+    const answeredAt = performance.now();
+    const version = this.platform.journal().at(-1)?.object.version;
+    await waitFor('the change', () => this.watcher?.seen.get(`model/${name}`)?.version === version);
+    const tookMs = performance.now() - answeredAt;
+    assert.ok(tookMs <= boundMs, `the change came ${Math.round(tookMs)} ms after the answer`);
+  },
+);
+
 Then(
   'the watch loop has seen {string} before {string}',
   async function (this: PlatformWorld, first: string, second: string) {
