--- a/features/configuration/configuration.feature
+++ b/features/configuration/configuration.feature
@@ -29,6 +29,16 @@
     Then configured entry "entry-4" turns its readiness on
     And the change is in force at configured entries "entry-1, entry-2, entry-3, entry-4"
 
+  @known-red
+  Scenario: an entry asks the platform while its own watch has gone silent
+    One entry hears no other, and the connection of its watch brings nothing any more. It asks the
+    platform now and then, as it has to know that it is not cut off, and is answered; yet it goes on
+    by what it had and calls that confirmed, until the watch ends by itself.
+    Given configured entry "entry-1" is cut off from the other entries
+    And the watch of configured entry "entry-1" brings nothing any more
+    When model "pass-assistant" is set to 2 replicas at the platform
+    Then the change is in force at configured entry "entry-1" before it is confirmed there
+
   Scenario: an outage right after the write
     The platform takes a change, tells one entry of it and goes away for long. The other entries
     are cut off from it from the start. They learn the change from their peer, and the operator is
--- a/features/configuration/configuration.steps.ts
+++ b/features/configuration/configuration.steps.ts
@@ -12,12 +12,16 @@
 interface ConfiguredWorld {
   configured?: TestFleet;
   changed: number;
+  /** By the clock that the entries of this process go by. */
+  changedAt: number;
   answers: (AppliedChange | Refusal)[];
 }
 
 const SITES = ['site-a', 'site-b', 'site-c'] as const;
 const FIRST_HASH = createHash('sha256').update('first').digest('hex');
 const WAIT_MS = 10_000;
+/** More than the platform timeout of the fleet's entries. */
+const LONGEST_CALL_MS = 400;
 
 function fleetOf(world: ConfiguredWorld): TestFleet {
   assert(world.configured, 'no fleet was started');
@@ -69,6 +73,41 @@
   },
 );
 
+Given(
+  'configured entry {string} is cut off from the other entries',
+  function (this: ConfiguredWorld, name: string) {
+    for (const other of fleetOf(this).entries.keys()) {
+      if (other !== name) fleetOf(this).cut(name, other);
+    }
+  },
+);
+
+Given(
+  'the watch of configured entry {string} brings nothing any more',
+  function (this: ConfiguredWorld, name: string) {
+    fleetOf(this).silenceWatch(name);
+  },
+);
+
+When(
+  'model {string} is set to {int} replicas at the platform',
+  function (this: ConfiguredWorld, name: string, replicas: number) {
+    fleetOf(this).platform.put('model', name, { replicas });
+    this.changedAt = performance.now();
+  },
+);
+
+Then(
+  'the change is in force at configured entry {string} before it is confirmed there',
+  async function (this: ConfiguredWorld, name: string) {
+    const { configuration } = entryOf(this, name);
+    // A call that was sent before the change may still confirm what was in force then.
+    const sentAfter = this.changedAt + LONGEST_CALL_MS;
+    await waitFor('a later confirmation', () => configuration.platformAt() > sentAfter);
+    assert.equal(replicasAt(this, name), 2);
+  },
+);
+
 Given(
   'configured entries {string} are cut off from the platform',
   function (this: ConfiguredWorld, names: string) {
--- a/features/platform/proxy.feature
+++ b/features/platform/proxy.feature
@@ -25,6 +25,16 @@
     Then the watch loop reports a failure within 2000 ms
     And the watch loop has seen the newest "m"
 
+  @known-red
+  Scenario: idle connections that went silent together
+    Calls have left connections open when the link loses its memory of them all: nothing comes
+    back on them any more, and new ones work. Each kept connection would cost another call its
+    whole timeout, and a claim its answer, for as long as there are any.
+    Given 6 calls at once have left their connections open
+    And the proxy keeps back everything on the connections open now
+    When one call gets no answer
+    Then 6 further calls at once are all answered
+
   Scenario: a cut of the way there
     Given the proxy cuts the way to the target
     When object "m" is written from version 0 with nonce "n1"
--- a/features/platform/proxy.steps.ts
+++ b/features/platform/proxy.steps.ts
@@ -55,6 +55,31 @@
   },
 );
 
+Given(
+  '{int} calls at once have left their connections open',
+  async function (this: PlatformWorld, calls: number) {
+    assert.equal(await countAnswers(this, calls), calls);
+  },
+);
+
+Given(
+  'the proxy keeps back everything on the connections open now',
+  async function (this: PlatformWorld) {
+    await switchProxy(this, { hold: 'both' });
+  },
+);
+
+When('one call gets no answer', async function (this: PlatformWorld) {
+  assert.equal(await countAnswers(this, 1), 0);
+});
+
+Then(
+  '{int} further calls at once are all answered',
+  async function (this: PlatformWorld, calls: number) {
+    assert.equal(await countAnswers(this, calls), calls);
+  },
+);
+
 When('the proxy passes everything again', async function (this: PlatformWorld) {
   await switchProxy(this, { cut: 'none' });
 });
@@ -106,3 +131,9 @@
 Then('it is the same and took at least {int} ms', function (this: PlatformWorld, leastMs: number) {
   assert.ok(this.elapsedMs >= leastMs, `took ${this.elapsedMs} ms`);
 });
+
+async function countAnswers({ client }: PlatformWorld, calls: number): Promise<number> {
+  const reads = Array.from({ length: calls }, () => client.read('policy', 'default'));
+  const answers = await Promise.all(reads);
+  return answers.filter((answer) => answer.isOk()).length;
+}
--- a/features/support/entries.ts
+++ b/features/support/entries.ts
@@ -2,7 +2,7 @@
  * Entries in this process, with real listeners for each other and a platform stand-in, for
  * scenarios about configuration and membership. Links can be cut one by one.
  */
-import { errAsync, okAsync } from 'neverthrow';
+import { err, errAsync, okAsync, ResultAsync, type Result } from 'neverthrow';
 import {
   createPeerClient,
   createPeerServer,
@@ -13,6 +13,7 @@
   createPlatformClient,
   type ObjectList,
   type Platform,
+  type PlatformFailure,
 } from '../../src/adapters/platform/index.js';
 import type { Operations } from '../../src/adapters/operators/index.js';
 import type { Engines } from '../../src/adapters/engines/index.js';
@@ -57,6 +58,8 @@
   /** No call gets through between the two, in either direction. `platform` names the platform. */
   cut(one: string, other: string): void;
   heal(): void;
+  /** The watch that the entry has under way brings nothing any more; later calls are answered. */
+  silenceWatch(name: string): void;
   /** Keeps what the platform would answer now, as a copy that lags behind. */
   copyPlatform(): Promise<void>;
   /** From now on the platform's reads and watches come from the copy; writes go through. */
@@ -76,6 +79,7 @@
   const platform = started._unsafeUnwrap();
   const entries = new Map<string, TestEntry>();
   const cuts = new Set<string>();
+  const silencedAt = new Map<string, number>();
   const copy: { list?: ObjectList; isOn: boolean } = { isOn: false };
   const isCut = (one: string, other: string): boolean => cuts.has([one, other].sort().join());
   const nameOf = (address: string): string => {
@@ -138,6 +142,7 @@
         client,
         () => isCut(name, PLATFORM),
         () => (copy.isOn ? copy.list : undefined),
+        () => silencedAt.get(name) ?? Number.NEGATIVE_INFINITY,
       ),
       engines: {} as Engines,
     };
@@ -184,6 +189,9 @@
     heal: () => {
       cuts.clear();
     },
+    silenceWatch: (name) => {
+      silencedAt.set(name, performance.now());
+    },
     copyPlatform: async () => {
       const random = createRandom(0);
       const { address } = platform;
@@ -215,10 +223,20 @@
 }
 
 /** A watch that waits when the link is cut is not answered any more either. */
+/** An answer that never comes; the call ends only when its caller ends it. */
+async function whenAborted(
+  signal: AbortSignal | undefined,
+): Promise<Result<never, PlatformFailure>> {
+  if (signal?.aborted !== true)
+    await new Promise((resolve) => signal?.addEventListener('abort', resolve));
+  return err(createFailure('platformUnavailable', { reason: 'ended' }));
+}
+
 function spoilPlatform(
   platform: Platform,
   isCut: () => boolean,
   oldCopy: () => ObjectList | undefined,
+  silencedAt: () => number,
 ): Platform {
   const refuse = () => errAsync(createFailure('platformUnavailable', { reason: 'cut' }));
   const answerFromCopy = (list: ObjectList, since: number): ObjectList => ({
@@ -235,9 +253,11 @@
       const copied = oldCopy();
       if (isCut()) return refuse();
       if (copied !== undefined) return okAsync(answerFromCopy(copied, since));
-      return platform
-        .watch(kinds, since, waitMs, signal)
-        .andThen((list) => (isCut() ? refuse() : okAsync(list)));
+      const sentAt = performance.now();
+      return platform.watch(kinds, since, waitMs, signal).andThen((list) => {
+        if (waitMs > 0 && sentAt < silencedAt()) return new ResultAsync(whenAborted(signal));
+        return isCut() ? refuse() : okAsync(list);
+      });
     },
   };
 }
