Let a watch of the plans wait for no longer than two renewals of a lease

Each owned domain is renewed in its plan every third of a lease, so a longer wait told nothing and made no fewer calls.

--- a/features/replicas/owners.feature
+++ b/features/replicas/owners.feature
@@ -22,7 +22,6 @@
     And the first entry is let go on
     Then the first entry gives no order and the replica goes on serving
 
-  @known-red
   Scenario: The watch of an entry that is far from owning the domain goes silent
     # The connection of its watch brings nothing any more. It went by the plan of before until the
     # watch's longest wait was over, and sent no request to the replicas that were formed meanwhile.
--- a/src/controllers/replicas/lease.ts
+++ b/src/controllers/replicas/lease.ts
@@ -34,6 +34,20 @@
 /** Share of the lease by which each lower choice of owner waits longer for the ones before it. */
 const RANK_DELAY_SHARE = 1 / 4;
 
+/** Renewals that fall into the longest wait of a watch of the plans. */
+const RENEWALS_PER_WATCH = 2;
+
+/**
+ * How long a watch of the plans may wait at most.
+ *
+ * Guards against a watch whose connection went silent: the entry would go by plans of long ago and
+ * send nothing to replicas that were formed meanwhile. Each owned domain is renewed in its plan, so
+ * a watch that brings no news for two renewals is no contact, and a shorter wait makes no more calls.
+ */
+export function findPlanWatchMs(leaseMs: Milliseconds, watchMs: Milliseconds): Milliseconds {
+  return Math.min(watchMs, leaseMs * RENEWAL_SHARE * RENEWALS_PER_WATCH);
+}
+
 /** When the holder must regard its lease as over. */
 export function findLeaseEnd(lease: HeldLease): Milliseconds {
   return lease.sentAt + lease.leaseMs * (1 - CLOCK_DRIFT);
--- a/src/entry/replicas/replicas-part.ts
+++ b/src/entry/replicas/replicas-part.ts
@@ -12,6 +12,7 @@
   describeSupply,
   doubtWrite,
   findOrderStart,
+  findPlanWatchMs,
   findTakeOverTime,
   groupDomains,
   listDrained,
@@ -94,7 +95,7 @@
   const watch = createWatchLoop({
     platform,
     kinds: ['domain-plan'],
-    waitMs: settings.platform.watchMs,
+    waitMs: findPlanWatchMs(leaseMs, settings.platform.watchMs),
     pauseMs: () => findWatchPause(countEntries(board.fleet.read())),
     random,
     logger,
