Fail a request that a stop cuts off without a line in the log

The entry has the second cause of the incident as well: at the end of its grace (stopping.drainMs) it closes what is in flight, and each request ends as if its caller had left, which is no line at the usual level.

--- a/features/promises/graceful-stop.feature
+++ b/features/promises/graceful-stop.feature
@@ -18,6 +18,15 @@
     And the caller takes the rest of its answer
     Then the long answer is whole, and the entry has exited with 0
 
+  # The grace of a stop ends while a call is still at its backend server, and the entry closes the
+  # caller's connection. Its log said that the caller had left, so that operators looked for the cause
+  # at the caller.
+  @known-red
+  Scenario: The grace of a stop ends before a call is answered
+    Given an entry with a grace of 500 ms, and a call that its plain server takes 5000 ms for
+    When that entry is told to stop, and exits with 0
+    Then the call was cut off, and the entry's log says that the stop did it
+
   # An operator takes one machine of a replica out of service while it streams. When the system says
   # that it is safe, the machine is switched off.
   Scenario: An instance of a replica is drained with long streams open
--- a/features/promises/graceful-stop.steps.ts
+++ b/features/promises/graceful-stop.steps.ts
@@ -114,6 +114,48 @@
   },
 );
 
+Given(
+  'an entry with a grace of {int} ms, and a call that its plain server takes {int} ms for',
+  async function (this: StopWorld, drainMs: number, latencyMs: number) {
+    // The table of the stop is the last one of the settings.
+    const plan = { services: 1, entryTables: `drainMs = ${drainMs}\n` };
+    const { deployment } = await start(this, plan);
+    await deployment.service(0).control({ latencyMs });
+    const { callers } = deployment.entry(0);
+    this.calls = [callService(callers, 'GET', `${SERVICE}/passes/1`)];
+    await waitFor('the call to be in flight', async () => {
+      return (await readInFlight(deployment, 0)) === 1;
+    });
+  },
+);
+
+When('that entry is told to stop, and exits with 0', async function (this: StopWorld) {
+  const { process } = this.deployment.entry(0);
+  process.signal('SIGTERM');
+  assert.equal(await process.exited, 0);
+});
+
+Then(
+  "the call was cut off, and the entry's log says that the stop did it",
+  async function (this: StopWorld) {
+    const [reply] = await Promise.all(this.calls);
+    assert.equal(reply?.broken, true);
+    const lines = this.deployment
+      .entry(0)
+      .process.logLines.map(
+        (line) => JSON.parse(line) as { name: string; requests?: number; requestId?: string },
+      );
+    const named = (name: string) => lines.filter((line) => line.name === name);
+    assert.deepEqual(named('requestAbandoned'), []);
+    assert.deepEqual(
+      named('stopGraceOver').map(({ requests }) => requests),
+      [1],
+    );
+    assert.equal(named('requestCutByStop').length, 1);
+    assert.ok(named('requestCutByStop')[0]?.requestId);
+  },
+);
+
 When('that entry is told to stop and takes no more connections', async function (this: StopWorld) {
   const { callers, process } = this.deployment.entry(0);
   process.signal('SIGTERM');
