--- a/features/promises/graceful-stop.feature
+++ b/features/promises/graceful-stop.feature
@@ -26,6 +26,15 @@
     When that entry is told to stop, and exits with 0
     Then the call was cut off, and the entry's log says that the stop did it
 
+  # The platform is silent while an entry stops. The entry waited for it to take the domains that it
+  # gives away, and took new requests all the while, long after the balancer's span: whoever stops it
+  # by the sum of its two spans kills it with these requests in flight.
+  @known-red
+  Scenario: An entry that owns a domain stops while the platform is silent
+    Given an entry that owns the domain of a whole replica
+    When the platform falls silent and that entry is told to stop
+    Then it takes no more requests within 2000 ms, and exits with 0
+
   # An operator takes one machine of a replica out of service while it streams. When the system says
   # that it is safe, the machine is switched off.
   Scenario: An instance of a replica is drained with long streams open
--- a/features/promises/graceful-stop.steps.ts
+++ b/features/promises/graceful-stop.steps.ts
@@ -35,6 +35,7 @@
   /** Of a caller that reads slowly; nobody has read from it yet. */
   slowAnswer: IncomingMessage;
   taken: Buffer;
+  signalledAt: number;
 }
 
 const TOKENS = 40;
@@ -156,6 +157,30 @@
   },
 );
 
+Given('an entry that owns the domain of a whole replica', async function (this: StopWorld) {
+  await start(this, { entries: 1 });
+});
+
+When('the platform falls silent and that entry is told to stop', async function (this: StopWorld) {
+  await this.deployment.platform.control({ outage: 'hang' });
+  this.deployment.entry(0).process.signal('SIGTERM');
+  this.signalledAt = performance.now();
+});
+
+Then(
+  'it takes no more requests within {int} ms, and exits with 0',
+  async function (this: StopWorld, boundMs: number) {
+    const { callers, process } = this.deployment.entry(0);
+    await waitFor('requests to be refused', async () => {
+      const reply = await callService(callers, 'GET', `${SERVICE}/passes/1`);
+      return reply.refused === true || reply.errorKind === 'stopping';
+    });
+    const tookMs = performance.now() - this.signalledAt;
+    assert.ok(tookMs <= boundMs, `it took requests for ${Math.round(tookMs)} ms`);
+    assert.equal(await process.exited, 0);
+  },
+);
+
 When('that entry is told to stop and takes no more connections', async function (this: StopWorld) {
   const { callers, process } = this.deployment.entry(0);
   process.signal('SIGTERM');
