Refuse requests after the balancer's span also while the platform is silent

Domains are given away beside the rest of the stop and all at once, and the stop waits for that when its callers are done.

--- a/features/promises/graceful-stop.feature
+++ b/features/promises/graceful-stop.feature
@@ -29,7 +29,6 @@
   # The platform is silent while an entry stops. The entry waited for it to take the domains that it
   # gives away, and took new requests all the while, long after the balancer's span: whoever stops it
   # by the sum of its two spans kills it with these requests in flight.
-  @known-red
   Scenario: An entry that owns a domain stops while the platform is silent
     Given an entry that owns the domain of a whole replica
     When the platform falls silent and that entry is told to stop
--- a/src/entry/replicas/replicas-part.ts
+++ b/src/entry/replicas/replicas-part.ts
@@ -308,15 +308,17 @@
     logger.log('planWritten', { domain, fence, reasons: JSON.stringify(reasons) });
   }
 
+  async function giveAway(domain: string): Promise<void> {
+    const action = decideHandOver(store.read(domain));
+    if (action.kind === 'write') await writePlan(domain, action, []);
+  }
+
   async function handOver(): Promise<void> {
     isStopping = true;
     clearInterval(timer);
     await Promise.all(calls.values());
     await sender.settle();
-    for (const domain of board.plans.read().keys()) {
-      const action = decideHandOver(store.read(domain));
-      if (action.kind === 'write') await writePlan(domain, action, []);
-    }
+    await Promise.all([...board.plans.read().keys()].map(giveAway));
   }
 
   return {
--- a/src/entry/stop-entry.ts
+++ b/src/entry/stop-entry.ts
@@ -33,12 +33,15 @@
   logger.log('entryStopping');
   parts.isLeaving = true;
   parts.membership.announceStopping();
-  await Promise.all([parts.replicas.handOver(), sleep(balancerMs)]);
+  // Not waited for before requests are refused: while the platform is silent, requests would be taken
+  // for seconds beyond the balancer's span, which whoever kills the process in the end doesn't grant.
+  const handedOver = parts.replicas.handOver();
+  await sleep(balancerMs);
   parts.requests.beginStopping();
   const isFinished = await endsWithin(finishRequests(parts, balancerMs), drainMs);
   if (!isFinished) parts.requests.noteCut();
   await parts.callers.close();
-  await parts.onceCalls.stop();
+  await Promise.all([handedOver, parts.onceCalls.stop()]);
   await parts.membership.whenHandedOver(FAREWELL_MS);
   await stopParts(parts);
   await closeConnections(parts);
