Count the last news of a former life for no life

Cause: a request's run tells what its sending showed right after it has ended the sending; the last one of a former life was then told from it no more, and its failure counted for the new life.

--- a/features/gateway/former-lives.steps.ts
+++ b/features/gateway/former-lives.steps.ts
@@ -106,10 +106,11 @@
     this.clock.advance(50);
     assert.equal(this.backends.learnSuspicion(ID, 100, 1_000), false);
     for (let ended = 0; ended < requests; ended += 1) {
+      // The order of a request's run: what its sending showed is told after its end.
       this.backends.progressed(ID);
+      this.backends.ended(ID);
       this.backends.answered(ID, true);
       this.backends.suspect(ID, 'nothing came from it');
-      this.backends.ended(ID);
       checkFresh(this);
     }
   },
@@ -117,7 +118,8 @@
 
 Then(
   'once they have ended, its own failures and requests count',
-  function (this: FormerLivesWorld) {
+  async function (this: FormerLivesWorld) {
+    await nextTurn();
     this.backends.sent(ID);
     this.backends.answered(ID, true);
     const chosen = this.backends.choose(SERVICE, undefined, NOBODY);
--- a/src/gateway/requests/backends.ts
+++ b/src/gateway/requests/backends.ts
@@ -69,6 +69,8 @@
    * connections, or with the time of their requests.
    */
   const former = new Map<string, number>();
+  /** Servers whose last such sending ends just now: what it showed is told right after its end. */
+  const settling = new Set<string>();
   const lives = new LifeTable();
   const progress = new ProgressTracker();
   const suspicions = new SuspicionTable();
@@ -110,6 +112,14 @@
     if (left > 0) counts.set(server, left);
     else counts.delete(server);
   };
+  const endFormer = (server: string): void => {
+    countDown(former, server);
+    if (former.has(server)) return;
+    settling.add(server);
+    queueMicrotask(() => settling.delete(server));
+  };
+  /** Whether news under the id may be of a former life. */
+  const isUnsure = (server: string): boolean => former.has(server) || settling.has(server);
   /** What was seen of a server in its old replica says nothing of the new one. */
   const clearRejoined = (fleet: ServingFleet): void => {
     const now = clock.now();
@@ -154,19 +164,20 @@
       load.set(server, (load.get(server) ?? 0) + 1);
     },
     ended: (server) => {
-      countDown(former.has(server) ? former : load, server);
+      if (former.has(server)) endFormer(server);
+      else countDown(load, server);
     },
     inFlight: () => load,
     isFormer: (server, sentAt) => sentAt < lives.since(server),
     progressed: (server) => {
-      if (former.has(server)) return;
+      if (isUnsure(server)) return;
       const now = clock.now();
       progress.record(server, now);
       if (suspicions.clear(server, now)) logger.log('suspicionCleared', { server });
     },
     lastProgress: (server) => progress.lastProgress(server),
     suspect: (server, evidence) => {
-      if (former.has(server)) return;
+      if (isUnsure(server)) return;
       if (!suspicions.suspect(server, clock.now())) return;
       metrics.suspicions.inc();
       logger.log('serverSuspected', { server, evidence });
@@ -179,7 +190,7 @@
       return suspicions.learn(server, ageMs, leftMs, now);
     },
     answered: (server, failed) => {
-      if (!former.has(server)) failures.record(server, failed);
+      if (!isUnsure(server)) failures.record(server, failed);
     },
     hasServed: () => served,
     recordRequest: (service) => {
