--- a/features/requests/fixture.ts
+++ b/features/requests/fixture.ts
@@ -11,6 +11,7 @@
 import type { OnceCalls, OnceOutcome, SendOutcome } from '../../src/controllers/calls/index.js';
 import { createEligibleReplicas } from '../../src/controllers/health/index.js';
 import { createSystemClock } from '../../src/core/clock/index.js';
+import { createHeldBytes } from '../../src/core/held-bytes/index.js';
 import { silentLogger } from '../../src/core/logger/index.js';
 import { createMetrics } from '../../src/core/metrics/index.js';
 import { createRandom } from '../../src/core/random/index.js';
@@ -48,11 +49,13 @@
   readonly requests: Requests;
   readonly callers: Callers;
   readonly health: HealthPart;
-  readonly #client: EngineClient = createEngineClient();
+  readonly #client: EngineClient;
   readonly #services: Services = createServices();
+  readonly unread = createHeldBytes();
   address = '';
 
   constructor() {
+    this.#client = createEngineClient({}, this.unread);
     this.context = createContext(this.board, this.#client);
     this.health = createHealthPart(this.context);
     this.requests = createRequests(this.context, {
@@ -69,6 +72,7 @@
       path: this.requests.path,
       readiness: () => undefined,
       isStopping: () => this.requests.isStopping(),
+      unread: this.unread,
       logger: silentLogger,
     });
   }
--- a/src/adapters/callers/completion-outputs.ts
+++ b/src/adapters/callers/completion-outputs.ts
@@ -36,6 +36,7 @@
     });
     pending = `${start}{"role":"assistant","content":""${end}${pending}`;
   };
+  // Runs before the entry turns to anything else, so `pending` never waits for the caller to read.
   const flush = (): void => {
     isFlushDue = false;
     if (pending === '') return;
--- a/src/adapters/callers/create-callers.ts
+++ b/src/adapters/callers/create-callers.ts
@@ -15,6 +15,7 @@
 import type { Credentials } from '../../controllers/attempts/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
+import type { HeldBytes } from '../../core/held-bytes/index.js';
 import { closeServer, drainServer, listenOn } from '../../core/listening/index.js';
 import type { Logger } from '../../core/logger/index.js';
 import type { EntrySettings } from '../../core/settings/index.js';
@@ -32,6 +33,8 @@
   readiness: () => Failure<'notReady' | 'stopping'> | undefined;
   /** Whether connections are to be closed after their next answer. */
   isStopping: () => boolean;
+  /** Counts what answers hold until their callers read on. */
+  unread: HeldBytes;
   logger: Logger;
 }
 
@@ -130,6 +133,10 @@
   const { incoming, outgoing } = context.env;
   const id = randomUUID();
   outgoing.setHeader('X-Request-Id', id);
+  outgoing.once(
+    'close',
+    options.unread.hold(() => outgoing.writableLength),
+  );
   if (options.isStopping()) outgoing.setHeader('Connection', 'close');
   const caller = options.path.identify(readCredentials(incoming, options));
   if (caller.isErr()) {
@@ -188,7 +195,7 @@
   return serveCompletion(path, head, bounds, request, response);
 };
 
-const serveOneServiceCall: Serve = ({ path, settings }, head, request, response) => {
+const serveOneServiceCall: Serve = ({ path, settings, unread }, head, request, response) => {
   const target = resolveServiceTarget(request.url ?? '');
   if (!target) {
     const failure = createFailure('routeUnknown', { name: request.url ?? '' });
@@ -200,7 +207,14 @@
   // A key that identified the caller here is no business of the backend server's.
   const usedFields = identifiedByHeader ? [trusted] : ['authorization'];
   const { bodyTimeoutMs } = settings;
-  return serveServiceCall(path, head, target, { usedFields, bodyTimeoutMs }, request, response);
+  return serveServiceCall(
+    path,
+    head,
+    target,
+    { usedFields, bodyTimeoutMs, unread },
+    request,
+    response,
+  );
 };
 
 function serveReadiness(context: Context<Env>, { readiness }: CallersOptions): Response {
--- a/src/adapters/callers/service-calls.ts
+++ b/src/adapters/callers/service-calls.ts
@@ -7,6 +7,7 @@
 import type { HeaderField, StoredAnswer } from '../../controllers/calls/types.js';
 import { removeHopByHop, type ServiceAnswer } from '../services/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
+import type { HeldBytes } from '../../core/held-bytes/index.js';
 import { sendFailure } from './answers.js';
 import { readBody } from './body.js';
 import type { CallBody, RequestHead, RequestPath, ServiceCall, ServiceOutput } from './types.js';
@@ -23,6 +24,8 @@
   usedFields: readonly string[];
   /** Longest wait for a body that is read whole. */
   bodyTimeoutMs: Milliseconds;
+  /** Counts what an answer holds until its caller reads on. */
+  unread: HeldBytes;
 }
 
 /** Header fields that this entry sets itself or has used up. */
@@ -47,7 +50,7 @@
   requestPath: RequestPath,
   head: RequestHead,
   target: ServiceTarget,
-  { usedFields, bodyTimeoutMs }: ServiceCallOptions,
+  { usedFields, bodyTimeoutMs, unread }: ServiceCallOptions,
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
@@ -59,15 +62,20 @@
     body: hasBody(request) ? createBody(request, bodyTimeoutMs) : undefined,
     idempotencyKey: request.headers['idempotency-key']?.toString(),
   };
-  const failure = await requestPath.callService(call, createOutput(response));
+  const failure = await requestPath.callService(call, createOutput(response, unread));
   if (failure === undefined || response.headersSent || response.destroyed) return;
   if (!request.complete) response.setHeader('Connection', 'close');
   sendFailure(response, failure, head.id);
 }
 
-function createOutput(response: ServerResponse): ServiceOutput {
+function createOutput(response: ServerResponse, unread: HeldBytes): ServiceOutput {
   return {
-    relay: (answer) => relayAnswer(response, answer),
+    relay: async (answer) => {
+      const release = unread.hold(() => answer.body.readableLength);
+      const end = await relayAnswer(response, answer);
+      release();
+      return end;
+    },
     send: (answer, replayed) => {
       sendStored(response, answer, replayed);
     },
--- a/src/adapters/engines/chunk-stream.ts
+++ b/src/adapters/engines/chunk-stream.ts
@@ -7,6 +7,7 @@
 import { StringDecoder } from 'node:string_decoder';
 import { createParser, type EventSourceParser } from 'eventsource-parser';
 import type { Dispatcher } from 'undici';
+import type { HeldBytes } from '../../core/held-bytes/index.js';
 import { createChunkSequence, type ChunkSequence } from './chunk-sequence.js';
 import { parseChunk } from './parse-chunk.js';
 import type { EngineChunk, EngineRequest } from './protocol.js';
@@ -27,24 +28,32 @@
   decoder: StringDecoder;
   /** Parsed and not yet passed on. */
   ready: EngineChunk[];
+  /** Of the part of the body whose chunks are being passed on. */
+  partBytes: number;
   ended: boolean;
   /** Everything that came belonged here; otherwise the connection is not used again. */
   clean: boolean;
 }
 
-/** Reads `body` until its end mark. Leaving the loop early closes the connection. */
+/**
+ * Reads `body` until its end mark. Leaving the loop early closes the connection. What waits here
+ * while the chunks before it are not taken is counted in `unread`.
+ */
 export async function* readChunks(
   body: Body,
   request: EngineRequest,
   maxEventBytes: number,
+  unread: HeldBytes,
 ): AsyncGenerator<EngineChunk, void, undefined> {
   const reading = startReading(request, maxEventBytes);
+  const release = unread.hold(() => body.readableLength + reading.partBytes);
   // A body that is destroyed reports it as an error, also when nobody reads it any more.
   body.on('error', () => undefined);
   try {
     for await (const bytes of body.iterator({ destroyOnReturn: false })) {
       feed(reading, bytes as Buffer);
       yield* reading.ready.splice(0);
+      reading.partBytes = 0;
       if (reading.ended) return;
     }
     // An engine that dies before its end mark may still close its connection in good order; the
@@ -53,6 +62,7 @@
   } catch (error) {
     yield breakOff(reading, describeError(error));
   } finally {
+    release();
     settleBody(body, reading);
   }
 }
@@ -80,6 +90,7 @@
     }),
     decoder: new StringDecoder('utf8'),
     ready: [],
+    partBytes: 0,
     ended: false,
     clean: true,
   };
@@ -87,6 +98,7 @@
 }
 
 function feed(reading: Reading, bytes: Buffer): void {
+  reading.partBytes = bytes.length;
   reading.parser.feed(reading.decoder.write(bytes));
 }
 
--- a/src/adapters/engines/completion.ts
+++ b/src/adapters/engines/completion.ts
@@ -2,6 +2,7 @@
  * Sending a completion: from the request to the first byte of the answer.
  */
 import type { Dispatcher } from 'undici';
+import type { HeldBytes } from '../../core/held-bytes/index.js';
 import { readRefusal } from './answers.js';
 import { describeError, readChunks } from './chunk-stream.js';
 import type { EngineRequest } from './protocol.js';
@@ -11,13 +12,14 @@
 
 const JSON_HEADERS = { 'content-type': 'application/json' };
 
-/** Sends `request` once. `dispatcher` has to mark sendings. */
+/** Sends `request` once. `dispatcher` has to mark sendings; `unread` counts what the answer holds. */
 export async function startCompletion(
   dispatcher: Dispatcher,
   address: string,
   request: EngineRequest,
   signal: AbortSignal,
   maxEventBytes: number,
+  unread: HeldBytes,
 ): Promise<CompletionStart> {
   const sending: Sending = { begun: false, signal };
   try {
@@ -32,7 +34,7 @@
     });
     const response = await raceSignal(requested, signal);
     if (isStream(response)) {
-      return { kind: 'started', chunks: readChunks(response.body, request, maxEventBytes) };
+      return { kind: 'started', chunks: readChunks(response.body, request, maxEventBytes, unread) };
     }
     return await readNoStream(response, maxEventBytes);
   } catch (error) {
--- a/src/adapters/engines/engine-client.ts
+++ b/src/adapters/engines/engine-client.ts
@@ -8,6 +8,7 @@
 import { Agent } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure } from '../../core/errors/index.js';
+import { createHeldBytes, type HeldBytes } from '../../core/held-bytes/index.js';
 import { readAnswer, readEmpty, readRefusal } from './answers.js';
 import { describeError } from './chunk-stream.js';
 import { startCompletion } from './completion.js';
@@ -59,13 +60,16 @@
 const KEEP_ALIVE_MS = 4_000;
 
 /**
- * A client for all engines.
+ * A client for all engines. What completions hold for callers that don't read is counted in `unread`.
  *
  * @example
  * const engines = createEngineClient();
  * const report = await engines.health('10.0.0.7:9000', 400);
  */
-export function createEngineClient(given: EngineClientSettings = {}): EngineClient {
+export function createEngineClient(
+  given: EngineClientSettings = {},
+  unread: HeldBytes = createHeldBytes(),
+): EngineClient {
   const settings = { ...DEFAULTS, ...given };
   const calls = new Agent({
     connections: CALLS_PER_ENGINE,
@@ -103,7 +107,7 @@
     order: (address, order, timeoutMs) =>
       sendOrder(address, order, timeoutMs, settings.maxAnswerBytes),
     complete: (address, request, signal) =>
-      startCompletion(marked, address, request, signal, settings.maxEventBytes),
+      startCompletion(marked, address, request, signal, settings.maxEventBytes, unread),
     cancel: (address, attempt) =>
       call(
         address,
--- /dev/null
+++ b/src/core/held-bytes/index.ts
@@ -0,0 +1,1 @@
+export * from './held-bytes.js';
--- a/src/core/metrics/metrics.ts
+++ b/src/core/metrics/metrics.ts
@@ -8,6 +8,7 @@
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { Milliseconds } from '../clock/index.js';
 import type { ErrorKind } from '../errors/index.js';
+import type { HeldBytes } from '../held-bytes/index.js';
 
 /** The histograms of one workspace and class. All take milliseconds and export seconds. */
 export interface RequestTimings {
@@ -47,11 +48,11 @@
 type Labels = 'workspace' | 'class';
 
 /**
- * Metrics of one entry, in a registry of their own.
+ * Metrics of one entry, in a registry of their own; with a gauge of `unread` where it is counted.
  *
  * @example createMetrics().timingsOf('market-east', 'gate').whole(480);
  */
-export function createMetrics(): Metrics {
+export function createMetrics(unread?: HeldBytes): Metrics {
   const registry = new Registry();
   collectDefaultMetrics({ register: registry });
   const histograms = createHistograms(registry);
@@ -71,6 +72,7 @@
     help: 'Requests accepted and not answered yet.',
     registers: [registry],
   });
+  if (unread) registerUnread(registry, unread);
   const timings = new Map<string, RequestTimings>();
   const workspaces = new Set<string>();
   return {
@@ -97,6 +99,17 @@
   };
 }
 
+function registerUnread(registry: Registry, unread: HeldBytes): void {
+  new Gauge({
+    name: 'yuccasail_unread_answer_bytes',
+    help: 'Bytes of streams and downloads that wait in the entry until their callers read on.',
+    registers: [registry],
+    collect() {
+      this.set(unread.sum());
+    },
+  });
+}
+
 function boundLabel(known: Set<string>, workspace: string): string {
   if (known.has(workspace)) return workspace;
   if (known.size >= MAX_WORKSPACE_LABELS) return OTHER;
--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -21,6 +21,7 @@
 import { createEligibleReplicas } from '../controllers/health/index.js';
 import { createSystemClock } from '../core/clock/index.js';
 import { createFailure, type Failure } from '../core/errors/index.js';
+import { createHeldBytes, type HeldBytes } from '../core/held-bytes/index.js';
 import { createLogger } from '../core/logger/index.js';
 import { createMetrics } from '../core/metrics/index.js';
 import { createRandom } from '../core/random/index.js';
@@ -102,10 +103,11 @@
   };
 }
 
-/** The clients whose connections end with the entry. */
+/** The clients whose connections end with the entry, and the count of what waits in it. */
 interface Connections {
   platform: PlatformClient;
   engines: EngineClient;
+  unread: HeldBytes;
 }
 
 /** What exists only after the peer listener is open, since it needs that listener's address. */
@@ -133,7 +135,8 @@
   const random = createRandom(randomInt(MAX_SEED));
   const { address, timeoutMs } = settings.platform;
   const platform = createPlatformClient({ address, timeoutMs, random, logger });
-  const engines = createEngineClient();
+  const unread = createHeldBytes();
+  const engines = createEngineClient({}, unread);
   return {
     identity: {
       name,
@@ -151,6 +154,7 @@
     logger,
     platform,
     engines,
+    unread,
   };
 }
 
@@ -183,7 +187,7 @@
   });
   const onceCalls = createOnceCalls(context);
   const services = createServices();
-  const metrics = createMetrics();
+  const metrics = createMetrics(context.unread);
   const eligible = createEligibleReplicas(board, settings.health.freshMs);
   const requests = createRequests(context, {
     services,
@@ -205,6 +209,7 @@
     path: requests.path,
     readiness,
     isStopping: () => parts.isLeaving,
+    unread: context.unread,
     logger,
   });
   const operations = createOperations(context, {
