Judge the parsers' time by their own, and the unfolding message by whether it was parsed

The scenarios of hostile input to the parsers compared one reading of the wall clock with 100, 150 and 2,000 ms. A process that waits for a processor that long fails them, whatever the parser does. Now work that seems too slow is done again, up to 20 times, and its shortest run counts: what is parsed is the same each time, so work that is slow by itself is slow each time. The bounds are the same. The message that unfolds must besides be refused by zlib's bound (ERR_BUFFER_TOO_LARGE), that is before anything of it is parsed; before, any refusal was enough.

--- a/features/hostile/parsers.feature
+++ b/features/hostile/parsers.feature
@@ -19,7 +19,7 @@
     Inflated, 64 KB become 32 MB of JSON, and its values several hundred megabytes. The entry would
     stand still for more than a second while it reads them, and all its callers with it.
     When a message of 64 KB unfolds into millions of empty arrays
-    Then the entry's decoder refuses it within 150 ms
+    Then the entry's decoder refuses it unread and within 150 ms
 
   Scenario: callers' bodies of any shape
     When 500 random JSON values are checked as a completion's body
--- a/features/hostile/parsers.steps.ts
+++ b/features/hostile/parsers.steps.ts
@@ -7,16 +7,19 @@
 import { parseEntrySettings } from '../../src/core/settings/index.js';
 
 interface ParsersWorld {
+  /** The text that `settings` were read from last. */
+  text: string;
   settings: readonly ReturnType<typeof parseEntrySettings>[];
   decoded: readonly Decoded[];
   checked: number;
-  tookMs: number;
 }
 
 interface Decoded {
+  text: unknown;
   value: unknown;
   isRefused: boolean;
-  tookMs: number;
+  /** The code of the refusal, if it has one. */
+  code: string | undefined;
 }
 
 const SEED = 20_261_203;
@@ -32,6 +35,8 @@
 address = "127.0.0.1:4"
 `;
 const MESSAGE = { digests: [{ name: 'entry-1', sequence: 7, change: 3 }], summaries: [] };
+/** Times that slow work is done again; work that is slow by itself is slow each time. */
+const TRIES = 20;
 /** What the peers' listener takes at most. */
 const MESSAGE_BYTES = 65_536;
 
@@ -68,9 +73,8 @@
 });
 
 When('settings of {int} nested arrays are read', function (this: ParsersWorld, depth: number) {
-  const startedAt = performance.now();
-  this.settings = [parseEntrySettings(FILE, `a = ${'['.repeat(depth)}`)];
-  this.tookMs = performance.now() - startedAt;
+  this.text = `a = ${'['.repeat(depth)}`;
+  this.settings = [parseEntrySettings(FILE, this.text)];
 });
 
 Then(
@@ -78,18 +82,33 @@
   function (this: ParsersWorld, boundMs: number) {
     const failures = this.settings[0]?._unsafeUnwrapErr() ?? [];
     assert.ok(failures[0]?.message.startsWith(FILE), 'the file is named');
-    assert.ok(this.tookMs < boundMs, `${this.tookMs} ms`);
+    const tookMs = measureLeast(() => parseEntrySettings(FILE, this.text), boundMs);
+    assert.ok(tookMs < boundMs, `${tookMs} ms`);
   },
 );
 
+/**
+ * The time that `work` takes by itself. It does the same each time, so that what the clock adds to
+ * its shortest run is time that the processor was elsewhere. It is done again only while it seems to
+ * take `boundMs` or longer.
+ */
+function measureLeast(work: () => unknown, boundMs: number): number {
+  let least = Infinity;
+  for (let tries = 0; tries < TRIES && least >= boundMs; tries += 1) {
+    const startedAt = performance.now();
+    work();
+    least = Math.min(least, performance.now() - startedAt);
+  }
+  return least;
+}
+
 function decode(text: unknown): Decoded {
-  const startedAt = performance.now();
   try {
-    const value = codec.input.deserialize(text);
-    return { value, isRefused: false, tookMs: performance.now() - startedAt };
-  } catch {
+    return { text, value: codec.input.deserialize(text), isRefused: false, code: undefined };
+  } catch (error) {
     // tRPC turns what its transformer throws into a refusal of the request.
-    return { value: undefined, isRefused: true, tookMs: performance.now() - startedAt };
+    const { code } = error as { code?: string };
+    return { text, value: undefined, isRefused: true, code };
   }
 }
 
@@ -105,8 +124,10 @@
   'each decodes to the message or is refused within {int} ms',
   function (this: ParsersWorld, boundMs: number) {
     assert.deepEqual(this.decoded[0]?.value, MESSAGE);
-    const longestMs = Math.max(...this.decoded.map(({ tookMs }) => tookMs));
-    assert.ok(longestMs < boundMs, `${longestMs} ms`);
+    for (const { text } of this.decoded) {
+      const tookMs = measureLeast(() => decode(text), boundMs);
+      assert.ok(tookMs < boundMs, `${tookMs} ms`);
+    }
     assert.ok(
       this.decoded.some(({ isRefused }) => isRefused),
       'something is refused',
@@ -121,10 +142,12 @@
 });
 
 Then(
-  "the entry's decoder refuses it within {int} ms",
+  "the entry's decoder refuses it unread and within {int} ms",
   function (this: ParsersWorld, boundMs: number) {
-    const { isRefused, tookMs } = this.decoded[0] ?? { isRefused: false, tookMs: 0 };
-    assert.ok(isRefused, `read after ${tookMs} ms`);
+    const [decoded] = this.decoded;
+    // zlib's word for an output beyond its bound: nothing of it reached the parser.
+    assert.equal(decoded?.code, 'ERR_BUFFER_TOO_LARGE');
+    const tookMs = measureLeast(() => decode(decoded.text), boundMs);
     assert.ok(tookMs < boundMs, `${tookMs} ms`);
   },
 );
