Reset an answer that ends with its connection when it is cut, and two faults of unreadable entries

Cause: an answer without a length ends with its connection, and cutting it closed that regularly, so that a caller took a part for the whole; an object without a value had revision 0, no news for those that are told of it; a replica's places were counted without looking whether they exist.

--- a/features/gateway/decoders.feature
+++ b/features/gateway/decoders.feature
@@ -25,3 +25,16 @@
     Given a fleet with one open replica of 2 engines
     When an entry of each of its engines is copied under another name
     Then requests may still be sent to the replica's own head
+
+  Scenario: An object whose value is missing tells when it changed
+    # Another writer leaves an entry without a value. The gateway that follows takes its server out and
+    # tells the others, for whom news of an old revision are none: they go on sending there.
+    When a watch up to revision 90 brings an object of revision 80 without a value
+    Then it is read without a value and with revision 80
+
+  Scenario: A member of a replica claims a place that it does not have
+    # Two engines answer for a replica of two, and one of them says that it is the eighth. The place of
+    # the second is empty: the head accepts requests, and nothing moves.
+    Given a fleet with one open replica of 2 engines
+    When its second engine claims the place 7
+    Then no request may be sent to the replica
--- a/features/gateway/decoders.steps.ts
+++ b/features/gateway/decoders.steps.ts
@@ -15,7 +15,7 @@
 } from '../../src/controllers/forwarding/index.js';
 import { parseJson } from '../../src/core/json/index.js';
 import { fleetNewsSchema, versionsSchema } from '../../src/gateway/peers/messages.js';
-import type { BackendServer, StoreObject } from '../../src/ports/index.js';
+import type { BackendServer, StoreChange, StoreObject } from '../../src/ports/index.js';
 import { createServer, PROFILE } from './planning-model.js';
 import { exampleConfiguration } from './stand-ins/configuration.js';
 
@@ -24,6 +24,7 @@
   outcomes: boolean[];
   fleets: DamagedFleet[];
   fleet: ServingFleet;
+  changes: readonly StoreChange[] | undefined;
 }
 
 interface DamagedFleet {
@@ -287,3 +288,30 @@
     'its head is no target',
   );
 });
+
+When(
+  'a watch up to revision {int} brings an object of revision {int} without a value',
+  function (this: DecoderWorld, newest: number, revision: number) {
+    const object = { metadata: { name: 'i-0', revision } };
+    const body = JSON.stringify({ events: [{ object }], as_of: newest });
+    this.changes = platform.store.decodeChanges(body)?.changes;
+  },
+);
+
+Then(
+  'it is read without a value and with revision {int}',
+  function (this: DecoderWorld, revision: number) {
+    const object = { name: 'i-0', revision, value: undefined };
+    assert.deepEqual(this.changes, [{ object, deleted: false }]);
+  },
+);
+
+When('its second engine claims the place {int}', function (this: DecoderWorld, rank: number) {
+  const entry = entryOf(1);
+  this.fleet = hear(this.fleet, 'i-1', { ...entry, group: { ...(entry.group as object), rank } });
+});
+
+Then('no request may be sent to the replica', function (this: DecoderWorld) {
+  const service = { name: 'models', maxConnections: 10, engine: PROFILE };
+  assert.deepEqual(createTargetDirectory(this.fleet).find(service, 'small'), []);
+});
--- /dev/null
+++ b/features/gateway/replies.steps.ts
@@ -0,0 +1,64 @@
+/**
+ * Answers to callers, as their sockets see them.
+ */
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer, type Server } from 'node:http';
+import { connect, type AddressInfo, type Socket } from 'node:net';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { createReply, type Reply } from '../../src/gateway/requests/reply.js';
+
+interface ReplyWorld {
+  server: Server;
+  reply: Reply;
+  /** Whether the caller takes its answer for whole. */
+  isWhole: Promise<boolean>;
+}
+
+const LAST_CHUNK = '0\r\n\r\n';
+
+After(function (this: Partial<ReplyWorld>) {
+  this.server?.close();
+  this.server?.closeAllConnections();
+});
+
+Given(
+  /^an answer whose end is marked by (chunks|its connection), of which a part was sent$/,
+  async function (this: ReplyWorld, mark: string) {
+    this.server = createServer((_request, response) => {
+      this.reply = createReply(response, () => false);
+      this.reply.begin(200, [], mark === 'its connection');
+      this.reply.write(Buffer.from('a part'));
+    });
+    this.server.listen(0, '127.0.0.1');
+    await once(this.server, 'listening');
+    const caller = connect((this.server.address() as AddressInfo).port, '127.0.0.1');
+    caller.write('GET / HTTP/1.1\r\nHost: passes.example\r\n\r\n');
+    this.isWhole = readToEnd(caller, mark === 'chunks');
+    await once(caller, 'data');
+  },
+);
+
+/** A regular end counts as that of the answer, unless the last chunk is missing. */
+function readToEnd(caller: Socket, isChunked: boolean): Promise<boolean> {
+  let text = '';
+  return new Promise((resolve) => {
+    caller.on('data', (bytes) => {
+      text += String(bytes);
+    });
+    caller.once('end', () => {
+      resolve(!isChunked || text.endsWith(LAST_CHUNK));
+    });
+    caller.once('error', () => {
+      resolve(false);
+    });
+  });
+}
+
+When('it is cut', function (this: ReplyWorld) {
+  this.reply.cut();
+});
+
+Then('its caller sees that it is not whole', async function (this: ReplyWorld) {
+  assert.equal(await this.isWhole, false);
+});
--- a/features/gateway/stand-ins/store.ts
+++ b/features/gateway/stand-ins/store.ts
@@ -3,7 +3,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { hardReset } from './hard-reset.js';
+import { hardReset } from '../../../src/core/sockets/index.js';
 
 interface Stored {
   metadata: { name: string; revision: number; created_rev: number };
--- a/src/controllers/forwarding/directory.ts
+++ b/src/controllers/forwarding/directory.ts
@@ -52,15 +52,20 @@
   const size = service.engine.models.find(({ name }) => name === model)?.size;
   if (size === undefined) return [];
   return listReplicas(servers)
-    .filter(({ head, places }) => head.engine?.model === model && places === size)
+    .filter(({ head, places }) => head.engine?.model === model && isWhole(places, size))
     .map(({ head, members }) => ({ server: head, members: members.map(({ id }) => id) }));
 }
 
+/** Each place is taken, and there is none beyond the model's size. */
+function isWhole(places: ReadonlySet<number>, size: number): boolean {
+  return places.size === size && [...places].every((place) => place < size);
+}
+
 interface Replica {
   head: BackendServer;
   members: readonly BackendServer[];
   /** Places in the replica that a member has, by the members' own words. */
-  places: number;
+  places: ReadonlySet<number>;
 }
 
 /**
@@ -75,7 +80,7 @@
   });
   return [...groups.values()].flatMap((members) => {
     const ranks = members.map(({ engine }) => engine?.membership?.rank);
-    const places = new Set(ranks).size;
+    const places = new Set(ranks.filter((rank) => rank !== undefined));
     const others = members.filter((_, index) => ranks[index] !== 0);
     return members
       .filter((_, index) => ranks[index] === 0)
--- /dev/null
+++ b/src/core/sockets/index.ts
@@ -0,0 +1,1 @@
+export * from './hard-reset.js';
--- a/src/gateway/requests/reply.ts
+++ b/src/gateway/requests/reply.ts
@@ -5,6 +5,7 @@
 import { renderFailure } from '../../adapters/callers/answers.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { ERRORS, type Failure } from '../../core/errors/index.js';
+import { hardReset } from '../../core/sockets/index.js';
 
 /** An answer to one request. Exactly one of `sendWhole`, `fail`, `end` or `cut` ends it. */
 export interface Reply {
@@ -32,6 +33,7 @@
 
 export function createReply(response: ServerResponse, isStopping: () => boolean): Reply {
   const closing = (): string[] => (isStopping() ? ['Connection', 'close'] : []);
+  let isEndedByConnection = false;
   return {
     get isUnsent() {
       return !response.headersSent;
@@ -42,6 +44,7 @@
       response.end(body);
     },
     begin: (status, headers, endsWithConnection) => {
+      isEndedByConnection = endsWithConnection;
       if (endsWithConnection) response.useChunkedEncodingByDefault = false;
       const close = endsWithConnection ? ['Connection', 'close'] : closing();
       response.writeHead(status, [...headers, ...close]);
@@ -65,7 +68,9 @@
       else response.end(body);
     },
     cut: () => {
-      response.destroy();
+      // A regular close is the proper end of an answer that ends with its connection.
+      if (isEndedByConnection) hardReset(response.socket);
+      else response.destroy();
     },
   };
 }
