--- a/features/support/entries.ts
+++ b/features/support/entries.ts
@@ -222,7 +222,6 @@
   };
 }
 
-/** A watch that waits when the link is cut is not answered any more either. */
 /** An answer that never comes; the call ends only when its caller ends it. */
 async function whenAborted(
   signal: AbortSignal | undefined,
@@ -232,6 +231,7 @@
   return err(createFailure('platformUnavailable', { reason: 'ended' }));
 }
 
+/** A watch that waits when the link is cut is not answered any more either. */
 function spoilPlatform(
   platform: Platform,
   isCut: () => boolean,
