--- a/features/gateway/replies.steps.ts
+++ b/features/gateway/replies.steps.ts
@@ -9,7 +9,7 @@
 import { createReply, type Reply } from '../../src/gateway/requests/reply.js';
 
 interface ReplyWorld {
-  server: Server;
+  replyServer: Server;
   reply: Reply;
   /** Whether the caller takes its answer for whole. */
   isWhole: Promise<boolean>;
@@ -18,21 +18,21 @@
 const LAST_CHUNK = '0\r\n\r\n';
 
 After(function (this: Partial<ReplyWorld>) {
-  this.server?.close();
-  this.server?.closeAllConnections();
+  this.replyServer?.close();
+  this.replyServer?.closeAllConnections();
 });
 
 Given(
   /^an answer whose end is marked by (chunks|its connection), of which a part was sent$/,
   async function (this: ReplyWorld, mark: string) {
-    this.server = createServer((_request, response) => {
+    this.replyServer = createServer((_request, response) => {
       this.reply = createReply(response, () => false);
       this.reply.begin(200, [], mark === 'its connection');
       this.reply.write(Buffer.from('a part'));
     });
-    this.server.listen(0, '127.0.0.1');
-    await once(this.server, 'listening');
-    const caller = connect((this.server.address() as AddressInfo).port, '127.0.0.1');
+    this.replyServer.listen(0, '127.0.0.1');
+    await once(this.replyServer, 'listening');
+    const caller = connect((this.replyServer.address() as AddressInfo).port, '127.0.0.1');
     caller.write('GET / HTTP/1.1\r\nHost: passes.example\r\n\r\n');
     this.isWhole = readToEnd(caller, mark === 'chunks');
     await once(caller, 'data');
