--- a/src/adapters/platform/watch-loop.ts
+++ b/src/adapters/platform/watch-loop.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { err, ok, type Result } from 'neverthrow';
 import { nextBackoff, type Backoff } from '../../core/backoff/index.js';
-import type { Milliseconds } from '../../core/clock/index.js';
+import { createSystemClock, type Milliseconds } from '../../core/clock/index.js';
 import { createFailure } from '../../core/errors/index.js';
 import type { Logger } from '../../core/logger/index.js';
 import type { Random } from '../../core/random/index.js';
@@ -40,6 +40,12 @@
 }
 
 const DEFAULT_PAUSE_MS = 100;
+/**
+ * Watches that bring nothing are at least this far apart. One that is answered early would otherwise
+ * be made again as fast as it is answered, and an entry that does nothing else serves nobody.
+ */
+const LEAST_ROUND_MS: Milliseconds = 100;
+const clock = createSystemClock();
 const BACKOFF: Backoff = { baseMs: 200, maxMs: 5_000 };
 
 /**
@@ -79,6 +85,7 @@
   while (!isStopped()) {
     turn = new AbortController();
     const turnSignal = AbortSignal.any([signal, turn.signal]);
+    const startedAt = clock.now();
     const watched = await platform.watch(kinds, revision, waitMs, turnSignal);
     if (isStopped()) break;
     const answer = watched.andThen((list) => rejectOldCopy(list, revision));
@@ -100,6 +107,8 @@
     options.onList(answer.value);
     if (answer.value.objects.length > 0) {
       await pause(findPause(options.pauseMs), signal);
+    } else {
+      await pause(LEAST_ROUND_MS - (clock.now() - startedAt), turnSignal);
     }
   }
   unsubscribe();
@@ -121,6 +130,7 @@
 }
 
 async function pause(waitMs: Milliseconds, signal: AbortSignal): Promise<void> {
+  if (waitMs <= 0) return;
   // The only rejection is that of the signal, after which the loop ends.
   await sleep(waitMs, undefined, { signal }).catch(() => undefined);
 }
