--- a/src/gateway/store/contact-check.ts
+++ b/src/gateway/store/contact-check.ts
@@ -6,8 +6,12 @@
 import type { ObjectStore } from './client.js';
 import type { ContactKeeper } from './contact.js';
 
-/** Without an answer for this long the store is asked; half of what a lost planner may take. */
+/**
+ * Without an answer for this long the store is asked. With the timeout of the call a gateway that is cut off
+ * knows it after 5.5 s; a watch of its own would show it after 8.8 s.
+ */
 const QUIET_MS: Milliseconds = 4_000;
+/** Small against {@link QUIET_MS}. */
 const LOOK_EVERY_MS: Milliseconds = 500;
 
 interface ContactCheckOptions {
