--- a/src/adapters/peers/client.ts
+++ b/src/adapters/peers/client.ts
@@ -68,7 +68,10 @@
   agent: Agent,
   { onSent }: PeerClientOptions,
 ): TRPCClient<PeerRouter> {
-  const link = createRpcLink<PeerRouter>(address, agent, { transformer: codec }, onSent);
+  const link = createRpcLink<PeerRouter>(address, agent, {
+    transformer: codec,
+    ...(onSent && { onSent }),
+  });
   return createTRPCClient<PeerRouter>({ links: [link] });
 }
 
