--- a/scripts/build-gateway.mjs
+++ b/scripts/build-gateway.mjs
@@ -1,6 +1,7 @@
 // Bundles the gateway with the platform's dialects to one script under target/, with the code that
 // V8 has compiled for it, and the loader that runs both.
 import { copyFile, readFile, rm, writeFile } from 'node:fs/promises';
+import { setFlagsFromString } from 'node:v8';
 import { build } from 'esbuild';
 import { compileGateway } from './gateway-loader.mjs';
 
@@ -22,7 +23,13 @@
   logLevel: 'warning',
 });
 await copyFile('scripts/gateway-loader.mjs', 'target/yuccasail-gateway.mjs');
-// Once the modules have been evaluated, the functions that they use on the way are compiled too.
+// All functions are compiled, not only those that are used while the modules are evaluated: the first
+// requests after a start need most of them. V8 takes code back only under the flags of its making,
+// which is why they are reset before it is written.
+setFlagsFromString('--no-lazy');
+setFlagsFromString('--no-flush-bytecode');
 const { script, load } = compileGateway(await readFile(SCRIPT, 'utf8'), SCRIPT);
 load();
+setFlagsFromString('--lazy');
+setFlagsFromString('--flush-bytecode');
 await writeFile(`${SCRIPT}.cache`, script.createCachedData());
