--- a/src/cli/explain/findings.ts
+++ b/src/cli/explain/findings.ts
@@ -11,6 +11,8 @@
   refusedAtDoor:
     'Nothing was sent: the configuration in force does not allow it, or none is known.',
   noTarget: 'No backend server could take it: none was open and free of suspicion in time.',
+  noRoom:
+    'All replicas of its model were full, and its turn would have come after its caller had left.',
   refusedByServers: 'The backend servers that it was sent to refused it without running it.',
   noRepeats: 'A sending failed, and the budget of repeats was used up.',
   stalled: 'Nothing moved at the backend server that it was sent to.',
@@ -38,6 +40,8 @@
   around: readonly LoggedLine[];
 }
 
+/** How gateways write that a request waited in vain, or would have, for a place at a replica. */
+const NO_ROOM = 'no room in time';
 /** How gateways write that a stop ended a request. */
 const STOPPED = 'the gateway stopped';
 /**
@@ -88,6 +92,7 @@
   if (reason === STOPPED || isAtEndOfGrace(end)) return 'gatewayStopped';
   if (outcome === 'failedThere') return 'serverFailed';
   if (reason === 'no repeats left') return 'noRepeats';
+  if (reason === NO_ROOM) return 'noRoom';
   const attempts = lines.filter(({ name }) => name === 'attemptEnded');
   const last = textOf(attempts.at(-1), 'how');
   if (last.startsWith('refused with') || reason === 'refused everywhere') return 'refusedByServers';
