--- a/scripts/build-gateway.mjs
+++ b/scripts/build-gateway.mjs
@@ -1,13 +1,14 @@
 // Bundles the gateway with the platform's dialects to one script under target/, with the code that
 // V8 has compiled for it, and the loader that runs both.
-import { copyFile, readFile, rm, writeFile } from 'node:fs/promises';
+import { copyFile, mkdir, readFile, writeFile } from 'node:fs/promises';
 import { setFlagsFromString } from 'node:v8';
 import { build } from 'esbuild';
 import { compileGateway } from './gateway-loader.mjs';
 
 const SCRIPT = 'target/yuccasail-gateway.cjs';
 
-await rm('target', { recursive: true, force: true });
+// What is there stays until it is written anew: another build may run beside this one.
+await mkdir('target', { recursive: true });
 await build({
   entryPoints: { 'yuccasail-gateway': 'platform/main.ts' },
   outdir: 'target',
