Let requests wait for room at the gateway, newest first of those that can be in time

Cause: servers answer in the order of arrival, so that in an overload every answer is late. Change: the first sending to a replica waits for a place; by rank, then newest first while in time, then oldest first; who waits in vain is refused at once. A full replica is no longer taken for one that stands still: its limit follows the observed first events. Gateways that have just started reckon with those that they have not heard. Gateways make themselves known until the store has heard them, and one that has just started follows the store only briefly by itself.

--- a/features/gateway/former-lives.steps.ts
+++ b/features/gateway/former-lives.steps.ts
@@ -62,7 +62,7 @@
     board: {
       fleet,
       peers: createSection(new Map()),
-      peerLoad: createSection(new Map()),
+      peerLoad: createSection({ byServer: new Map(), unheard: 0 }),
     },
   };
   return context as unknown as GatewayContext;
--- a/features/gateway/start-in-outage.feature
+++ b/features/gateway/start-in-outage.feature
@@ -15,3 +15,11 @@
     # meanwhile, and has just missed the balancer's question.
     Given a gateway that has just started and hears of a configuration every 100 ms
     Then it fetches the configuration from another gateway within 100 ms
+
+  Scenario: The store is away at the moment at which gateways make themselves known
+    # Two gateways start while the store does not answer, and have no seeds that live. Each writes and
+    # reads once who there is, in vain. When the store is back they serve, but never hear of each other:
+    # both plan, and each counts only its own requests at the backend servers.
+    Given the store is away before two gateways start that know of nobody
+    When the store is back
+    Then they hear of each other
--- a/features/gateway/start-in-outage.steps.ts
+++ b/features/gateway/start-in-outage.steps.ts
@@ -12,6 +12,7 @@
 interface StartWorld extends GatewayWorld {
   plan: GatewayPlan;
   started: GatewayProcess;
+  gateways: GatewayProcess[];
   lateAfterMs: number | undefined;
 }
 
@@ -72,3 +73,30 @@
     }
   },
 );
+
+Given(
+  'the store is away before two gateways start that know of nobody',
+  async function (this: StartWorld) {
+    this.site = new Site();
+    await this.site.open();
+    this.site.configure();
+    this.site.store.fault = 'down';
+    const plans = [this.site.planGateway(), this.site.planGateway()];
+    this.gateways = await Promise.all(
+      plans.map((plan) => this.site.launch({ ...plan, seeds: [] })),
+    );
+    await waitFor('both to have tried in vain', () =>
+      this.gateways.every(({ lines }) => lines.some(({ name }) => name === 'peerCallFailed')),
+    );
+  },
+);
+
+When('the store is back', function (this: StartWorld) {
+  this.site.store.fault = 'none';
+});
+
+Then('they hear of each other', async function (this: StartWorld) {
+  await waitFor('both to hear of the other', () =>
+    this.gateways.every(({ lines }) => lines.some(({ name }) => name === 'peerHeard')),
+  );
+});
--- /dev/null
+++ b/features/gateway/waiting.steps.ts
@@ -0,0 +1,217 @@
+/**
+ * Decisions about waiting requests, without a network and on made-up time.
+ */
+import assert from 'node:assert/strict';
+import { Given, Then, When, type DataTable } from '@cucumber/cucumber';
+import { firstEventAfter } from '../../src/controllers/forwarding/index.js';
+import { PeerTable, type Digest } from '../../src/controllers/peering/index.js';
+import {
+  FirstEventTimes,
+  hasRoom,
+  listHopeless,
+  orderLine,
+  type WaitingRequest,
+} from '../../src/controllers/waiting/index.js';
+import type { Milliseconds } from '../../src/core/clock/index.js';
+import type { EngineProfile, GroupModel } from '../../src/ports/index.js';
+
+interface Named extends WaitingRequest {
+  name: string;
+}
+
+interface WaitingWorld {
+  now: Milliseconds;
+  line: Named[];
+  arrivals: Milliseconds[];
+  aimMs: Milliseconds;
+  everyMs: Milliseconds;
+  firstMs: Milliseconds;
+  target: { inFlight: number; slots: number };
+  firstEvents: FirstEventTimes;
+  peers: PeerTable;
+}
+
+const SECOND_MS = 1_000;
+const MODEL = 'm';
+const PLAIN_MODEL = { pace: 1 } as GroupModel;
+const PROFILE = { promptTokensPerMs: 40 } as EngineProfile;
+
+Given(
+  '{int} requests a second for {int} s that are to begin within {int} ms, and {int} places a second',
+  function (this: WaitingWorld, rate: number, seconds: number, aimMs: number, places: number) {
+    const gapMs = SECOND_MS / rate;
+    this.arrivals = Array.from({ length: rate * seconds }, (_, index) => index * gapMs);
+    this.aimMs = aimMs;
+    this.everyMs = SECOND_MS / places;
+  },
+);
+
+When(
+  'their first events take {int} ms from the sending on',
+  function (this: WaitingWorld, firstMs: number) {
+    this.firstMs = firstMs;
+  },
+);
+
+/** Part of the requests that were sent at all whose first events come in time. */
+function playLine(
+  { arrivals, aimMs, everyMs, firstMs }: WaitingWorld,
+  pick: (waiting: readonly Named[], now: Milliseconds) => Named | undefined,
+): number {
+  let waiting: Named[] = [];
+  let arrived = 0;
+  let sent = 0;
+  let inTime = 0;
+  for (let now = 0; now <= (arrivals.at(-1) ?? 0); now += everyMs) {
+    for (; (arrivals[arrived] ?? Infinity) <= now; arrived += 1) {
+      const since = arrivals[arrived] ?? 0;
+      const onTimeUntil = since + aimMs - firstMs;
+      waiting.push({ name: '', rank: 1, since, onTimeUntil, worthUntil: Infinity });
+    }
+    const next = pick(waiting, now);
+    if (next === undefined) continue;
+    waiting = waiting.filter((each) => each !== next);
+    sent += 1;
+    if (now + firstMs - next.since <= aimMs) inTime += 1;
+  }
+  return inTime / sent;
+}
+
+Then(
+  'at least {int} in 100 of those that were sent in the order of the line begin in time',
+  function (this: WaitingWorld, percent: number) {
+    const part = playLine(this, (waiting, now) => orderLine(waiting, now)[0]);
+    assert.ok(part >= percent / 100, String(part));
+  },
+);
+
+Then(
+  'in the order of arrival at most {int} in 100 would',
+  function (this: WaitingWorld, percent: number) {
+    const part = playLine(this, (waiting) => waiting[0]);
+    assert.ok(part <= percent / 100, String(part));
+  },
+);
+
+Given(
+  'a line of these requests at {int} ms',
+  function (this: WaitingWorld, now: number, table: DataTable) {
+    this.now = now;
+    this.line = table.hashes().map((row) => ({
+      name: row.name ?? '',
+      rank: Number(row.rank),
+      since: Number(row.since),
+      onTimeUntil: Number(row['on time until']),
+      worthUntil: Infinity,
+    }));
+  },
+);
+
+Then('their turns are {string}', function (this: WaitingWorld, turns: string) {
+  const names = orderLine(this.line, this.now).map(({ name }) => name);
+  assert.equal(names.join(', '), turns);
+});
+
+Given(
+  'a line of {int} requests at {int} ms that are worth an answer until {int} ms',
+  function (this: WaitingWorld, count: number, now: number, worthUntil: number) {
+    this.now = now;
+    this.line = Array.from({ length: count }, (_, index) => ({
+      name: String(index),
+      rank: 1,
+      since: index,
+      onTimeUntil: 0,
+      worthUntil,
+    }));
+  },
+);
+
+Then(
+  'none is refused while the line is younger than {int} ms',
+  function (this: WaitingWorld, ageMs: number) {
+    const pace = { since: this.now - ageMs + 1, sent: 0 };
+    assert.deepEqual(listHopeless(orderLine(this.line, this.now), this.now, pace), []);
+  },
+);
+
+Then(
+  '{int} are refused after {int} ms in which {int} were sent, which leaves one at once and twice their pace',
+  function (this: WaitingWorld, refused: number, ageMs: number, sent: number) {
+    const ordered = orderLine(this.line, this.now);
+    const hopeless = listHopeless(ordered, this.now, { since: this.now - ageMs, sent });
+    assert.equal(hopeless.length, refused);
+    assert.deepEqual(hopeless, ordered.slice(-hopeless.length));
+  },
+);
+
+Then('all are refused at {int} ms', function (this: WaitingWorld, now: number) {
+  const hopeless = listHopeless(orderLine(this.line, now), now, { since: now, sent: 0 });
+  assert.equal(hopeless.length, this.line.length);
+});
+
+Given(
+  'a target with {int} places and {int} requests under way',
+  function (this: WaitingWorld, slots: number, inFlight: number) {
+    this.target = { inFlight, slots };
+  },
+);
+
+Then(/^it has (room|no room)$/, function (this: WaitingWorld, room: string) {
+  assert.equal(hasRoom(this.target), room === 'room');
+});
+
+Given('first events of a model that take {int} ms', function (this: WaitingWorld, ms: number) {
+  this.firstEvents = new FirstEventTimes();
+  this.firstEvents.record(MODEL, ms);
+});
+
+When('they take {int} ms', function (this: WaitingWorld, ms: number) {
+  for (let event = 0; event < 200; event += 1) this.firstEvents.record(MODEL, ms);
+});
+
+Then('a replica is suspected after {int} ms', function (this: WaitingWorld, ms: number) {
+  const usualMs = this.firstEvents.expect(MODEL, 300);
+  assert.equal(Math.round(firstEventAfter(PROFILE, PLAIN_MODEL, 0, usualMs)), ms);
+});
+
+Given(
+  'a gateway that has just started and knows of {int} others',
+  function (this: WaitingWorld, others: number) {
+    this.peers = new PeerTable(placeOf(0));
+    for (let index = 1; index <= others; index += 1) this.peers.learn(placeOf(index), 0);
+  },
+);
+
+When('it has heard {int} of them', function (this: WaitingWorld, heard: number) {
+  for (let index = 1; index <= heard; index += 1) this.peers.take(digestOf(index), 100);
+  this.peers.dropSilent(100);
+});
+
+Then(
+  'it reckons with {int} gateways that it has not heard',
+  function (this: WaitingWorld, unheard: number) {
+    assert.equal(this.peers.countUnheard(), unheard);
+  },
+);
+
+function placeOf(index: number) {
+  return {
+    name: `gateway-${index}`,
+    address: `127.0.0.1:${7_000 + index}`,
+    failureDomain: 'north',
+  };
+}
+
+function digestOf(index: number): Digest {
+  return {
+    ...placeOf(index),
+    incarnation: 'first',
+    storeReachable: true,
+    stopping: false,
+    hasServed: true,
+    configurationVersion: 1,
+    fleetRevision: 1,
+    load: [],
+    suspicions: [],
+  };
+}
--- a/src/controllers/forwarding/stall.ts
+++ b/src/controllers/forwarding/stall.ts
@@ -29,16 +29,28 @@
   return Math.max(LEAST_STALL_MS, PAUSES_UNTIL_STALLED * pause);
 }
 
+/**
+ * Multiples of the usual time to a first event that a replica may take for one. Of full replicas one
+ * in a hundred took 3 times their mean.
+ */
+const USUAL_TIMES_UNTIL_STALLED = 4;
+
 /**
  * How long a request may wait for its first event before its replica is suspected, when a slot was
- * free for it. One that has to queue may wait for as long as others take.
+ * free for it. One that has to queue may wait for as long as others take. `usualMs` is what first
+ * events of the model take now.
+ *
+ * Guards against replicas that are merely full being taken for ones that stand still: each that is
+ * left out for it makes the others fuller, until none is left.
  */
 export function firstEventAfter(
   profile: EngineProfile,
   model: GroupModel,
   promptTokens: number,
+  usualMs: Milliseconds = 0,
 ): Milliseconds {
-  return FIRST_EVENT_MS + (2 * promptTokens * model.pace) / profile.promptTokensPerMs;
+  const reading = (2 * promptTokens * model.pace) / profile.promptTokensPerMs;
+  return Math.max(FIRST_EVENT_MS, USUAL_TIMES_UNTIL_STALLED * usualMs) + reading;
 }
 
 /** How long a plain answer may take before its backend server is suspected. */
--- a/src/controllers/peering/peer-table.ts
+++ b/src/controllers/peering/peer-table.ts
@@ -170,6 +170,15 @@
     return alive;
   }
 
+  /**
+   * Gateways that are known and have neither been heard nor found silent, as all others are right after
+   * a start: they live, as far as is known, and their requests count in nobody's news.
+   */
+  countUnheard(): number {
+    const names = [...this.known.keys()];
+    return names.filter((name) => !this.alive.has(name) && !this.silent.has(name)).length;
+  }
+
   /** Requests of all other gateways under way, by backend server. */
   sumLoad(): ReadonlyMap<string, number> {
     const told = this.isHub() ? undefined : this.summaries.get(this.self.failureDomain);
--- /dev/null
+++ b/src/controllers/waiting/index.ts
@@ -0,0 +1,3 @@
+export * from './first-event-times.js';
+export * from './line.js';
+export * from './room.js';
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -37,6 +37,7 @@
 import type {
   GatewayBoardWriters,
   GatewayContext,
+  PeerLoad,
   ServingPlatform,
   StoreContact,
 } from './types.js';
@@ -200,7 +201,7 @@
     fleetProof: createSection<Proof | undefined>(undefined),
     storeContact: createSection<StoreContact>({ reachable: false, since: 0 }),
     peers: createSection<ReadonlyMap<string, GatewayPeer>>(new Map()),
-    peerLoad: createSection<ReadonlyMap<string, number>>(new Map()),
+    peerLoad: createSection<PeerLoad>({ byServer: new Map(), unheard: 0 }),
     stop: createSection<StopPlan | undefined>(undefined),
   };
 }
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -1,6 +1,7 @@
 /**
  * The other gateways: who lives, what they serve, and what they know that this one does not.
  */
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { ResultAsync } from 'neverthrow';
 import type { WritableSection } from '../../board/index.js';
 import { roundedAge } from '../../controllers/freshness/index.js';
@@ -19,7 +20,7 @@
 import type { ConfigurationPart } from '../store/configuration-part.js';
 import type { ObjectStore } from '../store/client.js';
 import type { FleetPart } from '../store/fleet-part.js';
-import type { GatewayContext, GatewayPart } from '../types.js';
+import type { GatewayContext, GatewayPart, PeerLoad } from '../types.js';
 import { createBehindCheck } from './behind.js';
 import { createPeerCalls, createPeerListener } from './link.js';
 import type { CatchUp } from './messages.js';
@@ -39,9 +40,18 @@
   configuration: ConfigurationPart;
   fleet: FleetPart;
   section: WritableSection<ReadonlyMap<string, GatewayPeer>>;
-  load: WritableSection<ReadonlyMap<string, number>>;
+  load: WritableSection<PeerLoad>;
 }
 
+/**
+ * Gateways that start together have heard each other after this: they are up within half a second of
+ * each other, and the slowest news take 600 ms.
+ */
+const PEERS_HEARD_MS: Milliseconds = 1_500;
+
+/** After an attempt to be known that failed; outages of the store last for seconds. */
+const ANNOUNCE_AGAIN_MS: Milliseconds = 1_000;
+
 /** Kind of the objects by which gateways find each other; one for each name. */
 export const GATEWAY_KIND = 'gateways';
 
@@ -57,6 +67,7 @@
   const table = new PeerTable(self);
   const incarnations = new Map<string, string>();
   const underWay = new Set<string>();
+  const startedAt = clock.now();
   let isStopping = false;
   let timer: NodeJS.Timeout | undefined;
 
@@ -112,9 +123,12 @@
       ...(caller?.asksForKnown && { known: table.listKnown() }),
     };
   };
+  /** After that, those that were not heard are away. */
+  const countUnheard = (): number =>
+    clock.now() - startedAt < PEERS_HEARD_MS ? table.countUnheard() : 0;
   const publish = (): void => {
     section.write(table.listAlive(clock.now()));
-    options.load.write(table.sumLoad());
+    options.load.write({ byServer: table.sumLoad(), unheard: countUnheard() });
   };
   const takeDigest = (digest: Digest): void => {
     if (digest.name === self.name) return;
@@ -158,21 +172,31 @@
       if (version ?? copy) share.distrust();
     },
   });
-  const announce = async (): Promise<void> => {
-    const written = await store.write(GATEWAY_KIND, self.name, { ...self, incarnation });
-    const conflict = written.isOk() && written.value.kind === 'conflict' && written.value.object;
-    if (conflict) {
-      await store.write(GATEWAY_KIND, self.name, { ...self, incarnation }, conflict.revision);
-    }
+  /** Whether the store now names this gateway, and has told which others there are. */
+  const announce = async (): Promise<boolean> => {
+    const own = { ...self, incarnation };
+    const first = await store.write(GATEWAY_KIND, self.name, own);
+    const conflict = first.isOk() && first.value.kind === 'conflict' && first.value.object;
+    const written = conflict
+      ? await store.write(GATEWAY_KIND, self.name, own, conflict.revision)
+      : first;
     const listed = await store.list(GATEWAY_KIND);
     if (listed.isErr()) {
       logger.log('peerCallFailed', { peer: 'store', reason: listed.error.message });
-      return;
+      return false;
     }
     for (const { value } of listed.value.objects) {
       const peer = knownPeerSchema.safeParse(value);
       if (peer.success) table.learn(peer.data, clock.now());
     }
+    return written.isOk();
+  };
+  /**
+   * Guards against a gateway that starts while the store is away and has no living seed: it would
+   * serve when the store is back, and never hear of the others.
+   */
+  const announceUntilHeard = async (): Promise<void> => {
+    while (!isStopping && !(await announce())) await sleep(ANNOUNCE_AGAIN_MS);
   };
   const listener = createPeerListener(settings.listen.peers, {
     exchange: (digest) => {
@@ -201,7 +225,7 @@
       incarnations.delete(peer);
       logger.log('peerSilent', { peer, silentMs: Math.round(silentMs) });
     }
-    if (silent.length > 0) publish();
+    if (silent.length > 0 || board.peerLoad.read().unheard !== countUnheard()) publish();
     for (const peer of table.listDue(now)) void exchange(peer);
     share.review(now);
     checkBehind();
@@ -212,7 +236,7 @@
       for (const address of settings.seeds) {
         table.learn({ name: address, address, failureDomain: '' }, clock.now());
       }
-      void announce();
+      void announceUntilHeard();
       share.review(clock.now());
       timer = setInterval(tick, PEERING_TICK_MS);
       // A stall is told within this failure domain at once: they send there as well.
--- a/src/gateway/peers/store-share.ts
+++ b/src/gateway/peers/store-share.ts
@@ -39,9 +39,19 @@
 /** A gateway that began to follow by itself goes on for this long, so that a flapping hub costs little. */
 const KEEP_FOLLOWING_MS: Milliseconds = 4_000;
 
+/**
+ * For as long after a start, a hub that was not heard yet is no flapping one. Where all start together
+ * each takes itself for the hub first; with the longer time 63 gateways made 1,100 calls in their first
+ * four seconds that one gateway of each failure domain could have made.
+ */
+const STARTING_MS: Milliseconds = 2_000;
+/** A gateway that has just started and begins to follow by itself goes on for this long. */
+const KEEP_FOLLOWING_AT_START_MS: Milliseconds = 400;
+
 export function createStoreShare(options: StoreShareOptions): StoreShare {
   const { context, table, configuration, fleet, calls } = options;
   const { board, clock, logger, settings } = context;
+  const startedAt = clock.now();
   let followsUntil = Number.NEGATIVE_INFINITY;
   let mode: FollowMode = 'off';
 
@@ -59,7 +69,9 @@
   };
   const findMode = (doubt: string | undefined, now: Milliseconds): FollowMode => {
     if (table.isHub()) return 'forDomain';
-    if (doubt !== undefined) followsUntil = now + KEEP_FOLLOWING_MS;
+    const isStarting = now - startedAt < STARTING_MS;
+    const keepMs = isStarting ? KEEP_FOLLOWING_AT_START_MS : KEEP_FOLLOWING_MS;
+    if (doubt !== undefined) followsUntil = now + keepMs;
     return now < followsUntil ? 'forItself' : 'off';
   };
   const setMode = (next: FollowMode, reason: string): void => {
--- a/src/gateway/requests/backends.ts
+++ b/src/gateway/requests/backends.ts
@@ -14,6 +14,7 @@
   type TargetDirectory,
   type TargetState,
 } from '../../controllers/forwarding/index.js';
+import { hasRoom } from '../../controllers/waiting/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { ServingService } from '../../ports/index.js';
 import type { GatewayContext } from '../types.js';
@@ -26,11 +27,15 @@
 
 /** The request path's view of all backend servers. */
 export interface Backends {
-  /** The best target that is neither excluded nor under suspicion. */
+  /**
+   * The best target that is neither excluded nor under suspicion; with `needsRoom` only one that can
+   * begin nearly at once.
+   */
   choose(
     service: ServingService,
     model: string | undefined,
     excluded: ReadonlySet<string>,
+    needsRoom?: boolean,
   ): ChosenTarget | undefined;
   /** All targets, those under suspicion included. */
   count(service: ServingService, model: string | undefined): number;
@@ -130,8 +135,15 @@
       }
     }
   };
-  const countAll = (server: string): number =>
-    (load.get(server) ?? 0) + (board.peerLoad.read().get(server) ?? 0);
+  /**
+   * Guards against gateways that have all started anew and know nothing of each other: each takes all
+   * places for its own, and their callers come back together. Those not heard yet count as doing as
+   * this one does.
+   */
+  const countAll = (server: string): number => {
+    const { byServer, unheard } = board.peerLoad.read();
+    return (load.get(server) ?? 0) * (1 + unheard) + (byServer.get(server) ?? 0);
+  };
   const describe = (target: Target, service: ServingService): TargetState => ({
     target,
     inFlight: countAll(target.server.id),
@@ -150,12 +162,13 @@
   };
 
   return {
-    choose: (service, model, excluded) => {
+    choose: (service, model, excluded, needsRoom = false) => {
       const now = clock.now();
       const states = directory
         .find(service, model)
         .filter((target) => !excluded.has(target.server.id) && isUsable(target, now))
-        .map((target) => describe(target, service));
+        .map((target) => describe(target, service))
+        .filter((state) => !needsRoom || hasRoom(state));
       const chosen = chooseTarget(states, random);
       return chosen && { ...chosen, candidates: states.length };
     },
--- a/src/gateway/requests/request-path.ts
+++ b/src/gateway/requests/request-path.ts
@@ -19,6 +19,7 @@
 import { RequestRun, type RunTools } from './run.js';
 import { createStopping, refuseStopped } from './stopping.js';
 import type { RequestHead } from './types.js';
+import { createWaitingLines } from './waiting-line.js';
 import type { Watchdog, WatchedRequest } from './watchdog.js';
 
 /** The listener for callers. */
@@ -54,7 +55,11 @@
   const { context, watchdog } = options;
   const { board, clock, metrics, logger } = context;
   const stopping = createStopping(context);
-  const tools: RunTools = { ...options, stopping };
+  const lines = createWaitingLines(clock);
+  watchdog.onTick(() => {
+    lines.serve();
+  });
+  const tools: RunTools = { ...options, stopping, lines };
   let inFlight = 0;
 
   const count = (change: 1 | -1): void => {
--- a/src/gateway/requests/run.ts
+++ b/src/gateway/requests/run.ts
@@ -19,6 +19,7 @@
 import { limitsBeforeAnswer, limitsWithinAnswer } from './stall-limits.js';
 import { refuseStopped, STOPPED, type Stopping } from './stopping.js';
 import type { AdmittedRequest, RequestOutcome } from './types.js';
+import type { InLine, WaitingLines } from './waiting-line.js';
 import type { Watchdog, WatchedRequest } from './watchdog.js';
 
 /** What a run needs beside its request. */
@@ -28,6 +29,7 @@
   watchdog: Watchdog;
   send: AttemptSender;
   stopping: Stopping;
+  lines: WaitingLines;
 }
 
 /** Sendings that backend servers refused unrun, beyond which a request is given up. */
@@ -56,6 +58,8 @@
   private sends = 0;
   private isFinished = false;
   private waitsUntil: Milliseconds | undefined;
+  /** Its place among those that wait for a target with room. */
+  private inLine: InLine | undefined;
   private nextTryAt = 0;
   private firstByteAt: Milliseconds | undefined;
   private lastEventAt: Milliseconds | undefined;
@@ -139,7 +143,7 @@
 
   private sendNext(why: string): void {
     const { request, tools } = this;
-    const { service, model } = request;
+    const { service } = request;
     if (!this.mayHaveRun && !tools.stopping.mayBegin(request, tools.context.clock.now())) {
       this.failWith(refuseStopped(), 'refused', STOPPED);
       return;
@@ -150,7 +154,11 @@
       if (this.sendings.size === 0) this.giveUp(reason);
       return;
     }
-    const chosen = tools.backends.choose(service, model?.name, this.tried);
+    const chosen = this.pickTarget();
+    if (chosen === 'noRoom') {
+      this.joinLine(why);
+      return;
+    }
     if (chosen === undefined) {
       this.waitForTarget(why);
       return;
@@ -163,6 +171,54 @@
     this.sendTo(chosen, why);
   }
 
+  /**
+   * Only the first sending to a model's replica waits for room. What goes on after a stall has used up
+   * its time already, and where there is no replica at all a place in line would not help.
+   */
+  private pickTarget(): ChosenTarget | 'noRoom' | undefined {
+    const { request, tools, tried } = this;
+    const { service, model } = request;
+    const { backends, lines } = tools;
+    if (this.sends > 0 || model === undefined) return backends.choose(service, model?.name, tried);
+    const isBehind = this.inLine === undefined && lines.hasLine(request);
+    const withRoom = isBehind ? undefined : backends.choose(service, model.name, tried, true);
+    if (withRoom) return withRoom;
+    return backends.choose(service, model.name, tried) ? 'noRoom' : undefined;
+  }
+
+  private joinLine(why: string): void {
+    if (this.inLine !== undefined) return;
+    const { request, tools } = this;
+    this.log('requestWaits', {
+      why: 'no room',
+      targets: tools.backends.count(request.service, request.model?.name),
+      tried: this.tried.size,
+    });
+    this.waitsUntil = undefined;
+    this.inLine = tools.lines.join(request, {
+      trySend: () => this.trySend(why),
+      refuse: () => {
+        this.leaveLine();
+        this.giveUp('no room in time');
+      },
+    });
+    tools.lines.serveSoon();
+  }
+
+  /** Its turn in the line. */
+  private trySend(why: string): boolean {
+    if (this.pickTarget() === 'noRoom') return false;
+    this.sendNext(why);
+    this.leaveLine();
+    return true;
+  }
+
+  private leaveLine(): void {
+    if (this.inLine === undefined) return;
+    this.tools.lines.leave(this.request, this.inLine);
+    this.inLine = undefined;
+  }
+
   private waitForTarget(why: string): void {
     if (this.sendings.size > 0) return;
     const now = this.tools.context.clock.now();
@@ -201,8 +257,9 @@
       from: lastEventId,
     });
     tools.backends.sent(server.id);
+    tools.lines.recordSent(request);
     stream?.startRun();
-    const limits = limitsBeforeAnswer(request, chosen);
+    const limits = limitsBeforeAnswer(request, chosen, tools.lines.usualFirstMs(request));
     const sending = new Sending(server.id, limits, this, tools.context.clock);
     this.sendings.add(sending);
     tools.watchdog.attempts.add(sending);
@@ -256,7 +313,10 @@
     const limits = limitsWithinAnswer(this.request);
     if (limits) sending.tighten(limits);
     this.lastEventAt = clock.now();
-    this.firstByteAt ??= this.lastEventAt;
+    if (this.firstByteAt === undefined) {
+      this.firstByteAt = this.lastEventAt;
+      this.tools.lines.recordFirstEvent(this.request, this.firstByteAt - sending.sentAt);
+    }
     relayEvents(this.reply, platform.requests, sending, answer, part.bytes);
   }
 
@@ -412,6 +472,7 @@
     this.sendings.delete(sending);
     this.tools.watchdog.attempts.delete(sending);
     this.tools.backends.ended(sending.server);
+    this.tools.lines.serveSoon();
     this.tools.context.metrics.attempts.inc({ outcome: kind });
     if (how !== 'answered') this.log('attemptEnded', { server: sending.server, how, kind });
   }
@@ -419,6 +480,7 @@
   private finish(outcome: RequestOutcome, reason: string): void {
     if (this.isFinished) return;
     this.isFinished = true;
+    this.leaveLine();
     this.tools.watchdog.requests.delete(this);
     for (const sending of [...this.sendings]) {
       sending.cancel();
--- a/src/gateway/requests/stall-limits.ts
+++ b/src/gateway/requests/stall-limits.ts
@@ -25,13 +25,14 @@
 export function limitsBeforeAnswer(
   { route, model, service, caller }: AdmittedRequest,
   { inFlight, slots }: ChosenTarget,
+  usualFirstMs: Milliseconds,
 ): StallLimits {
   const profile = service.engine;
   if (!profile || !model) {
     const limitMs = plainStallAfter(route.targetMs);
     return { serverLimitMs: limitMs, ownLimitMs: limitMs };
   }
-  const firstEventMs = firstEventAfter(profile, model, caller.promptTokens);
+  const firstEventMs = firstEventAfter(profile, model, caller.promptTokens, usualFirstMs);
   return {
     serverLimitMs: inFlight < slots ? firstEventMs : Infinity,
     ownLimitMs: Math.max(LOST_ANSWER_MS, 2 * firstEventMs),
--- a/src/gateway/requests/watchdog.ts
+++ b/src/gateway/requests/watchdog.ts
@@ -33,6 +33,8 @@
 export interface Watchdog extends GatewayPart {
   attempts: Set<WatchedAttempt>;
   requests: Set<WatchedRequest>;
+  /** Called in each round, after all requests. */
+  onTick(listener: () => void): void;
   /** Called after each standstill of the process. */
   onPause(listener: () => void): void;
 }
@@ -48,6 +50,7 @@
   const attempts = new Set<WatchedAttempt>();
   const requests = new Set<WatchedRequest>();
   const pauseListeners: (() => void)[] = [];
+  const tickListeners: (() => void)[] = [];
   let timer: NodeJS.Timeout | undefined;
   let lastTickAt = clock.now();
   let resumedAt = Number.NEGATIVE_INFINITY;
@@ -63,6 +66,7 @@
     }
     for (const attempt of [...attempts]) checkAttempt(attempt, now);
     for (const request of [...requests]) request.onTick(now);
+    for (const listener of tickListeners) listener();
   };
   const checkAttempt = (attempt: WatchedAttempt, now: Milliseconds): void => {
     if (attempt.paused || !attempts.has(attempt)) return;
@@ -85,6 +89,9 @@
   return {
     attempts,
     requests,
+    onTick: (listener) => {
+      tickListeners.push(listener);
+    },
     onPause: (listener) => {
       pauseListeners.push(listener);
     },
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -43,6 +43,14 @@
   since: Milliseconds;
 }
 
+/** What the other gateways have under way. */
+export interface PeerLoad {
+  /** Requests, by backend server. */
+  byServer: ReadonlyMap<string, number>;
+  /** Gateways that live, as far as is known, and whose requests are not counted yet. */
+  unheard: number;
+}
+
 /** Where the parts leave what they know. Each section has one writer. */
 export interface GatewayBoard {
   /** The version in force; absent before the first. */
@@ -55,8 +63,7 @@
   storeContact: Section<StoreContact>;
   /** By name. */
   peers: Section<ReadonlyMap<string, GatewayPeer>>;
-  /** Requests of all other gateways under way, by backend server. */
-  peerLoad: Section<ReadonlyMap<string, number>>;
+  peerLoad: Section<PeerLoad>;
   /** Absent until the gateway is told to stop. */
   stop: Section<StopPlan | undefined>;
 }
@@ -69,7 +76,7 @@
   fleetProof: WritableSection<Proof | undefined>;
   storeContact: WritableSection<StoreContact>;
   peers: WritableSection<ReadonlyMap<string, GatewayPeer>>;
-  peerLoad: WritableSection<ReadonlyMap<string, number>>;
+  peerLoad: WritableSection<PeerLoad>;
   stop: WritableSection<StopPlan | undefined>;
 }
 
