--- a/src/gateway/requests/run-report.ts
+++ b/src/gateway/requests/run-report.ts
@@ -1,8 +1,10 @@
 /**
- * The last line of a request's log, and its metrics.
+ * The lines of a request's log at its sendings and its end, and its metrics.
  */
+import { roundedAge } from '../../controllers/freshness/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { GatewayContext } from '../types.js';
+import type { ChosenTarget } from './backends.js';
 import type { RequestHead, RequestOutcome } from './types.js';
 
 /** What a run was like, as told when it ends. */
@@ -18,6 +20,51 @@
   lastEventId: string | undefined;
 }
 
+/** What a sending was like beside its target. */
+export interface SendingSummary {
+  why: string;
+  /** Counted from 1. */
+  attempt: number;
+  leftMs: Milliseconds;
+  /** After which event the stream goes on. */
+  lastEventId: string | undefined;
+}
+
+/** Tells of a sending with what decided it, and how old that was. */
+export function reportSent(
+  context: GatewayContext,
+  request: string,
+  { target, inFlight, candidates, isRemote }: ChosenTarget,
+  { why, attempt, leftMs, lastEventId }: SendingSummary,
+): void {
+  const { server } = target;
+  context.logger.log('requestSent', {
+    request,
+    why,
+    server: server.id,
+    group: server.engine?.membership?.group,
+    attempt,
+    inFlight,
+    candidates,
+    remote: isRemote,
+    fleetRevision: context.board.fleet.read().revision,
+    ...describeConfiguration(context),
+    leftMs: Math.round(leftMs),
+    from: lastEventId,
+  });
+}
+
+/** The version that a request is handled by, and how old the proof is that it is the newest. */
+function describeConfiguration({
+  board,
+  clock,
+}: GatewayContext): Record<string, number | undefined> {
+  return {
+    configuration: board.serving.read()?.configuration.version,
+    configurationAgeMs: roundedAge(board.configurationProof.read(), clock.now()),
+  };
+}
+
 /** Tells the end of a request to the metrics and the log. */
 export function reportEnd(
   { board, clock, metrics, logger }: GatewayContext,
--- a/src/gateway/requests/run.ts
+++ b/src/gateway/requests/run.ts
@@ -6,7 +6,6 @@
  * server within the route's attempts and the budget of repeats.
  */
 import { EventStream, isRepeatable } from '../../controllers/forwarding/index.js';
-import { roundedAge } from '../../controllers/freshness/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import type { AttemptAnswer, AttemptFailure, AttemptSender } from '../backends/attempt.js';
@@ -14,12 +13,13 @@
 import { isGood, relayEvents, sendPlain } from './answering.js';
 import type { Backends, ChosenTarget } from './backends.js';
 import type { Reply } from './reply.js';
-import { reportEnd } from './run-report.js';
+import { RequestWait } from './request-wait.js';
+import { reportEnd, reportSent } from './run-report.js';
 import { Sending, type SendingOwner } from './sending.js';
 import { limitsBeforeAnswer, limitsWithinAnswer } from './stall-limits.js';
 import { refuseStopped, STOPPED, type Stopping } from './stopping.js';
 import type { AdmittedRequest, RequestOutcome } from './types.js';
-import type { InLine, WaitingLines } from './waiting-line.js';
+import type { WaitingLines } from './waiting-line.js';
 import type { Watchdog, WatchedRequest } from './watchdog.js';
 
 /** What a run needs beside its request. */
@@ -34,11 +34,6 @@
 
 /** Sendings that backend servers refused unrun, beyond which a request is given up. */
 const MOST_REFUSALS = 4;
-/** Longest wait for a target, as a part of the time that the caller has left. */
-const WAIT_PART = 0.4;
-const LONGEST_WAIT_MS: Milliseconds = 1_500;
-/** Before a target that refused a request is asked again: a slot comes free in about this time. */
-const RETRY_SAME_MS: Milliseconds = 150;
 /** A replica that is being formed opens within about this time. */
 const RETRY_AFTER_MS: Milliseconds = 700;
 /** Of the time left, what a backend server is not given: the way back takes some of it. */
@@ -57,10 +52,7 @@
   private refusals = 0;
   private sends = 0;
   private isFinished = false;
-  private waitsUntil: Milliseconds | undefined;
-  /** Its place among those that wait for a target with room. */
-  private inLine: InLine | undefined;
-  private nextTryAt = 0;
+  private readonly wait: RequestWait;
   private firstByteAt: Milliseconds | undefined;
   private lastEventAt: Milliseconds | undefined;
   /** A backend server's own failure, passed on when nothing better comes. */
@@ -74,6 +66,7 @@
     private readonly onFinish: () => void,
   ) {
     this.startedAt = tools.context.clock.now();
+    this.wait = new RequestWait(request, tools.lines);
     if (request.route.repeatability === 'stream') {
       this.stream = new EventStream(request.caller.lastEventId);
     }
@@ -97,8 +90,7 @@
       this.expire();
       return;
     }
-    if (this.waitsUntil === undefined) return;
-    if (this.sendings.size === 0 && now >= this.nextTryAt) this.sendNext('waited');
+    if (this.sendings.size === 0 && this.wait.mayTry(now)) this.sendNext('waited');
     this.endWait(now);
   }
 
@@ -116,8 +108,8 @@
   }
 
   private endWait(now: Milliseconds): void {
-    const isOver = this.waitsUntil !== undefined && now >= this.waitsUntil;
-    if (isOver && !this.isFinished && this.sendings.size === 0) this.giveUp('no target in time');
+    if (this.isFinished || this.sendings.size > 0) return;
+    if (this.wait.isOver(now)) this.giveUp('no target in time');
   }
 
   private get isRepeatable(): boolean {
@@ -167,7 +159,7 @@
       if (this.sendings.size === 0) this.giveUp('no repeats left');
       return;
     }
-    this.waitsUntil = undefined;
+    this.wait.endForTarget();
     this.sendTo(chosen, why);
   }
 
@@ -180,62 +172,46 @@
     const { service, model } = request;
     const { backends, lines } = tools;
     if (this.sends > 0 || model === undefined) return backends.choose(service, model?.name, tried);
-    const isBehind = this.inLine === undefined && lines.hasLine(request);
+    const isBehind = !this.wait.isInLine && lines.hasLine(request);
     const withRoom = isBehind ? undefined : backends.choose(service, model.name, tried, true);
     if (withRoom) return withRoom;
     return backends.choose(service, model.name, tried) ? 'noRoom' : undefined;
   }
 
   private joinLine(why: string): void {
-    if (this.inLine !== undefined) return;
-    const { request, tools } = this;
-    this.log('requestWaits', {
-      why: 'no room',
-      targets: tools.backends.count(request.service, request.model?.name),
-      tried: this.tried.size,
-    });
-    this.waitsUntil = undefined;
-    this.inLine = tools.lines.join(request, {
+    if (this.wait.isInLine) return;
+    this.logWait('no room');
+    this.wait.joinLine({
       trySend: () => this.trySend(why),
       refuse: () => {
-        this.leaveLine();
+        this.wait.leaveLine();
         this.giveUp('no room in time');
       },
     });
-    tools.lines.serveSoon();
   }
 
   /** Its turn in the line. */
   private trySend(why: string): boolean {
     if (this.pickTarget() === 'noRoom') return false;
     this.sendNext(why);
-    this.leaveLine();
+    this.wait.leaveLine();
     return true;
   }
 
-  private leaveLine(): void {
-    if (this.inLine === undefined) return;
-    this.tools.lines.leave(this.request, this.inLine);
-    this.inLine = undefined;
-  }
-
   private waitForTarget(why: string): void {
     if (this.sendings.size > 0) return;
     const now = this.tools.context.clock.now();
-    if (this.waitsUntil === undefined) {
-      const leftMs = this.request.answerBy - now;
-      this.waitsUntil = now + Math.min(LONGEST_WAIT_MS, leftMs * WAIT_PART);
-      this.log('requestWaits', {
-        why,
-        targets: this.tools.backends.count(this.request.service, this.request.model?.name),
-        tried: this.tried.size,
-      });
-    }
-    // A target that refused or failed before may be the only one there is; it needs a moment.
-    if (this.tried.size > 0) this.nextTryAt = now + RETRY_SAME_MS;
+    if (this.wait.beginForTarget(now)) this.logWait(why);
+    if (this.tried.size > 0) this.wait.pause(now);
     if (this.isRepeatable) this.tried.clear();
   }
 
+  private logWait(why: string): void {
+    const { service, model } = this.request;
+    const targets = this.tools.backends.count(service, model?.name);
+    this.log('requestWaits', { why, targets, tried: this.tried.size });
+  }
+
   private sendTo(chosen: ChosenTarget, why: string): void {
     const { request, tools, stream } = this;
     const { server } = chosen.target;
@@ -243,18 +219,11 @@
     this.sends += 1;
     const leftMs = this.sendableMs;
     const lastEventId = stream ? stream.lastEventId : request.caller.lastEventId;
-    this.log('requestSent', {
+    reportSent(tools.context, request.id, chosen, {
       why,
-      server: server.id,
-      group: server.engine?.membership?.group,
       attempt: this.sends,
-      inFlight: chosen.inFlight,
-      candidates: chosen.candidates,
-      remote: chosen.isRemote,
-      fleetRevision: tools.context.board.fleet.read().revision,
-      ...describeConfiguration(tools.context),
-      leftMs: Math.round(leftMs),
-      from: lastEventId,
+      leftMs,
+      lastEventId,
     });
     tools.backends.sent(server.id);
     tools.lines.recordSent(request);
@@ -480,7 +449,7 @@
   private finish(outcome: RequestOutcome, reason: string): void {
     if (this.isFinished) return;
     this.isFinished = true;
-    this.leaveLine();
+    this.wait.leaveLine();
     this.tools.watchdog.requests.delete(this);
     for (const sending of [...this.sendings]) {
       sending.cancel();
@@ -502,24 +471,13 @@
   }
 
   private log(
-    event: 'requestSent' | 'requestWaits' | 'attemptEnded',
+    event: 'requestWaits' | 'attemptEnded',
     values: Record<string, string | number | boolean | undefined>,
   ): void {
     this.tools.context.logger.log(event, { request: this.request.id, ...values });
   }
 }
 
-/** The version that a request is handled by, and how old the proof is that it is the newest. */
-function describeConfiguration({
-  board,
-  clock,
-}: GatewayContext): Record<string, number | undefined> {
-  return {
-    configuration: board.serving.read()?.configuration.version,
-    configurationAgeMs: roundedAge(board.configurationProof.read(), clock.now()),
-  };
-}
-
 const NOTHING = Buffer.alloc(0);
 
 /** Callers' ranks go from 0; backend servers know 0 to 9. */
