--- a/scripts/gateway-loader.mjs
+++ b/scripts/gateway-loader.mjs
@@ -1,9 +1,9 @@
 // Runs the gateway from the code that V8 compiled for it when it was built.
 //
-// A gateway that starts anew serves nobody until its modules are compiled and evaluated: 0.31 s of
-// processor time as one module, 0.15 s from compiled code, measured on a machine at rest. After a
-// loss of power that time is in the way of every caller. Compiled code of another version of V8 is
-// refused by V8 itself, and the script is compiled as usual.
+// A gateway that starts anew serves nobody until its modules are compiled and evaluated: 0.53 s of
+// processor time from source, 0.23 s from compiled code, of which 0.10 s are the runtime's own, measured
+// on a busy machine. After a loss of power that time is in the way of every caller. Compiled code of
+// another version of V8 is refused by V8 itself, and the script is compiled as usual.
 import { existsSync, readFileSync } from 'node:fs';
 import { createRequire } from 'node:module';
 import { fileURLToPath, URL } from 'node:url';
--- a/src/adapters/peers/rpc-listener.ts
+++ b/src/adapters/peers/rpc-listener.ts
@@ -2,8 +2,8 @@
  * The listener of calls between our own processes over tRPC.
  *
  * It reads one JSON value and calls the procedure with it. tRPC's own adapter builds a request of the
- * browser's kind with streams and signals around each, which took four fifths of the processor time of
- * an exchange of digests.
+ * browser's kind with streams and signals around each, on both ends; an exchange of digests took 3.0 ms of
+ * processor time that way and takes 1.6 ms this way, measured on a busy machine.
  */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import {
--- a/src/controllers/forwarding/stall.ts
+++ b/src/controllers/forwarding/stall.ts
@@ -30,8 +30,9 @@
 }
 
 /**
- * Multiples of the usual time to a first event that a replica may take for one. Of full replicas one
- * in a hundred took 3 times their mean.
+ * Multiples of the usual time to a first event that a replica may take for one. Of 144 requests at full
+ * replicas half began within 343 ms and the slowest after 719 ms, about twice that; as much again is
+ * the margin.
  */
 const USUAL_TIMES_UNTIL_STALLED = 4;
 
--- a/src/controllers/waiting/line.ts
+++ b/src/controllers/waiting/line.ts
@@ -2,10 +2,10 @@
  * Who goes first of the requests that wait for a target with room, and who waits in vain.
  *
  * Pattern: more comes for seconds than can be served. First come, first served then makes everybody
- * late: with 120 arrivals of one model where 60 can be served in two seconds, none of those after the
- * first half second is answered in time. Served newest first among those that can still be in time,
- * half of all are in time, and the others are answered late when the load falls, or told at once when
- * to come back.
+ * late: where 60 come and 30 can be served a second, with 150 ms to spare, fewer than 10 in 100 of those
+ * that are served in ten seconds are in time. Newest first among those that can still be in time it is
+ * more than 80 in 100, and the others are answered late when the load falls, or told at once when to
+ * come back.
  */
 import type { Milliseconds } from '../../core/clock/index.js';
 
--- a/src/gateway/peers/store-share.ts
+++ b/src/gateway/peers/store-share.ts
@@ -41,8 +41,8 @@
 
 /**
  * For as long after a start, a hub that was not heard yet is no flapping one. Where all start together
- * each takes itself for the hub first; with the longer time 63 gateways made 1,100 calls in their first
- * four seconds that one gateway of each failure domain could have made.
+ * each takes itself for the hub first; with the longer time 63 gateways made 1,162 calls in their first
+ * four seconds, most of which one gateway of each failure domain could have made.
  */
 const STARTING_MS: Milliseconds = 2_000;
 /** A gateway that has just started and begins to follow by itself goes on for this long. */
