--- a/features/gateway/start-in-outage.steps.ts
+++ b/features/gateway/start-in-outage.steps.ts
@@ -2,30 +2,49 @@
  * Gateways that start while nobody hears the store.
  */
 import assert from 'node:assert/strict';
-import { Agent } from 'node:http';
-import { Given, Then, When } from '@cucumber/cucumber';
+import { request, type ClientRequest } from 'node:http';
+import { After, Given, Then, When } from '@cucumber/cucumber';
 import { LagTracker } from '../../src/controllers/peering/index.js';
+import { createProxy, type Proxy } from '../../src/stand-ins/proxy/index.js';
 import { waitFor } from '../support/waiting.js';
 import { Site, type GatewayPlan, type GatewayProcess } from './site.js';
+import { KEY } from './stand-ins/configuration.js';
 import type { GatewayWorld } from './world.js';
 
 interface StartWorld extends GatewayWorld {
   plan: GatewayPlan;
   started: GatewayProcess;
+  /** The way on which the other gateway can first hear of the one that stops. */
+  seedLink: Proxy;
+  /** Keeps the gateway that stops from ending. */
+  unfinished: ClientRequest;
   gateways: GatewayProcess[];
   lateAfterMs: number | undefined;
 }
 
 const LIST = { path: '/list/slots' };
 const LONGEST_LAG_MS = 10_000;
+/** Longer than any wait of a step. */
+const LONGEST_REQUEST_MS = 60_000;
+/** A stop finishes what is due within it. */
+const LONG_GRACE_MS = 120_000;
+
+After(async function (this: Partial<StartWorld>) {
+  this.unfinished?.destroy();
+  await this.seedLink?.stop();
+});
 
 Given('a gateway that is ready, and one more that is to start', async function (this: StartWorld) {
   this.site = new Site();
   await this.site.open();
-  this.site.configure();
+  this.site.configure({ route: { timeout_ms: LONGEST_REQUEST_MS } });
   await this.site.addServer({ id: 'plain-0', service: 'app' });
-  const first = this.site.planGateway();
-  this.plan = { ...this.site.planGateway(), seeds: [first.peers] };
+  // Of two servers the one that answers nobody may come under suspicion.
+  await this.site.addServer({ id: 'plain-1', service: 'app' });
+  const first = { ...this.site.planGateway(), graceMs: LONG_GRACE_MS };
+  const link = await createProxy({ listen: '127.0.0.1:0', target: first.peers });
+  this.seedLink = link._unsafeUnwrap();
+  this.plan = { ...this.site.planGateway(), seeds: [this.seedLink.address] };
   this.gateway = await this.site.launch(first);
   await this.site.whenReady(this.gateway);
 });
@@ -40,15 +59,39 @@
 });
 
 When('the first is told to stop and the other one starts', async function (this: StartWorld) {
-  // An idle connection of a caller keeps the first up for as long as the balancer may send requests.
-  await this.site.ask(this.gateway, { ...LIST, agent: new Agent({ keepAlive: true }) });
+  this.unfinished = await holdUp(this);
+  // How long a process takes to start says nothing of the gateway: it hears of the first only when
+  // that one is stopping, and the first ends only with the request that nobody answers.
+  (await this.seedLink.control({ refuse: true }))._unsafeUnwrap();
+  this.started = await this.site.launch(this.plan);
+  const before = await waitFor('the other one to listen', () =>
+    this.site.ask(this.started, LIST).catch(() => undefined),
+  );
+  assert.equal(before.status, 503);
   this.gateway.signal('SIGTERM');
   await waitFor('the stop to begin', () =>
     this.gateway.lines.some(({ name }) => name === 'gatewayStopping'),
   );
-  this.started = await this.site.launch(this.plan);
+  (await this.seedLink.control({ refuse: false }))._unsafeUnwrap();
 });
 
+/** A request that its gateway must not cut short, at a server that never answers it. */
+async function holdUp({ site, gateway }: StartWorld): Promise<ClientRequest> {
+  for (const server of site.servers) server.fault = { kind: 'stall' };
+  const headers = {
+    host: 'passes.example',
+    'Attempt-Id': 'unfinished',
+    'Deadline-Ms': String(LONGEST_REQUEST_MS),
+    Authorization: `Bearer ${KEY}`,
+  };
+  const begun = request(`http://${gateway.callers}/check/slots`, { method: 'POST', headers });
+  begun.on('error', () => undefined);
+  begun.end();
+  await waitFor('it to be sent', () => gateway.lines.some(({ name }) => name === 'requestSent'));
+  for (const server of site.servers) server.fault = { kind: 'none' };
+  return begun;
+}
+
 Then('the other one serves callers before the first has ended', async function (this: StartWorld) {
   let hasEnded = false;
   void this.gateway.exited.then(() => {
