--- a/features/promises/replica-observer.ts
+++ b/features/promises/replica-observer.ts
@@ -140,6 +140,32 @@
   return before[lastIn + 1]?.at ?? Number.NEGATIVE_INFINITY;
 }
 
+/**
+ * Whether the entry had given `attempt` up before a frozen engine woke at `wokeAt` and began it. Its
+ * bytes were in the machine already, and it ends as soon as the engine sees that nobody listens, or
+ * that its replica is no more, whichever comes first. Callers here stay to the end: it is the entry
+ * that has closed the connection, or has gone on with the request in a later attempt.
+ */
+export function isGivenUp(
+  evidence: Evidence,
+  { attempt, startedAt, end }: JournaledAttempt,
+  wokeAt: number | undefined,
+): boolean {
+  if (wokeAt === undefined || startedAt < wokeAt) return false;
+  if (end === 'disconnected') return true;
+  const given = parseAttempt(attempt);
+  return listAttempts(evidence).some((other) => {
+    const { request, number } = parseAttempt(other.attempt);
+    return request === given.request && number > given.number && other.startedAt < startedAt;
+  });
+}
+
+/** Entries number the attempts of a request behind its id. */
+function parseAttempt(attempt: string): { request: string; number: number } {
+  const dot = attempt.lastIndexOf('.');
+  return { request: attempt.slice(0, dot), number: Number(attempt.slice(dot + 1)) };
+}
+
 /** What became of one streamed request. */
 export interface StreamOutcome {
   entry: string;
--- a/src/controllers/groups/targets.ts
+++ b/src/controllers/groups/targets.ts
@@ -1,6 +1,7 @@
 /**
  * How many replicas of each model the fabric domains of a service should have.
  */
+import { groupBy } from '../../core/collections/index.js';
 import type { GroupModel } from '../../ports/index.js';
 
 /** Wanted replicas of one model. */
@@ -68,19 +69,36 @@
   models: readonly GroupModel[],
 ): ReadonlyMap<string, number> {
   const counts = new Map(models.map(({ name }) => [name, 0]));
+  const fill = ({ name, size, share }: GroupModel): number =>
+    ((counts.get(name) ?? 0) * size) / share;
   let left = domains.reduce((sum, { instances }) => sum + instances, 0);
   for (;;) {
-    const next = models
-      .filter((model) => model.size <= left && model.share > 0)
-      .sort((a, b) => fill(a, counts) - fill(b, counts) || b.size - a.size)[0];
+    const able = models.filter(({ size, share }) => size <= left && share > 0);
+    const next = findFirst(able, (a, b) => fill(a) - fill(b) || b.size - a.size);
     if (next === undefined) return counts;
     counts.set(next.name, (counts.get(next.name) ?? 0) + 1);
     left -= next.size;
   }
 }
 
-function fill(model: GroupModel, counts: ReadonlyMap<string, number>): number {
-  return ((counts.get(model.name) ?? 0) * model.size) / model.share;
+/** A domain while the replicas of one model are placed. */
+interface DomainPlacing {
+  domain: string;
+  /** Instances that no replica has. */
+  left: number;
+  /** Replicas that it has already, and keeps first. */
+  existing: number;
+  placed: number;
+  failureDomain: FailureDomainPlacing;
+}
+
+/** The domains of one failure domain while the replicas of one model are placed. */
+interface FailureDomainPlacing {
+  placed: number;
+  /** Those with the instances for one replica more. */
+  open: DomainPlacing[];
+  /** Where its next replica should go; only a replica placed here changes it. */
+  best: DomainPlacing | undefined;
 }
 
 /** Gives `groups` of `model` to the domains in turn; `left` is reduced by what they take. */
@@ -90,50 +108,72 @@
   domains: readonly DomainCapacity[],
   left: Map<string, number>,
 ): ReadonlyMap<string, number> {
+  const failureDomains = beginPlacing(model, domains, left);
   const counts = new Map(domains.map(({ domain }) => [domain, 0]));
   for (let placed = 0; placed < groups; placed += 1) {
-    const [best] = domains
-      .filter(({ domain }) => (left.get(domain) ?? 0) >= model.size)
-      .sort((a, b) => compareDomains(a, b, model, { domains, counts, left }));
-    if (best === undefined) break;
-    const { domain } = best;
-    counts.set(domain, (counts.get(domain) ?? 0) + 1);
-    left.set(domain, (left.get(domain) ?? 0) - model.size);
+    const bests = failureDomains.flatMap(({ best }) => best ?? []);
+    const next = findFirst(bests, compareDomains);
+    if (next === undefined) break;
+    placeOne(next, model);
+    counts.set(next.domain, next.placed);
+    left.set(next.domain, next.left);
   }
   return counts;
 }
 
-/** What has been placed so far. */
-interface Placement {
-  domains: readonly DomainCapacity[];
-  counts: ReadonlyMap<string, number>;
-  left: ReadonlyMap<string, number>;
+function beginPlacing(
+  model: GroupModel,
+  domains: readonly DomainCapacity[],
+  left: ReadonlyMap<string, number>,
+): FailureDomainPlacing[] {
+  return [...groupBy(domains, ({ failureDomain }) => failureDomain).values()].map((members) => {
+    const shared: FailureDomainPlacing = { placed: 0, open: [], best: undefined };
+    for (const { domain, groups } of members) {
+      const existing = groups.get(model.name) ?? 0;
+      const free = left.get(domain) ?? 0;
+      const placing = { domain, left: free, existing, placed: 0, failureDomain: shared };
+      if (free >= model.size) shared.open.push(placing);
+    }
+    shared.best = findFirst(shared.open, compareDomains);
+    return shared;
+  });
+}
+
+function placeOne(placing: DomainPlacing, model: GroupModel): void {
+  const { failureDomain } = placing;
+  placing.placed += 1;
+  placing.left -= model.size;
+  failureDomain.placed += 1;
+  if (placing.left < model.size) {
+    failureDomain.open = failureDomain.open.filter((each) => each !== placing);
+  }
+  failureDomain.best = findFirst(failureDomain.open, compareDomains);
 }
 
-/** Negative when the next replica of `model` should rather go to `a`. */
-function compareDomains(
-  a: DomainCapacity,
-  b: DomainCapacity,
-  model: GroupModel,
-  placement: Placement,
-): number {
-  const { counts, left } = placement;
-  const count = ({ domain }: DomainCapacity): number => counts.get(domain) ?? 0;
-  const keeps = (each: DomainCapacity): number =>
-    (each.groups.get(model.name) ?? 0) > count(each) ? 1 : 0;
-  const room = ({ domain }: DomainCapacity): number => left.get(domain) ?? 0;
+/** Negative when the next replica should rather go to `a`. */
+function compareDomains(a: DomainPlacing, b: DomainPlacing): number {
   return (
-    keeps(b) - keeps(a) ||
-    countIn(a.failureDomain, placement) - countIn(b.failureDomain, placement) ||
-    count(a) - count(b) ||
-    room(b) - room(a)
+    Number(isKeeping(b)) - Number(isKeeping(a)) ||
+    a.failureDomain.placed - b.failureDomain.placed ||
+    a.placed - b.placed ||
+    b.left - a.left ||
+    (a.domain < b.domain ? -1 : 1)
   );
 }
 
-function countIn(failureDomain: string, { domains, counts }: Placement): number {
-  return domains
-    .filter((each) => each.failureDomain === failureDomain)
-    .reduce((sum, { domain }) => sum + (counts.get(domain) ?? 0), 0);
+/** It has a replica that it would lose if no further one were placed there. */
+function isKeeping({ existing, placed }: DomainPlacing): boolean {
+  return existing > placed;
+}
+
+/** What a stable sort by `compare` would put first. */
+function findFirst<Item>(
+  items: readonly Item[],
+  compare: (a: Item, b: Item) => number,
+): Item | undefined {
+  let first: Item | undefined;
+  for (const item of items) if (first === undefined || compare(item, first) < 0) first = item;
+  return first;
 }
 
 function addLeftOver(
