--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -11,6 +11,14 @@
     When 9 gateways repeat whatever they may in 12 random loads
     Then no window of 10000 ms has more repeats than the bound allows
 
+  # Every gateway of a large fleet takes every change of every engine. Looking at all of them for each
+  # one that had changed took more of a gateway's time the more engines there were.
+  Scenario: Only what has changed of a large fleet is looked at
+    Given a fleet of 1700 backend servers
+    When one of them drains, one ends, and one says again what it has said before
+    Then the fleet names just the two that are not what they were
+    And once what vanished in an outage counts as gone the fleet names just that
+
   Scenario: Entries that vanish around an outage of the store count for a while
     Given a fleet of 3 backend servers
     When the store returns without them and brings 2 back in time
--- a/features/gateway/decisions.steps.ts
+++ b/features/gateway/decisions.steps.ts
@@ -10,6 +10,7 @@
   estimateStream,
   EventStream,
   expireVanished,
+  type FleetChange,
   latestBeginning,
   listChanges,
   planStop,
@@ -143,6 +144,32 @@
   this.fleet = applyFleetChanges(EMPTY_FLEET, listChanges(EMPTY_FLEET, listed), 5, 0, 0);
 });
 
+When(
+  'one of them drains, one ends, and one says again what it has said before',
+  function (this: DecisionWorld) {
+    const changes: FleetChange[] = [
+      { kind: 'present', server: { ...createServer('i-0'), leaving: true } },
+      { kind: 'absent', id: 'i-1' },
+      { kind: 'present', server: createServer('i-2') },
+    ];
+    this.fleet = applyFleetChanges(this.fleet, changes, 6, 0, 0);
+  },
+);
+
+Then('the fleet names just the two that are not what they were', function (this: DecisionWorld) {
+  assert.deepEqual(this.fleet.changed, ['i-0', 'i-1']);
+});
+
+Then(
+  'once what vanished in an outage counts as gone the fleet names just that',
+  function (this: DecisionWorld) {
+    const vanishing: FleetChange[] = [{ kind: 'absent', id: 'i-3' }];
+    const vanished = applyFleetChanges(this.fleet, vanishing, 7, RETURN_AT, GONE_AT);
+    assert.deepEqual(vanished.changed, []);
+    assert.deepEqual(expireVanished(vanished, GONE_AT).changed, ['i-3']);
+  },
+);
+
 When(
   'the store returns without them and brings {int} back in time',
   function (this: DecisionWorld, back: number) {
--- a/features/gateway/peering.feature
+++ b/features/gateway/peering.feature
@@ -52,3 +52,11 @@
     # ago are told that there is none.
     Given a gateway that hears of the servers every 100 ms and is behind in the configuration
     Then it fetches the configuration from another gateway within 500 ms
+
+  # Versions follow each other four times a second, and a gateway reads only some of them. Taken for one
+  # that is late it fetched each of the others from a peer, and followed the store itself for seconds:
+  # more calls than if it had read them all.
+  Scenario: A gateway waits for its turn to read the configuration
+    Given a gateway that is behind in the configuration and reads it every 750 ms
+    Then it does not fetch the configuration from another gateway before 1000 ms
+    And it fetches the configuration from another gateway within 2000 ms
--- a/features/gateway/peering.steps.ts
+++ b/features/gateway/peering.steps.ts
@@ -14,6 +14,7 @@
 
 const SEED = 2_212;
 const RUNS = 25;
+const READS_EVERY_MS = 100;
 const LONGEST_LAG_MS = 10_000;
 /** Time in which a fleet settles after the last change: both silences, and the rounds after them. */
 const SETTLE_MS = 9_000;
@@ -87,16 +88,35 @@
 Given(
   'a gateway that hears of the servers every {int} ms and is behind in the configuration',
   function (this: PeeringWorld, everyMs: number) {
-    const lag = new LagTracker();
-    this.lateAfterMs = undefined;
-    for (let now = 0; this.lateAfterMs === undefined && now < LONGEST_LAG_MS; now += everyMs) {
-      const own = { configurationVersion: 1, fleetRevision: now };
-      const known = { configurationVersion: 2, fleetRevision: now + 1 };
-      if (lag.isLate(own, known, now)) this.lateAfterMs = now;
-    }
+    this.lateAfterMs = findLateAfter(everyMs, 0);
   },
 );
 
+Given(
+  'a gateway that is behind in the configuration and reads it every {int} ms',
+  function (this: PeeringWorld, readEveryMs: number) {
+    this.lateAfterMs = findLateAfter(READS_EVERY_MS, readEveryMs);
+  },
+);
+
+Then(
+  'it does not fetch the configuration from another gateway before {int} ms',
+  function (this: PeeringWorld, ms: number) {
+    assert.ok(this.lateAfterMs !== undefined && this.lateAfterMs >= ms, `${this.lateAfterMs} ms`);
+  },
+);
+
+/** When one that hears of the servers all the while, and of a newer configuration, counts as late. */
+function findLateAfter(everyMs: number, readEveryMs: number): number | undefined {
+  const lag = new LagTracker(readEveryMs);
+  for (let now = 0; now < LONGEST_LAG_MS; now += everyMs) {
+    const own = { configurationVersion: 1, fleetRevision: now + 1 };
+    const known = { configurationVersion: 2, fleetRevision: now + 2 };
+    if (lag.isLate(own, known, now)) return now;
+  }
+  return undefined;
+}
+
 Then(
   'it fetches the configuration from another gateway within {int} ms',
   function (this: PeeringWorld, ms: number) {
--- a/features/gateway/start-in-outage.steps.ts
+++ b/features/gateway/start-in-outage.steps.ts
@@ -107,7 +107,7 @@
 Given(
   'a gateway that has just started and hears of a configuration every {int} ms',
   function (this: StartWorld, everyMs: number) {
-    const lag = new LagTracker();
+    const lag = new LagTracker(0);
     const own = { configurationVersion: 0, fleetRevision: 0 };
     const known = { configurationVersion: 2, fleetRevision: 5 };
     this.lateAfterMs = undefined;
--- a/src/controllers/forwarding/directory.ts
+++ b/src/controllers/forwarding/directory.ts
@@ -26,13 +26,15 @@
  * head accepts them, and nothing of them moves until it gives the replica up.
  */
 export function createTargetDirectory(fleet: ServingFleet, failureDomain: string): TargetDirectory {
-  const byService = groupBy(fleet.servers.values(), ({ service }) => service);
+  // Made with the first question: most changes of the fleet come before anybody asks.
+  let byService: ReadonlyMap<string, readonly BackendServer[]> | undefined;
   const cache = new Map<string, TargetList>();
   return {
     find: (service, model) => {
       const key = `${service.name} ${model ?? ''}`;
       const known = cache.get(key);
       if (known) return known;
+      byService ??= groupBy(fleet.servers.values(), (server) => server.service);
       const all = findTargets(byService.get(service.name) ?? [], service, model);
       const found = splitByPlace(all, failureDomain);
       cache.set(key, found);
--- a/src/controllers/forwarding/fleet.ts
+++ b/src/controllers/forwarding/fleet.ts
@@ -10,12 +10,19 @@
   /** The store's revision that it stands for; 0 before the first list. */
   revision: number;
   servers: ReadonlyMap<string, BackendServer>;
+  /** Servers that are not what they were in the fleet before: who follows changes looks at these alone. */
+  changed: readonly string[];
   /** Entries that vanished around an outage of the store, with the instant at which they count as gone. */
   vanished: ReadonlyMap<string, Milliseconds>;
 }
 
 /** The fleet before anything is known. */
-export const EMPTY_FLEET: ServingFleet = { revision: 0, servers: new Map(), vanished: new Map() };
+export const EMPTY_FLEET: ServingFleet = {
+  revision: 0,
+  servers: new Map(),
+  changed: [],
+  vanished: new Map(),
+};
 
 /** One change of a backend server's entry. */
 export type FleetChange =
@@ -50,7 +57,22 @@
         break;
     }
   }
-  return { revision, servers, vanished };
+  const changed = listChanged(fleet, servers, changes.map(idOf));
+  return { revision, servers, vanished, changed };
+}
+
+/** The server that `change` is about. */
+export function idOf(change: FleetChange): string {
+  return change.kind === 'present' ? change.server.id : change.id;
+}
+
+/** Those of `touched` that are not in `servers` what they were in `before`. */
+export function listChanged(
+  before: ServingFleet,
+  servers: ServingFleet['servers'],
+  touched: Iterable<string>,
+): string[] {
+  return [...new Set(touched)].filter((id) => before.servers.get(id) !== servers.get(id));
 }
 
 /** A server that is as it was stays the same value, so that a list changes only what has changed. */
@@ -110,5 +132,5 @@
     servers.delete(id);
     vanished.delete(id);
   }
-  return { ...fleet, servers, vanished };
+  return { ...fleet, servers, vanished, changed: due.filter((id) => fleet.servers.has(id)) };
 }
--- a/src/controllers/freshness/bounds.ts
+++ b/src/controllers/freshness/bounds.ts
@@ -9,6 +9,8 @@
   askAfterMs: Milliseconds;
   /** Who relies on another's news, heard every `periodMs`, follows the store itself. */
   distrustAfterMs(periodMs: Milliseconds): Milliseconds;
+  /** Between two readings of one that others tell of each change. */
+  readEveryMs: Milliseconds;
 }
 
 /**
@@ -18,6 +20,8 @@
 const ASK_PART = 0.5;
 /** What is left is for one call, and a second one on another connection. */
 const DISTRUST_PART = 0.75;
+/** Where changes follow each other faster, each gateway would read each, though the next replaces it. */
+const READ_EVERY_PART = 0.25;
 /** The way of an answer and of an exchange; with less all would follow for nothing. */
 const WAY_MS: Milliseconds = 200;
 
@@ -26,6 +30,7 @@
   const askAfterMs = ASK_PART * boundMs;
   return {
     askAfterMs,
+    readEveryMs: READ_EVERY_PART * boundMs,
     distrustAfterMs: (periodMs) =>
       Math.max(DISTRUST_PART * boundMs, askAfterMs + periodMs + WAY_MS),
   };
--- a/src/controllers/peering/lag.ts
+++ b/src/controllers/peering/lag.ts
@@ -20,6 +20,8 @@
   private since: Milliseconds | undefined;
   private at: number | undefined;
 
+  constructor(private readonly lateAfterMs: Milliseconds) {}
+
   /**
    * Whether `own` has stood still for too long below `known`. One that has nothing is late at once:
    * it refuses all callers, and the store's news, 20 ms after a start, come before any of a peer's.
@@ -33,7 +35,7 @@
       return false;
     }
     this.since ??= now;
-    return now - this.since >= LATE_AFTER_MS;
+    return now - this.since >= this.lateAfterMs;
   }
 }
 
@@ -44,8 +46,16 @@
  * backend servers, which come another way, must not hide that the configuration stands still.
  */
 export class LagTracker {
-  private readonly configuration = new Lag();
-  private readonly fleet = new Lag();
+  private readonly configuration: Lag;
+  private readonly fleet = new Lag(LATE_AFTER_MS);
+
+  /**
+   * Guards against a gateway that waits for its turn to read the configuration counting as late: it
+   * would fetch each version from a peer, and follow the store itself for seconds after it.
+   */
+  constructor(configurationReadEveryMs: Milliseconds) {
+    this.configuration = new Lag(LATE_AFTER_MS + configurationReadEveryMs);
+  }
 
   /** Whether `own` is late against the newest that others know; to be asked in every round. */
   isLate(own: Versions, known: Versions, now: Milliseconds): boolean {
--- a/src/gateway/peers/behind.ts
+++ b/src/gateway/peers/behind.ts
@@ -1,6 +1,7 @@
 /**
  * Fetching what others know and this gateway has not heard.
  */
+import { boundProofs } from '../../controllers/freshness/index.js';
 import { LagTracker, type Digest, type Versions } from '../../controllers/peering/index.js';
 import type { GatewayContext } from '../types.js';
 import type { PeerCalls } from './link.js';
@@ -19,7 +20,7 @@
   calls: PeerCalls,
   handlers: BehindHandlers,
 ): () => void {
-  const lag = new LagTracker();
+  const lag = new LagTracker(boundProofs(settings.configuration.applyMs).readEveryMs);
   let isCatchingUp = false;
 
   /** The nearest of those that know more than this gateway. */
--- a/src/gateway/requests/backends.ts
+++ b/src/gateway/requests/backends.ts
@@ -90,13 +90,14 @@
     settings.failureDomain,
   );
   let known = board.fleet.read();
-  lives.update(known.servers, clock.now());
+  lives.update(known.servers.keys(), known.servers, clock.now());
   board.fleet.subscribe(() => {
     const fleet = board.fleet.read();
-    for (const server of lives.update(fleet.servers, clock.now())) beginLife(server);
+    const { changed, servers } = fleet;
+    for (const server of lives.update(changed, servers, clock.now())) beginLife(server);
     clearRejoined(fleet);
-    for (const server of known.servers.keys()) {
-      if (fleet.servers.has(server)) continue;
+    for (const server of changed) {
+      if (servers.has(server)) continue;
       progress.forget(server);
       failures.forget(server);
     }
--- a/src/gateway/store/configuration-part.ts
+++ b/src/gateway/store/configuration-part.ts
@@ -4,7 +4,12 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { WritableSection } from '../../board/index.js';
 import { indexConfiguration, type ServingIndex } from '../../controllers/forwarding/index.js';
-import { laterProof, roundedAge, type Proof } from '../../controllers/freshness/index.js';
+import {
+  boundProofs,
+  laterProof,
+  roundedAge,
+  type Proof,
+} from '../../controllers/freshness/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { ServingConfiguration, StoreObject } from '../../ports/index.js';
 import type { GatewayContext, GatewayPart } from '../types.js';
@@ -33,12 +38,6 @@
  */
 const ON_ITS_WAY_MS: Milliseconds = 400;
 
-/**
- * Part of the time within which a version must be in force that lies between two readings. Where
- * versions follow each other faster, each gateway would read each of them, though the next replaces it.
- */
-const READ_EVERY_PART = 0.25;
-
 interface ConfigurationPartOptions {
   context: GatewayContext;
   store: ObjectStore;
@@ -61,7 +60,7 @@
   let isReading = false;
   /** The newest version that a peer has in force. */
   let heard = 0;
-  const readEveryMs = READ_EVERY_PART * context.settings.configuration.applyMs;
+  const { readEveryMs } = boundProofs(context.settings.configuration.applyMs);
   let readAt = Number.NEGATIVE_INFINITY;
 
   const versionInForce = (): number | undefined => section.read()?.configuration.version;
--- a/src/gateway/store/fleet-part.ts
+++ b/src/gateway/store/fleet-part.ts
@@ -6,6 +6,8 @@
 import {
   applyFleetChanges,
   expireVanished,
+  idOf,
+  listChanged,
   listChanges,
   readEntry,
   type FleetChange,
@@ -161,7 +163,8 @@
         const absent: FleetChange[] = [{ kind: 'absent', id }];
         next = applyFleetChanges(next, absent, revision, now, absentFrom(now, leftMs));
       }
-      replace(next);
+      const touched = [...listed.map(idOf), ...vanished.map(({ id }) => id)];
+      replace({ ...next, changed: listChanged(before, next.servers, touched) });
     },
     start: () => {
       expiry = setInterval(() => {
@@ -192,9 +195,13 @@
 /** One line for each backend server that is thought to be something else than before. */
 function logChanges({ logger }: GatewayContext, before: ServingFleet, next: ServingFleet): void {
   const { revision } = next;
-  for (const server of next.servers.values()) {
-    const known = before.servers.get(server.id);
-    if (known === server) continue;
+  for (const id of next.changed) {
+    const server = next.servers.get(id);
+    if (server === undefined) {
+      logger.log('serverGone', { server: id, revision });
+      continue;
+    }
+    const known = before.servers.get(id);
     const membership = server.engine?.membership;
     logger.log(known ? 'serverChanged' : 'serverAppeared', {
       server: server.id,
@@ -209,7 +216,4 @@
       revision,
     });
   }
-  for (const id of before.servers.keys()) {
-    if (!next.servers.has(id)) logger.log('serverGone', { server: id, revision });
-  }
 }
