--- a/bench/profile/phases.ts
+++ b/bench/profile/phases.ts
@@ -33,7 +33,7 @@
   configurationMs: number;
   /** For each request to a plain server. */
   requestMs: number;
-  /** For each stream of {@link EVENTS} events, a few of which run at once. */
+  /** For each stream, a few of which run at once. */
   streamMs: number;
   privateMb: number;
   functions: readonly FunctionCost[];
--- a/bench/profile/stand-in-fleet.ts
+++ b/bench/profile/stand-in-fleet.ts
@@ -13,7 +13,7 @@
 /** Instances of a fabric domain. */
 const DOMAIN_SIZE = 19;
 /** Events of each stream. */
-export const EVENTS = 22;
+const EVENTS = 22;
 const GAP_MS = 8;
 /** Nobody listens there. */
 const FIRST_PORT = 20_000;
