--- a/src/controllers/forwarding/directory.ts
+++ b/src/controllers/forwarding/directory.ts
@@ -3,7 +3,6 @@
  */
 import { groupBy } from '../../core/collections/index.js';
 import type { BackendServer, ServingService } from '../../ports/index.js';
-import type { TargetList } from './draw.js';
 import type { ServingFleet } from './fleet.js';
 
 /** A backend server that takes requests. For engines it is the head of a whole replica. */
@@ -13,6 +12,13 @@
   members: readonly string[];
 }
 
+/** The targets of a service or model, apart by where they lie. */
+export interface TargetList {
+  /** In the failure domain of the one that asks. */
+  near: readonly Target[];
+  far: readonly Target[];
+}
+
 /** The targets of each service and model, worked out once for each state of the fleet. */
 export interface TargetDirectory {
   find(service: ServingService, model: string | undefined): TargetList;
--- a/src/controllers/forwarding/draw.ts
+++ b/src/controllers/forwarding/draw.ts
@@ -9,20 +9,13 @@
  * number of targets.
  */
 import type { Random } from '../../core/random/index.js';
-import type { Target } from './directory.js';
+import type { Target, TargetList } from './directory.js';
 
 /** Drawn of those in the own failure domain, and as many of all others. */
 const DRAWN = 2;
 /** Draws for each one wanted: a target may come twice, or may not be chosen now. */
 const TRIES_EACH = 3;
 
-/** The targets of a service or model, apart by where they lie. */
-export interface TargetList {
-  /** In the failure domain of the one that asks. */
-  near: readonly Target[];
-  far: readonly Target[];
-}
-
 /** Some of `targets` that are eligible, drawn at random; all that are when none was hit. */
 export function drawTargets(
   { near, far }: TargetList,
