--- a/features/gateway/peering.steps.ts
+++ b/features/gateway/peering.steps.ts
@@ -14,7 +14,7 @@
 
 const SEED = 2_212;
 const RUNS = 25;
-const READS_EVERY_MS = 100;
+const HEARS_EVERY_MS = 100;
 const LONGEST_LAG_MS = 10_000;
 /** Time in which a fleet settles after the last change: both silences, and the rounds after them. */
 const SETTLE_MS = 9_000;
@@ -95,7 +95,7 @@
 Given(
   'a gateway that is behind in the configuration and reads it every {int} ms',
   function (this: PeeringWorld, readEveryMs: number) {
-    this.lateAfterMs = findLateAfter(READS_EVERY_MS, readEveryMs);
+    this.lateAfterMs = findLateAfter(HEARS_EVERY_MS, readEveryMs);
   },
 );
 
--- a/features/gateway/placing.steps.ts
+++ b/features/gateway/placing.steps.ts
@@ -7,8 +7,10 @@
 import {
   chooseTarget,
   drawTargets,
+  splitByPlace,
   type Target,
   type TargetList,
+  type TargetState,
 } from '../../src/controllers/forwarding/index.js';
 import { createRandom, type Random } from '../../src/core/random/index.js';
 
@@ -40,11 +42,6 @@
   });
 }
 
-function splitFor(targets: readonly Target[], failureDomain: string): TargetList {
-  const isNear = ({ server }: Target): boolean => server.failureDomain === failureDomain;
-  return { near: targets.filter(isNear), far: targets.filter((target) => !isNear(target)) };
-}
-
 /** One gateway: what it has under way itself, and what it last heard of all others. */
 class ModelGateway {
   readonly own = new Map<string, number>();
@@ -56,7 +53,7 @@
     private readonly failureDomain: string,
     private readonly random: Random,
   ) {
-    this.list = splitFor(targets, failureDomain);
+    this.list = splitByPlace(targets, failureDomain);
   }
 
   hear(total: ReadonlyMap<string, number>): void {
@@ -64,15 +61,19 @@
   }
 
   choose(): Target | undefined {
-    const compared = drawTargets(this.list, () => true, this.random);
-    const states = compared.map((target) => ({
+    const states = drawTargets(this.list, (target) => this.describe(target), this.random);
+    return chooseTarget(states, this.random)?.target;
+  }
+
+  private describe(target: Target): TargetState {
+    const { id, failureDomain } = target.server;
+    return {
       target,
-      inFlight: (this.own.get(target.server.id) ?? 0) + (this.others.get(target.server.id) ?? 0),
+      inFlight: (this.own.get(id) ?? 0) + (this.others.get(id) ?? 0),
       slots: SLOTS,
-      isRemote: target.server.failureDomain !== this.failureDomain,
+      isRemote: failureDomain !== this.failureDomain,
       failing: 0,
-    }));
-    return chooseTarget(states, this.random)?.target;
+    };
   }
 }
 
@@ -144,14 +145,16 @@
 );
 
 Given('only one replica of another failure domain can be chosen', function (this: PlacingWorld) {
-  const [only] = splitFor(this.targets, HOME).far;
+  const [only] = splitByPlace(this.targets, HOME).far;
   this.isEligible = (target) => target === only;
 });
 
 When('a gateway with late news chooses {int} times', function (this: PlacingWorld, times: number) {
   const random = createRandom(1);
-  const list = splitFor(this.targets, HOME);
-  const draws = Array.from({ length: times }, () => drawTargets(list, this.isEligible, random));
+  const list = splitByPlace(this.targets, HOME);
+  const review = (target: Target): Target | undefined =>
+    this.isEligible(target) ? target : undefined;
+  const draws = Array.from({ length: times }, () => drawTargets(list, review, random));
   this.compared = draws.map((targets) => targets.length);
   this.chosen = draws.flatMap((targets) => targets.slice(0, 1));
 });
@@ -164,7 +167,7 @@
 );
 
 Then('each replica of its own failure domain is chosen', function (this: PlacingWorld) {
-  const { near } = splitFor(this.targets, HOME);
+  const { near } = splitByPlace(this.targets, HOME);
   const missing = near.filter((target) => !this.chosen.includes(target));
   assert.deepEqual(missing, []);
 });
--- a/src/controllers/calls/collection.ts
+++ b/src/controllers/calls/collection.ts
@@ -12,7 +12,7 @@
 import type { PlatformWrite } from '../../adapters/platform/types.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { CallIndex } from '../../objects/index.js';
-import { rankByRendezvous } from '../membership/index.js';
+import { findByRendezvous } from '../membership/index.js';
 import { CLOCK_SKEW_MS, HOUR_MS, LOOK_BACK_HOURS, MAX_UNLISTED_RECORDS } from './constants.js';
 import type { KeyAge } from './keys.js';
 
@@ -81,7 +81,7 @@
 ): number[] {
   const last = Math.floor(wallNow / HOUR_MS);
   const hours = Array.from({ length: LOOK_BACK_HOURS }, (_, index) => last - index);
-  const isOwn = (hour: number): boolean => rankByRendezvous(live, nameHour(hour))[0] === self;
+  const isOwn = (hour: number): boolean => findByRendezvous(live, nameHour(hour)) === self;
   return hours.filter((hour) => !done.has(hour) && isOwn(hour)).reverse();
 }
 
--- a/src/controllers/forwarding/directory.ts
+++ b/src/controllers/forwarding/directory.ts
@@ -49,7 +49,8 @@
   };
 }
 
-function splitByPlace(targets: readonly Target[], failureDomain: string): TargetList {
+/** `targets` by where they lie, as seen from `failureDomain`. */
+export function splitByPlace(targets: readonly Target[], failureDomain: string): TargetList {
   const isNear = ({ server }: Target): boolean => server.failureDomain === failureDomain;
   return { near: targets.filter(isNear), far: targets.filter((target) => !isNear(target)) };
 }
--- a/src/controllers/forwarding/draw.ts
+++ b/src/controllers/forwarding/draw.ts
@@ -16,26 +16,37 @@
 /** Draws for each one wanted: a target may come twice, or may not be chosen now. */
 const TRIES_EACH = 3;
 
-/** Some of `targets` that are eligible, drawn at random; all that are when none was hit. */
-export function drawTargets(
-  { near, far }: TargetList,
-  isEligible: (target: Target) => boolean,
+/** What is known of a target that can be chosen; undefined when it can't. */
+export type TargetReview<State> = (target: Target) => State | undefined;
+
+/** All that can be chosen. */
+export function reviewAll<State>({ near, far }: TargetList, review: TargetReview<State>): State[] {
+  return [...near, ...far].flatMap((target) => review(target) ?? []);
+}
+
+/** Some of those that can be chosen, drawn at random; all of them when none was hit. */
+export function drawTargets<State>(
+  targets: TargetList,
+  review: TargetReview<State>,
   random: Random,
-): Target[] {
-  const drawn = [...drawSome(near, isEligible, random), ...drawSome(far, isEligible, random)];
-  return drawn.length > 0 ? drawn : [...near, ...far].filter(isEligible);
+): State[] {
+  const { near, far } = targets;
+  const drawn = [...drawSome(near, review, random), ...drawSome(far, review, random)];
+  return drawn.length > 0 ? drawn : reviewAll(targets, review);
 }
 
-function drawSome(
+function drawSome<State>(
   targets: readonly Target[],
-  isEligible: (target: Target) => boolean,
+  review: TargetReview<State>,
   random: Random,
-): Target[] {
-  if (targets.length <= DRAWN) return targets.filter(isEligible);
-  const drawn = new Set<Target>();
+): State[] {
+  if (targets.length <= DRAWN) return targets.flatMap((target) => review(target) ?? []);
+  const drawn = new Map<Target, State>();
   for (let tries = DRAWN * TRIES_EACH; tries > 0 && drawn.size < DRAWN; tries -= 1) {
     const target = targets[random.below(targets.length)];
-    if (target !== undefined && isEligible(target)) drawn.add(target);
+    if (target === undefined || drawn.has(target)) continue;
+    const state = review(target);
+    if (state !== undefined) drawn.set(target, state);
   }
-  return [...drawn];
+  return [...drawn.values()];
 }
--- a/src/gateway/requests/backends.ts
+++ b/src/gateway/requests/backends.ts
@@ -9,6 +9,7 @@
   LifeTable,
   ProgressTracker,
   RepeatBudget,
+  reviewAll,
   SuspicionTable,
   type ServingFleet,
   type Target,
@@ -170,14 +171,14 @@
     choose: (service, model, excluded, needsRoom = false) => {
       const now = clock.now();
       const targets = directory.find(service, model);
-      const isEligible = (target: Target): boolean =>
-        !excluded.has(target.server.id) &&
-        isUsable(target, now) &&
-        (!needsRoom || hasRoom(describe(target, service)));
-      const compared = board.peerLoad.read().isLate
-        ? drawTargets(targets, isEligible, random)
-        : [...targets.near, ...targets.far].filter(isEligible);
-      const states = compared.map((target) => describe(target, service));
+      const review = (target: Target): TargetState | undefined => {
+        if (excluded.has(target.server.id) || !isUsable(target, now)) return undefined;
+        const state = describe(target, service);
+        return needsRoom && !hasRoom(state) ? undefined : state;
+      };
+      const states = board.peerLoad.read().isLate
+        ? drawTargets(targets, review, random)
+        : reviewAll(targets, review);
       const chosen = chooseTarget(states, random);
       return chosen && { ...chosen, candidates: states.length };
     },
