--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -11,6 +11,12 @@
     When 9 gateways repeat whatever they may in 12 random loads
     Then no window of 10000 ms has more repeats than the bound allows
 
+  # A part asks ten times a second for what follows from the fleet. Made anew each time it took most of a
+  # gateway's time; kept after a change it would plan for servers that are gone.
+  Scenario: What follows from a value is made anew with that value alone
+    When what follows from two values is asked for with "a b", "a b", "a c", "a c" and "a b"
+    Then it was made 3 times, and was each time what follows from the values asked with
+
   # Every gateway of a large fleet takes every change of every engine. Looking at all of them for each
   # one that had changed took more of a gateway's time the more engines there were.
   Scenario: Only what has changed of a large fleet is looked at
--- a/features/gateway/decisions.steps.ts
+++ b/features/gateway/decisions.steps.ts
@@ -25,6 +25,9 @@
   outcomes: boolean[];
   repeats: { at: number; requests: number; repeats: number }[][];
   fleet: ServingFleet;
+  /** Answers of a kept value, and what they should be. */
+  asked: { expected: string; given: string }[];
+  made: number;
   counts: number[];
   arrivals: StopArrival[];
   slowness: SlownessTable;
@@ -270,3 +273,30 @@
   // Reading takes 1000 / 50, each of 100 tokens 8 + 0.2 x 10, and the model half of that.
   assert.equal(estimateStream(route, profile, model, 1_000, 100), 300 + 510);
 });
+
+When(
+  /^what follows from two values is asked for with (.+)$/,
+  function (this: DecisionWorld, pairs: string) {
+    let made = 0;
+    const join = keepLatest((one: string, other: string) => {
+      made += 1;
+      return `${one} ${other}`;
+    });
+    this.asked = [...pairs.matchAll(/"(\w) (\w)"/g)].map(([, one = '', other = '']) => ({
+      expected: `${one} ${other}`,
+      given: join(one, other),
+    }));
+    this.made = made;
+  },
+);
+
+Then(
+  'it was made {int} times, and was each time what follows from the values asked with',
+  function (this: DecisionWorld, times: number) {
+    assert.equal(this.made, times);
+    assert.deepEqual(
+      this.asked.map(({ given }) => given),
+      this.asked.map(({ expected }) => expected),
+    );
+  },
+);
--- a/features/gateway/ownership.steps.ts
+++ b/features/gateway/ownership.steps.ts
@@ -3,7 +3,11 @@
  */
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import { createOwnerFinder, type OwnerCandidate } from '../../src/controllers/groups/index.js';
+import {
+  areCandidatesHeard,
+  createOwnerFinder,
+  type OwnerCandidate,
+} from '../../src/controllers/groups/index.js';
 
 interface OwnershipWorld {
   gateways: OwnerCandidate[];
@@ -73,7 +77,7 @@
     .map((peer) => ({ ...peer, storeReachable: world.told(peer) }));
   const failureDomain = `domain-${index % 3}`;
   const key = `models fabric-${index}`;
-  const { heardStoreForMs } = world;
-  const ownerOf = createOwnerFinder({ self, peers, heardStoreForMs });
+  const isHeard = areCandidatesHeard(world.heardStoreForMs);
+  const ownerOf = createOwnerFinder({ self, peers, isHeard });
   return ownerOf({ key, failureDomain }) === self.name;
 }
--- a/src/controllers/groups/ownership.ts
+++ b/src/controllers/groups/ownership.ts
@@ -22,8 +22,8 @@
 export interface KnownCandidates {
   self: Pick<OwnerCandidate, 'name' | 'failureDomain'>;
   peers: readonly OwnerCandidate[];
-  /** For how long the one that asks has heard the store without a break. */
-  heardStoreForMs: Milliseconds;
+  /** What they last said of their contact with the store is from after its return. */
+  isHeard: boolean;
 }
 
 /** A fabric domain. */
@@ -37,7 +37,10 @@
 /** Names the owner of each domain that it is asked for. */
 export type OwnerFinder = (domain: OwnedDomain) => string | undefined;
 
-/** Whether what others last said of their contact with the store is from after its return. */
+/**
+ * Whether what others last said of their contact with the store is from after its return, where the one
+ * that asks has heard it without a break for `heardStoreForMs`.
+ */
 export function areCandidatesHeard(heardStoreForMs: Milliseconds): boolean {
   return heardStoreForMs >= PEERS_HEARD_MS;
 }
@@ -51,9 +54,8 @@
  * heard again, all that live are candidates, on whom all agree; the domains of one that stays cut
  * off wait for {@link PEERS_HEARD_MS} at most.
  */
-export function createOwnerFinder({ self, peers, heardStoreForMs }: KnownCandidates): OwnerFinder {
-  const isNews = areCandidatesHeard(heardStoreForMs);
-  const candidates = [self, ...peers.filter((peer) => peer.storeReachable || !isNews)];
+export function createOwnerFinder({ self, peers, isHeard }: KnownCandidates): OwnerFinder {
+  const candidates = [self, ...peers.filter((peer) => peer.storeReachable || !isHeard)];
   const all = candidates.map(({ name }) => name);
   const near = groupBy(candidates, ({ failureDomain }) => failureDomain);
   const nearNames = new Map(
--- a/src/core/collections/index.ts
+++ b/src/core/collections/index.ts
@@ -1,1 +1,2 @@
 export * from './group-by.js';
+export * from './keep-latest.js';
--- a/src/gateway/groups/groups-part.ts
+++ b/src/gateway/groups/groups-part.ts
@@ -12,7 +12,7 @@
 import type { ServingFleet, ServingIndex } from '../../controllers/forwarding/index.js';
 import type { GatewayPeer } from '../../controllers/peering/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
-import { groupBy } from '../../core/collections/index.js';
+import { groupBy, keepLatest } from '../../core/collections/index.js';
 import type { EngineProfile } from '../../ports/index.js';
 import type { EngineCalls } from '../backends/short-call.js';
 import type { Backends } from '../requests/backends.js';
@@ -44,9 +44,17 @@
   const owned = new Set<string>();
   const startedAt = clock.now();
   let timer: NodeJS.Timeout | undefined;
-  let outline: Outline | undefined;
-  let ownership: Ownership | undefined;
-  let split: Split | undefined;
+  const outlineLatest = keepLatest(outlineDomains);
+  /** For owners alone, since it takes its time with hundreds of instances. */
+  const divideLatest = keepLatest(divide);
+  const ownersLatest = keepLatest((known: ReadonlyMap<string, GatewayPeer>, isHeard: boolean) => {
+    const { name, failureDomain } = settings;
+    return createOwnerFinder({
+      self: { name, failureDomain },
+      peers: [...known.values()],
+      isHeard,
+    });
+  });
 
   const keeperOf = (key: string): DomainKeeper => {
     const known = keepers.get(key);
@@ -56,34 +64,17 @@
     return created;
   };
   const findOwners = (): OwnerFinder => {
-    const known = board.peers.read();
     const heardStoreForMs = clock.now() - board.storeContact.read().since;
-    const isHeard = areCandidatesHeard(heardStoreForMs);
-    if (ownership?.known !== known || ownership.isHeard !== isHeard) {
-      const self = { name: settings.name, failureDomain: settings.failureDomain };
-      const peers = [...known.values()];
-      const ownerOf = createOwnerFinder({ self, peers, heardStoreForMs });
-      ownership = { known, isHeard, ownerOf };
-    }
-    return ownership.ownerOf;
+    return ownersLatest(board.peers.read(), areCandidatesHeard(heardStoreForMs));
   };
   const listDomains = (): readonly DomainOutline[] => {
     const services = board.serving.read()?.services;
-    if (services === undefined) return [];
-    const fleet = board.fleet.read();
-    if (outline?.services !== services || outline.fleet !== fleet) {
-      outline = { services, fleet, domains: outlineDomains(services, fleet) };
-    }
-    return outline.domains;
+    return services === undefined ? [] : outlineLatest(services, board.fleet.read());
   };
-  /** The domains with their targets: for owners alone, since it takes its time with hundreds of instances. */
   const listStates = (domains: readonly DomainOutline[]): ReadonlyMap<string, DomainState> => {
     const peers = [...board.peers.read().values()];
     const beforeTraffic = !options.backends.hasServed() && peers.every((peer) => !peer.hasServed);
-    if (split?.domains !== domains || split.beforeTraffic !== beforeTraffic) {
-      split = { domains, beforeTraffic, states: divide(domains, beforeTraffic) };
-    }
-    return split.states;
+    return divideLatest(domains, beforeTraffic);
   };
   const round = (): void => {
     // Others may own the domains by now, and what is known of their plans is as old as the contact.
@@ -137,27 +128,6 @@
   failureDomain: string;
 }
 
-/** All domains, kept while nothing that they follow from changes. */
-interface Outline {
-  services: Services;
-  fleet: ServingFleet;
-  domains: readonly DomainOutline[];
-}
-
-/** Who owns which domain, by what is known of all gateways; kept like the outline. */
-interface Ownership {
-  known: ReadonlyMap<string, GatewayPeer>;
-  isHeard: boolean;
-  ownerOf: OwnerFinder;
-}
-
-/** All domains with their targets, by key; kept like the outline. */
-interface Split {
-  domains: readonly DomainOutline[];
-  beforeTraffic: boolean;
-  states: ReadonlyMap<string, DomainState>;
-}
-
 function outlineDomains(services: Services, fleet: ServingFleet): readonly DomainOutline[] {
   const engines = groupBy(fleet.servers.values(), ({ engine, service }) =>
     engine ? service : undefined,
