--- a/bench/profile/measured-gateway.ts
+++ b/bench/profile/measured-gateway.ts
@@ -7,6 +7,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { build } from 'esbuild';
+import { writeSettings } from '../../features/gateway/site.js';
 import { nextAddress } from '../../features/support/ports.js';
 
 /** Where the gateway listens. */
@@ -21,7 +22,7 @@
   name: string;
   failureDomain: string;
   store: string;
-  seeds: readonly string[];
+  seeds: string[];
   /** Samples its functions, which takes processor time of its own. */
   samplesFunctions: boolean;
 }
@@ -70,7 +71,7 @@
   async start(): Promise<void> {
     this.folder = await mkdtemp(join(tmpdir(), 'profile-'));
     const file = join(this.folder, 'settings.toml');
-    await writeFile(file, this.writeSettings());
+    await writeFile(file, writeSettings({ ...this.options, ...this.addresses }));
     const { samplesFunctions } = this.options;
     const sampling = ['--cpu-prof', `--cpu-prof-dir=${this.folder}`];
     const flags = samplesFunctions ? [...RUNTIME_FLAGS, ...sampling] : RUNTIME_FLAGS;
@@ -80,22 +81,6 @@
     });
   }
 
-  private writeSettings(): string {
-    const { name, failureDomain, store, seeds } = this.options;
-    const listen = Object.entries(this.addresses).map(([key, value]) => `${key} = "${value}"`);
-    return [
-      `name = "${name}"`,
-      `failureDomain = "${failureDomain}"`,
-      `seeds = ${JSON.stringify(seeds)}`,
-      '[listen]',
-      ...listen,
-      '[store]',
-      `address = "${store}"`,
-      '[engines]',
-      'stallMs = 1000',
-    ].join('\n');
-  }
-
   /** Processor time of all its threads since its start, in milliseconds. */
   async readProcessorMs(): Promise<number> {
     const tasks = `/proc/${this.pid}/task`;
--- a/bench/profile/phases.ts
+++ b/bench/profile/phases.ts
@@ -5,8 +5,7 @@
 import { request as httpRequest, Agent } from 'node:http';
 import {
   exampleConfiguration,
-  KEY,
-  MODEL,
+  exampleHeaders,
 } from '../../features/gateway/stand-ins/configuration.js';
 import { StoreStandIn } from '../../features/gateway/stand-ins/store.js';
 import { waitFor } from '../../features/support/waiting.js';
@@ -184,15 +183,7 @@
   const agent = new Agent({ keepAlive: true, maxSockets: callers });
   const askInTurn = async (caller: number): Promise<void> => {
     for (let count = caller; count < requests; count += callers) {
-      const headers = {
-        host: 'passes.example',
-        'Attempt-Id': `request-${path}-${count}`,
-        'Deadline-Ms': '2000',
-        Authorization: `Bearer ${KEY}`,
-        Model: MODEL,
-        'Token-Count': '100,50',
-        'Prompt-Prefix': 'aa:40,bb:60',
-      };
+      const headers = exampleHeaders(`request-${path}-${count}`);
       const status = await get(addresses.callers, path, { agent, headers });
       if (status !== 200) throw new Error(`a request was answered ${status}`);
     }
--- a/features/gateway/site.ts
+++ b/features/gateway/site.ts
@@ -17,8 +17,7 @@
 import { waitFor } from '../support/waiting.js';
 import {
   exampleConfiguration,
-  KEY,
-  MODEL,
+  exampleHeaders,
   type ExampleOptions,
 } from './stand-ins/configuration.js';
 import { EngineStandIn, type Arrival, type EngineOptions } from './stand-ins/engine.js';
@@ -74,6 +73,26 @@
   agent?: Agent;
 }
 
+/** The settings file of a gateway. */
+export function writeSettings(plan: Omit<GatewayPlan, 'readsLog'>): string {
+  const { name, failureDomain, callers, readiness, peers, metrics, store, seeds, graceMs } = plan;
+  return [
+    `name = "${name}"`,
+    `failureDomain = "${failureDomain}"`,
+    `seeds = ${JSON.stringify(seeds)}`,
+    '[listen]',
+    `callers = "${callers}"`,
+    `readiness = "${readiness}"`,
+    `peers = "${peers}"`,
+    `metrics = "${metrics}"`,
+    '[store]',
+    `address = "${store}"`,
+    '[engines]',
+    'stallMs = 1000',
+    ...(graceMs === undefined ? [] : ['[stopping]', `graceMs = ${graceMs}`]),
+  ].join('\n');
+}
+
 /** Everything of one scenario; `close` ends just what it started. */
 export class Site {
   readonly store = new StoreStandIn();
@@ -136,24 +155,9 @@
   }
 
   async launch(plan: GatewayPlan): Promise<GatewayProcess> {
-    const { name, failureDomain, callers, readiness, peers, metrics, store, seeds } = plan;
+    const { name, callers, readiness, metrics } = plan;
     const file = join(this.folder, `${name}.toml`);
-    const settings = [
-      `name = "${name}"`,
-      `failureDomain = "${failureDomain}"`,
-      `seeds = ${JSON.stringify(seeds)}`,
-      '[listen]',
-      `callers = "${callers}"`,
-      `readiness = "${readiness}"`,
-      `peers = "${peers}"`,
-      `metrics = "${metrics}"`,
-      '[store]',
-      `address = "${store}"`,
-      '[engines]',
-      'stallMs = 1000',
-      ...(plan.graceMs === undefined ? [] : ['[stopping]', `graceMs = ${plan.graceMs}`]),
-    ];
-    await writeFile(file, settings.join('\n'));
+    await writeFile(file, writeSettings(plan));
     const child = spawn(process.execPath, [PROGRAM, file], {
       stdio: ['ignore', 'pipe', 'inherit'],
     });
@@ -197,16 +201,7 @@
   async ask(gateway: GatewayProcess, ask: Ask, address = gateway.callers): Promise<Answer> {
     this.asked += 1;
     const [host = '', port = ''] = address.split(':');
-    const headers = {
-      host: 'passes.example',
-      'Attempt-Id': `request-${this.asked}`,
-      'Deadline-Ms': '2000',
-      Authorization: `Bearer ${KEY}`,
-      Model: MODEL,
-      'Token-Count': '100,50',
-      'Prompt-Prefix': 'aa:40,bb:60',
-      ...ask.headers,
-    };
+    const headers = { ...exampleHeaders(`request-${this.asked}`), ...ask.headers };
     const outgoing = httpRequest({
       host,
       port,
--- a/features/gateway/stand-ins/configuration.ts
+++ b/features/gateway/stand-ins/configuration.ts
@@ -12,6 +12,19 @@
 export const MODEL = 'small';
 export const KEY = 'key-1';
 
+/** What a caller sends with any request of the example. */
+export function exampleHeaders(id: string, deadlineMs = 2_000): Record<string, string> {
+  return {
+    host: 'passes.example',
+    'Attempt-Id': id,
+    'Deadline-Ms': String(deadlineMs),
+    Authorization: `Bearer ${KEY}`,
+    Model: MODEL,
+    'Token-Count': '100,50',
+    'Prompt-Prefix': 'aa:40,bb:60',
+  };
+}
+
 /** One plain service with a safe and an unsafe route, one engine service with a stream. */
 export function exampleConfiguration(options: ExampleOptions = {}): unknown {
   const { version = 2, route = {}, keys = [KEY] } = options;
--- a/features/gateway/start-in-outage.steps.ts
+++ b/features/gateway/start-in-outage.steps.ts
@@ -8,7 +8,7 @@
 import { createProxy, type Proxy } from '../../src/stand-ins/proxy/index.js';
 import { waitFor } from '../support/waiting.js';
 import { Site, type GatewayPlan, type GatewayProcess } from './site.js';
-import { KEY } from './stand-ins/configuration.js';
+import { exampleHeaders } from './stand-ins/configuration.js';
 import type { GatewayWorld } from './world.js';
 
 interface StartWorld extends GatewayWorld {
@@ -78,12 +78,7 @@
 /** A request that its gateway must not cut short, at a server that never answers it. */
 async function holdUp({ site, gateway }: StartWorld): Promise<ClientRequest> {
   for (const server of site.servers) server.fault = { kind: 'stall' };
-  const headers = {
-    host: 'passes.example',
-    'Attempt-Id': 'unfinished',
-    'Deadline-Ms': String(LONGEST_REQUEST_MS),
-    Authorization: `Bearer ${KEY}`,
-  };
+  const headers = exampleHeaders('unfinished', LONGEST_REQUEST_MS);
   const begun = request(`http://${gateway.callers}/check/slots`, { method: 'POST', headers });
   begun.on('error', () => undefined);
   begun.end();
