--- a/features/gateway/decisions.steps.ts
+++ b/features/gateway/decisions.steps.ts
@@ -4,6 +4,7 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
+import { keepLatest } from '../../src/core/collections/index.js';
 import {
   applyFleetChanges,
   EMPTY_FLEET,
