Tell in the log which attempts are the same request

The gateways' lines named each attempt of a caller by its own id, so an incident in which one request came again and again couldn't be seen in them. requestSent and attemptEnded carry a fingerprint: a digest of method, host, path, workspace and body.

--- a/src/gateway/requests/request-path.ts
+++ b/src/gateway/requests/request-path.ts
@@ -14,6 +14,7 @@
 import { admitRequest } from './admission.js';
 import type { Backends } from './backends.js';
 import { readBody, type BodyRead } from './body.js';
+import { computeFingerprint } from './fingerprint.js';
 import { createReply, type Reply } from './reply.js';
 import { reportUnread } from './run-report.js';
 import { RequestRun, type RunTools } from './run.js';
@@ -116,7 +117,8 @@
     reply: Reply,
   ): void => {
     count(1);
-    const requestRun = new RequestRun({ ...head, body }, reply, tools, () => {
+    const fingerprint = computeFingerprint({ ...head, body });
+    const requestRun = new RequestRun({ ...head, body, fingerprint }, reply, tools, () => {
       count(-1);
     });
     response.once('close', () => {
--- a/src/gateway/requests/run-report.ts
+++ b/src/gateway/requests/run-report.ts
@@ -5,7 +5,7 @@
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { GatewayContext } from '../types.js';
 import type { ChosenTarget } from './backends.js';
-import type { RequestHead, RequestOutcome } from './types.js';
+import type { AdmittedRequest, RequestHead, RequestOutcome } from './types.js';
 
 /** What a run was like, as told when it ends. */
 export interface RunSummary {
@@ -33,13 +33,14 @@
 /** Tells of a sending with what decided it, and how old that was. */
 export function reportSent(
   context: GatewayContext,
-  request: string,
+  { id, fingerprint }: AdmittedRequest,
   { target, inFlight, candidates, isRemote }: ChosenTarget,
   { why, attempt, leftMs, lastEventId }: SendingSummary,
 ): void {
   const { server } = target;
   context.logger.log('requestSent', {
-    request,
+    request: id,
+    fingerprint,
     why,
     server: server.id,
     group: server.engine?.membership?.group,
--- a/src/gateway/requests/run.ts
+++ b/src/gateway/requests/run.ts
@@ -219,7 +219,7 @@
     this.sends += 1;
     const leftMs = this.sendableMs;
     const lastEventId = stream ? stream.lastEventId : request.caller.lastEventId;
-    reportSent(tools.context, request.id, chosen, {
+    reportSent(tools.context, request, chosen, {
       why,
       attempt: this.sends,
       leftMs,
@@ -443,7 +443,13 @@
     this.tools.backends.ended(sending.server);
     this.tools.lines.serveSoon();
     this.tools.context.metrics.attempts.inc({ outcome: kind });
-    if (how !== 'answered') this.log('attemptEnded', { server: sending.server, how, kind });
+    if (how !== 'answered')
+      this.log('attemptEnded', {
+        server: sending.server,
+        fingerprint: this.request.fingerprint,
+        how,
+        kind,
+      });
   }
 
   private finish(outcome: RequestOutcome, reason: string): void {
--- a/src/gateway/requests/types.ts
+++ b/src/gateway/requests/types.ts
@@ -13,6 +13,8 @@
   caller: CallerRequest;
   incoming: IncomingMessage;
   body: Buffer | undefined;
+  /** The same for each attempt of the same request. */
+  fingerprint: string;
   route: Route;
   service: ServingService;
   /** Present when the service's engines form replicas of it. */
@@ -24,7 +26,7 @@
 }
 
 /** A request whose body is yet to be read. */
-export type RequestHead = Omit<AdmittedRequest, 'body'>;
+export type RequestHead = Omit<AdmittedRequest, 'body' | 'fingerprint'>;
 
 /** How a request ended, for logs and metrics. */
 export type RequestOutcome =
