Reproduce one request that ends engine after engine, failing

Seen by users: a request that ends each engine which runs it was sent on for every new attempt of its caller, by every gateway; dozens ended.

--- /dev/null
+++ b/features/gateway/quarantine.steps.ts
@@ -0,0 +1,106 @@
+/**
+ * Requests that end the backend servers which run them.
+ */
+import assert from 'node:assert/strict';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { waitFor } from '../support/waiting.js';
+import { Site, type Ask, type GatewayProcess } from './site.js';
+import type { Arrival } from './stand-ins/engine.js';
+import type { GatewayWorld } from './world.js';
+
+interface QuarantineWorld extends GatewayWorld {
+  path: string;
+}
+
+/** Servers that have to end under a request before it may be known. */
+const ENOUGH_ENDS = 3;
+const ENDING_BODY = 'ends whoever runs it';
+const BACK_AFTER_MS = 1_500;
+const DOMAIN_SIZE = 4;
+
+const PATHS: Readonly<Record<string, string>> = {
+  calls: '/list/slots',
+  streams: '/chat/slots',
+};
+
+function askWith(path: string, body: string): Ask {
+  return { method: 'POST', path, body };
+}
+
+async function addServer(site: Site, index: number, isEngine: boolean): Promise<void> {
+  const id = `server-${index}`;
+  const domain = `domain-${Math.floor(index / DOMAIN_SIZE)}`;
+  const kind = isEngine ? { service: 'models', domain } : { service: 'app' };
+  const server = await site.addServer({ id, ...kind });
+  server.fault = { kind: 'endUnder', body: ENDING_BODY, backAfterMs: BACK_AFTER_MS };
+}
+
+/** All that was sent to servers of the request that ends them. */
+function listEnding({ site }: QuarantineWorld): Arrival[] {
+  return site.journal.filter(({ body }) => body === ENDING_BODY);
+}
+
+function hasHeard(gateway: GatewayProcess, others: number): boolean {
+  return gateway.lines.filter(({ name }) => name === 'peerHeard').length >= others;
+}
+
+Given(
+  /^a site with (\d+) servers of (calls|streams) that end under one request, and (\d+) ready gateways$/,
+  async function (this: QuarantineWorld, servers: string, what: string, gateways: string) {
+    this.path = PATHS[what] ?? '';
+    this.site = new Site();
+    await this.site.open();
+    for (let index = 0; index < Number(servers); index += 1) {
+      await addServer(this.site, index, what === 'streams');
+    }
+    this.site.configure();
+    const others = Number(gateways) - 1;
+    const started = Array.from({ length: Number(gateways) }, () => this.site.startGateway());
+    for (const gateway of await Promise.all(started)) {
+      await this.site.whenReady(gateway);
+      await waitFor('the gateways to hear each other', () => hasHeard(gateway, others));
+    }
+    if (what === 'streams') await this.site.whenOpen(Number(servers) / 2);
+  },
+);
+
+When(
+  'its caller sends it every {int} ms for {int} ms, at one gateway after the other',
+  async function (this: QuarantineWorld, everyMs: number, forMs: number) {
+    const { site, path } = this;
+    const asked: Promise<unknown>[] = [];
+    for (let index = 0; index < forMs / everyMs; index += 1) {
+      const gateway = site.gateways[index % site.gateways.length];
+      assert.ok(gateway);
+      asked.push(site.ask(gateway, askWith(path, ENDING_BODY)));
+      await sleep(everyMs);
+    }
+    await Promise.allSettled(asked);
+  },
+);
+
+Then(
+  'it reached servers at most {int} times later than {int} ms after the third had ended under it',
+  function (this: QuarantineWorld, most: number, graceMs: number) {
+    const arrivals = listEnding(this);
+    const ends = arrivals.flatMap(({ endedAt }) => endedAt ?? []).sort((a, b) => a - b);
+    const third = ends[ENOUGH_ENDS - 1];
+    assert.ok(third !== undefined, `${ends.length} servers ended`);
+    const late = arrivals.filter(({ at }) => at > third + graceMs);
+    assert.ok(late.length <= most, `${late.length} sendings more, ${ends.length} ends in all`);
+  },
+);
+
+Then(
+  'another request of the caller is answered at each gateway',
+  async function (this: QuarantineWorld) {
+    for (const gateway of this.site.gateways) {
+      const answer = await waitFor('an answer', async () => {
+        const one = await this.site.ask(gateway, askWith(this.path, 'ordinary'));
+        return one.status === 200 && one;
+      });
+      assert.ok(answer.whole);
+    }
+  },
+);
--- a/features/gateway/stand-ins/engine.ts
+++ b/features/gateway/stand-ins/engine.ts
@@ -15,8 +15,12 @@
   path: string;
   headers: IncomingMessage['headers'];
   body: string;
+  /** When, by the scenario's own clock. */
+  at: number;
   /** It began to run. */
   ran: boolean;
+  /** When the server ended under it. */
+  endedAt?: number;
 }
 
 interface Membership {
@@ -53,6 +57,8 @@
   /** Answers without a length and ends the connection. */
   | { kind: 'unframed' }
   | { kind: 'fail' }
+  /** Ends when it begins to run a request with this body, and starts again later. */
+  | { kind: 'endUnder'; body: string; backAfterMs: number }
   | { kind: 'encode' };
 
 export interface EngineOptions {
@@ -302,6 +308,7 @@
       path: request.url ?? '',
       headers: request.headers,
       body,
+      at: performance.now(),
       ran: false,
     };
     this.options.journal.push(arrival);
@@ -315,10 +322,23 @@
     }
     arrival.ran = true;
     this.checkWhole();
+    if (this.fault.kind === 'endUnder' && this.fault.body === body) {
+      await this.endUnder(arrival, this.fault.backAfterMs);
+      return;
+    }
     if (domain) await this.stream(request, response, id);
     else await this.answer(response, id);
   }
 
+  private async endUnder(arrival: Arrival, backAfterMs: number): Promise<void> {
+    await sleep(this.options.gapMs ?? 5);
+    if (this.hasCrashed) return;
+    arrival.endedAt = performance.now();
+    this.crash();
+    await sleep(backAfterMs);
+    await this.restart();
+  }
+
   private async answer(response: ServerResponse, id: string): Promise<void> {
     const head = { 'Attempt-Id': id, 'Response-Seal': `seal-${this.options.id}` };
     const body = `answer to ${id}`;
