Keep a request from the servers once three have ended under it, at all gateways

Callers saw answers break off by the dozen: one request ended each engine that ran it, and its caller came back with new attempts at any gateway. Cause: identity. Each attempt was a new request to each gateway, and that a server had ended under it was forgotten with the attempt.

A request is known by its fingerprint. When a sending breaks off, the server is asked whether it lives; its end is held against what it had, told to the other gateways with the next digest, and counted together. With three ends a request is kept from all servers for ten minutes: new attempts are refused as not run, those that wait or stand in a server's queue are given up. Whoever was at the same ends isn't to blame; an answer clears a request everywhere. The quarantine stands in the gateways' entries in the store too, which costs no call at a start, for a loss of power of all gateways.

--- a/features/gateway/peering-model.ts
+++ b/features/gateway/peering-model.ts
@@ -1,7 +1,13 @@
 /**
  * Gateways that exchange digests in a simulated time, without sockets.
  */
-import { PEERING_TICK_MS, PeerTable, type Digest } from '../../src/controllers/peering/index.js';
+import {
+  collectReports,
+  PEERING_TICK_MS,
+  PeerTable,
+  type Digest,
+} from '../../src/controllers/peering/index.js';
+import type { RequestReport } from '../../src/controllers/quarantine/index.js';
 
 /** One gateway of the model. */
 export class ModelGateway {
@@ -11,6 +17,10 @@
   /** Names of those it can't reach, and that can't reach it. */
   readonly cutFrom = new Set<string>();
   storeReachable = true;
+  /** What it tells of requests under which servers ended. */
+  reports: RequestReport[] = [];
+  /** Servers that it knows to have ended under requests. */
+  readonly endsHeard = new Set<string>();
   private life = 0;
 
   constructor(
@@ -45,9 +55,17 @@
       fleetRevision: 1,
       load: this.load,
       suspicions: [],
+      ...(this.reports.length > 0 && { reports: this.reports }),
     };
   }
 
+  take(digest: Digest, now: number): void {
+    this.table.take(digest, now);
+    for (const report of collectReports(digest)) {
+      if (report.kind === 'serverEnded') this.endsHeard.add(report.server);
+    }
+  }
+
   /** The digest with what it tells of others. */
   answer(now: number, caller?: Digest): Digest {
     const own = this.digest();
@@ -90,8 +108,8 @@
       gateway.exchanges += 1;
       other.exchanges += 1;
       const digest = gateway.answer(this.now);
-      other.table.take(digest, this.now);
-      gateway.table.take(other.answer(this.now, digest), this.now);
+      other.take(digest, this.now);
+      gateway.take(other.answer(this.now, digest), this.now);
     }
   }
 
--- /dev/null
+++ b/features/gateway/quarantine-decisions.steps.ts
@@ -0,0 +1,177 @@
+/**
+ * Which request ended the servers, decided without sockets.
+ */
+import assert from 'node:assert/strict';
+import { Before, Given, Then, When } from '@cucumber/cucumber';
+import { QuarantineTable, type RequestReport } from '../../src/controllers/quarantine/index.js';
+import type { PeeringModel } from './peering-model.js';
+
+interface DecisionWorld {
+  table: QuarantineTable;
+  now: number;
+  fingerprints: Set<string>;
+  model: PeeringModel;
+}
+
+const REQUEST = 'x';
+/** Longer than all reports of one end take. */
+const APART_MS = 5_000;
+
+Before(function (this: DecisionWorld) {
+  this.table = new QuarantineTable();
+  this.now = 0;
+  this.fingerprints = new Set();
+});
+
+function endReport(fingerprint: string, server: string, ageMs = 0): RequestReport {
+  return { kind: 'serverEnded', fingerprint, server, ageMs };
+}
+
+function see(world: DecisionWorld, fingerprint: string, servers: readonly string[]): void {
+  for (const server of servers) {
+    world.fingerprints.add(fingerprint);
+    world.table.record(endReport(fingerprint, server), world.now);
+  }
+}
+
+function parseNames(list: string): string[] {
+  return [...list.matchAll(/"(\w+)"/g)].map(([, name = '']) => name);
+}
+
+function checkQuarantined({ table, now }: DecisionWorld, expected: readonly string[]): void {
+  const names = table.listQuarantined(now).map(({ fingerprint }) => fingerprint);
+  assert.deepEqual(names, expected);
+}
+
+Given(
+  /^a request "(\w)" that (?:ended|was at the ends of) the servers (.*)$/,
+  function (this: DecisionWorld, fingerprint: string, servers: string) {
+    see(this, fingerprint, parseNames(servers));
+  },
+);
+
+When(
+  /^the request "(\w)" is told to have been at the ends of (.*) too$/,
+  function (this: DecisionWorld, fingerprint: string, servers: string) {
+    this.fingerprints.add(fingerprint);
+    for (const server of parseNames(servers)) {
+      this.table.learn(endReport(fingerprint, server, 100), this.now);
+    }
+  },
+);
+
+When('a server {string} ends under {string}', function (this: DecisionWorld, server, fingerprint) {
+  this.now += APART_MS;
+  see(this, String(fingerprint), [String(server)]);
+});
+
+When(
+  'it is answered, and a server {string} ends under it',
+  function (this: DecisionWorld, server: string) {
+    this.now += APART_MS;
+    this.table.record({ kind: 'answered', fingerprint: REQUEST, ageMs: 0 }, this.now);
+    assert.ok(this.table.listOwnReports(this.now).some(({ kind }) => kind === 'answered'));
+    this.now += APART_MS;
+    see(this, REQUEST, [server]);
+  },
+);
+
+When(/^the servers (.*) end under it$/, function (this: DecisionWorld, servers: string) {
+  this.now += APART_MS;
+  see(this, REQUEST, parseNames(servers));
+});
+
+When('another gateway tells that it was answered', function (this: DecisionWorld) {
+  this.now += APART_MS;
+  this.table.learn({ kind: 'answered', fingerprint: REQUEST, ageMs: 200 }, this.now);
+});
+
+When(
+  '{int} gateways tell within {int} ms that the server {string} ended under {string}',
+  function (this: DecisionWorld, gateways: number, withinMs: number, server: string, name: string) {
+    this.now = withinMs;
+    for (let index = 0; index < gateways; index += 1) {
+      const ageMs = Math.round((index * withinMs) / gateways);
+      this.table.learn(endReport(name, server, ageMs), this.now);
+    }
+    this.fingerprints.add(name);
+  },
+);
+
+When(
+  'it ends under {string} again {int} ms and {int} ms later',
+  function (this: DecisionWorld, fingerprint: string, oneMs: number, otherMs: number) {
+    const before = this.now;
+    for (const span of [oneMs, otherMs]) {
+      this.now = before + span;
+      see(this, fingerprint, ['a']);
+    }
+  },
+);
+
+When('{int} ms pass for the gateway', function (this: DecisionWorld, ms: number) {
+  this.now += ms;
+});
+
+When(
+  '{int} requests are each at the end of one server, and {string} at three',
+  function (this: DecisionWorld, requests: number, name: string) {
+    see(this, name, ['a', 'b', 'c']);
+    for (let index = 0; index < requests; index += 1) see(this, `other-${index}`, [`s-${index}`]);
+  },
+);
+
+Then('only {string} is in quarantine', function (this: DecisionWorld, name: string) {
+  checkQuarantined(this, [name]);
+});
+
+Then('{string} is in quarantine', function (this: DecisionWorld, name: string) {
+  assert.ok(this.table.leftMs(name, this.now) !== undefined);
+});
+
+Then('nothing is in quarantine', function (this: DecisionWorld) {
+  checkQuarantined(this, []);
+});
+
+Then(
+  'nothing is in quarantine, also where a third gateway still tells of it',
+  function (this: DecisionWorld) {
+    const told = { fingerprint: REQUEST, ageMs: APART_MS, leftMs: 500_000 };
+    assert.equal(this.table.learnQuarantine(told, this.now), false);
+    checkQuarantined(this, []);
+  },
+);
+
+Then(
+  'at most {int} of them are remembered, {string} among them',
+  function (this: DecisionWorld, most: number, name: string) {
+    assert.ok(this.table.size <= most, `${this.table.size} are remembered`);
+    checkQuarantined(this, [name]);
+  },
+);
+
+Then('a digest tells of at most {int} of them', function (this: DecisionWorld, most: number) {
+  assert.ok(this.table.listOwnReports(this.now).length <= most);
+});
+
+When(
+  'three of them each report a server that ended under one request',
+  function (this: DecisionWorld) {
+    const { gateways } = this.model;
+    const reporters = [0, 1, 2].map((part) => gateways[Math.floor((part * gateways.length) / 3)]);
+    reporters.forEach((gateway, index) => {
+      if (gateway) gateway.reports = [endReport(REQUEST, `server-${index}`)];
+    });
+  },
+);
+
+Then('all know of the three ends {int} ms later', function (this: DecisionWorld, ms: number) {
+  this.model.run(ms);
+  const lacking = this.model.gateways.filter(
+    ({ endsHeard, reports }) => endsHeard.size + reports.length < 3,
+  );
+  assert.deepEqual(
+    lacking.map(({ name }) => name),
+    [],
+  );
+});
--- a/features/gateway/quarantine.steps.ts
+++ b/features/gateway/quarantine.steps.ts
@@ -5,12 +5,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { waitFor } from '../support/waiting.js';
-import { Site, type Ask, type GatewayProcess } from './site.js';
+import { Site, type Ask, type GatewayPlan, type GatewayProcess } from './site.js';
 import type { Arrival } from './stand-ins/engine.js';
 import type { GatewayWorld } from './world.js';
 
 interface QuarantineWorld extends GatewayWorld {
   path: string;
+  plans: GatewayPlan[];
 }
 
 /** Servers that have to end under a request before it may be known. */
@@ -18,6 +19,7 @@
 const ENDING_BODY = 'ends whoever runs it';
 const BACK_AFTER_MS = 1_500;
 const DOMAIN_SIZE = 4;
+const GATEWAY_KIND = 'gateways';
 
 const PATHS: Readonly<Record<string, string>> = {
   calls: '/list/slots',
@@ -45,8 +47,17 @@
   return gateway.lines.filter(({ name }) => name === 'peerHeard').length >= others;
 }
 
+async function launchAll(world: QuarantineWorld): Promise<void> {
+  const { site, plans } = world;
+  site.gateways.length = 0;
+  for (const gateway of await Promise.all(plans.map((plan) => site.launch(plan)))) {
+    await site.whenReady(gateway);
+    await waitFor('the gateways to hear each other', () => hasHeard(gateway, plans.length - 1));
+  }
+}
+
 Given(
-  /^a site with (\d+) servers of (calls|streams) that end under one request, and (\d+) ready gateways$/,
+  /^a site with (\d+) servers of (calls|streams) that end under one request, and (\d+) ready gateways?$/,
   async function (this: QuarantineWorld, servers: string, what: string, gateways: string) {
     this.path = PATHS[what] ?? '';
     this.site = new Site();
@@ -55,16 +66,16 @@
       await addServer(this.site, index, what === 'streams');
     }
     this.site.configure();
-    const others = Number(gateways) - 1;
-    const started = Array.from({ length: Number(gateways) }, () => this.site.startGateway());
-    for (const gateway of await Promise.all(started)) {
-      await this.site.whenReady(gateway);
-      await waitFor('the gateways to hear each other', () => hasHeard(gateway, others));
-    }
+    this.plans = Array.from({ length: Number(gateways) }, () => this.site.planGateway());
+    await launchAll(this);
     if (what === 'streams') await this.site.whenOpen(Number(servers) / 2);
   },
 );
 
+Given('the servers lose their answers instead', function (this: QuarantineWorld) {
+  for (const server of this.site.servers) server.fault = { kind: 'loseAnswer' };
+});
+
 When(
   'its caller sends it every {int} ms for {int} ms, at one gateway after the other',
   async function (this: QuarantineWorld, everyMs: number, forMs: number) {
@@ -73,6 +84,7 @@
     for (let index = 0; index < forMs / everyMs; index += 1) {
       const gateway = site.gateways[index % site.gateways.length];
       assert.ok(gateway);
+      this.lastId = site.nextId();
       asked.push(site.ask(gateway, askWith(path, ENDING_BODY)));
       await sleep(everyMs);
     }
@@ -80,6 +92,22 @@
   },
 );
 
+When('the store knows that it is in quarantine', async function (this: QuarantineWorld) {
+  await waitFor('the store to know', () =>
+    this.plans.some(({ name }) => {
+      const entry = this.site.store.read(GATEWAY_KIND, name) as { quarantined: unknown[] };
+      return entry.quarantined.length > 0;
+    }),
+  );
+});
+
+When('all gateways are killed and start again', async function (this: QuarantineWorld) {
+  const { gateways } = this.site;
+  for (const gateway of gateways) gateway.signal('SIGKILL');
+  await Promise.all(gateways.map(({ exited }) => exited));
+  await launchAll(this);
+});
+
 Then(
   'it reached servers at most {int} times later than {int} ms after the third had ended under it',
   function (this: QuarantineWorld, most: number, graceMs: number) {
@@ -88,10 +116,25 @@
     const third = ends[ENOUGH_ENDS - 1];
     assert.ok(third !== undefined, `${ends.length} servers ended`);
     const late = arrivals.filter(({ at }) => at > third + graceMs);
+    this.log(`${late.length} sendings later than that, ${ends.length} servers ended in all`);
     assert.ok(late.length <= most, `${late.length} sendings more, ${ends.length} ends in all`);
   },
 );
 
+Then(
+  'it is refused as not run, with a time to come back, at each gateway',
+  async function (this: QuarantineWorld) {
+    for (const gateway of this.site.gateways) {
+      const before = listEnding(this).length;
+      const answer = await this.site.ask(gateway, askWith(this.path, ENDING_BODY));
+      assert.equal(answer.status, 503, answer.body);
+      assert.match(answer.body, /quarantined/);
+      assert.ok(Number(answer.headers['retry-after']) > 0);
+      assert.equal(listEnding(this).length, before);
+    }
+  },
+);
+
 Then(
   'another request of the caller is answered at each gateway',
   async function (this: QuarantineWorld) {
@@ -104,3 +147,7 @@
     }
   },
 );
+
+Then('the last of these sendings reached a server', function (this: QuarantineWorld) {
+  assert.ok(this.site.ranAt(this.lastId).length > 0);
+});
--- a/src/controllers/peering/index.ts
+++ b/src/controllers/peering/index.ts
@@ -1,4 +1,5 @@
 export * from './lag.js';
 export * from './load.js';
 export * from './peer-table.js';
+export * from './reports.js';
 export * from './types.js';
--- a/src/controllers/peering/peer-table.ts
+++ b/src/controllers/peering/peer-table.ts
@@ -9,6 +9,7 @@
  */
 import type { Milliseconds } from '../../core/clock/index.js';
 import { addLoad } from './load.js';
+import { ageReports } from './reports.js';
 import { Roster } from './roster.js';
 import type { Digest, DomainSummary, GatewayPeer, KnownPeer, ToldSuspicion } from './types.js';
 
@@ -302,6 +303,10 @@
     const suspicions = near.flatMap(({ digest, heardAt }) =>
       digest.suspicions.flatMap((one) => ageSuspicion(one, now - heardAt)),
     );
+    const reports = near.flatMap(({ digest, heardAt }) =>
+      ageReports(digest.reports ?? [], now - heardAt),
+    );
+    const allReports = [...(own.reports ?? []), ...reports];
     return {
       failureDomain: this.self.failureDomain,
       ageMs: 0,
@@ -309,6 +314,7 @@
       members: [toMember(own, 0), ...members],
       load: [...load],
       suspicions: [...own.suspicions, ...suspicions],
+      ...(allReports.length > 0 && { reports: allReports }),
     };
   }
 
--- a/src/controllers/peering/types.ts
+++ b/src/controllers/peering/types.ts
@@ -3,6 +3,7 @@
  */
 import * as z from 'zod';
 import type { Milliseconds } from '../../core/clock/index.js';
+import { requestReportSchema, toldQuarantineSchema } from '../quarantine/index.js';
 
 const count = z.number().nonnegative();
 /** Requests under way, by backend server. */
@@ -12,6 +13,9 @@
   .array(z.object({ server: z.string(), ageMs: count, leftMs: count }))
   .max(10_000);
 
+/** What the sender saw lately of requests under which servers end. */
+const reportsSchema = z.array(requestReportSchema).max(10_000);
+
 export const knownPeerSchema = z.object({
   name: z.string(),
   address: z.string(),
@@ -52,11 +56,15 @@
   /** Of the domain; where it is told to a gateway of the same domain, of all others. */
   load: loadSchema,
   suspicions: suspicionsSchema,
+  reports: reportsSchema.optional(),
 });
 
 export const digestSchema = peerNewsSchema.extend({
   load: loadSchema,
   suspicions: suspicionsSchema,
+  reports: reportsSchema.optional(),
+  /** All requests that the sender keeps from the backend servers. */
+  quarantined: z.array(toldQuarantineSchema).max(1_000).optional(),
   /** Failure domains that the sender speaks for or passes on. */
   summaries: z.array(domainSummarySchema).max(1_000).optional(),
   /** Gateways that the sender knows; sent to those who ask. */
--- /dev/null
+++ b/src/controllers/quarantine/index.ts
@@ -0,0 +1,2 @@
+export * from './quarantine-table.js';
+export * from './types.js';
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -126,6 +126,13 @@
     message: ({ reason }: Reason) => `This entry is not ready: ${reason}.`,
     hint: 'Send it again after the time in Retry-After.',
   }),
+  quarantined: entry({
+    title: 'Request quarantined',
+    status: 503,
+    conclusion: 'notRun',
+    message: () => 'The request was not run: backend servers ended while they ran it before.',
+    hint: 'Report it to the operators; the same request is refused until the time in Retry-After.',
+  }),
   deadlineBeforeStart: entry({
     title: 'Deadline passed',
     status: 504,
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -311,6 +311,16 @@
     level: 'warn',
     message: 'A request was refused before anything of it was sent.',
   },
+  serverEndedUnderRequests: {
+    number: 2506,
+    level: 'warn',
+    message: 'A backend server has ended while requests were under way there.',
+  },
+  requestQuarantined: {
+    number: 2507,
+    level: 'warn',
+    message: 'Backend servers end under a request; it is sent to none for now.',
+  },
 } as const satisfies Record<string, LogEvent>;
 
 /** The name of an event of the catalogue. */
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -23,8 +23,10 @@
 import { observeBeliefs } from './operations/beliefs.js';
 import { createOperationsListener } from './operations/listener.js';
 import { createGatewayMetrics } from './operations/metrics.js';
-import { createPeersPart, GATEWAY_KIND } from './peers/peers-part.js';
+import { createPeersPart } from './peers/peers-part.js';
+import { GATEWAY_KIND } from './peers/roster-entry.js';
 import { createBackends } from './requests/backends.js';
+import { createQuarantine } from './requests/quarantine.js';
 import { createRequestPath } from './requests/request-path.js';
 import { createWatchdog } from './requests/watchdog.js';
 import type { GatewaySettings } from './settings.js';
@@ -122,11 +124,13 @@
   });
   const watchdog = createWatchdog(context, backends);
   const send = createAttemptSender(pool, platform.requests);
-  const requestPath = createRequestPath({ context, backends, watchdog, send });
+  const quarantine = createQuarantine(context, calls);
+  const requestPath = createRequestPath({ context, backends, watchdog, send, quarantine });
   const peers = createPeersPart({
     context,
     store,
     backends,
+    quarantine,
     configuration,
     fleet,
     section: board.peers,
--- a/src/gateway/operations/metrics.ts
+++ b/src/gateway/operations/metrics.ts
@@ -14,6 +14,7 @@
   probes: Counter;
   connections: Counter;
   suspicions: Counter;
+  quarantined: Counter;
   suppressedLines: Counter;
   readiness: Gauge;
 }
@@ -62,6 +63,11 @@
       help: 'Backend servers found to stand still.',
       registers,
     }),
+    quarantined: new Counter({
+      name: 'yuccasail_gateway_quarantined_total',
+      help: 'Requests that were put into quarantine since backend servers end under them.',
+      registers,
+    }),
     suppressedLines: new Counter({
       name: 'yuccasail_gateway_log_lines_suppressed_total',
       help: 'Log lines that were over their budget.',
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -1,12 +1,10 @@
 /**
  * The other gateways: who lives, what they serve, and what they know that this one does not.
  */
-import { setTimeout as sleep } from 'node:timers/promises';
 import type { ResultAsync } from 'neverthrow';
 import type { WritableSection } from '../../board/index.js';
 import { roundedAge } from '../../controllers/freshness/index.js';
 import {
-  knownPeerSchema,
   PEERING_TICK_MS,
   PeerTable,
   type Digest,
@@ -17,6 +15,7 @@
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { Failure } from '../../core/errors/index.js';
 import type { Backends } from '../requests/backends.js';
+import type { Quarantine } from '../requests/quarantine.js';
 import type { ConfigurationPart } from '../store/configuration-part.js';
 import type { ObjectStore } from '../store/client.js';
 import type { FleetPart } from '../store/fleet-part.js';
@@ -24,6 +23,7 @@
 import { createBehindCheck } from './behind.js';
 import { createPeerCalls, createPeerListener } from './link.js';
 import type { CatchUp } from './messages.js';
+import { createRosterEntry } from './roster-entry.js';
 import { createStoreShare } from './store-share.js';
 
 /** Membership and news between gateways. */
@@ -37,6 +37,7 @@
   context: GatewayContext;
   store: ObjectStore;
   backends: Backends;
+  quarantine: Quarantine;
   configuration: ConfigurationPart;
   fleet: FleetPart;
   section: WritableSection<ReadonlyMap<string, GatewayPeer>>;
@@ -49,14 +50,8 @@
  */
 const PEERS_HEARD_MS: Milliseconds = 1_500;
 
-/** After an attempt to be known that failed; outages of the store last for seconds. */
-const ANNOUNCE_AGAIN_MS: Milliseconds = 1_000;
-
-/** Kind of the objects by which gateways find each other; one for each name. */
-export const GATEWAY_KIND = 'gateways';
-
 export function createPeersPart(options: PeersPartOptions): PeersPart {
-  const { context, section, backends, configuration, fleet, store } = options;
+  const { context, section, backends, quarantine, configuration, fleet, store } = options;
   const { settings, clock, logger, board, incarnation } = context;
   const calls = createPeerCalls();
   const self: KnownPeer = {
@@ -94,6 +89,7 @@
         ageMs: Math.round(now - since),
         leftMs: Math.round(until - now),
       })),
+      ...quarantine.writeNews(),
     };
   };
   /** How old the proof of each belief is; an age, since clocks differ. */
@@ -155,6 +151,7 @@
       incarnations.set(digest.name, digest.incarnation);
       logger.log('peerHeard', { peer: digest.name, address: digest.address });
     }
+    quarantine.takeNews(digest);
     configuration.hearOf(digest.configurationVersion);
     publishSoon();
   };
@@ -186,32 +183,15 @@
       if (version ?? copy) share.distrust();
     },
   });
-  /** Whether the store now names this gateway, and has told which others there are. */
-  const announce = async (): Promise<boolean> => {
-    const own = { ...self, incarnation };
-    const first = await store.write(GATEWAY_KIND, self.name, own);
-    const conflict = first.isOk() && first.value.kind === 'conflict' && first.value.object;
-    const written = conflict
-      ? await store.write(GATEWAY_KIND, self.name, own, conflict.revision)
-      : first;
-    const listed = await store.list(GATEWAY_KIND);
-    if (listed.isErr()) {
-      logger.log('peerCallFailed', { peer: 'store', reason: listed.error.message });
-      return false;
-    }
-    for (const { value } of listed.value.objects) {
-      const peer = knownPeerSchema.safeParse(value);
-      if (peer.success) table.learn(peer.data, clock.now());
-    }
-    return written.isOk();
-  };
-  /**
-   * Guards against a gateway that starts while the store is away and has no living seed: it would
-   * serve when the store is back, and never hear of the others.
-   */
-  const announceUntilHeard = async (): Promise<void> => {
-    while (!isStopping && !(await announce())) await sleep(ANNOUNCE_AGAIN_MS);
-  };
+  const entry = createRosterEntry({
+    context,
+    store,
+    self,
+    quarantine,
+    onPeer: (peer) => {
+      table.learn(peer, clock.now());
+    },
+  });
   const listener = createPeerListener(settings.listen.peers, {
     exchange: (digest) => {
       takeDigest(digest);
@@ -251,16 +231,21 @@
       for (const address of settings.seeds) {
         table.learn({ name: address, address, failureDomain: '' }, clock.now());
       }
-      void announceUntilHeard();
+      void entry.announce();
       share.review(clock.now());
       timer = setInterval(tick, PEERING_TICK_MS);
       // A stall is told within this failure domain at once: they send there as well.
       backends.onSuspicion(() => {
         for (const peer of table.listNearPartners()) void exchange(peer);
       });
+      // A request that ends servers may come to any gateway next.
+      quarantine.onReport(() => {
+        for (const peer of table.listPartners()) void exchange(peer);
+      });
     },
     announceStop: async () => {
       isStopping = true;
+      entry.stop();
       await Promise.allSettled(
         table.listPartners().map((peer) => calls.exchange(peer.address, writeDigest())),
       );
--- a/src/gateway/requests/request-path.ts
+++ b/src/gateway/requests/request-path.ts
@@ -15,6 +15,7 @@
 import type { Backends } from './backends.js';
 import { readBody, type BodyRead } from './body.js';
 import { computeFingerprint } from './fingerprint.js';
+import type { Quarantine } from './quarantine.js';
 import { createReply, type Reply } from './reply.js';
 import { reportUnread } from './run-report.js';
 import { RequestRun, type RunTools } from './run.js';
@@ -43,6 +44,7 @@
   backends: Backends;
   watchdog: Watchdog;
   send: AttemptSender;
+  quarantine: Quarantine;
 }
 
 /** Held longer than callers keep a connection, so that none closes as a request arrives. */
--- a/src/gateway/requests/run.ts
+++ b/src/gateway/requests/run.ts
@@ -13,6 +13,7 @@
 import { isGood, relayEvents, sendPlain } from './answering.js';
 import type { Backends, ChosenTarget } from './backends.js';
 import type { Reply } from './reply.js';
+import type { Quarantine } from './quarantine.js';
 import { RequestWait } from './request-wait.js';
 import { reportEnd, reportSent } from './run-report.js';
 import { Sending, type SendingOwner } from './sending.js';
@@ -30,6 +31,7 @@
   send: AttemptSender;
   stopping: Stopping;
   lines: WaitingLines;
+  quarantine: Quarantine;
 }
 
 /** Sendings that backend servers refused unrun, beyond which a request is given up. */
@@ -90,6 +92,10 @@
       this.expire();
       return;
     }
+    if (this.isQuarantined && !this.isAnswering) {
+      this.endQuarantined();
+      return;
+    }
     if (this.sendings.size === 0 && this.wait.mayTry(now)) this.sendNext('waited');
     this.endWait(now);
   }
@@ -112,6 +118,15 @@
     if (this.wait.isOver(now)) this.giveUp('no target in time');
   }
 
+  private get isQuarantined(): boolean {
+    return this.tools.quarantine.leftMs(this.request.fingerprint) !== undefined;
+  }
+
+  /** A backend server has begun to answer: it is not about to end under this request. */
+  private get isAnswering(): boolean {
+    return [...this.sendings].some(({ answer }) => answer !== undefined);
+  }
+
   private get isRepeatable(): boolean {
     return isRepeatable(this.request.route);
   }
@@ -136,6 +151,10 @@
   private sendNext(why: string): void {
     const { request, tools } = this;
     const { service } = request;
+    if (this.isQuarantined) {
+      if (this.sendings.size === 0) this.endQuarantined();
+      return;
+    }
     if (!this.mayHaveRun && !tools.stopping.mayBegin(request, tools.context.clock.now())) {
       this.failWith(refuseStopped(), 'refused', STOPPED);
       return;
@@ -229,7 +248,7 @@
     tools.lines.recordSent(request);
     stream?.startRun();
     const limits = limitsBeforeAnswer(request, chosen, tools.lines.usualFirstMs(request));
-    const sending = new Sending(server.id, limits, this, tools.context.clock);
+    const sending = new Sending(server, limits, this, tools.context.clock);
     this.sendings.add(sending);
     tools.watchdog.attempts.add(sending);
     sending.start(tools.send, {
@@ -321,6 +340,7 @@
       this.afterBroken('the answer ended within an event');
       return;
     }
+    this.tools.quarantine.recordAnswered(this.request.fingerprint);
     if (stream) {
       relayEvents(reply, requests, sending, answer, NOTHING);
       reply.end();
@@ -331,7 +351,7 @@
   }
 
   onFailure(sending: Sending, failure: AttemptFailure): void {
-    const { backends } = this.tools;
+    const { backends, quarantine } = this.tools;
     this.end(sending, failure.reason, failure.kind);
     switch (failure.kind) {
       case 'notSent':
@@ -340,6 +360,7 @@
         break;
       case 'broken':
         backends.answered(sending.server, true);
+        quarantine.recordBroken(this.request.fingerprint, sending.target);
         this.afterBroken(failure.reason);
         break;
     }
@@ -406,13 +427,23 @@
       this.finish('failedThere', reason);
       return;
     }
-    if (this.runs > 0) this.failWith(createFailure('outcomeUnknown', { reason }), 'failed');
+    if (this.mayHaveRun) this.failWith(createFailure('outcomeUnknown', { reason }), 'failed');
     else {
       const name = this.request.model?.name ?? this.request.service.name;
       this.failWith(createFailure('noCapacity', { name }, RETRY_AFTER_MS), 'refused', reason);
     }
   }
 
+  /** Servers end under it: those that have it are spared, where they haven't begun to answer. */
+  private endQuarantined(): void {
+    if (this.mayHaveRun || !this.reply.isUnsent) {
+      this.giveUp('backend servers end under it');
+      return;
+    }
+    const leftMs = this.tools.quarantine.leftMs(this.request.fingerprint);
+    this.failWith(createFailure('quarantined', undefined, leftMs), 'refused');
+  }
+
   /** The time is up. */
   private expire(): void {
     if (!this.reply.isUnsent) {
--- a/src/gateway/requests/sending.ts
+++ b/src/gateway/requests/sending.ts
@@ -10,6 +10,7 @@
   AttemptRequest,
   AttemptSender,
 } from '../backends/attempt.js';
+import type { BackendServer } from '../../ports/index.js';
 import type { StallLimits } from './stall-limits.js';
 import type { WatchedAttempt } from './watchdog.js';
 
@@ -38,7 +39,7 @@
   private attempt: Attempt | undefined;
 
   constructor(
-    readonly server: string,
+    readonly target: BackendServer,
     limits: StallLimits,
     private readonly owner: SendingOwner,
     private readonly clock: Clock,
@@ -49,6 +50,10 @@
     this.movedAt = this.sentAt;
   }
 
+  get server(): string {
+    return this.target.id;
+  }
+
   start(send: AttemptSender, request: AttemptRequest): void {
     this.attempt = send(request, this);
   }
