--- a/features/promises/replica-observer.ts
+++ b/features/promises/replica-observer.ts
@@ -160,6 +160,23 @@
   });
 }
 
+/** All attempts of the request of `attempt`, with their instants counted from `origin`. */
+export function describeAttempts(
+  evidence: Evidence,
+  { attempt }: JournaledAttempt,
+  origin = 0,
+): string {
+  const { request } = parseAttempt(attempt);
+  const told = listAttempts(evidence)
+    .filter((other) => parseAttempt(other.attempt).request === request)
+    .sort((one, other) => one.startedAt - other.startedAt)
+    .map(({ attempt: id, replica, startedAt, endedAt, end, tokens, resumeFrom }) => {
+      const span = `${startedAt - origin} to ${endedAt === undefined ? '?' : endedAt - origin} ms`;
+      return `${id} at ${replica}: ${span}, ${end ?? 'running'}, ${tokens} from ${resumeFrom}`;
+    });
+  return told.join('; ');
+}
+
 /** Entries number the attempts of a request behind its id. */
 function parseAttempt(attempt: string): { request: string; number: number } {
   const dot = attempt.lastIndexOf('.');
--- a/features/promises/replicas-judged.steps.ts
+++ b/features/promises/replicas-judged.steps.ts
@@ -3,6 +3,7 @@
 import { Then } from '@cucumber/cucumber';
 import {
   findBrokenServing,
+  describeAttempts,
   findDoubleMembers,
   isGivenUp,
   type Evidence,
@@ -154,6 +155,7 @@
     const spans = late.map(({ afterMs }) => afterMs);
     this.log(`attempts begun after a member had left: ${JSON.stringify(spans)}`);
     this.log(`besides, given up before they were begun: ${all.length - late.length}`);
+    for (const { attempt } of all) this.log(describeAttempts(evidence, attempt, this.mendedAt));
     assert.deepEqual(
       late.filter(({ afterMs }) => afterMs > mostMs),
       [],
