--- a/features/gateway/stand-ins/store.ts
+++ b/features/gateway/stand-ins/store.ts
@@ -23,6 +23,16 @@
  */
 export type StoreFault = 'none' | 'down' | 'reset' | 'silent' | 'silentWatches' | 'loseWrites';
 
+/** What the store comes back with. */
+interface StoreCopy {
+  revision: number;
+  kinds: ReadonlyMap<string, ReadonlyMap<string, Stored>>;
+  changes: readonly Change[];
+}
+
+/** Of a store that has come back from copies before. */
+const FIRST_ERA = 3;
+
 /** The store, in the process of the scenario. */
 export class StoreStandIn {
   private currentFault: StoreFault = 'none';
@@ -33,6 +43,9 @@
   private readonly changes: Change[] = [];
   private readonly waiting = new Set<() => void>();
   private revision = 1;
+  /** In all answers; rises each time that the store comes back from a copy. */
+  private era = FIRST_ERA;
+  private copy: StoreCopy | undefined;
   /** Times that the store fell silent: a call from before one is never answered. */
   private silences = 0;
   private readonly server: Server;
@@ -100,6 +113,28 @@
     this.wake();
   }
 
+  keepCopy(): void {
+    const kinds = [...this.kinds].map(([kind, objects]) => [kind, new Map(objects)] as const);
+    this.copy = { revision: this.revision, kinds: new Map(kinds), changes: [...this.changes] };
+  }
+
+  /**
+   * Comes back from the copy: what was written since is gone, and its revisions are given out again.
+   * Watches that wait are cut.
+   */
+  returnFromCopy(): void {
+    if (!this.copy) throw new Error('there is no copy');
+    const { revision, kinds, changes } = this.copy;
+    this.revision = revision;
+    this.changes.splice(0, this.changes.length, ...changes);
+    this.kinds.clear();
+    for (const [kind, objects] of kinds) this.kinds.set(kind, new Map(objects));
+    this.era += 1;
+    this.silences += 1;
+    this.wake();
+    this.server.closeAllConnections();
+  }
+
   private store(kind: string, name: string, spec: unknown): Stored {
     this.revision += 1;
     const objects = this.kinds.get(kind) ?? new Map<string, Stored>();
@@ -130,7 +165,7 @@
       return;
     }
     if (this.fault === 'down') {
-      answer(response, 503, { error: 'down' });
+      this.answer(response, 503, { error: 'down' });
       return;
     }
     const url = new URL(request.url ?? '/', 'http://store');
@@ -150,12 +185,12 @@
     const objects = this.kinds.get(kind) ?? new Map<string, Stored>();
     if (name !== undefined) {
       const object = objects.get(name);
-      answer(response, object ? 200 : 404, object ?? { as_of: this.revision });
+      this.answer(response, object ? 200 : 404, object ?? { as_of: this.revision });
       return;
     }
     const watch = url.searchParams.get('watch');
     if (watch === null) {
-      answer(response, 200, {
+      this.answer(response, 200, {
         items: [...objects.values()],
         has_more: false,
         as_of: this.revision,
@@ -175,8 +210,9 @@
     const { silences } = this;
     for (;;) {
       const oldest = this.changes[0]?.revision ?? this.revision;
-      if (since + 1 < oldest && since < this.revision) {
-        answer(response, 410, { as_of: this.revision });
+      const isUnknown = since > this.revision;
+      if (isUnknown || (since + 1 < oldest && since < this.revision)) {
+        this.answer(response, 410, { as_of: this.revision });
         return;
       }
       const events = this.changes.filter(
@@ -185,7 +221,7 @@
       const leftMs = endAt - performance.now();
       if (events.length > 0 || leftMs <= 0 || response.destroyed) {
         const listed = events.map(({ object, deleted }) => ({ object, deleted }));
-        answer(response, 200, { events: listed, as_of: this.revision });
+        this.answer(response, 200, { events: listed, as_of: this.revision });
         return;
       }
       await new Promise<void>((resolve) => {
@@ -215,25 +251,26 @@
       ? current !== undefined
       : expected !== undefined && current?.metadata.revision !== expected;
     if (conflicts) {
-      answer(response, 409, current ?? {});
+      this.answer(response, 409, current ?? {});
       return;
     }
     if (!isCreate && current === undefined) {
-      answer(response, 404, {});
+      this.answer(response, 404, {});
       return;
     }
     this.writes.push(`${kind}/${name}`);
     const object = this.store(kind, name, body.spec);
     if (this.fault === 'loseWrites') response.destroy();
-    else answer(response, 200, object);
+    else this.answer(response, 200, object);
   }
-}
 
-function answer(response: ServerResponse, status: number, body: unknown): void {
-  const text = JSON.stringify(body);
-  response.writeHead(status, {
-    'content-type': 'application/json',
-    'content-length': Buffer.byteLength(text),
-  });
-  response.end(text);
+  private answer(response: ServerResponse, status: number, body: unknown): void {
+    const text = JSON.stringify(body);
+    response.writeHead(status, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(text),
+      'Store-Era': this.era,
+    });
+    response.end(text);
+  }
 }
--- /dev/null
+++ b/features/gateway/store-copy.steps.ts
@@ -0,0 +1,274 @@
+/**
+ * The store comes back from a copy that is some seconds old.
+ */
+import assert from 'node:assert/strict';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { platform } from '../../platform/index.js';
+import { createSystemClock } from '../../src/core/clock/index.js';
+import { createObjectStore, type ObjectStore } from '../../src/gateway/store/client.js';
+import { waitFor } from '../support/waiting.js';
+import type { Answer, GatewayProcess } from './site.js';
+import type { EngineStandIn } from './stand-ins/engine.js';
+import { StoreStandIn } from './stand-ins/store.js';
+import { openSite, type GatewayWorld } from './world.js';
+
+interface CopyWorld extends GatewayWorld {
+  added: EngineStandIn;
+  store: StoreStandIn;
+  client: ObjectStore;
+  readRevision: number;
+}
+
+const LIST = { path: '/list/slots' };
+const ASK_EVERY_MS = 30;
+const DOMAIN_SIZE = 4;
+const PLAN_KIND = 'group-plans';
+const GATEWAY_KIND = 'gateways';
+const STORE_TIMEOUT_MS = 1_000;
+
+After(async function (this: Partial<CopyWorld>) {
+  await this.client?.close();
+  this.store?.close();
+});
+
+function firstServer({ site }: GatewayWorld): EngineStandIn {
+  const [first] = site.servers;
+  assert.ok(first);
+  return first;
+}
+
+function askAll({ site }: GatewayWorld): Promise<Answer[]> {
+  return Promise.all(site.gateways.map((gateway) => site.ask(gateway, LIST)));
+}
+
+function reached({ site }: GatewayWorld, server: EngineStandIn): number {
+  return site.journal.filter((arrival) => arrival.server === server.options.id).length;
+}
+
+async function whenLogged(world: GatewayWorld, event: string): Promise<void> {
+  await waitFor(event, () =>
+    world.site.gateways.every(({ lines }) => lines.some(({ name }) => name === event)),
+  );
+}
+
+async function reaches(
+  { site }: GatewayWorld,
+  gateway: GatewayProcess,
+  server: EngineStandIn,
+): Promise<boolean> {
+  const id = site.nextId();
+  await site.ask(gateway, LIST);
+  return site.ranAt(id).includes(server.options.id);
+}
+
+Given(
+  'the store keeps a copy, and the servers write {int} times after that',
+  async function (this: CopyWorld, times: number) {
+    const { site } = this;
+    site.store.keepCopy();
+    for (let index = 0; index < times; index += 1) {
+      for (const server of site.servers) server.report();
+    }
+    await sleep(500);
+  },
+);
+
+Given(
+  'the store keeps a copy, and the first server says that it leaves',
+  async function (this: CopyWorld) {
+    this.site.store.keepCopy();
+    firstServer(this).drain();
+    await whenLogged(this, 'serverChanged');
+  },
+);
+
+Given('the store keeps a copy, and the first server goes', async function (this: CopyWorld) {
+  this.site.store.keepCopy();
+  this.site.store.remove('servers', firstServer(this).options.id);
+  await whenLogged(this, 'serverGone');
+});
+
+Given(
+  'the store keeps a copy, and the operator takes the key away',
+  async function (this: CopyWorld) {
+    this.site.store.keepCopy();
+    this.site.configure({ version: 9, keys: ['another-key'] });
+    await waitFor('the key to be gone', async () =>
+      (await askAll(this)).every(({ status }) => status === 401),
+    );
+  },
+);
+
+Given(
+  'a site with {int} engines and {int} ready gateways, with a copy of the store from before the first replica',
+  async function (this: CopyWorld, engines: number, gateways: number) {
+    await openSite(this, 0);
+    for (let index = 0; index < engines; index += 1) {
+      const domain = `domain-${Math.floor(index / DOMAIN_SIZE)}`;
+      await this.site.addServer({ id: `engine-${index}`, service: 'models', domain });
+    }
+    this.site.configure();
+    this.site.store.keepCopy();
+    for (let index = 0; index < gateways; index += 1) await this.site.startGateway();
+    await this.site.whenOpen(engines / 2);
+    await sleep(500);
+    this.groupsBefore = listGroups(this);
+  },
+);
+
+Given(
+  'a site with {int} plain server and {int} ready gateways, with a copy of the store from before the first',
+  async function (this: CopyWorld, servers: number, gateways: number) {
+    await openSite(this, servers);
+    this.site.configure();
+    this.site.store.keepCopy();
+    for (let index = 0; index < gateways; index += 1) {
+      await this.site.whenReady(await this.site.startGateway());
+    }
+  },
+);
+
+When(
+  'the store is away for {int} ms and comes back from the copy',
+  async function (this: CopyWorld, ms: number) {
+    const { store } = this.site;
+    store.fault = 'down';
+    await sleep(ms);
+    store.returnFromCopy();
+    store.fault = 'none';
+  },
+);
+
+When('a server is added', async function (this: CopyWorld) {
+  this.added = await this.site.addServer({ id: 'plain-new', service: 'app', gapMs: 5 });
+});
+
+When('the first server starts again', async function (this: CopyWorld) {
+  this.added = firstServer(this);
+  await this.added.restart();
+});
+
+When('the first server writes again', function (this: CopyWorld) {
+  this.added = firstServer(this);
+  this.added.report();
+});
+
+When('the operator writes a later version that has the key', function (this: CopyWorld) {
+  this.site.configure({ version: 11 });
+});
+
+Then('every gateway sends to it within {int} ms', async function (this: CopyWorld, ms: number) {
+  for (const gateway of this.site.gateways) {
+    await waitFor('a request there', () => reaches(this, gateway, this.added), ms);
+  }
+});
+
+Then(
+  'for {int} ms nothing is sent to the first server',
+  async function (this: CopyWorld, ms: number) {
+    const before = reached(this, firstServer(this));
+    const endAt = performance.now() + ms;
+    while (performance.now() < endAt) {
+      await askAll(this);
+      await sleep(ASK_EVERY_MS);
+    }
+    assert.equal(reached(this, firstServer(this)) - before, 0);
+  },
+);
+
+Then('for {int} ms every gateway refuses with 401', async function (this: CopyWorld, ms: number) {
+  const endAt = performance.now() + ms;
+  while (performance.now() < endAt) {
+    const answers = await askAll(this);
+    assert.deepEqual(
+      answers.map(({ status }) => status),
+      answers.map(() => 401),
+    );
+    await sleep(ASK_EVERY_MS);
+  }
+});
+
+Then(
+  'every gateway answers with 200 within {int} ms',
+  async function (this: CopyWorld, ms: number) {
+    await waitFor(
+      'the key to be back',
+      async () => (await askAll(this)).every(({ status }) => status === 200),
+      ms,
+    );
+  },
+);
+
+Then(
+  'for {int} ms the same {int} groups are open',
+  async function (this: CopyWorld, ms: number, groups: number) {
+    assert.equal(this.groupsBefore.length, groups);
+    const endAt = performance.now() + ms;
+    while (performance.now() < endAt) {
+      assert.deepEqual(listGroups(this), this.groupsBefore);
+      await sleep(ASK_EVERY_MS);
+    }
+  },
+);
+
+Then('the store has them in its plans again', function (this: CopyWorld) {
+  const planned = ['models.domain-0', 'models.domain-1'].flatMap((name) => {
+    const plan = this.site.store.read(PLAN_KIND, name) as
+      { groups: { name: string }[] } | undefined;
+    return plan?.groups.map((group) => group.name) ?? [];
+  });
+  assert.deepEqual(planned.sort(), this.groupsBefore);
+});
+
+Then(
+  'the store names the {int} gateways within {int} ms',
+  async function (this: CopyWorld, gateways: number, ms: number) {
+    const names = Array.from({ length: gateways }, (_, index) => `gateway-${index}`);
+    await waitFor(
+      'the entries',
+      () => names.every((name) => this.site.store.read(GATEWAY_KIND, name) !== undefined),
+      ms,
+    );
+  },
+);
+
+Given(
+  'a client of the store that has read an object, and another that overtakes it after the return',
+  async function (this: CopyWorld) {
+    this.store = new StoreStandIn();
+    await this.store.listen();
+    this.client = createObjectStore({
+      address: this.store.address,
+      dialect: platform.store,
+      timeoutMs: STORE_TIMEOUT_MS,
+      clock: createSystemClock(),
+      onCall: () => undefined,
+      onOutcome: () => undefined,
+    });
+    this.store.put('kind', 'object', 'first');
+    this.store.keepCopy();
+    this.store.put('kind', 'object', 'of the lost history');
+    const read = (await this.client.read('kind', 'object'))._unsafeUnwrap();
+    this.readRevision = read?.revision ?? 0;
+    this.store.returnFromCopy();
+    this.store.put('kind', 'object', 'of the new history');
+    await this.client.list('kind');
+  },
+);
+
+Then(
+  'the write of the first on condition of what it has read changes nothing',
+  async function (this: CopyWorld) {
+    const written = await this.client.write('kind', 'object', 'overtaken', this.readRevision);
+    assert.equal(written._unsafeUnwrap().kind, 'conflict');
+    assert.equal(this.store.read('kind', 'object'), 'of the new history');
+  },
+);
+
+function listGroups({ site }: GatewayWorld): string[] {
+  return site
+    .listOpen()
+    .flatMap(({ membership }) => membership?.name ?? [])
+    .sort();
+}
