Take a return of the store from an older copy for what it is

Cause: a place in the store's history was a bare revision, compared everywhere as if it only rose. After a return from a copy each list, copy and proof of the new history counted as old; plans of the copy were carried out against engines that had gone on.

A place is now era and revision, made by the client alone; platform/ alone knows the header. Answers of a former era aren't used, watches and conditions of a former era are answered as lost history and conflict without a call. For the two seconds in which entries come back, what is known of a life of a server goes before the copy, planning waits, and a life that was leaving or gone stays out of service until it writes again. A whole replica of an epoch above the plan's is taken into the plan as its members report it; gateways write their entries again.

--- a/features/gateway/following.steps.ts
+++ b/features/gateway/following.steps.ts
@@ -55,6 +55,8 @@
     write: never,
     check: never,
     renew: () => undefined,
+    era: () => 0,
+    learnEra: () => undefined,
     close: () => Promise.resolve(),
   };
   world.follower = createFollower({
--- a/features/gateway/planning.feature
+++ b/features/gateway/planning.feature
@@ -15,6 +15,18 @@
     When the domain is planned
     Then the instance is told to leave and is in no group of the plan
 
+  # The store has come back from a copy from before the plan that the replica was formed by.
+  Scenario Outline: A replica was formed under a plan that the store has lost, and <members> of it are there
+    Given a plan with "fabric.2" of "a" and "b", and <members> of "fabric.5" of "a" and "c" that report it
+    When the domain is planned
+    Then its replicas are "<replicas>", and <leaving> is told to leave one
+    And the next epoch is above 5
+
+    Examples:
+      | members      | replicas | leaving |
+      | both members | fabric.5 | nobody  |
+      | its head     | fabric.2 | the head |
+
   Scenario: The instances of all domains are split by the shares of the models
     Given 6 domains of 10 instances, and models of 4 and of 2 with equal shares
     When they are split
--- a/features/gateway/planning.steps.ts
+++ b/features/gateway/planning.steps.ts
@@ -13,7 +13,9 @@
   type DomainTargets,
   type DomainView,
   type DueOrder,
+  type GroupPlan,
 } from '../../src/controllers/groups/index.js';
+import type { BackendServer } from '../../src/ports/index.js';
 import {
   createServer,
   createView,
@@ -28,6 +30,8 @@
   view: DomainView;
   domains: DomainCapacity[];
   split: DomainTargets;
+  /** As the store has it; empty when absent. */
+  stored?: GroupPlan;
 }
 
 const SEED = 7_411;
@@ -99,9 +103,10 @@
 );
 
 When('the domain is planned', function (this: PlanningWorld) {
-  const after = revisePlan(EMPTY_PLAN, this.view);
+  const before = this.stored ?? EMPTY_PLAN;
+  const after = revisePlan(before, this.view);
   const orders = listOrders(after, this.view);
-  this.rounds = [{ before: EMPTY_PLAN, after, view: this.view, orders }];
+  this.rounds = [{ before, after, view: this.view, orders }];
 });
 
 Then(
@@ -153,3 +158,40 @@
     assert.ok(most > 0 && most - Math.min(...counts.values()) <= 1, JSON.stringify([...counts]));
   },
 );
+
+Given(
+  /^a plan with "fabric.2" of "a" and "b", and (both members|its head) of "fabric.5" of "a" and "c" that report it$/,
+  function (this: PlanningWorld, present: string) {
+    const report = (id: string, rank: number): BackendServer =>
+      createServer(id, {
+        model: 'small',
+        membership: { group: 'fabric.5', epoch: 5, rank, state: rank === 0 ? 'open' : 'ready' },
+      });
+    const other = present === 'both members' ? report('c', 1) : createServer('c');
+    this.view = createView([report('a', 0), createServer('b'), other], { targets: [] });
+    const members = ['a', 'b'].map((id) => ({ id, address: `10.0.0.1:${id.length}` }));
+    this.stored = {
+      lastEpoch: 2,
+      groups: [{ name: 'fabric.2', epoch: 2, model: 'small', members, closing: 'no' }],
+    };
+  },
+);
+
+Then(
+  /^its replicas are "([^"]+)", and (nobody|the head) is told to leave one$/,
+  function (this: PlanningWorld, names: string, leaving: string) {
+    const [round] = this.rounds;
+    assert.ok(round);
+    assert.equal(round.after.groups.map(({ name }) => name).join(), names);
+    const told = round.orders.flatMap(({ to, order }) => (order.kind === 'leave' ? [to.id] : []));
+    assert.deepEqual(told, leaving === 'nobody' ? [] : ['a']);
+  },
+);
+
+Then('the next epoch is above {int}', function (this: PlanningWorld, epoch: number) {
+  const targets = [{ model: LARGE, groups: 9 }];
+  const free = ['e', 'f', 'g', 'h'].map((id) => createServer(id));
+  const view = createView([...this.view.servers.values(), ...free], { targets });
+  const next = revisePlan(this.rounds[0]?.after ?? EMPTY_PLAN, view);
+  assert.ok(next.lastEpoch > epoch, JSON.stringify(next));
+});
--- a/features/gateway/store-copy.feature
+++ b/features/gateway/store-copy.feature
@@ -1,4 +1,3 @@
-@known-red
 Feature: The store comes back from an older copy
 
   # In a drill the store is away for a moment and comes back from a copy some seconds old. What was written
@@ -38,7 +37,7 @@
   Scenario: Replicas that were formed in the lost seconds go on
     Given a site with 8 engines and 2 ready gateways, with a copy of the store from before the first replica
     When the store is away for 500 ms and comes back from the copy
-    Then for 3000 ms the same 4 groups are open
+    Then for 5000 ms the same 4 groups are open
     And the store has them in its plans again
 
   Scenario: Gateways are known to the store again
@@ -49,3 +48,16 @@
   Scenario: A revision is given out again for another state of an object
     Given a client of the store that has read an object, and another that overtakes it after the return
     Then the write of the first on condition of what it has read changes nothing
+
+  Scenario Outline: What the store says of its copies: <header>
+    Then the header "<header>" means the era <era>
+
+    Examples:
+      | header | era |
+      |        | 0   |
+      | 7      | 7   |
+      | -1     | 0   |
+      | seven  | 0   |
+      | 1.5    | 0   |
+      | 3, 4   | 0   |
+      | 99999999999999999999 | 0 |
--- a/features/gateway/store-copy.steps.ts
+++ b/features/gateway/store-copy.steps.ts
@@ -15,6 +15,8 @@
 
 interface CopyWorld extends GatewayWorld {
   added: EngineStandIn;
+  /** Doesn't write its entry again by itself. */
+  silent?: EngineStandIn;
   store: StoreStandIn;
   client: ObjectStore;
   readRevision: number;
@@ -25,6 +27,7 @@
 const DOMAIN_SIZE = 4;
 const PLAN_KIND = 'group-plans';
 const GATEWAY_KIND = 'gateways';
+const REWRITE_WITHIN_MS = 1_500;
 const STORE_TIMEOUT_MS = 1_000;
 
 After(async function (this: Partial<CopyWorld>) {
@@ -78,14 +81,16 @@
   'the store keeps a copy, and the first server says that it leaves',
   async function (this: CopyWorld) {
     this.site.store.keepCopy();
-    firstServer(this).drain();
+    this.silent = firstServer(this);
+    this.silent.drain();
     await whenLogged(this, 'serverChanged');
   },
 );
 
 Given('the store keeps a copy, and the first server goes', async function (this: CopyWorld) {
   this.site.store.keepCopy();
-  this.site.store.remove('servers', firstServer(this).options.id);
+  this.silent = firstServer(this);
+  this.site.store.remove('servers', this.silent.options.id);
   await whenLogged(this, 'serverGone');
 });
 
@@ -137,9 +142,18 @@
     await sleep(ms);
     store.returnFromCopy();
     store.fault = 'none';
+    void writeAgain(this);
   },
 );
 
+/** Each server that the scenario doesn't keep silent writes its entry, one after the other. */
+async function writeAgain({ site, silent }: CopyWorld): Promise<void> {
+  for (const server of site.servers) {
+    await sleep(REWRITE_WITHIN_MS / site.servers.length);
+    if (server !== silent) server.report();
+  }
+}
+
 When('a server is added', async function (this: CopyWorld) {
   this.added = await this.site.addServer({ id: 'plain-new', service: 'app', gapMs: 5 });
 });
@@ -245,6 +259,7 @@
       clock: createSystemClock(),
       onCall: () => undefined,
       onOutcome: () => undefined,
+      onReturnFromCopy: () => undefined,
     });
     this.store.put('kind', 'object', 'first');
     this.store.keepCopy();
@@ -272,3 +287,12 @@
     .flatMap(({ membership }) => membership?.name ?? [])
     .sort();
 }
+
+Then(
+  'the header {string} means the era {int}',
+  function (this: CopyWorld, header: string, era: number) {
+    const headers = header === '' ? {} : { 'store-era': header };
+    assert.equal(platform.store.decodeEra(headers), era);
+    assert.equal(platform.store.decodeEra({ 'store-era': [header, header] }), 0);
+  },
+);
--- a/src/controllers/groups/revise.ts
+++ b/src/controllers/groups/revise.ts
@@ -10,6 +10,7 @@
  * by each engine that has seen a newer one.
  */
 import type { BackendServer, GroupModel } from '../../ports/index.js';
+import { adoptFormed } from './adopt.js';
 import type { GroupTarget } from './targets.js';
 import { toMember, type GroupPlan, type PlannedGroup } from './types.js';
 import {
@@ -24,7 +25,8 @@
 } from './view.js';
 
 /** The plan that should be stored next; `plan` itself when nothing has to change. */
-export function revisePlan(plan: GroupPlan, view: DomainView): GroupPlan {
+export function revisePlan(stored: GroupPlan, view: DomainView): GroupPlan {
+  const plan = adoptFormed(stored, view);
   const kept = plan.groups
     .filter((group) => !isGone(group, view))
     .map((group) => ({ ...group, closing: judgeClosing(group, view) }));
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -225,6 +225,11 @@
     level: 'warn',
     message: 'Items of a list or watch had no name that can be read and were left out.',
   },
+  storeReturnedFromCopy: {
+    number: 2117,
+    level: 'warn',
+    message: 'The store has come back from an older copy; what is known of it is read anew.',
+  },
   peerCallFailed: { number: 2200, level: 'warn', message: 'A call to another gateway failed.' },
   caughtUpFromPeer: {
     number: 2201,
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -36,6 +36,7 @@
 import { createContactKeeper } from './store/contact.js';
 import { reportDropped } from './store/dropped-items.js';
 import { createFleetPart } from './store/fleet-part.js';
+import { eraOf, revisionOf } from './store/place.js';
 import type {
   GatewayBoardWriters,
   GatewayContext,
@@ -88,6 +89,13 @@
     onOutcome: (outcome) => {
       contact.record(outcome);
     },
+    onReturnFromCopy: (era, before) => {
+      const revision = revisionOf(board.fleet.read().revision);
+      logger.log('storeReturnedFromCopy', { era, before, revision });
+      metrics.storeReturns.inc();
+      contact.recordReturn();
+      peers.announceAgain();
+    },
   });
   const configuration = createConfigurationPart({
     context,
@@ -106,6 +114,11 @@
     configuration.follower.doubtCallsBefore(at);
     fleet.follower.doubtCallsBefore(at);
   });
+  // A peer's copy may tell of it first.
+  board.fleet.subscribe(() => {
+    const { revision } = board.fleet.read();
+    if (revision > 0) store.learnEra(eraOf(revision));
+  });
   const pool = createConnectionPool({
     clock,
     onOpen: () => {
@@ -137,7 +150,7 @@
     load: board.peerLoad,
   });
   const contactCheck = createContactCheck({ context, store, contact, kind: GATEWAY_KIND });
-  const groups = createGroupsPart({ context, store, calls, backends });
+  const groups = createGroupsPart({ context, store, calls, backends, contact });
   watchdog.onPause(() => {
     groups.releaseAll();
   });
--- a/src/gateway/groups/domain-keeper.ts
+++ b/src/gateway/groups/domain-keeper.ts
@@ -17,6 +17,7 @@
 import type { EngineCalls } from '../backends/short-call.js';
 import type { Backends } from '../requests/backends.js';
 import type { ObjectStore } from '../store/client.js';
+import { eraOf, revisionOf } from '../store/place.js';
 import type { GatewayContext } from '../types.js';
 import { createLossFinder } from './losses.js';
 
@@ -97,6 +98,11 @@
     if (parsed.success) stored = { plan: parsed.data, revision: read.value.revision };
     else logger.log('planUnreadable', { domain: state.domain, reason: parsed.error.message });
   };
+  /** The plan stands in a history that the store has left: it is read anew. */
+  const dropFormer = (): void => {
+    const revision = stored?.revision;
+    if (revision !== undefined && eraOf(revision) < store.era()) stored = undefined;
+  };
   const writePlan = async (state: DomainState, plan: GroupPlan): Promise<void> => {
     const written = await store.write(PLAN_KIND, planName(state), plan, stored?.revision);
     if (written.isOk() && written.value.kind === 'written') {
@@ -113,7 +119,7 @@
   const logPlan = (state: DomainState, plan: GroupPlan): void => {
     logger.log('groupPlanWritten', {
       domain: state.domain,
-      revision: stored?.revision,
+      revision: stored?.revision && revisionOf(stored.revision),
       groups: plan.groups
         .map(({ name, model, closing, members }) => `${name}:${model}:${closing}:${members.length}`)
         .join(' '),
@@ -199,6 +205,7 @@
     return true;
   };
   const runRound = async (state: DomainState): Promise<void> => {
+    dropFormer();
     if (stored === undefined) {
       if (clock.now() < storePausedUntil) return;
       await readPlan(state);
--- a/src/gateway/groups/groups-part.ts
+++ b/src/gateway/groups/groups-part.ts
@@ -17,6 +17,7 @@
 import type { EngineCalls } from '../backends/short-call.js';
 import type { Backends } from '../requests/backends.js';
 import type { ObjectStore } from '../store/client.js';
+import type { ContactKeeper } from '../store/contact.js';
 import type { GatewayContext, GatewayPart } from '../types.js';
 import { createDomainKeeper, type DomainKeeper, type DomainState } from './domain-keeper.js';
 
@@ -25,6 +26,7 @@
   store: ObjectStore;
   calls: EngineCalls;
   backends: Backends;
+  contact: Pick<ContactKeeper, 'isSettling'>;
 }
 
 const ROUND_EVERY_MS: Milliseconds = 100;
@@ -82,6 +84,8 @@
       releaseAll();
       return;
     }
+    // Engines that serve look free until their entries are written again.
+    if (options.contact.isSettling()) return;
     // Others must have had the time to be heard before a domain without an owner is taken.
     if (clock.now() - startedAt < PEERS_HEARD_MS) return;
     const ownerOf = findOwners();
--- a/src/gateway/operations/metrics.ts
+++ b/src/gateway/operations/metrics.ts
@@ -10,6 +10,7 @@
   requests: Counter<'route' | 'outcome'>;
   attempts: Counter<'outcome'>;
   storeCalls: Counter;
+  storeReturns: Counter;
   orders: Counter<'kind' | 'outcome'>;
   probes: Counter;
   connections: Counter;
@@ -42,6 +43,11 @@
       help: 'Calls to the object store.',
       registers,
     }),
+    storeReturns: new Counter({
+      name: 'yuccasail_gateway_store_returns_total',
+      help: 'Returns of the object store from an older copy.',
+      registers,
+    }),
     orders: new Counter({
       name: 'yuccasail_gateway_orders_total',
       help: 'Orders to engines, by kind and outcome.',
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -31,6 +31,8 @@
   listen(): ResultAsync<string, Failure<'unreachable'>>;
   /** Tells those who exchange digests with it at once that this gateway stops. */
   announceStop(): Promise<void>;
+  /** The store may have lost this gateway's entry. */
+  announceAgain(): void;
 }
 
 interface PeersPartOptions {
@@ -243,6 +245,9 @@
         for (const peer of table.listPartners()) void exchange(peer);
       });
     },
+    announceAgain: () => {
+      entry.writeAgain();
+    },
     announceStop: async () => {
       isStopping = true;
       entry.stop();
--- a/src/gateway/peers/roster-entry.ts
+++ b/src/gateway/peers/roster-entry.ts
@@ -5,23 +5,27 @@
  * would start without a memory, and a request that ended servers before would end as many once more.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
+import type { ResultAsync } from 'neverthrow';
 import * as z from 'zod';
 import { knownPeerSchema, type KnownPeer } from '../../controllers/peering/index.js';
 import type { ToldQuarantine } from '../../controllers/quarantine/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { Quarantine } from '../requests/quarantine.js';
-import type { ObjectStore } from '../store/client.js';
+import type { WriteAnswer } from '../../ports/index.js';
+import type { ObjectStore, StoreFailure } from '../store/client.js';
 import type { GatewayContext } from '../types.js';
 
 /** Keeps the entry as long as the gateway runs. */
 export interface RosterEntry {
   /** Writes the entry and reads those of the others; again until both have succeeded. */
   announce(): Promise<void>;
+  /** The entry is to change, or may be lost. */
+  writeAgain(): void;
   stop(): void;
 }
 
 interface RosterEntryOptions {
-  context: Pick<GatewayContext, 'logger' | 'incarnation'>;
+  context: Pick<GatewayContext, 'logger' | 'incarnation' | 'random'>;
   store: ObjectStore;
   self: KnownPeer;
   quarantine: Quarantine;
@@ -53,22 +57,22 @@
     const kept = keptSchema.safeParse(value);
     if (kept.success) quarantine.restore(fromKept(kept.data.quarantined));
   };
+  const tryWrite = (condition: number | undefined): ResultAsync<WriteAnswer, StoreFailure> => {
+    const quarantined = toKept(quarantine.list());
+    const entry = { ...self, incarnation: context.incarnation, quarantined };
+    return store.write(GATEWAY_KIND, self.name, entry, condition);
+  };
   /** Whether the store has the entry as it should be. */
   const write = async (): Promise<boolean> => {
-    const encode = (): unknown => ({
-      ...self,
-      incarnation: context.incarnation,
-      quarantined: toKept(quarantine.list()),
-    });
-    const first = await store.write(GATEWAY_KIND, self.name, encode(), revision);
-    const conflict = first.isOk() && first.value.kind === 'conflict' && first.value.object;
-    if (conflict) restore(conflict.value);
-    const written = conflict
-      ? await store.write(GATEWAY_KIND, self.name, encode(), conflict.revision)
-      : first;
-    const isWritten = written.isOk() && written.value.kind === 'written';
-    revision = isWritten ? written.value.object.revision : undefined;
-    return isWritten;
+    let answer = await tryWrite(revision);
+    if (answer.isOk() && answer.value.kind !== 'written') {
+      const known = answer.value.kind === 'conflict' ? answer.value.object : undefined;
+      if (known) restore(known.value);
+      answer = await tryWrite(known?.revision);
+    }
+    const written = answer.isOk() && answer.value.kind === 'written' ? answer.value : undefined;
+    revision = written?.object.revision;
+    return written !== undefined;
   };
   const list = async (): Promise<boolean> => {
     const listed = await store.list(GATEWAY_KIND);
@@ -88,8 +92,7 @@
     const isListed = await list();
     return isWritten && isListed;
   };
-  const writeAgain = async (): Promise<void> => {
-    asked += 1;
+  const keepWriting = async (): Promise<void> => {
     if (isWriting) return;
     isWriting = true;
     while (!isStopping && done < asked) {
@@ -99,8 +102,13 @@
     }
     isWriting = false;
   };
-  quarantine.onQuarantine(() => void writeAgain());
+  const writeAgain = (): void => {
+    asked += 1;
+    void keepWriting();
+  };
+  quarantine.onQuarantine(writeAgain);
   return {
+    writeAgain,
     /**
      * Guards against a gateway that starts while the store is away and has no living seed: it would
      * serve when the store is back, and never hear of the others.
--- a/src/gateway/store/client.ts
+++ b/src/gateway/store/client.ts
@@ -1,11 +1,12 @@
 /**
  * The object store over HTTP, in the dialect of the platform.
  */
-import { err, ok, ResultAsync, type Result } from 'neverthrow';
+import { err, ok, okAsync, ResultAsync, type Result } from 'neverthrow';
 import { Pool } from 'undici';
 import type { Clock, Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import { callWithin } from '../../core/timeout/index.js';
+import { eraOf, placeChanges, placeObject, placePage, placeWrite, revisionOf } from './place.js';
 import type {
   StoreCall,
   StoreChanges,
@@ -47,6 +48,10 @@
    * For connections that may bring nothing any more, which only the silence of one of them shows.
    */
   renew(): void;
+  /** How often the store has come back from an older copy, as far as is known. */
+  era(): number;
+  /** News of the new history have come another way than by a call. */
+  learnEra(era: number): void;
   close(): Promise<void>;
 }
 
@@ -60,6 +65,8 @@
   onCall(): void;
   /** Called with what each call showed of the store, unless its caller ended it. */
   onOutcome(outcome: CallOutcome): void;
+  /** Called when the store has come back from an older copy. */
+  onReturnFromCopy(era: number, before: number): void;
 }
 
 /** What one call showed: the store answered it, or not. */
@@ -72,6 +79,7 @@
 interface StoreAnswer {
   status: number;
   body: string;
+  era: number;
 }
 
 const CONNECTIONS = 8;
@@ -104,6 +112,17 @@
     // Resolves when the calls under way on it have ended.
     void old.close().finally(() => retired.delete(old));
   };
+  /** Undefined until the store has answered. */
+  let currentEra: number | undefined;
+  const era = (): number => currentEra ?? 0;
+  const learnEra = (next: number): void => {
+    const before = currentEra;
+    if (before !== undefined && next <= before) return;
+    currentEra = next;
+    if (before !== undefined) options.onReturnFromCopy(next, before);
+  };
+  /** A place in a history that the store has left. */
+  const isFormer = (place: number): boolean => place > 0 && eraOf(place) < era();
   /** Guards the calls to come: the connections that this one shared may bring nothing either. */
   const doubt = (used: Pool): void => {
     if (used === pool) renew();
@@ -120,29 +139,37 @@
     const request = callWithin(
       waitMs,
       async (ended) => {
-        const { statusCode, body } = await used.request({
+        const { statusCode, headers, body } = await used.request({
           method: call.method,
           path: call.path,
           headers: call.body === undefined ? {} : { 'content-type': 'application/json' },
           body: call.body ?? null,
           signal: ended,
         });
-        return { status: statusCode, body: await body.text() };
+        return {
+          status: statusCode,
+          body: await body.text(),
+          era: dialect.decodeEra(headers),
+        };
       },
       signal,
     );
     return ResultAsync.fromPromise(request, (error) =>
       createFailure('platformUnavailable', { reason: describeError(error) }),
     )
-      .map((answer) => {
-        options.onOutcome({ kind, sentAt, failure: findRefusal(answer) });
-        return answer;
-      })
       .mapErr((failure) => {
         if (signal?.aborted) return failure;
         doubt(used);
         options.onOutcome({ kind, sentAt, failure });
         return failure;
+      })
+      .andThen((answer) => {
+        const refusal = findRefusal(answer);
+        learnEra(answer.era);
+        // From before the return, and late: it tells nothing of the store as it is now.
+        if (!refusal && answer.era < era()) return err(outdated());
+        options.onOutcome({ kind, sentAt, failure: refusal });
+        return ok(answer);
       });
   };
   const listAfter = (
@@ -156,36 +183,47 @@
     renew,
     list: (kind, signal) => new ResultAsync(listAfter(kind, [], signal)),
     read: (kind, name) =>
-      send(dialect.read(kind, name), timeoutMs).andThen(({ status, body }) => {
+      send(dialect.read(kind, name), timeoutMs).andThen((answer) => {
+        const { status, body } = answer;
         if (status === 404) return ok(undefined);
         const object = status === 200 ? dialect.decodeObject(body) : undefined;
-        return object ? ok(object) : err(unreadable(status));
+        return object ? ok(placeObject(object, answer.era)) : err(unreadable(status));
       }),
-    watch: (kind, since, waitMs, signal) =>
-      send(
-        dialect.watch(kind, since, waitMs),
+    watch: (kind, since, waitMs, signal) => {
+      if (isFormer(since)) return okAsync({ kind: 'historyGone' });
+      return send(
+        dialect.watch(kind, revisionOf(since), waitMs),
         Math.max(timeoutMs, waitMs + WATCH_LATE_MS),
         signal,
-      ).andThen(({ status, body }): Result<WatchAnswer, StoreFailure> => {
-        if (dialect.isHistoryGone(status)) return ok({ kind: 'historyGone' });
+      ).andThen((answer): Result<WatchAnswer, StoreFailure> => {
+        const { status, body } = answer;
+        if (dialect.isHistoryGone(status) || isFormer(since)) return ok({ kind: 'historyGone' });
         const changes = status === 200 ? dialect.decodeChanges(body) : undefined;
-        return changes ? ok({ kind: 'changes', changes }) : err(unreadable(status));
-      }),
+        return changes
+          ? ok({ kind: 'changes', changes: placeChanges(changes, answer.era) })
+          : err(unreadable(status));
+      });
+    },
     check: (kind, name) => send(dialect.check(kind, name), timeoutMs).map(() => undefined),
     write: (kind, name, value, revision) => {
+      // The same number may now stand for another state of the object.
+      if (revision !== undefined && isFormer(revision)) return okAsync({ kind: 'conflict' });
       const call =
         revision === undefined
           ? dialect.create(kind, name, value)
-          : dialect.replace(kind, name, value, revision);
+          : dialect.replace(kind, name, value, revisionOf(revision));
       return send(call, timeoutMs)
         .mapErr(({ message }): StoreFailure =>
           createFailure('platformOutcomeUnknown', { reason: message }),
         )
-        .andThen(({ status, body }) => {
+        .andThen(({ status, body, era: answered }): Result<WriteAnswer, StoreFailure> => {
+          if (revision !== undefined && isFormer(revision)) return err(outdatedWrite());
           const answer = dialect.decodeWrite(status, body);
-          return answer ? ok(answer) : err(refusedWrite(status));
+          return answer ? ok(placeWrite(answer, answered)) : err(refusedWrite(status));
         });
     },
+    era,
+    learnEra,
     close: async () => {
       await Promise.all([pool, ...retired].map((each) => each.destroy()));
     },
@@ -222,10 +260,12 @@
     const after = pages.at(-1)?.objects.at(-1)?.name;
     const answer = await send(dialect.list(kind, after));
     if (answer.isErr()) return err(answer.error);
-    const { status, body } = answer.value;
+    const { status, body, era } = answer.value;
     const page = status === 200 ? dialect.decodePage(body) : undefined;
     if (page === undefined) return err(unreadable(status));
-    pages.push(page);
+    const [first] = pages;
+    if (first && eraOf(first.revision) !== era) return err(outdated());
+    pages.push(placePage(page, era));
     if (!page.more || page.objects.length === 0) break;
   }
   // Changes between two pages are brought again by a watch from the first page's revision.
@@ -237,6 +277,16 @@
   return createFailure('platformUnavailable', { reason: `status ${status}` });
 }
 
+function outdated(): StoreFailure {
+  const reason = 'the store has come back from a copy meanwhile';
+  return createFailure('platformUnavailable', { reason });
+}
+
+/** It may have taken effect on the state that has the revision now. */
+function outdatedWrite(): StoreFailure {
+  return createFailure('platformOutcomeUnknown', { reason: outdated().message });
+}
+
 /** These statuses say that nothing was done; of any other the outcome is not known. */
 function refusedWrite(status: number): StoreFailure {
   const isRefusal = status === STATUS_BUSY || status === STATUS_TOO_MANY || status === 400;
--- a/src/gateway/store/contact.ts
+++ b/src/gateway/store/contact.ts
@@ -7,13 +7,17 @@
 import type { CallOutcome } from './client.js';
 
 /** Entries that lapsed in an outage are back within two seconds of its end; a little is added. */
-const RETURN_MS: Milliseconds = 2_200;
+export const RETURN_MS: Milliseconds = 2_200;
 
 /** Keeps the section `storeContact`. */
 export interface ContactKeeper {
   record(outcome: CallOutcome): void;
   /** When the last call was sent that the store answered. */
   answeredAt(): Milliseconds;
+  /** The store has come back from a copy: entries that were written since are on their way again. */
+  recordReturn(): void;
+  /** Entries that were lost so may not all be back; what they say is older than what is known. */
+  isSettling(): boolean;
   /** From when on an entry that vanishes now counts as gone: now, or later after an outage. */
   absentFrom(now: Milliseconds): Milliseconds;
   /**
@@ -36,6 +40,8 @@
 ): ContactKeeper {
   const listeners: ((at: Milliseconds) => void)[] = [];
   let returnedAt = Number.NEGATIVE_INFINITY;
+  /** When the store last came back from a copy. */
+  let copiedAt = Number.NEGATIVE_INFINITY;
   let answeredAt = Number.NEGATIVE_INFINITY;
   let everReached = false;
 
@@ -61,6 +67,12 @@
       else logger.log('storeLost', { reason: failure.message });
       for (const listener of listeners) listener(isReachable ? sentAt : now);
     },
+    isSettling: () => clock.now() - copiedAt < RETURN_MS,
+    recordReturn: () => {
+      returnedAt = clock.now();
+      copiedAt = returnedAt;
+      for (const listener of listeners) listener(returnedAt);
+    },
     absentFrom: (now) => {
       const { reachable } = section.read();
       if (!reachable) return now + RETURN_MS;
--- a/src/gateway/store/fleet-part.ts
+++ b/src/gateway/store/fleet-part.ts
@@ -13,12 +13,14 @@
   type FleetChange,
   type ServingFleet,
 } from '../../controllers/forwarding/index.js';
+import { lifeKey } from '../../controllers/groups/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { BackendServer, StoreChange, StoreObject } from '../../ports/index.js';
 import type { GatewayContext, GatewayPart } from '../types.js';
 import type { ObjectStore } from './client.js';
-import type { ContactKeeper } from './contact.js';
+import { RETURN_MS, type ContactKeeper } from './contact.js';
 import { createFollowerSwitch, type FollowerSwitch } from './follower-switch.js';
+import { eraOf, revisionOf } from './place.js';
 
 /** Changes of backend servers, as the gateway that follows them passes them on. */
 export interface FleetNews {
@@ -66,25 +68,75 @@
  */
 const PAUSE_MS: Milliseconds = 150;
 const EXPIRY_EVERY_MS: Milliseconds = 200;
+/** Longer than the store's copies are old. */
+const REMEMBER_GONE_MS: Milliseconds = 60_000;
 
 export function createFleetPart(options: FleetPartOptions): FleetPart {
   const { context, store, contact, section, proof } = options;
   const { platform, logger, clock } = context;
   const listeners: ((news: FleetNews) => void)[] = [];
+  /** Lives of servers that are there no more, with the time at which they went. */
+  const gone = new Map<string, Milliseconds>();
   let expiry: NodeJS.Timeout | undefined;
+  let relist: NodeJS.Timeout | undefined;
+  /** When it was first known that the store had come back from a copy. */
+  let returnedAt = Number.NEGATIVE_INFINITY;
 
   const replace = (next: ServingFleet): void => {
     const before = section.read();
     if (next === before) return;
+    noteGone(before, next);
     logChanges(context, before, next);
     section.write(next);
   };
+  const noteGone = (before: ServingFleet, next: ServingFleet): void => {
+    const now = clock.now();
+    for (const id of next.changed) {
+      const server = before.servers.get(id);
+      if (server && !next.servers.has(id)) gone.set(lifeKey(server), now);
+    }
+    for (const [life, at] of gone) if (now - at > REMEMBER_GONE_MS) gone.delete(life);
+  };
+  /** A life of a server whose word to leave, or end, was lost with the rest stays out of service. */
+  const keepLeaving = (server: BackendServer): BackendServer => {
+    const known = section.read().servers.get(server.id);
+    const isSame = known !== undefined && lifeKey(known) === lifeKey(server);
+    const hasLeft = gone.has(lifeKey(server)) || (isSame && known.leaving);
+    return hasLeft ? { ...server, leaving: true } : server;
+  };
+  /**
+   * What counts of a list after a return from a copy. At first, of a life that is known, what is known,
+   * which is later than the copy; changes are what the servers write again. One more list, when all have
+   * had the time, brings those that had written before the first.
+   */
+  const judgeListed = (server: BackendServer): BackendServer => {
+    const returnedForMs = clock.now() - returnedAt;
+    if (returnedForMs >= 2 * RETURN_MS) return server;
+    const known = section.read().servers.get(server.id);
+    const isKnown = known !== undefined && lifeKey(known) === lifeKey(server);
+    return isKnown && returnedForMs < RETURN_MS ? known : keepLeaving(server);
+  };
+  /** Whether `revision` is of a later history than what is known; from then on the copy is doubted. */
+  const noteReturn = (revision: number): boolean => {
+    const known = section.read().revision;
+    if (known === 0 || eraOf(revision) <= eraOf(known)) return false;
+    returnedAt = clock.now();
+    clearTimeout(relist);
+    relist = setTimeout(() => {
+      follower.listAnew();
+    }, RETURN_MS);
+    return true;
+  };
   const decode = ({ name, value, revision }: StoreObject): BackendServer | undefined => {
     const known = section.read().servers.get(name);
     const read = platform.decodeServer(name, value);
     const server = readEntry(known, read);
     if (read === undefined || server !== read) {
-      logger.log('serverEntryRejected', { server: name, revision, known: known !== undefined });
+      logger.log('serverEntryRejected', {
+        server: name,
+        revision: revisionOf(revision),
+        known: known !== undefined,
+      });
     }
     return server;
   };
@@ -102,10 +154,14 @@
     replace(applyFleetChanges(section.read(), changes, revision, now, from));
   };
   /** What the store itself says. */
-  const takeFromStore = (revision: number, changes: readonly FleetChange[]): void => {
+  const takeFromStore = (
+    since: number,
+    revision: number,
+    changes: readonly FleetChange[],
+  ): void => {
     const now = clock.now();
     const absentInMs = contact.absentFrom(now) - now;
-    const news = { since: section.read().revision, revision, absentInMs, changes };
+    const news = { since, revision, absentInMs, changes };
     apply(news);
     for (const listener of listeners) listener(news);
   };
@@ -119,16 +175,20 @@
     onList: ({ objects, revision }) => {
       if (revision < section.read().revision) return;
       const known = section.read();
-      const servers = objects.map(decode).filter((server) => server !== undefined);
+      const read = objects.map(decode).filter((server) => server !== undefined);
+      const isRewound = noteReturn(revision);
+      const servers = read.map(judgeListed);
       // No object shows that another one has gone: only the list's own revision is later than that.
       const isOneGone = hasLeft(known, objects);
       const newest = Math.max(known.revision, isOneGone ? revision : findNewest(objects));
-      takeFromStore(newest, listChanges(known, servers));
+      // The others may know more of the former history than this gateway: each takes a whole copy.
+      const since = isRewound ? newest : known.revision;
+      takeFromStore(since, newest, listChanges(known, servers));
     },
     onChanges: ({ changes }) => {
       const newest = findNewest(changes.map(({ object }) => object));
-      const revision = Math.max(section.read().revision, newest);
-      takeFromStore(revision, changes.flatMap(decodeChange));
+      const { revision } = section.read();
+      takeFromStore(revision, Math.max(revision, newest), changes.flatMap(decodeChange));
     },
   });
   return {
@@ -156,6 +216,7 @@
     takeCopy: ({ revision, servers, vanished }) => {
       const before = section.read();
       if (revision <= before.revision) return;
+      noteReturn(revision);
       const now = clock.now();
       const listed = listChanges(before, servers);
       let next = applyFleetChanges(before, listed, revision, now, absentFrom(now, 0));
@@ -173,6 +234,7 @@
     },
     stop: async () => {
       clearInterval(expiry);
+      clearTimeout(relist);
       await follower.stop();
     },
   };
@@ -194,7 +256,7 @@
 
 /** One line for each backend server that is thought to be something else than before. */
 function logChanges({ logger }: GatewayContext, before: ServingFleet, next: ServingFleet): void {
-  const { revision } = next;
+  const revision = revisionOf(next.revision);
   for (const id of next.changed) {
     const server = next.servers.get(id);
     if (server === undefined) {
--- a/src/gateway/store/follow.ts
+++ b/src/gateway/store/follow.ts
@@ -41,6 +41,8 @@
   start(): void;
   /** Asks for what is there now, unless the call under way was sent at `at` or later. */
   doubtCallsBefore(at: Milliseconds): void;
+  /** Lists once more, whatever has been heard since the last list. */
+  listAnew(): void;
   stop(): Promise<void>;
 }
 
@@ -62,6 +64,7 @@
   let call = new AbortController();
   let sentAt: Milliseconds = Number.NEGATIVE_INFINITY;
   let running: Promise<void> | undefined;
+  let mustList = false;
   const isStopped = (): boolean => stop.signal.aborted;
   const isDoubted = (): boolean => call.signal.aborted;
   const { clock, random } = options;
@@ -74,6 +77,8 @@
     let position: Position = { revision: undefined, isInTouch: false };
     while (!isStopped()) {
       call = new AbortController();
+      if (mustList) position = { revision: undefined, isInTouch: false };
+      mustList = false;
       const signal = AbortSignal.any([stop.signal, call.signal]);
       const startedAt = clock.now();
       const next = await step({ options, position, signal, onSent }).catch(recover);
@@ -109,6 +114,10 @@
     doubtCallsBefore: (at) => {
       if (sentAt < at) call.abort();
     },
+    listAnew: () => {
+      mustList = true;
+      call.abort();
+    },
     stop: async () => {
       stop.abort();
       await running;
--- a/src/gateway/store/follower-switch.ts
+++ b/src/gateway/store/follower-switch.ts
@@ -21,6 +21,7 @@
   isOn(): boolean;
   turn(mode: FollowMode): void;
   doubtCallsBefore(at: Milliseconds): void;
+  listAnew(): void;
   stop(): Promise<void>;
 }
 
@@ -96,6 +97,9 @@
     doubtCallsBefore: (at) => {
       follower?.doubtCallsBefore(at);
     },
+    listAnew: () => {
+      follower?.listAnew();
+    },
     stop: async () => {
       end();
       await ending;
--- a/src/ports/object-store.ts
+++ b/src/ports/object-store.ts
@@ -11,7 +11,10 @@
   body?: string;
 }
 
-/** One object. `value` is yet to be checked by who reads it. */
+/**
+ * One object. `value` is yet to be checked by who reads it. Revisions order the states of one history of
+ * the store; the client turns them into places that order those of all.
+ */
 export interface StoreObject {
   name: string;
   revision: number;
@@ -69,6 +72,8 @@
   decodeChanges(body: string): (StoreChanges & DroppedItems) | undefined;
   /** Undefined when the status says neither that it was written nor that it never will be. */
   decodeWrite(status: number, body: string): WriteAnswer | undefined;
+  /** How often the store has come back from an older copy; 0 where an answer doesn't say. */
+  decodeEra(headers: Readonly<Record<string, string | string[] | undefined>>): number;
   /** The watch asked for changes that the store no longer has. */
   isHistoryGone(status: number): boolean;
 }
