--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -52,6 +52,9 @@
  */
 const PEERS_HEARD_MS: Milliseconds = 1_500;
 
+/** All gateways hear of a return of the store at once; it takes some hundred writes a second. */
+const ANNOUNCE_WITHIN_MS: Milliseconds = 1_000;
+
 export function createPeersPart(options: PeersPartOptions): PeersPart {
   const { context, section, backends, quarantine, configuration, fleet, store } = options;
   const { settings, clock, logger, board, incarnation } = context;
@@ -246,7 +249,7 @@
       });
     },
     announceAgain: () => {
-      entry.writeAgain();
+      setTimeout(entry.writeAgain, context.random.fraction() * ANNOUNCE_WITHIN_MS).unref();
     },
     announceStop: async () => {
       isStopping = true;
--- a/src/gateway/store/contact.ts
+++ b/src/gateway/store/contact.ts
@@ -40,8 +40,7 @@
 ): ContactKeeper {
   const listeners: ((at: Milliseconds) => void)[] = [];
   let returnedAt = Number.NEGATIVE_INFINITY;
-  /** When the store last came back from a copy. */
-  let copiedAt = Number.NEGATIVE_INFINITY;
+  let returnedFromCopyAt = Number.NEGATIVE_INFINITY;
   let answeredAt = Number.NEGATIVE_INFINITY;
   let everReached = false;
 
@@ -67,10 +66,10 @@
       else logger.log('storeLost', { reason: failure.message });
       for (const listener of listeners) listener(isReachable ? sentAt : now);
     },
-    isSettling: () => clock.now() - copiedAt < RETURN_MS,
+    isSettling: () => clock.now() - returnedFromCopyAt < RETURN_MS,
     recordReturn: () => {
       returnedAt = clock.now();
-      copiedAt = returnedAt;
+      returnedFromCopyAt = returnedAt;
       for (const listener of listeners) listener(returnedAt);
     },
     absentFrom: (now) => {
--- a/src/gateway/store/fleet-part.ts
+++ b/src/gateway/store/fleet-part.ts
@@ -80,7 +80,7 @@
   let expiry: NodeJS.Timeout | undefined;
   let relist: NodeJS.Timeout | undefined;
   /** When it was first known that the store had come back from a copy. */
-  let returnedAt = Number.NEGATIVE_INFINITY;
+  let returnedFromCopyAt = Number.NEGATIVE_INFINITY;
 
   const replace = (next: ServingFleet): void => {
     const before = section.read();
@@ -110,7 +110,7 @@
    * had the time, brings those that had written before the first.
    */
   const judgeListed = (server: BackendServer): BackendServer => {
-    const returnedForMs = clock.now() - returnedAt;
+    const returnedForMs = clock.now() - returnedFromCopyAt;
     if (returnedForMs >= 2 * RETURN_MS) return server;
     const known = section.read().servers.get(server.id);
     const isKnown = known !== undefined && lifeKey(known) === lifeKey(server);
@@ -120,7 +120,7 @@
   const noteReturn = (revision: number): boolean => {
     const known = section.read().revision;
     if (known === 0 || eraOf(revision) <= eraOf(known)) return false;
-    returnedAt = clock.now();
+    returnedFromCopyAt = clock.now();
     clearTimeout(relist);
     relist = setTimeout(() => {
       follower.listAnew();
