--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -249,7 +249,10 @@
       });
     },
     announceAgain: () => {
-      setTimeout(entry.writeAgain, context.random.fraction() * ANNOUNCE_WITHIN_MS).unref();
+      const afterMs = context.random.fraction() * ANNOUNCE_WITHIN_MS;
+      setTimeout(() => {
+        entry.writeAgain();
+      }, afterMs).unref();
     },
     announceStop: async () => {
       isStopping = true;
