--- a/features/gateway/quarantine-decisions.steps.ts
+++ b/features/gateway/quarantine-decisions.steps.ts
@@ -17,7 +17,7 @@
 /** Longer than all reports of one end take. */
 const APART_MS = 5_000;
 
-Before(function (this: DecisionWorld) {
+Before({ tags: '@quarantine-table' }, function (this: DecisionWorld) {
   this.table = new QuarantineTable();
   this.now = 0;
   this.fingerprints = new Set();
--- a/features/gateway/quarantine.feature
+++ b/features/gateway/quarantine.feature
@@ -34,11 +34,13 @@
     Then the last of these sendings reached a server
 
   # Requests that were sent on together with the one that ends servers meet it again at the next.
+  @quarantine-table
   Scenario: Those that were at the same servers are not held responsible
     Given a request "x" that ended the servers "a", "b" and "c"
     When the request "y" is told to have been at the ends of "a", "b" and "c" too
     Then only "x" is in quarantine
 
+  @quarantine-table
   Scenario: The wrong request is found first
     The reports of one gateway come before those of another.
     Given a request "y" that was at the ends of the servers "a", "b" and "c"
@@ -46,6 +48,7 @@
     And a server "d" ends under "x"
     Then "x" is in quarantine
 
+  @quarantine-table
   Scenario: An answer clears a request, also at other gateways
     Given a request "x" that ended the servers "a" and "b"
     When it is answered, and a server "c" ends under it
@@ -55,12 +58,14 @@
     When another gateway tells that it was answered
     Then nothing is in quarantine, also where a third gateway still tells of it
 
+  @quarantine-table
   Scenario: One end is told by several gateways
     When 5 gateways tell within 900 ms that the server "a" ended under "x"
     Then nothing is in quarantine
     When it ends under "x" again 5000 ms and 10000 ms later
     Then "x" is in quarantine
 
+  @quarantine-table
   Scenario: A quarantine lapses, and one more end is enough for the next
     Given a request "x" that ended the servers "a", "b" and "c"
     When 600001 ms pass for the gateway
@@ -68,6 +73,7 @@
     When the servers "d" end under it
     Then "x" is in quarantine
 
+  @quarantine-table
   Scenario: What is remembered is bounded
     When 20000 requests are each at the end of one server, and "x" at three
     Then at most 5000 of them are remembered, "x" among them
--- a/features/gateway/store-copy.steps.ts
+++ b/features/gateway/store-copy.steps.ts
@@ -15,8 +15,8 @@
 
 interface CopyWorld extends GatewayWorld {
   added: EngineStandIn;
-  /** Doesn't write its entry again by itself. */
-  silent?: EngineStandIn;
+  /** Doesn't write its entry again before it is told to. */
+  unheard?: EngineStandIn;
   store: StoreStandIn;
   client: ObjectStore;
   readRevision: number;
@@ -81,16 +81,16 @@
   'the store keeps a copy, and the first server says that it leaves',
   async function (this: CopyWorld) {
     this.site.store.keepCopy();
-    this.silent = firstServer(this);
-    this.silent.drain();
+    this.unheard = firstServer(this);
+    this.unheard.drain();
     await whenLogged(this, 'serverChanged');
   },
 );
 
 Given('the store keeps a copy, and the first server goes', async function (this: CopyWorld) {
   this.site.store.keepCopy();
-  this.silent = firstServer(this);
-  this.site.store.remove('servers', this.silent.options.id);
+  this.unheard = firstServer(this);
+  this.site.store.remove('servers', this.unheard.options.id);
   await whenLogged(this, 'serverGone');
 });
 
@@ -146,11 +146,11 @@
   },
 );
 
-/** Each server that the scenario doesn't keep silent writes its entry, one after the other. */
-async function writeAgain({ site, silent }: CopyWorld): Promise<void> {
+/** All servers but the one that is to stay unheard write their entries, one after the other. */
+async function writeAgain({ site, unheard }: CopyWorld): Promise<void> {
   for (const server of site.servers) {
     await sleep(REWRITE_WITHIN_MS / site.servers.length);
-    if (server !== silent) server.report();
+    if (server !== unheard) server.report();
   }
 }
 
