Tell of an answer only where something is held against its request

Cause: a record stays after an answer has cleared it, and each further answer of the same content, such as a page that many ask for, was told to all gateways for three seconds.

--- a/features/gateway/quarantine-decisions.steps.ts
+++ b/features/gateway/quarantine-decisions.steps.ts
@@ -76,6 +76,17 @@
   },
 );
 
+Then(
+  '{int} more answers after the next tell the other gateways nothing more',
+  function (this: DecisionWorld, answers: number) {
+    const answer = { kind: 'answered', fingerprint: REQUEST, ageMs: 0 } as const;
+    this.table.record(answer, this.now);
+    const told = this.table.listOwnReports(this.now).length;
+    for (let index = 0; index < answers; index += 1) this.table.record(answer, this.now);
+    assert.equal(this.table.listOwnReports(this.now).length, told);
+  },
+);
+
 When(/^the servers (.*) end under it$/, function (this: DecisionWorld, servers: string) {
   this.now += APART_MS;
   see(this, REQUEST, parseNames(servers));
--- a/features/gateway/quarantine.feature
+++ b/features/gateway/quarantine.feature
@@ -53,7 +53,8 @@
     Given a request "x" that ended the servers "a" and "b"
     When it is answered, and a server "c" ends under it
     Then nothing is in quarantine
-    When the servers "d" and "e" end under it
+    And 100 more answers after the next tell the other gateways nothing more
+    When the servers "d", "e" and "f" end under it
     Then "x" is in quarantine
     When another gateway tells that it was answered
     Then nothing is in quarantine, also where a third gateway still tells of it
--- a/src/controllers/quarantine/quarantine-table.ts
+++ b/src/controllers/quarantine/quarantine-table.ts
@@ -61,8 +61,8 @@
 
   /** Something seen here; true when that quarantines the request. */
   record(report: RequestReport, now: Milliseconds): boolean {
-    const isAboutNobody = report.kind === 'answered' && !this.records.has(report.fingerprint);
-    if (isAboutNobody) return false;
+    // Of a request that nothing is held against, each answer would be told to all.
+    if (report.kind === 'answered' && !this.isHeld(report.fingerprint)) return false;
     const reports = [...this.own, { report, at: now - report.ageMs }];
     this.own = reports.slice(-MOST_REPORTS_TOLD);
     return this.take(report, now);
@@ -109,6 +109,12 @@
     return told.slice(-MOST_QUARANTINED_TOLD);
   }
 
+  /** Whether anything is held against the request. */
+  private isHeld(fingerprint: string): boolean {
+    const record = this.records.get(fingerprint);
+    return record !== undefined && (record.ends.length > 0 || record.quarantine !== undefined);
+  }
+
   private take(report: RequestReport, now: Milliseconds): boolean {
     const at = now - report.ageMs;
     switch (report.kind) {
--- a/src/gateway/requests/fingerprint.ts
+++ b/src/gateway/requests/fingerprint.ts
@@ -4,7 +4,7 @@
 import { createHash } from 'node:crypto';
 import type { AdmittedRequest } from './types.js';
 
-/** Hexadecimal digits of a fingerprint; two requests of a day share one by chance in 1 of 10^10. */
+/** Hexadecimal digits, 64 bits: far too many for two requests to share one by chance. */
 const FINGERPRINT_DIGITS = 16;
 
 type Fingerprinted = Pick<AdmittedRequest, 'incoming' | 'caller' | 'holder' | 'body'>;
