Keep one flag where two counters stood, and one loop where two learnt of quarantines

Read again, behaviour as before: the entry in the store is stale or not, what is learnt and what is seen go one way through the table, quarantines of peers and of the store are taken by one loop. Run: type check, lint, unused, and 11 scenarios of the quarantine and the entry, all passed.

--- a/src/controllers/quarantine/quarantine-table.ts
+++ b/src/controllers/quarantine/quarantine-table.ts
@@ -65,12 +65,19 @@
     if (report.kind === 'answered' && !this.isHeld(report.fingerprint)) return false;
     const reports = [...this.own, { report, at: now - report.ageMs }];
     this.own = reports.slice(-MOST_REPORTS_TOLD);
-    return this.take(report, now);
+    return this.learn(report, now);
   }
 
-  /** Something that another gateway saw or told on; true when that quarantines the request. */
+  /** Something that was seen, here or elsewhere; true when that quarantines the request. */
   learn(report: RequestReport, now: Milliseconds): boolean {
-    return this.take(report, now);
+    const at = now - report.ageMs;
+    switch (report.kind) {
+      case 'answered':
+        this.clear(report.fingerprint, at);
+        return false;
+      case 'serverEnded':
+        return this.takeEnd(report.fingerprint, { server: report.server, at }, now);
+    }
   }
 
   /** Another gateway keeps a request from all servers; true when that is news. */
@@ -115,17 +122,6 @@
     return record !== undefined && (record.ends.length > 0 || record.quarantine !== undefined);
   }
 
-  private take(report: RequestReport, now: Milliseconds): boolean {
-    const at = now - report.ageMs;
-    switch (report.kind) {
-      case 'answered':
-        this.clear(report.fingerprint, at);
-        return false;
-      case 'serverEnded':
-        return this.takeEnd(report.fingerprint, { server: report.server, at }, now);
-    }
-  }
-
   private clear(fingerprint: string, at: Milliseconds): void {
     const record = this.records.get(fingerprint);
     if (record === undefined) return;
--- a/src/gateway/peers/roster-entry.ts
+++ b/src/gateway/peers/roster-entry.ts
@@ -25,7 +25,7 @@
 }
 
 interface RosterEntryOptions {
-  context: Pick<GatewayContext, 'logger' | 'incarnation' | 'random'>;
+  context: Pick<GatewayContext, 'logger' | 'incarnation'>;
   store: ObjectStore;
   self: KnownPeer;
   quarantine: Quarantine;
@@ -48,9 +48,8 @@
   /** Of the entry as this gateway wrote it last. */
   let revision: number | undefined;
   let isStopping = false;
-  /** Writings that were asked for, and the newest of them that is done. */
-  let asked = 0;
-  let done = 0;
+  /** The store's entry is not, or may not be, as it should be. */
+  let isStale = false;
   let isWriting = false;
 
   const restore = (value: unknown): void => {
@@ -95,15 +94,17 @@
   const keepWriting = async (): Promise<void> => {
     if (isWriting) return;
     isWriting = true;
-    while (!isStopping && done < asked) {
-      const target = asked;
-      if (await write()) done = target;
-      else await sleep(AGAIN_MS);
+    while (!isStopping && isStale) {
+      // Whatever changes from here on makes it stale again.
+      isStale = false;
+      if (await write()) continue;
+      isStale = true;
+      await sleep(AGAIN_MS);
     }
     isWriting = false;
   };
   const writeAgain = (): void => {
-    asked += 1;
+    isStale = true;
     void keepWriting();
   };
   quarantine.onQuarantine(writeAgain);
--- a/src/gateway/requests/quarantine.ts
+++ b/src/gateway/requests/quarantine.ts
@@ -97,6 +97,11 @@
   const takeReport = (report: RequestReport, peer: string): void => {
     if (table.learn(report, clock.now())) noteQuarantined(report.fingerprint, peer);
   };
+  const takeQuarantined = (quarantined: readonly ToldQuarantine[], source: string): void => {
+    for (const told of quarantined) {
+      if (table.learnQuarantine(told, clock.now())) noteQuarantined(told.fingerprint, source);
+    }
+  };
   return {
     leftMs: (fingerprint) => table.leftMs(fingerprint, clock.now()),
     recordBroken: (fingerprint, server) => {
@@ -129,16 +134,11 @@
     },
     takeNews: (digest) => {
       for (const report of collectReports(digest)) takeReport(report, digest.name);
-      for (const told of digest.quarantined ?? []) {
-        if (table.learnQuarantine(told, clock.now()))
-          noteQuarantined(told.fingerprint, digest.name);
-      }
+      takeQuarantined(digest.quarantined ?? [], digest.name);
     },
     list: () => table.listQuarantined(clock.now()),
     restore: (quarantined) => {
-      for (const told of quarantined) {
-        if (table.learnQuarantine(told, clock.now())) noteQuarantined(told.fingerprint, 'store');
-      }
+      takeQuarantined(quarantined, 'store');
     },
     onReport: (listener) => {
       reportListeners.push(listener);
