Log and count the retries that a gateway allows and denies

Nothing told how many retries a gateway had taken in a window and by how many gateways it divided the fixed number, so the hypotheses on the exceeded budget could not be told apart. A denied retry is now one log line with the request, the service, the requests, retries and limit of the window, and the gateways counted; a counter by service and outcome stands on the metrics address.

--- a/src/controllers/forwarding/retry-budget.ts
+++ b/src/controllers/forwarding/retry-budget.ts
@@ -20,6 +20,16 @@
 const SAFETY_FACTOR = 0.85;
 const SLICES_PER_WINDOW = 10;
 
+/** The state of a budget, as logged with a denied retry. */
+export interface RetryUsage {
+  /** Requests in the window. */
+  requests: number;
+  /** Retries in the window. */
+  retries: number;
+  /** Retries that may be in the window at most. */
+  limit: number;
+}
+
 interface Slice {
   /** Number of slices since the clock's origin. */
   index: number;
@@ -47,6 +57,11 @@
 
   /** Whether a retry is left. */
   hasLeft(now: Milliseconds, gateways: number): boolean {
+    const { retries, limit } = this.usage(now, gateways);
+    return retries + 1 <= limit;
+  }
+
+  usage(now: Milliseconds, gateways: number): RetryUsage {
     this.currentSlice(now);
     const newestIndex = this.slices.at(-1)?.index ?? 0;
     const inWindow = this.slices.filter(({ index }) => index > newestIndex - SLICES_PER_WINDOW);
@@ -55,7 +70,7 @@
     const retries = sum(this.slices, 'retries');
     const { ratio, slack } = this.bounds;
     const limit = SAFETY_FACTOR * (ratio * requests + slack / Math.max(1, gateways));
-    return retries + 1 <= limit;
+    return { requests, retries, limit };
   }
 
   private currentSlice(now: Milliseconds): Slice {
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -326,6 +326,11 @@
     level: 'warn',
     message: 'Backend servers end under a request; it is sent to none for now.',
   },
+  retryDenied: {
+    number: 2508,
+    level: 'warn',
+    message: 'The retry budget of the service is used up; the request is not sent again.',
+  },
 } as const satisfies Record<string, LogEvent>;
 
 export type LogEventName = keyof typeof LOG_EVENTS;
--- a/src/gateway/operations/metrics.ts
+++ b/src/gateway/operations/metrics.ts
@@ -9,6 +9,7 @@
   registry: Registry;
   requests: Counter<'route' | 'outcome'>;
   attempts: Counter<'outcome'>;
+  retries: Counter<'service' | 'outcome'>;
   storeCalls: Counter;
   storeReturns: Counter;
   orders: Counter<'kind' | 'outcome'>;
@@ -38,6 +39,12 @@
       labelNames: ['outcome'],
       registers,
     }),
+    retries: new Counter({
+      name: 'yuccasail_gateway_retries_total',
+      help: 'Sendings beyond the first of their request that the retry budget of the service allowed or denied.',
+      labelNames: ['service', 'outcome'],
+      registers,
+    }),
     storeCalls: new Counter({
       name: 'yuccasail_gateway_store_calls_total',
       help: 'Calls to the object store.',
--- a/src/gateway/requests/backend-tracker.ts
+++ b/src/gateway/requests/backend-tracker.ts
@@ -61,8 +61,8 @@
   recordRequest(service: string): void;
   /** Whether a request was accepted for forwarding since the start. */
   hasServed(): boolean;
-  /** Takes one retry from the budget; returns false if it is exhausted. */
-  takeRetry(service: string): boolean;
+  /** Takes one retry of `request` from the budget; returns false if it is exhausted. */
+  takeRetry(service: string, request: string): boolean;
   hasRetryLeft(service: string): boolean;
   suspicions: SuspicionTable;
   /** Called with each server that has restarted under its id. */
@@ -161,6 +161,7 @@
   });
   const isUsable = (target: Target, now: Milliseconds): boolean =>
     target.members.every((member) => !suspicions.isSuspect(member, now));
+  const countGateways = (): number => 1 + board.peers.read().size;
   const retryBudgetOf = (service: string): RetryBudget => {
     const existing = retryBudgets.get(service);
     if (existing) return existing;
@@ -226,9 +227,18 @@
       hasForwarded = true;
       retryBudgetOf(service).recordRequest(clock.now());
     },
-    takeRetry: (service) => retryBudgetOf(service).take(clock.now(), 1 + board.peers.read().size),
-    hasRetryLeft: (service) =>
-      retryBudgetOf(service).hasLeft(clock.now(), 1 + board.peers.read().size),
+    takeRetry: (service, request) => {
+      const gateways = countGateways();
+      const budget = retryBudgetOf(service);
+      const isTaken = budget.take(clock.now(), gateways);
+      metrics.retries.inc({ service, outcome: isTaken ? 'allowed' : 'denied' });
+      if (!isTaken) {
+        const usage = budget.usage(clock.now(), gateways);
+        logger.log('retryDenied', { request, service, gateways, ...usage });
+      }
+      return isTaken;
+    },
+    hasRetryLeft: (service) => retryBudgetOf(service).hasLeft(clock.now(), countGateways()),
     suspicions,
     onRestart: (listener) => {
       restartListeners.push(listener);
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -174,7 +174,7 @@
       this.waitForTarget(why);
       return;
     }
-    if (this.attemptCount > 0 && !deps.backends.takeRetry(service.name)) {
+    if (this.attemptCount > 0 && !deps.backends.takeRetry(service.name, request.id)) {
       if (this.attempts.size === 0) this.failRequest('no repeats left');
       return;
     }
