--- /dev/null
+++ b/features/gateway/quota-model.ts
@@ -0,0 +1,304 @@
+/**
+ * Simulates gateways that divide a retry budget: restarts, freezes, cuts, joins, departures, lost and
+ * late digests, on simulated clocks and without a network.
+ */
+import { RetryBudget, type RetryBounds } from '../../src/controllers/forwarding/index.js';
+import { PeerTable, PEERING_TICK_MS, type Digest } from '../../src/controllers/peering/index.js';
+import type { Random } from '../../src/core/random/index.js';
+
+export const BOUNDS: RetryBounds = { ratio: 0.2, windowMs: 10_000, slack: 132 };
+export const TICK_MS = PEERING_TICK_MS;
+/** Time before the first request, as on a fleet that starts ahead of its traffic. */
+export const LEAD_MS = 12_000;
+const FAILURE_DOMAINS = 3;
+const LOSS_PROBABILITY = 0.05;
+const DELAY_PROBABILITY = 0.05;
+const MAX_DELAY_MS = 1_500;
+
+/** A disturbance of the fleet. `gateways` are indices, taken modulo the size of the fleet. */
+export type Disturbance =
+  | { kind: 'restart'; at: number; gateways: number[]; downMs: number }
+  | { kind: 'freeze'; at: number; gateways: number[]; forMs: number }
+  /** No gateway on one side reaches one on the other; `cutsStore` includes the store. */
+  | { kind: 'cut'; at: number; gateways: number[]; forMs: number; cutsStore: boolean }
+  /** Each of them hears no other one. */
+  | { kind: 'isolate'; at: number; gateways: number[]; forMs: number; cutsStore: boolean }
+  | { kind: 'replace'; at: number; gateways: number[] }
+  | { kind: 'join'; at: number; count: number };
+
+/** A disturbance, or the end of a cut. */
+type FleetEvent = Disturbance | { kind: 'heal'; at: number; gateways: number[] };
+
+/** Requests of callers and retries of all gateways in one tick. */
+export interface TickCount {
+  at: number;
+  requests: number;
+  retries: number;
+}
+
+/** A gateway process with its own clock, which stands still while it is frozen. */
+class QuotaGateway {
+  table: PeerTable;
+  budget = new RetryBudget(BOUNDS);
+  startsAt = 0;
+  frozenUntil = Number.NEGATIVE_INFINITY;
+  /** Total time for which it was frozen. */
+  frozenMs = 0;
+  /** 0 if it is not cut off; gateways reach each other only if theirs are equal. */
+  side = 0;
+  cutFromStore = false;
+  pendingRequests = 0;
+  private incarnation = 0;
+
+  constructor(
+    readonly name: string,
+    readonly failureDomain: string,
+  ) {
+    this.table = new PeerTable(this.location);
+  }
+
+  get location(): { name: string; address: string; failureDomain: string } {
+    const { name, failureDomain } = this;
+    return { name, address: `at-${name}`, failureDomain };
+  }
+
+  localTime(now: number): number {
+    return now - this.frozenMs;
+  }
+
+  isRunning(now: number): boolean {
+    return now >= this.startsAt && now >= this.frozenUntil;
+  }
+
+  /** Discards everything that the process knew. */
+  restart(seeds: readonly QuotaGateway[], startsAt: number): void {
+    this.incarnation += 1;
+    this.startsAt = startsAt;
+    this.pendingRequests = 0;
+    this.table = new PeerTable(this.location);
+    this.budget = new RetryBudget(BOUNDS);
+    for (const { location } of seeds) this.table.addPeer(location, this.localTime(startsAt));
+  }
+
+  createDigest(now: number, caller?: Digest): Digest {
+    const own: Digest = {
+      ...this.location,
+      incarnation: String(this.incarnation),
+      storeReachable: !this.cutFromStore,
+      stopping: false,
+      hasServed: true,
+      configurationVersion: 1,
+      fleetRevision: 1,
+      load: [],
+      suspicions: [],
+    };
+    return { ...own, summaries: this.table.listSummaries(own, this.localTime(now), caller) };
+  }
+
+  applyDigest(digest: Digest, now: number): void {
+    this.table.applyDigest(digest, this.localTime(now));
+  }
+
+  /** Takes one retry if its share allows. */
+  takeRetry(now: number): boolean {
+    const local = this.localTime(now);
+    return this.budget.take(local, 1 + this.table.listAlive(local).size);
+  }
+}
+
+/** A fleet under demand and disturbances. */
+export class QuotaFleet {
+  now = 0;
+  readonly counts: TickCount[] = [];
+  private readonly gateways: QuotaGateway[] = [];
+  private deliveries: { at: number; to: QuotaGateway; digest: Digest }[] = [];
+  private pending: FleetEvent[];
+
+  constructor(
+    size: number,
+    private readonly requestsPerTick: number,
+    private readonly failureRate: number,
+    disturbances: readonly Disturbance[],
+    private readonly random: Random,
+  ) {
+    this.pending = [...disturbances];
+    for (let index = 0; index < size; index += 1) this.addGateway();
+    for (const gateway of this.gateways) gateway.restart(this.seeds(), 0);
+  }
+
+  run(untilMs: number): void {
+    while (this.now < untilMs) {
+      this.now += TICK_MS;
+      this.applyDisturbances();
+      this.deliverDue();
+      for (const gateway of this.running()) this.runGateway(gateway);
+      if (this.now >= LEAD_MS) this.serveRequests();
+    }
+  }
+
+  private running(): QuotaGateway[] {
+    return this.gateways.filter((gateway) => gateway.isRunning(this.now));
+  }
+
+  private seeds(): QuotaGateway[] {
+    return this.gateways.slice(0, FAILURE_DOMAINS);
+  }
+
+  private addGateway(): QuotaGateway {
+    const index = this.gateways.length;
+    const gateway = new QuotaGateway(`gateway-${index}`, `domain-${index % FAILURE_DOMAINS}`);
+    this.gateways.push(gateway);
+    return gateway;
+  }
+
+  private applyDisturbances(): void {
+    const due = this.pending.filter(({ at }) => LEAD_MS + at <= this.now);
+    this.pending = this.pending.filter(({ at }) => LEAD_MS + at > this.now);
+    for (const event of due) this.applyEvent(event);
+  }
+
+  private applyEvent(event: FleetEvent): void {
+    switch (event.kind) {
+      case 'restart':
+        for (const gateway of this.select(event.gateways))
+          gateway.restart(this.seeds(), this.now + event.downMs);
+        break;
+      case 'freeze':
+        for (const gateway of this.select(event.gateways)) {
+          const until = this.now + event.forMs;
+          gateway.frozenMs += Math.max(0, until - Math.max(this.now, gateway.frozenUntil));
+          gateway.frozenUntil = Math.max(gateway.frozenUntil, until);
+        }
+        break;
+      case 'cut':
+        this.cutOff(this.select(event.gateways), event, () => 1);
+        break;
+      case 'isolate':
+        this.cutOff(this.select(event.gateways), event, (index) => 1 + index);
+        break;
+      case 'replace':
+        for (const gateway of this.select(event.gateways)) {
+          gateway.startsAt = Number.POSITIVE_INFINITY;
+          this.addGateway().restart(this.seeds(), this.now + TICK_MS);
+        }
+        break;
+      case 'join':
+        for (let count = 0; count < event.count; count += 1)
+          this.addGateway().restart(this.seeds(), this.now);
+        break;
+      case 'heal':
+        for (const gateway of this.select(event.gateways)) {
+          gateway.side = 0;
+          gateway.cutFromStore = false;
+        }
+        break;
+    }
+  }
+
+  private cutOff(
+    gateways: readonly QuotaGateway[],
+    { forMs, cutsStore }: { forMs: number; cutsStore: boolean },
+    sideOf: (index: number) => number,
+  ): void {
+    gateways.forEach((gateway, index) => {
+      gateway.side = sideOf(index);
+      gateway.cutFromStore = cutsStore;
+    });
+    const at = this.now + forMs - LEAD_MS;
+    const healed = gateways.map((gateway) => this.gateways.indexOf(gateway));
+    this.pending.push({ kind: 'heal', at, gateways: healed });
+  }
+
+  private select(indices: readonly number[]): QuotaGateway[] {
+    const chosen = new Set(indices.map((index) => index % this.gateways.length));
+    return [...chosen].flatMap((index) => this.gateways[index] ?? []);
+  }
+
+  private runGateway(gateway: QuotaGateway): void {
+    const local = gateway.localTime(this.now);
+    gateway.table.removeTimedOut(local);
+    for (const { address } of gateway.table.listDuePeers(local)) {
+      const other = this.gateways.find(({ location }) => location.address === address);
+      if (other) this.exchange(gateway, other);
+    }
+  }
+
+  private exchange(from: QuotaGateway, to: QuotaGateway): void {
+    if (!to.isRunning(this.now) || from.side !== to.side || this.isLost()) return;
+    const digest = from.createDigest(this.now);
+    if (this.random.fraction() < DELAY_PROBABILITY) {
+      const at = this.now + this.random.below(MAX_DELAY_MS);
+      this.deliveries.push({ at, to, digest });
+      return;
+    }
+    to.applyDigest(digest, this.now);
+    if (this.isLost()) return;
+    from.applyDigest(to.createDigest(this.now, digest), this.now);
+  }
+
+  private isLost(): boolean {
+    return this.random.fraction() < LOSS_PROBABILITY;
+  }
+
+  private deliverDue(): void {
+    const due = this.deliveries.filter(({ at }) => at <= this.now);
+    this.deliveries = this.deliveries.filter(({ at }) => at > this.now);
+    for (const { to, digest } of due) {
+      if (to.isRunning(this.now)) to.applyDigest(digest, this.now);
+    }
+  }
+
+  /** Spreads one tick's requests over the gateways that are up; frozen ones handle theirs later. */
+  private serveRequests(): void {
+    const up = this.gateways.filter(({ startsAt }) => this.now >= startsAt);
+    let requests = 0;
+    for (let index = 0; index < this.requestsPerTick; index += 1) {
+      requests += 1;
+      const gateway = up[this.random.below(up.length)];
+      if (gateway) gateway.pendingRequests += 1;
+    }
+    let retries = 0;
+    for (const gateway of up) {
+      if (gateway.isRunning(this.now)) retries += this.forward(gateway);
+    }
+    this.counts.push({ at: this.now, requests, retries });
+  }
+
+  /** Forwards the requests that wait at a gateway; returns the retries that it took. */
+  private forward(gateway: QuotaGateway): number {
+    let retries = 0;
+    for (; gateway.pendingRequests > 0; gateway.pendingRequests -= 1) {
+      gateway.budget.recordRequest(gateway.localTime(this.now));
+      while (this.random.fraction() < this.failureRate && gateway.takeRetry(this.now)) retries += 1;
+    }
+    return retries;
+  }
+}
+
+/** The most retries of any window, as a fraction of what the bounds allow there. */
+export function worstUse(
+  counts: readonly TickCount[],
+  { ratio, windowMs, slack }: RetryBounds,
+): number {
+  const ticks = windowMs / TICK_MS;
+  const requestsBefore = prefixSums(counts.map(({ requests }) => requests));
+  const retriesBefore = prefixSums(counts.map(({ retries }) => retries));
+  const between = (sums: readonly number[], start: number, end: number): number =>
+    (sums[Math.max(0, end)] ?? 0) - (sums[Math.max(0, start)] ?? 0);
+  let worst = 0;
+  for (let end = 1; end <= counts.length; end += 1) {
+    const start = end - ticks;
+    const requests = [0, ticks / 2, ticks].map((back) =>
+      between(requestsBefore, start - back, end - back),
+    );
+    const allowed = ratio * Math.max(...requests) + slack;
+    worst = Math.max(worst, between(retriesBefore, start, end) / allowed);
+  }
+  return worst;
+}
+
+function prefixSums(values: readonly number[]): number[] {
+  const sums = [0];
+  for (const value of values) sums.push((sums.at(-1) ?? 0) + value);
+  return sums;
+}
