Test: gateways keep to the limit that a server names (fails, listed)

Three gateways before three servers, one of which names a limit of 1 request a second: it gets 31 requests in 4 s of calls and 35 of streams, where one and a half times its limit and 5 more are 11.

--- /dev/null
+++ b/features/gateway/server-limit.steps.ts
@@ -0,0 +1,121 @@
+/**
+ * Request rates that backend servers name, with gateways as processes.
+ */
+import assert from 'node:assert/strict';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { waitFor } from '../support/waiting.js';
+import { Site, type Answer } from './site.js';
+import type { Arrival, EngineStandIn } from './stand-ins/engine.js';
+import type { GatewayWorld } from './world.js';
+
+interface LimitWorld extends GatewayWorld {
+  path: string;
+  limited: EngineStandIn;
+  sentFrom: number;
+  replies: Promise<Answer>[];
+}
+
+const MS_PER_SECOND = 1_000;
+/** Requests that a server gets at most beyond one and a half times its limit. */
+const SLACK = 5;
+
+Given(
+  /^a site with (\d+) servers of (calls|streams) and (\d+) ready gateways$/,
+  async function (this: LimitWorld, servers: string, what: string, gateways: string) {
+    this.replies = [];
+    this.path = what === 'calls' ? '/list/x' : '/chat/x';
+    this.site = new Site();
+    await this.site.open();
+    for (let index = 0; index < Number(servers); index += 1) {
+      const kind = what === 'calls' ? { service: 'app' } : { service: 'models', domain: 'domain' };
+      await this.site.addServer({ id: `server-${index}`, ...kind });
+    }
+    this.site.configure();
+    const plans = Array.from({ length: Number(gateways) }, () => this.site.planGateway());
+    const started = await Promise.all(plans.map((plan) => this.site.launch(plan)));
+    for (const gateway of started) await this.site.waitUntilReady(gateway);
+    await waitFor('the gateways to hear each other', () =>
+      started.every(({ lines }) => countHeard(lines) >= plans.length - 1),
+    );
+    if (what === 'streams') await this.site.waitForOpenGroups(Number(servers) / 2);
+  },
+);
+
+function countHeard(lines: readonly Readonly<Record<string, unknown>>[]): number {
+  return lines.filter(({ name }) => name === 'peerHeard').length;
+}
+
+Given(
+  'the first of them that serves names a limit of {int} request(s) a second',
+  function (this: LimitWorld, limit: number) {
+    const [first = this.site.servers[0]] = this.site.listOpen();
+    assert.ok(first);
+    this.limited = first;
+    first.namedLimit = String(limit);
+  },
+);
+
+async function sendRequests(world: LimitWorld, perSecond: number, seconds: number): Promise<void> {
+  world.sentFrom = performance.now();
+  for (let sent = 0; sent < perSecond * seconds; sent += 1) {
+    const dueAt = world.sentFrom + (sent * MS_PER_SECOND) / perSecond;
+    await sleep(Math.max(0, dueAt - performance.now()));
+    const gateway = world.site.gateways[sent % world.site.gateways.length];
+    if (gateway) {
+      const reply = world.site.request(gateway, { path: world.path });
+      // Requests that are still in flight when the scenario fails are cut off.
+      reply.catch(() => undefined);
+      world.replies.push(reply);
+    }
+  }
+}
+
+When(
+  'callers send {int} requests a second to the gateways in turn for {int} s',
+  async function (this: LimitWorld, perSecond: number, seconds: number) {
+    await sendRequests(this, perSecond, seconds);
+  },
+);
+
+When('it names no limit any more', function (this: LimitWorld) {
+  this.limited.namedLimit = undefined;
+});
+
+function listArrivals({ site, limited }: LimitWorld, after: number): Arrival[] {
+  return site.journal.filter(({ server, at }) => server === limited.options.id && at >= after);
+}
+
+Then(
+  'from {int} s on it gets at most {int} requests in any {int} s',
+  function (this: LimitWorld, from: number, most: number, seconds: number) {
+    assert.equal(most, 1.5 * seconds * Number(this.limited.namedLimit) + SLACK);
+    const times = listArrivals(this, this.sentFrom + from * MS_PER_SECOND).map(({ at }) => at);
+    const counts = times.map(
+      (start) => times.filter((at) => at >= start && at < start + seconds * MS_PER_SECOND).length,
+    );
+    assert.ok(Math.max(0, ...counts) <= most, `it got ${Math.max(...counts)}`);
+  },
+);
+
+Then('it still gets requests', function (this: LimitWorld) {
+  const [first] = listArrivals(this, this.sentFrom);
+  assert.ok(first && listArrivals(this, first.at + MS_PER_SECOND).length > 0);
+});
+
+Then('all requests were answered', async function (this: LimitWorld) {
+  const answers = await Promise.all(this.replies);
+  const failed = answers.filter(({ status, whole }) => status !== 200 || !whole);
+  assert.equal(failed.length, 0, `${failed.length} of ${answers.length}`);
+});
+
+Then(
+  'it gets {int} requests of callers within {int} s again',
+  async function (this: LimitWorld, least: number, seconds: number) {
+    const after = performance.now();
+    await sendRequests(this, 24, seconds);
+    await Promise.all(this.replies);
+    const { length } = listArrivals(this, after);
+    assert.ok(length >= least, `it got ${length}`);
+  },
+);
--- a/features/gateway/stand-ins/engine.ts
+++ b/features/gateway/stand-ins/engine.ts
@@ -94,6 +94,8 @@
   /** Replicas that this incarnation was ready in. */
   readonly readyGroups = new Set<string>();
   hasCrashed = false;
+  /** Named in its answers as the requests per second that it takes from all gateways together. */
+  namedLimit: string | string[] | undefined;
   /** Start time in Unix milliseconds. */
   private born = Date.now();
   private model: string | undefined;
@@ -312,6 +314,7 @@
       ran: false,
     };
     this.options.journal.push(arrival);
+    if (this.namedLimit !== undefined) response.setHeader('Server-Limit', this.namedLimit);
     if (domain && this.membership?.state !== 'open') {
       response.writeHead(421, { 'Instance-Id': server, 'content-length': 0 }).end();
       return;
