Keep to the request rate that a backend server names

What callers saw: nothing; a server in need that had named a limit in its answers got up to three times as many requests as it takes, from gateways that had passed such answers on.

Cause: no gateway read the limit. The adapter dropped the header, so the server got the part of the requests that its load gave it. A limit that each gateway kept for itself would be exceeded as many times as there are gateways: the same class as the retry budget.

Change: the adapter decodes the limit; gateways tell each other their newest observation with the digests. A limit is used by a few members of the fleet only, by rendezvous hashing per server, each with a token bucket; the others choose other servers, requests for a model queue when no target may get one. The parts rest on the members of the fleet that the retry budget is divided by. An answer without the limit ends it, if it was asked for after the limit was named.

On the model, no window of 60, 3 and 1 drawn fleets of 7, 63 and 195 gateways has more than is allowed, and undisturbed ones use 0.8 of a limit and more. A gateway that has been told a lower limit half a second ago must keep to it; one that was not told yet doesn't count, as in the rule.

--- a/features/gateway/decoders.feature
+++ b/features/gateway/decoders.feature
@@ -32,3 +32,21 @@
     Given a fleet with one open replica of 2 engines
     When its second engine claims the rank 7
     Then no request may be sent to the replica
+
+  # Guards against a limit that a malformed header ends or invents.
+  Scenario Outline: A server names its limit as <headers>
+    When an answer carries the limits "<headers>"
+    Then it is read as <meaning>
+
+    Examples:
+      | headers  | meaning             |
+      | 1.2      | 1.2 a second        |
+      | 0        | 0 a second          |
+      | 3;1.5    | 1.5 a second        |
+      | 2;nan    | 2 a second          |
+      | nan;2    | 2 a second          |
+      | nan      | unreadable          |
+      | -1       | unreadable          |
+      | 1e9      | unreadable          |
+      | Infinity | unreadable          |
+      | 1, 2     | unreadable          |
--- a/features/gateway/decoders.steps.ts
+++ b/features/gateway/decoders.steps.ts
@@ -15,7 +15,7 @@
 } from '../../src/controllers/forwarding/index.js';
 import { parseJson } from '../../src/core/json/index.js';
 import { fleetUpdateSchema, versionsSchema } from '../../src/gateway/peers/messages.js';
-import type { BackendServer, StoreChange, StoreObject } from '../../src/ports/index.js';
+import type { BackendServer, RateLimit, StoreChange, StoreObject } from '../../src/ports/index.js';
 import { createServer, PROFILE } from './planning-model.js';
 import { exampleConfiguration } from './stand-ins/configuration.js';
 
@@ -25,6 +25,7 @@
   fleets: DamagedFleet[];
   fleet: ServingFleet;
   changes: readonly StoreChange[] | undefined;
+  rateLimit: RateLimit;
 }
 
 interface DamagedFleet {
@@ -321,3 +322,16 @@
     far: [],
   });
 });
+
+When('an answer carries the limits {string}', function (this: DecoderWorld, headers: string) {
+  const rawHeaders = headers.split(';').flatMap((value) => ['Server-Limit', value]);
+  this.rateLimit = platform.requests.decodeResponse(200, rawHeaders).rateLimit;
+});
+
+Then('it is read as {float} a second', function (this: DecoderWorld, perSecond: number) {
+  assert.deepEqual(this.rateLimit, { kind: 'named', perSecond });
+});
+
+Then('it is read as unreadable', function (this: DecoderWorld) {
+  assert.deepEqual(this.rateLimit, { kind: 'unreadable' });
+});
--- a/features/gateway/fleet-quotas.feature
+++ b/features/gateway/fleet-quotas.feature
@@ -33,3 +33,26 @@
     When one is cut off from the others and the store for 25 minutes, and 24 minutes pass
     Then the parts of all running gateways sum up to 1 again, and never exceeded it
     And 3 minutes later they sum up to 1, and never exceeded it
+
+  # Guards against gateways that each use the whole limit of a server, and against forgetting it.
+  Scenario Outline: <gateways> gateways keep to the limits of servers through random disturbances
+    When <gateways> gateways send all that they may to a server with a changing limit in <fleets> fleets with restarts, freezes, cuts, joins and late digests
+    Then no 4 s have more than 5 requests beyond one and a half times the limit
+
+    Examples:
+      | gateways | fleets |
+      | 7        | 60     |
+      | 63       | 3      |
+      | 195      | 1      |
+
+  # Guards against a limit that is kept by sending nothing.
+  Scenario Outline: <gateways> undisturbed gateways use the limit of a server
+    When <gateways> gateways send all that they may to a server with a limit of <limit> requests a second
+    Then it gets at least 0.8 of them
+
+    Examples:
+      | gateways | limit |
+      | 7        | 1.2   |
+      | 7        | 30    |
+      | 63       | 1.2   |
+      | 195      | 0.4   |
--- a/features/gateway/fleet-quotas.steps.ts
+++ b/features/gateway/fleet-quotas.steps.ts
@@ -5,13 +5,21 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
 import { createRandom } from '../../src/core/random/index.js';
-import { BOUNDS, LEAD_MS, QuotaFleet, worstUse, type Disturbance } from './quota-model.js';
+import { BOUNDS, LEAD_MS, QuotaFleet, TICK_MS, worstUse, type Disturbance } from './quota-model.js';
 
 interface QuotaWorld {
   size: number;
   fleet: QuotaFleet;
   /** The fullest window of each fleet, as a fraction of what the bounds allow there. */
   worstUses: { use: number; draw: FleetDraw }[];
+  /** The largest excess of each fleet over the limit of a server, in requests. */
+  excesses: { excess: number; draw: FleetDraw & LimitDraw }[];
+  limit: number;
+}
+
+interface LimitDraw {
+  /** Limits that a server names one after the other; undefined where it names none. */
+  limits: (number | undefined)[];
 }
 
 interface FleetDraw {
@@ -150,3 +158,80 @@
   assert.ok(Math.abs(fleet.sumShares() - 1) < ROUNDING_ERROR, `the sum is ${fleet.sumShares()}`);
   assert.ok(fleet.largestSum < 1 + ROUNDING_ERROR, `the sum was ${fleet.largestSum}`);
 }
+
+const LIMIT_WINDOW_MS = 4_000;
+/** Time from the first naming of a limit until it must be kept. */
+const CONTACT_MS = 3_000;
+const LIMIT_FACTOR = 1.5;
+const LIMIT_SLACK = 5;
+const MS_PER_SECOND = 1_000;
+
+const limitDraw: fc.Arbitrary<LimitDraw> = fc.record({
+  limits: fc.array(fc.constantFrom(undefined, 0, 0.2, 1, 1.2, 3.5, 12), {
+    minLength: 1,
+    maxLength: 4,
+  }),
+});
+
+function runLimitedFleet(size: number, draw: FleetDraw & LimitDraw): QuotaFleet {
+  const { disturbances, seed, limits } = draw;
+  const fleet = new QuotaFleet(size, 0, 0, disturbances, createRandom(seed));
+  const spanMs = TRAFFIC_MS / limits.length;
+  fleet.serverLimitAt = (time) => limits[Math.min(limits.length - 1, Math.floor(time / spanMs))];
+  fleet.run(LEAD_MS + TRAFFIC_MS);
+  return fleet;
+}
+
+/** The most requests beyond what is allowed in any window in which a limit has long been named. */
+function largestExcess({ limitCounts }: QuotaFleet): number {
+  const ticks = LIMIT_WINDOW_MS / TICK_MS;
+  let namedSince = Number.POSITIVE_INFINITY;
+  let largest = Number.NEGATIVE_INFINITY;
+  limitCounts.forEach(({ at: time, perSecond }, index) => {
+    if (perSecond === undefined) namedSince = Number.POSITIVE_INFINITY;
+    else namedSince = Math.min(namedSince, time);
+    const window = limitCounts.slice(Math.max(0, index - ticks + 1), index + 1);
+    if (window.length < ticks || time - LIMIT_WINDOW_MS < namedSince + CONTACT_MS) return;
+    const sent = window.reduce((sum, count) => sum + count.sent, 0);
+    const named = window.reduce((sum, count) => sum + (count.perSecond ?? 0), 0);
+    const allowed = (LIMIT_FACTOR * named * TICK_MS) / MS_PER_SECOND + LIMIT_SLACK;
+    largest = Math.max(largest, sent - allowed);
+  });
+  return largest;
+}
+
+When(
+  '{int} gateways send all that they may to a server with a changing limit in {int} fleets with restarts, freezes, cuts, joins and late digests',
+  { timeout: 120_000 },
+  function (this: QuotaWorld, size: number, fleets: number) {
+    const draws = fc.sample(fc.tuple(fleetDraw, limitDraw), { numRuns: fleets, seed: SEED });
+    this.excesses = draws.map(([fleet, limit]) => {
+      const draw = { ...fleet, ...limit };
+      return { excess: largestExcess(runLimitedFleet(size, draw)), draw };
+    });
+  },
+);
+
+Then(
+  'no 4 s have more than 5 requests beyond one and a half times the limit',
+  function (this: QuotaWorld) {
+    const exceeded = this.excesses.filter(({ excess }) => excess > 0);
+    assert.deepEqual(exceeded, [], `${exceeded.length} of ${this.excesses.length} fleets`);
+  },
+);
+
+When(
+  '{int} gateways send all that they may to a server with a limit of {float} requests a second',
+  { timeout: 60_000 },
+  function (this: QuotaWorld, size: number, limit: number) {
+    const draw = { requestsPerTick: 0, failureRate: 0, disturbances: [], seed: SEED };
+    this.fleet = runLimitedFleet(size, { ...draw, limits: [limit] });
+    this.limit = limit;
+  },
+);
+
+Then('it gets at least {float} of them', function (this: QuotaWorld, least: number) {
+  const sent = this.fleet.limitCounts.reduce((sum, count) => sum + count.sent, 0);
+  const named = (this.limit * TRAFFIC_MS) / MS_PER_SECOND;
+  assert.ok(sent >= least * named, `it got ${sent} of ${named}`);
+});
--- a/features/gateway/quota-model.ts
+++ b/features/gateway/quota-model.ts
@@ -3,8 +3,15 @@
  * late digests, on simulated clocks and without a network.
  */
 import { RetryBudget, type RetryBounds } from '../../src/controllers/forwarding/index.js';
-import { PeerTable, PEERING_TICK_MS, type Digest } from '../../src/controllers/peering/index.js';
-import { FleetMembers, observeDigest } from '../../src/controllers/quotas/index.js';
+import {
+  collectLimitReports,
+  observeMembers,
+  PeerTable,
+  PEERING_TICK_MS,
+  type Digest,
+} from '../../src/controllers/peering/index.js';
+import { FleetMembers, ServerLimits } from '../../src/controllers/quotas/index.js';
+import type { RateLimit } from '../../src/ports/index.js';
 import type { Random } from '../../src/core/random/index.js';
 
 export const BOUNDS: RetryBounds = { ratio: 0.2, windowMs: 10_000, slack: 132 };
@@ -41,6 +48,23 @@
   retries: number;
 }
 
+/** Requests that each gateway would send to the limited server in one tick. */
+const MAX_SENT_PER_TICK = 3;
+const LIMITED_SERVER = 'server';
+/** Time after which a gateway that has had an answer with a limit must keep to it. */
+const TOLD_MS = 500;
+
+function toRateLimit(perSecond: number | undefined): RateLimit {
+  return perSecond === undefined ? { kind: 'none' } : { kind: 'named', perSecond };
+}
+
+/** Requests to the limited server in one tick, by gateways that must keep to its limit. */
+export interface LimitCount {
+  at: number;
+  perSecond: number | undefined;
+  sent: number;
+}
+
 /** The entry of a gateway in the store. */
 interface StoredEntry {
   location: { name: string; address: string; failureDomain: string };
@@ -61,6 +85,9 @@
   /** When each request that it has not read yet was sent. */
   pendingRequests: number[] = [];
   members: FleetMembers;
+  limits: ServerLimits;
+  /** The limit in the last answer to this process, and when it was first told that one. */
+  told: { perSecond: number | undefined; at: number } | undefined;
   nextListAt = 0;
   isRegistered = false;
   isStoredAsCounted = false;
@@ -72,6 +99,7 @@
   ) {
     this.table = new PeerTable(this.location);
     this.members = new FleetMembers(name, 0);
+    this.limits = new ServerLimits(this.members);
   }
 
   get location(): { name: string; address: string; failureDomain: string } {
@@ -95,12 +123,15 @@
     this.table = new PeerTable(this.location);
     this.budget = new RetryBudget(BOUNDS);
     this.members = new FleetMembers(this.name, this.localTime(startsAt));
+    this.limits = new ServerLimits(this.members);
+    this.told = undefined;
     this.nextListAt = startsAt;
     this.isRegistered = false;
     for (const { location } of seeds) this.table.addPeer(location, this.localTime(startsAt));
   }
 
   createDigest(now: number, caller?: Digest): Digest {
+    const limits = this.limits.report(this.localTime(now));
     const own: Digest = {
       ...this.location,
       incarnation: String(this.incarnation),
@@ -112,13 +143,16 @@
       fleetRevision: 1,
       load: [],
       suspicions: [],
+      ...(limits.length > 0 && { limits }),
     };
     return { ...own, summaries: this.table.listSummaries(own, this.localTime(now), caller) };
   }
 
   applyDigest(digest: Digest, now: number, isResponse: boolean): void {
     this.table.applyDigest(digest, this.localTime(now));
-    observeDigest(this.members, digest, this.localTime(now), isResponse);
+    observeMembers(this.members, digest, this.localTime(now), isResponse);
+    for (const report of collectLimitReports(digest))
+      this.limits.adopt(report, this.localTime(now));
   }
 
   /** Lists all entries; before that, writes its own one after a start or a removal. */
@@ -149,6 +183,21 @@
     return this.members.share(this.localTime(now), BOUNDS.windowMs);
   }
 
+  /** Sends requests to the limited server while it may; returns how many of them count. */
+  sendToLimited(perSecond: number | undefined, now: number): number {
+    const local = this.localTime(now);
+    let counted = 0;
+    for (let sent = 0; sent < MAX_SENT_PER_TICK; sent += 1) {
+      if (!this.limits.hasPermit(LIMITED_SERVER, local)) break;
+      this.limits.recordSent(LIMITED_SERVER);
+      if (this.told === undefined || this.told.perSecond !== perSecond)
+        this.told = { perSecond, at: now };
+      if (now - this.told.at >= TOLD_MS) counted += 1;
+      this.limits.observe(LIMITED_SERVER, toRateLimit(perSecond), local, local);
+    }
+    return counted;
+  }
+
   /** Takes one retry if its share allows. */
   takeRetry(now: number): boolean {
     const local = this.localTime(now);
@@ -160,6 +209,9 @@
 export class QuotaFleet {
   now = 0;
   readonly counts: TickCount[] = [];
+  readonly limitCounts: LimitCount[] = [];
+  /** The requests per second that a server names, if one is limited. */
+  serverLimitAt: ((at: number) => number | undefined) | undefined;
   /** The largest sum of the parts that the gateways could use at the same time. */
   largestSum = 0;
   private readonly gateways: QuotaGateway[] = [];
@@ -188,6 +240,7 @@
       this.deliverDue();
       for (const gateway of this.running()) this.runGateway(gateway);
       if (this.now >= LEAD_MS) this.serveRequests();
+      if (this.now >= LEAD_MS && this.serverLimitAt) this.sendToLimited(this.serverLimitAt);
       this.largestSum = Math.max(this.largestSum, this.sumShares());
     }
   }
@@ -334,6 +387,14 @@
     this.counts.push({ at: this.now, requests, retries });
   }
 
+  private sendToLimited(limitAt: (at: number) => number | undefined): void {
+    const perSecond = limitAt(this.now - LEAD_MS);
+    const sent = this.running()
+      .map((gateway) => gateway.sendToLimited(perSecond, this.now))
+      .reduce((sum, count) => sum + count, 0);
+    this.limitCounts.push({ at: this.now - LEAD_MS, perSecond, sent });
+  }
+
   /** Forwards the requests that wait at a gateway; returns the retries that it took. */
   private forward(gateway: QuotaGateway): number {
     let retries = 0;
--- a/features/gateway/server-limit.feature
+++ b/features/gateway/server-limit.feature
@@ -1,7 +1,6 @@
 Feature: A backend server in need gets no more than it asks for
 
   # Guards against gateways that send an overloaded server more than the rate that it names.
-  @known-red
   Scenario Outline: Gateways keep to the limit that a server of <kind> names
     Given a site with <servers> servers of <kind> and 3 ready gateways
     And the first of them that serves names a limit of 1 request a second
--- a/src/controllers/quotas/observe-digest.ts
+++ b/src/controllers/peering/observe-members.ts
@@ -2,14 +2,14 @@
  * What a digest of another gateway tells of the members that share the limits of the fleet.
  */
 import type { Milliseconds } from '../../core/clock/index.js';
-import type { Digest } from '../peering/index.js';
-import type { FleetMembers } from './fleet-members.js';
+import type { FleetMembers } from '../quotas/index.js';
+import type { Digest } from './types.js';
 
 /**
  * Records the gateways in a digest that was received at `now`. A response confirms its sender, which
  * has processed the digest that it answers.
  */
-export function observeDigest(
+export function observeMembers(
   members: FleetMembers,
   digest: Digest,
   now: Milliseconds,
--- a/src/controllers/peering/peer-table.ts
+++ b/src/controllers/peering/peer-table.ts
@@ -7,6 +7,7 @@
  * responsive gateways, so that all members fail over to the same successor without an election.
  */
 import type { Milliseconds } from '../../core/clock/index.js';
+import { ageLimitReports, newestLimitReports } from '../quotas/index.js';
 import { addLoad } from './load.js';
 import { ageReports } from './reports.js';
 import { Roster } from './roster.js';
@@ -323,6 +324,12 @@
       ageReports(digest.reports ?? [], now - receivedAt),
     );
     const allReports = [...(own.reports ?? []), ...reports];
+    const allLimits = newestLimitReports([
+      ...(own.limits ?? []),
+      ...domainDigests.flatMap(({ digest, receivedAt }) =>
+        ageLimitReports(digest.limits ?? [], now - receivedAt),
+      ),
+    ]);
     const hashes = new Set([own, ...domainDigests.map(({ digest }) => digest)].map(membersHashOf));
     const [membersHash] = hashes.size === 1 ? hashes : [];
     return {
@@ -334,6 +341,7 @@
       load: [...load],
       suspicions: [...own.suspicions, ...suspicions],
       ...(allReports.length > 0 && { reports: allReports }),
+      ...(allLimits.length > 0 && { limits: allLimits }),
     };
   }
 
--- a/src/controllers/peering/types.ts
+++ b/src/controllers/peering/types.ts
@@ -4,6 +4,7 @@
 import * as z from 'zod';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { requestReportSchema, quarantineNoticeSchema } from '../quarantine/index.js';
+import { limitReportSchema } from '../quotas/index.js';
 
 const nonNegativeSchema = z.number().nonnegative();
 /** Requests in flight by backend server. */
@@ -15,6 +16,8 @@
 
 /** Recent observations on requests that may crash backend servers. */
 const reportsSchema = z.array(requestReportSchema).max(10_000);
+/** Rates that backend servers name. */
+const limitsSchema = z.array(limitReportSchema).max(10_000);
 
 export const knownPeerSchema = z.object({
   name: z.string(),
@@ -61,12 +64,14 @@
   load: loadSchema,
   suspicions: suspicionsSchema,
   reports: reportsSchema.optional(),
+  limits: limitsSchema.optional(),
 });
 
 export const digestSchema = gatewayStatusSchema.extend({
   load: loadSchema,
   suspicions: suspicionsSchema,
   reports: reportsSchema.optional(),
+  limits: limitsSchema.optional(),
   /** All requests that the sender has quarantined. */
   quarantined: z.array(quarantineNoticeSchema).max(1_000).optional(),
   /** Summary of the sender's failure domain, and summaries that it forwards. */
--- a/src/controllers/quotas/fleet-members.ts
+++ b/src/controllers/quotas/fleet-members.ts
@@ -128,8 +128,12 @@
   /** Whether this gateway is one of the `count` that may use the limit `key`. */
   isAmong(key: string, count: number, now: Milliseconds, memoryMs: Milliseconds): boolean {
     if (!this.isUsable(now, memoryMs)) return false;
-    if (count >= this.size) return true;
-    return this.rank(key).slice(0, count).includes(this.self);
+    return count >= this.size || this.positionFor(key) < count;
+  }
+
+  /** The position of this gateway among the members, which are in another order for each `key`. */
+  positionFor(key: string): number {
+    return this.rank(key).indexOf(this.self);
   }
 
   /** Members whose entries should be removed. */
--- a/src/controllers/quotas/index.ts
+++ b/src/controllers/quotas/index.ts
@@ -1,2 +1,3 @@
 export * from './fleet-members.js';
-export * from './observe-digest.js';
+export * from './limit-reports.js';
+export * from './server-limits.js';
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -281,6 +281,16 @@
     level: 'warn',
     message: 'The answer to an order shows that an engine has ended.',
   },
+  serverLimitNamed: {
+    number: 2306,
+    level: 'warn',
+    message: 'A backend server names how many requests it takes from all gateways together.',
+  },
+  serverLimitEnded: {
+    number: 2307,
+    level: 'info',
+    message: 'A backend server no longer names a limit.',
+  },
   groupPlanWritten: {
     number: 2400,
     level: 'info',
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -5,6 +5,8 @@
 import type { WritableSection } from '../../board/index.js';
 import { roundedProofAge } from '../../controllers/freshness/index.js';
 import {
+  collectLimitReports,
+  observeMembers,
   PEERING_TICK_MS,
   PeerTable,
   type Digest,
@@ -12,7 +14,7 @@
   type KnownPeer,
   type Versions,
 } from '../../controllers/peering/index.js';
-import { observeDigest, type FleetMembers } from '../../controllers/quotas/index.js';
+import type { FleetMembers } from '../../controllers/quotas/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { Failure } from '../../core/errors/index.js';
 import type { BackendTracker } from '../requests/backend-tracker.js';
@@ -78,6 +80,7 @@
   });
   const createDigest = (): Digest => {
     const now = clock.now();
+    const limits = backends.listRateLimits();
     return {
       ...self,
       ...ownVersions(),
@@ -93,6 +96,7 @@
         ageMs: Math.round(now - since),
         leftMs: Math.round(until - now),
       })),
+      ...(limits.length > 0 && { limits }),
       ...quarantine.buildDigest(),
     };
   };
@@ -148,12 +152,15 @@
   };
   const applyDigest = (digest: Digest, isResponse: boolean): void => {
     if (digest.name === self.name) return;
-    observeDigest(members, digest, clock.now(), isResponse);
+    observeMembers(members, digest, clock.now(), isResponse);
     for (const { server, ageMs, leftMs } of table.applyDigest(digest, clock.now())) {
       if (backends.adoptPeerSuspicion(server, ageMs, leftMs)) {
         logger.log('suspicionLearned', { server, peer: digest.name, ageMs });
       }
     }
+    for (const report of collectLimitReports(digest)) {
+      backends.adoptRateLimit(report, digest.name);
+    }
     if (incarnations.get(digest.name) !== digest.incarnation) {
       incarnations.set(digest.name, digest.incarnation);
       logger.log('peerHeard', { peer: digest.name, address: digest.address });
@@ -249,10 +256,12 @@
       void registration.register();
       followControl.update(clock.now());
       timer = setInterval(tick, PEERING_TICK_MS);
-      // Gateways in this failure domain use the same backend servers, so report a stall immediately.
-      backends.onSuspicion(() => {
+      // Gateways in this failure domain use the same backend servers, so they hear of changes at once.
+      const notifyDomain = (): void => {
         for (const peer of table.listDomainPartners()) void exchange(peer);
-      });
+      };
+      backends.onSuspicion(notifyDomain);
+      backends.onRateLimitChange(notifyDomain);
       // The next copy of a harmful request may reach any gateway, so report it immediately.
       quarantine.onReport(() => {
         for (const peer of table.listPartners()) void exchange(peer);
--- a/src/gateway/requests/backend-tracker.ts
+++ b/src/gateway/requests/backend-tracker.ts
@@ -16,10 +16,14 @@
   type TargetDirectory,
   type TargetState,
 } from '../../controllers/forwarding/index.js';
-import type { FleetMembers } from '../../controllers/quotas/index.js';
+import {
+  ServerLimits,
+  type FleetMembers,
+  type LimitReport,
+} from '../../controllers/quotas/index.js';
 import { hasRoom } from '../../controllers/waiting/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
-import type { ServingService } from '../../ports/index.js';
+import type { RateLimit, ServingService } from '../../ports/index.js';
 import type { GatewayContext } from '../types.js';
 
 /** A chosen target with the state that it was chosen by. */
@@ -31,8 +35,8 @@
 /** This gateway's view of all backend servers. */
 export interface BackendTracker {
   /**
-   * Returns the best target that is neither excluded nor suspected. With `requiresCapacity` it must
-   * be able to start the request almost immediately.
+   * Returns the best target that is neither excluded nor suspected and may get a request now. With
+   * `requiresCapacity` it must be able to start the request almost immediately.
    */
   choose(
     service: ServingService,
@@ -40,6 +44,12 @@
     excluded: ReadonlySet<string>,
     requiresCapacity?: boolean,
   ): ChosenTarget | undefined;
+  /** Whether any target is neither excluded nor suspected, even if it may get no request now. */
+  hasTarget(
+    service: ServingService,
+    model: string | undefined,
+    excluded: ReadonlySet<string>,
+  ): boolean;
   /** The number of all targets, including suspected ones. */
   countTargets(service: ServingService, model: string | undefined): number;
   /** Counts an attempt as in flight. */
@@ -56,6 +66,12 @@
   suspect(server: string, evidence: string): void;
   /** Adopts a peer's suspicion; returns false if it is known or outdated. */
   adoptPeerSuspicion(server: string, ageMs: Milliseconds, leftMs: Milliseconds): boolean;
+  /** Records what an answer to an attempt sent at `sentAt` says of the server's rate limit. */
+  recordRateLimit(server: string, limit: RateLimit, sentAt: Milliseconds): void;
+  /** Adopts a peer's observation of a rate limit. */
+  adoptRateLimit(report: LimitReport, peer: string): void;
+  /** This gateway's observations of rate limits, for peers. */
+  listRateLimits(): LimitReport[];
   /** Records the result of an attempt for the failure rate. */
   recordResult(server: string, failed: boolean): void;
   /** Counts a request towards the retry budget of its service. */
@@ -68,6 +84,8 @@
   suspicions: SuspicionTable;
   /** Called with each server that has restarted under its id. */
   onRestart(listener: (server: string) => void): void;
+  /** Called when an answer to this gateway has shown that a server's rate limit has changed. */
+  onRateLimitChange(listener: () => void): void;
   /** Called with each server that this gateway newly suspects. */
   onSuspicion(listener: (server: string) => void): void;
 }
@@ -89,9 +107,11 @@
   const progress = new ProgressTracker();
   const suspicions = new SuspicionTable();
   const failures = new FailureRates();
+  const limits = new ServerLimits(members);
   const retryBudgets = new Map<string, RetryBudget>();
   let hasForwarded = false;
   const suspicionListeners: ((server: string) => void)[] = [];
+  const limitListeners: (() => void)[] = [];
   const restartListeners: ((server: string) => void)[] = [];
   let directory: TargetDirectory = createTargetDirectory(
     board.fleet.read(),
@@ -108,6 +128,7 @@
       if (servers.has(server)) continue;
       progress.forget(server);
       failures.forget(server);
+      limits.forget(server);
     }
     previousFleet = fleet;
     directory = createTargetDirectory(fleet, settings.failureDomain);
@@ -120,6 +141,7 @@
     inFlightCounts.delete(server);
     progress.forget(server);
     failures.forget(server);
+    limits.forget(server);
     suspicions.clear(server, clock.now());
     logger.log('serverRestarted', { server, formerInFlight: previousCount });
     for (const listener of restartListeners) listener(server);
@@ -165,6 +187,12 @@
   });
   const isUsable = (target: Target, now: Milliseconds): boolean =>
     target.members.every((member) => !suspicions.isSuspect(member, now));
+  const logLimit = (server: string, peer?: string): void => {
+    const perSecond = limits.limitOf(server, clock.now());
+    const values = { server, ...(peer !== undefined && { peer }) };
+    if (perSecond === undefined) logger.log('serverLimitEnded', values);
+    else logger.log('serverLimitNamed', { ...values, perSecond });
+  };
   const retryShare = (): number => members.share(clock.now(), settings.retries.windowMs);
   const retryBudgetOf = (service: string): RetryBudget => {
     const existing = retryBudgets.get(service);
@@ -179,7 +207,9 @@
       const now = clock.now();
       const targets = directory.find(service, model);
       const evaluate = (target: Target): TargetState | undefined => {
-        if (excluded.has(target.server.id) || !isUsable(target, now)) return undefined;
+        const { id } = target.server;
+        if (excluded.has(id) || !isUsable(target, now) || !limits.hasPermit(id, now))
+          return undefined;
         const state = describeTarget(target, service);
         return requiresCapacity && !hasRoom(state) ? undefined : state;
       };
@@ -189,12 +219,20 @@
       const chosen = chooseTarget(states, random);
       return chosen && { ...chosen, candidates: states.length };
     },
+    hasTarget: (service, model, excluded) => {
+      const now = clock.now();
+      const { near, far } = directory.find(service, model);
+      const isPossible = (target: Target): boolean =>
+        !excluded.has(target.server.id) && isUsable(target, now);
+      return near.some(isPossible) || far.some(isPossible);
+    },
     countTargets: (service, model) => {
       const { near, far } = directory.find(service, model);
       return near.length + far.length;
     },
     recordSent: (server) => {
       inFlightCounts.set(server, (inFlightCounts.get(server) ?? 0) + 1);
+      limits.recordSent(server);
     },
     recordEnded: (server) => {
       if (previousInFlight.has(server)) endPreviousAttempt(server);
@@ -223,6 +261,16 @@
         return false;
       return suspicions.recordFromPeer(server, ageMs, leftMs, now);
     },
+    recordRateLimit: (server, limit, sentAt) => {
+      if (isAmbiguous(server)) return;
+      if (!limits.observe(server, limit, sentAt, clock.now())) return;
+      logLimit(server);
+      for (const listener of limitListeners) listener();
+    },
+    adoptRateLimit: (report, peer) => {
+      if (limits.adopt(report, clock.now())) logLimit(report.server, peer);
+    },
+    listRateLimits: () => limits.report(clock.now()),
     recordResult: (server, failed) => {
       if (!isAmbiguous(server)) failures.record(server, failed);
     },
@@ -247,6 +295,9 @@
     onRestart: (listener) => {
       restartListeners.push(listener);
     },
+    onRateLimitChange: (listener) => {
+      limitListeners.push(listener);
+    },
     onSuspicion: (listener) => {
       suspicionListeners.push(listener);
     },
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -197,7 +197,7 @@
       ? undefined
       : backends.choose(service, model.name, triedServers, true);
     if (withCapacity) return withCapacity;
-    return backends.choose(service, model.name, triedServers) ? 'allFull' : undefined;
+    return backends.hasTarget(service, model.name, triedServers) ? 'allFull' : undefined;
   }
 
   private enqueue(why: string): void {
@@ -277,8 +277,12 @@
 
   // --- events of attempts ---
 
-  onResponse({ server }: TrackedAttempt, { notRun }: AttemptResponse): void {
-    if (!notRun) this.deps.backends.recordProgress(server);
+  onResponse({ server, sentAt }: TrackedAttempt, response: AttemptResponse): void {
+    const { backends } = this.deps;
+    const { notRun, rateLimit, signed } = response;
+    if (!notRun) backends.recordProgress(server);
+    // Only the server itself can say that it no longer has a limit.
+    if (signed || rateLimit.kind !== 'none') backends.recordRateLimit(server, rateLimit, sentAt);
   }
 
   onData(attempt: TrackedAttempt, response: AttemptResponse, chunk: Buffer): void {
--- a/src/ports/requests.ts
+++ b/src/ports/requests.ts
@@ -33,6 +33,13 @@
   lastEventId?: string;
 }
 
+/** What a response says of the requests per second that its server takes from all gateways together. */
+export type RateLimit =
+  | { kind: 'none' }
+  | { kind: 'named'; perSecond: number }
+  /** A limit that can't be read, which says neither that there is one nor that there is none. */
+  | { kind: 'unreadable' };
+
 /** Fields decoded from the status and headers of a response. */
 export interface ResponseHead {
   requestId?: string;
@@ -43,6 +50,7 @@
   /** Whether the body has a content encoding. */
   encoded: boolean;
   eventStream: boolean;
+  rateLimit: RateLimit;
 }
 
 /** Decodes, encodes and filters the headers of requests and responses. */
