Use one word for the share of a limit, and adopt limits of known servers only

A report of a server that is gone would have been kept for good: peers report it for two minutes after this gateway has dropped it. Comments, scenarios and pages said part and share for one thing.

--- a/features/gateway/fleet-quotas.feature
+++ b/features/gateway/fleet-quotas.feature
@@ -21,17 +21,17 @@
       | 7        |
       | 63       |
 
-  # Guards against parts of replaced gateways that are lost for good.
+  # Guards against shares of replaced gateways that are lost for good.
   Scenario: A gateway is gone for good and another one takes its place
     Given 7 gateways that share a limit
     When one is replaced, and 25 minutes pass
-    Then the parts of all running gateways sum up to 1 again, and never exceeded it
+    Then the shares of all running gateways sum up to 1 again, and never exceeded it
 
-  # Guards against a gateway that is given up by the others and still uses its part.
+  # Guards against a gateway that is given up by the others and still uses its share.
   Scenario: A gateway hears nobody for longer than others count it
     Given 7 gateways that share a limit
     When one is cut off from the others and the store for 25 minutes, and 24 minutes pass
-    Then the parts of all running gateways sum up to 1 again, and never exceeded it
+    Then the shares of all running gateways sum up to 1 again, and never exceeded it
     And 3 minutes later they sum up to 1, and never exceeded it
 
   # Guards against gateways that each use the whole limit of a server, and against forgetting it.
--- a/features/gateway/fleet-quotas.steps.ts
+++ b/features/gateway/fleet-quotas.steps.ts
@@ -140,7 +140,7 @@
 );
 
 Then(
-  'the parts of all running gateways sum up to 1 again, and never exceeded it',
+  'the shares of all running gateways sum up to 1 again, and never exceeded it',
   function (this: QuotaWorld) {
     assertShares(this.fleet);
   },
--- a/features/gateway/quota-model.ts
+++ b/features/gateway/quota-model.ts
@@ -178,7 +178,7 @@
     store.set(this.name, { location: this.location, isCounted: this.isStoredAsCounted });
   }
 
-  /** The part of a limit that it may use. */
+  /** The share of a limit that it may use. */
   share(now: number): number {
     return this.members.share(this.localTime(now), BOUNDS.windowMs);
   }
@@ -212,7 +212,7 @@
   readonly limitCounts: LimitCount[] = [];
   /** The requests per second that a server names, if one is limited. */
   serverLimitAt: ((at: number) => number | undefined) | undefined;
-  /** The largest sum of the parts that the gateways could use at the same time. */
+  /** The largest sum of the shares that the gateways could use at the same time. */
   largestSum = 0;
   private readonly gateways: QuotaGateway[] = [];
   private deliveries: { at: number; to: QuotaGateway; digest: Digest }[] = [];
@@ -245,7 +245,7 @@
     }
   }
 
-  /** The parts of a limit that the running gateways may use together. */
+  /** The shares of a limit that the running gateways may use together. */
   sumShares(): number {
     return this.running()
       .map((gateway) => gateway.share(this.now))
--- a/src/controllers/quotas/fleet-members.ts
+++ b/src/controllers/quotas/fleet-members.ts
@@ -1,20 +1,20 @@
 /**
- * The gateways that share the limits of the fleet, and the part of a limit that this one may use.
+ * The gateways that share the limits of the fleet, and the share that this one may use.
  *
- * A limit is divided by the number of members, and the sum of all parts never exceeds it, although
- * gateways know different members. The store holds an entry of each member:
+ * A limit is divided by the number of members. The sum of all shares in use never exceeds it, although
+ * gateways may know different members. Each member has an entry in the store:
  *
- * - A gateway uses its part only after it has written its own entry and then listed all entries, and
- *   after each member has shown that it counts this gateway. Of two gateways that use their parts, each
+ * - A gateway uses its share only after it has written its entry, then listed all entries, and then
+ *   been shown by each member that it is counted. Of two gateways that use their shares, each
  *   therefore counts the other, and both divide by at least the number of gateways that do.
- * - A member is counted until its entry has been removed, however long it is silent: behind a
- *   partition it uses its part. Its entry is removed after {@link FORGET_AFTER_MS} of silence.
- * - A gateway stops using its part when it can't tell for {@link LEASE_MS} whether its entry still
- *   exists, until it has listed it again. A removed member is counted for longer than that.
+ * - A silent member counts until its entry has been removed, because behind a partition it goes on
+ *   using its share. Its entry is removed after {@link FORGET_AFTER_MS} of silence.
+ * - A gateway that can't tell for {@link LEASE_MS} whether its entry still exists stops using its share
+ *   until it has listed the entry again. A removed member counts for longer than that.
  *
- * Uses of a limit are counted for a time, its memory. A gateway waits for that time after its start if
- * it had a previous process, whose uses are unknown, and after a join, because the other members may
- * just have used the larger parts of a smaller fleet.
+ * Uses of a limit count for a time, its memory. A gateway waits for that time after a restart, because
+ * the uses of its previous process are unknown, and after it has joined, because the other members may
+ * just have used larger shares.
  */
 import type { Milliseconds } from '../../core/clock/index.js';
 import { rankByRendezvous } from '../membership/rendezvous.js';
@@ -24,7 +24,7 @@
 const LEASE_MS: Milliseconds = 180_000;
 /** Longest memory of a limit: the window in which uses are counted. */
 const MAX_MEMORY_MS: Milliseconds = 30_000;
-/** A removed member may use its part until its lease expires; those uses then count for a window. */
+/** A removed member may use its share until its lease expires, and those uses count for a while. */
 const REMOVED_HOLD_MS: Milliseconds = LEASE_MS + MAX_MEMORY_MS;
 /** Silence after which the entry of a member is removed. */
 const FORGET_AFTER_MS: Milliseconds = 600_000;
@@ -120,7 +120,7 @@
     return this.countedSince !== undefined;
   }
 
-  /** The part of a limit with the given memory that this gateway may use, from 0 to 1. */
+  /** The share of a limit with the given memory that this gateway may use, from 0 to 1. */
   share(now: Milliseconds, memoryMs: Milliseconds): number {
     return this.isUsable(now, memoryMs) ? 1 / this.size : 0;
   }
--- a/src/controllers/quotas/server-limits.ts
+++ b/src/controllers/quotas/server-limits.ts
@@ -2,7 +2,7 @@
  * Keeps to the request rates that backend servers in need name for all gateways together.
  *
  * A limit is used by a few gateways only, chosen per server by rendezvous hashing among the members of
- * the fleet. Each of them has a token bucket with its part of the rate. The other gateways choose other
+ * the fleet. Each of them has a token bucket with its share of the rate. The other gateways choose other
  * servers. So the sum of all requests stays near the limit in fleets of any size.
  */
 import type { Milliseconds } from '../../core/clock/index.js';
@@ -32,7 +32,7 @@
   observedAt: Milliseconds;
   /** Observed in an answer to this gateway rather than reported by another one. */
   isOwn: boolean;
-  /** Requests that this gateway may send now, with the part of the next one. */
+  /** Requests that this gateway may send now, including a fraction of the next one. */
   tokens: number;
   refilledAt: Milliseconds;
 }
--- a/src/gateway/requests/backend-tracker.ts
+++ b/src/gateway/requests/backend-tracker.ts
@@ -268,6 +268,7 @@
       for (const listener of limitListeners) listener();
     },
     adoptRateLimit: (report, peer) => {
+      if (!board.fleet.read().servers.has(report.server)) return;
       if (limits.adopt(report, clock.now())) logLimit(report.server, peer);
     },
     listRateLimits: () => limits.report(clock.now()),
