Test deployments: give entries that start at the same time names of their own

Cause, by reading: an entry was named by the number of entries that had started before, which is counted when its process is up. Two entries that replace killed ones and start at the same time, as on a busy machine where the first start lasts until the run's end undoes the second kill, both were entry-3; the second one's configuration of revision 0 then seemed to follow the first one's. The new scenario shows the double name (2 entries of 3 before).

--- a/features/promises/chaos.feature
+++ b/features/promises/chaos.feature
@@ -12,3 +12,9 @@
       | seed |
       | 4    |
       | 5    |
+
+  # Guards against two entries under one name, whose configurations then seem to go back.
+  Scenario: Entries that replace killed ones start at the same time
+    Given a deployment with 1 entry
+    When 2 more entries start at the same time
+    Then 3 entries run under names of their own
--- a/features/promises/chaos.steps.ts
+++ b/features/promises/chaos.steps.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict';
-import { Then, When, type World } from '@cucumber/cucumber';
+import { Given, Then, When, type World } from '@cucumber/cucumber';
 import { runChaos, type ChaosReport } from '../../bench/chaos/run.js';
+import { startDeployment } from './deployment.js';
+import type { PromiseWorld } from './world.js';
 
-interface ChaosWorld extends World {
+interface ChaosWorld extends World, PromiseWorld {
   chaos: ChaosReport;
 }
 
@@ -18,3 +20,15 @@
   assert.deepEqual(violations, [], JSON.stringify(schedule));
   assert.ok(tally.wholeStreams > 0 && tally.answeredCalls > 0, JSON.stringify(tally));
 });
+
+Given('a deployment with 1 entry', async function (this: ChaosWorld) {
+  this.deployment = await startDeployment({ engines: {}, services: 0, entries: 1 });
+});
+
+When('{int} more entries start at the same time', async function (this: ChaosWorld, count: number) {
+  await Promise.all(Array.from({ length: count }, () => this.deployment.startEntry()));
+});
+
+Then('{int} entries run under names of their own', function (this: ChaosWorld, count: number) {
+  assert.equal(this.deployment.entries.size, count);
+});
--- a/features/promises/deployment.ts
+++ b/features/promises/deployment.ts
@@ -136,6 +136,7 @@
   const engines = new Map<string, EngineProcess>();
   const services = new Map<string, ServiceProcess>();
   const entries = new Map<string, EntryProcess>();
+  let startedEntries = 0;
   const deployment: Deployment = {
     platform,
     engines,
@@ -145,7 +146,11 @@
     entry: (index) => pick([...entries.values()][index], `entry ${index}`),
     engine: (name) => pick(engines.get(name), name),
     service: (index) => pick([...services.values()][index], `service ${index}`),
-    startEntry: () => startEntry(deployment, folder),
+    startEntry: () => {
+      const name = `entry-${startedEntries}`;
+      startedEntries += 1;
+      return startEntry(deployment, folder, name);
+    },
     restartEngine: (name) => restartEngine(deployment, name),
     readReplicas: () => readReplicas(deployment),
     whenWhole: (count) =>
@@ -249,9 +254,12 @@
   return deployment.engine(name);
 }
 
-async function startEntry(deployment: Deployment, folder: string): Promise<EntryProcess> {
+async function startEntry(
+  deployment: Deployment,
+  folder: string,
+  name: string,
+): Promise<EntryProcess> {
   const { entries, platform } = deployment;
-  const name = `entry-${entries.size}`;
   const created = await createProxy({ listen: nextAddress(), target: platform.address });
   const platformLink = created._unsafeUnwrap();
   const peerLink = deployment.plan.withPeerLinks ? await openPeerLink() : undefined;
