--- a/features/gateway/fleet-quotas.steps.ts
+++ b/features/gateway/fleet-quotas.steps.ts
@@ -5,7 +5,8 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
 import { createRandom } from '../../src/core/random/index.js';
-import { BOUNDS, LEAD_MS, QuotaFleet, TICK_MS, worstUse, type Disturbance } from './quota-model.js';
+import { LEAD_MS, QuotaFleet, TICK_MS, worstUse, type Disturbance } from './quota-fleet.js';
+import { BOUNDS } from './quota-gateway.js';
 
 interface QuotaWorld {
   size: number;
