Test: a quarantine that a peer's report completes is stored (fails, listed)

A gateway writes its entry only when its own report is the third; where another gateway's report completes the three, as when the reports of three gateways cross, none does, and a loss of power of all forgets the quarantine.

--- /dev/null
+++ b/features/gateway/quarantine-store.steps.ts
@@ -0,0 +1,53 @@
+/**
+ * What the quarantine of one gateway tells its entry in the store, without a network.
+ */
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import type { Digest } from '../../src/controllers/peering/index.js';
+import { createManualClock } from '../../src/core/clock/index.js';
+import type { EngineCalls } from '../../src/gateway/backends/engine-calls.js';
+import { createQuarantine, type Quarantine } from '../../src/gateway/requests/quarantine.js';
+import type { GatewayContext } from '../../src/gateway/types.js';
+import { waitFor } from '../support/waiting.js';
+import { createServer } from './planning-model.js';
+
+interface StoreWorld {
+  quarantine: Quarantine;
+  writes: number;
+}
+
+const FINGERPRINT = 'x';
+
+Given('a gateway under whose request a server has ended', async function (this: StoreWorld) {
+  const context = {
+    clock: createManualClock(1_000),
+    logger: { log: () => undefined },
+    metrics: { quarantined: { inc: () => undefined } },
+  };
+  const calls: Pick<EngineCalls, 'probe'> = { probe: () => Promise.resolve({ kind: 'gone' }) };
+  this.writes = 0;
+  this.quarantine = createQuarantine(
+    context as unknown as GatewayContext,
+    calls,
+  );
+  this.quarantine.onQuarantine(() => {
+    this.writes += 1;
+  });
+  this.quarantine.recordBroken(FINGERPRINT, createServer('server-0'));
+  await waitFor('the end to be reported', () => this.quarantine.buildDigest().reports?.length);
+});
+
+When('another gateway reports two more ends under it', function (this: StoreWorld) {
+  const reports = ['server-1', 'server-2'].map((server) => ({
+    kind: 'serverEnded',
+    fingerprint: FINGERPRINT,
+    server,
+    ageMs: 0,
+  }));
+  this.quarantine.mergeDigest({ name: 'gateway-1', reports } as unknown as Digest);
+});
+
+Then('the request is in quarantine, and its gateway is to store that', function (this: StoreWorld) {
+  assert.notEqual(this.quarantine.leftMs(FINGERPRINT), undefined);
+  assert.equal(this.writes, 1);
+});
--- a/features/gateway/quarantine.feature
+++ b/features/gateway/quarantine.feature
@@ -87,3 +87,10 @@
       | 3       | 3    |
       | 3       | 21   |
       | 5       | 39   |
+
+  # Guards against a quarantine that no gateway stores, because a peer's report completed it.
+  @known-red
+  Scenario: The report of another gateway is the third
+    Given a gateway under whose request a server has ended
+    When another gateway reports two more ends under it
+    Then the request is in quarantine, and its gateway is to store that
