--- a/features/gateway/quarantine-store.steps.ts
+++ b/features/gateway/quarantine-store.steps.ts
@@ -26,10 +26,7 @@
   };
   const calls: Pick<EngineCalls, 'probe'> = { probe: () => Promise.resolve({ kind: 'gone' }) };
   this.writes = 0;
-  this.quarantine = createQuarantine(
-    context as unknown as GatewayContext,
-    calls,
-  );
+  this.quarantine = createQuarantine(context as unknown as GatewayContext, calls);
   this.quarantine.onQuarantine(() => {
     this.writes += 1;
   });
