Keep a server in service that rewrote its entry before the second list after a restore

What callers saw: after the store came back from an older copy, a server that had been gone before and had written its entry again got no requests any more from gateways that follow the store.

Cause: incarnations that were removed are remembered for a minute, so that the restored copy of their entries doesn't bring them back. The memory wasn't cleared when the server wrote its entry again, and the second list, 2.2 s after the restore, marked it as leaving; nothing lists after that.

Change: an incarnation that is present and not leaving is no longer remembered as gone.

--- a/features/gateway/store-copy.feature
+++ b/features/gateway/store-copy.feature
@@ -23,6 +23,17 @@
       | was leaving | announces that it is leaving | starts again  |
       | was gone    | goes                         | writes again  |
 
+  # The entries are listed a second time after a restore. That must not put a server out of service
+  # again that has rewritten its entry since.
+  Scenario: A server that was gone writes again before the second list
+    Given a site with 2 plain server and 3 ready gateways
+    And the store keeps a copy, and the first server goes
+    When the store is unavailable for 500 ms and is restored from the copy
+    Then for 1000 ms nothing is sent to the first server
+    When the first server writes again
+    Then every gateway sends to it within 2000 ms
+    And 3000 ms later every gateway sends to it within 2000 ms
+
   Scenario: A key that was taken away stays away
     Given a site with 2 plain server and 3 ready gateways
     And the store keeps a copy, and the operator revokes the key
--- a/features/gateway/store-copy.steps.ts
+++ b/features/gateway/store-copy.steps.ts
@@ -169,12 +169,28 @@
   this.site.configure({ version: 11 });
 });
 
-Then('every gateway sends to it within {int} ms', async function (this: CopyWorld, ms: number) {
-  for (const gateway of this.site.gateways) {
-    await waitFor('a request there', () => isSentTo(this, gateway, this.expectedServer), ms);
+async function expectRequests(world: CopyWorld, withinMs: number): Promise<void> {
+  for (const gateway of world.site.gateways) {
+    await waitFor(
+      'a request there',
+      () => isSentTo(world, gateway, world.expectedServer),
+      withinMs,
+    );
   }
+}
+
+Then('every gateway sends to it within {int} ms', async function (this: CopyWorld, ms: number) {
+  await expectRequests(this, ms);
 });
 
+Then(
+  '{int} ms later every gateway sends to it within {int} ms',
+  async function (this: CopyWorld, delayMs: number, ms: number) {
+    await sleep(delayMs);
+    await expectRequests(this, ms);
+  },
+);
+
 Then(
   'for {int} ms nothing is sent to the first server',
   async function (this: CopyWorld, ms: number) {
--- a/src/gateway/store/fleet-part.ts
+++ b/src/gateway/store/fleet-part.ts
@@ -82,15 +82,18 @@
   const commit = (next: ServingFleet): void => {
     const before = section.read();
     if (next === before) return;
-    recordGone(before, next);
+    trackGone(before, next);
     logChanges(context, before, next);
     section.write(next);
   };
-  const recordGone = (before: ServingFleet, next: ServingFleet): void => {
+  const trackGone = (before: ServingFleet, next: ServingFleet): void => {
     const now = clock.now();
     for (const id of next.changed) {
       const server = before.servers.get(id);
-      if (server && !next.servers.has(id)) goneIncarnations.set(incarnationKey(server), now);
+      const current = next.servers.get(id);
+      if (server && !current) goneIncarnations.set(incarnationKey(server), now);
+      // It has rewritten its entry, so later lists show it as it is.
+      if (current && !current.leaving) goneIncarnations.delete(incarnationKey(current));
     }
     for (const [incarnation, at] of goneIncarnations)
       if (now - at > GONE_RETENTION_MS) goneIncarnations.delete(incarnation);
