Store a quarantine that a peer has completed

What callers could see: a request that ends each server it reaches was quarantined, but after a loss of power of all gateways it was sent again, and ended servers again.

Cause: only the gateway whose own report was the third stored the quarantine. Where reports of several gateways cross, each completes it by the report of another one, or learns of it from one that has heard them all, and nobody stores it. Shown by the listed scenario "The report of another gateway is the third", which failed since, and a second one for a peer's notice, which failed on the code before as well.

Change: each gateway that has reported a failure of the request stores the quarantine, whoever has completed it. A gateway without evidence of its own still writes nothing, so that the number of writes doesn't grow with the fleet; that has a scenario of its own, which passed before.

--- a/features/gateway/quarantine-store.steps.ts
+++ b/features/gateway/quarantine-store.steps.ts
@@ -18,18 +18,26 @@
 
 const FINGERPRINT = 'x';
 
-Given('a gateway under whose request a server has ended', async function (this: StoreWorld) {
+function createObservedQuarantine(world: StoreWorld): void {
   const context = {
     clock: createManualClock(1_000),
     logger: { log: () => undefined },
     metrics: { quarantined: { inc: () => undefined } },
   };
   const calls: Pick<EngineCalls, 'probe'> = { probe: () => Promise.resolve({ kind: 'gone' }) };
-  this.writes = 0;
-  this.quarantine = createQuarantine(context as unknown as GatewayContext, calls);
-  this.quarantine.onQuarantine(() => {
-    this.writes += 1;
+  world.writes = 0;
+  world.quarantine = createQuarantine(context as unknown as GatewayContext, calls);
+  world.quarantine.onQuarantine(() => {
+    world.writes += 1;
   });
+}
+
+Given('a gateway under whose request no server has ended', function (this: StoreWorld) {
+  createObservedQuarantine(this);
+});
+
+Given('a gateway under whose request a server has ended', async function (this: StoreWorld) {
+  createObservedQuarantine(this);
   this.quarantine.recordBroken(FINGERPRINT, createServer('server-0'));
   await waitFor('the end to be reported', () => this.quarantine.buildDigest().reports?.length);
 });
@@ -44,6 +52,19 @@
   this.quarantine.mergeDigest({ name: 'gateway-1', reports } as unknown as Digest);
 });
 
+When('another gateway tells of the quarantine', function (this: StoreWorld) {
+  const quarantined = [{ fingerprint: FINGERPRINT, ageMs: 100, leftMs: 500_000 }];
+  this.quarantine.mergeDigest({ name: 'gateway-1', quarantined } as unknown as Digest);
+});
+
+Then(
+  'the request is in quarantine, and its gateway has nothing to store',
+  function (this: StoreWorld) {
+    assert.notEqual(this.quarantine.leftMs(FINGERPRINT), undefined);
+    assert.equal(this.writes, 0);
+  },
+);
+
 Then('the request is in quarantine, and its gateway is to store that', function (this: StoreWorld) {
   assert.notEqual(this.quarantine.leftMs(FINGERPRINT), undefined);
   assert.equal(this.writes, 1);
--- a/features/gateway/quarantine.feature
+++ b/features/gateway/quarantine.feature
@@ -88,9 +88,20 @@
       | 3       | 21   |
       | 5       | 39   |
 
-  # Guards against a quarantine that no gateway stores, because a peer's report completed it.
-  @known-red
+  # Guards against a quarantine that no gateway stores, because a peer has completed it.
   Scenario: The report of another gateway is the third
     Given a gateway under whose request a server has ended
     When another gateway reports two more ends under it
     Then the request is in quarantine, and its gateway is to store that
+
+  # The same, where a gateway that all reports have reached first is the one that tells of it.
+  Scenario: Another gateway tells of the quarantine before its reports arrive
+    Given a gateway under whose request a server has ended
+    When another gateway tells of the quarantine
+    Then the request is in quarantine, and its gateway is to store that
+
+  # Guards against a write of each gateway of a large fleet for each quarantine.
+  Scenario: A gateway without evidence of its own does not store a quarantine
+    Given a gateway under whose request no server has ended
+    When another gateway tells of the quarantine
+    Then the request is in quarantine, and its gateway has nothing to store
--- a/src/controllers/quarantine/quarantine-table.ts
+++ b/src/controllers/quarantine/quarantine-table.ts
@@ -29,6 +29,8 @@
 interface ServerFailure {
   server: string;
   at: Milliseconds;
+  /** This gateway has reported it, possibly beside others. */
+  isOwn: boolean;
 }
 
 interface Quarantine {
@@ -66,18 +68,18 @@
     if (report.kind === 'answered' && !this.isSuspect(report.fingerprint)) return false;
     const reports = [...this.ownReports, { report, at: now - report.ageMs }];
     this.ownReports = reports.slice(-MAX_SHARED_REPORTS);
-    return this.applyReport(report, now);
+    return this.applyReport(report, now, true);
   }
 
   /** Applies a report of any gateway; returns whether it quarantines the request. */
-  applyReport(report: RequestReport, now: Milliseconds): boolean {
+  applyReport(report: RequestReport, now: Milliseconds, isOwn = false): boolean {
     const at = now - report.ageMs;
     switch (report.kind) {
       case 'answered':
         this.clearUntil(report.fingerprint, at);
         return false;
       case 'serverEnded':
-        return this.addFailure(report.fingerprint, { server: report.server, at }, now);
+        return this.addFailure(report.fingerprint, { server: report.server, at, isOwn }, now);
     }
   }
 
@@ -98,6 +100,11 @@
     return until !== undefined && until > now ? until - now : undefined;
   }
 
+  /** Whether this gateway has itself reported a failure of the request. */
+  hasOwnEvidence(fingerprint: string): boolean {
+    return this.records.get(fingerprint)?.failures.some(({ isOwn }) => isOwn) ?? false;
+  }
+
   /** Recent reports of this gateway, to be shared with other gateways. */
   listOwnReports(now: Milliseconds): RequestReport[] {
     this.ownReports = this.ownReports.filter(({ at }) => now - at <= REPORT_SHARING_MS);
@@ -142,7 +149,11 @@
     if (failure.at <= record.answeredAt) return false;
     const recent = record.failures.filter(({ at }) => now - at < FAILURE_RETENTION_MS);
     record.failures = recent;
-    if (recent.some((other) => isSameFailure(other, failure))) return false;
+    const known = recent.find((other) => isSameFailure(other, failure));
+    if (known) {
+      known.isOwn ||= failure.isOwn;
+      return false;
+    }
     recent.push(failure);
     if (this.remainingMs(fingerprint, now) !== undefined) return false;
     const unattributed = recent.filter(
--- a/src/gateway/requests/quarantine.ts
+++ b/src/gateway/requests/quarantine.ts
@@ -36,7 +36,7 @@
   restore(quarantined: readonly QuarantineNotice[]): void;
   /** Called when this gateway has a new report that the others should get immediately. */
   onReport(listener: () => void): void;
-  /** Called when this gateway's own evidence has quarantined a request. */
+  /** Called when a request has been quarantined of which this gateway has evidence of its own. */
   onQuarantine(listener: () => void): void;
 }
 
@@ -100,12 +100,20 @@
         exitChecks.delete(processKey);
     }
   };
+  /**
+   * Gateways with evidence of their own store the quarantine, whoever has completed it: that keeps
+   * the number of writes small in large fleets.
+   */
+  const handleQuarantinedByPeer = (fingerprint: string, source: string): void => {
+    logQuarantined(fingerprint, source);
+    if (table.hasOwnEvidence(fingerprint)) for (const listener of quarantineListeners) listener();
+  };
   const mergeReport = (report: RequestReport, peer: string): void => {
-    if (table.applyReport(report, clock.now())) logQuarantined(report.fingerprint, peer);
+    if (table.applyReport(report, clock.now())) handleQuarantinedByPeer(report.fingerprint, peer);
   };
   const mergeQuarantined = (quarantined: readonly QuarantineNotice[], source: string): void => {
     for (const entry of quarantined) {
-      if (table.applyNotice(entry, clock.now())) logQuarantined(entry.fingerprint, source);
+      if (table.applyNotice(entry, clock.now())) handleQuarantinedByPeer(entry.fingerprint, source);
     }
   };
   return {
