Divide the loads of weights by the domains that need them

What could be seen: slots for loading weights were rounded up for each fabric domain, so that with more domains than loads at once all domains loaded together (170 where 20 are allowed, by the new scenario), which breaks the ceiling on loads; and a domain in which new instances had come used 2 slots of 7 while the others used none.

Cause: the class of the retry budget, a limit of the fleet divided by the wrong number: by all domains and rounded up.

Change: slots go one after the other to the domains that need loads, as all gateways see them in the store's entries, and their sum is the limit. What is derived from the fleet stands in a module of its own that needs no network.

--- /dev/null
+++ b/src/gateway/groups/domain-states.ts
@@ -0,0 +1,96 @@
+/**
+ * Derives the state of each fabric domain from the fleet: instances, target replicas and load slots.
+ */
+import type { ServingFleet, ServingIndex } from '../../controllers/forwarding/index.js';
+import {
+  countLoadDemand,
+  divideLoadSlots,
+  splitDomains,
+  type DomainCapacity,
+  type LoadDemand,
+} from '../../controllers/groups/index.js';
+import { groupBy } from '../../core/collections/index.js';
+import type { BackendServer, EngineProfile } from '../../ports/index.js';
+import type { DomainState } from './domain-controller.js';
+
+/** Time window of the limit on model loads per second, in seconds. */
+const LOAD_WINDOW_S = 5;
+
+type Services = ServingIndex['services'];
+
+/** The instances of one service in one fabric domain. */
+export interface ServiceDomain extends Pick<
+  DomainState,
+  'service' | 'domain' | 'profile' | 'servers'
+> {
+  key: string;
+  failureDomain: string;
+}
+
+export function groupByDomain(services: Services, fleet: ServingFleet): readonly ServiceDomain[] {
+  const engines = groupBy(fleet.servers.values(), ({ engine, service }) =>
+    engine ? service : undefined,
+  );
+  return [...engines].flatMap(([service, members]) => {
+    const profile = services.get(service)?.engine;
+    if (!profile) return [];
+    const domains = groupBy(members, ({ engine }) => engine?.fabricDomain);
+    return [...domains].map(([domain, servers]): ServiceDomain => {
+      const failureDomain = servers[0]?.failureDomain ?? '';
+      return { key: `${service} ${domain}`, service, domain, failureDomain, profile, servers };
+    });
+  });
+}
+
+/** The states of all `serviceDomains`, by key. */
+export function createDomainStates(
+  serviceDomains: readonly ServiceDomain[],
+  beforeTraffic: boolean,
+): ReadonlyMap<string, DomainState> {
+  const states = new Map<string, DomainState>();
+  for (const domains of groupBy(serviceDomains, ({ service }) => service).values()) {
+    const [first] = domains;
+    if (first === undefined) continue;
+    const capacities = domains.map((domain) => measureCapacity(domain, beforeTraffic));
+    const targetsOf = splitDomains(capacities, first.profile.models);
+    const demands = domains.map(({ domain, servers }): LoadDemand => {
+      const loads = countLoadDemand(servers, targetsOf.get(domain) ?? [], countGroups(servers));
+      return { domain, loads };
+    });
+    const slots = divideLoadSlots(maxConcurrentLoads(first.profile), demands);
+    for (const { key, service, domain, profile, servers } of domains) {
+      const targets = targetsOf.get(domain) ?? [];
+      const loadSlots = slots.get(domain) ?? 0;
+      states.set(key, { service, domain, profile, servers, targets, beforeTraffic, loadSlots });
+    }
+  }
+  return states;
+}
+
+/** Concurrent loads that respect both limits, given that a load takes longer than the time window. */
+function maxConcurrentLoads({ loadsAtOnce, loadsPerSecond }: EngineProfile): number {
+  return Math.min(loadsAtOnce, loadsPerSecond * LOAD_WINDOW_S);
+}
+
+/** Counts instances without weights only before there is traffic, when loading is fast. */
+function measureCapacity(
+  { domain, failureDomain, servers }: ServiceDomain,
+  beforeTraffic: boolean,
+): DomainCapacity {
+  const usable = servers.filter(
+    ({ leaving, engine }) =>
+      !leaving && (beforeTraffic || engine?.lastModel !== undefined || engine?.staged.length !== 0),
+  );
+  return { domain, failureDomain, instances: usable.length, groups: countGroups(servers) };
+}
+
+/** Number of groups by model, counted by their heads. */
+function countGroups(servers: readonly BackendServer[]): ReadonlyMap<string, number> {
+  const groups = new Map<string, number>();
+  for (const { engine } of servers) {
+    const { membership, lastModel } = engine ?? {};
+    if (membership?.rank !== 0 || lastModel === undefined) continue;
+    groups.set(lastModel, (groups.get(lastModel) ?? 0) + 1);
+  }
+  return groups;
+}
--- a/src/gateway/groups/groups-part.ts
+++ b/src/gateway/groups/groups-part.ts
@@ -5,15 +5,11 @@
   hasReceivedPeerState,
   createOwnerFinder,
   PEER_STATE_DELAY_MS,
-  splitDomains,
-  type DomainCapacity,
   type OwnerFinder,
 } from '../../controllers/groups/index.js';
-import type { ServingFleet, ServingIndex } from '../../controllers/forwarding/index.js';
 import type { GatewayPeer } from '../../controllers/peering/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
-import { groupBy, memoizeLatest } from '../../core/collections/index.js';
-import type { EngineProfile } from '../../ports/index.js';
+import { memoizeLatest } from '../../core/collections/index.js';
 import type { EngineCalls } from '../backends/engine-calls.js';
 import type { BackendTracker } from '../requests/backend-tracker.js';
 import type { ObjectStore } from '../store/client.js';
@@ -24,6 +20,7 @@
   type DomainController,
   type DomainState,
 } from './domain-controller.js';
+import { createDomainStates, groupByDomain, type ServiceDomain } from './domain-states.js';
 
 interface GroupsPartOptions {
   context: GatewayContext;
@@ -34,8 +31,6 @@
 }
 
 const RECONCILE_INTERVAL_MS: Milliseconds = 100;
-/** Time window of the limit on model loads per second, in seconds. */
-const LOAD_WINDOW_S = 5;
 
 /** Reconciles the fabric domains owned by this gateway. */
 export interface GroupsPart extends GatewayPart {
@@ -129,68 +124,3 @@
     },
   };
 }
-
-type Services = ServingIndex['services'];
-
-/** The instances of one service in one fabric domain. */
-interface ServiceDomain extends Pick<DomainState, 'service' | 'domain' | 'profile' | 'servers'> {
-  key: string;
-  failureDomain: string;
-}
-
-function groupByDomain(services: Services, fleet: ServingFleet): readonly ServiceDomain[] {
-  const engines = groupBy(fleet.servers.values(), ({ engine, service }) =>
-    engine ? service : undefined,
-  );
-  return [...engines].flatMap(([service, members]) => {
-    const profile = services.get(service)?.engine;
-    if (!profile) return [];
-    const domains = groupBy(members, ({ engine }) => engine?.fabricDomain);
-    return [...domains].map(([domain, servers]): ServiceDomain => {
-      const failureDomain = servers[0]?.failureDomain ?? '';
-      return { key: `${service} ${domain}`, service, domain, failureDomain, profile, servers };
-    });
-  });
-}
-
-function createDomainStates(
-  serviceDomains: readonly ServiceDomain[],
-  beforeTraffic: boolean,
-): ReadonlyMap<string, DomainState> {
-  const states = new Map<string, DomainState>();
-  for (const domains of groupBy(serviceDomains, ({ service }) => service).values()) {
-    const [first] = domains;
-    if (first === undefined) continue;
-    const capacities = domains.map((domain) => measureCapacity(domain, beforeTraffic));
-    const targetsOf = splitDomains(capacities, first.profile.models);
-    const loadSlots = Math.ceil(maxConcurrentLoads(first.profile) / domains.length);
-    for (const { key, service, domain, profile, servers } of domains) {
-      const targets = targetsOf.get(domain) ?? [];
-      states.set(key, { service, domain, profile, servers, targets, beforeTraffic, loadSlots });
-    }
-  }
-  return states;
-}
-
-/** Concurrent loads that respect both limits, given that a load takes longer than the time window. */
-function maxConcurrentLoads({ loadsAtOnce, loadsPerSecond }: EngineProfile): number {
-  return Math.min(loadsAtOnce, loadsPerSecond * LOAD_WINDOW_S);
-}
-
-/** Counts instances without weights only before there is traffic, when loading is fast. */
-function measureCapacity(
-  { domain, failureDomain, servers }: ServiceDomain,
-  beforeTraffic: boolean,
-): DomainCapacity {
-  const usable = servers.filter(
-    ({ leaving, engine }) =>
-      !leaving && (beforeTraffic || engine?.lastModel !== undefined || engine?.staged.length !== 0),
-  );
-  const groups = new Map<string, number>();
-  for (const { engine } of servers) {
-    const { membership, lastModel } = engine ?? {};
-    if (membership?.rank !== 0 || lastModel === undefined) continue;
-    groups.set(lastModel, (groups.get(lastModel) ?? 0) + 1);
-  }
-  return { domain, failureDomain, instances: usable.length, groups };
-}
