Share the idle connections of a server among all gateways

What could be seen: each gateway kept up to 8 idle connections to a server, 1,560 from 195 gateways to one that accepts 1,356 from all together; the server resets those beyond.

Change: idle connections are limited to three quarters of what the server accepts, divided by the members of the fleet, and to 8 as before.

--- a/src/controllers/quotas/index.ts
+++ b/src/controllers/quotas/index.ts
@@ -1,3 +1,4 @@
+export * from './connection-share.js';
 export * from './fleet-members.js';
 export * from './limit-reports.js';
 export * from './server-limits.js';
--- a/src/gateway/backends/pool.ts
+++ b/src/gateway/backends/pool.ts
@@ -30,13 +30,14 @@
   clock: Clock;
   /** Called for each new connection. */
   onOpen: () => void;
+  /** The number of idle connections to keep to a server; read at each release. */
+  maxIdle: (id: string) => number;
 }
 
 /** Connections idle for longer are not reused, because the server may be closing them. */
 const MAX_REUSABLE_IDLE_MS: Milliseconds = 3_000;
-const MAX_IDLE_PER_SERVER = 8;
 
-export function createConnectionPool({ clock, onOpen }: PoolOptions): ConnectionPool {
+export function createConnectionPool({ clock, onOpen, maxIdle }: PoolOptions): ConnectionPool {
   const idle = new Map<string, BackendConnection[]>();
   /** Number of restarts by server id; servers that have not restarted are absent. */
   const generations = new Map<string, number>();
@@ -78,7 +79,7 @@
       if (connection.state.ended) return;
       const idleConnections = idle.get(server.id) ?? [];
       const isOutdated = connection.state.generation !== generationOf(server.id);
-      if (isOutdated || idleConnections.length >= MAX_IDLE_PER_SERVER) {
+      if (isOutdated || idleConnections.length >= maxIdle(server.id)) {
         discard(connection);
         return;
       }
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -13,7 +13,7 @@
 } from '../controllers/forwarding/index.js';
 import type { Proof } from '../controllers/freshness/index.js';
 import type { GatewayPeer } from '../controllers/peering/index.js';
-import { FleetMembers } from '../controllers/quotas/index.js';
+import { FleetMembers, idleConnectionLimit } from '../controllers/quotas/index.js';
 import { createSystemClock, type Milliseconds } from '../core/clock/index.js';
 import { createBoundedLogger, type BoundedLogger } from '../core/logger/index.js';
 import { createRandom } from '../core/random/index.js';
@@ -120,11 +120,17 @@
     const { revision } = board.fleet.read();
     if (revision > 0) store.observeEra(eraOf(revision));
   });
+  const members = new FleetMembers(settings.name, clock.now());
   const pool = createConnectionPool({
     clock,
     onOpen: () => {
       metrics.connections.inc();
     },
+    maxIdle: (id) => {
+      const service = board.fleet.read().servers.get(id)?.service ?? '';
+      const maxConnections = board.serving.read()?.services.get(service)?.maxConnections ?? 0;
+      return idleConnectionLimit(maxConnections, members.size);
+    },
   });
   const engineCalls = createEngineCalls({
     codec: platform.orders,
@@ -132,7 +138,6 @@
       metrics.probes.inc();
     },
   });
-  const members = new FleetMembers(settings.name, clock.now());
   const backends = createBackendTracker(context, members);
   backends.onRestart((server) => {
     pool.invalidateServer(server);
