Soak: restore the store from older copies, beside all other faults

The soak restores the store from copies up to four seconds old, at moments of their own, so that the seeds without restores stay the same; the operator and the servers write again what was lost.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -4,6 +4,8 @@
  *
  *     npm run soak -- --seeds 5 --first 1 --seconds 20 --gateways 3
  *
+ * With --restores, the store is also restored from copies that are some seconds old.
+ *
  * Prints one line for each seed, after a breach also the faults. Ends with status 1 when any
  * promise was broken.
  */
@@ -17,6 +19,7 @@
     first: { type: 'string', default: '1' },
     seconds: { type: 'string', default: '15' },
     gateways: { type: 'string', default: '3' },
+    restores: { type: 'boolean', default: false },
   },
 });
 
@@ -43,6 +46,7 @@
     seed,
     seconds: Number(values.seconds),
     gateways: Number(values.gateways),
+    withRestores: values.restores,
   });
   await report(result);
   if (result.breaches.length > 0) broken += 1;
--- a/bench/soak/inject.ts
+++ b/bench/soak/inject.ts
@@ -18,6 +18,8 @@
 const DELAY_MS = 180;
 /** A server that leaves serves at least this much longer. */
 const DRAIN_MS = 2_000;
+/** How long before its outage the copy may be made that the store is restored from. */
+const LONGEST_COPY_AGE_MS = 4_000;
 const NOTHING = 'nothing';
 
 /** Carries out one fault and resolves when it is over, with what it met. */
@@ -99,6 +101,9 @@
     case 'resetEngine':
       await server.link.control({ resetAll: true });
       return nameOf(server);
+    case 'restoreStore':
+      await site.restoreStore(target % LONGEST_COPY_AGE_MS, forMs);
+      return 'store';
     case 'lateOrders':
       engine.standIn.orderDelayMs = forMs;
       await sleep(forMs);
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -6,13 +6,15 @@
 import { Callers, type AskedKind, type AskedRecord } from './callers.js';
 import { inject, type InjectedFault } from './inject.js';
 import { judge, type Breach } from './judge.js';
-import { drawSchedule } from './schedule.js';
+import { drawRestores, drawSchedule, type ScheduledFault } from './schedule.js';
 import { SoakSite, type SoakGateway } from './site.js';
 
 export interface SoakOptions {
   seed: number;
   seconds: number;
   gateways: number;
+  /** Whether the store is restored from older copies, beside the other faults. */
+  withRestores?: boolean;
 }
 
 /** What one run showed. */
@@ -34,13 +36,14 @@
 /** Between two questions of one gateway after the faults. */
 const PAUSE_MS = 100;
 
-export async function runSoak({ seed, seconds, gateways }: SoakOptions): Promise<SoakReport> {
+export async function runSoak(options: SoakOptions): Promise<SoakReport> {
+  const { seed, gateways } = options;
   const site = new SoakSite();
   try {
     await site.open(gateways);
     const callers = new Callers(site);
     callers.start(CALLERS);
-    const faults = await playFaults(site, seed, seconds * MS_PER_SECOND);
+    const faults = await playFaults(site, drawFaults(options));
     const recovery = await checkRecovery(site, callers);
     await callers.stop();
     const { records } = callers;
@@ -80,10 +83,19 @@
   return ends;
 }
 
-async function playFaults(site: SoakSite, seed: number, forMs: number): Promise<InjectedFault[]> {
+function drawFaults({ seed, seconds, withRestores = false }: SoakOptions): ScheduledFault[] {
+  const forMs = seconds * MS_PER_SECOND;
+  const restores = withRestores ? drawRestores(seed, forMs) : [];
+  return [...drawSchedule(seed, forMs), ...restores].sort((a, b) => a.atMs - b.atMs);
+}
+
+async function playFaults(
+  site: SoakSite,
+  schedule: readonly ScheduledFault[],
+): Promise<InjectedFault[]> {
   const startedAt = performance.now();
   const running: Promise<InjectedFault>[] = [];
-  for (const fault of drawSchedule(seed, forMs)) {
+  for (const fault of schedule) {
     await sleep(Math.max(0, startedAt + fault.atMs - performance.now()));
     running.push(inject(site, fault));
   }
--- a/bench/soak/schedule.ts
+++ b/bench/soak/schedule.ts
@@ -3,7 +3,7 @@
  */
 import { createRandom, type Random } from '../../src/core/random/index.js';
 
-export type FaultKind = (typeof KINDS)[number];
+export type FaultKind = (typeof KINDS)[number] | typeof RESTORE;
 
 /** A fault of one target; the target is a number, taken among those that are there by then. */
 export interface ScheduledFault {
@@ -22,6 +22,13 @@
   ...(['delayEngine', 'resetEngine', 'loseAnswers', 'cutStreams', 'lateOrders'] as const),
 ] as const;
 
+/** Drawn apart from the others, so that a seed without restores stays the same. */
+const RESTORE = 'restoreStore';
+const SHORTEST_RESTORE_GAP_MS = 1_500;
+const RESTORE_GAP_SPREAD_MS = 5_000;
+/** Shorter than other faults: the store is away for a moment only. */
+const RESTORE_SPREAD_MS = 1_000;
+
 const SHORTEST_GAP_MS = 60;
 const GAP_SPREAD_MS = 700;
 const SHORTEST_FAULT_MS = 150;
@@ -54,6 +61,20 @@
   return faults.sort((a, b) => a.atMs - b.atMs);
 }
 
+/** Restores of the store from copies some seconds old, within `forMs`. */
+export function drawRestores(seed: number, forMs: number): ScheduledFault[] {
+  const random = createRandom(seed);
+  const faults: ScheduledFault[] = [];
+  const drawRestoreGap = (): number =>
+    SHORTEST_RESTORE_GAP_MS + random.below(RESTORE_GAP_SPREAD_MS);
+  for (let atMs = drawRestoreGap(); atMs < forMs; atMs += drawRestoreGap()) {
+    const target = random.below(TARGETS);
+    const spanMs = SHORTEST_FAULT_MS + random.below(RESTORE_SPREAD_MS);
+    faults.push({ atMs, kind: RESTORE, target, forMs: spanMs });
+  }
+  return faults;
+}
+
 function drawGap(random: Random): number {
   return SHORTEST_GAP_MS + random.below(GAP_SPREAD_MS);
 }
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -34,6 +34,8 @@
 /** A crashed server's entry stays this long. */
 const LAPSE_MS = 900;
 const RESTART_MS = 300;
+/** Within this time after a restore all entries are written again. */
+const REWRITE_MS = 1_500;
 
 /** Everything of one run; `close` ends just what it started. */
 export class SoakSite {
@@ -131,9 +133,33 @@
   /** A new version replaces the callers' key; the old one is taken away. */
   changeKey(): void {
     this.version += 1;
-    const key = `key-${this.version}`;
-    this.keys.push(key);
-    this.site.configure({ version: this.version, keys: [key] });
+    this.keys.push(`key-${this.version}`);
+    this.writeConfiguration();
+  }
+
+  /**
+   * The store is away for `awayMs` and comes back from a copy that was made `copyAgeMs` before. The
+   * operator and the servers write again what they wrote, one after the other.
+   */
+  async restoreStore(copyAgeMs: number, awayMs: number): Promise<void> {
+    const { store } = this.site;
+    store.saveCopy();
+    await sleep(copyAgeMs);
+    store.fault = 'down';
+    await sleep(awayMs);
+    store.restoreCopy();
+    store.fault = 'none';
+    const { servers } = this.site;
+    for (const server of [...servers]) {
+      await sleep(REWRITE_MS / servers.length);
+      if (server.hasCrashed) store.remove('servers', server.options.id);
+      else server.report();
+    }
+    if (this.keys.length > 1) this.writeConfiguration();
+  }
+
+  private writeConfiguration(): void {
+    this.site.configure({ version: this.version, keys: this.keys.slice(-1) });
   }
 
   async close(): Promise<void> {
--- a/features/gateway/soak.feature
+++ b/features/gateway/soak.feature
@@ -11,3 +11,8 @@
       | seed |
       | 13   |
       | 16   |
+
+  # The store comes back from older copies beside all other faults.
+  Scenario: A short run with restores of the store
+    When 2 gateways live through the faults of seed 301 and restores of the store for 6 seconds
+    Then no promise was broken
--- a/features/gateway/soak.steps.ts
+++ b/features/gateway/soak.steps.ts
@@ -20,6 +20,16 @@
   },
 );
 
+When(
+  '{int} gateways live through the faults of seed {int} and restores of the store for {int} seconds',
+  { timeout: STEP_TIMEOUT_MS },
+  async function (this: SoakWorld, gateways: number, seed: number, seconds: number) {
+    this.report = await runSoak({ seed, seconds, gateways, withRestores: true });
+    const { faults } = this.report;
+    assert.ok(faults.some(({ kind }) => kind === 'restoreStore'));
+  },
+);
+
 Then('no promise was broken', function (this: SoakWorld) {
   const { breaches, faults } = this.report;
   assert.deepEqual(breaches, [], JSON.stringify(faults));
