Read the configuration again after a version that could not be processed

What could be seen: a gateway that relies on another one keeps an old configuration for good after its decoder or a listener has thrown once, and the rejection is unhandled.

Cause: the flag of the read under way was cleared only on the normal way out.

Change: it is cleared at any end, and the error is logged.

Measured: the new scenario failed with the error of the decoder before; all three of the feature pass now.

--- a/features/gateway/configuration-pace.steps.ts
+++ b/features/gateway/configuration-pace.steps.ts
@@ -23,6 +23,7 @@
   /** The newest version in the store. */
   version: number;
   reads: number;
+  failsNext: boolean;
 }
 
 const CONFIGURATION = 'config';
@@ -32,6 +33,7 @@
   function (this: PaceWorld, applyMs: number) {
     this.version = 0;
     this.reads = 0;
+    this.failsNext = false;
     this.section = createSection<ServingIndex | undefined>(undefined);
     const context = {
       clock: createSystemClock(),
@@ -40,10 +42,16 @@
       platform: {
         configurationKind: CONFIGURATION,
         configurationName: CONFIGURATION,
-        decodeConfiguration: (value: unknown) => ({
-          kind: 'decoded',
-          configuration: { version: value as number, routes: [], services: [] },
-        }),
+        decodeConfiguration: (value: unknown) => {
+          if (this.failsNext) {
+            this.failsNext = false;
+            throw new Error('the decoder failed');
+          }
+          return {
+            kind: 'decoded',
+            configuration: { version: value as number, routes: [], services: [] },
+          };
+        },
       },
     } as unknown as GatewayContext;
     const store = {
@@ -57,6 +65,10 @@
   },
 );
 
+Given('the next version makes its decoder fail', function (this: PaceWorld) {
+  this.failsNext = true;
+});
+
 When(
   /^it learns of (\d+) versions?, one every (\d+) ms$/,
   async function (this: PaceWorld, versions: string, everyMs: string) {
--- a/features/gateway/retry-arrival.steps.ts
+++ b/features/gateway/retry-arrival.steps.ts
@@ -56,7 +56,7 @@
 );
 
 When('the attempts in flight are checked', async function (this: RetryWorld) {
-  await this.watchdog?.start();
+  this.watchdog?.start();
   await waitFor('a check', () => this.ticks > 0);
 });
 
--- a/src/gateway/store/configuration-part.ts
+++ b/src/gateway/store/configuration-part.ts
@@ -116,8 +116,6 @@
   };
   /** Reads until the newest known version is active. Gives up on a failure; peers announce it again. */
   const readUntilCurrent = async (): Promise<void> => {
-    if (isReading) return;
-    isReading = true;
     for (
       let before = -1;
       before < newestPeerVersion && (activeVersion() ?? 0) < newestPeerVersion;
@@ -126,7 +124,17 @@
       before = newestPeerVersion;
       if (!(await readFromStore())) break;
     }
-    isReading = false;
+  };
+  const readIfIdle = (): void => {
+    if (isReading) return;
+    isReading = true;
+    readUntilCurrent()
+      .catch((error: unknown) => {
+        logger.log('unexpectedError', { reason: String(error), where: 'configuration' });
+      })
+      .finally(() => {
+        isReading = false;
+      });
   };
   const follower = createFollowerSwitch({
     store,
@@ -149,7 +157,7 @@
       if (version <= (activeVersion() ?? 0)) return;
       newestPeerVersion = Math.max(newestPeerVersion, version);
       if (follower.isOn()) follower.abortCallsBefore(clock.now() - PROPAGATION_MS);
-      else void readUntilCurrent();
+      else readIfIdle();
     },
     recordProof: (version, at) => {
       if (version > (activeVersion() ?? 0)) return;
