Test: keep the answer in one piece under way until the entry is killed

Cause: that answer took some 200 ms, and the kill is triggered by what another caller has read; on a busy machine the answer may be whole by then.

Change: the engines of this scenario write twenty times slower, so that a long answer takes four seconds. The checks are the same.

--- a/features/promises/whole-answer.steps.ts
+++ b/features/promises/whole-answer.steps.ts
@@ -36,6 +36,8 @@
 const EARNING_REQUESTS = 60;
 const MOST_QUESTIONS = 40;
 const LONG_TOKENS = 100;
+/** A long answer then takes four seconds. */
+const SLOW_FACTOR = 20;
 /** An entry alone may use a part of these. */
 const AMPLE_LIMITS = {
   requestsPerSecond: 100_000,
@@ -288,6 +290,8 @@
   'the entry is killed while it passes on a stream, an answer in one piece, a call and a download',
   async function (this: WholeAnswerWorld) {
     const { callers, process } = this.deployment.entry(0);
+    // Otherwise the answer in one piece may be whole before the stream triggers the kill.
+    await slowDownEngines(this, SLOW_FACTOR);
     const service = this.deployment.service(0);
     await service.control({ faults: [{ kind: 'slow', ms: 20_000 }] });
     const call = ask(callers, { path: `/services/${SERVICE}/echo/slow`, body: 'slow' });
@@ -309,6 +313,11 @@
   },
 );
 
+async function slowDownEngines({ deployment }: PromiseWorld, slowFactor: number): Promise<void> {
+  const engines = [...deployment.engines.values()];
+  await Promise.all(engines.map((engine) => engine.control({ slowFactor })));
+}
+
 Then(
   'each of these 4 callers can tell that their answer is not whole',
   function (this: WholeAnswerWorld) {
