--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -279,15 +279,13 @@
   // --- events of attempts ---
 
   onReached(attempt: TrackedAttempt): void {
-    if (!attempt.isUnsettledRetry) return;
-    attempt.isUnsettledRetry = false;
-    this.deps.backends.settleRetry(this.request.service.name);
+    this.settleRetry(attempt);
   }
 
   onResponse(attempt: TrackedAttempt, response: AttemptResponse): void {
     const { backends } = this.deps;
     const { server, sentAt } = attempt;
-    this.onReached(attempt);
+    this.settleRetry(attempt);
     backends.recordContact(server);
     const { notRun, rateLimit, signed } = response;
     if (!notRun) backends.recordProgress(server);
@@ -505,10 +503,16 @@
     this.finish(outcome, reason);
   }
 
+  private settleRetry(attempt: TrackedAttempt): void {
+    if (!attempt.isUnsettledRetry) return;
+    attempt.isUnsettledRetry = false;
+    this.deps.backends.settleRetry(this.request.service.name);
+  }
+
   private endAttempt(attempt: TrackedAttempt, how: string, kind = 'ended'): void {
     if (attempt.isEnded) return;
     attempt.isEnded = true;
-    this.onReached(attempt);
+    this.settleRetry(attempt);
     this.attempts.delete(attempt);
     this.deps.watchdog.attempts.delete(attempt);
     this.deps.backends.recordEnded(attempt.server);
