Return servers to service that rewrote their entry before the first list after a restore

Cause: after a restore of the store an incarnation known as gone is kept out of service in the first and second list, since an old entry of a dead server can not be told from a rewritten one. When the server wrote again before any gateway listed, no later change of its entry followed, so it got no requests for good. Change: a third list once entries that nobody renews have expired (three heartbeats and a second) takes the store's word. It carries the list's own revision, since peers ignore an update at an unchanged revision.

--- a/features/gateway/store-copy.feature
+++ b/features/gateway/store-copy.feature
@@ -36,7 +36,6 @@
 
   # Guards against a server that stays out of service because its entry was written again before any
   # gateway listed the restored store.
-  @known-red
   Scenario: A server that was gone writes again before the first list
     Given a site with 2 plain server and 3 ready gateways
     And the store keeps a copy, and the first server goes
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -40,6 +40,9 @@
         .describe(
           'Time for which a server still serves after the store acknowledged that it is leaving.',
         ),
+      heartbeatMs: milliseconds
+        .default(1_200)
+        .describe('Interval at which a server renews its entry in the store.'),
     })
     .prefault({}),
   seeds: z.array(address).default([]).describe('Peer addresses of gateways used for discovery.'),
--- a/src/gateway/store/fleet-part.ts
+++ b/src/gateway/store/fleet-part.ts
@@ -65,17 +65,24 @@
 /** Changes within this time share one call to the store; forming a replica makes several in a row. */
 const COALESCE_MS: Milliseconds = 150;
 const EXPIRY_INTERVAL_MS: Milliseconds = 200;
+/** Heartbeats without which the store removes an entry. */
+const ENTRY_EXPIRY_HEARTBEATS = 3;
+/** Allows for the store's delay in removing an expired entry. */
+const ENTRY_EXPIRY_SLACK_MS: Milliseconds = 1_000;
 /** Longer than the age of any copy that the store is restored from. */
 const GONE_RETENTION_MS: Milliseconds = 60_000;
 
 export function createFleetPart(options: FleetPartOptions): FleetPart {
   const { context, store, reachability, section, proof } = options;
-  const { platform, logger, clock } = context;
+  const { platform, logger, clock, settings } = context;
+  /** Time after a restore by which entries that nobody has rewritten have expired. */
+  const entryExpiryMs =
+    ENTRY_EXPIRY_HEARTBEATS * settings.servers.heartbeatMs + ENTRY_EXPIRY_SLACK_MS;
   const listeners: ((update: FleetUpdate) => void)[] = [];
   /** Incarnations of servers that are gone, with the time at which they were removed. */
   const goneIncarnations = new Map<string, Milliseconds>();
   let expiryTimer: NodeJS.Timeout | undefined;
-  let relistTimer: NodeJS.Timeout | undefined;
+  let relistTimers: NodeJS.Timeout[] = [];
   /** When this gateway last detected that the store was restored from an older copy. */
   let restoredAt = Number.NEGATIVE_INFINITY;
 
@@ -110,11 +117,12 @@
   /**
    * Reconciles a listed server with the known one after a restore. At first the known state of the
    * same incarnation wins, since it is later than the restored copy; the servers then rewrite their
-   * entries. A second list picks up entries that were rewritten before the first one.
+   * entries. A second list picks up entries that were rewritten before the first one. A third one, when
+   * entries of servers that are gone have expired, shows which of the servers kept out of service live.
    */
   const reconcileListed = (server: BackendServer): BackendServer => {
     const sinceRestoreMs = clock.now() - restoredAt;
-    if (sinceRestoreMs >= 2 * ENTRY_RECOVERY_MS) return server;
+    if (sinceRestoreMs >= entryExpiryMs) return server;
     const known = section.read().servers.get(server.id);
     const isSameIncarnation =
       known !== undefined && incarnationKey(known) === incarnationKey(server);
@@ -122,15 +130,17 @@
       ? known
       : preserveLeaving(server);
   };
-  /** Detects from `revision` that the store was restored, and schedules the second list. */
+  /** Detects from `revision` that the store was restored, and schedules the later lists. */
   const detectRestore = (revision: number): boolean => {
     const known = section.read().revision;
     if (known === 0 || eraOf(revision) <= eraOf(known)) return false;
     restoredAt = clock.now();
-    clearTimeout(relistTimer);
-    relistTimer = setTimeout(() => {
-      follower.relist();
-    }, ENTRY_RECOVERY_MS);
+    relistTimers.forEach(clearTimeout);
+    relistTimers = [ENTRY_RECOVERY_MS, entryExpiryMs].map((afterMs) =>
+      setTimeout(() => {
+        follower.relist();
+      }, afterMs),
+    );
     return true;
   };
   const decode = ({ name, value, revision }: StoreObject): BackendServer | undefined => {
@@ -184,11 +194,12 @@
       const decoded = objects.map(decode).filter((server) => server !== undefined);
       const isRestored = detectRestore(revision);
       const servers = decoded.map(reconcileListed);
-      // A missing server has no object with a revision; only the list's own revision covers its removal.
-      const isServerMissing = isAnyMissing(known, objects);
+      // Neither a removal nor a return to service after a restore has an object with a revision; only
+      // the list's own revision makes peers apply them.
+      const needsListRevision = isAnyMissing(known, objects) || isAnyBackInService(known, servers);
       const newest = Math.max(
         known.revision,
-        isServerMissing ? revision : findNewestRevision(objects),
+        needsListRevision ? revision : findNewestRevision(objects),
       );
       // After a restore peers may know more of the old history than this gateway; `since` makes them
       // fetch a whole copy.
@@ -244,7 +255,7 @@
     },
     stop: async () => {
       clearInterval(expiryTimer);
-      clearTimeout(relistTimer);
+      relistTimers.forEach(clearTimeout);
       await follower.stop();
     },
   };
@@ -259,6 +270,11 @@
   return [...servers.keys()].some((id) => !names.has(id) && !vanished.has(id));
 }
 
+/** Whether a server is listed in service that is known as leaving. */
+function isAnyBackInService({ servers }: ServingFleet, listed: readonly BackendServer[]): boolean {
+  return listed.some(({ id, leaving }) => !leaving && servers.get(id)?.leaving === true);
+}
+
 /**
  * The highest revision of `objects`. The store's own revision also grows with objects of other kinds
  * and would make a gateway that has just listed appear ahead of one that knows as much.
