--- a/features/gateway/following.steps.ts
+++ b/features/gateway/following.steps.ts
@@ -69,7 +69,7 @@
     clock,
     random: createRandom(1),
     watchMs: 8_000,
-    coalesceMs: 0,
+    coalesceMs: () => 0,
     proofDueInMs: () => 1_000,
     retryAfterMs: () => world.retryAfterMs,
     onList: () => {
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -168,6 +168,7 @@
     store,
     reachability,
     kind: GATEWAY_KIND,
+    isFollowing: () => configuration.follower.isOn(),
   });
   const groups = createGroupsPart({
     context,
--- a/src/gateway/peers/follow-control.ts
+++ b/src/gateway/peers/follow-control.ts
@@ -34,7 +34,7 @@
 }
 
 /** Minimum time for which a gateway follows on its own, to limit store calls if the hub is flapping. */
-const MIN_FOLLOW_MS: Milliseconds = 4_000;
+const MIN_FOLLOW_MS: Milliseconds = 1_000;
 
 /**
  * Startup phase, in which the shorter {@link MIN_FOLLOW_AT_STARTUP_MS} applies: gateways that start
@@ -61,7 +61,6 @@
   const findFallbackReason = (now: Milliseconds): string | undefined => {
     const hubStatus = table.hubStatus(now);
     if (hubStatus !== 'trusted') return `the hub is ${hubStatus}`;
-    if (!board.storeReachability.read().reachable) return 'a store call failed';
     return isAnyProofStale(now)
       ? 'the hub provided no recent proof that the state is current'
       : undefined;
--- a/src/gateway/store/configuration-part.ts
+++ b/src/gateway/store/configuration-part.ts
@@ -143,6 +143,7 @@
     proof,
     maxStalenessMs: context.settings.configuration.applyMs,
     coalesceMs: 0,
+    waitsForReachability: false,
     onList: ({ objects }) => {
       applyNewest(objects);
     },
--- a/src/gateway/store/fleet-part.ts
+++ b/src/gateway/store/fleet-part.ts
@@ -188,6 +188,7 @@
     proof,
     maxStalenessMs: context.settings.servers.drainMs,
     coalesceMs: COALESCE_MS,
+    waitsForReachability: true,
     onList: ({ objects, revision }) => {
       if (revision < section.read().revision) return;
       const known = section.read();
--- a/src/gateway/store/follower-switch.ts
+++ b/src/gateway/store/follower-switch.ts
@@ -33,19 +33,29 @@
 /**
  * Time without an answer after which a call is repeated. The gateway that follows for its domain
  * repeats calls often, since the others depend on it; the others do so rarely, to limit the load on
- * the store during an outage.
+ * the store.
  */
 const RETRY_AFTER_MS: Readonly<Record<FollowMode, Milliseconds>> = {
   off: 1_200,
   forItself: 1_200,
   forDomain: 400,
 };
+/** The same while the store is unreachable, for gateways that follow for themselves. */
+const RETRY_UNREACHABLE_MS: Milliseconds = 2_000;
+/** Longest wait of a follower that another one's calls wake when the store is reachable again. */
+const MAX_UNREACHABLE_WAIT_MS: Milliseconds = 8_000;
+/** Shortest pause after a change for gateways that follow for themselves. */
+const MIN_OWN_COALESCE_MS: Milliseconds = 500;
 
 interface FollowerSwitchOptions extends Pick<
   FollowOptions,
-  'store' | 'kind' | 'coalesceMs' | 'onList' | 'onChanges'
+  'store' | 'kind' | 'onList' | 'onChanges'
 > {
   context: GatewayContext;
+  /** Pause after a change of the gateway that follows for its domain. */
+  coalesceMs: Milliseconds;
+  /** Whether calls of another follower show when the store is reachable again. */
+  waitsForReachability: boolean;
   /** Time within which gateways must know of a change. */
   maxStalenessMs: Milliseconds;
   /** Freshness of the followed data, from the store or a peer. */
@@ -56,14 +66,21 @@
 export function createFollowerSwitch({
   context,
   proof,
+  coalesceMs,
+  waitsForReachability,
   ...options
 }: FollowerSwitchOptions): FollowerSwitch {
-  const { clock, logger, random, settings } = context;
+  const { board, clock, logger, random, settings } = context;
   const { recheckAfterMs } = computeProofBounds(options.maxStalenessMs);
   let mode: FollowMode = 'off';
   let follower: Follower | undefined;
   let stopping: Promise<unknown> = Promise.resolve();
 
+  const retryAfterMs = (): Milliseconds => {
+    const isUnreachable = mode !== 'forDomain' && !board.storeReachability.read().reachable;
+    if (!isUnreachable) return RETRY_AFTER_MS[mode];
+    return waitsForReachability ? MAX_UNREACHABLE_WAIT_MS : RETRY_UNREACHABLE_MS;
+  };
   const startFollower = (): Follower => {
     const created = createFollower({
       ...options,
@@ -71,7 +88,9 @@
       random,
       watchMs: settings.store.watchMs,
       proofDueInMs: () => recheckAfterMs - (proofAge(proof.read(), clock.now()) ?? Infinity),
-      retryAfterMs: () => RETRY_AFTER_MS[mode],
+      retryAfterMs,
+      coalesceMs: () =>
+        mode === 'forDomain' ? coalesceMs : Math.max(coalesceMs, MIN_OWN_COALESCE_MS),
       onError: (error) => {
         logger.log('unexpectedError', {
           reason: String(error),
--- a/src/gateway/store/follower.ts
+++ b/src/gateway/store/follower.ts
@@ -24,7 +24,7 @@
   /** Time until the last proof of freshness, from store or peer, is old enough to poll the store. */
   proofDueInMs: () => Milliseconds;
   /** Pause after a change, so that changes in quick succession share one call. */
-  coalesceMs: Milliseconds;
+  coalesceMs: () => Milliseconds;
   /** Time without an answer after which a call is repeated; read before each repetition. */
   retryAfterMs: () => Milliseconds;
   onList: (page: StorePage) => void;
@@ -100,7 +100,7 @@
   };
   const pauseAfter = ({ isConnected, changed }: StepResult, tookMs: Milliseconds): Milliseconds => {
     if (!isConnected) return addJitter(options.retryAfterMs(), random);
-    return changed ? options.coalesceMs : MIN_CALL_INTERVAL_MS - tookMs;
+    return changed ? options.coalesceMs() : MIN_CALL_INTERVAL_MS - tookMs;
   };
   const pause = async (ms: Milliseconds): Promise<void> => {
     if (ms <= 0) return;
--- a/src/gateway/store/reachability-probe.ts
+++ b/src/gateway/store/reachability-probe.ts
@@ -8,6 +8,8 @@
 
 /** Time without an answer after which the store is probed. */
 const PROBE_AFTER_MS: Milliseconds = 4_000;
+/** Longest interval between probes while the store is unreachable; the rest of it is random. */
+const RETRY_INTERVAL_MS: Milliseconds = 2_000;
 const CHECK_INTERVAL_MS: Milliseconds = 500;
 
 interface ReachabilityProbeOptions {
@@ -16,33 +18,43 @@
   reachability: ReachabilityTracker;
   /** Kind of the object to request; the object need not exist. */
   kind: string;
+  /** Whether other calls go on that show when the store is reachable again. */
+  isFollowing: () => boolean;
 }
 
 /**
  * Guards against a gateway that plans replicas without reaching the store. While another gateway
- * follows the store for it, no other call would fail, and no gateway would take over its domains.
+ * follows the store for it, no other call would fail, and no gateway would take over its domains; nor
+ * would any other call show that the store is reachable again.
  */
 export function createReachabilityProbe({
   context,
   store,
   reachability,
   kind,
+  isFollowing,
 }: ReachabilityProbeOptions): GatewayPart {
-  const { board, clock, settings } = context;
+  const { board, clock, random, settings } = context;
   let timer: NodeJS.Timeout | undefined;
   let isProbing = false;
+  let retryAt = 0;
 
-  const probeIfQuiet = async (): Promise<void> => {
-    const isQuiet = clock.now() - reachability.lastAnsweredSentAt() > PROBE_AFTER_MS;
-    if (!isQuiet || isProbing || !board.storeReachability.read().reachable) return;
+  const isDue = (now: Milliseconds): boolean => {
+    if (!board.storeReachability.read().reachable) return !isFollowing() && now >= retryAt;
+    return now - reachability.lastAnsweredSentAt() > PROBE_AFTER_MS;
+  };
+  const probeIfDue = async (): Promise<void> => {
+    const now = clock.now();
+    if (isProbing || !isDue(now)) return;
     isProbing = true;
+    retryAt = now + (RETRY_INTERVAL_MS * (1 + random.fraction())) / 2;
     // The client reports the outcome to the reachability tracker.
     await store.check(kind, settings.name);
     isProbing = false;
   };
   return {
     start: () => {
-      timer = setInterval(() => void probeIfQuiet(), CHECK_INTERVAL_MS);
+      timer = setInterval(() => void probeIfDue(), CHECK_INTERVAL_MS);
     },
     stop: () => {
       clearInterval(timer);
