Add a thin model of a large fleet, and test placement with it

Change: bench/decisions plays gateways whose load reports pass through hubs before replicas that are lost and opened; the scenario asks that nine of ten requests are on time where the replicas suffice. npm run bench:decisions compares the ways in drawn deployments.

--- /dev/null
+++ b/bench/decisions.ts
@@ -0,0 +1,61 @@
+/**
+ * Compares ways to place requests in drawn deployments, without a network.
+ *
+ *     npm run bench:decisions -- --deployments 10 --seed 1
+ */
+import { parseArgs } from 'node:util';
+import { PLACEMENTS, playFleet, type FleetOptions } from './decisions/index.js';
+import { createRandom } from '../src/core/random/index.js';
+
+const { values } = parseArgs({
+  options: {
+    deployments: { type: 'string', default: '10' },
+    seed: { type: 'string', default: '1' },
+  },
+});
+
+const SECONDS = 15;
+const SEED_SPREAD = 1_000_003;
+
+/** A deployment whose replicas are between a third and nearly full on average. */
+function drawDeployment(seed: number): FleetOptions {
+  // Neighbouring seeds give similar first numbers.
+  const random = createRandom(seed * SEED_SPREAD);
+  const between = (low: number, high: number): number => low + random.fraction() * (high - low);
+  const slots = Math.round(between(10, 24));
+  const replicas = Math.round(between(12, 40));
+  const streamMs = between(500, 1_200);
+  const fill = between(0.35, 0.8);
+  const targetMs = between(150, 500);
+  return {
+    gateways: 74,
+    failureDomains: 3,
+    replicas,
+    slots,
+    requestsPerSecond: (fill * replicas * slots * 1_000) / streamMs,
+    streamMs,
+    firstEventMs: targetMs / 3,
+    targetMs,
+    hubIntervalMs: 770,
+    crossIntervalMs: 600,
+    lossIntervalMs: between(1_000, 6_000),
+    repairMs: 2_500,
+    noticeMs: 500,
+    seconds: SECONDS,
+  };
+}
+
+const firstSeed = Number(values.seed);
+for (let index = 0; index < Number(values.deployments); index += 1) {
+  const options = drawDeployment(firstSeed + index);
+  const { replicas, slots, requestsPerSecond, targetMs } = options;
+  console.log(
+    `deployment ${firstSeed + index}: ${replicas} replicas of ${slots} slots, ` +
+      `${requestsPerSecond.toFixed(0)} requests a second, target ${targetMs.toFixed(0)} ms`,
+  );
+  for (const [name, place] of Object.entries(PLACEMENTS)) {
+    const { onTime, veryLate, unserved } = playFleet(options, place, firstSeed + index);
+    const shares = [onTime, veryLate, unserved].map((share) => share.toFixed(3)).join(', ');
+    console.log(`  ${name}: on time, very late, unserved ${shares}`);
+  }
+}
--- /dev/null
+++ b/bench/decisions/index.ts
@@ -0,0 +1,2 @@
+export * from './model.js';
+export * from './placements.js';
--- a/features/gateway/placing.feature
+++ b/features/gateway/placing.feature
@@ -12,13 +12,12 @@
       | 63       | 630  | 32       | 345  | 1    |
       | 63       | 630  | 32       | 345  | 2    |
 
-  Scenario Outline: A replica opens among busy ones
+  Scenario Outline: Replicas come and go while news of load are late
     # Guards against a replica that is flooded as it opens, because all gateways still know it as idle.
-    Given 74 gateways that hear of each other every 770 ms
-    And 26 replicas in 3 failure domains that 345 requests a second keep busy
-    And a replica opens after 10 seconds
-    When the load goes on for 20 seconds with seed <seed>
-    Then no replica ever has more requests than places
+    Given 74 gateways in 3 failure domains that report to their hub every 770 ms
+    And 23 replicas of 21 slots with 350 requests a second, one of which is lost every 1500 ms
+    When the fleet is played for 30 seconds with seed <seed>
+    Then at least 900 of 1000 requests begin to be answered in time
 
     Examples:
       | seed |
