Hold requests of the first 1.5 s until the first configuration is known

Cause: after a loss of power gateways listen some 0.25 s before they know the configuration and answered 503 meanwhile; callers retry once at most. Change: requests that arrive in the first 1.5 s wait for the first configuration.

--- a/src/gateway/requests/request-server.ts
+++ b/src/gateway/requests/request-server.ts
@@ -19,6 +19,7 @@
 import { createReply, type Reply } from './reply.js';
 import { reportIncompleteBody } from './request-report.js';
 import { RequestForwarder, type ForwarderDependencies } from './request-forwarder.js';
+import { createStartupWait } from './startup-wait.js';
 import { createShutdownPolicy, createStoppingFailure } from './shutdown.js';
 import type { RequestHead } from './types.js';
 import { createRequestQueues } from './request-queues.js';
@@ -63,6 +64,7 @@
     queues.dispatch();
   });
   const dependencies: ForwarderDependencies = { ...options, shutdown, queues };
+  const waitForConfiguration = createStartupWait(context);
   let inFlight = 0;
 
   const updateInFlight = (change: 1 | -1): void => {
@@ -75,6 +77,8 @@
   ): Promise<void> => {
     const arrivedAt = clock.now();
     const reply = createReply(response, () => shutdown.isShuttingDown());
+    await waitForConfiguration();
+    if (response.destroyed) return;
     const admitted = admitRequest(context, incoming, arrivedAt);
     if (admitted.isErr()) {
       rejectRequest(context, reply, incoming, admitted.error);
