Keep the weights of each model on enough hosts to form its replicas again

Change: members that hold one model twice stage a model that fewer instances hold than its groups and a quarter more.

--- a/src/controllers/groups/load-slots.ts
+++ b/src/controllers/groups/load-slots.ts
@@ -3,6 +3,7 @@
  */
 import type { BackendServer } from '../../ports/index.js';
 import type { GroupTarget } from './targets.js';
+import { findLackingModels, holdsOneModelTwice } from './reserve.js';
 import { hasWeights } from './view.js';
 
 /** Loads that one fabric domain would like to run at the same time. */
@@ -39,7 +40,8 @@
 
 /**
  * Counts the instances of a domain that need weights, including those that are loading: instances
- * without any and, while a model has fewer groups than its target, free ones with other weights.
+ * without any, members that should hold a second model and, while a model has fewer groups than its
+ * target, free ones with other weights.
  */
 export function countLoadDemand(
   servers: readonly BackendServer[],
@@ -48,8 +50,9 @@
 ): number {
   const present = servers.filter(({ leaving }) => !leaving);
   const unstaged = present.filter(({ engine }) => engine?.staged.length === 0);
+  const reserve = countReserveLoads(present, targets);
   const target = targets.find(({ model, groups: count }) => (groups.get(model.name) ?? 0) < count);
-  if (target === undefined) return unstaged.length;
+  if (target === undefined) return unstaged.length + reserve;
   const { model } = target;
   const restageable = present.filter(
     (server) =>
@@ -57,5 +60,17 @@
       server.engine?.staged.length !== 0 &&
       !hasWeights(server, model),
   );
-  return unstaged.length + Math.min(model.size, restageable.length);
+  return unstaged.length + reserve + Math.min(model.size, restageable.length);
+}
+
+function countReserveLoads(
+  present: readonly BackendServer[],
+  targets: readonly GroupTarget[],
+): number {
+  const lacking = findLackingModels(present, targets);
+  const missing = lacking.reduce((sum, model) => sum + model.missing, 0);
+  const available = present.filter(
+    (server) => server.engine?.membership !== undefined && holdsOneModelTwice(server),
+  );
+  return Math.min(missing, available.length);
 }
--- a/src/controllers/groups/orders.ts
+++ b/src/controllers/groups/orders.ts
@@ -4,6 +4,7 @@
 import type { BackendServer, GroupModel } from '../../ports/index.js';
 import type { GroupTarget } from './targets.js';
 import { toMember, type DueOrder, type GroupPlan, type PlannedGroup } from './types.js';
+import { findLackingModels, holdsOneModelTwice } from './reserve.js';
 import {
   countActiveGroups,
   hasWeights,
@@ -90,7 +91,11 @@
     return [createStageOrder(server, model)];
   });
   if (view.beforeTraffic) return [...orders, ...listSecondModelOrders(plan, view, models)];
-  const candidates = [...orders, ...listRestagingOrders(free, plan, targets)];
+  const candidates = [
+    ...orders,
+    ...listRestagingOrders(free, plan, targets),
+    ...listReserveOrders(plan, view),
+  ];
   const freeSlots = Math.max(0, view.loadSlots - view.staging.size);
   return candidates.filter(({ to }) => !view.staging.has(to.id)).slice(0, freeSlots);
 }
@@ -132,6 +137,25 @@
   });
 }
 
+/**
+ * Stages a model that too few instances of the domain hold on the hosts of members of other groups.
+ *
+ * A member that has joined from its host's copy holds one model twice and no other. Without this, each
+ * loss and each change of the targets would leave fewer instances for a model, until it could not be
+ * formed again.
+ */
+function listReserveOrders(plan: GroupPlan, view: DomainView): DueOrder[] {
+  const lacking = findLackingModels([...view.servers.values()], view.targets);
+  return lacking.flatMap(({ model, missing }) =>
+    plan.groups
+      .filter((group) => group.model !== model.name && group.closing === 'no')
+      .flatMap(({ members }) => members.flatMap(({ id }) => view.servers.get(id) ?? []))
+      .filter((server) => holdsOneModelTwice(server))
+      .slice(0, missing)
+      .map((server) => createStageOrder(server, model)),
+  );
+}
+
 function createStageOrder(server: BackendServer, model: GroupModel): DueOrder {
   return { to: toMember(server), order: { kind: 'stage', model: model.name } };
 }
