Probe the store less often from gateways that plan no replicas

Only owners of fabric domains have to notice soon that they no longer reach the store. Change: others probe after 15 s without an answer.

--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -163,13 +163,6 @@
     section: board.peers,
     load: board.peerLoad,
   });
-  const reachabilityProbe = createReachabilityProbe({
-    context,
-    store,
-    reachability,
-    kind: GATEWAY_KIND,
-    isFollowing: () => configuration.follower.isOn(),
-  });
   const groups = createGroupsPart({
     context,
     store,
@@ -177,6 +170,14 @@
     backends,
     contact: reachability,
   });
+  const reachabilityProbe = createReachabilityProbe({
+    context,
+    store,
+    reachability,
+    kind: GATEWAY_KIND,
+    isFollowing: () => configuration.follower.isOn(),
+    isPlanning: () => groups.isPlanning(),
+  });
   watchdog.onPause(() => {
     groups.releaseAll();
   });
--- a/src/gateway/store/reachability-probe.ts
+++ b/src/gateway/store/reachability-probe.ts
@@ -6,8 +6,10 @@
 import type { ObjectStore } from './client.js';
 import type { ReachabilityTracker } from './reachability.js';
 
-/** Time without an answer after which the store is probed. */
+/** Time without an answer after which a gateway that plans replicas probes the store. */
 const PROBE_AFTER_MS: Milliseconds = 4_000;
+/** The same for other gateways, which only have to notice before they take over a domain. */
+const IDLE_PROBE_AFTER_MS: Milliseconds = 15_000;
 /** Longest interval between probes while the store is unreachable; the rest of it is random. */
 const RETRY_INTERVAL_MS: Milliseconds = 2_000;
 const CHECK_INTERVAL_MS: Milliseconds = 500;
@@ -20,6 +22,8 @@
   kind: string;
   /** Whether other calls go on that show when the store is reachable again. */
   isFollowing: () => boolean;
+  /** Whether this gateway plans the replicas of a fabric domain. */
+  isPlanning: () => boolean;
 }
 
 /**
@@ -33,6 +37,7 @@
   reachability,
   kind,
   isFollowing,
+  isPlanning,
 }: ReachabilityProbeOptions): GatewayPart {
   const { board, clock, random, settings } = context;
   let timer: NodeJS.Timeout | undefined;
@@ -41,7 +46,8 @@
 
   const isDue = (now: Milliseconds): boolean => {
     if (!board.storeReachability.read().reachable) return !isFollowing() && now >= retryAt;
-    return now - reachability.lastAnsweredSentAt() > PROBE_AFTER_MS;
+    const probeAfterMs = isPlanning() ? PROBE_AFTER_MS : IDLE_PROBE_AFTER_MS;
+    return now - reachability.lastAnsweredSentAt() > probeAfterMs;
   };
   const probeIfDue = async (): Promise<void> => {
     const now = clock.now();
