--- a/src/controllers/groups/demand.ts
+++ b/src/controllers/groups/demand.ts
@@ -26,8 +26,8 @@
 const SMOOTHING_MS: Milliseconds = 3_000;
 /** Observation time before the load counts. Until then the existing replicas set the shares. */
 const WARM_UP_MS: Milliseconds = 3_000;
-/** Replicas that each model gets beyond its load, so that losing one does not overload the others. */
-const HEADROOM_GROUPS = 1;
+/** Replicas that each model gets beyond its load: one may be lost while another is being replaced. */
+const HEADROOM_GROUPS = 2;
 /**
  * Change of a share that is acted on, in replicas of the largest model. Prevents replicas from being
  * disbanded and formed again as the load fluctuates.
