Add yuccasail diagnose: why requests were late or not served

Cause: no tool told of a bad minute how many requests were lost for which cause. Change: a command that assigns each lost request in the logs of many gateways to one cause; the lines of a request's end carry its targets and its longest pause.

--- /dev/null
+++ b/src/cli/diagnose/index.ts
@@ -0,0 +1,1 @@
+export * from './diagnose.js';
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -19,6 +19,7 @@
   status      Show what an entry sees
   drain       Take a backend server out of service so that it may be stopped
   explain     Tell from gateways' logs why a request ended as it did
+  diagnose    Tell from gateways' logs why requests were late or not served
   load        Put open-loop load on entries and sum up the answers
   stand-in    Run a stand-in for the platform, an engine, a service, a weight store or a poor link
 
@@ -36,6 +37,7 @@
   check: async () => (await import('./check/index.js')).runCheck,
   dev: async () => (await import('./dev/index.js')).runDev,
   entry: async () => (await import('./entry/index.js')).runEntry,
+  diagnose: async () => (await import('./diagnose/index.js')).runDiagnose,
   explain: async () => (await import('./explain/index.js')).runExplain,
   load: async () => (await import('./load/index.js')).runLoadCommand,
   'stand-in': async () => (await import('./stand-in/index.js')).runStandIn,
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -57,6 +57,7 @@
   private readonly wait: RequestWait;
   private firstEventAt: Milliseconds | undefined;
   private lastEventAt: Milliseconds | undefined;
+  private longestGapMs: Milliseconds = 0;
   /** The last attempt with a failure response, which is relayed if no retry succeeds. */
   private failedAttempt: TrackedAttempt | undefined;
   private lastFailureReason = '';
@@ -320,7 +321,9 @@
     const { clock, platform } = this.deps.context;
     const limits = limitsBetweenEvents(this.request);
     if (limits) attempt.updateLimits(limits);
-    this.lastEventAt = clock.now();
+    const now = clock.now();
+    this.longestGapMs = Math.max(this.longestGapMs, now - (this.lastEventAt ?? now));
+    this.lastEventAt = now;
     if (this.firstEventAt === undefined) {
       this.firstEventAt = this.lastEventAt;
       this.deps.queues.recordFirstEvent(this.request, this.firstEventAt - attempt.sentAt);
@@ -547,6 +550,7 @@
       startedAt: this.startedAt,
       firstEventAt: this.firstEventAt,
       lastEventAt: this.lastEventAt,
+      longestGapMs: this.longestGapMs,
       lastEventId: this.stream?.lastEventId,
     });
     this.onFinish();
--- a/src/gateway/requests/request-report.ts
+++ b/src/gateway/requests/request-report.ts
@@ -17,6 +17,8 @@
   startedAt: Milliseconds;
   firstEventAt: Milliseconds | undefined;
   lastEventAt: Milliseconds | undefined;
+  /** Longest time between two events of a stream. */
+  longestGapMs: Milliseconds;
   lastEventId: string | undefined;
 }
 
@@ -88,7 +90,10 @@
     runs: summary.possibleRuns,
     tookMs: Math.round(now - arrivedAt),
     firstMs: firstEventAt && Math.round(firstEventAt - arrivedAt),
+    targetMs: route.targetMs,
     lastEventAgoMs: lastEventAt && Math.round(now - lastEventAt),
+    gapMs: lastEventAt && Math.round(summary.longestGapMs),
+    gapTargetMs: route.targetEventGapMs,
     lastEventId: summary.lastEventId,
     waitedMs: Math.round(summary.startedAt - arrivedAt),
     graceLeftMs: stop && Math.round(stop.lastAnswerAt - now),
@@ -105,6 +110,7 @@
     startedAt: context.clock.now(),
     firstEventAt: undefined,
     lastEventAt: undefined,
+    longestGapMs: 0,
     lastEventId: undefined,
   });
 }
