--- a/bench/profile/stand-in-peers.ts
+++ b/bench/profile/stand-in-peers.ts
@@ -60,6 +60,7 @@
       exchange: () => this.answer(),
       catchUp: () => ({}),
       applyFleetUpdate: () => undefined,
+      applySuspicions: () => undefined,
       noteConfigurationVersion: () => undefined,
     });
   }
--- a/features/gateway/peering.feature
+++ b/features/gateway/peering.feature
@@ -9,6 +9,13 @@
     And each failure domain has one hub
     And over 10000 ms no gateway has more than 40 exchanges per second, and the average is at most 5
 
+  # Guards against gateways that send to a stalled server until their next exchange with the hub.
+  Scenario: A stalled server is told to sixty-four gateways at once
+    Given 4 failure domains of 16 gateways each that exchange digests
+    And 4000 ms pass among them
+    When a hub learns of a stalled server
+    Then each gateway hears of it over at most 2 relays, and once from each hub at most
+
   Scenario: A few gateways exchange with all
     Given 3 failure domains of 3 gateways each that exchange digests
     When 2000 ms pass among them
--- a/features/gateway/peering.steps.ts
+++ b/features/gateway/peering.steps.ts
@@ -10,6 +10,8 @@
 interface PeeringWorld {
   model: PeeringModel;
   lateAfterMs: number | undefined;
+  /** How often each gateway was told of the stalled server, and over how many relays at first. */
+  told: Map<string, { times: number; relays: number }>;
 }
 
 const SEED = 2_212;
@@ -169,3 +171,33 @@
 function sortByServer(load: ReadonlyMap<string, number>): [string, number][] {
   return [...load].sort(([a], [b]) => (a < b ? -1 : 1));
 }
+
+When('a hub learns of a stalled server', function (this: PeeringWorld) {
+  const [first] = listHubs(this.model);
+  assert.ok(first);
+  this.told = new Map([[first.name, { times: 0, relays: 0 }]]);
+  const queue = [first];
+  for (let gateway = queue.shift(); gateway !== undefined; gateway = queue.shift()) {
+    const relays = (this.told.get(gateway.name)?.relays ?? 0) + 1;
+    for (const { name } of gateway.table.listRelayPeers()) {
+      const known = this.told.get(name);
+      if (known) known.times += 1;
+      else {
+        this.told.set(name, { times: 1, relays });
+        const next = this.model.gateways.find((each) => each.name === name);
+        if (next) queue.push(next);
+      }
+    }
+  }
+});
+
+Then(
+  'each gateway hears of it over at most {int} relays, and once from each hub at most',
+  function (this: PeeringWorld, mostRelays: number) {
+    const { alive } = this.model;
+    assert.deepEqual([...this.told.keys()].sort(), alive.map(({ name }) => name).sort());
+    const hubs = listHubs(this.model).length;
+    for (const [name, { times, relays }] of this.told)
+      assert.ok(relays <= mostRelays && times <= hubs, `${name}: ${times} times, ${relays} relays`);
+  },
+);
--- a/src/controllers/peering/peer-table.ts
+++ b/src/controllers/peering/peer-table.ts
@@ -269,6 +269,16 @@
     return [...this.alive.values()].filter((peer) => this.isInOwnDomain(peer));
   }
 
+  /**
+   * Gateways that this one tells of urgent news at once: for the hub of a large fleet, the other gateways
+   * of its failure domain and the other hubs. All others tell their exchange partners.
+   */
+  listRelayPeers(): KnownPeer[] {
+    if (this.isPairwise() || !this.isHub()) return [];
+    const hubs = this.listPartners().filter((peer) => !this.isInOwnDomain(peer));
+    return [...this.listDomainPeers(), ...hubs];
+  }
+
   /** Whether the hub of this failure domain can be relied on to relay store changes. */
   hubStatus(now: Milliseconds): 'trusted' | 'unresponsive' | 'disconnected from the store' {
     const hub = this.digests.get(this.roster.hubOf(this.self.failureDomain));
--- a/src/controllers/peering/types.ts
+++ b/src/controllers/peering/types.ts
@@ -10,7 +10,7 @@
 /** Requests in flight by backend server. */
 const loadSchema = z.array(z.tuple([z.string(), nonNegativeSchema])).max(10_000);
 /** Stalled backend servers, with the time since detection and the remaining time out of service. */
-const suspicionsSchema = z
+export const suspicionsSchema = z
   .array(z.object({ server: z.string(), ageMs: nonNegativeSchema, leftMs: nonNegativeSchema }))
   .max(10_000);
 
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -12,6 +12,7 @@
   type Digest,
   type GatewayPeer,
   type KnownPeer,
+  type ReportedSuspicion,
   type Versions,
 } from '../../controllers/peering/index.js';
 import type { FleetMembers } from '../../controllers/quotas/index.js';
@@ -91,11 +92,7 @@
       hasServed: backends.hasServed(),
       ...createProofAges(now),
       load: [...backends.inFlight()],
-      suspicions: backends.suspicions.listLocal(now).map(({ server, since, until }) => ({
-        server,
-        ageMs: Math.round(now - since),
-        leftMs: Math.round(until - now),
-      })),
+      suspicions: listOwnSuspicions(now),
       ...(limits.length > 0 && { limits }),
       ...quarantine.buildDigest(),
     };
@@ -150,14 +147,37 @@
     hasUnpublishedChanges = true;
     if (clock.now() - publishedAt >= PEERING_TICK_MS) publish();
   };
+  /** Only those that are new here are relayed, so that none goes round. */
+  const adoptSuspicions = (suspicions: readonly ReportedSuspicion[], peer: string): void => {
+    const adopted = suspicions.filter(({ server, ageMs, leftMs }) =>
+      backends.adoptPeerSuspicion(server, ageMs, leftMs),
+    );
+    for (const { server, ageMs } of adopted)
+      logger.log('suspicionLearned', { server, peer, ageMs });
+    relaySuspicions(adopted);
+  };
+  /**
+   * A hub tells its failure domain and the other hubs at once. With the next exchange only, each gateway
+   * of a large fleet would go on sending to a stalled server for about as long as a request lasts.
+   */
+  const relaySuspicions = (suspicions: readonly ReportedSuspicion[]): void => {
+    if (suspicions.length === 0) return;
+    for (const peer of table.listRelayPeers()) {
+      client.sendSuspicions(peer.address, suspicions).catch((error: unknown) => {
+        logger.log('peerCallFailed', { peer: peer.name, reason: String(error) });
+      });
+    }
+  };
+  const listOwnSuspicions = (now: Milliseconds): ReportedSuspicion[] =>
+    backends.suspicions.listLocal(now).map(({ server, since, until }) => ({
+      server,
+      ageMs: Math.round(now - since),
+      leftMs: Math.round(until - now),
+    }));
   const applyDigest = (digest: Digest, isResponse: boolean): void => {
     if (digest.name === self.name) return;
     observeMembers(members, digest, clock.now(), isResponse);
-    for (const { server, ageMs, leftMs } of table.applyDigest(digest, clock.now())) {
-      if (backends.adoptPeerSuspicion(server, ageMs, leftMs)) {
-        logger.log('suspicionLearned', { server, peer: digest.name, ageMs });
-      }
-    }
+    adoptSuspicions(table.applyDigest(digest, clock.now()), digest.name);
     for (const report of collectLimitReports(digest)) {
       backends.adoptRateLimit(report, digest.name);
     }
@@ -229,6 +249,9 @@
     applyFleetUpdate: (update) => {
       fleet.applyUpdate(update);
     },
+    applySuspicions: (suspicions) => {
+      adoptSuspicions(suspicions, 'relayed');
+    },
     noteConfigurationVersion: (version) => {
       configuration.noteVersion(version);
     },
@@ -260,7 +283,10 @@
       const notifyDomain = (): void => {
         for (const peer of table.listDomainPartners()) void exchange(peer);
       };
-      backends.onSuspicion(notifyDomain);
+      backends.onSuspicion((server) => {
+        notifyDomain();
+        relaySuspicions(listOwnSuspicions(clock.now()).filter((own) => own.server === server));
+      });
       backends.onRateLimitChange(notifyDomain);
       // The next copy of a harmful request may reach any gateway, so report it immediately.
       quarantine.onReport(() => {
--- a/src/gateway/peers/rpc.ts
+++ b/src/gateway/peers/rpc.ts
@@ -5,7 +5,13 @@
 import { initTRPC } from '@trpc/server';
 import { Agent } from 'undici';
 import { createRpcLink, createRpcListener, type RpcListener } from '../../adapters/peers/index.js';
-import { digestSchema, type Digest, type Versions } from '../../controllers/peering/index.js';
+import {
+  digestSchema,
+  suspicionsSchema,
+  type Digest,
+  type ReportedSuspicion,
+  type Versions,
+} from '../../controllers/peering/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { callWithTimeout } from '../../core/timeout/index.js';
 import type { FleetUpdate } from '../store/fleet-part.js';
@@ -22,6 +28,8 @@
   /** Returns the state that is newer than the caller's `versions`. */
   catchUp(versions: Versions): CatchUpResponse;
   applyFleetUpdate(update: FleetUpdate): void;
+  /** Called with suspicions that another gateway has just raised or heard of. */
+  applySuspicions(suspicions: readonly ReportedSuspicion[]): void;
   /** Called when another gateway has applied this version of the configuration. */
   noteConfigurationVersion(version: number): void;
 }
@@ -38,6 +46,9 @@
     news: procedure.input(fleetUpdateSchema).mutation(({ input }) => {
       handlers.applyFleetUpdate(input);
     }),
+    suspicions: procedure.input(suspicionsSchema).mutation(({ input }) => {
+      handlers.applySuspicions(input);
+    }),
     notice: procedure.input(configurationNoticeSchema).mutation(({ input }) => {
       handlers.noteConfigurationVersion(input.configurationVersion);
     }),
@@ -60,6 +71,7 @@
   exchange(address: string, digest: Digest): Promise<Digest>;
   catchUp(address: string, versions: Versions): Promise<CatchUpResponse>;
   sendFleetUpdate(address: string, update: FleetUpdate): Promise<void>;
+  sendSuspicions(address: string, suspicions: readonly ReportedSuspicion[]): Promise<void>;
   notifyConfigurationVersion(address: string, configurationVersion: number): Promise<void>;
   close(): Promise<void>;
 }
@@ -89,6 +101,10 @@
       callWithTimeout(CALL_TIMEOUT_MS, (signal) =>
         rpcClientFor(address).news.mutate(update, { signal }),
       ),
+    sendSuspicions: (address, suspicions) =>
+      callWithTimeout(CALL_TIMEOUT_MS, (signal) =>
+        rpcClientFor(address).suspicions.mutate([...suspicions], { signal }),
+      ),
     notifyConfigurationVersion: (address, configurationVersion) =>
       callWithTimeout(CALL_TIMEOUT_MS, (signal) =>
         rpcClientFor(address).notice.mutate({ configurationVersion }, { signal }),
