--- a/src/controllers/groups/targets.ts
+++ b/src/controllers/groups/targets.ts
@@ -25,7 +25,7 @@
 export type DomainTargets = ReadonlyMap<string, readonly GroupTarget[]>;
 
 /**
- * Splits the instances of all domains between `models` by their configured shares, and distributes the
+ * Splits the instances of all domains between `models` by their shares, and distributes the
  * replicas of each model among the domains.
  *
  * All domains are split together, because the shares can't be met in a small domain alone: a domain of
