--- a/src/controllers/forwarding/stall.ts
+++ b/src/controllers/forwarding/stall.ts
@@ -54,7 +54,7 @@
 
 /** How long a plain response may take before its backend server is suspected. */
 export function plainStallTimeout(targetMs: Milliseconds): Milliseconds {
-  return PLAIN_STALL_MULTIPLE * targetMs;
+  return Math.max(MIN_STALL_MS, PLAIN_STALL_MULTIPLE * targetMs);
 }
 
 /** Time of the last progress seen at each backend server. Mutable; has a single owner. */
