--- a/features/gateway/demand.feature
+++ b/features/gateway/demand.feature
@@ -14,6 +14,14 @@
     When for 60 s 0 requests are in flight at the large model and 500 at the small one
     Then the large model keeps at least 1 replica
 
+  # Guards against a model that gets ever fewer instances because it has ever fewer replicas that requests
+  # could be in flight at.
+  Scenario: All replicas of the large model have been lost
+    Given 222 instances, 21 slots, and models of 16 and of 4 with equal shares
+    And 0 replicas of the large model are left
+    When for 30 s 0 requests are in flight at the large model and 500 at the small one
+    Then the large model keeps at least 2 replicas
+
   # Guards against a model whose replicas are given away for a demand that lasts a second.
   Scenario: The demand turns within a second
     Given 222 instances, 21 slots, and models of 16 and of 4 with equal shares
--- a/features/gateway/demand.steps.ts
+++ b/features/gateway/demand.steps.ts
@@ -14,6 +14,8 @@
   instances: number;
   slots: number;
   isLoadNegative: boolean;
+  /** Existing replicas of the large model. */
+  largeExisting: number;
   now: number;
   shares: DemandShares;
   models: readonly GroupModel[];
@@ -35,6 +37,7 @@
     this.instances = Number(instances);
     this.slots = input === 'no slots' ? 0 : Number(slots);
     this.isLoadNegative = input === 'a negative load reported';
+    this.largeExisting = 7;
     this.now = 0;
     this.shares = new DemandShares();
     this.models = [this.large, this.small];
@@ -42,6 +45,10 @@
   },
 );
 
+Given('{int} replicas of the large model are left', function (this: DemandWorld, left: number) {
+  this.largeExisting = left;
+});
+
 /** Replicas of the large and the small model under the shares in use. */
 function countGroups({ instances, models }: DemandWorld): [large: number, small: number] {
   const domains = Array.from({ length: Math.ceil(instances / DOMAIN_SIZE) }, (_, index) => ({
@@ -59,7 +66,7 @@
 function observe(world: DemandWorld, shares: DemandShares, large: number, small: number): void {
   const sign = world.isLoadNegative ? -1 : 1;
   const models: ModelLoad[] = [
-    { model: world.large, inFlight: sign * large, groups: 7 },
+    { model: world.large, inFlight: sign * large, groups: world.largeExisting },
     { model: world.small, inFlight: sign * small, groups: 27 },
   ];
   const { slots, instances } = world;
--- a/src/controllers/groups/demand.ts
+++ b/src/controllers/groups/demand.ts
@@ -28,6 +28,11 @@
 const WARM_UP_MS: Milliseconds = 3_000;
 /** Replicas that each model gets beyond its load: one may be lost while another is being replaced. */
 const HEADROOM_GROUPS = 2;
+/**
+ * Part of its configured share that a model always keeps. A model whose replicas are lost has no
+ * requests in flight; without this it would get ever fewer instances.
+ */
+const MIN_SHARE_FRACTION = 0.5;
 /**
  * Change of a share that is acted on, in replicas of the largest model. Prevents replicas from being
  * disbanded and formed again as the load fluctuates.
@@ -128,15 +133,27 @@
   return needed.map((count, index) => count + (spare * (weights[index] ?? 0)) / totalWeight);
 }
 
-/** The models with shares proportional to `weights`; the configured ones if there is no weight. */
+/**
+ * The models with shares proportional to `weights`, of which each keeps a part of the configured one; the
+ * configured ones if there is no weight.
+ */
 function withShares(
   loads: readonly ModelLoad[],
   weights: readonly number[],
 ): readonly GroupModel[] {
   const total = sum(weights);
-  return loads.map(({ model }, index) =>
-    total > 0 ? { ...model, share: (weights[index] ?? 0) / total } : model,
+  const configured = loads.map(({ model }) => Math.max(0, model.share));
+  const configuredTotal = sum(configured);
+  if (total <= 0) return loads.map(({ model }) => model);
+  const kept = configured.map((share) =>
+    configuredTotal > 0 ? (MIN_SHARE_FRACTION * share) / configuredTotal : 0,
   );
+  const wanted = weights.map((weight, index) => Math.max(weight / total, kept[index] ?? 0));
+  const wantedTotal = sum(wanted);
+  return loads.map(({ model }, index) => ({
+    ...model,
+    share: (wanted[index] ?? 0) / wantedTotal,
+  }));
 }
 
 function sum(values: readonly number[]): number {
