Leave the split of instances alone while every model has room

Change: the split changes only while a model uses more than half of the slots that its share gives it, and a new owner takes the existing split for a wanted one only if it differs by two large replicas from the configured one.

--- a/features/gateway/demand.feature
+++ b/features/gateway/demand.feature
@@ -45,6 +45,12 @@
       | 3    |
       | 4    |
 
+  # Guards against replicas that are disbanded although every model has room.
+  Scenario: Every model has room for losses
+    Given 222 instances, 21 slots, and models of 16 and of 4 with equal shares
+    When for 30 s 20 requests are in flight at the large model and 250 at the small one
+    Then the shares have changed at most 0 times
+
   # Guards against planners that disband each other's replicas because their news differ in age.
   Scenario Outline: Six gateways plan by news of different age
     Given 222 instances, 21 slots, and models of 16 and of 4 with equal shares
--- a/src/controllers/groups/demand.ts
+++ b/src/controllers/groups/demand.ts
@@ -33,11 +33,21 @@
  * requests in flight; without this it would get ever fewer instances.
  */
 const MIN_SHARE_FRACTION = 0.5;
+/**
+ * Use of a model's slots from which it counts as short. Below it every model has room for losses, and
+ * replicas would be disbanded and formed again for nothing.
+ */
+const SHORT_USE = 0.5;
 /**
  * Change of a share that is acted on, in replicas of the largest model. Prevents replicas from being
  * disbanded and formed again as the load fluctuates.
  */
 const MIN_CHANGE_GROUPS = 1;
+/**
+ * Difference between the configured and the existing split, in replicas of the largest model, from which
+ * a gateway takes the existing one for a split by demand when it begins to plan.
+ */
+const MIN_EXISTING_CHANGE_GROUPS = 2;
 /** Time between two changes; by then the replicas of the first one serve. */
 const MIN_CHANGE_INTERVAL_MS: Milliseconds = 5_000;
 
@@ -64,7 +74,7 @@
   update(service: string, load: ServiceLoad, now: Milliseconds): readonly GroupModel[] {
     const known = this.services.get(service);
     if (known === undefined || !hasSameModels(known.models, load.models)) {
-      const models = withShares(load.models, instancesInUse(load.models));
+      const models = findInitialModels(load);
       const smoothed = new Map(
         load.models.map(({ model, inFlight }) => [model.name, Math.max(0, inFlight)]),
       );
@@ -75,7 +85,8 @@
     smooth(known, load.models, now);
     if (now < known.changeableAt) return known.models;
     const wanted = withShares(load.models, instancesNeeded(load, known.smoothed));
-    if (isSignificant(known.models, wanted, load.instances)) {
+    const isChangeNeeded = isAnyShort(known, load);
+    if (isChangeNeeded && isSignificant(known.models, wanted, load.instances, MIN_CHANGE_GROUPS)) {
       known.models = wanted;
       known.changeableAt = now + MIN_CHANGE_INTERVAL_MS;
     }
@@ -107,6 +118,28 @@
   }
 }
 
+/** The split by demand that a previous owner has made, or else the configured one. */
+function findInitialModels({ models, instances }: ServiceLoad): readonly GroupModel[] {
+  const configured = withShares(
+    models,
+    models.map(({ model }) => Math.max(0, model.share)),
+  );
+  const existing = withShares(models, instancesInUse(models));
+  const isOther = isSignificant(configured, existing, instances, MIN_EXISTING_CHANGE_GROUPS);
+  return isOther ? existing : configured;
+}
+
+/** Whether a model uses so many of the slots that its share gives it that losses would hurt. */
+function isAnyShort(
+  { smoothed, models }: ServiceState,
+  { slots, instances }: ServiceLoad,
+): boolean {
+  return models.some(({ name, share, size }) => {
+    const capacity = (slots * instances * share) / size;
+    return (smoothed.get(name) ?? 0) > SHORT_USE * capacity;
+  });
+}
+
 /** Instances in the replicas of each model. */
 function instancesInUse(loads: readonly ModelLoad[]): readonly number[] {
   return loads.map(({ model, groups }) => groups * model.size);
@@ -164,9 +197,10 @@
   before: readonly GroupModel[],
   after: readonly GroupModel[],
   instances: number,
+  minGroups: number,
 ): boolean {
   const largest = Math.max(1, ...after.map(({ size }) => size));
-  const minChange = (MIN_CHANGE_GROUPS * largest) / Math.max(1, instances);
+  const minChange = (minGroups * largest) / Math.max(1, instances);
   return after.some(
     ({ share }, index) => Math.abs(share - (before[index]?.share ?? 0)) >= minChange,
   );
