--- a/src/controllers/groups/demand.ts
+++ b/src/controllers/groups/demand.ts
@@ -24,7 +24,7 @@
 
 /** Time constant of the smoothed load; several times the duration of a request. */
 const SMOOTHING_MS: Milliseconds = 3_000;
-/** Observation time before the load counts. Until then the existing replicas set the shares. */
+/** Observation time before the load counts. */
 const WARM_UP_MS: Milliseconds = 3_000;
 /** Replicas that each model gets beyond its load: one may be lost while another is being replaced. */
 const HEADROOM_GROUPS = 2;
