--- a/src/controllers/groups/demand.ts
+++ b/src/controllers/groups/demand.ts
@@ -34,10 +34,11 @@
  */
 const MIN_SHARE_FRACTION = 0.5;
 /**
- * Use of a model's slots from which it counts as short. Below it every model has room for losses, and
- * replicas would be disbanded and formed again for nothing.
+ * Use of a model's slots from which it counts as short. Below it every model has room for a surge and for
+ * losses, and replicas would be disbanded and formed again for nothing. Changes have to come before a
+ * surge: forming replicas takes seconds, and no plan can be stored during an outage.
  */
-const SHORT_USE = 0.5;
+const SHORT_USE = 0.3;
 /**
  * Change of a share that is acted on, in replicas of the largest model. Prevents replicas from being
  * disbanded and formed again as the load fluctuates.
