--- a/features/gateway/demand.feature
+++ b/features/gateway/demand.feature
@@ -54,7 +54,7 @@
   # Guards against a split that is changed only when the surge is there, and then too late.
   Scenario: The load leaves no room for a surge
     Given 222 instances, 21 slots, and models of 16 and of 4 with equal shares
-    When for 10 s 36 requests are in flight at the large model and 250 at the small one
+    When for 10 s 15 requests are in flight at the large model and 250 at the small one
     Then the small model has at least 700 slots
 
   # Guards against planners that disband each other's replicas because their news differ in age.
