--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -176,7 +176,6 @@
     reachability,
     kind: GATEWAY_KIND,
     isFollowing: () => configuration.follower.isOn(),
-    isPlanning: () => groups.isPlanning(),
   });
   watchdog.onPause(() => {
     groups.releaseAll();
--- a/src/gateway/groups/groups-part.ts
+++ b/src/gateway/groups/groups-part.ts
@@ -44,8 +44,6 @@
 export interface GroupsPart extends GatewayPart {
   /** Releases all domains after a pause of the process, in which another gateway may have taken over. */
   releaseAll(): void;
-  /** Whether this gateway owns a domain. */
-  isPlanning(): boolean;
 }
 
 export function createGroupsPart(options: GroupsPartOptions): GroupsPart {
@@ -156,7 +154,6 @@
   };
   return {
     releaseAll,
-    isPlanning: () => ownedKeys.size > 0,
     start: () => {
       timer = setInterval(reconcile, RECONCILE_INTERVAL_MS);
     },
--- a/src/gateway/store/reachability-probe.ts
+++ b/src/gateway/store/reachability-probe.ts
@@ -7,12 +7,10 @@
 import type { ReachabilityTracker } from './reachability.js';
 
 /**
- * Time without an answer after which a gateway that plans replicas probes the store. With the timeout of
- * the probe it knows after 5.5 s that it is cut off; a watch of its own would show it some 3 s later.
+ * Time without an answer after which the store is probed. With the timeout of the probe a gateway knows
+ * after 5.5 s that it is cut off; a watch of its own would show it some 3 s later.
  */
 const PROBE_AFTER_MS: Milliseconds = 4_000;
-/** The same for other gateways, which only have to notice before they take over a domain. */
-const IDLE_PROBE_AFTER_MS: Milliseconds = 15_000;
 /** Longest interval between probes while the store is unreachable; the rest of it is random. */
 const RETRY_INTERVAL_MS: Milliseconds = 2_000;
 const CHECK_INTERVAL_MS: Milliseconds = 500;
@@ -25,8 +23,6 @@
   kind: string;
   /** Whether other calls go on that show when the store is reachable again. */
   isFollowing: () => boolean;
-  /** Whether this gateway plans the replicas of a fabric domain. */
-  isPlanning: () => boolean;
 }
 
 /**
@@ -40,7 +36,6 @@
   reachability,
   kind,
   isFollowing,
-  isPlanning,
 }: ReachabilityProbeOptions): GatewayPart {
   const { board, clock, random, settings } = context;
   let timer: NodeJS.Timeout | undefined;
@@ -49,8 +44,7 @@
 
   const isDue = (now: Milliseconds): boolean => {
     if (!board.storeReachability.read().reachable) return !isFollowing() && now >= retryAt;
-    const probeAfterMs = isPlanning() ? PROBE_AFTER_MS : IDLE_PROBE_AFTER_MS;
-    return now - reachability.lastAnsweredSentAt() > probeAfterMs;
+    return now - reachability.lastAnsweredSentAt() > PROBE_AFTER_MS;
   };
   const probeIfDue = async (): Promise<void> => {
     const now = clock.now();
