--- a/features/gateway/demand.feature
+++ b/features/gateway/demand.feature
@@ -45,6 +45,13 @@
       | 3    |
       | 4    |
 
+  # Guards against a split that is undone and made again each time another gateway begins to plan.
+  Scenario: Another gateway begins to plan after a change of the split
+    Given 222 instances, 21 slots, and models of 16 and of 4 with equal shares
+    And 5 replicas of the large model and 35 of the small one are left
+    When for 2 s 15 requests are in flight at the large model and 250 at the small one
+    Then the small model has at least 700 slots
+
   # Guards against replicas that are disbanded although every model has room.
   Scenario: Every model has room for losses
     Given 222 instances, 21 slots, and models of 16 and of 4 with equal shares
--- a/features/gateway/demand.steps.ts
+++ b/features/gateway/demand.steps.ts
@@ -16,6 +16,7 @@
   isLoadNegative: boolean;
   /** Existing replicas of the large model. */
   largeExisting: number;
+  smallExisting: number;
   now: number;
   shares: DemandShares;
   models: readonly GroupModel[];
@@ -38,6 +39,7 @@
     this.slots = input === 'no slots' ? 0 : Number(slots);
     this.isLoadNegative = input === 'a negative load reported';
     this.largeExisting = 7;
+    this.smallExisting = 27;
     this.now = 0;
     this.shares = new DemandShares();
     this.models = [this.large, this.small];
@@ -49,6 +51,14 @@
   this.largeExisting = left;
 });
 
+Given(
+  '{int} replicas of the large model and {int} of the small one are left',
+  function (this: DemandWorld, large: number, small: number) {
+    this.largeExisting = large;
+    this.smallExisting = small;
+  },
+);
+
 /** Replicas of the large and the small model under the shares in use. */
 function countGroups({ instances, models }: DemandWorld): [large: number, small: number] {
   const domains = Array.from({ length: Math.ceil(instances / DOMAIN_SIZE) }, (_, index) => ({
@@ -67,7 +77,7 @@
   const sign = world.isLoadNegative ? -1 : 1;
   const models: ModelLoad[] = [
     { model: world.large, inFlight: sign * large, groups: world.largeExisting },
-    { model: world.small, inFlight: sign * small, groups: 27 },
+    { model: world.small, inFlight: sign * small, groups: world.smallExisting },
   ];
   const { slots, instances } = world;
   const next = shares.update('models', { slots, instances, models }, world.now);
--- a/src/controllers/groups/demand.ts
+++ b/src/controllers/groups/demand.ts
@@ -44,11 +44,6 @@
  * disbanded and formed again as the load fluctuates.
  */
 const MIN_CHANGE_GROUPS = 1;
-/**
- * Difference between the configured and the existing split, in replicas of the largest model, from which
- * a gateway takes the existing one for a split by demand when it begins to plan.
- */
-const MIN_EXISTING_CHANGE_GROUPS = 2;
 /** Time between two changes; by then the replicas of the first one serve. */
 const MIN_CHANGE_INTERVAL_MS: Milliseconds = 5_000;
 
@@ -75,7 +70,8 @@
   update(service: string, load: ServiceLoad, now: Milliseconds): readonly GroupModel[] {
     const known = this.services.get(service);
     if (known === undefined || !hasSameModels(known.models, load.models)) {
-      const models = findInitialModels(load);
+      // A previous owner of the domains may have changed the split, which must not be undone.
+      const models = withShares(load.models, instancesInUse(load.models));
       const smoothed = new Map(
         load.models.map(({ model, inFlight }) => [model.name, Math.max(0, inFlight)]),
       );
@@ -87,7 +83,7 @@
     if (now < known.changeableAt) return known.models;
     const wanted = withShares(load.models, instancesNeeded(load, known.smoothed));
     const isChangeNeeded = isAnyShort(known, load);
-    if (isChangeNeeded && isSignificant(known.models, wanted, load.instances, MIN_CHANGE_GROUPS)) {
+    if (isChangeNeeded && isSignificant(known.models, wanted, load.instances)) {
       known.models = wanted;
       known.changeableAt = now + MIN_CHANGE_INTERVAL_MS;
     }
@@ -119,17 +115,6 @@
   }
 }
 
-/** The split by demand that a previous owner has made, or else the configured one. */
-function findInitialModels({ models, instances }: ServiceLoad): readonly GroupModel[] {
-  const configured = withShares(
-    models,
-    models.map(({ model }) => Math.max(0, model.share)),
-  );
-  const existing = withShares(models, instancesInUse(models));
-  const isOther = isSignificant(configured, existing, instances, MIN_EXISTING_CHANGE_GROUPS);
-  return isOther ? existing : configured;
-}
-
 /** Whether a model uses so many of the slots that its share gives it that losses would hurt. */
 function isAnyShort(
   { smoothed, models }: ServiceState,
@@ -198,10 +183,9 @@
   before: readonly GroupModel[],
   after: readonly GroupModel[],
   instances: number,
-  minGroups: number,
 ): boolean {
   const largest = Math.max(1, ...after.map(({ size }) => size));
-  const minChange = (minGroups * largest) / Math.max(1, instances);
+  const minChange = (MIN_CHANGE_GROUPS * largest) / Math.max(1, instances);
   return after.some(
     ({ share }, index) => Math.abs(share - (before[index]?.share ?? 0)) >= minChange,
   );
