--- a/features/gateway/demand.feature
+++ b/features/gateway/demand.feature
@@ -45,6 +45,15 @@
       | 3    |
       | 4    |
 
+  # Guards against a model that loses instances to another one because its replicas are being lost.
+  Scenario: Most replicas of the large model are lost under load
+    Given 222 instances, 21 slots, and models of 16 and of 4 with equal shares
+    And 6 replicas of the large model and 31 of the small one are left
+    When for 10 s 60 requests are in flight at the large model and 250 at the small one
+    And 2 replicas of the large model and 31 of the small one are left
+    And for 10 s 10 requests are in flight at the large model and 250 at the small one
+    Then the large model keeps at least 5 replicas
+
   # Guards against a split that is undone and made again each time another gateway begins to plan.
   Scenario: Another gateway begins to plan after a change of the split
     Given 222 instances, 21 slots, and models of 16 and of 4 with equal shares
--- a/src/controllers/groups/demand.ts
+++ b/src/controllers/groups/demand.ts
@@ -33,6 +33,11 @@
  * requests in flight; without this it would get ever fewer instances.
  */
 const MIN_SHARE_FRACTION = 0.5;
+/**
+ * Part of its replicas below which the load of a model is a lower bound of its demand: requests that find
+ * no replica are not in flight.
+ */
+const COMPLETE_FRACTION = 0.75;
 /**
  * Use of a model's slots from which it counts as short. Below it every model has room for a surge and for
  * losses, and replicas would be disbanded and formed again for nothing. Changes have to come before a
@@ -79,7 +84,7 @@
       this.services.set(service, { changeableAt, updatedAt: now, smoothed, models });
       return models;
     }
-    smooth(known, load.models, now);
+    smooth(known, load, now);
     if (now < known.changeableAt) return known.models;
     const wanted = withShares(load.models, instancesNeeded(load, known.smoothed));
     const isChangeNeeded = isAnyShort(known, load);
@@ -106,12 +111,15 @@
   );
 }
 
-function smooth(state: ServiceState, loads: readonly ModelLoad[], now: Milliseconds): void {
+function smooth(state: ServiceState, { models, instances }: ServiceLoad, now: Milliseconds): void {
   const weight = 1 - Math.exp(-(now - state.updatedAt) / SMOOTHING_MS);
   state.updatedAt = now;
-  for (const { model, inFlight } of loads) {
+  for (const { model, inFlight, groups } of models) {
     const before = state.smoothed.get(model.name) ?? 0;
-    state.smoothed.set(model.name, before + weight * (Math.max(0, inFlight) - before));
+    const share = state.models.find(({ name }) => name === model.name)?.share ?? 0;
+    const isComplete = groups >= COMPLETE_FRACTION * ((share * instances) / model.size);
+    const observed = isComplete ? Math.max(0, inFlight) : Math.max(before, inFlight);
+    state.smoothed.set(model.name, before + weight * (observed - before));
   }
 }
 
