Read the logs of explain and diagnose by one function

Change: readLogTexts serves both; the plot of seconds is printed with the table. No behaviour changes.

--- a/src/cli/diagnose/diagnose.ts
+++ b/src/cli/diagnose/diagnose.ts
@@ -1,10 +1,9 @@
 /**
  * `yuccasail diagnose`: why the requests of a span of time were late or not served, by the logs of gateways.
  */
-import { readFile } from 'node:fs/promises';
-import { text } from 'node:stream/consumers';
 import { parseCommandLine } from '../command-line.js';
 import type { Exit } from '../exit-codes.js';
+import { readLogTexts } from '../log-texts.js';
 import { printJson, printLine } from '../output.js';
 import { renderSeconds, renderTable } from './render.js';
 import { summarizeLosses } from './losses.js';
@@ -29,14 +28,12 @@
     argv,
     flags: { json: { type: 'boolean' }, seconds: { type: 'boolean' } },
   });
-  const texts =
-    files.length > 0
-      ? await Promise.all(files.map((file) => readFile(file, 'utf8')))
-      : [await text(process.stdin)];
+  const texts = await readLogTexts(files);
   const summary = summarizeLosses(texts);
   if (flags.json) printJson(summary);
-  else for (const line of renderTable(summary)) printLine(line);
-  if (flags.seconds && !flags.json)
-    for (const line of renderSeconds(summary.seconds)) printLine(line);
+  else {
+    const seconds = flags.seconds ? renderSeconds(summary.seconds) : [];
+    for (const line of [...renderTable(summary), ...seconds]) printLine(line);
+  }
   return summary.routes.length > 0 ? 'done' : 'refused';
 }
--- a/src/cli/explain/explain.ts
+++ b/src/cli/explain/explain.ts
@@ -1,10 +1,9 @@
 /**
  * `yuccasail explain`: from the id of a request to why it ended as it did, by the logs of gateways.
  */
-import { readFile } from 'node:fs/promises';
-import { text } from 'node:stream/consumers';
 import { parseCommandLine } from '../command-line.js';
 import type { Exit } from '../exit-codes.js';
+import { readLogTexts } from '../log-texts.js';
 import { printJson, printLine } from '../output.js';
 import { CAUSES, explainRequest, sinceStart, type Finding } from './findings.js';
 import { parseLines, type LoggedLine } from './log-lines.js';
@@ -32,10 +31,7 @@
   });
   const [id, ...files] = input;
   if (id === undefined) return showHelp();
-  const texts =
-    files.length > 0
-      ? await Promise.all(files.map((file) => readFile(file, 'utf8')))
-      : [await text(process.stdin)];
+  const texts = await readLogTexts(files);
   const finding = explainRequest(id, texts.flatMap(parseLines));
   if (flags.json) printJson(finding);
   else printFinding(id, finding);
