--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -163,13 +163,6 @@
     section: board.peers,
     load: board.peerLoad,
   });
-  const groups = createGroupsPart({
-    context,
-    store,
-    calls: engineCalls,
-    backends,
-    contact: reachability,
-  });
   const reachabilityProbe = createReachabilityProbe({
     context,
     store,
@@ -177,6 +170,13 @@
     kind: GATEWAY_KIND,
     isFollowing: () => configuration.follower.isOn(),
   });
+  const groups = createGroupsPart({
+    context,
+    store,
+    calls: engineCalls,
+    backends,
+    contact: reachability,
+  });
   watchdog.onPause(() => {
     groups.releaseAll();
   });
--- a/src/gateway/requests/request-server.ts
+++ b/src/gateway/requests/request-server.ts
@@ -77,7 +77,8 @@
   ): Promise<void> => {
     const arrivedAt = clock.now();
     const reply = createReply(response, () => shutdown.isShuttingDown());
-    await waitForConfiguration();
+    const startup = waitForConfiguration();
+    if (startup !== undefined) await startup;
     if (response.destroyed) return;
     const admitted = admitRequest(context, incoming, arrivedAt);
     if (admitted.isErr()) {
--- a/src/gateway/requests/startup-wait.ts
+++ b/src/gateway/requests/startup-wait.ts
@@ -10,30 +10,18 @@
 /** Time after the start within which the configuration is expected. */
 const STARTUP_MS: Milliseconds = 1_500;
 
-/** Resolves when the configuration is known or is no longer expected soon. */
-export type StartupWait = () => Promise<void>;
+/** A promise until the configuration is known or no longer expected soon; undefined from then on. */
+export type StartupWait = () => Promise<void> | undefined;
 
 export function createStartupWait({
   board,
   clock,
 }: Pick<GatewayContext, 'board' | 'clock'>): StartupWait {
   const expectedUntil = clock.now() + STARTUP_MS;
-  let isOver = false;
-  const waiting = new Set<() => void>();
-  const end = (): void => {
-    isOver = true;
-    for (const resume of waiting) resume();
-    waiting.clear();
-  };
-  board.serving.subscribe(() => {
-    if (!isOver && board.serving.read() !== undefined) end();
+  const isOver = (): boolean => board.serving.read() !== undefined || clock.now() >= expectedUntil;
+  const over = new Promise<void>((resolve) => {
+    setTimeout(resolve, STARTUP_MS).unref();
+    board.serving.subscribe(resolve);
   });
-  return async () => {
-    const leftMs = expectedUntil - clock.now();
-    if (isOver || leftMs <= 0 || board.serving.read() !== undefined) return;
-    await new Promise<void>((resolve) => {
-      waiting.add(resolve);
-      setTimeout(end, leftMs).unref();
-    });
-  };
+  return () => (isOver() ? undefined : over);
 }
