Log and count what backend servers say of their availability

Cause: the log of a refusal says "refused with 503" whether or not the server asked for rest, and nothing tells that a server said that it is leaving. Change: the adapter decodes Retry-After of a 503 and Server-Leaving, of answers to requests, orders and probes; they are logged (2308, 2309) and counted. No decision uses them yet.

--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -291,6 +291,16 @@
     level: 'info',
     message: 'A backend server no longer names a limit.',
   },
+  serverAsksForRest: {
+    number: 2308,
+    level: 'warn',
+    message: 'A backend server refused a request and asks this gateway to leave it alone.',
+  },
+  serverSaysLeaving: {
+    number: 2309,
+    level: 'info',
+    message: 'An answer of a backend server says that it is leaving.',
+  },
   groupPlanWritten: {
     number: 2400,
     level: 'info',
--- a/src/gateway/backends/attempt.ts
+++ b/src/gateway/backends/attempt.ts
@@ -2,7 +2,7 @@
  * One attempt to send a request to one backend server.
  */
 import type { Dispatcher } from 'undici';
-import type { ResponseHead, RequestCodec } from '../../ports/index.js';
+import type { ResponseHead, RequestCodec, ServerNotice } from '../../ports/index.js';
 import type { BackendConnection } from './connection.js';
 import type { BackendAddress, ConnectionPool } from './pool.js';
 
@@ -36,6 +36,8 @@
 
 /** Receives the events of an attempt: head, data and end, or a failure at any point. */
 export interface AttemptObserver {
+  /** Called before `onResponse`, also for a response that belongs to another request. */
+  onNotice(notice: ServerNotice): void;
   onResponse(response: AttemptResponse): void;
   onData(chunk: Buffer): void;
   onEnd(): void;
@@ -121,6 +123,7 @@
     if (this.isFinished || status < 200) return;
     const headers = readRawHeaders(controller.rawHeaders);
     const head = this.codec.decodeResponse(status, headers);
+    this.observer.onNotice(head.notice);
     const { requestId } = this.request;
     // Guards against a late response to an earlier request on this connection.
     const isOtherRequest =
--- a/src/gateway/backends/engine-calls.ts
+++ b/src/gateway/backends/engine-calls.ts
@@ -4,7 +4,7 @@
 import { Agent } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { callWithTimeout } from '../../core/timeout/index.js';
-import type { EngineCall, OrderCodec, OrderOutcome } from '../../ports/index.js';
+import type { EngineCall, OrderCodec, OrderOutcome, ServerNotice } from '../../ports/index.js';
 import type { DueOrder, GroupMember } from '../../controllers/groups/index.js';
 
 /** Result of probing an engine. */
@@ -29,37 +29,50 @@
 
 interface CallResponse {
   status: number;
+  headers: string[];
   body: string;
 }
 
+/** The engine that a call is for. */
+export type CalledEngine = Pick<GroupMember, 'id' | 'address' | 'startedAt'>;
+
 interface EngineCallsOptions {
   codec: OrderCodec;
   onProbe: () => void;
+  /** Called with what each response says of the engine's availability. */
+  onNotice: (engine: CalledEngine, notice: ServerNotice) => void;
 }
 
-export function createEngineCalls({ codec, onProbe }: EngineCallsOptions): EngineCalls {
+export function createEngineCalls({ codec, onProbe, onNotice }: EngineCallsOptions): EngineCalls {
   const agent = new Agent({
     connections: 4,
     pipelining: 1,
     keepAliveTimeout: KEEP_ALIVE_MS,
     connect: { timeout: PROBE_TIMEOUT_MS },
   });
-  const call = (
-    address: string,
+  const call = async (
+    engine: CalledEngine,
     { method, path, headers, body }: EngineCall,
     timeoutMs: Milliseconds,
-  ): Promise<CallResponse> =>
-    callWithTimeout(timeoutMs, async (signal) => {
-      const origin = `http://${address}`;
+  ): Promise<CallResponse> => {
+    const response = await callWithTimeout(timeoutMs, async (signal) => {
+      const origin = `http://${engine.address}`;
       const request = { origin, method, path, headers, body: body ?? null, signal };
-      const response = await agent.request(request);
-      return { status: response.statusCode, body: await response.body.text() };
+      const answer = await agent.request(request);
+      return {
+        status: answer.statusCode,
+        headers: listHeaders(answer.headers),
+        body: await answer.body.text(),
+      };
     });
+    onNotice(engine, codec.decodeNotice(response.status, response.headers));
+    return response;
+  };
   return {
     order: async ({ to, order }) => {
       try {
         const encoded = codec.encodeOrder(order, to.id);
-        const { status } = await call(to.address, encoded, ORDER_TIMEOUT_MS);
+        const { status } = await call(to, encoded, ORDER_TIMEOUT_MS);
         return codec.decodeOutcome(status);
       } catch (error) {
         return isConnectionRefused(error)
@@ -67,10 +80,11 @@
           : { kind: 'unknown', reason: error instanceof Error ? error.message : 'unknown error' };
       }
     },
-    probe: async ({ id, address, startedAt }) => {
+    probe: async (member) => {
+      const { id, startedAt } = member;
       onProbe();
       try {
-        const { status, body } = await call(address, codec.encodeReport(id), PROBE_TIMEOUT_MS);
+        const { status, body } = await call(member, codec.encodeReport(id), PROBE_TIMEOUT_MS);
         if (status === MISDIRECTED_REQUEST_STATUS) return { kind: 'gone' };
         const report = codec.decodeReport(body);
         const isOtherProcess = report?.startedAt !== undefined && report.startedAt !== startedAt;
@@ -85,6 +99,12 @@
   };
 }
 
+function listHeaders(headers: Readonly<Record<string, string | string[] | undefined>>): string[] {
+  return Object.entries(headers).flatMap(([name, values = []]) =>
+    [values].flat().flatMap((value) => [name, value]),
+  );
+}
+
 /** Whether nothing listens at the address, because the process has ended. */
 function isConnectionRefused(error: unknown): boolean {
   return error instanceof Error && (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -137,6 +137,9 @@
     onProbe: () => {
       metrics.probes.inc();
     },
+    onNotice: (engine, notice) => {
+      backends.recordNotice(engine, notice);
+    },
   });
   const backends = createBackendTracker(context, members);
   backends.onRestart((server) => {
--- a/src/gateway/operations/metrics.ts
+++ b/src/gateway/operations/metrics.ts
@@ -16,6 +16,8 @@
   probes: Counter;
   connections: Counter;
   suspicions: Counter;
+  restRequests: Counter<'kind'>;
+  leavingAnswers: Counter;
   quarantined: Counter;
   suppressedLines: Counter;
   readiness: Gauge;
@@ -76,6 +78,17 @@
       help: 'Backend servers found to stand still.',
       registers,
     }),
+    restRequests: new Counter({
+      name: 'yuccasail_gateway_rest_requests_total',
+      help: 'Refusals with which backend servers asked this gateway for rest, by whether the time could be read.',
+      labelNames: ['kind'],
+      registers,
+    }),
+    leavingAnswers: new Counter({
+      name: 'yuccasail_gateway_leaving_answers_total',
+      help: 'Answers in which backend servers said that they are leaving.',
+      registers,
+    }),
     quarantined: new Counter({
       name: 'yuccasail_gateway_quarantined_total',
       help: 'Requests that were put into quarantine since backend servers end under them.',
--- a/src/gateway/requests/backend-tracker.ts
+++ b/src/gateway/requests/backend-tracker.ts
@@ -24,7 +24,7 @@
 } from '../../controllers/quotas/index.js';
 import { hasRoom } from '../../controllers/waiting/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
-import type { RateLimit, ServingService } from '../../ports/index.js';
+import type { BackendServer, RateLimit, ServerNotice, ServingService } from '../../ports/index.js';
 import type { GatewayContext } from '../types.js';
 
 /** A chosen target with the state that it was chosen by. */
@@ -74,6 +74,12 @@
   adoptPeerSuspicion(server: string, ageMs: Milliseconds, leftMs: Milliseconds): boolean;
   /** Records what an answer to an attempt sent at `sentAt` says of the server's rate limit. */
   recordRateLimit(server: string, limit: RateLimit, sentAt: Milliseconds): void;
+  /** Records what a server says of its availability in the response to `request`, or to a call. */
+  recordNotice(
+    server: Pick<BackendServer, 'id' | 'startedAt'>,
+    notice: ServerNotice,
+    request?: string,
+  ): void;
   /** Adopts a peer's observation of a rate limit. */
   adoptRateLimit(report: LimitReport, peer: string): void;
   /** This gateway's observations of rate limits, for peers. */
@@ -283,6 +289,16 @@
       logLimit(server);
       for (const listener of limitListeners) listener();
     },
+    recordNotice: ({ id: server }, { leaving, rest }, request) => {
+      if (leaving) {
+        metrics.leavingAnswers.inc();
+        logger.log('serverSaysLeaving', { server, request });
+      }
+      if (rest.kind === 'none') return;
+      metrics.restRequests.inc({ kind: rest.kind });
+      const forMs = rest.kind === 'named' ? Math.round(rest.forMs) : undefined;
+      logger.log('serverAsksForRest', { server, request, kind: rest.kind, forMs });
+    },
     adoptRateLimit: (report, peer) => {
       if (!board.fleet.read().servers.has(report.server)) return;
       if (limits.adopt(report, clock.now())) logLimit(report.server, peer);
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -8,6 +8,7 @@
 import { EventStream, isRepeatable } from '../../controllers/forwarding/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
+import type { ServerNotice } from '../../ports/index.js';
 import type { AttemptResponse, AttemptFailure, AttemptSender } from '../backends/attempt.js';
 import type { GatewayContext } from '../types.js';
 import { isValidSuccess, relayEvents, sendBuffered } from './response-relay.js';
@@ -283,6 +284,10 @@
     this.settleRetry(attempt);
   }
 
+  onNotice(attempt: TrackedAttempt, notice: ServerNotice): void {
+    this.deps.backends.recordNotice(attempt.target, notice, this.request.id);
+  }
+
   onResponse(attempt: TrackedAttempt, response: AttemptResponse): void {
     const { backends } = this.deps;
     const { server, sentAt } = attempt;
--- a/src/gateway/requests/tracked-attempt.ts
+++ b/src/gateway/requests/tracked-attempt.ts
@@ -10,12 +10,14 @@
   AttemptRequest,
   AttemptSender,
 } from '../backends/attempt.js';
-import type { BackendServer } from '../../ports/index.js';
+import type { BackendServer, ServerNotice } from '../../ports/index.js';
 import type { StallLimits } from './stall-limits.js';
 import type { WatchedAttempt } from './watchdog.js';
 
 /** Receives the events of its attempts; none after an attempt has ended. */
 export interface AttemptOwner {
+  /** What the server says of its availability; unlike the others also after the attempt has ended. */
+  onNotice(attempt: TrackedAttempt, notice: ServerNotice): void;
   onResponse(attempt: TrackedAttempt, response: AttemptResponse): void;
   onData(attempt: TrackedAttempt, response: AttemptResponse, chunk: Buffer): void;
   onEnd(attempt: TrackedAttempt, response: AttemptResponse): void;
@@ -83,6 +85,10 @@
     this.attemptStallMs = limits.attemptStallMs;
   }
 
+  onNotice(notice: ServerNotice): void {
+    this.owner.onNotice(this, notice);
+  }
+
   onResponse(response: AttemptResponse): void {
     this.response = response;
     this.lastProgressAt = this.clock.now();
--- a/src/ports/orders.ts
+++ b/src/ports/orders.ts
@@ -1,6 +1,8 @@
 /**
  * Orders to engines, their outcomes, and the codec interface for both.
  */
+import type { RawHeaders } from './requests.js';
+import type { ServerNotice } from './server-notices.js';
 
 /** An order to one engine. `group` and `epoch` identify the replica. */
 export type EngineOrder =
@@ -39,6 +41,8 @@
   encodeReport(server: string): EngineCall;
   /** Undefined if the body is not a valid report. */
   decodeReport(body: string): EngineReportSummary | undefined;
+  /** Decodes what the response to an order or a report request says of the engine's availability. */
+  decodeNotice(status: number, headers: RawHeaders): ServerNotice;
 }
 
 /** The fields of an engine's report that the gateway uses. */
--- a/src/ports/requests.ts
+++ b/src/ports/requests.ts
@@ -2,6 +2,7 @@
  * Header fields of callers' requests and backend servers' responses, and their codec interface.
  */
 import type { Milliseconds } from '../core/clock/index.js';
+import type { ServerNotice } from './server-notices.js';
 
 /** Alternating header names and values, as received. */
 export type RawHeaders = readonly string[];
@@ -51,6 +52,7 @@
   encoded: boolean;
   eventStream: boolean;
   rateLimit: RateLimit;
+  notice: ServerNotice;
 }
 
 /** Decodes, encodes and filters the headers of requests and responses. */
--- /dev/null
+++ b/src/ports/server-notices.ts
@@ -0,0 +1,17 @@
+/**
+ * What a backend server says in a response about its own availability.
+ */
+import type { Milliseconds } from '../core/clock/index.js';
+
+/** How long a server that refused a request wants no other one from this gateway. */
+export type RestRequest =
+  | { kind: 'none' }
+  | { kind: 'named'; forMs: Milliseconds }
+  /** The value can't be read as a time. */
+  | { kind: 'unreadable' };
+
+export interface ServerNotice {
+  /** The server is shutting down. */
+  leaving: boolean;
+  rest: RestRequest;
+}
