Test: servers that ask for rest or say that they are leaving (failing)

Servers at rest got 3 to 11 requests of one gateway where 2 are allowed, an engine 4 orders in a rest, a leaving server 3 to 8 requests after its drain time. When all servers rest, requests wait and are told 0.7 s instead of the time that is left. The scenario of a server that starts again under its id passes.

--- a/features/gateway/stand-ins/engine.ts
+++ b/features/gateway/stand-ins/engine.ts
@@ -57,6 +57,8 @@
   /** Answers without a length and ends the connection. */
   | { kind: 'unframed' }
   | { kind: 'fail' }
+  /** Answers `failing` of `of` calls with an error. */
+  | { kind: 'failSome'; failing: number; of: number }
   /** Crashes when it begins to run a request with this body, and restarts later. */
   | { kind: 'endUnder'; body: string; backAfterMs: number }
   | { kind: 'encode' };
@@ -96,10 +98,19 @@
   hasCrashed = false;
   /** Named in its answers as the requests per second that it takes from all gateways together. */
   namedLimit: string | string[] | undefined;
+  /** `Retry-After` of its refusals. */
+  retryAfter: string | string[] | undefined;
+  /** Refuses orders and reports as well, as long as its fault is to refuse. */
+  refusesCalls = false;
+  /** `Server-Leaving` of all its answers; its entry does not show it. */
+  leavingNotice: string | undefined;
+  /** When it received an order or was asked for a report, on the clock of the scenario. */
+  readonly callTimes: number[] = [];
   /** Start time in Unix milliseconds. */
   private born = Date.now();
   private model: string | undefined;
   private seenEpoch = 0;
+  private answered = 0;
   private leaving = false;
   private readonly sockets = new Set<Socket>();
   private readonly server: Server;
@@ -129,6 +140,7 @@
     this.readyGroups.clear();
     this.seenEpoch = 0;
     this.leaving = false;
+    this.leavingNotice = undefined;
     await new Promise<void>((resolve) => this.server.listen(this.port, '127.0.0.1', resolve));
     this.hasCrashed = false;
     this.report();
@@ -191,7 +203,11 @@
       return;
     }
     if (this.fault.kind === 'stall') return;
-    if (request.url === '/report') {
+    if (this.leavingNotice !== undefined) response.setHeader('Server-Leaving', this.leavingNotice);
+    const isCall = request.url === '/report' || request.url === '/order';
+    if (isCall) this.callTimes.push(performance.now());
+    if (isCall && this.refusesCalls && this.fault.kind === 'refuse') this.refuse(response);
+    else if (request.url === '/report') {
       response.writeHead(200, { 'content-type': 'application/json' });
       response.end(JSON.stringify({ born: this.born }));
     } else if (request.url === '/order') {
@@ -320,7 +336,7 @@
       return;
     }
     if (this.fault.kind === 'refuse') {
-      response.writeHead(503, { 'Not-Executed': '1', 'content-length': 0 }).end();
+      this.refuse(response);
       return;
     }
     arrival.ran = true;
@@ -333,6 +349,11 @@
     else await this.answer(response, id);
   }
 
+  private refuse(response: ServerResponse): void {
+    if (this.retryAfter !== undefined) response.setHeader('Retry-After', this.retryAfter);
+    response.writeHead(503, { 'Not-Executed': '1', 'content-length': 0 }).end();
+  }
+
   private async crashDuring(arrival: Arrival, backAfterMs: number): Promise<void> {
     await sleep(this.options.gapMs ?? 5);
     if (this.hasCrashed) return;
@@ -350,6 +371,12 @@
       case 'loseAnswer':
         hardReset(response.socket);
         return;
+      case 'failSome':
+        this.answered += 1;
+        if (this.answered % this.fault.of < this.fault.failing)
+          response.writeHead(500, { ...head, 'content-length': 4 }).end('fail');
+        else response.writeHead(200, { ...head, 'content-length': body.length }).end(body);
+        return;
       case 'fail':
         response.writeHead(500, { ...head, 'content-length': 4 }).end('fail');
         return;
