Leave servers alone that ask for rest or say that they are leaving

What callers saw: requests that were sent to a server that sheds load were turned away and served elsewhere some milliseconds later; the server got no rest. Cause: the adapter read neither Retry-After of a server's 503 nor Server-Leaving, so every first attempt, retry, order and probe chose by load and failure rate alone. A server that refuses has nothing in flight: beside others that fail some requests it looks like the best. Change: one part, backends/server-availability, keeps what servers say of themselves; the choice of targets, the queues, orders and probes ask it. When all targets rest for longer than a request may wait, it fails at once and is told when the first of them has rested. A refusal that names its rest doesn't lower the server's rank as well.

--- a/features/gateway/former-lives.steps.ts
+++ b/features/gateway/former-lives.steps.ts
@@ -20,6 +20,7 @@
 import { createManualClock, type ManualClock } from '../../src/core/clock/index.js';
 import { createRandom } from '../../src/core/random/index.js';
 import type { EngineCalls, ProbeOutcome } from '../../src/gateway/backends/engine-calls.js';
+import { createServerAvailability } from '../../src/gateway/backends/server-availability.js';
 import {
   createMemberMonitor,
   type MemberMonitor,
@@ -75,13 +76,18 @@
   return context as unknown as GatewayContext;
 }
 
+function createTracker({ clock, fleet }: RestartWorld, members: FleetMembers): BackendTracker {
+  const context = createContext(clock, fleet);
+  return createBackendTracker(context, members, createServerAvailability(context));
+}
+
 Given(
   'a backend server that failed, stalled and has {int} requests in flight',
   function (this: RestartWorld, requests: number) {
     this.clock = createManualClock(1_000);
     this.fleet = createSection(applyEntry(EMPTY_FLEET, plainServer(FIRST_STARTED_AT)));
     const members = new FleetMembers('gateway-0', this.clock.now());
-    this.backends = createBackendTracker(createContext(this.clock, this.fleet), members);
+    this.backends = createTracker(this, members);
     for (let sent = 0; sent < requests; sent += 1) this.backends.recordSent(ID);
     this.backends.recordProgress(ID);
     this.backends.recordResult(ID, true);
--- a/features/gateway/server-notices.steps.ts
+++ b/features/gateway/server-notices.steps.ts
@@ -118,9 +118,9 @@
   return groups;
 }
 
-/** The largest number of `times` between half a second after one of them and the end of its rest. */
-function mostInRest(times: readonly number[], forMs: number): number {
-  const counts = times.map(
+/** The largest number of `times` between half a second after a refusal and the end of its rest. */
+function mostInRest(refusals: readonly number[], times: readonly number[], forMs: number): number {
+  const counts = refusals.map(
     (start) => times.filter((at) => at >= start + REST_GRACE_MS && at < start + forMs).length,
   );
   return Math.max(0, ...counts);
@@ -129,7 +129,8 @@
 function assertLeftAlone(world: NoticeWorld, server: EngineStandIn, most: number): void {
   for (const arrivals of groupByGateway(world, server).values()) {
     const times = arrivals.map(({ at }) => at);
-    const got = mostInRest(times, restMs(server));
+    const refusals = arrivals.filter(({ ran }) => !ran).map(({ at }) => at);
+    const got = mostInRest(refusals, times, restMs(server));
     assert.ok(got <= most, `${server.options.id} got ${got} of ${times.length} in a rest`);
   }
 }
@@ -173,7 +174,7 @@
   async function (this: NoticeWorld, seconds: number, most: number) {
     await sleep(seconds * MS_PER_SECOND);
     const { callTimes } = this.observed;
-    const got = mostInRest(callTimes, restMs(this.observed));
+    const got = mostInRest(callTimes, callTimes, restMs(this.observed));
     assert.ok(got <= most, `it got ${got} of ${callTimes.length}`);
   },
 );
--- a/src/gateway/backends/engine-calls.ts
+++ b/src/gateway/backends/engine-calls.ts
@@ -4,18 +4,23 @@
 import { Agent } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { callWithTimeout } from '../../core/timeout/index.js';
-import type { EngineCall, OrderCodec, OrderOutcome, ServerNotice } from '../../ports/index.js';
+import type { EngineCall, OrderCodec, OrderOutcome } from '../../ports/index.js';
 import type { DueOrder, GroupMember } from '../../controllers/groups/index.js';
+import type { ServerAvailability } from './server-availability.js';
 
 /** Result of probing an engine. */
 export type ProbeOutcome =
   | { kind: 'answers'; pace: number }
   | { kind: 'silent' }
+  /** Not asked, because it has asked this gateway for rest; so it was alive then. */
+  | { kind: 'resting' }
   /** Nothing listens there, or another backend server or a restarted process does. */
   | { kind: 'gone' };
 
 /** Sends orders and probes to engines, without retries. */
 export interface EngineCalls {
+  /** Whether the engine wants no orders now, because it has asked this gateway for rest. */
+  isResting(engine: Pick<CalledEngine, 'id'>): boolean;
   order(due: DueOrder): Promise<OrderOutcome>;
   probe(member: GroupMember): Promise<ProbeOutcome>;
   close(): Promise<void>;
@@ -39,11 +44,14 @@
 interface EngineCallsOptions {
   codec: OrderCodec;
   onProbe: () => void;
-  /** Called with what each response says of the engine's availability. */
-  onNotice: (engine: CalledEngine, notice: ServerNotice) => void;
+  availability: ServerAvailability;
 }
 
-export function createEngineCalls({ codec, onProbe, onNotice }: EngineCallsOptions): EngineCalls {
+export function createEngineCalls({
+  codec,
+  onProbe,
+  availability,
+}: EngineCallsOptions): EngineCalls {
   const agent = new Agent({
     connections: 4,
     pipelining: 1,
@@ -65,10 +73,12 @@
         body: await answer.body.text(),
       };
     });
-    onNotice(engine, codec.decodeNotice(response.status, response.headers));
+    availability.record(engine, codec.decodeNotice(response.status, response.headers));
     return response;
   };
+  const isResting = ({ id }: Pick<CalledEngine, 'id'>): boolean => availability.restLeftMs(id) > 0;
   return {
+    isResting,
     order: async ({ to, order }) => {
       try {
         const encoded = codec.encodeOrder(order, to.id);
@@ -82,6 +92,7 @@
     },
     probe: async (member) => {
       const { id, startedAt } = member;
+      if (isResting(member)) return { kind: 'resting' };
       onProbe();
       try {
         const { status, body } = await call(member, codec.encodeReport(id), PROBE_TIMEOUT_MS);
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -20,6 +20,7 @@
 import { createAttemptSender } from './backends/attempt.js';
 import { createConnectionPool } from './backends/pool.js';
 import { createEngineCalls } from './backends/engine-calls.js';
+import { createServerAvailability } from './backends/server-availability.js';
 import { createGroupsPart } from './groups/groups-part.js';
 import { registerFreshnessGauges } from './operations/freshness-metrics.js';
 import { createOperationsListener } from './operations/listener.js';
@@ -132,16 +133,15 @@
       return idleConnectionLimit(maxConnections, members.size);
     },
   });
+  const availability = createServerAvailability(context);
   const engineCalls = createEngineCalls({
     codec: platform.orders,
     onProbe: () => {
       metrics.probes.inc();
     },
-    onNotice: (engine, notice) => {
-      backends.recordNotice(engine, notice);
-    },
+    availability,
   });
-  const backends = createBackendTracker(context, members);
+  const backends = createBackendTracker(context, members, availability);
   backends.onRestart((server) => {
     pool.invalidateServer(server);
   });
@@ -151,6 +151,7 @@
   const requestPath = createRequestServer({
     context,
     backends,
+    availability,
     watchdog,
     send: sendAttempt,
     quarantine,
--- a/src/gateway/groups/domain-controller.ts
+++ b/src/gateway/groups/domain-controller.ts
@@ -226,7 +226,9 @@
     const current = stored as StoredPlan | undefined;
     if (current === undefined) return;
     const now = clock.now();
-    const due = listOrders(current.plan, view).filter((order) => isDue(order, now));
+    const due = listOrders(current.plan, view).filter(
+      (order) => !calls.isResting(order.to) && isDue(order, now),
+    );
     for (const order of due) void sendOrder(order);
   };
   return {
--- a/src/gateway/groups/member-monitor.ts
+++ b/src/gateway/groups/member-monitor.ts
@@ -79,6 +79,8 @@
               expiresAt: clock.now() + SLOW_TTL_MS,
             });
           return false;
+        case 'resting':
+          return false;
         case 'gone':
           return true;
         case 'silent':
--- a/src/gateway/requests/backend-tracker.ts
+++ b/src/gateway/requests/backend-tracker.ts
@@ -24,7 +24,8 @@
 } from '../../controllers/quotas/index.js';
 import { hasRoom } from '../../controllers/waiting/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
-import type { BackendServer, RateLimit, ServerNotice, ServingService } from '../../ports/index.js';
+import type { RateLimit, ServingService } from '../../ports/index.js';
+import type { ServerAvailability } from '../backends/server-availability.js';
 import type { GatewayContext } from '../types.js';
 
 /** A chosen target with the state that it was chosen by. */
@@ -36,7 +37,7 @@
 /** This gateway's view of all backend servers. */
 export interface BackendTracker {
   /**
-   * Returns the best target that is neither excluded nor suspected and may get a request now. With
+   * Returns the best target that is neither excluded nor suspected nor leaving and may get a request now. With
    * `requiresCapacity` it must be able to start the request almost immediately.
    */
   choose(
@@ -51,6 +52,15 @@
     model: string | undefined,
     excluded: ReadonlySet<string>,
   ): boolean;
+  /**
+   * Time until the first target that is not excluded has rested, if all of them have asked for rest;
+   * undefined if there is one that does not rest, or none at all.
+   */
+  restLeftMs(
+    service: ServingService,
+    model: string | undefined,
+    excluded: ReadonlySet<string>,
+  ): Milliseconds | undefined;
   /** The number of all targets, including suspected ones. */
   countTargets(service: ServingService, model: string | undefined): number;
   /** Counts an attempt as in flight. */
@@ -74,12 +84,6 @@
   adoptPeerSuspicion(server: string, ageMs: Milliseconds, leftMs: Milliseconds): boolean;
   /** Records what an answer to an attempt sent at `sentAt` says of the server's rate limit. */
   recordRateLimit(server: string, limit: RateLimit, sentAt: Milliseconds): void;
-  /** Records what a server says of its availability in the response to `request`, or to a call. */
-  recordNotice(
-    server: Pick<BackendServer, 'id' | 'startedAt'>,
-    notice: ServerNotice,
-    request?: string,
-  ): void;
   /** Adopts a peer's observation of a rate limit. */
   adoptRateLimit(report: LimitReport, peer: string): void;
   /** This gateway's observations of rate limits, for peers. */
@@ -107,6 +111,7 @@
 export function createBackendTracker(
   context: GatewayContext,
   members: FleetMembers,
+  availability: ServerAvailability,
 ): BackendTracker {
   const { board, clock, random, logger, metrics, settings } = context;
   const inFlightCounts = new Map<string, number>();
@@ -202,7 +207,21 @@
     failureRate: failures.rateOf(target.server.id),
   });
   const isUsable = (target: Target, now: Milliseconds): boolean =>
-    target.members.every((member) => !suspicions.isSuspect(member, now));
+    target.members.every(
+      (member) => !suspicions.isSuspect(member, now) && !availability.isLeaving(member),
+    );
+  /** The targets that are neither excluded nor suspected nor leaving, even if they may get nothing now. */
+  const listPossible = (
+    service: ServingService,
+    model: string | undefined,
+    excluded: ReadonlySet<string>,
+  ): Target[] => {
+    const now = clock.now();
+    const { near, far } = directory.find(service, model);
+    return [...near, ...far].filter(
+      (target) => !excluded.has(target.server.id) && isUsable(target, now),
+    );
+  };
   const logLimit = (server: string, peer?: string): void => {
     const perSecond = limits.limitOf(server, clock.now());
     const values = { server, ...(peer !== undefined && { peer }) };
@@ -224,8 +243,8 @@
       const targets = directory.find(service, model);
       const evaluate = (target: Target): TargetState | undefined => {
         const { id } = target.server;
-        if (excluded.has(id) || !isUsable(target, now) || !limits.hasPermit(id, now))
-          return undefined;
+        if (excluded.has(id) || !isUsable(target, now)) return undefined;
+        if (availability.restLeftMs(id) > 0 || !limits.hasPermit(id, now)) return undefined;
         const state = describeTarget(target, service);
         return requiresCapacity && !hasRoom(state) ? undefined : state;
       };
@@ -237,11 +256,14 @@
       return chosen && { ...chosen, candidates: states.length };
     },
     hasTarget: (service, model, excluded) => {
-      const now = clock.now();
-      const { near, far } = directory.find(service, model);
-      const isPossible = (target: Target): boolean =>
-        !excluded.has(target.server.id) && isUsable(target, now);
-      return near.some(isPossible) || far.some(isPossible);
+      return listPossible(service, model, excluded).length > 0;
+    },
+    restLeftMs: (service, model, excluded) => {
+      const restsMs = listPossible(service, model, excluded).map(({ server }) =>
+        availability.restLeftMs(server.id),
+      );
+      const soonestMs = Math.min(...restsMs);
+      return restsMs.length > 0 && soonestMs > 0 ? soonestMs : undefined;
     },
     countTargets: (service, model) => {
       const { near, far } = directory.find(service, model);
@@ -289,16 +311,6 @@
       logLimit(server);
       for (const listener of limitListeners) listener();
     },
-    recordNotice: ({ id: server }, { leaving, rest }, request) => {
-      if (leaving) {
-        metrics.leavingAnswers.inc();
-        logger.log('serverSaysLeaving', { server, request });
-      }
-      if (rest.kind === 'none') return;
-      metrics.restRequests.inc({ kind: rest.kind });
-      const forMs = rest.kind === 'named' ? Math.round(rest.forMs) : undefined;
-      logger.log('serverAsksForRest', { server, request, kind: rest.kind, forMs });
-    },
     adoptRateLimit: (report, peer) => {
       if (!board.fleet.read().servers.has(report.server)) return;
       if (limits.adopt(report, clock.now())) logLimit(report.server, peer);
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -10,6 +10,7 @@
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import type { ServerNotice } from '../../ports/index.js';
 import type { AttemptResponse, AttemptFailure, AttemptSender } from '../backends/attempt.js';
+import type { ServerAvailability } from '../backends/server-availability.js';
 import type { GatewayContext } from '../types.js';
 import { isValidSuccess, relayEvents, sendBuffered } from './response-relay.js';
 import type { BackendTracker, ChosenTarget } from './backend-tracker.js';
@@ -28,6 +29,7 @@
 export interface ForwarderDependencies {
   context: GatewayContext;
   backends: BackendTracker;
+  availability: ServerAvailability;
   watchdog: Watchdog;
   send: AttemptSender;
   shutdown: ShutdownPolicy;
@@ -39,6 +41,8 @@
 const MAX_REFUSALS = 4;
 /** `Retry-After` without capacity: about the time that a new replica takes to open. */
 const RETRY_AFTER_MS: Milliseconds = 700;
+/** Callers that are told to wait for the same moment are spread over this time after it. */
+const RETURN_SPREAD_MS: Milliseconds = 500;
 /** Subtracted from the time that a backend server gets, for relaying its response. */
 const DEADLINE_MARGIN_MS: Milliseconds = 5;
 /** No attempt is started with less time left than this. */
@@ -168,6 +172,7 @@
       return;
     }
     const chosen = this.pickTarget();
+    if ((chosen === 'allFull' || chosen === undefined) && this.failIfAllRest()) return;
     if (chosen === 'allFull') {
       this.enqueue(why);
       return;
@@ -216,12 +221,24 @@
 
   /** Called when it is first in its queue; returns false when all targets are full. */
   private trySend(why: string): boolean {
-    if (this.pickTarget() === 'allFull') return false;
+    if (this.pickTarget() === 'allFull') return this.failIfAllRest();
     this.sendNextAttempt(why);
     this.wait.leaveQueue();
     return true;
   }
 
+  /** Fails the request at once if all its targets rest for longer than it may wait. */
+  private failIfAllRest(): boolean {
+    const { request, deps, wait } = this;
+    if (this.attempts.size > 0) return false;
+    const excluded = this.isRepeatable ? NO_SERVERS : this.triedServers;
+    const leftMs = deps.backends.restLeftMs(request.service, request.model?.name, excluded);
+    if (leftMs === undefined || leftMs <= wait.waitLeftMs(deps.context.clock.now())) return false;
+    const spreadMs = deps.context.random.fraction() * RETURN_SPREAD_MS;
+    this.failRequest('all targets rest', leftMs + spreadMs);
+    return true;
+  }
+
   private waitForTarget(why: string): void {
     if (this.attempts.size > 0) return;
     const now = this.deps.context.clock.now();
@@ -285,7 +302,7 @@
   }
 
   onNotice(attempt: TrackedAttempt, notice: ServerNotice): void {
-    this.deps.backends.recordNotice(attempt.target, notice, this.request.id);
+    this.deps.availability.record(attempt.target, notice, this.request.id);
   }
 
   onResponse(attempt: TrackedAttempt, response: AttemptResponse): void {
@@ -341,7 +358,8 @@
     const { server } = attempt;
     if (response.notRun) {
       this.endAttempt(attempt, `refused with ${response.status}`);
-      backends.recordResult(server, true);
+      // The time for which the server is left alone takes the place of a lower rank.
+      if (this.deps.availability.restLeftMs(server) === 0) backends.recordResult(server, true);
       this.handleRefusal();
       return;
     }
@@ -447,7 +465,7 @@
     this.failRequest(reason);
   }
 
-  private failRequest(reason: string): void {
+  private failRequest(reason: string, retryAfterMs = RETRY_AFTER_MS): void {
     const { reply, failedAttempt } = this;
     this.lastFailureReason = reason;
     if (!reply.isUnsent) {
@@ -465,7 +483,7 @@
     else {
       const name = this.request.model?.name ?? this.request.service.name;
       this.respondWithFailure(
-        createFailure('noCapacity', { name }, RETRY_AFTER_MS),
+        createFailure('noCapacity', { name }, retryAfterMs),
         'refused',
         reason,
       );
@@ -569,6 +587,7 @@
   }
 }
 
+const NO_SERVERS: ReadonlySet<string> = new Set();
 const EMPTY_BUFFER = Buffer.alloc(0);
 
 /** Backend servers accept priorities from 0 to 9. */
--- a/src/gateway/requests/request-server.ts
+++ b/src/gateway/requests/request-server.ts
@@ -12,6 +12,7 @@
 import type { AttemptSender } from '../backends/attempt.js';
 import type { GatewayContext } from '../types.js';
 import { admitRequest } from './admission.js';
+import type { ServerAvailability } from '../backends/server-availability.js';
 import type { BackendTracker } from './backend-tracker.js';
 import { readBody, type BodyResult } from './request-body.js';
 import { computeFingerprint } from './fingerprint.js';
@@ -43,6 +44,7 @@
 interface RequestServerOptions {
   context: GatewayContext;
   backends: BackendTracker;
+  availability: ServerAvailability;
   watchdog: Watchdog;
   send: AttemptSender;
   quarantine: Quarantine;
--- a/src/gateway/requests/request-wait.ts
+++ b/src/gateway/requests/request-wait.ts
@@ -41,11 +41,20 @@
   /** Starts to wait for a target; returns false if it is already waiting. */
   startTargetWait(now: Milliseconds): boolean {
     if (this.targetWaitEndsAt !== undefined) return false;
-    const leftMs = this.request.deadline - now;
-    this.targetWaitEndsAt = now + Math.min(MAX_WAIT_MS, leftMs * MAX_WAIT_FRACTION);
+    this.targetWaitEndsAt = this.waitEnd(now);
     return true;
   }
 
+  /** How much longer it may wait for a target. */
+  waitLeftMs(now: Milliseconds): Milliseconds {
+    return (this.targetWaitEndsAt ?? this.waitEnd(now)) - now;
+  }
+
+  private waitEnd(now: Milliseconds): Milliseconds {
+    const leftMs = this.request.deadline - now;
+    return now + Math.min(MAX_WAIT_MS, leftMs * MAX_WAIT_FRACTION);
+  }
+
   /** Delays the next try: the only target may be one that has just refused or failed. */
   delayRetry(now: Milliseconds): void {
     this.retryAt = now + RETRY_DELAY_MS;
