Entry: leave instances and replicas alone that asked for rest

The same cause elsewhere: an engine's refusal as overloaded says when to come back, and a service's 503 may. The entry told it to the caller of that one request and went on sending others there; the 503 even counted as served. Change: the dispatcher's state keeps the rests, with the table that the gateway uses, now in controllers/rests. Replicas at rest have no capacity and a wait of what is left, so requests that can't wait as long are refused at once; instances at rest are not chosen, for calls that may run only once neither, and a call that finds all at rest is told when the first one has rested. Retry-After is read in one place, core/retry-after, the platform's included.

--- a/features/requests/raw-service.ts
+++ b/features/requests/raw-service.ts
@@ -7,6 +7,8 @@
 export interface RawService {
   address: string;
   calls(): number;
+  /** When each call arrived. */
+  times: readonly number[];
   stop(): void;
 }
 
@@ -18,15 +20,15 @@
   answer: (socket: Socket, call: number, request: string, callOnConnection: number) => void,
 ): Promise<RawService> {
   const sockets = new Set<Socket>();
-  let calls = 0;
+  const times: number[] = [];
   const server = createServer((socket) => {
     sockets.add(socket);
     socket.on('error', () => undefined);
     let callsOnConnection = 0;
     socket.on('data', (bytes) => {
-      calls += 1;
+      times.push(performance.now());
       callsOnConnection += 1;
-      answer(socket, calls, bytes.toString('latin1'), callsOnConnection);
+      answer(socket, times.length, bytes.toString('latin1'), callsOnConnection);
     });
   });
   server.listen(0, '127.0.0.1');
@@ -34,7 +36,8 @@
   const { port } = server.address() as AddressInfo;
   return {
     address: `127.0.0.1:${port}`,
-    calls: () => calls,
+    calls: () => times.length,
+    times,
     stop: () => {
       server.close();
       for (const socket of sockets) socket.destroy();
--- a/features/requests/services.feature
+++ b/features/requests/services.feature
@@ -88,6 +88,31 @@
     Then the refusal is 502 "outcomeUnknown" with the conclusion "unknown"
     And the raw service was called 1 times
 
+  # Guards against calls to an instance that has refused one and asked for rest.
+  Scenario Outline: An instance refuses calls with Retry-After "<value>"
+    Given a service that answers every call with the raw text "HTTP/1.1 503 Busy\r\nRetry-After: <value>\r\nContent-Length: 0\r\n\r\n" and closes
+    When a caller posts 5 times to "/services/gate/slots"
+    And a caller checks in with the key "k-1"
+    Then the raw service was called <calls> times
+    And all calls are answered with 503
+
+    Examples:
+      | value             | calls |
+      | 20                | 1     |
+      | 2.5               | 1     |
+      | 99999999999999999 | 1     |
+      | 0                 | 6     |
+      | soon              | 6     |
+      | -3                | 6     |
+      |                   | 6     |
+
+  # Guards against an instance that is left out for longer than it asked for.
+  Scenario: An instance has rested
+    Given a service that answers every call with the raw text "HTTP/1.1 503 Busy\r\nRetry-After: 0.2\r\nContent-Length: 0\r\n\r\n" and closes
+    When a caller posts to "/services/gate/slots"
+    And callers post to "/services/gate/slots" until the raw service is called again
+    Then its two calls were at least 200 ms apart
+
   Scenario: A second answer that nobody asked for
     # The surplus answer must not be read as the answer to the next call on the same connection.
     Given a service that answers its first call twice, with "one" and "stray"
--- a/features/requests/services.steps.ts
+++ b/features/requests/services.steps.ts
@@ -5,6 +5,7 @@
 import { createHash, randomBytes } from 'node:crypto';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { callFaultSchema } from '../../src/stand-ins/service/control.js';
+import { waitFor } from '../support/waiting.js';
 import { call, type ReceivedResponse } from './client.js';
 import { KEY } from './fixture.js';
 import { renderAnswer, startRawService, type RawService } from './raw-service.js';
@@ -210,6 +211,22 @@
   assert.equal(this.rawService?.calls(), calls);
 });
 
+When(
+  'callers post to {string} until the raw service is called again',
+  async function (this: ServiceWorld, path: string) {
+    const calls = this.rawService?.calls();
+    await waitFor('another call', async () => {
+      await call(this.entry.address, path, { method: 'POST', body: 'x' });
+      return this.rawService?.calls() !== calls;
+    });
+  },
+);
+
+Then('its two calls were at least {int} ms apart', function (this: ServiceWorld, ms: number) {
+  const [first = 0, second = 0] = this.rawService?.times ?? [];
+  assert.ok(second - first >= ms, `${second - first} ms`);
+});
+
 Then('no caller has read {string}', function (this: ServiceWorld, text: string) {
   assert.ok(this.responses.length > 1);
   for (const { body } of this.responses) assert.ok(!body.includes(text), body);
--- a/features/routing/routing.feature
+++ b/features/routing/routing.feature
@@ -29,6 +29,20 @@
       When a request that may have run waits until it is refused
       Then its failure does not say that it was not run
 
+    # Guards against requests to a replica that has refused one and said when to come back.
+    Scenario: A replica that refused a request gets none until the time that it named
+      Given a dispatcher with two replicas
+      When one of them refuses a request and says to come back in 400 ms
+      Then 20 requests within 399 ms go to the other one
+      And after 400 ms the first one gets requests again
+
+    # Guards against requests that wait for replicas that all rest for longer than the requests may wait.
+    Scenario: All replicas have refused a request and said when to come back
+      Given a dispatcher with two replicas
+      When both of them refuse a request and say to come back in 3000 ms
+      Then a request with a deadline in 2000 ms is refused at once
+      And a request with a deadline in 9000 ms is sent after 3000 ms
+
   Rule: Workspaces and classes get their part
 
     # Guards against serving workspaces in order of arrival, where a burst of one delays all others.
--- a/features/routing/routing.steps.ts
+++ b/features/routing/routing.steps.ts
@@ -103,6 +103,70 @@
   assert.ok(this.histories.some(({ outcomes }) => [...outcomes.values()].includes('send')));
 });
 
+Given('a dispatcher with two replicas', function (this: RoutingWorld) {
+  resetWorld(this, [makeCandidate('r0', 0), makeCandidate('r1', 0)]);
+});
+
+/** Makes `replica` refuse a request. */
+function refuseAt(world: RoutingWorld, replica: string, retryAfterMs: number): void {
+  const other = replica === 'r0' ? 'r1' : 'r0';
+  const ticket = `refused-by-${replica}`;
+  assert.equal(routeRequest(world, ticket, { excluded: [other] }), replica);
+  reportEnd(world.state, ticket, { kind: 'refused', retryAfterMs }, world.now);
+}
+
+When(
+  'one of them refuses a request and says to come back in {int} ms',
+  function (this: RoutingWorld, retryAfterMs: number) {
+    refuseAt(this, 'r0', retryAfterMs);
+  },
+);
+
+When(
+  'both of them refuse a request and say to come back in {int} ms',
+  function (this: RoutingWorld, retryAfterMs: number) {
+    for (const replica of ['r0', 'r1']) refuseAt(this, replica, retryAfterMs);
+  },
+);
+
+Then(
+  '{int} requests within {int} ms go to the other one',
+  function (this: RoutingWorld, requests: number, ms: number) {
+    for (let sent = 0; sent < requests; sent += 1) {
+      this.now = Math.floor((ms * sent) / (requests - 1));
+      const ticket = `t${sent}`;
+      assert.equal(routeRequest(this, ticket, {}), 'r1');
+      reportEnd(this.state, ticket, { kind: 'completed', outputTokens: 10 }, this.now);
+    }
+  },
+);
+
+Then('after {int} ms the first one gets requests again', function (this: RoutingWorld, ms: number) {
+  this.now = ms;
+  assert.equal(routeRequest(this, 'back', { excluded: ['r1'] }), 'r0');
+});
+
+Then(
+  'a request with a deadline in {int} ms is refused at once',
+  function (this: RoutingWorld, ms: number) {
+    offer(this, 'late', { deadlineAt: this.now + ms });
+    const action = runDispatch(this).find(({ ticket }) => ticket === 'late');
+    assert.equal(action?.kind, 'refuse');
+  },
+);
+
+Then(
+  'a request with a deadline in {int} ms is sent after {int} ms',
+  function (this: RoutingWorld, deadlineMs: number, ms: number) {
+    offer(this, 'patient', { deadlineAt: this.now + deadlineMs });
+    assert.deepEqual(runDispatch(this), []);
+    this.now += ms - 1;
+    assert.deepEqual(runDispatch(this), []);
+    this.now += 1;
+    assert.equal(runDispatch(this)[0]?.kind, 'send');
+  },
+);
+
 Given('a dispatcher whose model has no replica', function (this: RoutingWorld) {
   resetWorld(this, []);
 });
--- a/src/adapters/platform/call.ts
+++ b/src/adapters/platform/call.ts
@@ -4,6 +4,7 @@
 import { ResultAsync } from 'neverthrow';
 import { Agent, type Dispatcher } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
+import { parseRetryAfter } from '../../core/retry-after/index.js';
 import { raceSignal } from '../engines/race-signal.js';
 import { createContact } from './contact.js';
 
@@ -45,7 +46,6 @@
 /** Lists of all objects are the largest answers. */
 const MAX_ANSWER_BYTES = 64 * 1_048_576;
 const CONNECTIONS = 64;
-const SECOND_MS = 1_000;
 
 /**
  * A caller with its own connections.
@@ -138,8 +138,7 @@
 }
 
 function readRetryAfter(response: Dispatcher.ResponseData): Milliseconds | undefined {
-  const seconds = Number(response.headers['retry-after'] ?? Number.NaN);
-  return Number.isFinite(seconds) && seconds >= 0 ? seconds * SECOND_MS : undefined;
+  return parseRetryAfter(String(response.headers['retry-after'] ?? ''));
 }
 
 /**
--- a/src/adapters/services/client.ts
+++ b/src/adapters/services/client.ts
@@ -9,6 +9,8 @@
 import type { Readable } from 'node:stream';
 import { Agent, type Dispatcher } from 'undici';
 import type { HeaderField } from '../../controllers/calls/types.js';
+import type { Milliseconds } from '../../core/clock/index.js';
+import { parseRetryAfter } from '../../core/retry-after/index.js';
 import { markSendings, type Sending } from '../engines/sending.js';
 import { removeHopByHop } from './headers.js';
 import { createSentIds, type SentIds } from './sent-ids.js';
@@ -17,6 +19,8 @@
 /** Longest wait for a TCP connection; sites are at most tens of milliseconds apart. */
 const CONNECT_TIMEOUT_MS = 1_000;
 const MAX_HEADER_BYTES = 32_768;
+/** Status of a refusal that may say when to come back. */
+const UNAVAILABLE_STATUS = 503;
 const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /**
@@ -109,8 +113,10 @@
 
 function acceptAnswer(method: string, response: Dispatcher.ResponseData<unknown>): ServiceStart {
   const headers = listHeaders(response.headers);
+  const restMs = readRest(response.statusCode, headers);
   const answer: ServiceAnswer = {
     status: response.statusCode,
+    ...(restMs !== undefined && { restMs }),
     headers: removeHopByHop(headers),
     body: response.body,
   };
@@ -123,6 +129,16 @@
   return { kind: 'lost', reason: 'the answer does not say where it ends' };
 }
 
+/** The longest of several times applies. */
+function readRest(status: number, headers: readonly HeaderField[]): Milliseconds | undefined {
+  if (status !== UNAVAILABLE_STATUS) return undefined;
+  const times = headers
+    .filter(({ name }) => name.toLowerCase() === 'retry-after')
+    .map(({ value }) => parseRetryAfter(value))
+    .filter((time) => time !== undefined);
+  return times.length > 0 ? Math.max(...times) : undefined;
+}
+
 /** Closes the connection, so that nothing more of it is taken for an answer. */
 function discard({ body }: Dispatcher.ResponseData<unknown>): void {
   body.on('error', () => undefined).destroy();
--- a/src/controllers/forwarding/index.ts
+++ b/src/controllers/forwarding/index.ts
@@ -7,7 +7,6 @@
 export * from './fleet.js';
 export * from './incarnations.js';
 export * from './leaving-table.js';
-export * from './rest-table.js';
 export * from './retry-budget.js';
 export * from './routes.js';
 export * from './serving-index.js';
--- /dev/null
+++ b/src/controllers/rests/index.ts
@@ -0,0 +1,1 @@
+export * from './rest-table.js';
--- a/src/controllers/forwarding/rest-table.ts
+++ b/src/controllers/rests/rest-table.ts
@@ -1,5 +1,5 @@
 /**
- * Tracks backend servers that have refused a request and asked this gateway for rest.
+ * Tracks backend servers that have refused a request and asked this process for rest.
  */
 import type { Milliseconds } from '../../core/clock/index.js';
 
--- a/src/controllers/routing/state.ts
+++ b/src/controllers/routing/state.ts
@@ -4,6 +4,7 @@
 import type { SentCount } from '../../board/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { RequestClass } from '../../objects/index.js';
+import { RestTable } from '../rests/index.js';
 import type { Candidate, WaitingRequest } from './types.js';
 
 /** Queued requests of one workspace for one model and class, ordered by arrival. */
@@ -152,6 +153,8 @@
   /** Lower bound of the deadlines of all queued requests. */
   nextDeadlineAt: Milliseconds;
   instanceFailures: Map<string, InstanceFailures>;
+  /** Replicas and service instances that asked to be left alone. */
+  rests: RestTable;
   lastPrunedAt: Milliseconds;
 }
 
@@ -175,6 +178,7 @@
     uncachedFraction: 1,
     nextDeadlineAt: Number.POSITIVE_INFINITY,
     instanceFailures: new Map(),
+    rests: new RestTable(),
     lastPrunedAt: 0,
   };
 }
--- a/src/controllers/routing/types.ts
+++ b/src/controllers/routing/types.ts
@@ -101,6 +101,8 @@
 /** Outcome of a sent request. */
 export interface SentOutcome {
   kind: 'completed' | 'cancelled' | 'refused' | 'notSent' | 'lost' | 'failed';
+  /** The time that a refusing engine asked to be left alone for. */
+  retryAfterMs?: Milliseconds;
   /** Generated output tokens, if known. */
   outputTokens?: number;
   /** Prompt tokens served from the prefix cache of the engine. */
--- /dev/null
+++ b/src/core/retry-after/index.ts
@@ -0,0 +1,1 @@
+export * from './retry-after.js';
--- a/src/entry/requests/completion-attempt.ts
+++ b/src/entry/requests/completion-attempt.ts
@@ -116,7 +116,7 @@
   if (refusal !== 'overloaded') run.parts.health.reportFailure(active.candidate.leader);
   const end: AttemptEnd = { kind: 'refused', reason, retryAfterMs };
   run.apply({ kind: 'ended', attempt: active.attempt, end });
-  return { kind: 'refused' };
+  return { kind: 'refused', ...(retryAfterMs !== undefined && { retryAfterMs }) };
 }
 
 /** Reports a failed attempt, unless this entry cancelled it. */
--- a/src/entry/requests/once-calls.ts
+++ b/src/entry/requests/once-calls.ts
@@ -7,9 +7,14 @@
 import type { ServiceCall, ServiceOutput } from '../../adapters/callers/index.js';
 import type { ServiceAnswer } from '../../adapters/services/index.js';
 import type { SendOutcome, StoredAnswer } from '../../controllers/calls/types.js';
+import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import type { Service } from '../../objects/index.js';
-import { chooseServiceInstance, reportInstanceOutcome } from './service-instances.js';
+import {
+  chooseServiceInstance,
+  recordInstanceRest,
+  reportInstanceOutcome,
+} from './service-instances.js';
 import { buildServiceRequest, createNoCapacityFailure } from './service-request.js';
 import type { RequestParts } from './types.js';
 
@@ -73,15 +78,18 @@
  */
 async function sendToFirstReachable(run: OnceCallRun): Promise<SendOutcome> {
   const excluded: string[] = [];
+  let retryAfterMs: Milliseconds | undefined;
   while (excluded.length < MAX_CONNECTION_ATTEMPTS) {
     await run.parts.pauseDetector.whenRefreshed();
-    const candidate = chooseServiceInstance(run.parts, run.service, excluded);
-    if (!candidate) break;
+    const choice = chooseServiceInstance(run.parts, run.service, excluded);
+    if (choice.kind === 'resting') retryAfterMs = choice.leftMs;
+    if (choice.kind !== 'chosen') break;
+    const { instance: candidate } = choice;
     const outcome = await sendToInstance(run, candidate.instance, candidate.address);
     if (outcome) return outcome;
     excluded.push(candidate.instance);
   }
-  return { kind: 'notRun', failure: createNoCapacityFailure(run.call.service) };
+  return { kind: 'notRun', failure: createNoCapacityFailure(run.call.service, retryAfterMs) };
 }
 
 /** Returns undefined if no byte was sent. */
@@ -99,6 +107,7 @@
     // Not the caller's signal: a caller that retries with the same key gets the stored response.
     AbortSignal.timeout(service.timeoutMs),
   );
+  if (result.kind === 'started') recordInstanceRest(parts, instance, result.answer);
   const outcome = result.kind === 'started' ? await readResponse(result.answer) : result;
   parts.attemptTracker.end(targets);
   reportInstanceOutcome(parts, instance, outcome.kind === 'answered' ? 'served' : 'failed');
--- a/src/entry/requests/service-calls.ts
+++ b/src/entry/requests/service-calls.ts
@@ -16,7 +16,11 @@
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import type { Service } from '../../objects/index.js';
 import { createDeadline, type Deadline } from './deadline.js';
-import { chooseServiceInstance, reportInstanceOutcome } from './service-instances.js';
+import {
+  chooseServiceInstance,
+  recordInstanceRest,
+  reportInstanceOutcome,
+} from './service-instances.js';
 import { runOnceCall } from './once-calls.js';
 import { logRetry } from './request-log.js';
 import { buildServiceRequest, createNoCapacityFailure } from './service-request.js';
@@ -140,8 +144,10 @@
   for (;;) {
     await run.parts.pauseDetector.whenRefreshed();
     if (run.signal.aborted) return createAbortFailure(run, run.mayHaveRun);
-    const instance = chooseServiceInstance(run.parts, run.service, excluded);
-    if (!instance) return createNoCapacityFailure(run.call.service);
+    const choice = chooseServiceInstance(run.parts, run.service, excluded);
+    if (choice.kind === 'none') return createNoCapacityFailure(run.call.service);
+    if (choice.kind === 'resting') return createNoCapacityFailure(run.call.service, choice.leftMs);
+    const { instance } = choice;
     run.attempts += 1;
     if (run.attempts === 1) recordFirstAttempt(run, instance.instance);
     const end = await runAttempt(run, instance.instance, instance.address);
@@ -175,6 +181,7 @@
     buildServiceRequest(call, body, service, run.handling === 'repeatable'),
     signal,
   );
+  if (start.kind === 'started') recordInstanceRest(parts, instance, start.answer);
   const end = start.kind === 'started' ? await relayResponse(run, instance, start.answer) : start;
   parts.attemptTracker.end(targets);
   if (end.kind === 'answered' || end.kind === 'givenUp') return end;
--- a/src/entry/requests/service-instances.ts
+++ b/src/entry/requests/service-instances.ts
@@ -1,37 +1,39 @@
 /**
  * Selects an instance for a call to a plain service.
  */
+import type { ServiceAnswer } from '../../adapters/services/index.js';
 import type { Health } from '../../board/index.js';
 import { listServiceInstances } from '../../controllers/health/index.js';
 import {
   chooseInstance,
+  findRestLeft,
   reportInstanceEnd,
   type InstanceCandidate,
 } from '../../controllers/routing/index.js';
+import type { Milliseconds } from '../../core/clock/index.js';
 import type { Service } from '../../objects/index.js';
 import type { RequestParts } from './types.js';
 
 const EMPTY_HEALTH: Health = new Map();
 
-/** Returns the instance to send a call to, if one is available. */
+/** The instance to send a call to, or why there is none. */
+export type InstanceChoice =
+  | { kind: 'chosen'; instance: InstanceCandidate }
+  /** All instances rest; the first of them for `leftMs` more. */
+  | { kind: 'resting'; leftMs: Milliseconds }
+  | { kind: 'none' };
+
+/** Chooses the instance to send a call to. */
 export function chooseServiceInstance(
   { context, dispatcher, attemptTracker }: RequestParts,
   service: Service,
   excluded: readonly string[],
-): InstanceCandidate | undefined {
-  const { board, clock, random, identity, settings } = context;
+): InstanceChoice {
+  const { clock, random, identity } = context;
   const now = clock.now();
-  const view = { fleet: board.fleet.read(), health: board.health.read() };
-  const { freshMs } = settings.health;
-  const healthy = listServiceInstances(view, service, now, freshMs);
-  // A call that fails on every instance must not make the service unavailable to all callers. When
-  // no instance is healthy, health is ignored; the dispatcher still avoids consecutive failures.
-  const candidates =
-    healthy.length > 0
-      ? healthy
-      : listServiceInstances({ ...view, health: EMPTY_HEALTH }, service, now, freshMs);
+  const candidates = listCandidates(context, service, now);
   const location = { region: identity.region, failureDomain: identity.failureDomain };
-  return chooseInstance(
+  const instance = chooseInstance(
     dispatcher.state,
     candidates,
     attemptTracker.counts,
@@ -40,6 +42,33 @@
     now,
     random,
   );
+  if (instance) return { kind: 'chosen', instance };
+  const leftMs = findRestLeft(dispatcher.state, candidates, now);
+  return leftMs === undefined ? { kind: 'none' } : { kind: 'resting', leftMs };
+}
+
+function listCandidates(
+  { board, settings }: RequestParts['context'],
+  service: Service,
+  now: Milliseconds,
+): readonly InstanceCandidate[] {
+  const view = { fleet: board.fleet.read(), health: board.health.read() };
+  const { freshMs } = settings.health;
+  const healthy = listServiceInstances(view, service, now, freshMs);
+  // A call that fails on every instance must not make the service unavailable to all callers. When
+  // no instance is healthy, health is ignored; the dispatcher still avoids consecutive failures.
+  return healthy.length > 0
+    ? healthy
+    : listServiceInstances({ ...view, health: EMPTY_HEALTH }, service, now, freshMs);
+}
+
+/** Records how long an instance wants to be left alone, if its answer says so. */
+export function recordInstanceRest(
+  { context, dispatcher }: RequestParts,
+  instance: string,
+  { restMs }: Pick<ServiceAnswer, 'restMs'>,
+): void {
+  if (restMs !== undefined) dispatcher.state.rests.ask(instance, restMs, context.clock.now());
 }
 
 /** Reports the outcome of a call at `instance` to the dispatcher and the health part. */
--- a/src/entry/requests/service-request.ts
+++ b/src/entry/requests/service-request.ts
@@ -43,6 +43,9 @@
 }
 
 /** Failure for a service without an available instance. */
-export function createNoCapacityFailure(service: string): Failure {
-  return createFailure('noCapacity', { name: service }, NO_CAPACITY_RETRY_AFTER_MS);
+export function createNoCapacityFailure(
+  service: string,
+  retryAfterMs = NO_CAPACITY_RETRY_AFTER_MS,
+): Failure {
+  return createFailure('noCapacity', { name: service }, retryAfterMs);
 }
--- a/src/gateway/backends/server-availability.ts
+++ b/src/gateway/backends/server-availability.ts
@@ -2,7 +2,8 @@
  * What backend servers have said to this gateway of their own availability: that they want rest, or
  * that they are leaving. Everything that sends to a server asks here first.
  */
-import { LeavingTable, RestTable, type ServerRun } from '../../controllers/forwarding/index.js';
+import { LeavingTable, type ServerRun } from '../../controllers/forwarding/index.js';
+import { RestTable } from '../../controllers/rests/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { ServerNotice } from '../../ports/index.js';
 import type { GatewayContext } from '../types.js';
