--- a/features/gateway/fleet-quotas.feature
+++ b/features/gateway/fleet-quotas.feature
@@ -11,6 +11,30 @@
       | 63       | 3      |
       | 195      | 1      |
 
+  # Guards against retries saved up for a surge of refusals and spent again by gateways that restart in it.
+  Scenario Outline: <gateways> gateways restart after servers have begun to refuse requests
+    When <gateways> gateways retry all that they may in <fleets> fleets that lose gateways shortly after servers have begun to refuse requests
+    Then no window has more retries than the budget allows
+
+    Examples:
+      | gateways | fleets |
+      | 7        | 60     |
+      | 63       | 3      |
+      | 195      | 1      |
+
+  # Guards against retries saved up for a surge of refusals and spent again by gateways that restart in it.
+  Scenario Outline: Budgets without a fixed part are replaced at <seconds> s, after a surge at 4 s
+    When 7 budgets allow 0.25 retries a request, a surge begins at 4 s and <replaced> of them are replaced at "<seconds>" s
+    Then no window has more retries than the budget allows
+
+    Examples:
+      | seconds   | replaced |
+      |           | 0        |
+      | 8         | 4        |
+      | 8, 11     | 4        |
+      | 8, 10, 12 | 4        |
+      | 4.5, 5, 6 | 7        |
+
   # Guards against retries that arrive late, together with those that were allowed in their place.
   Scenario Outline: <gateways> gateways retry while nothing reaches the servers for <cut> ms
     When <gateways> gateways retry all that they may, and what they send is held up for <cut> ms
--- a/features/gateway/fleet-quotas.steps.ts
+++ b/features/gateway/fleet-quotas.steps.ts
@@ -4,8 +4,16 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
+import { RetryBudget } from '../../src/controllers/forwarding/index.js';
 import { createRandom } from '../../src/core/random/index.js';
-import { LEAD_MS, QuotaFleet, TICK_MS, worstUse, type Disturbance } from './quota-fleet.js';
+import {
+  LEAD_MS,
+  QuotaFleet,
+  TICK_MS,
+  worstUse,
+  type Disturbance,
+  type TickCount,
+} from './quota-fleet.js';
 import { BOUNDS } from './quota-gateway.js';
 
 interface QuotaWorld {
@@ -82,6 +90,83 @@
   },
 );
 
+/** A surge of refusals, and what happens to gateways shortly after its beginning. */
+const surgeDraw = fc.record({
+  surgeAt: fc.integer({ min: 4_000, max: 20_000 }),
+  losses: fc.array(
+    fc.record({
+      afterMs: fc.nat({ max: 10_000 }),
+      kind: fc.constantFrom('restart' as const, 'replace' as const),
+      gateways,
+      downMs,
+    }),
+    { minLength: 1, maxLength: 4 },
+  ),
+});
+type SurgeDraw = typeof surgeDraw extends fc.Arbitrary<infer Draw> ? Draw : never;
+
+function runSurge(size: number, draw: FleetDraw, { surgeAt, losses }: SurgeDraw): number {
+  const { requestsPerTick, failureRate, disturbances, seed } = draw;
+  const lossesAtTimes = losses.map(({ afterMs, ...loss }) => ({ ...loss, at: surgeAt + afterMs }));
+  const random = createRandom(seed);
+  const all = [...disturbances, ...lossesAtTimes];
+  const fleet = new QuotaFleet(size, requestsPerTick, failureRate, all, random);
+  fleet.failureRateAt = (time) => (time < surgeAt ? 0 : failureRate);
+  fleet.run(LEAD_MS + TRAFFIC_MS);
+  return worstUse(fleet.counts, BOUNDS);
+}
+
+When(
+  '{int} gateways retry all that they may in {int} fleets that lose gateways shortly after servers have begun to refuse requests',
+  { timeout: 120_000 },
+  function (this: QuotaWorld, size: number, fleets: number) {
+    const draws = fc.sample(fc.tuple(fleetDraw, surgeDraw), { numRuns: fleets, seed: SEED });
+    this.worstUses = draws.map(([draw, surge]) => ({ use: runSurge(size, draw, surge), draw }));
+  },
+);
+
+/** Requests a second at all budgets together. */
+const SURGE_DEMAND = 200;
+const SURGE_SECONDS = 40;
+const MS_PER_REQUEST = 1_000 / SURGE_DEMAND;
+
+When(
+  '{int} budgets allow {float} retries a request, a surge begins at {int} s and {int} of them are replaced at {string} s',
+  function (
+    this: QuotaWorld,
+    size: number,
+    ratio: number,
+    surgeAt: number,
+    replaced: number,
+    seconds: string,
+  ) {
+    const bounds = { ratio, windowMs: BOUNDS.windowMs, slack: 0 };
+    const budgets = Array.from({ length: size }, () => new RetryBudget(bounds));
+    const replacements = seconds
+      .split(',')
+      .filter(Boolean)
+      .map((text) => Number(text) * 1_000);
+    const counts = new Map<number, TickCount>();
+    for (let sent = 0; sent < SURGE_DEMAND * SURGE_SECONDS; sent += 1) {
+      const now = sent * MS_PER_REQUEST;
+      for (; replacements[0] !== undefined && replacements[0] <= now; replacements.shift())
+        for (let index = 0; index < replaced; index += 1) budgets[index] = new RetryBudget(bounds);
+      const tick = Math.floor(now / TICK_MS);
+      const count = counts.get(tick) ?? { at: tick * TICK_MS, requests: 0, retries: 0 };
+      counts.set(tick, count);
+      count.requests += 1;
+      const budget = budgets[sent % size];
+      budget?.recordRequest(now);
+      while (now >= surgeAt * 1_000 && budget?.take(now, 0)) {
+        budget.settle(now);
+        count.retries += 1;
+      }
+    }
+    const draw = { requestsPerTick: 0, failureRate: 1, disturbances: [], seed: 0 };
+    this.worstUses = [{ use: worstUse([...counts.values()], bounds), draw }];
+  },
+);
+
 When(
   '{int} gateways retry all that they may in 1 undisturbed fleet',
   { timeout: 60_000 },
--- a/features/gateway/quota-fleet.ts
+++ b/features/gateway/quota-fleet.ts
@@ -61,6 +61,8 @@
   readonly limitCounts: LimitCount[] = [];
   /** The requests per second that a server names, if one is limited. */
   serverLimitAt: ((at: number) => number | undefined) | undefined;
+  /** The part of the attempts that fail. */
+  failureRateAt: (at: number) => number;
   /** While it returns true, what is sent to the servers of the service arrives later. */
   areServersCut: (at: number) => boolean = () => false;
   /** The largest sum of the shares that the gateways could use at the same time. */
@@ -76,10 +78,11 @@
   constructor(
     size: number,
     private readonly requestsPerTick: number,
-    private readonly failureRate: number,
+    failureRate: number,
     disturbances: readonly Disturbance[],
     private readonly random: Random,
   ) {
+    this.failureRateAt = () => failureRate;
     this.pending = [...disturbances];
     for (let index = 0; index < size; index += 1) this.addGateway();
     for (const gateway of this.gateways) gateway.restart(this.seeds(), 0);
@@ -257,10 +260,11 @@
   /** Forwards the requests that wait at a gateway, and sends the retries that it may. */
   private forward(gateway: QuotaGateway): void {
     const pending = gateway.pendingRequests.splice(0);
+    const failureRate = this.failureRateAt(this.now - LEAD_MS);
     for (const sentAt of pending) {
       if (this.now - sentAt > CALLER_PATIENCE_MS) continue;
       gateway.budget.recordRequest(gateway.localTime(this.now));
-      while (this.random.fraction() < this.failureRate && gateway.takeRetry(this.now))
+      while (this.random.fraction() < failureRate && gateway.takeRetry(this.now))
         this.heldRetries.push({ budget: gateway.budget, sentAt: this.now });
     }
   }
