Call the time for which a server is left alone a cooldown

Names, log event (2308, serverAsksForCooldown), metric and reason of an end change, before any landing; no behaviour does.

--- a/features/gateway/drawn-notices.feature
+++ b/features/gateway/drawn-notices.feature
@@ -30,7 +30,7 @@
   # Guards against a rest that a later or shorter one cuts off, in answers drawn from a seed.
   Scenario: Drawn refusals of one server
     When a server gives 200 series of answers that are drawn from seed 38
-    Then it gets a request exactly while none of the rests that it asked for is in force
+    Then it gets a request exactly while none of the cooldowns that it named is in force
 
   # Guards against a leaving server that is taken for a serving one, and the other way round.
   Scenario Outline: An answer of <status> with the header <header>
--- a/features/gateway/drawn-notices.steps.ts
+++ b/features/gateway/drawn-notices.steps.ts
@@ -30,7 +30,7 @@
 const SERVICE: ServingService = { name: 'app', maxConnections: 10 };
 const NO_SERVERS: ReadonlySet<string> = new Set();
 const MS_PER_SECOND = 1_000;
-const MAX_REST_MS = 3_600_000;
+const MAX_COOLDOWN_MS = 3_600_000;
 
 /** One gateway that knows one server. */
 class ObservedServer {
@@ -83,7 +83,7 @@
       clock: this.clock,
       random: createRandom(1),
       logger: { log: () => undefined },
-      metrics: { restRequests: counter, leavingAnswers: counter },
+      metrics: { cooldowns: counter, leavingAnswers: counter },
       settings: { failureDomain: 'north', retries: { ratio: 0.2, windowMs: 10_000, slack: 10 } },
       board: {
         fleet: this.fleet,
@@ -154,7 +154,7 @@
   fc.integer({ min: 1, max: 9_999 }).map((ms) => ({ text: (ms / MS_PER_SECOND).toFixed(3), ms })),
   fc
     .bigInt({ min: 10_000n, max: 10n ** 400n })
-    .map((big) => ({ text: String(big), ms: MAX_REST_MS })),
+    .map((big) => ({ text: String(big), ms: MAX_COOLDOWN_MS })),
   fc
     .string()
     .filter((text) => !/^\s*[\d.]+\s*$/.test(text))
@@ -202,7 +202,7 @@
 );
 
 Then(
-  'it gets a request exactly while none of the rests that it asked for is in force',
+  'it gets a request exactly while none of the cooldowns that it named is in force',
   function (this: NoticeWorld) {
     const { runs, seed } = this.drawnSeries;
     const series = fc.array(drawnSteps, { minLength: 1, maxLength: 12 });
--- a/src/adapters/services/client.ts
+++ b/src/adapters/services/client.ts
@@ -113,10 +113,10 @@
 
 function acceptAnswer(method: string, response: Dispatcher.ResponseData<unknown>): ServiceStart {
   const headers = listHeaders(response.headers);
-  const restMs = readRest(response.statusCode, headers);
+  const retryAfterMs = readRetryAfter(response.statusCode, headers);
   const answer: ServiceAnswer = {
     status: response.statusCode,
-    ...(restMs !== undefined && { restMs }),
+    ...(retryAfterMs !== undefined && { retryAfterMs }),
     headers: removeHopByHop(headers),
     body: response.body,
   };
@@ -130,7 +130,7 @@
 }
 
 /** The longest of several times applies. */
-function readRest(status: number, headers: readonly HeaderField[]): Milliseconds | undefined {
+function readRetryAfter(status: number, headers: readonly HeaderField[]): Milliseconds | undefined {
   if (status !== UNAVAILABLE_STATUS) return undefined;
   const times = headers
     .filter(({ name }) => name.toLowerCase() === 'retry-after')
--- a/src/adapters/services/types.ts
+++ b/src/adapters/services/types.ts
@@ -22,8 +22,8 @@
 /** The answer of a plain service while it arrives. */
 export interface ServiceAnswer {
   status: number;
-  /** How long an instance that refused the call wants to be left alone; absent if it doesn't say. */
-  restMs?: Milliseconds;
+  /** The cooldown that an instance named with a refusal, if any. */
+  retryAfterMs?: Milliseconds;
   /** Without hop-by-hop fields. */
   headers: readonly HeaderField[];
   /** Fails when the answer breaks off; must be read or destroyed. */
--- /dev/null
+++ b/src/controllers/cooldowns/index.ts
@@ -0,0 +1,1 @@
+export * from './cooldown-table.js';
--- a/src/controllers/rests/index.ts
+++ /dev/null
@@ -1,1 +0,0 @@
-export * from './rest-table.js';
--- a/src/controllers/routing/estimates.ts
+++ b/src/controllers/routing/estimates.ts
@@ -38,7 +38,7 @@
   /** Prompt tokens assumed not to be cached. */
   uncachedPromptTokens: number;
   prefillMs: Milliseconds;
-  /** Whether it does not rest, and batch occupancy and prefill backlog are below the limits. */
+  /** Whether it is not cooling down, and batch occupancy and prefill backlog are below the limits. */
   hasCapacity: boolean;
   /** Mean interval at which the engine completes requests. */
   slotIntervalMs: Milliseconds;
@@ -90,16 +90,16 @@
   const slowdown = stats ? currentSlowdown(stats, now) : 1;
   const overdueMs = stats ? firstTokenOverdueMs(stats, now) : 0;
   const uncachedPromptTokens = Math.max(1, request.promptTokens - cachedTokens);
-  const restMs = state.rests.leftMs(candidate.replica, now);
+  const cooldownMs = state.cooldowns.leftMs(candidate.replica, now);
   const prefillMs = uncachedPromptTokens * workload.prefillMsPerToken;
   return {
     candidate,
     firstTokenMs: 2 * networkMs + slowdown * (queueMs + prefillMs) + overdueMs,
     unadjustedFirstTokenMs: 2 * networkMs + queueMs + prefillMs,
-    waitMs: Math.max(restMs, 2 * networkMs + slowdown * queueMs + overdueMs),
+    waitMs: Math.max(cooldownMs, 2 * networkMs + slowdown * queueMs + overdueMs),
     uncachedPromptTokens,
     prefillMs,
-    hasCapacity: restMs === 0 && hasCapacity(workload, isNoisyNeighbor),
+    hasCapacity: cooldownMs === 0 && hasCapacity(workload, isNoisyNeighbor),
     slotIntervalMs,
     lastSentAt: stats?.lastSentAt ?? Number.NEGATIVE_INFINITY,
   };
--- a/src/controllers/routing/instance-selection.ts
+++ b/src/controllers/routing/instance-selection.ts
@@ -17,7 +17,7 @@
 const CALLS_PER_LATENCY_MS = 2;
 
 /**
- * Chooses an instance that is not in `excluded` and does not rest, or returns `undefined` if there is none. Ejected
+ * Chooses an instance that is not in `excluded` and is not cooling down, or returns `undefined` if there is none. Ejected
  * instances are used only when all are ejected, since the cause is then probably elsewhere.
  *
  * @example chooseInstance(state, candidates, inFlight, location, [], clock.now(), random)?.address
@@ -32,7 +32,7 @@
   random: Random,
 ): InstanceCandidate | undefined {
   const allowed = candidates.filter(
-    ({ instance }) => !excluded.includes(instance) && state.rests.leftMs(instance, now) === 0,
+    ({ instance }) => !excluded.includes(instance) && state.cooldowns.leftMs(instance, now) === 0,
   );
   const healthy = allowed.filter((candidate) => !isEjected(state, candidate.instance, now));
   const pool = healthy.length > 0 ? healthy : allowed;
@@ -71,18 +71,18 @@
 }
 
 /**
- * Time until the first instance has rested, or `undefined` if one of them does not rest or there is none.
+ * Time until the first cooldown of an instance ends, or `undefined` if one of them has none or there is none.
  *
- * @example findRestLeft(state, candidates, clock.now())
+ * @example findCooldownLeft(state, candidates, clock.now())
  */
-export function findRestLeft(
+export function findCooldownLeft(
   state: DispatchState,
   candidates: readonly InstanceCandidate[],
   now: Milliseconds,
 ): Milliseconds | undefined {
-  const restsMs = candidates.map(({ instance }) => state.rests.leftMs(instance, now));
-  const soonestMs = Math.min(...restsMs);
-  return restsMs.length > 0 && soonestMs > 0 ? soonestMs : undefined;
+  const cooldownsMs = candidates.map(({ instance }) => state.cooldowns.leftMs(instance, now));
+  const soonestMs = Math.min(...cooldownsMs);
+  return cooldownsMs.length > 0 && soonestMs > 0 ? soonestMs : undefined;
 }
 
 function isEjected(state: DispatchState, instance: string, now: Milliseconds): boolean {
--- a/src/controllers/routing/sent-requests.ts
+++ b/src/controllers/routing/sent-requests.ts
@@ -44,7 +44,8 @@
   const stats = state.replicas.get(sent.replica);
   if (stats) recordReplicaEnd(stats, sent, now);
   const queue = state.queues.get(sent.model);
-  if (outcome.retryAfterMs !== undefined) state.rests.ask(sent.replica, outcome.retryAfterMs, now);
+  if (outcome.retryAfterMs !== undefined)
+    state.cooldowns.start(sent.replica, outcome.retryAfterMs, now);
   if (queue && outcome.kind === 'completed') recordGenerationTime(queue, sent, now);
   if (outcome.kind === 'notSent' || outcome.kind === 'lost') clearReplicaCache(state, sent.replica);
 }
--- a/src/controllers/routing/state.ts
+++ b/src/controllers/routing/state.ts
@@ -4,7 +4,7 @@
 import type { SentCount } from '../../board/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { RequestClass } from '../../objects/index.js';
-import { RestTable } from '../rests/index.js';
+import { CooldownTable } from '../cooldowns/index.js';
 import type { Candidate, WaitingRequest } from './types.js';
 
 /** Queued requests of one workspace for one model and class, ordered by arrival. */
@@ -153,8 +153,8 @@
   /** Lower bound of the deadlines of all queued requests. */
   nextDeadlineAt: Milliseconds;
   instanceFailures: Map<string, InstanceFailures>;
-  /** Replicas and service instances that asked to be left alone. */
-  rests: RestTable;
+  /** Of replicas and service instances. */
+  cooldowns: CooldownTable;
   lastPrunedAt: Milliseconds;
 }
 
@@ -178,7 +178,7 @@
     uncachedFraction: 1,
     nextDeadlineAt: Number.POSITIVE_INFINITY,
     instanceFailures: new Map(),
-    rests: new RestTable(),
+    cooldowns: new CooldownTable(),
     lastPrunedAt: 0,
   };
 }
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -291,10 +291,10 @@
     level: 'info',
     message: 'A backend server no longer names a limit.',
   },
-  serverAsksForRest: {
+  serverAsksForCooldown: {
     number: 2308,
     level: 'warn',
-    message: 'A backend server refused a request and asks this gateway to leave it alone.',
+    message: 'A backend server refused a request and named a time for which to send it nothing.',
   },
   serverSaysLeaving: {
     number: 2309,
--- a/src/entry/requests/once-calls.ts
+++ b/src/entry/requests/once-calls.ts
@@ -12,7 +12,7 @@
 import type { Service } from '../../objects/index.js';
 import {
   chooseServiceInstance,
-  recordInstanceRest,
+  recordInstanceCooldown,
   reportInstanceOutcome,
 } from './service-instances.js';
 import { buildServiceRequest, createNoCapacityFailure } from './service-request.js';
@@ -82,7 +82,7 @@
   while (excluded.length < MAX_CONNECTION_ATTEMPTS) {
     await run.parts.pauseDetector.whenRefreshed();
     const choice = chooseServiceInstance(run.parts, run.service, excluded);
-    if (choice.kind === 'resting') retryAfterMs = choice.leftMs;
+    if (choice.kind === 'coolingDown') retryAfterMs = choice.leftMs;
     if (choice.kind !== 'chosen') break;
     const { instance: candidate } = choice;
     const outcome = await sendToInstance(run, candidate.instance, candidate.address);
@@ -107,7 +107,7 @@
     // Not the caller's signal: a caller that retries with the same key gets the stored response.
     AbortSignal.timeout(service.timeoutMs),
   );
-  if (result.kind === 'started') recordInstanceRest(parts, instance, result.answer);
+  if (result.kind === 'started') recordInstanceCooldown(parts, instance, result.answer);
   const outcome = result.kind === 'started' ? await readResponse(result.answer) : result;
   parts.attemptTracker.end(targets);
   reportInstanceOutcome(parts, instance, outcome.kind === 'answered' ? 'served' : 'failed');
--- a/src/entry/requests/service-calls.ts
+++ b/src/entry/requests/service-calls.ts
@@ -18,7 +18,7 @@
 import { createDeadline, type Deadline } from './deadline.js';
 import {
   chooseServiceInstance,
-  recordInstanceRest,
+  recordInstanceCooldown,
   reportInstanceOutcome,
 } from './service-instances.js';
 import { runOnceCall } from './once-calls.js';
@@ -146,7 +146,8 @@
     if (run.signal.aborted) return createAbortFailure(run, run.mayHaveRun);
     const choice = chooseServiceInstance(run.parts, run.service, excluded);
     if (choice.kind === 'none') return createNoCapacityFailure(run.call.service);
-    if (choice.kind === 'resting') return createNoCapacityFailure(run.call.service, choice.leftMs);
+    if (choice.kind === 'coolingDown')
+      return createNoCapacityFailure(run.call.service, choice.leftMs);
     const { instance } = choice;
     run.attempts += 1;
     if (run.attempts === 1) recordFirstAttempt(run, instance.instance);
@@ -181,7 +182,7 @@
     buildServiceRequest(call, body, service, run.handling === 'repeatable'),
     signal,
   );
-  if (start.kind === 'started') recordInstanceRest(parts, instance, start.answer);
+  if (start.kind === 'started') recordInstanceCooldown(parts, instance, start.answer);
   const end = start.kind === 'started' ? await relayResponse(run, instance, start.answer) : start;
   parts.attemptTracker.end(targets);
   if (end.kind === 'answered' || end.kind === 'givenUp') return end;
--- a/src/entry/requests/service-instances.ts
+++ b/src/entry/requests/service-instances.ts
@@ -6,7 +6,7 @@
 import { listServiceInstances } from '../../controllers/health/index.js';
 import {
   chooseInstance,
-  findRestLeft,
+  findCooldownLeft,
   reportInstanceEnd,
   type InstanceCandidate,
 } from '../../controllers/routing/index.js';
@@ -19,8 +19,8 @@
 /** The instance to send a call to, or why there is none. */
 export type InstanceChoice =
   | { kind: 'chosen'; instance: InstanceCandidate }
-  /** All instances rest; the first of them for `leftMs` more. */
-  | { kind: 'resting'; leftMs: Milliseconds }
+  /** All instances are cooling down; the first of them for `leftMs` more. */
+  | { kind: 'coolingDown'; leftMs: Milliseconds }
   | { kind: 'none' };
 
 /** Chooses the instance to send a call to. */
@@ -43,8 +43,8 @@
     random,
   );
   if (instance) return { kind: 'chosen', instance };
-  const leftMs = findRestLeft(dispatcher.state, candidates, now);
-  return leftMs === undefined ? { kind: 'none' } : { kind: 'resting', leftMs };
+  const leftMs = findCooldownLeft(dispatcher.state, candidates, now);
+  return leftMs === undefined ? { kind: 'none' } : { kind: 'coolingDown', leftMs };
 }
 
 function listCandidates(
@@ -62,13 +62,14 @@
     : listServiceInstances({ ...view, health: EMPTY_HEALTH }, service, now, freshMs);
 }
 
-/** Records how long an instance wants to be left alone, if its answer says so. */
-export function recordInstanceRest(
+/** Starts the cooldown that the answer of an instance names, if any. */
+export function recordInstanceCooldown(
   { context, dispatcher }: RequestParts,
   instance: string,
-  { restMs }: Pick<ServiceAnswer, 'restMs'>,
+  { retryAfterMs }: Pick<ServiceAnswer, 'retryAfterMs'>,
 ): void {
-  if (restMs !== undefined) dispatcher.state.rests.ask(instance, restMs, context.clock.now());
+  if (retryAfterMs !== undefined)
+    dispatcher.state.cooldowns.start(instance, retryAfterMs, context.clock.now());
 }
 
 /** Reports the outcome of a call at `instance` to the dispatcher and the health part. */
--- a/src/gateway/backends/engine-calls.ts
+++ b/src/gateway/backends/engine-calls.ts
@@ -12,15 +12,15 @@
 export type ProbeOutcome =
   | { kind: 'answers'; pace: number }
   | { kind: 'silent' }
-  /** Not asked, because it has asked this gateway for rest; so it was alive then. */
-  | { kind: 'resting' }
+  /** Not asked, because it is in a cooldown that it has named itself. */
+  | { kind: 'coolingDown' }
   /** Nothing listens there, or another backend server or a restarted process does. */
   | { kind: 'gone' };
 
 /** Sends orders and probes to engines, without retries. */
 export interface EngineCalls {
-  /** Whether the engine wants no orders now, because it has asked this gateway for rest. */
-  isResting(engine: Pick<CalledEngine, 'id'>): boolean;
+  /** Whether the engine is to get no orders now, because it has named a cooldown. */
+  isCoolingDown(engine: Pick<CalledEngine, 'id'>): boolean;
   order(due: DueOrder): Promise<OrderOutcome>;
   probe(member: GroupMember): Promise<ProbeOutcome>;
   close(): Promise<void>;
@@ -76,9 +76,10 @@
     availability.record(engine, codec.decodeNotice(response.status, response.headers));
     return response;
   };
-  const isResting = ({ id }: Pick<CalledEngine, 'id'>): boolean => availability.restLeftMs(id) > 0;
+  const isCoolingDown = ({ id }: Pick<CalledEngine, 'id'>): boolean =>
+    availability.cooldownLeftMs(id) > 0;
   return {
-    isResting,
+    isCoolingDown,
     order: async ({ to, order }) => {
       try {
         const encoded = codec.encodeOrder(order, to.id);
@@ -92,7 +93,7 @@
     },
     probe: async (member) => {
       const { id, startedAt } = member;
-      if (isResting(member)) return { kind: 'resting' };
+      if (isCoolingDown(member)) return { kind: 'coolingDown' };
       onProbe();
       try {
         const { status, body } = await call(member, codec.encodeReport(id), PROBE_TIMEOUT_MS);
--- a/src/gateway/groups/domain-controller.ts
+++ b/src/gateway/groups/domain-controller.ts
@@ -227,7 +227,7 @@
     if (current === undefined) return;
     const now = clock.now();
     const due = listOrders(current.plan, view).filter(
-      (order) => !calls.isResting(order.to) && isDue(order, now),
+      (order) => !calls.isCoolingDown(order.to) && isDue(order, now),
     );
     for (const order of due) void sendOrder(order);
   };
--- a/src/gateway/groups/member-monitor.ts
+++ b/src/gateway/groups/member-monitor.ts
@@ -79,7 +79,7 @@
               expiresAt: clock.now() + SLOW_TTL_MS,
             });
           return false;
-        case 'resting':
+        case 'coolingDown':
           return false;
         case 'gone':
           return true;
--- a/src/gateway/operations/metrics.ts
+++ b/src/gateway/operations/metrics.ts
@@ -16,7 +16,7 @@
   probes: Counter;
   connections: Counter;
   suspicions: Counter;
-  restRequests: Counter<'kind'>;
+  cooldowns: Counter<'kind'>;
   leavingAnswers: Counter;
   quarantined: Counter;
   suppressedLines: Counter;
@@ -78,9 +78,9 @@
       help: 'Backend servers found to stand still.',
       registers,
     }),
-    restRequests: new Counter({
-      name: 'yuccasail_gateway_rest_requests_total',
-      help: 'Refusals with which backend servers asked this gateway for rest, by whether the time could be read.',
+    cooldowns: new Counter({
+      name: 'yuccasail_gateway_cooldowns_total',
+      help: 'Refusals of backend servers with a cooldown, by whether its time could be read.',
       labelNames: ['kind'],
       registers,
     }),
--- a/src/gateway/requests/backend-tracker.ts
+++ b/src/gateway/requests/backend-tracker.ts
@@ -53,10 +53,10 @@
     excluded: ReadonlySet<string>,
   ): boolean;
   /**
-   * Time until the first target that is not excluded has rested, if all of them have asked for rest;
-   * undefined if there is one that does not rest, or none at all.
+   * Time until the first cooldown of a target that is not excluded ends; undefined if one of these targets
+   * has none, or if there is no such target.
    */
-  restLeftMs(
+  cooldownLeftMs(
     service: ServingService,
     model: string | undefined,
     excluded: ReadonlySet<string>,
@@ -244,7 +244,7 @@
       const evaluate = (target: Target): TargetState | undefined => {
         const { id } = target.server;
         if (excluded.has(id) || !isUsable(target, now)) return undefined;
-        if (availability.restLeftMs(id) > 0 || !limits.hasPermit(id, now)) return undefined;
+        if (availability.cooldownLeftMs(id) > 0 || !limits.hasPermit(id, now)) return undefined;
         const state = describeTarget(target, service);
         return requiresCapacity && !hasRoom(state) ? undefined : state;
       };
@@ -258,12 +258,12 @@
     hasTarget: (service, model, excluded) => {
       return listPossible(service, model, excluded).length > 0;
     },
-    restLeftMs: (service, model, excluded) => {
-      const restsMs = listPossible(service, model, excluded).map(({ server }) =>
-        availability.restLeftMs(server.id),
+    cooldownLeftMs: (service, model, excluded) => {
+      const cooldownsMs = listPossible(service, model, excluded).map(({ server }) =>
+        availability.cooldownLeftMs(server.id),
       );
-      const soonestMs = Math.min(...restsMs);
-      return restsMs.length > 0 && soonestMs > 0 ? soonestMs : undefined;
+      const soonestMs = Math.min(...cooldownsMs);
+      return cooldownsMs.length > 0 && soonestMs > 0 ? soonestMs : undefined;
     },
     countTargets: (service, model) => {
       const { near, far } = directory.find(service, model);
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -172,7 +172,7 @@
       return;
     }
     const chosen = this.pickTarget();
-    if ((chosen === 'allFull' || chosen === undefined) && this.failIfAllRest()) return;
+    if ((chosen === 'allFull' || chosen === undefined) && this.failIfAllCoolDown()) return;
     if (chosen === 'allFull') {
       this.enqueue(why);
       return;
@@ -221,21 +221,21 @@
 
   /** Called when it is first in its queue; returns false when all targets are full. */
   private trySend(why: string): boolean {
-    if (this.pickTarget() === 'allFull') return this.failIfAllRest();
+    if (this.pickTarget() === 'allFull') return this.failIfAllCoolDown();
     this.sendNextAttempt(why);
     this.wait.leaveQueue();
     return true;
   }
 
-  /** Fails the request at once if all its targets rest for longer than it may wait. */
-  private failIfAllRest(): boolean {
+  /** Fails the request at once if all its targets are cooling down for longer than it may wait. */
+  private failIfAllCoolDown(): boolean {
     const { request, deps, wait } = this;
     if (this.attempts.size > 0) return false;
     const excluded = this.isRepeatable ? NO_SERVERS : this.triedServers;
-    const leftMs = deps.backends.restLeftMs(request.service, request.model?.name, excluded);
+    const leftMs = deps.backends.cooldownLeftMs(request.service, request.model?.name, excluded);
     if (leftMs === undefined || leftMs <= wait.waitLeftMs(deps.context.clock.now())) return false;
     const spreadMs = deps.context.random.fraction() * RETURN_SPREAD_MS;
-    this.failRequest('all targets rest', leftMs + spreadMs);
+    this.failRequest('all targets are cooling down', leftMs + spreadMs);
     return true;
   }
 
@@ -359,7 +359,7 @@
     if (response.notRun) {
       this.endAttempt(attempt, `refused with ${response.status}`);
       // The time for which the server is left alone takes the place of a lower rank.
-      if (this.deps.availability.restLeftMs(server) === 0) backends.recordResult(server, true);
+      if (this.deps.availability.cooldownLeftMs(server) === 0) backends.recordResult(server, true);
       this.handleRefusal();
       return;
     }
--- a/src/ports/server-notices.ts
+++ b/src/ports/server-notices.ts
@@ -3,8 +3,8 @@
  */
 import type { Milliseconds } from '../core/clock/index.js';
 
-/** How long a server that refused a request wants no other one from this gateway. */
-export type RestRequest =
+/** How long a server that refused a request is to get no other one from this gateway. */
+export type RetryAfter =
   | { kind: 'none' }
   | { kind: 'named'; forMs: Milliseconds }
   /** The value can't be read as a time. */
@@ -13,5 +13,5 @@
 export interface ServerNotice {
   /** The server is shutting down. */
   leaving: boolean;
-  rest: RestRequest;
+  retryAfter: RetryAfter;
 }
