--- a/features/gateway/fleet-quotas.feature
+++ b/features/gateway/fleet-quotas.feature
@@ -35,6 +35,12 @@
       | 8, 10, 12 | 4        |
       | 4.5, 5, 6 | 7        |
 
+  # Guards against settings and loads for which a budget allows too much, nothing or anything.
+  Scenario: One budget with drawn settings, loads and times
+    When 300 budgets are drawn from seed 39 and retry all that they may
+    Then each kept its fraction of the requests and its fixed part in every window
+    And those with a ratio and enough requests have allowed retries
+
   # Guards against retries that arrive late, together with those that were allowed in their place.
   Scenario Outline: <gateways> gateways retry while nothing reaches the servers for <cut> ms
     When <gateways> gateways retry all that they may, and what they send is held up for <cut> ms
--- a/features/gateway/fleet-quotas.steps.ts
+++ b/features/gateway/fleet-quotas.steps.ts
@@ -24,6 +24,7 @@
   /** The largest excess of each fleet over the limit of a server, in requests. */
   excesses: { excess: number; draw: FleetDraw & LimitDraw }[];
   limit: number;
+  budgetRuns: BudgetRun[];
 }
 
 interface LimitDraw {
@@ -167,6 +168,75 @@
   },
 );
 
+const budgetDraw = fc.record({
+  ratio: fc.constantFrom(0, 0.001, 0.2, 1, 3),
+  windowMs: fc.constantFrom(1, 10, 1_000, 10_000, 86_400_000),
+  slack: fc.constantFrom(0, 0.5, 20),
+  share: fc.constantFrom(0, 0.01, 0.5, 1),
+  /** Times between requests; the clock may stand still and be far ahead afterwards. */
+  gapsMs: fc.array(fc.constantFrom(0, 0.1, 3, 40, 900, 5_000, 1e7), {
+    maxLength: 60,
+    size: 'max',
+  }),
+});
+type BudgetDraw = typeof budgetDraw extends fc.Arbitrary<infer Draw> ? Draw : never;
+
+interface BudgetRun {
+  draw: BudgetDraw;
+  requestTimes: number[];
+  retryTimes: number[];
+}
+
+function runBudget(draw: BudgetDraw): BudgetRun {
+  const budget = new RetryBudget(draw);
+  const requestTimes: number[] = [];
+  const retryTimes: number[] = [];
+  let now = 0;
+  for (const gapMs of draw.gapsMs) {
+    now += gapMs;
+    budget.recordRequest(now);
+    requestTimes.push(now);
+    while (budget.take(now, draw.share)) {
+      budget.settle(now);
+      retryTimes.push(now);
+    }
+  }
+  return { draw, requestTimes, retryTimes };
+}
+
+When(
+  '{int} budgets are drawn from seed {int} and retry all that they may',
+  function (this: QuotaWorld, budgets: number, seed: number) {
+    this.budgetRuns = fc.sample(budgetDraw, { numRuns: budgets, seed }).map(runBudget);
+  },
+);
+
+Then(
+  'each kept its fraction of the requests and its fixed part in every window',
+  function (this: QuotaWorld) {
+    for (const { draw, requestTimes, retryTimes } of this.budgetRuns) {
+      const { ratio, windowMs, slack, share } = draw;
+      for (const end of retryTimes) {
+        const count = (times: readonly number[], fromMs: number): number =>
+          times.filter((time) => time > end - fromMs && time <= end).length;
+        // The requests of the tenth of a window before it may have allowed the first retries.
+        const allowed = ratio * count(requestTimes, 1.1 * windowMs) + slack * share;
+        const retries = count(retryTimes, windowMs);
+        assert.ok(retries <= allowed, `${retries} of ${allowed}: ${JSON.stringify(draw)}`);
+      }
+    }
+  },
+);
+
+Then('those with a ratio and enough requests have allowed retries', function (this: QuotaWorld) {
+  const able = this.budgetRuns.filter(
+    ({ draw: { ratio, windowMs, gapsMs } }) =>
+      ratio >= 0.2 && gapsMs.length >= 30 && windowMs === 86_400_000,
+  );
+  assert.ok(able.length > 0, 'none of them was drawn');
+  for (const { draw, retryTimes } of able) assert.ok(retryTimes.length > 0, JSON.stringify(draw));
+});
+
 When(
   '{int} gateways retry all that they may in 1 undisturbed fleet',
   { timeout: 60_000 },
