--- a/src/controllers/forwarding/retry-budget.ts
+++ b/src/controllers/forwarding/retry-budget.ts
@@ -108,7 +108,7 @@
     return { requests, retries, limit, saved: this.saved, extra, extraLimit };
   }
 
-  /** What the requests of the last two slices allow at most. */
+  /** What the requests of the busier one of the last two slices allow. */
   private savingsLimit(): number {
     const newestIndex = this.slices.at(-1)?.index ?? 0;
     const recent = this.slices.filter(({ index }) => index >= newestIndex - 1);
--- a/src/controllers/routing/instance-selection.ts
+++ b/src/controllers/routing/instance-selection.ts
@@ -17,8 +17,8 @@
 const CALLS_PER_LATENCY_MS = 2;
 
 /**
- * Chooses an instance that is not in `excluded` and is not cooling down, or returns `undefined` if there is none. Ejected
- * instances are used only when all are ejected, since the cause is then probably elsewhere.
+ * Chooses an instance that is not in `excluded` and not cooling down, or returns `undefined` if there is
+ * none. Ejected instances are used only when all are ejected, since the cause is then probably elsewhere.
  *
  * @example chooseInstance(state, candidates, inFlight, location, [], clock.now(), random)?.address
  */
@@ -71,7 +71,7 @@
 }
 
 /**
- * Time until the first cooldown of an instance ends, or `undefined` if one of them has none or there is none.
+ * Time until the first cooldown ends, or `undefined` if an instance has none or there are no instances.
  *
  * @example findCooldownLeft(state, candidates, clock.now())
  */
--- a/src/gateway/requests/backend-tracker.ts
+++ b/src/gateway/requests/backend-tracker.ts
@@ -37,8 +37,8 @@
 /** This gateway's view of all backend servers. */
 export interface BackendTracker {
   /**
-   * Returns the best target that is neither excluded nor suspected nor leaving and may get a request now. With
-   * `requiresCapacity` it must be able to start the request almost immediately.
+   * Returns the best target that is neither excluded nor suspected nor leaving, and may get a request
+   * now. With `requiresCapacity` it must be able to start the request almost immediately.
    */
   choose(
     service: ServingService,
@@ -210,18 +210,9 @@
     target.members.every(
       (member) => !suspicions.isSuspect(member, now) && !availability.isLeaving(member),
     );
-  /** The targets that are neither excluded nor suspected nor leaving, even if they may get nothing now. */
-  const listPossible = (
-    service: ServingService,
-    model: string | undefined,
-    excluded: ReadonlySet<string>,
-  ): Target[] => {
-    const now = clock.now();
-    const { near, far } = directory.find(service, model);
-    return [...near, ...far].filter(
-      (target) => !excluded.has(target.server.id) && isUsable(target, now),
-    );
-  };
+  /** Whether it is neither excluded nor suspected nor leaving, even if it may get nothing now. */
+  const isPossible = (target: Target, excluded: ReadonlySet<string>, now: Milliseconds): boolean =>
+    !excluded.has(target.server.id) && isUsable(target, now);
   const logLimit = (server: string, peer?: string): void => {
     const perSecond = limits.limitOf(server, clock.now());
     const values = { server, ...(peer !== undefined && { peer }) };
@@ -243,7 +234,7 @@
       const targets = directory.find(service, model);
       const evaluate = (target: Target): TargetState | undefined => {
         const { id } = target.server;
-        if (excluded.has(id) || !isUsable(target, now)) return undefined;
+        if (!isPossible(target, excluded, now)) return undefined;
         if (availability.cooldownLeftMs(id) > 0 || !limits.hasPermit(id, now)) return undefined;
         const state = describeTarget(target, service);
         return requiresCapacity && !hasRoom(state) ? undefined : state;
@@ -256,14 +247,22 @@
       return chosen && { ...chosen, candidates: states.length };
     },
     hasTarget: (service, model, excluded) => {
-      return listPossible(service, model, excluded).length > 0;
+      const now = clock.now();
+      const { near, far } = directory.find(service, model);
+      const isOne = (target: Target): boolean => isPossible(target, excluded, now);
+      return near.some(isOne) || far.some(isOne);
     },
     cooldownLeftMs: (service, model, excluded) => {
-      const cooldownsMs = listPossible(service, model, excluded).map(({ server }) =>
-        availability.cooldownLeftMs(server.id),
-      );
-      const soonestMs = Math.min(...cooldownsMs);
-      return cooldownsMs.length > 0 && soonestMs > 0 ? soonestMs : undefined;
+      const now = clock.now();
+      const { near, far } = directory.find(service, model);
+      let soonestMs = Infinity;
+      for (const target of near.concat(far)) {
+        if (!isPossible(target, excluded, now)) continue;
+        const leftMs = availability.cooldownLeftMs(target.server.id);
+        if (leftMs === 0) return undefined;
+        soonestMs = Math.min(soonestMs, leftMs);
+      }
+      return soonestMs === Infinity ? undefined : soonestMs;
     },
     countTargets: (service, model) => {
       const { near, far } = directory.find(service, model);
