Explain and diagnose tell when all servers were in a cooldown

Cause: a request that is refused since all its targets had named a cooldown was explained as refused by servers, or as out of time. Change: a cause of its own in both, and its row on the page.

--- a/features/cli/diagnose.feature
+++ b/features/cli/diagnose.feature
@@ -15,6 +15,7 @@
       | found no replica                       | unserved | noReplica        |
       | would have waited in vain              | unserved | noRoom           |
       | had no retry left                      | unserved | noRetryLeft      |
+      | found all servers in a cooldown        | unserved | allCoolingDown   |
       | broke off at its server                | unserved | connectionBroken |
       | was failed by its server               | unserved | serverFailed     |
       | ran out of time                        | unserved | timeUp           |
--- a/features/cli/diagnose.steps.ts
+++ b/features/cli/diagnose.steps.ts
@@ -38,6 +38,11 @@
   'found no replica': [{ name: 'requestWaits' }, ended('refused', 'no target in time')],
   'would have waited in vain': [{ name: 'requestWaits' }, ended('refused', 'no room in time')],
   'had no retry left': [SENT, attemptEnded('status 500'), ended('refused', 'no repeats left')],
+  'found all servers in a cooldown': [
+    SENT,
+    attemptEnded('refused with 503'),
+    ended('refused', 'all targets are cooling down'),
+  ],
   'broke off at its server': [
     SENT,
     attemptEnded('read ECONNRESET', 'broken'),
--- a/features/gateway/explaining.feature
+++ b/features/gateway/explaining.feature
@@ -20,6 +20,15 @@
     When a caller asks for "/check/1"
     Then explaining the request tells "serverFailed" and shows "requestEnded"
 
+  # Guards against a refusal whose log doesn't tell that the servers had asked for it.
+  Scenario: The servers had refused requests and said when to come back
+    Given a site with 2 plain servers and a ready gateway
+    And all of them refuse requests and ask for "9" s of rest
+    When a caller asks for "/check/1"
+    And a caller asks for "/check/1"
+    And a caller asks for "/check/1"
+    Then explaining the request tells "allCoolingDown" and shows "requestEnded"
+
   Scenario: The server was silent until the caller's time was up
     Given a site with 1 plain server and a ready gateway
     And each server says nothing
--- a/src/cli/diagnose/losses.ts
+++ b/src/cli/diagnose/losses.ts
@@ -11,6 +11,7 @@
   noReplica: 'No backend server was open and free of suspicion in time.',
   waitedForReplica: 'It waited at the gateway until a backend server could take it.',
   noRoom: 'It waited at the gateway, and its turn would have come too late.',
+  allCoolingDown: 'All backend servers that could take it had named a cooldown.',
   refusedByServer: 'A backend server that it was sent to refused it.',
   noRetryLeft: 'A sending failed, and the retry budget was used up.',
   stalled: 'Nothing moved at the backend server that it was sent to first.',
@@ -171,6 +172,7 @@
   const { reason = '', outcome } = end;
   if (reason === 'the gateway stopped') return 'gatewayStopping';
   if (reason === 'no room in time') return 'noRoom';
+  if (reason === 'all targets are cooling down') return 'allCoolingDown';
   if (reason === 'no target in time' && sends === 0) return 'noReplica';
   if (reason === 'no repeats left') return 'noRetryLeft';
   if (outcome === 'failedThere') return 'serverFailed';
--- a/src/cli/explain/findings.ts
+++ b/src/cli/explain/findings.ts
@@ -13,6 +13,8 @@
   noTarget: 'No backend server could take it: none was open and free of suspicion in time.',
   noRoom:
     'All replicas of its model were full, and its turn would have come after its caller had left.',
+  allCoolingDown:
+    'All backend servers that could take it had refused requests and named times that it could not wait.',
   refusedByServers: 'The backend servers that it was sent to refused it without running it.',
   noRepeats: 'A sending failed, and the budget of repeats was used up.',
   stalled: 'Nothing moved at the backend server that it was sent to.',
@@ -42,6 +44,8 @@
 
 /** How gateways write that a request waited in vain, or would have, for a place at a replica. */
 const NO_ROOM = 'no room in time';
+/** How gateways write that all targets had named a cooldown. */
+const ALL_COOLING_DOWN = 'all targets are cooling down';
 /** How gateways write that a stop ended a request. */
 const STOPPED = 'the gateway stopped';
 /**
@@ -93,6 +97,7 @@
   if (outcome === 'failedThere') return 'serverFailed';
   if (reason === 'no repeats left') return 'noRepeats';
   if (reason === NO_ROOM) return 'noRoom';
+  if (reason === ALL_COOLING_DOWN) return 'allCoolingDown';
   const attempts = lines.filter(({ name }) => name === 'attemptEnded');
   const last = textOf(attempts.at(-1), 'how');
   if (last.startsWith('refused with') || reason === 'refused everywhere') return 'refusedByServers';
