Find out whether a backend server or a link to it has failed, log and count it

Change: a suspicion of a server is followed by a check over a new connection, if nothing came over an old one, and by asking three other gateways; linkLost, linkRestored, serviceCutOff and serviceReached are logged, lost links counted. No request, suspicion or plan depends on it yet.

--- a/bench/profile/stand-in-peers.ts
+++ b/bench/profile/stand-in-peers.ts
@@ -62,6 +62,7 @@
       applyFleetUpdate: () => undefined,
       applySuspicions: () => undefined,
       noteConfigurationVersion: () => undefined,
+      checkServer: () => Promise.resolve({ kind: 'unknown' }),
     });
   }
 
--- a/features/gateway/drawn-notices.steps.ts
+++ b/features/gateway/drawn-notices.steps.ts
@@ -26,6 +26,7 @@
 import type { GatewayContext } from '../../src/gateway/types.js';
 import type { BackendServer, ServingService } from '../../src/ports/index.js';
 import { createServer } from './planning-model.js';
+import { SOUND_LINKS } from './sound-links.js';
 
 const SERVICE: ServingService = { name: 'app', maxConnections: 10 };
 const NO_SERVERS: ReadonlySet<string> = new Set();
@@ -44,7 +45,7 @@
     const context = this.createContext();
     this.availability = createServerAvailability(context);
     const members = new FleetMembers('gateway-0', this.clock.now());
-    this.backends = createBackendTracker(context, members, this.availability);
+    this.backends = createBackendTracker(context, members, this.availability, SOUND_LINKS);
     this.appear();
   }
 
--- a/features/gateway/former-lives.steps.ts
+++ b/features/gateway/former-lives.steps.ts
@@ -19,7 +19,8 @@
 } from '../../src/controllers/groups/index.js';
 import { createManualClock, type ManualClock } from '../../src/core/clock/index.js';
 import { createRandom } from '../../src/core/random/index.js';
-import type { EngineCalls, ProbeOutcome } from '../../src/gateway/backends/engine-calls.js';
+import type { EngineCalls } from '../../src/gateway/backends/engine-calls.js';
+import type { ProbeOutcome } from '../../src/gateway/backends/probe.js';
 import { createServerAvailability } from '../../src/gateway/backends/server-availability.js';
 import {
   createMemberMonitor,
@@ -32,6 +33,7 @@
 import type { GatewayContext } from '../../src/gateway/types.js';
 import type { BackendServer, ServingService } from '../../src/ports/index.js';
 import { createServer, createView } from './planning-model.js';
+import { SOUND_LINKS } from './sound-links.js';
 
 interface RestartWorld {
   clock: ManualClock;
@@ -78,7 +80,7 @@
 
 function createTracker({ clock, fleet }: RestartWorld, members: FleetMembers): BackendTracker {
   const context = createContext(clock, fleet);
-  return createBackendTracker(context, members, createServerAvailability(context));
+  return createBackendTracker(context, members, createServerAvailability(context), SOUND_LINKS);
 }
 
 Given(
@@ -91,7 +93,7 @@
     for (let sent = 0; sent < requests; sent += 1) this.backends.recordSent(ID);
     this.backends.recordProgress(ID);
     this.backends.recordResult(ID, true);
-    this.backends.suspect(ID, 'nothing came from it');
+    this.backends.suspect(ID, 'nothing came from it', 'silent');
     assert.equal(this.backends.choose(SERVICE, undefined, NO_SERVERS), undefined);
   },
 );
@@ -124,7 +126,7 @@
       this.backends.recordProgress(ID);
       this.backends.recordEnded(ID);
       this.backends.recordResult(ID, true);
-      this.backends.suspect(ID, 'nothing came from it');
+      this.backends.suspect(ID, 'nothing came from it', 'silent');
       assertNoRecordedState(this);
     }
   },
--- /dev/null
+++ b/src/controllers/links/index.ts
@@ -0,0 +1,1 @@
+export * from './link-table.js';
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -301,6 +301,26 @@
     level: 'info',
     message: 'An answer of a backend server says that it is leaving.',
   },
+  linkLost: {
+    number: 2310,
+    level: 'warn',
+    message: 'A backend server answers another gateway, but not this one.',
+  },
+  linkRestored: {
+    number: 2311,
+    level: 'info',
+    message: 'A backend server that did not answer this gateway answers it again.',
+  },
+  serviceCutOff: {
+    number: 2312,
+    level: 'warn',
+    message: 'Several links to the servers of a service are lost; all of them count as lost.',
+  },
+  serviceReached: {
+    number: 2313,
+    level: 'info',
+    message: 'A server of a service that was cut off answers this gateway again.',
+  },
   groupPlanWritten: {
     number: 2400,
     level: 'info',
--- a/src/gateway/backends/engine-calls.ts
+++ b/src/gateway/backends/engine-calls.ts
@@ -6,17 +6,9 @@
 import { callWithTimeout } from '../../core/timeout/index.js';
 import type { EngineCall, OrderCodec, OrderOutcome } from '../../ports/index.js';
 import type { DueOrder, GroupMember } from '../../controllers/groups/index.js';
+import { isConnectionRefused, readProbe, type ProbeOutcome } from './probe.js';
 import type { ServerAvailability } from './server-availability.js';
 
-/** Result of probing an engine. */
-export type ProbeOutcome =
-  | { kind: 'answers'; pace: number }
-  | { kind: 'silent' }
-  /** Not asked, because it is in a cooldown that it has named itself. */
-  | { kind: 'coolingDown' }
-  /** Nothing listens there, or another backend server or a restarted process does. */
-  | { kind: 'gone' };
-
 /** Sends orders and probes to engines, without retries. */
 export interface EngineCalls {
   /** Whether the engine is to get no orders now, because it has named a cooldown. */
@@ -30,7 +22,6 @@
 /** Engines answer probes without a free slot, so a short timeout is enough. */
 const PROBE_TIMEOUT_MS: Milliseconds = 300;
 const KEEP_ALIVE_MS: Milliseconds = 2_000;
-const MISDIRECTED_REQUEST_STATUS = 421;
 
 interface CallResponse {
   status: number;
@@ -92,16 +83,12 @@
       }
     },
     probe: async (member) => {
-      const { id, startedAt } = member;
       if (isCoolingDown(member)) return { kind: 'coolingDown' };
       onProbe();
       try {
-        const { status, body } = await call(member, codec.encodeReport(id), PROBE_TIMEOUT_MS);
-        if (status === MISDIRECTED_REQUEST_STATUS) return { kind: 'gone' };
-        const report = codec.decodeReport(body);
-        const isOtherProcess = report?.startedAt !== undefined && report.startedAt !== startedAt;
-        if (isOtherProcess && startedAt !== undefined) return { kind: 'gone' };
-        return { kind: 'answers', pace: report?.pace ?? 1 };
+        const report = codec.encodeReport(member.id);
+        const { status, body } = await call(member, report, PROBE_TIMEOUT_MS);
+        return readProbe(codec, member, status, body);
       } catch (error) {
         // The caller logs the outcome.
         return { kind: isConnectionRefused(error) ? 'gone' : 'silent' };
@@ -116,8 +103,3 @@
     [values].flat().flatMap((value) => [name, value]),
   );
 }
-
-/** Whether nothing listens at the address, because the process has ended. */
-function isConnectionRefused(error: unknown): boolean {
-  return error instanceof Error && (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
-}
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -22,11 +22,14 @@
 import { createEngineCalls } from './backends/engine-calls.js';
 import { createServerAvailability } from './backends/server-availability.js';
 import { createGroupsPart } from './groups/groups-part.js';
+import { createLinkMonitor } from './links/link-monitor.js';
+import { createServerChecks } from './links/server-check.js';
 import { registerFreshnessGauges } from './operations/freshness-metrics.js';
 import { createOperationsListener } from './operations/listener.js';
 import { createGatewayMetrics } from './operations/metrics.js';
 import { createPeersPart } from './peers/peers-part.js';
 import { GATEWAY_KIND } from './peers/registration.js';
+import { createPeerClient } from './peers/rpc.js';
 import { createBackendTracker } from './requests/backend-tracker.js';
 import { createQuarantine } from './requests/quarantine.js';
 import { createRequestServer } from './requests/request-server.js';
@@ -141,7 +144,12 @@
     },
     availability,
   });
-  const backends = createBackendTracker(context, members, availability);
+  const checks = createServerChecks(platform.orders, () => {
+    metrics.probes.inc();
+  });
+  const peerClient = createPeerClient();
+  const links = createLinkMonitor({ context, checks, peers: peerClient });
+  const backends = createBackendTracker(context, members, availability, links);
   backends.onRestart((server) => {
     pool.invalidateServer(server);
   });
@@ -158,6 +166,8 @@
   });
   const peers = createPeersPart({
     context,
+    client: peerClient,
+    links,
     store,
     backends,
     members,
@@ -199,7 +209,16 @@
   if (listening.isErr()) logger.log('listenFailed', { reason: listening.error.message });
   const peersListening = await peers.listen();
   if (peersListening.isErr()) logger.log('listenFailed', { reason: peersListening.error.message });
-  const parts = [operations, configuration, fleet, watchdog, peers, groups, reachabilityProbe];
+  const parts = [
+    operations,
+    configuration,
+    fleet,
+    watchdog,
+    links,
+    peers,
+    groups,
+    reachabilityProbe,
+  ];
   for (const part of parts) part.start();
   logger.log('gatewayStarted', {
     callers: settings.listen.callers,
@@ -233,6 +252,7 @@
         store.close(),
         pool.close(),
         engineCalls.close(),
+        checks.close(),
       ]);
       await Promise.race([closing, sleep(CLOSE_TIMEOUT_MS)]);
       await logger.flush(LOG_FLUSH_MS);
--- a/src/gateway/operations/metrics.ts
+++ b/src/gateway/operations/metrics.ts
@@ -16,6 +16,7 @@
   probes: Counter;
   connections: Counter;
   suspicions: Counter;
+  lostLinks: Gauge;
   cooldowns: Counter<'kind'>;
   leavingAnswers: Counter;
   quarantined: Counter;
@@ -78,6 +79,11 @@
       help: 'Backend servers found to stand still.',
       registers,
     }),
+    lostLinks: new Gauge({
+      name: 'yuccasail_gateway_lost_links',
+      help: 'Backend servers that answer other gateways, but not this one.',
+      registers,
+    }),
     cooldowns: new Counter({
       name: 'yuccasail_gateway_cooldowns_total',
       help: 'Refusals of backend servers with a cooldown, by whether its time could be read.',
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -6,6 +6,7 @@
 import type { BackendServer, ServingConfiguration } from '../../ports/index.js';
 import type { FleetSnapshot, FleetUpdate } from '../store/fleet-part.js';
 
+const MAX_ID_CHARACTERS = 256;
 const nonNegativeSchema = z.number().nonnegative();
 const backendServerSchema: z.ZodType<BackendServer> = z.object({
   id: z.string(),
@@ -53,6 +54,9 @@
 /** Notice of a new configuration version. Kept small because a hub sends it to many peers at once. */
 export const configurationNoticeSchema = z.object({ configurationVersion: nonNegativeSchema });
 
+/** Names the backend server to check for another gateway. */
+export const serverIdSchema = z.object({ server: z.string().max(MAX_ID_CHARACTERS) });
+
 /** Response to a catch-up call. Holds only the state that is newer than the caller's. */
 export interface CatchUpResponse {
   configuration?: ServingConfiguration;
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -26,7 +26,8 @@
 import type { GatewayContext, GatewayPart, PeerLoad } from '../types.js';
 import { createCatchUpCheck } from './catch-up.js';
 import { createFollowControl } from './follow-control.js';
-import { createPeerClient, createPeerListener } from './rpc.js';
+import type { LinkMonitor } from '../links/link-monitor.js';
+import { createPeerListener, type PeerClient } from './rpc.js';
 import type { CatchUpResponse } from './messages.js';
 import { createGatewayRegistration } from './registration.js';
 
@@ -41,6 +42,8 @@
 
 interface PeersPartOptions {
   context: GatewayContext;
+  client: PeerClient;
+  links: Pick<LinkMonitor, 'checkForPeer'>;
   store: ObjectStore;
   backends: BackendTracker;
   members: FleetMembers;
@@ -58,9 +61,9 @@
 const REGISTRATION_JITTER_MS: Milliseconds = 1_000;
 
 export function createPeersPart(options: PeersPartOptions): PeersPart {
-  const { context, section, backends, members, quarantine, configuration, fleet, store } = options;
+  const { context, client, section, backends, members, quarantine, configuration, fleet, store } =
+    options;
   const { settings, clock, logger, board, incarnation } = context;
-  const client = createPeerClient();
   const self: KnownPeer = {
     name: settings.name,
     address: settings.listen.peers,
@@ -255,6 +258,7 @@
     noteConfigurationVersion: (version) => {
       configuration.noteVersion(version);
     },
+    checkServer: (server) => options.links.checkForPeer(server),
   });
   const tick = (): void => {
     const now = clock.now();
--- a/src/gateway/peers/rpc.ts
+++ b/src/gateway/peers/rpc.ts
@@ -14,10 +14,12 @@
 } from '../../controllers/peering/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { callWithTimeout } from '../../core/timeout/index.js';
+import type { ServerCheck } from '../links/types.js';
 import type { FleetUpdate } from '../store/fleet-part.js';
 import {
   configurationNoticeSchema,
   fleetUpdateSchema,
+  serverIdSchema,
   versionsSchema,
   type CatchUpResponse,
 } from './messages.js';
@@ -32,6 +34,8 @@
   applySuspicions(suspicions: readonly ReportedSuspicion[]): void;
   /** Called when another gateway has applied this version of the configuration. */
   noteConfigurationVersion(version: number): void;
+  /** Called by a gateway that gets no answer from the backend server with this id. */
+  checkServer(server: string): Promise<ServerCheck>;
 }
 
 const MAX_MESSAGE_BYTES = 1_048_576;
@@ -52,6 +56,9 @@
     notice: procedure.input(configurationNoticeSchema).mutation(({ input }) => {
       handlers.noteConfigurationVersion(input.configurationVersion);
     }),
+    checkServer: procedure
+      .input(serverIdSchema)
+      .query(({ input }) => handlers.checkServer(input.server)),
   });
 }
 
@@ -73,6 +80,7 @@
   sendFleetUpdate(address: string, update: FleetUpdate): Promise<void>;
   sendSuspicions(address: string, suspicions: readonly ReportedSuspicion[]): Promise<void>;
   notifyConfigurationVersion(address: string, configurationVersion: number): Promise<void>;
+  checkServer(address: string, server: string): Promise<ServerCheck>;
   close(): Promise<void>;
 }
 
@@ -109,6 +117,10 @@
       callWithTimeout(CALL_TIMEOUT_MS, (signal) =>
         rpcClientFor(address).notice.mutate({ configurationVersion }, { signal }),
       ),
+    checkServer: (address, server) =>
+      callWithTimeout(CALL_TIMEOUT_MS, (signal) =>
+        rpcClientFor(address).checkServer.query({ server }, { signal }),
+      ),
     close: () => agent.destroy(),
   };
 }
--- a/src/gateway/requests/backend-tracker.ts
+++ b/src/gateway/requests/backend-tracker.ts
@@ -26,6 +26,8 @@
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { RateLimit, ServingService } from '../../ports/index.js';
 import type { ServerAvailability } from '../backends/server-availability.js';
+import type { LinkMonitor } from '../links/link-monitor.js';
+import type { LinkEvidence } from '../links/types.js';
 import type { GatewayContext } from '../types.js';
 
 /** A chosen target with the state that it was chosen by. */
@@ -79,7 +81,7 @@
   recordContact(server: string): void;
   lastContactAt(server: string): Milliseconds;
   /** Marks the server as suspected of being stalled; `evidence` is logged. */
-  suspect(server: string, evidence: string): void;
+  suspect(server: string, evidence: string, kind: LinkEvidence): void;
   /** Adopts a peer's suspicion; returns false if it is known or outdated. */
   adoptPeerSuspicion(server: string, ageMs: Milliseconds, leftMs: Milliseconds): boolean;
   /** Records what an answer to an attempt sent at `sentAt` says of the server's rate limit. */
@@ -112,6 +114,7 @@
   context: GatewayContext,
   members: FleetMembers,
   availability: ServerAvailability,
+  links: Pick<LinkMonitor, 'investigate'>,
 ): BackendTracker {
   const { board, clock, random, logger, metrics, settings } = context;
   const inFlightCounts = new Map<string, number>();
@@ -290,11 +293,12 @@
       contacts.record(server, clock.now());
     },
     lastContactAt: (server) => contacts.lastProgress(server),
-    suspect: (server, evidence) => {
+    suspect: (server, evidence, kind) => {
       if (isAmbiguous(server)) return;
       if (!suspicions.suspect(server, clock.now())) return;
       metrics.suspicions.inc();
       logger.log('serverSuspected', { server, evidence });
+      void links.investigate(server, kind);
       for (const listener of suspicionListeners) listener(server);
     },
     adoptPeerSuspicion: (server, ageMs, leftMs) => {
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -406,7 +406,7 @@
     this.endAttempt(attempt, failure.reason, failure.kind);
     switch (failure.kind) {
       case 'notSent':
-        backends.suspect(attempt.server, failure.reason);
+        backends.suspect(attempt.server, failure.reason, 'unreachable');
         this.handleRefusal();
         break;
       case 'broken':
--- a/src/gateway/requests/watchdog.ts
+++ b/src/gateway/requests/watchdog.ts
@@ -99,7 +99,7 @@
     if (serverSilenceMs > attempt.serverStallMs) {
       const evidence = `no data received for ${Math.round(serverSilenceMs)} ms`;
       // A previous process never responds again; its successor with the same id is not to blame.
-      if (!isPrevious) backends.suspect(attempt.server, evidence);
+      if (!isPrevious) backends.suspect(attempt.server, evidence, 'silent');
       for (const other of [...attempts]) {
         const isSameServer = other.server === attempt.server;
         const isSameProcess =
