--- a/features/gateway/stand-ins/store.ts
+++ b/features/gateway/stand-ins/store.ts
@@ -49,6 +49,8 @@
   /** Number of times that the store has stopped answering; watches from before are never answered. */
   private hangCount = 0;
   private readonly server: Server;
+  private readonly views: Server[] = [];
+  private readonly translations = new WeakMap<ServerResponse, (text: string) => string>();
 
   constructor() {
     this.server = createServer((request, response) => {
@@ -74,9 +76,23 @@
     return new Promise((resolve) => this.server.listen(0, '127.0.0.1', resolve));
   }
 
+  /** Listens at one more address, whose answers are translated; resolves with the address. */
+  async openView(translate: (text: string) => string): Promise<string> {
+    const view = createServer((request, response) => {
+      this.translations.set(response, translate);
+      void this.handle(request, response);
+    });
+    this.views.push(view);
+    await new Promise<void>((resolve) => view.listen(0, '127.0.0.1', resolve));
+    const { address, port } = view.address() as AddressInfo;
+    return `${address}:${port}`;
+  }
+
   close(): void {
-    this.server.close();
-    this.server.closeAllConnections();
+    for (const server of [this.server, ...this.views]) {
+      server.close();
+      server.closeAllConnections();
+    }
   }
 
   /** Writes an object unconditionally, like an operator or backend server. */
@@ -289,7 +305,8 @@
   }
 
   private answer(response: ServerResponse, status: number, body: unknown): void {
-    const text = JSON.stringify(body);
+    const translate = this.translations.get(response);
+    const text = translate ? translate(JSON.stringify(body)) : JSON.stringify(body);
     response.writeHead(status, {
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(text),
--- a/src/gateway/links/link-monitor.ts
+++ b/src/gateway/links/link-monitor.ts
@@ -29,7 +29,12 @@
   peers: Pick<PeerClient, 'checkServer'>;
 }
 
+/** Where a server answers. */
+type Comparison = { kind: 'here' | 'peersOnly'; outcome: ProbeOutcome } | { kind: 'nowhere' };
+
 const TICK_MS: Milliseconds = 100;
+/** A server over a sound link answers sooner, unless it is stalled as a whole. */
+const QUICK_CHECK_TIMEOUT_MS: Milliseconds = 100;
 /** Gateways that are asked at the same time, since some of them may have lost their links as well. */
 const ASKED_PEERS = 3;
 
@@ -77,13 +82,26 @@
     });
     return Promise.any(asked).catch((): ServerCheck => ({ kind: 'unknown' }));
   };
+  /**
+   * Checks the server from here and from other gateways at the same time, so that one that has just
+   * recovered is not taken for one behind a lost link.
+   */
+  const compareWithPeers = async (server: CheckedServer): Promise<Comparison> => {
+    const [own, peers] = await Promise.all([checks.check(server), askPeers(server.id)]);
+    if (own.kind === 'answers') return { kind: 'here', outcome: own };
+    if (peers.kind !== 'answers') return { kind: 'nowhere' };
+    recordLost(server.id);
+    return { kind: 'peersOnly', outcome: peers };
+  };
   const runInvestigation = async (id: string, evidence: LinkEvidence): Promise<LinkVerdict> => {
     const server = findServer(id);
     if (server === undefined) return 'server';
-    if (evidence === 'silent' && (await checks.check(server)).kind === 'answers') return 'server';
-    const { kind } = await askPeers(id);
-    if (kind === 'answers') recordLost(id);
-    return kind === 'answers' || table.isCutOff(server.service) ? 'link' : 'server';
+    if (evidence === 'silent') {
+      const { kind } = await checks.check(server, QUICK_CHECK_TIMEOUT_MS);
+      if (kind === 'answers') return 'server';
+    }
+    const { kind } = await compareWithPeers(server);
+    return kind === 'peersOnly' || table.isCutOff(server.service) ? 'link' : 'server';
   };
   const checkDueLinks = (): void => {
     for (const id of table.takeDueChecks(clock.now())) {
@@ -105,10 +123,8 @@
       return started;
     },
     confirmProbe: async (server, outcome) => {
-      const answer = await askPeers(server.id);
-      if (answer.kind !== 'answers') return outcome;
-      recordLost(server.id);
-      return answer;
+      const comparison = await compareWithPeers(server);
+      return comparison.kind === 'nowhere' ? outcome : comparison.outcome;
     },
     recordNewConnection: (server) => {
       if (table.lostCount > 0) recordSound(server);
--- a/src/gateway/links/server-check.ts
+++ b/src/gateway/links/server-check.ts
@@ -9,23 +9,23 @@
 
 /** Checks servers without reusing connections, because old ones may outlive a cut. */
 export interface ServerChecks {
-  check(server: CheckedServer): Promise<ProbeOutcome>;
+  check(server: CheckedServer, timeoutMs?: Milliseconds): Promise<ProbeOutcome>;
   close(): Promise<void>;
 }
 
 export type CheckedServer = Pick<BackendServer, 'id' | 'address' | 'startedAt'>;
 
-/** Any answer will do, and servers give this one without a free slot. */
+/** Servers answer checks without a free slot. */
 const CHECK_TIMEOUT_MS: Milliseconds = 300;
 
 export function createServerChecks(codec: OrderCodec, onProbe: () => void): ServerChecks {
   const agent = new Agent({ pipelining: 0, connect: { timeout: CHECK_TIMEOUT_MS } });
   return {
-    check: async (server) => {
+    check: async (server, timeoutMs = CHECK_TIMEOUT_MS) => {
       onProbe();
       const { method, path, headers } = codec.encodeReport(server.id);
       try {
-        return await callWithTimeout(CHECK_TIMEOUT_MS, async (signal) => {
+        return await callWithTimeout(timeoutMs, async (signal) => {
           const origin = `http://${server.address}`;
           const answer = await agent.request({
             origin,
