Charge the retry budget only for requests that a server may have received

What callers saw: after a few failed connections a gateway refused the rest with its retry budget used up (13.2 of 13.5 within 60 ms in the incident). Cause: an attempt that could not connect counted as a first arrival, so that the attempt in its place counted as a retry. Change: attempts of which no byte was sent don't count.

--- a/features/gateway/lost-links.feature
+++ b/features/gateway/lost-links.feature
@@ -53,3 +53,10 @@
     When callers send requests of all kinds to the gateways in turn for 2 s
     And a server of each service is silent for a second while callers go on for 4 s
     Then no gateway has lost a link
+
+  # Guards against retries that are denied because of attempts that no server has ever received.
+  Scenario: Servers refuse connections and their entries stay
+    Given a site with 3 servers of calls and 1 ready gateways
+    When all but one of them end without a word
+    And callers send 80 requests at once
+    Then all requests were answered
--- a/features/gateway/lost-links.steps.ts
+++ b/features/gateway/lost-links.steps.ts
@@ -258,3 +258,7 @@
     }
   },
 );
+
+When('all but one of them end without a word', function (this: GatewayWorld) {
+  for (const server of this.site.servers.slice(1)) server.crash();
+});
--- a/features/gateway/server-limit.steps.ts
+++ b/features/gateway/server-limit.steps.ts
@@ -130,3 +130,10 @@
     assert.ok(length >= least, `it got ${length}`);
   },
 );
+
+When('callers send {int} requests at once', function (this: ServerWorld, requests: number) {
+  const [gateway] = this.site.gateways;
+  assert.ok(gateway);
+  for (let sent = 0; sent < requests; sent += 1)
+    this.replies.push(this.site.request(gateway, { path: this.path }));
+});
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -60,6 +60,8 @@
   private possibleRuns = 0;
   private refusals = 0;
   private attemptCount = 0;
+  /** Attempts that have arrived at a backend server or may still do so. */
+  private arrivals = 0;
   private isFinished = false;
   private readonly wait: RequestWait;
   private firstEventAt: Milliseconds | undefined;
@@ -183,7 +185,7 @@
       this.waitForTarget(why);
       return;
     }
-    if (this.attemptCount > 0 && !deps.backends.takeRetry(service.name, request.id)) {
+    if (this.arrivals > 0 && !deps.backends.takeRetry(service.name, request.id)) {
       if (this.attempts.size === 0) this.failRequest('no repeats left');
       return;
     }
@@ -290,7 +292,8 @@
       deps.queues.expectedFirstEventMs(request),
     );
     const attempt = new TrackedAttempt(server, limits, this, deps.context.clock);
-    attempt.isUnsettledRetry = this.attemptCount > 1;
+    attempt.isUnsettledRetry = this.arrivals > 0;
+    this.arrivals += 1;
     this.attempts.add(attempt);
     deps.watchdog.attempts.add(attempt);
     attempt.start(deps.send, {
@@ -426,6 +429,7 @@
     this.endAttempt(attempt, failure.reason, failure.kind);
     switch (failure.kind) {
       case 'notSent':
+        this.arrivals -= 1;
         backends.suspect(
           attempt.server,
           failure.reason,
@@ -434,6 +438,7 @@
         this.handleRefusal();
         break;
       case 'notRelayed':
+        this.arrivals -= 1;
         this.handleRefusal();
         break;
       case 'broken':
