--- a/features/gateway/linked-site.ts
+++ b/features/gateway/linked-site.ts
@@ -35,6 +35,8 @@
 export class LinkedSite extends Site {
   /** By the gateway's position. */
   private readonly links: ServerLink[][];
+  /** Where the gateways listen for each other. */
+  peerAddresses: readonly string[] = [];
 
   constructor(private readonly gatewayCount: number) {
     super();
@@ -56,6 +58,7 @@
       const plan = this.planGateway(view);
       plans.push({ ...plan, failureDomain: `${plan.failureDomain}-${plan.name}` });
     }
+    this.peerAddresses = plans.map(({ peers }) => peers);
     for (const plan of plans) await this.launch(plan);
     for (const gateway of this.gateways) await this.waitUntilReady(gateway);
     await waitFor('the gateways to hear each other', () =>
--- a/features/gateway/lost-links.steps.ts
+++ b/features/gateway/lost-links.steps.ts
@@ -20,7 +20,7 @@
   answer: Answer | undefined;
 }
 
-interface LinkWorld extends GatewayWorld {
+export interface LinkWorld extends GatewayWorld {
   site: LinkedSite;
   /** The attempts since the last event. */
   attempts: Attempt[];
@@ -63,7 +63,8 @@
   },
 );
 
-async function send(world: LinkWorld, gateway: GatewayProcess, path: string): Promise<void> {
+/** Sends one request and records its answer. */
+export async function send(world: LinkWorld, gateway: GatewayProcess, path: string): Promise<void> {
   const sentAt = performance.now();
   const id = world.site.nextId();
   const { eventAt } = world;
@@ -195,13 +196,17 @@
   }
 });
 
-Then('each stream that was answered is whole', function (this: LinkWorld) {
-  const expected = Array.from({ length: EVENTS }, (_, index) => index + 1)
+/** The body of each stream. */
+export function wholeStream(): string {
+  return Array.from({ length: EVENTS }, (_, index) => index + 1)
     .map((event) => `id: ${event}\ndata: token ${event}\n\n`)
     .join('');
+}
+
+Then('each stream that was answered is whole', function (this: LinkWorld) {
   for (const attempt of this.attempts) {
     if (!attempt.path.startsWith('/chat/') || !isServed(attempt)) continue;
-    assert.equal(attempt.answer?.body, expected);
+    assert.equal(attempt.answer?.body, wholeStream());
   }
 });
 
--- a/features/gateway/stand-ins/engine.ts
+++ b/features/gateway/stand-ins/engine.ts
@@ -96,6 +96,7 @@
   /** Replicas that this incarnation was ready in. */
   readonly readyGroups = new Set<string>();
   hasCrashed = false;
+  runningStreams = 0;
   /** Named in its answers as the requests per second that it takes from all gateways together. */
   namedLimit: string | string[] | undefined;
   /** `Retry-After` of its refusals. */
@@ -345,7 +346,7 @@
       await this.crashDuring(arrival, this.fault.backAfterMs);
       return;
     }
-    if (domain) await this.stream(request, response, id);
+    if (domain) await this.runStream(request, response, id);
     else await this.answer(response, id);
   }
 
@@ -406,6 +407,16 @@
     }
   }
 
+  private async runStream(
+    request: IncomingMessage,
+    response: ServerResponse,
+    id: string,
+  ): Promise<void> {
+    this.runningStreams += 1;
+    await this.stream(request, response, id);
+    this.runningStreams -= 1;
+  }
+
   private async stream(
     request: IncomingMessage,
     response: ServerResponse,
