Confirm by other gateways that an engine is gone before an order or probe counts it as lost

Change: a refused order is confirmed by other gateways; of the probes of a member only the last one is, and those of members that are lost already are not. Evidence: the scenario of a refused order failed 1 of 2 before, 2 of 2 after.

--- a/features/gateway/links.feature
+++ b/features/gateway/links.feature
@@ -52,3 +52,14 @@
     Then 1000 choices fall on gateways that reach it, in the domains of the gateway or the server
     And a gateway that could not relay is chosen again only when no other one is left
     And no gateway is chosen when all are cut off
+
+  # Guards against replicas that are closed because their owner has lost its link to a member.
+  Scenario Outline: The connection for an order is refused
+    Given an engine that refuses the connections of this gateway, and that other gateways <see>
+    When an order is sent to it
+    Then the outcome of the order is "<outcome>"
+
+    Examples:
+      | see       | outcome |
+      | reach     | unknown |
+      | miss also | gone    |
--- a/features/gateway/links.steps.ts
+++ b/features/gateway/links.steps.ts
@@ -5,6 +5,11 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { LinkTable, RelayPeers, type RelayPeer } from '../../src/controllers/links/index.js';
 import { createRandom } from '../../src/core/random/index.js';
+import { platform } from '../../platform/index.js';
+import { createEngineCalls, type EngineCalls } from '../../src/gateway/backends/engine-calls.js';
+import type { ProbeOutcome } from '../../src/gateway/backends/probe.js';
+import type { OrderOutcome } from '../../src/ports/index.js';
+import { nextAddress } from '../support/ports.js';
 
 interface LinksWorld {
   table: LinkTable;
@@ -183,3 +188,32 @@
   const query = { service: SERVICE, preferredDomains: PREFERRED, excluded: NOBODY };
   assert.equal(new RelayPeers().choose(peers, query, this.now, createRandom(1)), undefined);
 });
+
+interface OrderWorld {
+  calls: EngineCalls;
+  outcome: OrderOutcome;
+}
+
+Given(
+  /^an engine that refuses the connections of this gateway, and that other gateways (reach|miss also)$/,
+  function (this: OrderWorld, see: string) {
+    const confirmed: ProbeOutcome =
+      see === 'reach' ? { kind: 'answers', pace: 1 } : { kind: 'gone' };
+    this.calls = createEngineCalls({
+      codec: platform.orders,
+      onProbe: () => undefined,
+      availability: { record: () => undefined, cooldownLeftMs: () => 0, isLeaving: () => false },
+      links: { confirmProbe: () => Promise.resolve(confirmed) },
+    });
+  },
+);
+
+When('an order is sent to it', async function (this: OrderWorld) {
+  const to = { id: 'engine', address: nextAddress(), startedAt: 1 };
+  this.outcome = await this.calls.order({ to, order: { kind: 'stage', model: 'small' } });
+  await this.calls.close();
+});
+
+Then('the outcome of the order is {string}', function (this: OrderWorld, outcome: string) {
+  assert.equal(this.outcome.kind, outcome);
+});
--- a/src/gateway/backends/engine-calls.ts
+++ b/src/gateway/backends/engine-calls.ts
@@ -15,7 +15,8 @@
   /** Whether the engine is to get no orders now, because it has named a cooldown. */
   isCoolingDown(engine: Pick<CalledEngine, 'id'>): boolean;
   order(due: DueOrder): Promise<OrderOutcome>;
-  probe(member: GroupMember): Promise<ProbeOutcome>;
+  /** With `alone`, a failed probe is not confirmed by other gateways. */
+  probe(member: GroupMember, options?: { alone: boolean }): Promise<ProbeOutcome>;
   close(): Promise<void>;
 }
 
@@ -80,12 +81,13 @@
         const { status } = await call(to, encoded, ORDER_TIMEOUT_MS);
         return codec.decodeOutcome(status);
       } catch (error) {
-        return isConnectionRefused(error)
-          ? { kind: 'gone' }
-          : { kind: 'unknown', reason: error instanceof Error ? error.message : 'unknown error' };
+        const reason = error instanceof Error ? error.message : 'unknown error';
+        if (!isConnectionRefused(error)) return { kind: 'unknown', reason };
+        const { kind } = await links.confirmProbe(to, { kind: 'gone' });
+        return kind === 'gone' ? { kind } : { kind: 'unknown', reason };
       }
     },
-    probe: async (member) => {
+    probe: async (member, { alone } = { alone: false }) => {
       if (isCoolingDown(member)) return { kind: 'coolingDown' };
       onProbe();
       try {
@@ -94,9 +96,8 @@
         return readProbe(codec, member, status, body);
       } catch (error) {
         // The caller logs the outcome.
-        return links.confirmProbe(member, {
-          kind: isConnectionRefused(error) ? 'gone' : 'silent',
-        });
+        const outcome: ProbeOutcome = { kind: isConnectionRefused(error) ? 'gone' : 'silent' };
+        return alone ? outcome : links.confirmProbe(member, outcome);
       }
     },
     close: () => agent.destroy(),
--- a/src/gateway/groups/member-monitor.ts
+++ b/src/gateway/groups/member-monitor.ts
@@ -35,7 +35,10 @@
 const SLOW_PACE_RATIO = 1.8;
 /** Time after which a slow result expires. */
 const SLOW_TTL_MS: Milliseconds = 6_000;
-/** Probes without an answer before an engine counts as lost, to tolerate packet loss. */
+/**
+ * Probes without an answer before an engine counts as lost, to tolerate packet loss; the last one is
+ * confirmed by other gateways.
+ */
 const PROBE_ATTEMPTS = 2;
 const RECHECK_INTERVAL_MS: Milliseconds = 1_000;
 /** Interval between two checks of a suspected group. */
@@ -69,7 +72,7 @@
 
   const isLost = async (member: GroupMember): Promise<boolean> => {
     for (let attempt = 1; attempt <= PROBE_ATTEMPTS; attempt += 1) {
-      const outcome = await calls.probe(member);
+      const outcome = await calls.probe(member, { alone: attempt < PROBE_ATTEMPTS });
       switch (outcome.kind) {
         case 'answers':
           if (outcome.pace < SLOW_PACE_RATIO) slow.delete(incarnationKey(member));
@@ -82,7 +85,6 @@
         case 'coolingDown':
           return false;
         case 'gone':
-          return true;
         case 'silent':
           break;
       }
@@ -138,7 +140,7 @@
       if (now < nextRecheckAt || lost.size === 0) return;
       nextRecheckAt = now + RECHECK_INTERVAL_MS;
       for (const member of lost.values()) {
-        void calls.probe(member).then((outcome) => {
+        void calls.probe(member, { alone: true }).then((outcome) => {
           if (outcome.kind !== 'answers') return;
           lost.delete(incarnationKey(member));
           logger.log('serverAnswersAgain', { server: member.id });
