Take a server for failed only while other servers of its service answer

Cause: with all gateways cut off no gateway could tell a failed server from a lost link, and owners and the quarantine took sound servers for ended ones. Change: a server that answers neither here nor at other gateways counts as failed only if another one of its service answers here.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -4,7 +4,8 @@
  *
  *     npm run soak -- --seeds 5 --first 1 --seconds 20 --gateways 3
  *
- * With --restores, the store is also restored from copies that are some seconds old.
+ * With --restores, the store is also restored from copies that are some seconds old; with --links,
+ * gateways also lose their links to all backend servers.
  *
  * Prints one line for each seed, after a breach also the faults. Ends with status 1 when any
  * promise was broken.
@@ -20,6 +21,7 @@
     seconds: { type: 'string', default: '15' },
     gateways: { type: 'string', default: '3' },
     restores: { type: 'boolean', default: false },
+    links: { type: 'boolean', default: false },
   },
 });
 
@@ -47,6 +49,7 @@
     seconds: Number(values.seconds),
     gateways: Number(values.gateways),
     withRestores: values.restores,
+    withLinkCuts: values.links,
   });
   await report(result);
   if (result.breaches.length > 0) broken += 1;
--- a/bench/soak/inject.ts
+++ b/bench/soak/inject.ts
@@ -2,6 +2,7 @@
  * Doing what the schedule says, from outside the gateways, and undoing it.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
+import type { LinkLoss } from '../../features/gateway/gateway-links.js';
 import type { EngineFault } from '../../features/gateway/stand-ins/engine.js';
 import type { StoreFault } from '../../features/gateway/stand-ins/store.js';
 import type { FaultKind, ScheduledFault } from './schedule.js';
@@ -21,6 +22,7 @@
 /** How long before its outage the copy may be made that the store is restored from. */
 const LONGEST_COPY_AGE_MS = 4_000;
 const NOTHING = 'nothing';
+const LINK_LOSSES: readonly LinkLoss[] = ['silent', 'reset', 'refused'];
 
 /** Carries out one fault and resolves when it is over, with what it met. */
 export async function inject(site: SoakSite, fault: ScheduledFault): Promise<InjectedFault> {
@@ -101,6 +103,8 @@
     case 'resetEngine':
       await server.link.control({ resetAll: true });
       return nameOf(server);
+    case 'cutLinks':
+      return cutLinks(site, target, forMs);
     case 'restoreStore':
       await site.restoreStore(target % LONGEST_COPY_AGE_MS, forMs);
       return 'store';
@@ -112,6 +116,18 @@
   }
 }
 
+/** One or more gateways lose their links at once, all in the same way. */
+async function cutLinks({ links }: SoakSite, target: number, forMs: number): Promise<string> {
+  const first = target % links.length;
+  const count = 1 + ((target % 7) % links.length);
+  const loss = pick(LINK_LOSSES, target);
+  const meant = [...links, ...links].slice(first, first + count);
+  for (const each of meant) await each.cut(loss);
+  await sleep(forMs);
+  for (const each of meant) await each.restore();
+  return `${count} from ${first}, ${loss}`;
+}
+
 async function failStore({ site }: SoakSite, fault: StoreFault, forMs: number): Promise<string> {
   site.store.fault = fault;
   await sleep(forMs);
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -6,7 +6,7 @@
 import { Callers, type AskedKind, type AskedRecord } from './callers.js';
 import { inject, type InjectedFault } from './inject.js';
 import { judge, type Breach } from './judge.js';
-import { drawRestores, drawSchedule, type ScheduledFault } from './schedule.js';
+import { drawLinkCuts, drawRestores, drawSchedule, type ScheduledFault } from './schedule.js';
 import { SoakSite, type SoakGateway } from './site.js';
 
 export interface SoakOptions {
@@ -15,6 +15,8 @@
   gateways: number;
   /** Whether the store is restored from older copies, beside the other faults. */
   withRestores?: boolean;
+  /** Whether gateways lose their links to all backend servers, beside the other faults. */
+  withLinkCuts?: boolean;
 }
 
 /** What one run showed. */
@@ -37,8 +39,8 @@
 const PAUSE_MS = 100;
 
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
-  const { seed, gateways } = options;
-  const site = new SoakSite();
+  const { seed, gateways, withLinkCuts = false } = options;
+  const site = new SoakSite(withLinkCuts ? gateways : 0);
   try {
     await site.open(gateways);
     const callers = new Callers(site);
@@ -83,10 +85,12 @@
   return ends;
 }
 
-function drawFaults({ seed, seconds, withRestores = false }: SoakOptions): ScheduledFault[] {
+function drawFaults(options: SoakOptions): ScheduledFault[] {
+  const { seed, seconds, withRestores = false, withLinkCuts = false } = options;
   const forMs = seconds * MS_PER_SECOND;
   const restores = withRestores ? drawRestores(seed, forMs) : [];
-  return [...drawSchedule(seed, forMs), ...restores].sort((a, b) => a.atMs - b.atMs);
+  const linkCuts = withLinkCuts ? drawLinkCuts(seed, forMs) : [];
+  return [...drawSchedule(seed, forMs), ...restores, ...linkCuts].sort((a, b) => a.atMs - b.atMs);
 }
 
 async function playFaults(
--- a/bench/soak/schedule.ts
+++ b/bench/soak/schedule.ts
@@ -3,7 +3,7 @@
  */
 import { createRandom, type Random } from '../../src/core/random/index.js';
 
-export type FaultKind = (typeof KINDS)[number] | typeof RESTORE;
+export type FaultKind = (typeof KINDS)[number] | typeof RESTORE | typeof LINK_CUT;
 
 /** A fault of one target; the target is a number, taken among those that are there by then. */
 export interface ScheduledFault {
@@ -29,6 +29,11 @@
 /** Shorter than other faults: the store is away for a moment only. */
 const RESTORE_SPREAD_MS = 1_000;
 
+/** Drawn apart from the others as well. */
+const LINK_CUT = 'cutLinks';
+const SHORTEST_LINK_CUT_GAP_MS = 800;
+const LINK_CUT_GAP_SPREAD_MS = 3_000;
+
 const SHORTEST_GAP_MS = 60;
 const GAP_SPREAD_MS = 700;
 const SHORTEST_FAULT_MS = 150;
@@ -75,6 +80,23 @@
   return faults;
 }
 
+/** Times in which gateways lose their links to all backend servers, within `forMs`. */
+export function drawLinkCuts(seed: number, forMs: number): ScheduledFault[] {
+  const random = createRandom(seed);
+  const faults: ScheduledFault[] = [];
+  const drawCutGap = (): number => SHORTEST_LINK_CUT_GAP_MS + random.below(LINK_CUT_GAP_SPREAD_MS);
+  for (let atMs = drawCutGap(); atMs < forMs; atMs += drawCutGap()) {
+    const target = random.below(TARGETS);
+    faults.push({
+      atMs,
+      kind: LINK_CUT,
+      target,
+      forMs: SHORTEST_FAULT_MS + random.below(FAULT_SPREAD_MS),
+    });
+  }
+  return faults;
+}
+
 function drawGap(random: Random): number {
   return SHORTEST_GAP_MS + random.below(GAP_SPREAD_MS);
 }
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -4,6 +4,7 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createProxy, type Proxy } from '../../src/stand-ins/proxy/index.js';
+import { GatewayLinks } from '../../features/gateway/gateway-links.js';
 import { Site, type GatewayPlan, type GatewayProcess } from '../../features/gateway/site.js';
 import type { EngineStandIn } from '../../features/gateway/stand-ins/engine.js';
 import { waitFor } from '../../features/support/waiting.js';
@@ -44,11 +45,18 @@
   readonly breaches: string[] = [];
   servers: SoakServer[] = [];
   readonly keys = ['key-1'];
+  /** Of each gateway to all servers; none if all gateways share the servers' links. */
+  readonly links: readonly GatewayLinks[];
   private readonly fleet = new Map<string, EngineStandIn>();
-  private readonly links: Proxy[] = [];
+  private readonly proxies: Proxy[] = [];
   private version = 2;
   private added = 0;
 
+  /** With `linkedGateways`, so many gateways have links of their own to the servers. */
+  constructor(linkedGateways = 0) {
+    this.links = Array.from({ length: linkedGateways }, () => new GatewayLinks());
+  }
+
   async open(gateways: number): Promise<void> {
     await this.site.open();
     this.site.configure({ keys: this.keys });
@@ -60,8 +68,11 @@
   }
 
   private async addGateway(): Promise<void> {
-    const storeLink = await this.openLink(this.site.store.address);
+    const own = this.links[this.gateways.length];
+    const store = own ? await own.openView(this.site.store) : this.site.store.address;
+    const storeLink = await this.openLink(store);
     const plan = this.site.planGateway(storeLink.address);
+    if (own) plan.failureDomain = `${plan.failureDomain}-${plan.name}`;
     plan.seeds = this.gateways.map((gateway) => gateway.plan.peers);
     const process = await this.site.launch(plan);
     const gateway = { plan, process, storeLink, isAway: false, ownExits: [] };
@@ -102,6 +113,7 @@
       breaches: this.breaches,
       advertised: async (address) => {
         link = await this.openLink(address);
+        for (const links of this.links) await links.add(link.address, domain ? 'models' : 'app');
         return link.address;
       },
     });
@@ -165,13 +177,14 @@
   async close(): Promise<void> {
     for (const gateway of this.gateways) gateway.isAway = true;
     await this.site.close();
-    await Promise.all(this.links.map((link) => link.stop()));
+    await Promise.all(this.proxies.map((link) => link.stop()));
+    await Promise.all(this.links.map((links) => links.close()));
   }
 
   private async openLink(target: string): Promise<Proxy> {
     const created = await createProxy({ listen: '127.0.0.1:0', target });
     if (created.isErr()) throw new Error(created.error.message);
-    this.links.push(created.value);
+    this.proxies.push(created.value);
     return created.value;
   }
 }
--- a/features/gateway/lost-links.feature
+++ b/features/gateway/lost-links.feature
@@ -41,6 +41,7 @@
     And no call ran twice, and none that was refused has run
     When the links are back while callers go on for 5 s
     Then from 3 s on all gateways serve 9 in 10 of their requests
+    And no sound server was taken for failed
 
     Examples:
       | loss   |
--- a/features/gateway/lost-links.steps.ts
+++ b/features/gateway/lost-links.steps.ts
@@ -4,7 +4,8 @@
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Given, Then, When } from '@cucumber/cucumber';
-import { LinkedSite, type LinkLoss } from './linked-site.js';
+import type { LinkLoss } from './gateway-links.js';
+import { LinkedSite } from './linked-site.js';
 import type { Answer, GatewayProcess } from './site.js';
 import type { GatewayWorld } from './world.js';
 
--- a/features/gateway/soak.feature
+++ b/features/gateway/soak.feature
@@ -16,3 +16,13 @@
   Scenario: A short run with restores of the store
     When 2 gateways live through the faults of seed 301 and restores of the store for 6 seconds
     Then no promise was broken
+
+  # Gateways lose their links to all backend servers, some or all at once, beside all other faults.
+  Scenario Outline: A short run in which gateways lose their links
+    When 3 gateways live through the faults of seed <seed> and lost links for 10 seconds
+    Then no promise was broken
+
+    Examples:
+      | seed |
+      | 403  |
+      | 404  |
--- a/features/gateway/soak.steps.ts
+++ b/features/gateway/soak.steps.ts
@@ -30,6 +30,15 @@
   },
 );
 
+When(
+  '{int} gateways live through the faults of seed {int} and lost links for {int} seconds',
+  { timeout: STEP_TIMEOUT_MS },
+  async function (this: SoakWorld, gateways: number, seed: number, seconds: number) {
+    this.report = await runSoak({ seed, seconds, gateways, withLinkCuts: true });
+    assert.ok(this.report.faults.some(({ kind }) => kind === 'cutLinks'));
+  },
+);
+
 Then('no promise was broken', function (this: SoakWorld) {
   const { breaches, faults } = this.report;
   assert.deepEqual(breaches, [], JSON.stringify(faults));
--- a/src/gateway/backends/probe.ts
+++ b/src/gateway/backends/probe.ts
@@ -9,6 +9,8 @@
   | { kind: 'silent' }
   /** Not asked, because it is in a cooldown that it has named itself. */
   | { kind: 'coolingDown' }
+  /** Without an answer, but neither do other servers of the service answer this gateway. */
+  | { kind: 'unclear' }
   /** Nothing listens there, or another backend server or a restarted process does. */
   | { kind: 'gone' };
 
@@ -20,7 +22,7 @@
   { startedAt }: Pick<BackendServer, 'startedAt'>,
   status: number,
   body: string,
-): ProbeOutcome {
+): Extract<ProbeOutcome, { kind: 'answers' | 'gone' }> {
   if (status === MISDIRECTED_REQUEST_STATUS) return { kind: 'gone' };
   const report = codec.decodeReport(body);
   const isOtherProcess = report?.startedAt !== undefined && report.startedAt !== startedAt;
--- a/src/gateway/groups/member-monitor.ts
+++ b/src/gateway/groups/member-monitor.ts
@@ -83,6 +83,7 @@
             });
           return false;
         case 'coolingDown':
+        case 'unclear':
           return false;
         case 'gone':
         case 'silent':
--- a/src/gateway/links/link-monitor.ts
+++ b/src/gateway/links/link-monitor.ts
@@ -49,13 +49,20 @@
 }
 
 /** Where a server answers. */
-type Comparison = { kind: 'here' | 'peersOnly'; outcome: ProbeOutcome } | { kind: 'nowhere' };
+type Comparison =
+  | { kind: 'here' | 'peersOnly'; outcome: ProbeOutcome }
+  /** Other servers of the service answer here, so this one has failed. */
+  | { kind: 'nowhere' }
+  /** No other server answers here either, and other gateways may have lost their links as well. */
+  | { kind: 'unclear' };
 
 const TICK_MS: Milliseconds = 100;
 /** A server over a sound link answers sooner, unless it is stalled as a whole. */
 const QUICK_CHECK_TIMEOUT_MS: Milliseconds = 100;
 /** Gateways that are asked at the same time, since some of them may have lost their links as well. */
 const ASKED_PEERS = 3;
+/** Servers of a service that are checked to find out whether any answers. */
+const CHECKED_OTHERS = 2;
 
 export function createLinkMonitor(options: LinkMonitorOptions): LinkMonitor {
   const { context, checks, peers, section } = options;
@@ -90,13 +97,6 @@
   const recordSound = (id: string): void => {
     observe(id, (server) => table.recordSound(server, clock.now()), RETURN);
   };
-  const takeRandomPeers = (): GatewayPeer[] => {
-    const left = [...board.peers.read().values()];
-    const taken: GatewayPeer[] = [];
-    while (left.length > 0 && taken.length < ASKED_PEERS)
-      taken.push(...left.splice(random.below(left.length), 1));
-    return taken;
-  };
   const askPeer = async ({ name, address }: GatewayPeer, server: string): Promise<ServerCheck> => {
     try {
       return await peers.checkServer(address, server);
@@ -107,13 +107,31 @@
   };
   /** Resolves with the first answer of the server to another gateway; `unknown` if there is none. */
   const askPeers = async (server: string): Promise<ServerCheck> => {
-    const asked = takeRandomPeers().map(async (peer) => {
+    const asked = takeRandom([...board.peers.read().values()], ASKED_PEERS).map(async (peer) => {
       const outcome = await askPeer(peer, server);
       if (outcome.kind !== 'answers') throw new Error(outcome.kind);
       return outcome;
     });
     return Promise.any(asked).catch((): ServerCheck => ({ kind: 'unknown' }));
   };
+  /** Takes up to `count` random elements out of `from`. */
+  const takeRandom = <Value>(from: Value[], count: number): Value[] => {
+    const taken: Value[] = [];
+    while (from.length > 0 && taken.length < count)
+      taken.push(...from.splice(random.below(from.length), 1));
+    return taken;
+  };
+  const listOthers = ({ id, service }: Pick<BackendServer, 'id' | 'service'>): BackendServer[] =>
+    [...board.fleet.read().servers.values()].filter(
+      (other) => other.service === service && other.id !== id,
+    );
+  /** Whether any other server of the service answers here; also true if there is none. */
+  const answersElsewhere = async (server: BackendServer): Promise<boolean> => {
+    const others = takeRandom(listOthers(server), CHECKED_OTHERS);
+    if (others.length === 0) return true;
+    const outcomes = await Promise.all(others.map((other) => checks.check(other)));
+    return outcomes.some(({ kind }) => kind === 'answers');
+  };
   /**
    * Checks the server from here and from other gateways. After an answer to another one it is checked
    * from here once more, since it may have recovered in between.
@@ -129,8 +147,9 @@
       return { kind: 'peersOnly', outcome: others };
     }
     const known = findServer(server.id);
-    if (known) table.recordSilent(known);
-    return { kind: 'nowhere' };
+    if (known === undefined || (await answersElsewhere(known))) return { kind: 'nowhere' };
+    table.recordSilent(known);
+    return { kind: 'unclear' };
   };
   const runInvestigation = async (id: string, evidence: LinkEvidence): Promise<LinkVerdict> => {
     const server = findServer(id);
@@ -140,18 +159,16 @@
       if (kind === 'answers') return 'server';
     }
     const { kind } = await compareWithPeers(server);
-    return kind === 'peersOnly' || table.isCutOff(server.service) ? 'link' : 'server';
+    if (kind === 'peersOnly' || table.isCutOff(server.service)) return 'link';
+    return kind === 'unclear' ? 'unclear' : 'server';
   };
   const checkLink = (server: BackendServer): void => {
     void checks.check(server).then(({ kind }) => {
       if (kind === 'answers') recordSound(server.id);
     });
   };
-  const findRandomServer = (service: string): BackendServer | undefined => {
-    const servers = [...board.fleet.read().servers.values()];
-    const own = servers.filter((server) => server.service === service);
-    return own[random.below(Math.max(1, own.length))];
-  };
+  const findRandomServer = (service: string): BackendServer | undefined =>
+    takeRandom(listOthers({ id: '', service }), 1)[0];
   const tick = (): void => {
     const now = clock.now();
     const silent = table.cutOffSilent(now);
@@ -175,7 +192,15 @@
     },
     confirmProbe: async (server, outcome) => {
       const comparison = await compareWithPeers(server);
-      return comparison.kind === 'nowhere' ? outcome : comparison.outcome;
+      switch (comparison.kind) {
+        case 'nowhere':
+          return outcome;
+        case 'unclear':
+          return comparison;
+        case 'here':
+        case 'peersOnly':
+          return comparison.outcome;
+      }
     },
     recordHeard: (service) => {
       table.recordHeard(service, clock.now());
@@ -207,8 +232,7 @@
     checkForPeer: async (id) => {
       const server = findServer(id);
       if (server === undefined || table.isLost(server)) return { kind: 'unknown' };
-      const outcome = await checks.check(server);
-      return outcome.kind === 'coolingDown' ? { kind: 'unknown' } : outcome;
+      return checks.check(server);
     },
     start: () => {
       board.fleet.subscribe(() => {
--- a/src/gateway/links/server-check.ts
+++ b/src/gateway/links/server-check.ts
@@ -9,10 +9,11 @@
 
 /** Checks servers without reusing connections, because old ones may outlive a cut. */
 export interface ServerChecks {
-  check(server: CheckedServer, timeoutMs?: Milliseconds): Promise<ProbeOutcome>;
+  check(server: CheckedServer, timeoutMs?: Milliseconds): Promise<CheckOutcome>;
   close(): Promise<void>;
 }
 
+export type CheckOutcome = Exclude<ProbeOutcome, { kind: 'coolingDown' | 'unclear' }>;
 export type CheckedServer = Pick<BackendServer, 'id' | 'address' | 'startedAt'>;
 
 /** Servers answer checks without a free slot. */
--- a/src/gateway/links/types.ts
+++ b/src/gateway/links/types.ts
@@ -11,10 +11,10 @@
   | 'silent';
 
 /** Who is at fault. */
-export type LinkVerdict = 'server' | 'link';
+export type LinkVerdict = 'server' | 'link' | 'unclear';
 
 /** Result of a check for another gateway. */
 export type ServerCheck =
-  | Exclude<ProbeOutcome, { kind: 'coolingDown' }>
+  | Exclude<ProbeOutcome, { kind: 'coolingDown' | 'unclear' }>
   /** The asked gateway can't tell: it doesn't know the server or has lost its own links. */
   | { kind: 'unknown' };
--- a/src/gateway/requests/backend-tracker.ts
+++ b/src/gateway/requests/backend-tracker.ts
@@ -233,6 +233,9 @@
       case 'link':
         suspicions.clear(server, now);
         failures.forget(server);
+        return;
+      case 'unclear':
+        return;
     }
   };
   /** Evidence from before or during a cut says nothing of the servers behind it. */
