--- a/features/gateway/links.steps.ts
+++ b/features/gateway/links.steps.ts
@@ -203,7 +203,7 @@
       codec: platform.orders,
       onProbe: () => undefined,
       availability: { record: () => undefined, cooldownLeftMs: () => 0, isLeaving: () => false },
-      links: { confirmProbe: () => Promise.resolve(confirmed) },
+      links: { probeFromAll: () => Promise.resolve(confirmed) },
     });
   },
 );
--- a/src/controllers/links/link-table.ts
+++ b/src/controllers/links/link-table.ts
@@ -28,6 +28,8 @@
 const CUT_OFF_AFTER_SILENT_SERVERS = 3;
 /** Time without anything from a service before servers that answer nobody count against its links. */
 const SERVICE_SILENCE_MS: Milliseconds = 500;
+/** Below the shortest time without data after which a server is suspected. */
+const HEARD_WITHIN_MS: Milliseconds = 150;
 /** Interval between two checks of a lost link. */
 const LINK_CHECK_INTERVAL_MS: Milliseconds = 1_000;
 /** Interval between two checks of a service that is cut off. */
@@ -86,6 +88,11 @@
     if (state.lostInRow.size === 0) this.services.delete(service);
   }
 
+  /** Whether something came from a server of the service a moment ago. */
+  isHeard(service: string, now: Milliseconds): boolean {
+    return now - (this.heardAt.get(service) ?? Number.NEGATIVE_INFINITY) < HEARD_WITHIN_MS;
+  }
+
   /** Records an answer of the server over a new connection of this gateway. */
   recordSound({ id, service }: LinkedServer, now: Milliseconds): LinkChange {
     const wasCutOff = this.isCutOff(service);
--- a/src/gateway/backends/engine-calls.ts
+++ b/src/gateway/backends/engine-calls.ts
@@ -10,13 +10,15 @@
 import { isConnectionRefused, readProbe, type ProbeOutcome } from './probe.js';
 import type { ServerAvailability } from './server-availability.js';
 
+/** `escalating`: from here, and if that fails, from other gateways as well. */
+export type ProbeOrigin = 'here' | 'escalating' | 'all';
+
 /** Sends orders and probes to engines, without retries. */
 export interface EngineCalls {
   /** Whether the engine is to get no orders now, because it has named a cooldown. */
   isCoolingDown(engine: Pick<CalledEngine, 'id'>): boolean;
   order(due: DueOrder): Promise<OrderOutcome>;
-  /** With `alone`, a failed probe is not confirmed by other gateways. */
-  probe(member: GroupMember, options?: { alone: boolean }): Promise<ProbeOutcome>;
+  probe(member: GroupMember, from?: ProbeOrigin): Promise<ProbeOutcome>;
   close(): Promise<void>;
 }
 
@@ -38,7 +40,7 @@
   codec: OrderCodec;
   onProbe: () => void;
   availability: ServerAvailability;
-  links: Pick<LinkMonitor, 'confirmProbe'>;
+  links: Pick<LinkMonitor, 'probeFromAll'>;
 }
 
 export function createEngineCalls({
@@ -83,12 +85,13 @@
       } catch (error) {
         const reason = error instanceof Error ? error.message : 'unknown error';
         if (!isConnectionRefused(error)) return { kind: 'unknown', reason };
-        const { kind } = await links.confirmProbe(to, { kind: 'gone' });
+        const { kind } = await links.probeFromAll(to);
         return kind === 'gone' ? { kind } : { kind: 'unknown', reason };
       }
     },
-    probe: async (member, { alone } = { alone: false }) => {
+    probe: async (member, from = 'escalating') => {
       if (isCoolingDown(member)) return { kind: 'coolingDown' };
+      if (from === 'all') return links.probeFromAll(member);
       onProbe();
       try {
         const report = codec.encodeReport(member.id);
@@ -97,7 +100,7 @@
       } catch (error) {
         // The caller logs the outcome.
         const outcome: ProbeOutcome = { kind: isConnectionRefused(error) ? 'gone' : 'silent' };
-        return alone ? outcome : links.confirmProbe(member, outcome);
+        return from === 'here' ? outcome : links.probeFromAll(member);
       }
     },
     close: () => agent.destroy(),
--- a/src/gateway/groups/member-monitor.ts
+++ b/src/gateway/groups/member-monitor.ts
@@ -37,7 +37,7 @@
 const SLOW_TTL_MS: Milliseconds = 6_000;
 /**
  * Probes without an answer before an engine counts as lost, to tolerate packet loss; the last one is
- * confirmed by other gateways.
+ * made from other gateways as well.
  */
 const PROBE_ATTEMPTS = 2;
 const RECHECK_INTERVAL_MS: Milliseconds = 1_000;
@@ -72,7 +72,7 @@
 
   const isLost = async (member: GroupMember): Promise<boolean> => {
     for (let attempt = 1; attempt <= PROBE_ATTEMPTS; attempt += 1) {
-      const outcome = await calls.probe(member, { alone: attempt < PROBE_ATTEMPTS });
+      const outcome = await calls.probe(member, attempt < PROBE_ATTEMPTS ? 'here' : 'all');
       switch (outcome.kind) {
         case 'answers':
           if (outcome.pace < SLOW_PACE_RATIO) slow.delete(incarnationKey(member));
@@ -141,7 +141,7 @@
       if (now < nextRecheckAt || lost.size === 0) return;
       nextRecheckAt = now + RECHECK_INTERVAL_MS;
       for (const member of lost.values()) {
-        void calls.probe(member, { alone: true }).then((outcome) => {
+        void calls.probe(member, 'here').then((outcome) => {
           if (outcome.kind !== 'answers') return;
           lost.delete(incarnationKey(member));
           logger.log('serverAnswersAgain', { server: member.id });
--- a/src/gateway/links/link-monitor.ts
+++ b/src/gateway/links/link-monitor.ts
@@ -21,12 +21,14 @@
 export interface LinkMonitor extends GatewayPart {
   /** Finds out who is at fault when `server` does not respond. Concurrent calls share the answer. */
   investigate(server: string, evidence: LinkEvidence): Promise<LinkVerdict>;
-  /** The outcome of a probe that failed here, as other gateways see it. */
-  confirmProbe(server: CheckedServer, outcome: ProbeOutcome): Promise<ProbeOutcome>;
+  /** Probes `server` from here and from other gateways. */
+  probeFromAll(server: CheckedServer): Promise<ProbeOutcome>;
   /** Records that something came from a server of `service` over a link of this gateway. */
   recordHeard(service: string): void;
   /** Records an answer over a connection that was opened for it. */
   recordNewConnection(server: string): void;
+  /** Whether something came from another server of the same service a moment ago. */
+  areOthersHeard(server: string): boolean;
   /** Whether requests to `server` have to be relayed by another gateway. */
   isLost(server: string): boolean;
   /** Whether requests reach `server` at all, over a link of this gateway or of another one. */
@@ -52,7 +54,7 @@
 type Comparison =
   | { kind: 'here' | 'peersOnly'; outcome: ProbeOutcome }
   /** Other servers of the service answer here, so this one has failed. */
-  | { kind: 'nowhere' }
+  | { kind: 'nowhere'; outcome: ProbeOutcome }
   /** No other server answers here either, and other gateways may have lost their links as well. */
   | { kind: 'unclear' };
 
@@ -140,14 +142,16 @@
     const first = checks.check(server);
     const others = await askPeers(server.id);
     const second = others.kind === 'answers' ? checks.check(server) : first;
-    const own = (await Promise.all([first, second])).find(({ kind }) => kind === 'answers');
-    if (own) return { kind: 'here', outcome: own };
+    const own = await Promise.all([first, second]);
+    const answer = own.find(({ kind }) => kind === 'answers');
+    if (answer) return { kind: 'here', outcome: answer };
     if (others.kind === 'answers') {
       observe(server.id, (known) => table.recordLost(known, clock.now()), LOSS);
       return { kind: 'peersOnly', outcome: others };
     }
     const known = findServer(server.id);
-    if (known === undefined || (await answersElsewhere(known))) return { kind: 'nowhere' };
+    if (known === undefined || (await answersElsewhere(known)))
+      return { kind: 'nowhere', outcome: own[1] };
     table.recordSilent(known);
     return { kind: 'unclear' };
   };
@@ -190,17 +194,9 @@
       investigations.set(server, started);
       return started;
     },
-    confirmProbe: async (server, outcome) => {
+    probeFromAll: async (server) => {
       const comparison = await compareWithPeers(server);
-      switch (comparison.kind) {
-        case 'nowhere':
-          return outcome;
-        case 'unclear':
-          return comparison;
-        case 'here':
-        case 'peersOnly':
-          return comparison.outcome;
-      }
+      return comparison.kind === 'unclear' ? comparison : comparison.outcome;
     },
     recordHeard: (service) => {
       table.recordHeard(service, clock.now());
@@ -208,6 +204,10 @@
     recordNewConnection: (server) => {
       if (!table.isClear) recordSound(server);
     },
+    areOthersHeard: (id) => {
+      const service = findServer(id)?.service;
+      return service !== undefined && table.isHeard(service, clock.now());
+    },
     isLost: (id) => {
       const server = table.isClear ? undefined : findServer(id);
       return server !== undefined && table.isLost(server);
