--- a/features/gateway/sound-links.ts
+++ b/features/gateway/sound-links.ts
@@ -4,6 +4,7 @@
 import type { TrackedLinks } from '../../src/gateway/requests/backend-tracker.js';
 
 export const SOUND_LINKS: TrackedLinks = {
+  areOthersHeard: () => true,
   investigate: () => Promise.resolve('server'),
   isInReach: () => true,
   isLost: () => false,
--- a/src/controllers/forwarding/suspicion.ts
+++ b/src/controllers/forwarding/suspicion.ts
@@ -89,10 +89,10 @@
     return [...this.entries.values()].filter(({ until }) => now < until);
   }
 
-  /** Confirms a suspicion that was detected here; returns false if it is no longer in force. */
+  /** Confirms a suspicion in force that was detected here; returns false if there is nothing to confirm. */
   confirm(server: string, now: Milliseconds): boolean {
     const known = this.entries.get(server);
-    if (known === undefined || now >= known.until) return false;
+    if (known === undefined || known.isConfirmed || now >= known.until) return false;
     known.isConfirmed = true;
     return true;
   }
--- a/src/gateway/requests/backend-tracker.ts
+++ b/src/gateway/requests/backend-tracker.ts
@@ -37,7 +37,10 @@
 }
 
 /** What the tracker needs to know of the links to the servers. */
-export type TrackedLinks = Pick<LinkMonitor, 'investigate' | 'isInReach' | 'isLost'>;
+export type TrackedLinks = Pick<
+  LinkMonitor,
+  'areOthersHeard' | 'investigate' | 'isInReach' | 'isLost'
+>;
 
 /** This gateway's view of all backend servers. */
 export interface BackendTracker {
@@ -222,16 +225,20 @@
   /** Whether it is neither excluded nor suspected nor leaving, even if it may get nothing now. */
   const isPossible = (target: Target, excluded: ReadonlySet<string>, now: Milliseconds): boolean =>
     !excluded.has(target.server.id) && isUsable(target, now) && links.isInReach(target.server);
+  const share = (server: string): void => {
+    if (!suspicions.confirm(server, clock.now())) return;
+    for (const listener of suspicionListeners) listener(server);
+  };
   const investigate = async (server: string, evidence: LinkEvidence): Promise<void> => {
+    // While others are heard, the server is probably at fault, and peers are to know soon.
+    if (evidence === 'silent' && links.areOthersHeard(server)) share(server);
     const verdict = await links.investigate(server, evidence);
-    const now = clock.now();
     switch (verdict) {
       case 'server':
-        if (!suspicions.confirm(server, now)) return;
-        for (const listener of suspicionListeners) listener(server);
+        share(server);
         return;
       case 'link':
-        suspicions.clear(server, now);
+        suspicions.clear(server, clock.now());
         failures.forget(server);
         return;
       case 'unclear':
