Leave servers in a cooldown alone when links are checked, and split the link monitor

Found by reading: checks of links bypassed the cooldown that a server has named, and did not read what their answers say of it. The comparison with other gateways is a module of its own now.

--- a/src/gateway/backends/engine-calls.ts
+++ b/src/gateway/backends/engine-calls.ts
@@ -7,6 +7,7 @@
 import type { EngineCall, OrderCodec, OrderOutcome } from '../../ports/index.js';
 import type { LinkMonitor } from '../links/link-monitor.js';
 import type { DueOrder, GroupMember } from '../../controllers/groups/index.js';
+import { flattenHeaders } from './headers.js';
 import { isConnectionRefused, readProbe, type ProbeOutcome } from './probe.js';
 import type { ServerAvailability } from './server-availability.js';
 
@@ -66,7 +67,7 @@
       const answer = await agent.request(request);
       return {
         status: answer.statusCode,
-        headers: listHeaders(answer.headers),
+        headers: flattenHeaders(answer.headers),
         body: await answer.body.text(),
       };
     });
@@ -106,9 +107,3 @@
     close: () => agent.destroy(),
   };
 }
-
-function listHeaders(headers: Readonly<Record<string, string | string[] | undefined>>): string[] {
-  return Object.entries(headers).flatMap(([name, values = []]) =>
-    [values].flat().flatMap((value) => [name, value]),
-  );
-}
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -144,10 +144,15 @@
   const onProbe = (): void => {
     metrics.probes.inc();
   };
-  const checks = createServerChecks(platform.orders, onProbe);
+  const checks = createServerChecks({ codec: platform.orders, availability, onProbe });
   const peerClient = createPeerClient();
   const section = board.cutOffServices;
-  const links = createLinkMonitor({ context, checks, peers: peerClient, section });
+  const links = createLinkMonitor({
+    context,
+    checks,
+    askPeer: (address, server) => peerClient.checkServer(address, server),
+    section,
+  });
   const engineCalls = createEngineCalls({ codec: platform.orders, onProbe, availability, links });
   const backends = createBackendTracker(context, members, availability, links);
   backends.onRestart((server) => {
--- a/src/gateway/links/link-monitor.ts
+++ b/src/gateway/links/link-monitor.ts
@@ -10,12 +10,13 @@
   type LinkChange,
   type RelayPeer,
 } from '../../controllers/links/index.js';
-import type { GatewayPeer } from '../../controllers/peering/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { BackendServer } from '../../ports/index.js';
 import type { ProbeOutcome } from '../backends/probe.js';
 import type { GatewayContext, GatewayPart } from '../types.js';
 import type { CheckedServer, ServerChecks } from './server-check.js';
+import { createServerComparison, type ServerComparison } from './server-comparison.js';
+import { takeRandom } from './take-random.js';
 import type { LinkEvidence, LinkVerdict, ServerCheck } from './types.js';
 
 export interface LinkMonitor extends GatewayPart {
@@ -46,28 +47,26 @@
 interface LinkMonitorOptions {
   context: GatewayContext;
   checks: ServerChecks;
-  peers: { checkServer(address: string, server: string): Promise<ServerCheck> };
+  /** Has the gateway at `address` check a server. */
+  askPeer: (address: string, server: string) => Promise<ServerCheck>;
   section: WritableSection<readonly string[]>;
 }
 
-/** Where a server answers. */
-type Comparison =
-  | { kind: 'here' | 'peersOnly'; outcome: ProbeOutcome }
-  /** Other servers of the service answer here, so this one has failed. */
-  | { kind: 'nowhere'; outcome: ProbeOutcome }
-  /** No other server answers here either, and other gateways may have lost their links as well. */
-  | { kind: 'unclear' };
-
 const TICK_MS: Milliseconds = 100;
 /** A server over a sound link answers sooner, unless it is stalled as a whole. */
 const QUICK_CHECK_TIMEOUT_MS: Milliseconds = 100;
-/** Gateways that are asked at the same time, since some of them may have lost their links as well. */
-const ASKED_PEERS = 3;
-/** Servers of a service that are checked to find out whether any answers. */
-const CHECKED_OTHERS = 2;
+
+/** Log events of what an observation has changed. */
+interface ChangeEvents {
+  link: 'linkLost' | 'linkRestored';
+  service: 'serviceCutOff' | 'serviceReached';
+}
+
+const LOSS: ChangeEvents = { link: 'linkLost', service: 'serviceCutOff' };
+const RETURN: ChangeEvents = { link: 'linkRestored', service: 'serviceReached' };
 
 export function createLinkMonitor(options: LinkMonitorOptions): LinkMonitor {
-  const { context, checks, peers, section } = options;
+  const { context, checks, section } = options;
   const { board, clock, logger, metrics, random, settings } = context;
   const table = new LinkTable();
   const relays = new RelayPeers();
@@ -84,7 +83,7 @@
   const observe = (
     id: string,
     apply: (server: BackendServer) => LinkChange,
-    events: { link: 'linkLost' | 'linkRestored'; service: 'serviceCutOff' | 'serviceReached' },
+    events: ChangeEvents,
   ): void => {
     const server = findServer(id);
     if (server === undefined) return;
@@ -94,66 +93,17 @@
     if (change.service) logger.log(events.service, { service });
     if (change.link || change.service) publish();
   };
-  const LOSS = { link: 'linkLost', service: 'serviceCutOff' } as const;
-  const RETURN = { link: 'linkRestored', service: 'serviceReached' } as const;
   const recordSound = (id: string): void => {
     observe(id, (server) => table.recordSound(server, clock.now()), RETURN);
   };
-  const askPeer = async ({ name, address }: GatewayPeer, server: string): Promise<ServerCheck> => {
-    try {
-      return await peers.checkServer(address, server);
-    } catch (error) {
-      logger.log('peerCallFailed', { peer: name, reason: String(error) });
-      return { kind: 'unknown' };
-    }
-  };
-  /** Resolves with the first answer of the server to another gateway; `unknown` if there is none. */
-  const askPeers = async (server: string): Promise<ServerCheck> => {
-    const asked = takeRandom([...board.peers.read().values()], ASKED_PEERS).map(async (peer) => {
-      const outcome = await askPeer(peer, server);
-      if (outcome.kind !== 'answers') throw new Error(outcome.kind);
-      return outcome;
-    });
-    return Promise.any(asked).catch((): ServerCheck => ({ kind: 'unknown' }));
-  };
-  /** Takes up to `count` random elements out of `from`. */
-  const takeRandom = <Value>(from: Value[], count: number): Value[] => {
-    const taken: Value[] = [];
-    while (from.length > 0 && taken.length < count)
-      taken.push(...from.splice(random.below(from.length), 1));
-    return taken;
-  };
-  const listOthers = ({ id, service }: Pick<BackendServer, 'id' | 'service'>): BackendServer[] =>
-    [...board.fleet.read().servers.values()].filter(
-      (other) => other.service === service && other.id !== id,
-    );
-  /** Whether any other server of the service answers here; also true if there is none. */
-  const answersElsewhere = async (server: BackendServer): Promise<boolean> => {
-    const others = takeRandom(listOthers(server), CHECKED_OTHERS);
-    if (others.length === 0) return true;
-    const outcomes = await Promise.all(others.map((other) => checks.check(other)));
-    return outcomes.some(({ kind }) => kind === 'answers');
-  };
-  /**
-   * Checks the server from here and from other gateways. After an answer to another one it is checked
-   * from here once more, since it may have recovered in between.
-   */
-  const compareWithPeers = async (server: CheckedServer): Promise<Comparison> => {
-    const first = checks.check(server);
-    const others = await askPeers(server.id);
-    const second = others.kind === 'answers' ? checks.check(server) : first;
-    const own = await Promise.all([first, second]);
-    const answer = own.find(({ kind }) => kind === 'answers');
-    if (answer) return { kind: 'here', outcome: answer };
-    if (others.kind === 'answers') {
+  const compareServer = createServerComparison({ context, checks, askPeer: options.askPeer });
+  const compare = async (server: CheckedServer): Promise<ServerComparison> => {
+    const comparison = await compareServer(server);
+    if (comparison.kind === 'peersOnly')
       observe(server.id, (known) => table.recordLost(known, clock.now()), LOSS);
-      return { kind: 'peersOnly', outcome: others };
-    }
-    const known = findServer(server.id);
-    if (known === undefined || (await answersElsewhere(known)))
-      return { kind: 'nowhere', outcome: own[1] };
-    table.recordSilent(known);
-    return { kind: 'unclear' };
+    const known = comparison.kind === 'unclear' ? findServer(server.id) : undefined;
+    if (known) table.recordSilent(known);
+    return comparison;
   };
   const runInvestigation = async (id: string, evidence: LinkEvidence): Promise<LinkVerdict> => {
     const server = findServer(id);
@@ -162,7 +112,7 @@
       const { kind } = await checks.check(server, QUICK_CHECK_TIMEOUT_MS);
       if (kind === 'answers') return 'server';
     }
-    const { kind } = await compareWithPeers(server);
+    const { kind } = await compare(server);
     if (kind === 'peersOnly' || table.isCutOff(server.service)) return 'link';
     return kind === 'unclear' ? 'unclear' : 'server';
   };
@@ -171,8 +121,14 @@
       if (kind === 'answers') recordSound(server.id);
     });
   };
-  const findRandomServer = (service: string): BackendServer | undefined =>
-    takeRandom(listOthers({ id: '', service }), 1)[0];
+  const findRandomServer = (service: string): BackendServer | undefined => {
+    const servers = [...board.fleet.read().servers.values()];
+    return takeRandom(
+      random,
+      servers.filter((server) => server.service === service),
+      1,
+    )[0];
+  };
   const tick = (): void => {
     const now = clock.now();
     const silent = table.cutOffSilent(now);
@@ -195,7 +151,7 @@
       return started;
     },
     probeFromAll: async (server) => {
-      const comparison = await compareWithPeers(server);
+      const comparison = await compare(server);
       return comparison.kind === 'unclear' ? comparison : comparison.outcome;
     },
     recordHeard: (service) => {
@@ -232,7 +188,8 @@
     checkForPeer: async (id) => {
       const server = findServer(id);
       if (server === undefined || table.isLost(server)) return { kind: 'unknown' };
-      return checks.check(server);
+      const outcome = await checks.check(server);
+      return outcome.kind === 'coolingDown' ? { kind: 'unknown' } : outcome;
     },
     start: () => {
       board.fleet.subscribe(() => {
--- a/src/gateway/links/server-check.ts
+++ b/src/gateway/links/server-check.ts
@@ -1,11 +1,13 @@
 /**
- * Checks whether a backend server answers over a new connection.
+ * Checks whether a backend server answers over a new connection, unless it is in a cooldown.
  */
 import { Agent } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { callWithTimeout } from '../../core/timeout/index.js';
 import type { BackendServer, OrderCodec } from '../../ports/index.js';
+import { flattenHeaders } from '../backends/headers.js';
 import { isConnectionRefused, readProbe, type ProbeOutcome } from '../backends/probe.js';
+import type { ServerAvailability } from '../backends/server-availability.js';
 
 /** Checks servers without reusing connections, because old ones may outlive a cut. */
 export interface ServerChecks {
@@ -13,16 +15,27 @@
   close(): Promise<void>;
 }
 
-export type CheckOutcome = Exclude<ProbeOutcome, { kind: 'coolingDown' | 'unclear' }>;
+export type CheckOutcome = Exclude<ProbeOutcome, { kind: 'unclear' }>;
 export type CheckedServer = Pick<BackendServer, 'id' | 'address' | 'startedAt'>;
 
 /** Servers answer checks without a free slot. */
 const CHECK_TIMEOUT_MS: Milliseconds = 300;
 
-export function createServerChecks(codec: OrderCodec, onProbe: () => void): ServerChecks {
+interface ServerChecksOptions {
+  codec: OrderCodec;
+  availability: ServerAvailability;
+  onProbe: () => void;
+}
+
+export function createServerChecks({
+  codec,
+  availability,
+  onProbe,
+}: ServerChecksOptions): ServerChecks {
   const agent = new Agent({ pipelining: 0, connect: { timeout: CHECK_TIMEOUT_MS } });
   return {
     check: async (server, timeoutMs = CHECK_TIMEOUT_MS) => {
+      if (availability.cooldownLeftMs(server.id) > 0) return { kind: 'coolingDown' };
       onProbe();
       const { method, path, headers } = codec.encodeReport(server.id);
       try {
@@ -36,7 +49,10 @@
             signal,
             reset: true,
           });
-          return readProbe(codec, server, answer.statusCode, await answer.body.text());
+          const { statusCode } = answer;
+          const notice = codec.decodeNotice(statusCode, flattenHeaders(answer.headers));
+          availability.record(server, notice);
+          return readProbe(codec, server, statusCode, await answer.body.text());
         });
       } catch (error) {
         return { kind: isConnectionRefused(error) ? 'gone' : 'silent' };
