--- a/features/cli/diagnose.steps.ts
+++ b/features/cli/diagnose.steps.ts
@@ -43,6 +43,7 @@
     attemptEnded('refused with 503'),
     ended('refused', 'all targets are cooling down'),
   ],
+  'found no gateway with links': [ended('refused', 'no gateway reaches the service')],
   'broke off at its server': [
     SENT,
     attemptEnded('read ECONNRESET', 'broken'),
--- a/features/gateway/lost-links.steps.ts
+++ b/features/gateway/lost-links.steps.ts
@@ -4,6 +4,8 @@
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Given, Then, When } from '@cucumber/cucumber';
+import { explainRequest } from '../../src/cli/explain/findings.js';
+import { parseLines } from '../../src/cli/explain/log-lines.js';
 import type { LinkLoss } from './gateway-links.js';
 import { LinkedSite } from './linked-site.js';
 import type { Answer, GatewayProcess } from './site.js';
@@ -247,6 +249,13 @@
   assert.deepEqual(wrong, []);
 });
 
+Then('explaining the last of them tells {string}', function (this: LinkWorld, cause: string) {
+  const last = this.attempts.at(-1);
+  assert.ok(last);
+  const text = last.gateway.lines.map((line) => JSON.stringify(line)).join('\n');
+  assert.equal(explainRequest(last.id, parseLines(text)).cause, cause);
+});
+
 Then('no gateway has lost a link', function (this: LinkWorld) {
   const lines = this.site.gateways.flatMap((gateway) => gateway.lines);
   assert.deepEqual(
