Decode evacuations, cold servers and the memory of replicas, used by no decision yet

The platform names the rate that a cold server bears, how long it stays cold, the tokens that a replica holds, and a kind of objects that evacuate failure domains; none of it was read.

--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -16,6 +16,7 @@
   slots: z.number(),
   leaving: z.boolean(),
   startedAt: z.number().exactOptional(),
+  coldForMs: z.number().nonnegative().exactOptional(),
   engine: z
     .object({
       fabricDomain: z.string(),
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -64,6 +64,27 @@
         .describe('Time after which a head that lacks a member gives up its replica.'),
     })
     .prefault({}),
+  evacuation: z
+    .strictObject({
+      evacuateMs: milliseconds.describe(
+        'Time after an acknowledged evacuation from which no request may reach the failure domain.',
+      ),
+    })
+    .optional()
+    .describe('Follows evacuations of failure domains; off if absent.'),
+  coldServers: z
+    .strictObject({
+      overrun: z
+        .number()
+        .min(1)
+        .describe('Factor by which a cold server may get more than its named rate in one second.'),
+      slack: z
+        .number()
+        .nonnegative()
+        .describe('Requests that a cold server may get in one second beyond that.'),
+    })
+    .optional()
+    .describe('Keeps to the rates that cold servers bear; off if absent.'),
   stopping: z
     .strictObject({
       graceMs: milliseconds
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -30,6 +30,8 @@
   configurationKind: string;
   configurationName: string;
   decodeConfiguration(value: unknown): DecodedConfiguration;
+  /** Kind of the store objects that each name one evacuated failure domain. */
+  evacuationKind: string;
 }
 
 /** A decoded configuration, or the reason why it is invalid. */
--- a/src/ports/fleet.ts
+++ b/src/ports/fleet.ts
@@ -1,6 +1,7 @@
 /**
  * Backend servers, as described by the entries that they write to the object store.
  */
+import type { Milliseconds } from '../core/clock/index.js';
 
 /** State of an instance in its replica. `broken`: members were missing for too long. */
 export type MembershipState = 'joining' | 'ready' | 'open' | 'closing' | 'broken';
@@ -32,6 +33,8 @@
    * if the server doesn't report it.
    */
   startedAt?: number;
+  /** How much longer the server is cold, by its last entry; absent if it is not cold. */
+  coldForMs?: Milliseconds;
   /** Present only for engines. */
   engine?: EngineState;
 }
--- a/src/ports/server-notices.ts
+++ b/src/ports/server-notices.ts
@@ -14,4 +14,6 @@
   /** The server is shutting down. */
   leaving: boolean;
   retryAfter: RetryAfter;
+  /** How much longer the server is cold; absent if the response does not say. */
+  coldForMs?: Milliseconds;
 }
--- a/src/ports/serving.ts
+++ b/src/ports/serving.ts
@@ -63,6 +63,8 @@
   models: readonly GroupModel[];
   /** Maximum number of concurrent requests of one replica. */
   slots: number;
+  /** Tokens of concurrent requests that fit into the memory of one replica; absent if unknown. */
+  memoryTokens?: number;
   /** Generation steps per scheduler iteration; each event contains the tokens of one iteration. */
   stride: number;
   /** Base duration of one generation step. */
@@ -81,6 +83,14 @@
   formMs: Milliseconds;
 }
 
+/** What a backend server bears while it is cold, which it is after a start or at any other time. */
+export interface ColdProfile {
+  /** Requests per second of all gateways together; a cold server crashes well above this rate. */
+  perSecond: number;
+  /** How long a server is cold after it has started. */
+  startMs: Milliseconds;
+}
+
 /** A named set of backend servers. */
 export interface ServingService {
   name: string;
@@ -88,6 +98,8 @@
   maxConnections: number;
   /** Present only if the backend servers are engines that form replicas. */
   engine?: EngineProfile;
+  /** Present only if the backend servers are cold for some time after they start. */
+  cold?: ColdProfile;
 }
 
 /** A workspace whose callers authenticate with one of its API keys. */
