Entry: keep a retry queued while the replicas it may go to are absent for a moment

A retry that must avoid the replica that failed it was refused at once as noCapacity, and told its caller that the outcome is unknown, whenever that replica was the only one in service, while a request without exclusions waits 2 s for a replica.

The retry now waits for the same 2 s. Since it may wait, it no longer holds up the requests of its workspace behind it. "A retry outlasts a short absence" failed before (refused at once), passes now; routing: 21 of 21.

--- a/features/routing/routing.feature
+++ b/features/routing/routing.feature
@@ -17,6 +17,15 @@
       When the replica is away for 2500 ms
       Then a waiting request is refused as noCapacity with a time to come back
 
+    # Guards against failing an answer whose retry finds the other replica absent for a moment.
+    Scenario: A retry outlasts a short absence of every replica that it may go to, and no longer one
+      Given a dispatcher with two replicas
+      When a retry that may not go to r0 arrives while r1 is away for 1500 ms
+      Then the retry is sent to r1
+      When a retry that may not go to r0 arrives while r1 is away for 2500 ms
+      Then the retry is refused, and was not before 2000 ms
+      And other requests were sent to r0 meanwhile
+
     # Guards against queueing a request until its deadline although it can't be met.
     Scenario: A request that can not be reached in time is refused at once
       Given a dispatcher whose only replica takes one request a second
--- a/features/routing/routing.steps.ts
+++ b/features/routing/routing.steps.ts
@@ -107,6 +107,57 @@
   resetWorld(this, [makeCandidate('r0', 0), makeCandidate('r1', 0)]);
 });
 
+const RECHECK_MS = 100;
+
+interface RetryWorld extends RoutingWorld {
+  retryTicket: string;
+  retryOutcome: { action: DispatchAction; afterMs: number } | undefined;
+  othersTo: Set<string>;
+}
+
+When(
+  'a retry that may not go to r0 arrives while r1 is away for {int} ms',
+  function (this: RetryWorld, awayMs: number) {
+    const start = this.now;
+    this.retryTicket = `retry-${awayMs}`;
+    this.retryOutcome = undefined;
+    this.othersTo = new Set();
+    this.view = makeView([makeCandidate('r0', this.now)]);
+    offer(this, this.retryTicket, { excluded: ['r0'], mayHaveRun: true });
+    for (let afterMs = 0; afterMs <= awayMs; afterMs += RECHECK_MS) {
+      this.now = start + afterMs;
+      const candidates = [makeCandidate('r0', this.now)];
+      if (afterMs === awayMs) candidates.push(makeCandidate('r1', this.now));
+      this.view = makeView(candidates);
+      const action = runDispatch(this).find(({ ticket }) => ticket === this.retryTicket);
+      if (action) this.retryOutcome ??= { action, afterMs };
+      if (afterMs < awayMs) {
+        const other = `${this.retryTicket}-other-${afterMs}`;
+        this.othersTo.add(routeRequest(this, other, {}));
+        reportEnd(this.state, other, { kind: 'completed', outputTokens: 10 }, this.now);
+      }
+    }
+  },
+);
+
+Then('the retry is sent to r1', function (this: RetryWorld) {
+  const action = this.retryOutcome?.action;
+  assert.ok(action?.kind === 'send');
+  assert.equal(action.candidate.replica, 'r1');
+});
+
+Then(
+  'the retry is refused, and was not before {int} ms',
+  function (this: RetryWorld, earliestMs: number) {
+    assert.equal(this.retryOutcome?.action.kind, 'refuse');
+    assert.ok(this.retryOutcome.afterMs >= earliestMs);
+  },
+);
+
+Then('other requests were sent to r0 meanwhile', function (this: RetryWorld) {
+  assert.deepEqual([...this.othersTo], ['r0']);
+});
+
 /** Makes `replica` refuse a request. */
 function refuseAt(world: RoutingWorld, replica: string, retryAfterMs: number): void {
   const other = replica === 'r0' ? 'r1' : 'r0';
--- a/src/controllers/routing/dispatch.ts
+++ b/src/controllers/routing/dispatch.ts
@@ -110,16 +110,19 @@
   let isNoisyNeighborBlocked = false;
   for (const classQueue of orderClasses(queue)) {
     for (const workspaceQueue of orderWorkspaceQueues(classQueue)) {
-      const request = workspaceQueue.requests[0];
-      if (!request) continue;
-      const { workspace } = request;
+      const workspace = workspaceQueue.requests[0]?.workspace;
+      if (workspace === undefined) continue;
       const isNoisyNeighbor = detectNoisyNeighbor(state, index, workspace, view, now);
       const isAtLimit = isNoisyNeighbor && isAtNoisyNeighborLimit(state, index, workspace, view);
       if (isAtLimit || (isNoisyNeighbor && isNoisyNeighborBlocked)) continue;
-      if (trySend(context, queue, index, request, isNoisyNeighbor)) return true;
-      if (request.excluded.length > 0) continue;
-      if (!isNoisyNeighbor) return false;
-      isNoisyNeighborBlocked = true;
+      for (const request of workspaceQueue.requests) {
+        if (trySend(context, queue, index, request, isNoisyNeighbor)) return true;
+        // A retry that waits for the replicas it may go to does not hold up the requests behind it.
+        if (request.excluded.length > 0) continue;
+        if (!isNoisyNeighbor) return false;
+        isNoisyNeighborBlocked = true;
+        break;
+      }
     }
   }
   return false;
@@ -137,14 +140,8 @@
   const choice = chooseReplica(state, index, request, view, isNoisyNeighbor, now, random);
   queue.slotIntervalMs = choice.slotIntervalMs;
   queue.minEngineWaitMs = choice.minWaitMs ?? 0;
-  if (!choice.hasCandidates) {
-    refuse(
-      context,
-      request,
-      createFailure('noCapacity', { name: queue.model }, MIN_RETRY_AFTER_MS),
-    );
-    return true;
-  }
+  if (!choice.hasCandidates) return refuseWithoutCandidates(context, queue, request);
+  delete request.noCandidateSince;
   if (choice.chosen && !wouldMissDeadline(context, queue, request, choice.chosen.waitMs)) {
     send(context, queue, request, choice.chosen, isNoisyNeighbor);
     return true;
@@ -152,6 +149,22 @@
   return refuseIfTooLate(context, queue, request, 1);
 }
 
+/**
+ * Refuses a retry that may go to none of the replicas, once none has appeared for
+ * {@link NO_CAPACITY_GRACE_MS}. A replica that is taken out of service is often back sooner.
+ */
+function refuseWithoutCandidates(
+  context: DispatchContext,
+  queue: ModelQueue,
+  request: WaitingRequest,
+): boolean {
+  request.noCandidateSince ??= context.now;
+  if (context.now - request.noCandidateSince < NO_CAPACITY_GRACE_MS) return false;
+  const failure = createFailure('noCapacity', { name: queue.model }, MIN_RETRY_AFTER_MS);
+  refuse(context, request, failure);
+  return true;
+}
+
 /**
  * Refuses new requests that would miss their deadline. An early refusal leaves their callers time
  * to use another entry.
--- a/src/controllers/routing/types.ts
+++ b/src/controllers/routing/types.ts
@@ -57,6 +57,8 @@
   excluded: readonly string[];
   /** Whether an earlier attempt may have run. If so, a refusal must not state that none did. */
   mayHaveRun?: boolean;
+  /** Since when all replicas of the model have been in `excluded`; absent while one is not. */
+  noCandidateSince?: Milliseconds;
 }
 
 /** An action that the caller of `dispatch` performs. */
