--- /dev/null
+++ b/src/gateway/requests/request-ending.ts
@@ -0,0 +1,188 @@
+/**
+ * How one request ends: its only final response, and the report of it.
+ */
+import type { Milliseconds } from '../../core/clock/index.js';
+import { createFailure, type Failure } from '../../core/errors/index.js';
+import type { AttemptResponse } from '../backends/attempt.js';
+import type { GatewayContext } from '../types.js';
+import type { Quarantine } from './quarantine.js';
+import type { Reply } from './reply.js';
+import type { RequestAttempts } from './request-attempts.js';
+import { reportEnd } from './request-report.js';
+import { sendBuffered } from './response-relay.js';
+import { createStoppingFailure, SHUTDOWN_REASON, type ShutdownPolicy } from './shutdown.js';
+import type { StreamRelay } from './stream-relay.js';
+import type { TrackedAttempt } from './tracked-attempt.js';
+import type { AdmittedRequest, RequestOutcome } from './types.js';
+
+/** What the endings of all requests share. */
+export interface EndingDependencies {
+  context: GatewayContext;
+  shutdown: ShutdownPolicy;
+  quarantine: Quarantine;
+}
+
+/** The parts of a request that its ending reads and stops. */
+export interface EndingParts {
+  reply: Reply;
+  attempts: RequestAttempts;
+  /** Absent if the response is no stream. */
+  relay: StreamRelay | undefined;
+}
+
+/** `Retry-After` without capacity: about the time that a new replica takes to open. */
+export const RETRY_AFTER_MS: Milliseconds = 700;
+
+/** Ends one request exactly once. */
+export class RequestEnding {
+  private isEnded = false;
+  /** The last attempt with a failure response, which is relayed if no retry succeeds. */
+  private failedAttempt: TrackedAttempt | undefined;
+  private lastFailureReason = '';
+  private readonly startedAt: Milliseconds;
+
+  constructor(
+    private readonly request: AdmittedRequest,
+    private readonly parts: EndingParts,
+    private readonly deps: EndingDependencies,
+    private readonly onFinish: () => void,
+  ) {
+    this.startedAt = deps.context.clock.now();
+  }
+
+  get isFinished(): boolean {
+    return this.isEnded;
+  }
+
+  /** Records why an attempt failed; the reason is logged if the deadline passes. */
+  recordFailureReason(reason: string): void {
+    this.lastFailureReason = reason;
+  }
+
+  /** Keeps the failure response of an attempt. */
+  recordFailureResponse(attempt: TrackedAttempt): void {
+    this.failedAttempt = attempt;
+  }
+
+  /** Sends the rest of a complete response. */
+  answer(attempt: TrackedAttempt, response: AttemptResponse): void {
+    const { reply, relay } = this.parts;
+    this.deps.quarantine.recordAnswered(this.request.fingerprint);
+    if (relay) relay.end(attempt, response);
+    else this.sendBuffered(attempt, response, reply);
+    this.finish('answered', `${response.status} by ${response.framing}`);
+  }
+
+  /** The caller closed its connection. */
+  handleCallerDisconnect(): void {
+    this.finish('callerGone', 'the caller disconnected');
+  }
+
+  /** Fails the request with what is known of its attempts. */
+  fail(reason: string, retryAfterMs = RETRY_AFTER_MS): void {
+    const { reply, attempts } = this.parts;
+    const { failedAttempt, request } = this;
+    this.lastFailureReason = reason;
+    if (!reply.isUnsent) {
+      this.abortStream(reason);
+      return;
+    }
+    if (failedAttempt?.response) {
+      this.sendBuffered(failedAttempt, failedAttempt.response, reply);
+      this.finish('failedThere', reason);
+      return;
+    }
+    if (attempts.mayHaveRun) {
+      this.respondWithFailure(createFailure('outcomeUnknown', { reason }), 'failed');
+      return;
+    }
+    const name = request.model?.name ?? request.service.name;
+    this.respondWithFailure(createFailure('noCapacity', { name }, retryAfterMs), 'refused', reason);
+  }
+
+  /** Fails a quarantined request and cancels attempts, to keep their servers from crashing. */
+  failQuarantined(): void {
+    const { reply, attempts } = this.parts;
+    if (attempts.mayHaveRun || !reply.isUnsent) {
+      this.fail('backend servers end under it');
+      return;
+    }
+    const leftMs = this.deps.quarantine.leftMs(this.request.fingerprint);
+    this.respondWithFailure(createFailure('quarantined', undefined, leftMs), 'refused');
+  }
+
+  /** Refuses a request that can't be run before the gateway stops. */
+  refuseStopping(): void {
+    this.respondWithFailure(createStoppingFailure(), 'refused', SHUTDOWN_REASON);
+  }
+
+  handleDeadline(): void {
+    const { reply, attempts } = this.parts;
+    if (!reply.isUnsent) {
+      this.abortStream('the deadline has passed');
+      return;
+    }
+    const { mayHaveRun } = attempts;
+    const kind = mayHaveRun ? 'deadlineAfterStart' : 'deadlineBeforeStart';
+    this.respondWithFailure(
+      createFailure(kind),
+      mayHaveRun ? 'failed' : 'refused',
+      this.lastFailureReason,
+    );
+  }
+
+  /** Streams run until this moment: most end by themselves, and callers can resume the others. */
+  handleShutdownDeadline(): void {
+    const { reply, attempts } = this.parts;
+    if (!reply.isUnsent) this.abortStream(SHUTDOWN_REASON);
+    else if (attempts.mayHaveRun) {
+      this.respondWithFailure(
+        createFailure('outcomeUnknown', { reason: SHUTDOWN_REASON }),
+        'failed',
+        SHUTDOWN_REASON,
+      );
+    } else this.refuseStopping();
+  }
+
+  private sendBuffered(attempt: TrackedAttempt, response: AttemptResponse, reply: Reply): void {
+    const { requests } = this.deps.context.platform;
+    sendBuffered(reply, requests, response, Buffer.concat(attempt.body));
+  }
+
+  private abortStream(reason: string): void {
+    this.finish('cut', reason);
+    this.parts.reply.abort();
+  }
+
+  private respondWithFailure(
+    failure: Failure,
+    outcome: RequestOutcome,
+    reason = failure.message,
+  ): void {
+    this.deps.context.metrics.countError(failure.kind);
+    this.parts.reply.sendFailure(failure, this.request.id);
+    this.finish(outcome, reason);
+  }
+
+  private finish(outcome: RequestOutcome, reason: string): void {
+    if (this.isEnded) return;
+    this.isEnded = true;
+    const { attempts, relay } = this.parts;
+    attempts.cancelAll(outcome);
+    const { context, shutdown } = this.deps;
+    if (attempts.sent > 0)
+      shutdown.recordDuration(this.request, context.clock.now() - this.startedAt);
+    reportEnd(context, this.request, {
+      outcome,
+      reason,
+      attempts: attempts.sent,
+      possibleRuns: attempts.possibleRuns,
+      startedAt: this.startedAt,
+      firstEventAt: relay?.times.firstEventAt,
+      lastEventAt: relay?.times.lastEventAt,
+      longestGapMs: relay?.times.longestGapMs ?? 0,
+      lastEventId: relay?.lastEventId,
+    });
+    this.onFinish();
+  }
+}
--- /dev/null
+++ b/src/gateway/requests/stream-relay.ts
@@ -0,0 +1,76 @@
+/**
+ * Relays the events of one request's stream, over all attempts, and measures the times between them.
+ */
+import type { EventStream } from '../../controllers/forwarding/index.js';
+import type { Milliseconds } from '../../core/clock/index.js';
+import type { AttemptResponse } from '../backends/attempt.js';
+import type { GatewayContext } from '../types.js';
+import type { Reply } from './reply.js';
+import type { RequestQueues } from './request-queues.js';
+import { relayEvents } from './response-relay.js';
+import { limitsBetweenEvents } from './stall-limits.js';
+import type { TrackedAttempt } from './tracked-attempt.js';
+import type { AdmittedRequest } from './types.js';
+
+/** When the events of a stream were relayed. */
+export interface EventTimes {
+  firstEventAt: Milliseconds | undefined;
+  lastEventAt: Milliseconds | undefined;
+  longestGapMs: Milliseconds;
+}
+
+const EMPTY_BUFFER = Buffer.alloc(0);
+
+/** Relays the events of one request. */
+export class StreamRelay {
+  readonly times: EventTimes = {
+    firstEventAt: undefined,
+    lastEventAt: undefined,
+    longestGapMs: 0,
+  };
+
+  constructor(
+    private readonly request: AdmittedRequest,
+    private readonly stream: EventStream,
+    private readonly reply: Reply,
+    private readonly context: Pick<GatewayContext, 'clock' | 'platform'>,
+    private readonly queues: Pick<RequestQueues, 'recordFirstEvent'>,
+  ) {}
+
+  get lastEventId(): string | undefined {
+    return this.stream.lastEventId;
+  }
+
+  /** Whether the response has ended within an event so far. */
+  get hasPartialEvent(): boolean {
+    return this.stream.hasPartialEvent;
+  }
+
+  /** Relays the complete events in `chunk`; returns false if events are missing before them. */
+  relay(attempt: TrackedAttempt, response: AttemptResponse, chunk: Buffer): boolean {
+    const part = this.stream.push(chunk);
+    if (part.kind === 'gap') return false;
+    if (part.count === 0) return true;
+    const limits = limitsBetweenEvents(this.request);
+    if (limits) attempt.updateLimits(limits);
+    this.recordEvent(attempt);
+    relayEvents(this.reply, this.context.platform.requests, attempt, response, part.bytes);
+    return true;
+  }
+
+  /** Ends the response to the caller after its last event. */
+  end(attempt: TrackedAttempt, response: AttemptResponse): void {
+    relayEvents(this.reply, this.context.platform.requests, attempt, response, EMPTY_BUFFER);
+    this.reply.end();
+  }
+
+  private recordEvent(attempt: TrackedAttempt): void {
+    const { times } = this;
+    const now = this.context.clock.now();
+    times.longestGapMs = Math.max(times.longestGapMs, now - (times.lastEventAt ?? now));
+    times.lastEventAt = now;
+    if (times.firstEventAt !== undefined) return;
+    times.firstEventAt = now;
+    this.queues.recordFirstEvent(this.request, now - attempt.sentAt);
+  }
+}
--- /dev/null
+++ b/src/gateway/requests/target-wait.ts
@@ -0,0 +1,145 @@
+/**
+ * What happens to one request that has no target now: it queues, waits or is refused.
+ */
+import type { Milliseconds } from '../../core/clock/index.js';
+import type { LinkMonitor } from '../links/link-monitor.js';
+import type { GatewayContext } from '../types.js';
+import type { BackendTracker } from './backend-tracker.js';
+import type { RequestAttempts } from './request-attempts.js';
+import { RETRY_AFTER_MS, type RequestEnding } from './request-ending.js';
+import type { RequestQueues } from './request-queues.js';
+import { RequestWait } from './request-wait.js';
+import type { AdmittedRequest } from './types.js';
+
+/** What the waits of all requests share. */
+export interface TargetWaitDependencies {
+  context: GatewayContext;
+  backends: BackendTracker;
+  links: Pick<LinkMonitor, 'isOutOfReach'>;
+  queues: RequestQueues;
+}
+
+/** Callers that are told to wait for the same moment are spread over this time after it. */
+const RETURN_SPREAD_MS: Milliseconds = 500;
+const NO_SERVERS: ReadonlySet<string> = new Set();
+
+/** Holds one request until a target is found, or refuses it. */
+export class TargetWait {
+  private readonly wait: RequestWait;
+
+  /** `sendNext` sends the next attempt, for the given reason, to a target that it chooses. */
+  constructor(
+    private readonly request: AdmittedRequest,
+    private readonly attempts: RequestAttempts,
+    private readonly ending: RequestEnding,
+    private readonly deps: TargetWaitDependencies,
+    private readonly sendNext: (why: string) => void,
+  ) {
+    this.wait = new RequestWait(request, deps.queues);
+  }
+
+  get isQueued(): boolean {
+    return this.wait.isQueued;
+  }
+
+  /** A target was found. */
+  end(): void {
+    this.wait.endTargetWait();
+  }
+
+  leaveQueue(): void {
+    this.wait.leaveQueue();
+  }
+
+  /** Handles that all targets are full, or that there is none, when an attempt is due. */
+  handleNoTarget(why: 'allFull' | 'none', attemptReason: string): void {
+    if (this.failIfNoneCanServe()) return;
+    switch (why) {
+      case 'allFull':
+        this.enqueue(attemptReason);
+        break;
+      case 'none':
+        this.waitForTarget(attemptReason);
+        break;
+    }
+  }
+
+  onTick(now: Milliseconds): void {
+    if (this.attempts.isAnyInFlight) return;
+    if (this.wait.canRetry(now)) this.sendNext('waited');
+    this.checkTimeout(now);
+  }
+
+  private checkTimeout(now: Milliseconds): void {
+    if (this.ending.isFinished || this.attempts.isAnyInFlight) return;
+    if (this.wait.hasTimedOut(now)) this.ending.fail('no target in time');
+  }
+
+  private enqueue(why: string): void {
+    if (this.wait.isQueued) return;
+    this.logWait('no room');
+    this.wait.enqueue({
+      trySend: () => this.trySend(why),
+      reject: () => {
+        this.wait.leaveQueue();
+        this.ending.fail('no room in time');
+      },
+    });
+  }
+
+  /** Called when it is first in its queue; returns false when all targets are full. */
+  private trySend(why: string): boolean {
+    if (this.attempts.chooseTarget(true) === 'allFull') return this.failIfNoneCanServe();
+    this.sendNext(why);
+    this.wait.leaveQueue();
+    return true;
+  }
+
+  private failIfNoneCanServe(): boolean {
+    return this.failIfOutOfReach() || this.failIfAllCoolDown();
+  }
+
+  /** Fails the request at once if no gateway reaches the service. */
+  private failIfOutOfReach(): boolean {
+    const { request, deps, attempts } = this;
+    if (attempts.isAnyInFlight || !deps.links.isOutOfReach(request.service.name)) return false;
+    this.ending.fail('no gateway reaches the service', RETRY_AFTER_MS + this.drawSpread());
+    return true;
+  }
+
+  /** Fails the request at once if all its targets are cooling down for longer than it may wait. */
+  private failIfAllCoolDown(): boolean {
+    const { request, deps, attempts } = this;
+    if (attempts.isAnyInFlight) return false;
+    const excluded = attempts.isRepeatable ? NO_SERVERS : attempts.triedServers;
+    const leftMs = deps.backends.cooldownLeftMs(request.service, request.model?.name, excluded);
+    const waitLeftMs = this.wait.waitLeftMs(deps.context.clock.now());
+    if (leftMs === undefined || leftMs <= waitLeftMs) return false;
+    this.ending.fail('all targets are cooling down', leftMs + this.drawSpread());
+    return true;
+  }
+
+  private drawSpread(): Milliseconds {
+    return this.deps.context.random.fraction() * RETURN_SPREAD_MS;
+  }
+
+  private waitForTarget(why: string): void {
+    const { attempts } = this;
+    if (attempts.isAnyInFlight) return;
+    const now = this.deps.context.clock.now();
+    if (this.wait.startTargetWait(now)) this.logWait(why);
+    if (attempts.triedServers.size > 0) this.wait.delayRetry(now);
+    if (attempts.isRepeatable) attempts.triedServers.clear();
+  }
+
+  private logWait(why: string): void {
+    const { id, service, model } = this.request;
+    const { context, backends } = this.deps;
+    context.logger.log('requestWaits', {
+      request: id,
+      why,
+      targets: backends.countTargets(service, model?.name),
+      tried: this.attempts.triedServers.size,
+    });
+  }
+}
