Follow evacuations of failure domains and send nothing there

Operators need a way to empty a failure domain without calling a gateway. Gateways now follow the platform's kind of evacuations like the backend servers, pass changes on in digests and in notices of hubs, leave servers of evacuated failure domains out of the targets and of relays, and give no orders there.

--- a/features/cli/diagnose.feature
+++ b/features/cli/diagnose.feature
@@ -16,6 +16,7 @@
       | would have waited in vain              | unserved | noRoom           |
       | had no retry left                      | unserved | noRetryLeft      |
       | found all servers in a cooldown        | unserved | allCoolingDown   |
+      | found all its servers evacuated        | unserved | evacuated        |
       | found no gateway with links            | unserved | outOfReach       |
       | broke off at its server                | unserved | connectionBroken |
       | was failed by its server               | unserved | serverFailed     |
--- a/features/cli/diagnose.steps.ts
+++ b/features/cli/diagnose.steps.ts
@@ -43,6 +43,7 @@
     attemptEnded('refused with 503'),
     ended('refused', 'all targets are cooling down'),
   ],
+  'found all its servers evacuated': [ended('refused', 'all its failure domains are evacuated')],
   'found no gateway with links': [ended('refused', 'no gateway reaches the service')],
   'broke off at its server': [
     SENT,
--- a/features/promises/causes.ts
+++ b/features/promises/causes.ts
@@ -59,6 +59,7 @@
   noCapacity: (site) => askOnce(site, completion({ model: IDLE_MODEL })),
   stopping: causeStopping,
   notReady: causeNotReady,
+  evacuated: { reason: 'told by gateways; features/gateway/evacuation.feature causes it' },
   quarantined: { reason: 'told by gateways; features/gateway/quarantine.feature causes it' },
   deadlineBeforeStart: (site) =>
     askOnce(site, completion({ model: RARE_MODEL, deadlineMs: SHORT_DEADLINE_MS })),
--- a/src/cli/explain/findings.ts
+++ b/src/cli/explain/findings.ts
@@ -15,6 +15,7 @@
     'All replicas of its model were full, and its turn would have come after its caller had left.',
   allCoolingDown:
     'All backend servers that could take it had refused requests and named times that it could not wait.',
+  evacuated: 'Operators had evacuated all failure domains with backend servers of its service.',
   outOfReach:
     'Neither its gateway nor another one had a link to the backend servers of its service.',
   refusedByServers: 'The backend servers that it was sent to refused it without running it.',
@@ -48,6 +49,8 @@
 const NO_ROOM = 'no room in time';
 /** How gateways write that all targets had named a cooldown. */
 const ALL_COOLING_DOWN = 'all targets are cooling down';
+/** How gateways write that all servers of the service are in evacuated failure domains. */
+const EVACUATED = 'all its failure domains are evacuated';
 /** How gateways write that no gateway has links to the service. */
 const OUT_OF_REACH = 'no gateway reaches the service';
 /** How gateways write that a stop ended a request. */
@@ -71,6 +74,9 @@
     'domainTaken',
     'serviceCutOff',
     'serviceReached',
+    'evacuationBegan',
+    'evacuationEnded',
+    'evacuationsAssumed',
   ] as const),
 ]);
 
@@ -104,6 +110,7 @@
   if (reason === 'no repeats left') return 'noRepeats';
   if (reason === NO_ROOM) return 'noRoom';
   if (reason === ALL_COOLING_DOWN) return 'allCoolingDown';
+  if (reason === EVACUATED) return 'evacuated';
   if (reason === OUT_OF_REACH) return 'outOfReach';
   const attempts = lines.filter(({ name }) => name === 'attemptEnded');
   const last = textOf(attempts.at(-1), 'how');
--- /dev/null
+++ b/src/controllers/evacuation/index.ts
@@ -0,0 +1,3 @@
+export * from './evacuations.js';
+export * from './return-share.js';
+export * from './startup.js';
--- a/src/controllers/forwarding/directory.ts
+++ b/src/controllers/forwarding/directory.ts
@@ -3,6 +3,7 @@
  */
 import { groupBy } from '../../core/collections/index.js';
 import type { BackendServer, ServingService } from '../../ports/index.js';
+import { isEvacuated, type Evacuations } from '../evacuation/index.js';
 import type { ServingFleet } from './fleet.js';
 
 /** A backend server that accepts requests. For engines, the head of a complete replica. */
@@ -23,6 +24,8 @@
 /** Finds the targets of a service or model; results are cached per fleet state. */
 export interface TargetDirectory {
   find(service: ServingService, model: string | undefined): TargetList;
+  /** Whether all servers of `service` that are not leaving are in evacuated failure domains. */
+  isEvacuated(service: ServingService): boolean;
 }
 
 /**
@@ -31,22 +34,42 @@
  * A replica is complete while each of its members is registered, reports the replica's group and
  * epoch, and is not leaving. The head of an incomplete replica still accepts requests, but they make
  * no progress until the head gives up the replica.
+ *
+ * Servers of evacuated failure domains are no targets, nor are replicas with members there.
  */
-export function createTargetDirectory(fleet: ServingFleet, failureDomain: string): TargetDirectory {
+export function createTargetDirectory(
+  fleet: ServingFleet,
+  failureDomain: string,
+  evacuations?: Evacuations,
+): TargetDirectory {
   // Built on the first lookup: most fleet states are replaced before any lookup.
   let byService: ReadonlyMap<string, readonly BackendServer[]> | undefined;
   const cache = new Map<string, TargetList>();
+  const isUsable = (server: BackendServer): boolean =>
+    !isEvacuated(evacuations, server.failureDomain);
+  const groupServers = (): ReadonlyMap<string, readonly BackendServer[]> => {
+    const servers = [...fleet.servers.values()];
+    const usable = evacuations === undefined ? servers : servers.filter(isUsable);
+    return groupBy(usable, (server) => server.service);
+  };
   return {
     find: (service, model) => {
       const key = `${service.name} ${model ?? ''}`;
       const known = cache.get(key);
       if (known) return known;
-      byService ??= groupBy(fleet.servers.values(), (server) => server.service);
+      byService ??= groupServers();
       const all = findTargets(byService.get(service.name) ?? [], service, model);
       const targets = splitByFailureDomain(all, failureDomain);
       cache.set(key, targets);
       return targets;
     },
+    isEvacuated: ({ name }) => {
+      if (evacuations?.source !== 'known') return false;
+      const present = [...fleet.servers.values()].filter(
+        ({ service, leaving }) => service === name && !leaving,
+      );
+      return present.length > 0 && !present.some(isUsable);
+    },
   };
 }
 
--- a/src/controllers/peering/types.ts
+++ b/src/controllers/peering/types.ts
@@ -3,6 +3,7 @@
  */
 import * as z from 'zod';
 import type { Milliseconds } from '../../core/clock/index.js';
+import { evacuationReportSchema } from '../evacuation/index.js';
 import { requestReportSchema, quarantineNoticeSchema } from '../quarantine/index.js';
 import { limitReportSchema } from '../quotas/index.js';
 
@@ -77,6 +78,8 @@
   suspicions: suspicionsSchema,
   reports: reportsSchema.optional(),
   limits: limitsSchema.optional(),
+  /** Absent if the sender does not know or follow evacuations. */
+  evacuations: evacuationReportSchema.optional(),
   /** All requests that the sender has quarantined. */
   quarantined: z.array(quarantineNoticeSchema).max(1_000).optional(),
   /** Summary of the sender's failure domain, and summaries that it forwards. */
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -116,6 +116,14 @@
     message: ({ name }: NameValues) => `Nothing is in service for "${name}" at the moment.`,
     hint: 'Send it again after the time in Retry-After.',
   }),
+  evacuated: defineError({
+    title: 'Evacuated',
+    status: 503,
+    conclusion: 'notRun',
+    message: ({ name }: NameValues) =>
+      `All backend servers of "${name}" are in failure domains that operators have evacuated.`,
+    hint: 'Send it again after the time in Retry-After; operators end the evacuation.',
+  }),
   stopping: defineError({
     title: 'Stopping',
     status: 503,
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -230,6 +230,22 @@
     level: 'warn',
     message: 'The store has come back from an older copy; what is known of it is read anew.',
   },
+  evacuationBegan: {
+    number: 2118,
+    level: 'warn',
+    message: 'A failure domain is evacuated; nothing more is sent to its backend servers.',
+  },
+  evacuationEnded: {
+    number: 2119,
+    level: 'info',
+    message:
+      'A failure domain is no longer evacuated; its backend servers get load again gradually.',
+  },
+  evacuationsAssumed: {
+    number: 2120,
+    level: 'warn',
+    message: 'Neither the store nor a peer told of evacuations in time; none is assumed.',
+  },
   peerForgotten: {
     number: 2204,
     level: 'warn',
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -4,6 +4,7 @@
 import { randomBytes, randomInt } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createSection } from '../board/index.js';
+import { UNKNOWN_EVACUATIONS, type Evacuations } from '../controllers/evacuation/index.js';
 import {
   EMPTY_FLEET,
   planStop,
@@ -39,6 +40,7 @@
 import type { GatewaySettings } from './settings.js';
 import { createObjectStore } from './store/client.js';
 import { createConfigurationPart } from './store/configuration-part.js';
+import { createEvacuationPart } from './store/evacuation-part.js';
 import { createReachabilityTracker } from './store/reachability.js';
 import { logDroppedItems } from './store/dropped-items.js';
 import { createFleetPart } from './store/fleet-part.js';
@@ -82,7 +84,7 @@
   settings: GatewaySettings,
   platform: ServingPlatform,
 ): Promise<RunningGateway> {
-  const board = createBoard();
+  const board = createBoard(settings);
   const context = createContext(settings, platform, board);
   const { logger, metrics, clock } = context;
   registerFreshnessGauges(context);
@@ -119,15 +121,29 @@
     section: board.fleet,
     proof: board.fleetProof,
   });
+  const evacuation =
+    settings.evacuation &&
+    createEvacuationPart({
+      context,
+      store,
+      evacuateMs: settings.evacuation.evacuateMs,
+      section: board.evacuations,
+      proof: board.evacuationProof,
+    });
   reachability.onDisruption((at) => {
     configuration.follower.abortCallsBefore(at);
     fleet.follower.abortCallsBefore(at);
+    evacuation?.follower.abortCallsBefore(at);
   });
   // A snapshot from a peer may show a restore before any call to the store does.
   board.fleet.subscribe(() => {
     const { revision } = board.fleet.read();
     if (revision > 0) store.observeEra(eraOf(revision));
   });
+  board.evacuations.subscribe(() => {
+    const revision = board.evacuations.read()?.revision ?? 0;
+    if (revision > 0) store.observeEra(eraOf(revision));
+  });
   const members = new FleetMembers(settings.name, clock.now());
   const pool = createConnectionPool({
     clock,
@@ -190,6 +206,7 @@
     quarantine,
     configuration,
     fleet,
+    evacuation,
     section: board.peers,
     load: board.peerLoad,
   });
@@ -214,6 +231,7 @@
     if (board.stop.read() !== undefined) return 'it is stopping';
     if (board.serving.read() === undefined) return 'it has no configuration yet';
     if (board.fleet.read().revision === 0) return 'it knows no backend servers yet';
+    if (board.evacuations.read()?.source === 'none') return 'it knows no evacuations yet';
     return undefined;
   });
   const pruneTimer = setInterval(() => {
@@ -231,6 +249,7 @@
     operations,
     configuration,
     fleet,
+    ...(evacuation ? [evacuation] : []),
     watchdog,
     links,
     peers,
@@ -280,12 +299,14 @@
   };
 }
 
-function createBoard(): GatewayBoardWriters {
+function createBoard({ evacuation }: GatewaySettings): GatewayBoardWriters {
   return {
     serving: createSection<ServingIndex | undefined>(undefined),
     configurationProof: createSection<Proof | undefined>(undefined),
     fleet: createSection<ServingFleet>(EMPTY_FLEET),
     fleetProof: createSection<Proof | undefined>(undefined),
+    evacuations: createSection<Evacuations | undefined>(evacuation && UNKNOWN_EVACUATIONS),
+    evacuationProof: createSection<Proof | undefined>(undefined),
     storeReachability: createSection<StoreReachability>({ reachable: false, since: 0 }),
     cutOffServices: createSection<readonly string[]>([]),
     peers: createSection<ReadonlyMap<string, GatewayPeer>>(new Map()),
--- a/src/gateway/groups/domain-controller.ts
+++ b/src/gateway/groups/domain-controller.ts
@@ -12,6 +12,7 @@
   type GroupPlan,
   type GroupTarget,
 } from '../../controllers/groups/index.js';
+import { isEvacuated } from '../../controllers/evacuation/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { BackendServer, EngineProfile, OrderOutcome } from '../../ports/index.js';
 import type { EngineCalls } from '../backends/engine-calls.js';
@@ -225,6 +226,9 @@
     // Writing the plan is asynchronous and resets `stored` if it failed.
     const current = stored as StoredPlan | undefined;
     if (current === undefined) return;
+    // The evacuation may have become known while the store was called.
+    const failureDomain = state.servers[0]?.failureDomain ?? '';
+    if (isEvacuated(context.board.evacuations.read(), failureDomain)) return;
     const now = clock.now();
     const due = listOrders(current.plan, view).filter(
       (order) => !calls.isCoolingDown(order.to) && isDue(order, now),
--- a/src/gateway/groups/domain-states.ts
+++ b/src/gateway/groups/domain-states.ts
@@ -1,6 +1,7 @@
 /**
  * Derives the state of each fabric domain from the fleet: instances, target replicas and load slots.
  */
+import { isEvacuated, type Evacuations } from '../../controllers/evacuation/index.js';
 import type { ServingFleet, ServingIndex } from '../../controllers/forwarding/index.js';
 import {
   countLoadDemand,
@@ -102,13 +103,21 @@
   return groups;
 }
 
-/** The load of one service; `inFlightAt` returns the requests of all gateways at a replica's head. */
+/**
+ * The load of one service; `inFlightAt` returns the requests of all gateways at a replica's head.
+ *
+ * Requests that still run in evacuated failure domains count as demand, the instances and replicas there
+ * do not count as capacity: their load moves to the others.
+ */
 export function measureServiceLoad(
   domains: readonly ServiceDomain[],
   { slots, models }: EngineProfile,
   inFlightAt: (server: string) => number,
+  evacuations?: Evacuations,
 ): ServiceLoad {
-  const capacities = domains.map((domain) => measureCapacity(domain, false));
+  const capacities = domains
+    .filter(({ failureDomain }) => !isEvacuated(evacuations, failureDomain))
+    .map((domain) => measureCapacity(domain, false));
   const inFlight = new Map<string, number>();
   for (const { id, engine } of domains.flatMap(({ servers }) => servers)) {
     if (engine?.membership?.rank !== 0 || engine.lastModel === undefined) continue;
--- a/src/gateway/groups/groups-part.ts
+++ b/src/gateway/groups/groups-part.ts
@@ -1,6 +1,7 @@
 /**
  * Distributes the fabric domains among the gateways and reconciles those owned by this one.
  */
+import { isEvacuated, type Evacuations } from '../../controllers/evacuation/index.js';
 import {
   DemandShares,
   hasReceivedPeerState,
@@ -88,6 +89,16 @@
       board.cutOffServices.read(),
     );
   };
+  /** Those that are not evacuated; memoized like the states that are derived from them. */
+  const memoizedPlannable = memoizeLatest(
+    (
+      domains: readonly ServiceDomain[],
+      evacuations: Evacuations | undefined,
+    ): readonly ServiceDomain[] =>
+      evacuations === undefined
+        ? domains
+        : domains.filter(({ failureDomain }) => !isEvacuated(evacuations, failureDomain)),
+  );
   const listDomains = (): readonly ServiceDomain[] => {
     const services = board.serving.read()?.services;
     return services === undefined ? [] : memoizedDomains(services, board.fleet.read());
@@ -95,9 +106,10 @@
   const listStates = (domains: readonly ServiceDomain[]): ReadonlyMap<string, DomainState> => {
     const peers = [...board.peers.read().values()];
     const beforeTraffic = !backends.hasServed() && peers.every((peer) => !peer.hasServed);
-    if (beforeTraffic) return memoizedStates(domains, beforeTraffic);
+    const plannable = memoizedPlannable(domains, board.evacuations.read());
+    if (beforeTraffic) return memoizedStates(plannable, beforeTraffic);
     updateShares(domains);
-    return memoizedStates(domains, beforeTraffic, shares);
+    return memoizedStates(plannable, beforeTraffic, shares);
   };
   const updateShares = (domains: readonly ServiceDomain[]): void => {
     const now = clock.now();
@@ -105,8 +117,12 @@
     for (const [service, members] of groupBy(domains, (domain) => domain.service)) {
       const profile = members[0]?.profile;
       if (profile === undefined) continue;
-      const load = measureServiceLoad(members, profile, (id) => backends.inFlightAt(id));
-      next.set(service, demandShares.update(service, load, now));
+      const inFlightAt = (id: string): number => backends.inFlightAt(id);
+      const load = measureServiceLoad(members, profile, inFlightAt, board.evacuations.read());
+      // Without any capacity the shares of before apply again once there is some.
+      const known = shares.get(service);
+      const isWithoutCapacity = known !== undefined && load.instances === 0;
+      next.set(service, isWithoutCapacity ? known : demandShares.update(service, load, now));
     }
     const isChanged = [...next].some(([service, models]) => shares.get(service) !== models);
     if (isChanged || next.size !== shares.size) {
@@ -137,7 +153,7 @@
       const { key } = domain;
       const isOwner = ownerOf(domain) === settings.name;
       if (isOwner !== ownedKeys.has(key)) updateOwnership(key, domain.domain, isOwner);
-      if (!isOwner) continue;
+      if (!isOwner || isEvacuated(board.evacuations.read(), domain.failureDomain)) continue;
       states ??= listStates(domains);
       const state = states.get(key);
       if (state) controllerFor(key).reconcile(state);
--- a/src/gateway/operations/freshness-metrics.ts
+++ b/src/gateway/operations/freshness-metrics.ts
@@ -9,7 +9,7 @@
 const MS_PER_SECOND = 1_000;
 
 /** Registers gauges whose values are computed when they are collected. */
-export function registerFreshnessGauges({ board, clock, metrics }: GatewayContext): void {
+export function registerFreshnessGauges({ board, clock, metrics, settings }: GatewayContext): void {
   const registers = [metrics.registry];
   new Gauge({
     name: 'yuccasail_gateway_configuration_version',
@@ -22,6 +22,7 @@
   const proofSections: Readonly<Record<string, Section<Proof | undefined>>> = {
     configuration: board.configurationProof,
     servers: board.fleetProof,
+    ...(settings.evacuation && { evacuations: board.evacuationProof }),
   };
   new Gauge({
     name: 'yuccasail_gateway_belief_age_seconds',
--- a/src/gateway/operations/metrics.ts
+++ b/src/gateway/operations/metrics.ts
@@ -17,6 +17,7 @@
   connections: Counter;
   suspicions: Counter;
   lostLinks: Gauge;
+  evacuatedDomains: Gauge;
   relayed: Counter<'outcome'>;
   cooldowns: Counter<'kind'>;
   leavingAnswers: Counter;
@@ -85,6 +86,11 @@
       help: 'Backend servers that answer other gateways, but not this one.',
       registers,
     }),
+    evacuatedDomains: new Gauge({
+      name: 'yuccasail_gateway_evacuated_failure_domains',
+      help: 'Failure domains that operators have evacuated, as far as this gateway knows.',
+      registers,
+    }),
     relayed: new Counter({
       name: 'yuccasail_gateway_relayed_requests_total',
       help: 'Requests that other gateways had this one send to backend servers, by outcome.',
--- a/src/gateway/peers/follow-control.ts
+++ b/src/gateway/peers/follow-control.ts
@@ -12,6 +12,7 @@
 import type { PeerTable } from '../../controllers/peering/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { ConfigurationPart } from '../store/configuration-part.js';
+import type { EvacuationPart } from '../store/evacuation-part.js';
 import type { FleetUpdate, FleetPart } from '../store/fleet-part.js';
 import type { FollowMode } from '../store/follower-switch.js';
 import type { GatewayContext } from '../types.js';
@@ -30,6 +31,8 @@
   table: PeerTable;
   configuration: ConfigurationPart;
   fleet: FleetPart;
+  /** Absent if evacuations are not followed. */
+  evacuation: EvacuationPart | undefined;
   client: PeerClient;
 }
 
@@ -47,7 +50,7 @@
 const MIN_FOLLOW_AT_STARTUP_MS: Milliseconds = 400;
 
 export function createFollowControl(options: FollowControlOptions): FollowControl {
-  const { context, table, configuration, fleet, client } = options;
+  const { context, table, configuration, fleet, evacuation, client } = options;
   const { board, clock, logger, settings } = context;
   const startedAt = clock.now();
   let followUntil = Number.NEGATIVE_INFINITY;
@@ -58,7 +61,9 @@
     computeProofBounds(boundMs).fallbackAfterMs(table.hubInterval());
   const isAnyProofStale = (now: Milliseconds): boolean =>
     isStale(board.configurationProof.read(), settings.configuration.applyMs, now) ||
-    isStale(board.fleetProof.read(), settings.servers.drainMs, now);
+    isStale(board.fleetProof.read(), settings.servers.drainMs, now) ||
+    (settings.evacuation !== undefined &&
+      isStale(board.evacuationProof.read(), settings.evacuation.evacuateMs, now));
   /** Why this gateway has to follow on its own; undefined if it can rely on the hub. */
   const findFallbackReason = (now: Milliseconds): string | undefined => {
     const hubStatus = table.hubStatus(now);
@@ -79,6 +84,7 @@
     mode = next;
     configuration.follower.setMode(next);
     fleet.follower.setMode(next);
+    evacuation?.follower.setMode(next);
     if ((before === 'off') !== (next === 'off')) {
       logger.log(next === 'off' ? 'followingEnded' : 'followingBegan', { reason });
     }
@@ -115,6 +121,7 @@
       followUntil = now + MIN_FOLLOW_MS;
       configuration.follower.abortCallsBefore(now);
       fleet.follower.abortCallsBefore(now);
+      evacuation?.follower.abortCallsBefore(now);
     },
   };
 }
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -15,6 +15,7 @@
   type ReportedSuspicion,
   type Versions,
 } from '../../controllers/peering/index.js';
+import type { EvacuationState } from '../../controllers/evacuation/index.js';
 import type { FleetMembers } from '../../controllers/quotas/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { Failure } from '../../core/errors/index.js';
@@ -22,6 +23,7 @@
 import type { Quarantine } from '../requests/quarantine.js';
 import type { ConfigurationPart } from '../store/configuration-part.js';
 import type { ObjectStore } from '../store/client.js';
+import type { EvacuationPart } from '../store/evacuation-part.js';
 import type { FleetPart } from '../store/fleet-part.js';
 import type { GatewayContext, GatewayPart, PeerLoad } from '../types.js';
 import { createCatchUpCheck } from './catch-up.js';
@@ -52,6 +54,8 @@
   quarantine: Quarantine;
   configuration: ConfigurationPart;
   fleet: FleetPart;
+  /** Absent if evacuations are not followed. */
+  evacuation: EvacuationPart | undefined;
   section: WritableSection<ReadonlyMap<string, GatewayPeer>>;
   load: WritableSection<PeerLoad>;
 }
@@ -65,6 +69,7 @@
 export function createPeersPart(options: PeersPartOptions): PeersPart {
   const { context, client, section, backends, members, quarantine, configuration, fleet, store } =
     options;
+  const { evacuation } = options;
   const { settings, clock, logger, board, incarnation } = context;
   const self: KnownPeer = {
     name: settings.name,
@@ -88,6 +93,7 @@
     const now = clock.now();
     const limits = backends.listRateLimits();
     const cutOffFrom = board.cutOffServices.read();
+    const evacuations = evacuation?.report();
     return {
       ...self,
       ...ownVersions(),
@@ -101,6 +107,7 @@
       load: [...backends.inFlight()],
       suspicions: listOwnSuspicions(now),
       ...(limits.length > 0 && { limits }),
+      ...(evacuations && { evacuations }),
       ...quarantine.buildDigest(),
     };
   };
@@ -125,6 +132,8 @@
       configuration.recordProof(configurationVersion, sentAt - configurationAgeMs);
     }
     if (fleetAgeMs !== undefined) fleet.recordProof(fleetRevision, sentAt - fleetAgeMs);
+    const { revision = 0, ageMs } = response.evacuations ?? {};
+    if (ageMs !== undefined) evacuation?.recordProof(revision, sentAt - ageMs);
   };
   /** The own digest plus, on a hub, summaries of the failure domains. */
   const createExchangeDigest = (caller?: Digest): Digest => {
@@ -175,6 +184,19 @@
       });
     }
   };
+  /**
+   * A hub tells its failure domain and the other hubs at once. With exchanges alone a change would cross
+   * two hubs and use up most of the time within which it has to be in force.
+   */
+  const relayEvacuations = (state: EvacuationState): void => {
+    if (!table.isHub()) return;
+    const peers = table.isPairwise() ? table.listPartners() : table.listRelayPeers();
+    for (const peer of peers) {
+      client.sendEvacuations(peer.address, state).catch((error: unknown) => {
+        logger.log('peerCallFailed', { peer: peer.name, reason: String(error) });
+      });
+    }
+  };
   const listOwnSuspicions = (now: Milliseconds): ReportedSuspicion[] =>
     backends.suspicions.listConfirmed(now).map(({ server, since, until }) => ({
       server,
@@ -194,6 +216,7 @@
     }
     quarantine.mergeDigest(digest);
     configuration.noteVersion(digest.configurationVersion);
+    if (digest.evacuations) evacuation?.applyState(digest.evacuations, digest.name);
     publishThrottled();
   };
   const exchange = async (peer: KnownPeer): Promise<void> => {
@@ -219,6 +242,7 @@
     table,
     configuration,
     fleet,
+    evacuation,
     client,
   });
   const checkCatchUp = createCatchUpCheck(context, client, {
@@ -259,6 +283,9 @@
     applySuspicions: (suspicions) => {
       adoptSuspicions(suspicions, 'relayed');
     },
+    applyEvacuations: (state) => {
+      evacuation?.applyState(state, 'relayed');
+    },
     noteConfigurationVersion: (version) => {
       configuration.noteVersion(version);
     },
@@ -297,6 +324,7 @@
         relaySuspicions(listOwnSuspicions(clock.now()).filter((own) => own.server === server));
       });
       backends.onRateLimitChange(notifyDomain);
+      evacuation?.onChange(relayEvacuations);
       // Other gateways must neither choose this one as a relay nor leave fabric domains to it.
       board.cutOffServices.subscribe(() => {
         for (const peer of table.listPartners()) void exchange(peer);
--- a/src/gateway/peers/rpc.ts
+++ b/src/gateway/peers/rpc.ts
@@ -4,6 +4,7 @@
 import { createTRPCClient, type TRPCClient } from '@trpc/client';
 import { initTRPC } from '@trpc/server';
 import { Agent } from 'undici';
+import { evacuationStateSchema, type EvacuationState } from '../../controllers/evacuation/index.js';
 import { createRpcLink, createRpcListener, type RpcListener } from '../../adapters/peers/index.js';
 import {
   digestSchema,
@@ -33,6 +34,8 @@
   applyFleetUpdate(update: FleetUpdate): void;
   /** Called with suspicions that another gateway has just raised or heard of. */
   applySuspicions(suspicions: readonly ReportedSuspicion[]): void;
+  /** Called with evacuations that a hub has just learned of. */
+  applyEvacuations(state: EvacuationState): void;
   /** Called when another gateway has applied this version of the configuration. */
   noteConfigurationVersion(version: number): void;
   /** Called by a gateway that gets no answer from the backend server with this id. */
@@ -56,6 +59,9 @@
     suspicions: procedure.input(suspicionsSchema).mutation(({ input }) => {
       handlers.applySuspicions(input);
     }),
+    evacuations: procedure.input(evacuationStateSchema).mutation(({ input }) => {
+      handlers.applyEvacuations(input);
+    }),
     notice: procedure.input(configurationNoticeSchema).mutation(({ input }) => {
       handlers.noteConfigurationVersion(input.configurationVersion);
     }),
@@ -88,6 +94,7 @@
   catchUp(address: string, versions: Versions): Promise<CatchUpResponse>;
   sendFleetUpdate(address: string, update: FleetUpdate): Promise<void>;
   sendSuspicions(address: string, suspicions: readonly ReportedSuspicion[]): Promise<void>;
+  sendEvacuations(address: string, state: EvacuationState): Promise<void>;
   notifyConfigurationVersion(address: string, configurationVersion: number): Promise<void>;
   checkServer(address: string, server: string): Promise<ServerCheck>;
   close(): Promise<void>;
@@ -122,6 +129,10 @@
       callWithTimeout(CALL_TIMEOUT_MS, (signal) =>
         rpcClientFor(address).suspicions.mutate([...suspicions], { signal }),
       ),
+    sendEvacuations: (address, state) =>
+      callWithTimeout(CALL_TIMEOUT_MS, (signal) =>
+        rpcClientFor(address).evacuations.mutate(state, { signal }),
+      ),
     notifyConfigurationVersion: (address, configurationVersion) =>
       callWithTimeout(CALL_TIMEOUT_MS, (signal) =>
         rpcClientFor(address).notice.mutate({ configurationVersion }, { signal }),
--- a/src/gateway/relay/relay-handler.ts
+++ b/src/gateway/relay/relay-handler.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { memoizeLatest } from '../../core/collections/index.js';
 import { parseAddress } from '../../core/listening/index.js';
+import { isEvacuated } from '../../controllers/evacuation/index.js';
 import type { GatewayPeer } from '../../controllers/peering/index.js';
 import type { BackendServer } from '../../ports/index.js';
 import type {
@@ -73,6 +74,8 @@
     if (server === undefined) return 'the backend server is not known';
     if (server.leaving || availability.isLeaving(server.id)) return 'the backend server is leaving';
     if (availability.cooldownLeftMs(server.id) > 0) return 'the backend server is cooling down';
+    if (isEvacuated(board.evacuations.read(), server.failureDomain))
+      return 'its failure domain is evacuated';
     return links.isLost(server.id) ? 'its own link is lost' : server;
   };
   const relay = async (
--- a/src/gateway/requests/backend-tracker.ts
+++ b/src/gateway/requests/backend-tracker.ts
@@ -1,6 +1,7 @@
 /**
  * Tracks load, stalls and failures of the backend servers and chooses targets for requests.
  */
+import { returnShare, returnSlots } from '../../controllers/evacuation/index.js';
 import {
   chooseTarget,
   createTargetDirectory,
@@ -24,7 +25,7 @@
 } from '../../controllers/quotas/index.js';
 import { hasRoom } from '../../controllers/waiting/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
-import type { RateLimit, ServingService } from '../../ports/index.js';
+import type { BackendServer, RateLimit, ServingService } from '../../ports/index.js';
 import type { ServerAvailability } from '../backends/server-availability.js';
 import type { LinkMonitor } from '../links/link-monitor.js';
 import type { LinkEvidence } from '../links/types.js';
@@ -69,6 +70,8 @@
     model: string | undefined,
     excluded: ReadonlySet<string>,
   ): Milliseconds | undefined;
+  /** Whether all servers of the service are in evacuated failure domains. */
+  isEvacuated(service: ServingService): boolean;
   /** The number of all targets, including suspected ones. */
   countTargets(service: ServingService, model: string | undefined): number;
   /** Counts an attempt as in flight. */
@@ -145,10 +148,12 @@
   const suspicionListeners: ((server: string) => void)[] = [];
   const limitListeners: (() => void)[] = [];
   const restartListeners: ((server: string) => void)[] = [];
-  let directory: TargetDirectory = createTargetDirectory(
-    board.fleet.read(),
-    settings.failureDomain,
-  );
+  const createDirectory = (): TargetDirectory =>
+    createTargetDirectory(board.fleet.read(), settings.failureDomain, board.evacuations.read());
+  let directory = createDirectory();
+  board.evacuations.subscribe(() => {
+    directory = createDirectory();
+  });
   let previousFleet = board.fleet.read();
   processes.update(previousFleet.servers.keys(), previousFleet.servers, clock.now());
   board.fleet.subscribe(() => {
@@ -164,7 +169,7 @@
       limits.forget(server);
     }
     previousFleet = fleet;
-    directory = createTargetDirectory(fleet, settings.failureDomain);
+    directory = createDirectory();
   });
 
   /** Discards everything known about the previous process. */
@@ -211,10 +216,17 @@
     const { byServer, unheard } = board.peerLoad.read();
     return (inFlightCounts.get(server) ?? 0) * (1 + unheard) + (byServer.get(server) ?? 0);
   };
+  /** Fewer than usual for a while after an evacuation: both its weight and its room follow from them. */
+  const usableSlots = (server: BackendServer, service: ServingService): number => {
+    const slots = service.engine?.slots ?? server.slots;
+    const evacuations = board.evacuations.read();
+    if (evacuations === undefined || evacuations.endedAt.size === 0) return slots;
+    return returnSlots(slots, returnShare(evacuations, server.failureDomain, clock.now()));
+  };
   const describeTarget = (target: Target, service: ServingService): TargetState => ({
     target,
     inFlight: estimateInFlight(target.server.id),
-    slots: service.engine?.slots ?? target.server.slots,
+    slots: usableSlots(target.server, service),
     isRemote: target.server.failureDomain !== settings.failureDomain,
     failureRate: failures.rateOf(target.server.id),
   });
@@ -314,6 +326,7 @@
       }
       return soonestMs === Infinity ? undefined : soonestMs;
     },
+    isEvacuated: (service) => directory.isEvacuated(service),
     countTargets: (service, model) => {
       const { near, far } = directory.find(service, model);
       return near.length + far.length;
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -45,6 +45,8 @@
 const RETRY_AFTER_MS: Milliseconds = 700;
 /** Callers that are told to wait for the same moment are spread over this time after it. */
 const RETURN_SPREAD_MS: Milliseconds = 500;
+/** Logged for requests that are refused because of evacuations; `explain` looks for it. */
+const EVACUATED_REASON = 'all its failure domains are evacuated';
 /** Subtracted from the time that a backend server gets, for relaying its response. */
 const DEADLINE_MARGIN_MS: Milliseconds = 5;
 /** No attempt is started with less time left than this. */
@@ -232,7 +234,16 @@
   }
 
   private failIfNoneCanServe(): boolean {
-    return this.failIfOutOfReach() || this.failIfAllCoolDown();
+    return this.failIfEvacuated() || this.failIfOutOfReach() || this.failIfAllCoolDown();
+  }
+
+  /** Fails the request at once if operators have evacuated all failure domains with servers for it. */
+  private failIfEvacuated(): boolean {
+    const { request, deps } = this;
+    if (this.attempts.size > 0 || !deps.backends.isEvacuated(request.service)) return false;
+    const spreadMs = deps.context.random.fraction() * RETURN_SPREAD_MS;
+    this.failRequest(EVACUATED_REASON, RETRY_AFTER_MS + spreadMs, 'evacuated');
+    return true;
   }
 
   /** Fails the request at once if no gateway reaches the service. */
@@ -498,7 +509,11 @@
     this.failRequest(reason);
   }
 
-  private failRequest(reason: string, retryAfterMs = RETRY_AFTER_MS): void {
+  private failRequest(
+    reason: string,
+    retryAfterMs = RETRY_AFTER_MS,
+    kind: 'noCapacity' | 'evacuated' = 'noCapacity',
+  ): void {
     const { reply, failedAttempt } = this;
     this.lastFailureReason = reason;
     if (!reply.isUnsent) {
@@ -515,11 +530,7 @@
       this.respondWithFailure(createFailure('outcomeUnknown', { reason }), 'failed');
     else {
       const name = this.request.model?.name ?? this.request.service.name;
-      this.respondWithFailure(
-        createFailure('noCapacity', { name }, retryAfterMs),
-        'refused',
-        reason,
-      );
+      this.respondWithFailure(createFailure(kind, { name }, retryAfterMs), 'refused', reason);
     }
   }
 
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -2,6 +2,7 @@
  * Types shared by the components of a gateway.
  */
 import type { Section, WritableSection } from '../board/index.js';
+import type { Evacuations } from '../controllers/evacuation/index.js';
 import type { ServingFleet, ServingIndex, StopPlan } from '../controllers/forwarding/index.js';
 import type { Proof } from '../controllers/freshness/index.js';
 import type { GatewayPeer } from '../controllers/peering/index.js';
@@ -64,6 +65,10 @@
   fleet: Section<ServingFleet>;
   /** Last confirmation that the known backend servers are up to date. */
   fleetProof: Section<Proof | undefined>;
+  /** Undefined if evacuations are not followed. */
+  evacuations: Section<Evacuations | undefined>;
+  /** Last confirmation that the known evacuations are up to date. */
+  evacuationProof: Section<Proof | undefined>;
   storeReachability: Section<StoreReachability>;
   /** Services whose servers this gateway reaches through other gateways only. */
   cutOffServices: Section<readonly string[]>;
@@ -80,6 +85,8 @@
   configurationProof: WritableSection<Proof | undefined>;
   fleet: WritableSection<ServingFleet>;
   fleetProof: WritableSection<Proof | undefined>;
+  evacuations: WritableSection<Evacuations | undefined>;
+  evacuationProof: WritableSection<Proof | undefined>;
   storeReachability: WritableSection<StoreReachability>;
   cutOffServices: WritableSection<readonly string[]>;
   peers: WritableSection<ReadonlyMap<string, GatewayPeer>>;
