--- a/features/gateway/peering-model.ts
+++ b/features/gateway/peering-model.ts
@@ -1,6 +1,13 @@
 /**
  * Simulates gateways that exchange digests, without a network and on a simulated clock.
  */
+import {
+  applyEvacuationState,
+  UNKNOWN_EVACUATIONS,
+  type EvacuationState,
+  type Evacuations,
+} from '../../src/controllers/evacuation/index.js';
+import { laterProof, proofAge, type Proof } from '../../src/controllers/freshness/index.js';
 import {
   collectReports,
   PEERING_TICK_MS,
@@ -19,6 +26,11 @@
   storeReachable = true;
   /** The request reports that it includes in its digests. */
   reports: RequestReport[] = [];
+  /** What it knows of evacuations, which its digests carry once it is known. */
+  evacuations: Evacuations = UNKNOWN_EVACUATIONS;
+  evacuationProof: Proof | undefined;
+  /** Called with evacuations that have begun or ended. */
+  onEvacuations: ((state: EvacuationState) => void) | undefined;
   /** Servers that other gateways reported to have ended while handling a request. */
   readonly reportedServerEnds = new Set<string>();
   private incarnation = 0;
@@ -59,7 +71,24 @@
     };
   }
 
+  applyEvacuations(state: EvacuationState, now: number): void {
+    const before = this.evacuations;
+    this.evacuations = applyEvacuationState(before, state, now);
+    if (this.evacuations === before) return;
+    if ([...before.domains].join() !== [...this.evacuations.domains].join())
+      this.onEvacuations?.(state);
+  }
+
+  /** Accepts the proof in the answer to a digest that was sent at `now`. */
+  acceptProof({ evacuations }: Digest, now: number): void {
+    if (evacuations?.ageMs === undefined || evacuations.revision > this.evacuations.revision)
+      return;
+    const offered = { at: now - evacuations.ageMs, source: 'peer' } as const;
+    this.evacuationProof = laterProof(this.evacuationProof, offered);
+  }
+
   applyDigest(digest: Digest, now: number): void {
+    if (digest.evacuations) this.applyEvacuations(digest.evacuations, now);
     this.table.applyDigest(digest, now);
     for (const report of collectReports(digest)) {
       if (report.kind === 'serverEnded') this.reportedServerEnds.add(report.server);
@@ -68,7 +97,10 @@
 
   /** The own digest with domain summaries. */
   createExchangeDigest(now: number, caller?: Digest): Digest {
-    const own = this.createDigest();
+    const { source, revision, domains } = this.evacuations;
+    const ageMs = proofAge(this.evacuationProof, now);
+    const evacuations = { revision, domains: [...domains], ...(ageMs !== undefined && { ageMs }) };
+    const own = { ...this.createDigest(), ...(source === 'known' && { evacuations }) };
     return { ...own, summaries: this.table.listSummaries(own, now, caller) };
   }
 }
@@ -110,7 +142,9 @@
       other.exchanges += 1;
       const digest = gateway.createExchangeDigest(this.now);
       other.applyDigest(digest, this.now);
-      gateway.applyDigest(other.createExchangeDigest(this.now, digest), this.now);
+      const answer = other.createExchangeDigest(this.now, digest);
+      gateway.applyDigest(answer, this.now);
+      gateway.acceptProof(answer, this.now);
     }
   }
 
--- a/features/gateway/site.ts
+++ b/features/gateway/site.ts
@@ -54,6 +54,8 @@
   readsLog: boolean;
   /** Grace period of a stop; the default of the settings when absent. */
   graceMs?: number;
+  /** Follows evacuations with this bound; not at all when absent. */
+  evacuateMs?: number;
 }
 
 /** A response as received by a caller. */
@@ -75,7 +77,8 @@
 
 /** Formats the settings file of a gateway. */
 export function writeSettings(plan: Omit<GatewayPlan, 'readsLog'>): string {
-  const { name, failureDomain, callers, readiness, peers, metrics, store, seeds, graceMs } = plan;
+  const { name, failureDomain, callers, readiness, peers, metrics, store, seeds } = plan;
+  const { graceMs, evacuateMs } = plan;
   return [
     `name = "${name}"`,
     `failureDomain = "${failureDomain}"`,
@@ -89,6 +92,7 @@
     `address = "${store}"`,
     '[engines]',
     'stallMs = 1000',
+    ...(evacuateMs === undefined ? [] : ['[evacuation]', `evacuateMs = ${evacuateMs}`]),
     ...(graceMs === undefined ? [] : ['[stopping]', `graceMs = ${graceMs}`]),
   ].join('\n');
 }
--- a/features/gateway/stand-ins/store.ts
+++ b/features/gateway/stand-ins/store.ts
@@ -39,6 +39,10 @@
   /** Accepted conditional writes as `kind/name`, newest last. */
   readonly writes: string[] = [];
   calls = 0;
+  /** Kinds that were listed, read or watched. */
+  readonly calledKinds = new Set<string>();
+  /** Kinds whose calls are never answered. */
+  readonly silentKinds = new Set<string>();
   private readonly kinds = new Map<string, Map<string, StoredObject>>();
   private readonly changes: Change[] = [];
   private readonly waitingWatches = new Set<() => void>();
@@ -196,6 +200,8 @@
     }
     const url = new URL(request.url ?? '/', 'http://store');
     const [, , kind = '', name] = url.pathname.split('/').map(decodeURIComponent);
+    this.calledKinds.add(kind);
+    if (this.silentKinds.has(kind)) return;
     const body =
       chunks.length > 0
         ? (JSON.parse(Buffer.concat(chunks).toString()) as StoredObject)
