--- a/features/gateway/evacuating.feature
+++ b/features/gateway/evacuating.feature
@@ -59,7 +59,7 @@
   # Guards against a gateway that sends to all before it hears of evacuations.
   Scenario: A gateway starts while the store tells nothing of evacuations
     Given plain servers in "north,south" and a store that does not answer for evacuations
-    And "north" is evacuated
+    And "north" has been evacuated
     When a gateway with a bound of 60000 ms starts and has the configuration and the servers
     Then it is not ready and a request to it does not run
     When the store answers for evacuations
@@ -102,6 +102,6 @@
   # Guards against any effect on deployments that do not follow evacuations.
   Scenario: Evacuations are not followed
     Given a gateway that does not follow evacuations and plain servers in "north,south"
-    And "north,south" are evacuated
+    And "north,south" have been evacuated
     Then both get requests
     And it has not called the store for evacuations, and its digests have none
--- a/features/gateway/evacuating.steps.ts
+++ b/features/gateway/evacuating.steps.ts
@@ -131,7 +131,7 @@
   await waitFor('the first to hear of it', () => hasLogged(this.gateway, 'peerHeard'));
 });
 
-Given('{string} is/are evacuated', function (this: EvacuatingWorld, domains: string) {
+Given('{string} has/have been evacuated', function (this: EvacuatingWorld, domains: string) {
   for (const domain of parseNames(domains)) this.site.store.put(KIND, domain, { reason: 'test' });
 });
 
@@ -184,9 +184,9 @@
 
 When(
   /^the store is restored and the gateways know that "(.+)" is (not )?evacuated$/,
-  async function (this: EvacuatingWorld, domain: string, not: string | undefined) {
+  async function (this: EvacuatingWorld, domain: string, not: string | null) {
     this.site.store.restoreCopy();
-    await waitUntilKnown(this, domain, not === undefined);
+    await waitUntilKnown(this, domain, not === null);
   },
 );
 
--- a/src/gateway/store/evacuation-part.ts
+++ b/src/gateway/store/evacuation-part.ts
@@ -55,7 +55,7 @@
     [...board.fleet.read().servers.values()].filter(
       (server) => server.failureDomain === failureDomain,
     ).length;
-  const apply = (state: EvacuationState, source: string): void => {
+  const apply = (state: EvacuationState, toldBy: string): void => {
     const before = read();
     const next = applyEvacuationState(before, state, clock.now());
     if (next === before) return;
@@ -65,10 +65,10 @@
     const revision = revisionOf(next.revision);
     for (const failureDomain of begun) {
       const servers = countServers(failureDomain);
-      logger.log('evacuationBegan', { failureDomain, servers, revision, source });
+      logger.log('evacuationBegan', { failureDomain, servers, revision, toldBy });
     }
     for (const failureDomain of ended)
-      logger.log('evacuationEnded', { failureDomain, revision, source });
+      logger.log('evacuationEnded', { failureDomain, revision, toldBy });
     if (begun.length + ended.length > 0) for (const listener of listeners) listener(state);
   };
   const follower = createFollowerSwitch({
