--- a/src/gateway/requests/request-ending.ts
+++ b/src/gateway/requests/request-ending.ts
@@ -79,7 +79,11 @@
   }
 
   /** Fails the request with what is known of its attempts. */
-  fail(reason: string, retryAfterMs = RETRY_AFTER_MS): void {
+  fail(
+    reason: string,
+    retryAfterMs = RETRY_AFTER_MS,
+    kind: 'noCapacity' | 'evacuated' = 'noCapacity',
+  ): void {
     const { reply, attempts } = this.parts;
     const { failedAttempt, request } = this;
     this.lastFailureReason = reason;
@@ -97,7 +101,7 @@
       return;
     }
     const name = request.model?.name ?? request.service.name;
-    this.respondWithFailure(createFailure('noCapacity', { name }, retryAfterMs), 'refused', reason);
+    this.respondWithFailure(createFailure(kind, { name }, retryAfterMs), 'refused', reason);
   }
 
   /** Fails a quarantined request and cancels attempts, to keep their servers from crashing. */
--- a/src/gateway/requests/target-wait.ts
+++ b/src/gateway/requests/target-wait.ts
@@ -21,6 +21,8 @@
 
 /** Callers that are told to wait for the same moment are spread over this time after it. */
 const RETURN_SPREAD_MS: Milliseconds = 500;
+/** Logged for requests that are refused because of evacuations; `explain` looks for it. */
+const EVACUATED_REASON = 'all its failure domains are evacuated';
 const NO_SERVERS: ReadonlySet<string> = new Set();
 
 /** Holds one request until a target is found, or refuses it. */
@@ -96,7 +98,15 @@
   }
 
   private failIfNoneCanServe(): boolean {
-    return this.failIfOutOfReach() || this.failIfAllCoolDown();
+    return this.failIfEvacuated() || this.failIfOutOfReach() || this.failIfAllCoolDown();
+  }
+
+  /** Fails the request at once if operators have evacuated all failure domains with servers for it. */
+  private failIfEvacuated(): boolean {
+    const { request, deps, attempts } = this;
+    if (attempts.isAnyInFlight || !deps.backends.isEvacuated(request.service)) return false;
+    this.ending.fail(EVACUATED_REASON, RETRY_AFTER_MS + this.drawSpread(), 'evacuated');
+    return true;
   }
 
   /** Fails the request at once if no gateway reaches the service. */
