Keep to the rate that cold backend servers bear, in the sum of all gateways

Cause: a backend server that has just started or turned cold crashes well above the rate that its service names, and gateways sent to it as to any other.

Change: ColdServers in controllers/quotas knows the cold servers from their entries, answers and other gateways, and divides the rate among at most 8 gateways (for 17 a second, overrun 1.5, slack 5), chosen by rendezvous hashing over FleetMembers. Each has a token bucket in which a request that may still be on its way keeps its place. A server that starts, appears or returns while requests are served counts as cold until its entry tells its state. Warm targets with little load go first; above that, a cold target with a permit relieves them. A request whose targets are all cold waits, or is refused at once with that reason. Off without the settings section or the service's rate.

--- a/features/gateway/quota-fleet.ts
+++ b/features/gateway/quota-fleet.ts
@@ -63,6 +63,8 @@
   serverLimitAt: ((at: number) => number | undefined) | undefined;
   /** The part of the attempts that fail. */
   failureRateAt: (at: number) => number;
+  /** Called after each tick with the running gateways. */
+  onTick: ((running: readonly QuotaGateway[]) => void) | undefined;
   /** While it returns true, what is sent to the servers of the service arrives later. */
   areServersCut: (at: number) => boolean = () => false;
   /** The largest sum of the shares that the gateways could use at the same time. */
@@ -81,6 +83,7 @@
     failureRate: number,
     disturbances: readonly Disturbance[],
     private readonly random: Random,
+    private readonly failureDomains = FAILURE_DOMAINS,
   ) {
     this.failureRateAt = () => failureRate;
     this.pending = [...disturbances];
@@ -96,6 +99,7 @@
       for (const gateway of this.running()) this.runGateway(gateway);
       if (this.now >= LEAD_MS) this.serveRequests();
       if (this.now >= LEAD_MS && this.serverLimitAt) this.sendToLimited(this.serverLimitAt);
+      if (this.now >= LEAD_MS) this.onTick?.(this.running());
       this.largestSum = Math.max(this.largestSum, this.sumShares());
     }
   }
@@ -112,12 +116,12 @@
   }
 
   private seeds(): QuotaGateway[] {
-    return this.gateways.slice(0, FAILURE_DOMAINS);
+    return this.gateways.slice(0, this.failureDomains);
   }
 
   private addGateway(): QuotaGateway {
     const index = this.gateways.length;
-    const gateway = new QuotaGateway(`gateway-${index}`, `domain-${index % FAILURE_DOMAINS}`);
+    const gateway = new QuotaGateway(`gateway-${index}`, `domain-${index % this.failureDomains}`);
     this.gateways.push(gateway);
     return gateway;
   }
--- a/features/gateway/quota-gateway.ts
+++ b/features/gateway/quota-gateway.ts
@@ -8,10 +8,12 @@
   PeerTable,
   type Digest,
 } from '../../src/controllers/peering/index.js';
-import { FleetMembers, ServerLimits } from '../../src/controllers/quotas/index.js';
+import { ColdServers, FleetMembers, ServerLimits } from '../../src/controllers/quotas/index.js';
 import type { RateLimit } from '../../src/ports/index.js';
 
 export const BOUNDS: RetryBounds = { ratio: 0.2, windowMs: 10_000, slack: 132 };
+export const COLD_BOUNDS = { overrun: 1.5, slack: 5 };
+export const HEARTBEAT_MS = 1_200;
 const LIST_INTERVAL_MS = 15_000;
 /** Requests that each gateway would send to the limited server in one tick. */
 const MAX_SENT_PER_TICK = 3;
@@ -44,6 +46,7 @@
   pendingRequests: number[] = [];
   members: FleetMembers;
   limits: ServerLimits;
+  cold: ColdServers;
   /** The limit in the last answer to this process, and when it was first told that one. */
   told: { perSecond: number | undefined; at: number } | undefined;
   nextListAt = 0;
@@ -58,6 +61,7 @@
     this.table = new PeerTable(this.location);
     this.members = new FleetMembers(name, 0);
     this.limits = new ServerLimits(this.members);
+    this.cold = new ColdServers(this.members, COLD_BOUNDS, HEARTBEAT_MS);
   }
 
   get location(): { name: string; address: string; failureDomain: string } {
@@ -82,6 +86,7 @@
     this.budget = new RetryBudget(BOUNDS);
     this.members = new FleetMembers(this.name, this.localTime(startsAt));
     this.limits = new ServerLimits(this.members);
+    this.cold = new ColdServers(this.members, COLD_BOUNDS, HEARTBEAT_MS);
     this.told = undefined;
     this.nextListAt = startsAt;
     this.isRegistered = false;
@@ -89,7 +94,8 @@
   }
 
   createDigest(now: number, caller?: Digest): Digest {
-    const limits = this.limits.report(this.localTime(now));
+    const local = this.localTime(now);
+    const limits = [...this.limits.report(local), ...this.cold.report(local)];
     const own: Digest = {
       ...this.location,
       incarnation: String(this.incarnation),
@@ -109,8 +115,10 @@
   applyDigest(digest: Digest, now: number, isResponse: boolean): void {
     this.table.applyDigest(digest, this.localTime(now));
     observeMembers(this.members, digest, this.localTime(now), isResponse);
-    for (const report of collectLimitReports(digest))
-      this.limits.adopt(report, this.localTime(now));
+    for (const report of collectLimitReports(digest)) {
+      if (report.coldForMs !== undefined) this.cold.adopt(report, this.localTime(now));
+      else this.limits.adopt(report, this.localTime(now));
+    }
   }
 
   /** Lists all entries; before that, writes its own one after a start or a removal. */
--- a/src/controllers/forwarding/index.ts
+++ b/src/controllers/forwarding/index.ts
@@ -1,3 +1,4 @@
+export * from './cold-choice.js';
 export * from './choose.js';
 export * from './directory.js';
 export * from './target-sampling.js';
--- a/src/controllers/quotas/index.ts
+++ b/src/controllers/quotas/index.ts
@@ -1,3 +1,4 @@
+export * from './cold-servers.js';
 export * from './connection-share.js';
 export * from './fleet-members.js';
 export * from './limit-reports.js';
--- a/src/controllers/quotas/limit-reports.ts
+++ b/src/controllers/quotas/limit-reports.ts
@@ -10,6 +10,8 @@
   /** Requests per second of all gateways together; null if the server no longer names a limit. */
   perSecond: z.number().nonnegative().nullable(),
   ageMs: z.number().nonnegative(),
+  /** Present if the report is that the server is cold for this long, and of no limit that it names. */
+  coldForMs: z.number().nonnegative().exactOptional(),
 });
 
 export type LimitReport = z.infer<typeof limitReportSchema>;
@@ -22,12 +24,13 @@
   return reports.map((report) => ({ ...report, ageMs: Math.round(report.ageMs + elapsedMs) }));
 }
 
-/** Returns the newest report of each server. */
+/** Returns the newest report of each server, of its limit and of its being cold. */
 export function newestLimitReports(reports: readonly LimitReport[]): LimitReport[] {
   const newest = new Map<string, LimitReport>();
   for (const report of reports) {
-    const other = newest.get(report.server);
-    if (other === undefined || report.ageMs < other.ageMs) newest.set(report.server, report);
+    const key = `${report.coldForMs === undefined ? 'limit' : 'cold'} ${report.server}`;
+    const other = newest.get(key);
+    if (other === undefined || report.ageMs < other.ageMs) newest.set(key, report);
   }
   return [...newest.values()];
 }
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -321,6 +321,16 @@
     level: 'info',
     message: 'A server of a service that was cut off answers this gateway again.',
   },
+  serverCold: {
+    number: 2314,
+    level: 'info',
+    message: 'A backend server is cold; it gets no more than the rate that it bears.',
+  },
+  serverWarm: {
+    number: 2315,
+    level: 'info',
+    message: 'A backend server is no longer cold.',
+  },
   groupPlanWritten: {
     number: 2400,
     level: 'info',
--- a/src/gateway/backends/server-availability.ts
+++ b/src/gateway/backends/server-availability.ts
@@ -7,6 +7,7 @@
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { ServerNotice } from '../../ports/index.js';
 import type { GatewayContext } from '../types.js';
+import type { ColdServerLimits } from './cold-servers.js';
 
 export interface ServerAvailability {
   /** Records what a server says in its answer to `request`, or to an order or a probe. */
@@ -17,12 +18,10 @@
   isLeaving(server: string): boolean;
 }
 
-export function createServerAvailability({
-  board,
-  clock,
-  logger,
-  metrics,
-}: Pick<GatewayContext, 'board' | 'clock' | 'logger' | 'metrics'>): ServerAvailability {
+export function createServerAvailability(
+  { board, clock, logger, metrics }: Pick<GatewayContext, 'board' | 'clock' | 'logger' | 'metrics'>,
+  cold?: Pick<ColdServerLimits, 'recordNotice'>,
+): ServerAvailability {
   const cooldowns = new CooldownTable();
   const leaving = new LeavingTable();
 
@@ -38,6 +37,7 @@
   };
   return {
     record: (server, notice, request) => {
+      cold?.recordNotice(server, notice);
       if (notice.retryAfter.kind !== 'none')
         recordRetryAfter(server.id, notice.retryAfter, request);
       if (!notice.leaving) return;
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -20,6 +20,7 @@
 import { createAttemptSender } from './backends/attempt.js';
 import { createConnectionPool } from './backends/pool.js';
 import { createEngineCalls } from './backends/engine-calls.js';
+import { createColdServerLimits } from './backends/cold-servers.js';
 import { createServerAvailability } from './backends/server-availability.js';
 import { createGroupsPart } from './groups/groups-part.js';
 import { createLinkMonitor } from './links/link-monitor.js';
@@ -140,7 +141,8 @@
       return idleConnectionLimit(maxConnections, members.size);
     },
   });
-  const availability = createServerAvailability(context);
+  const cold = createColdServerLimits(context, members, () => backends.hasServed());
+  const availability = createServerAvailability(context, cold);
   const onProbe = (): void => {
     metrics.probes.inc();
   };
@@ -154,7 +156,7 @@
     section,
   });
   const engineCalls = createEngineCalls({ codec: platform.orders, onProbe, availability, links });
-  const backends = createBackendTracker(context, members, availability, links);
+  const backends = createBackendTracker(context, members, availability, links, cold);
   backends.onRestart((server) => {
     pool.invalidateServer(server);
   });
--- a/src/gateway/operations/metrics.ts
+++ b/src/gateway/operations/metrics.ts
@@ -20,6 +20,8 @@
   relayed: Counter<'outcome'>;
   cooldowns: Counter<'kind'>;
   leavingAnswers: Counter;
+  coldServers: Gauge;
+  coldHeldBack: Counter<'outcome'>;
   quarantined: Counter;
   suppressedLines: Counter;
   readiness: Gauge;
@@ -102,6 +104,17 @@
       help: 'Answers in which backend servers said that they are leaving.',
       registers,
     }),
+    coldServers: new Gauge({
+      name: 'yuccasail_gateway_cold_servers',
+      help: 'Backend servers that are cold, or count as cold since they have just started.',
+      registers,
+    }),
+    coldHeldBack: new Counter({
+      name: 'yuccasail_gateway_cold_held_back_total',
+      help: 'Requests that found only cold backend servers without a permit, by outcome.',
+      labelNames: ['outcome'],
+      registers,
+    }),
     quarantined: new Counter({
       name: 'yuccasail_gateway_quarantined_total',
       help: 'Requests that were put into quarantine since backend servers end under them.',
--- a/src/gateway/requests/backend-tracker.ts
+++ b/src/gateway/requests/backend-tracker.ts
@@ -3,6 +3,7 @@
  */
 import {
   chooseTarget,
+  chooseWithCold,
   createTargetDirectory,
   drawTarget,
   sampleTargets,
@@ -25,10 +26,12 @@
 import { hasRoom } from '../../controllers/waiting/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { RateLimit, ServingService } from '../../ports/index.js';
+import { NO_COLD_SERVERS, type ColdServerLimits } from '../backends/cold-servers.js';
 import type { ServerAvailability } from '../backends/server-availability.js';
 import type { LinkMonitor } from '../links/link-monitor.js';
 import type { LinkEvidence } from '../links/types.js';
 import type { GatewayContext } from '../types.js';
+import { estimateColdWait, isColdTarget, listColdStates } from './cold-targets.js';
 
 /** A chosen target with the state that it was chosen by. */
 export interface ChosenTarget extends TargetState {
@@ -69,6 +72,16 @@
     model: string | undefined,
     excluded: ReadonlySet<string>,
   ): Milliseconds | undefined;
+  /**
+   * Time until a request that `ahead` others precede may be sent, if all targets that are not excluded
+   * are cold; undefined otherwise.
+   */
+  coldWaitMs(
+    service: ServingService,
+    model: string | undefined,
+    excluded: ReadonlySet<string>,
+    ahead: number,
+  ): Milliseconds | undefined;
   /** The number of all targets, including suspected ones. */
   countTargets(service: ServingService, model: string | undefined): number;
   /** Counts an attempt as in flight. */
@@ -95,9 +108,9 @@
   adoptPeerSuspicion(server: string, ageMs: Milliseconds, leftMs: Milliseconds): boolean;
   /** Records what an answer to an attempt sent at `sentAt` says of the server's rate limit. */
   recordRateLimit(server: string, limit: RateLimit, sentAt: Milliseconds): void;
-  /** Adopts a peer's observation of a rate limit. */
+  /** Adopts a peer's observation of a rate limit, or that a server is cold. */
   adoptRateLimit(report: LimitReport, peer: string): void;
-  /** This gateway's observations of rate limits, for peers. */
+  /** This gateway's observations of rate limits and cold servers, for peers. */
   listRateLimits(): LimitReport[];
   /** Records the result of an attempt for the failure rate. */
   recordResult(server: string, failed: boolean): void;
@@ -113,7 +126,7 @@
   suspicions: SuspicionTable;
   /** Called with each server that has restarted under its id. */
   onRestart(listener: (server: string) => void): void;
-  /** Called when an answer to this gateway has shown that a server's rate limit has changed. */
+  /** Called when an answer has shown that a server's rate limit has changed, or that it is cold. */
   onRateLimitChange(listener: () => void): void;
   /** Called with each server that this gateway newly suspects. */
   onSuspicion(listener: (server: string) => void): void;
@@ -124,6 +137,7 @@
   members: FleetMembers,
   availability: ServerAvailability,
   links: TrackedLinks,
+  cold: ColdServerLimits = NO_COLD_SERVERS,
 ): BackendTracker {
   const { board, clock, random, logger, metrics, settings } = context;
   const inFlightCounts = new Map<string, number>();
@@ -282,6 +296,7 @@
     choose: (service, model, excluded, requiresCapacity = false) => {
       const now = clock.now();
       const targets = directory.find(service, model);
+      const isAnyCold = cold.isAnyCold();
       const evaluate = (target: Target): TargetState | undefined => {
         const { id } = target.server;
         if (!isPossible(target, excluded, now)) return undefined;
@@ -290,10 +305,16 @@
         return requiresCapacity && !hasRoom(state) ? undefined : state;
       };
       const { isLate } = board.peerLoad.read();
+      const evaluateWarm = isAnyCold
+        ? (target: Target) => (isColdTarget(cold, target) ? undefined : evaluate(target))
+        : evaluate;
       const states = isLate
-        ? sampleTargets(targets, evaluate, random)
-        : evaluateAll(targets, evaluate);
-      const chosen = isLate ? drawTarget(states, random) : chooseTarget(states, random);
+        ? sampleTargets(targets, evaluateWarm, random)
+        : evaluateAll(targets, evaluateWarm);
+      const warm = isLate ? drawTarget(states, random) : chooseTarget(states, random);
+      const chosen = isAnyCold
+        ? chooseWithCold(warm, listColdStates(cold, targets, evaluate), random)
+        : warm;
       return chosen && { ...chosen, candidates: states.length };
     },
     hasTarget: (service, model, excluded) => {
@@ -314,6 +335,14 @@
       }
       return soonestMs === Infinity ? undefined : soonestMs;
     },
+    coldWaitMs: (service, model, excluded, ahead) => {
+      const now = clock.now();
+      const query = {
+        targets: directory.find(service, model),
+        isPossible: (target: Target) => isPossible(target, excluded, now),
+      };
+      return estimateColdWait(cold, query, ahead);
+    },
     countTargets: (service, model) => {
       const { near, far } = directory.find(service, model);
       return near.length + far.length;
@@ -321,10 +350,12 @@
     recordSent: (server) => {
       inFlightCounts.set(server, (inFlightCounts.get(server) ?? 0) + 1);
       limits.recordSent(server);
+      cold.recordSent(server);
     },
     recordEnded: (server) => {
       if (previousInFlight.has(server)) endPreviousAttempt(server);
       else decrement(inFlightCounts, server);
+      if (!inFlightCounts.has(server) && !previousInFlight.has(server)) cold.recordIdle(server);
     },
     inFlight: () => inFlightCounts,
     inFlightAt: estimateInFlight,
@@ -338,6 +369,7 @@
     lastProgressAt: (server) => progress.lastProgress(server),
     recordContact: (server) => {
       contacts.record(server, clock.now());
+      cold.recordContact(server);
     },
     lastContactAt: (server) => contacts.lastProgress(server),
     suspect: (server, evidence, kind) => {
@@ -364,9 +396,10 @@
     },
     adoptRateLimit: (report, peer) => {
       if (!board.fleet.read().servers.has(report.server)) return;
-      if (limits.adopt(report, clock.now())) logLimit(report.server, peer);
+      if (report.coldForMs !== undefined) cold.adopt(report, peer);
+      else if (limits.adopt(report, clock.now())) logLimit(report.server, peer);
     },
-    listRateLimits: () => limits.report(clock.now()),
+    listRateLimits: () => [...limits.report(clock.now()), ...cold.report()],
     recordResult: (server, failed) => {
       if (!isAmbiguous(server)) failures.record(server, failed);
     },
@@ -396,6 +429,7 @@
     },
     onRateLimitChange: (listener) => {
       limitListeners.push(listener);
+      cold.onNews(listener);
     },
     onSuspicion: (listener) => {
       suspicionListeners.push(listener);
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -232,7 +232,7 @@
   }
 
   private failIfNoneCanServe(): boolean {
-    return this.failIfOutOfReach() || this.failIfAllCoolDown();
+    return this.failIfOutOfReach() || this.failIfAllCoolDown() || this.failIfAllCold();
   }
 
   /** Fails the request at once if no gateway reaches the service. */
@@ -256,6 +256,27 @@
     return true;
   }
 
+  /** Fails the request at once if all its targets are cold and none may get it in time. */
+  private failIfAllCold(): boolean {
+    const waitMs = this.coldWaitMs();
+    if (waitMs === undefined) return false;
+    const { clock, metrics, random } = this.deps.context;
+    if (waitMs <= this.wait.waitLeftMs(clock.now())) return false;
+    metrics.coldHeldBack.inc({ outcome: 'refused' });
+    // Another gateway may send to them sooner.
+    const spreadMs = random.fraction() * RETURN_SPREAD_MS;
+    this.failRequest('all targets are cold', Math.min(waitMs, RETRY_AFTER_MS) + spreadMs);
+    return true;
+  }
+
+  private coldWaitMs(): Milliseconds | undefined {
+    const { request, deps, wait } = this;
+    if (this.attempts.size > 0) return undefined;
+    const excluded = this.isRepeatable ? NO_SERVERS : this.triedServers;
+    const ahead = wait.isQueued ? 0 : deps.queues.countQueued(request);
+    return deps.backends.coldWaitMs(request.service, request.model?.name, excluded, ahead);
+  }
+
   private waitForTarget(why: string): void {
     if (this.attempts.size > 0) return;
     const now = this.deps.context.clock.now();
@@ -267,6 +288,8 @@
   private logWait(why: string): void {
     const { service, model } = this.request;
     const targets = this.deps.backends.countTargets(service, model?.name);
+    if (this.coldWaitMs() !== undefined)
+      this.deps.context.metrics.coldHeldBack.inc({ outcome: 'waits' });
     this.log('requestWaits', { why, targets, tried: this.triedServers.size });
   }
 
--- a/src/gateway/requests/request-queues.ts
+++ b/src/gateway/requests/request-queues.ts
@@ -30,6 +30,8 @@
   recordSent(request: AdmittedRequest): void;
   /** Whether other requests for the same model are queued. */
   hasQueued(request: AdmittedRequest): boolean;
+  /** The number of queued requests for the same model. */
+  countQueued(request: AdmittedRequest): number;
   /** Dispatches in the next turn of the event loop, after a target may have become free. */
   scheduleDispatch(): void;
   /** Sends queued requests to targets with free slots; rejects those that can't be in time. */
@@ -94,6 +96,7 @@
       queueOf(request).pace.sent += 1;
     },
     hasQueued: (request) => queueOf(request).waiting.size > 0,
+    countQueued: (request) => queueOf(request).waiting.size,
     scheduleDispatch: () => {
       if (isDispatchScheduled) return;
       isDispatchScheduled = true;
--- a/src/ports/fleet.ts
+++ b/src/ports/fleet.ts
@@ -33,7 +33,7 @@
    * if the server doesn't report it.
    */
   startedAt?: number;
-  /** How much longer the server is cold, by its last entry; absent if it is not cold. */
+  /** How much longer the server is cold, by its last entry; absent if the entry does not say. */
   coldForMs?: Milliseconds;
   /** Present only for engines. */
   engine?: EngineState;
