--- a/src/gateway/requests/target-wait.ts
+++ b/src/gateway/requests/target-wait.ts
@@ -98,7 +98,12 @@
   }
 
   private failIfNoneCanServe(): boolean {
-    return this.failIfEvacuated() || this.failIfOutOfReach() || this.failIfAllCoolDown();
+    return (
+      this.failIfEvacuated() ||
+      this.failIfOutOfReach() ||
+      this.failIfAllCoolDown() ||
+      this.failIfAllCold()
+    );
   }
 
   /** Fails the request at once if operators have evacuated all failure domains with servers for it. */
@@ -129,6 +134,26 @@
     return true;
   }
 
+  /** Fails the request at once if all its targets are cold and none may get it in time. */
+  private failIfAllCold(): boolean {
+    const waitMs = this.coldWaitMs();
+    if (waitMs === undefined) return false;
+    const { clock, metrics } = this.deps.context;
+    if (waitMs <= this.wait.waitLeftMs(clock.now())) return false;
+    metrics.coldHeldBack.inc({ outcome: 'refused' });
+    // Another gateway may send to them sooner.
+    this.ending.fail('all targets are cold', Math.min(waitMs, RETRY_AFTER_MS) + this.drawSpread());
+    return true;
+  }
+
+  private coldWaitMs(): Milliseconds | undefined {
+    const { request, deps, attempts, wait } = this;
+    if (attempts.isAnyInFlight) return undefined;
+    const excluded = attempts.isRepeatable ? NO_SERVERS : attempts.triedServers;
+    const ahead = wait.isQueued ? 0 : deps.queues.countQueued(request);
+    return deps.backends.coldWaitMs(request.service, request.model?.name, excluded, ahead);
+  }
+
   private drawSpread(): Milliseconds {
     return this.deps.context.random.fraction() * RETURN_SPREAD_MS;
   }
@@ -145,6 +170,7 @@
   private logWait(why: string): void {
     const { id, service, model } = this.request;
     const { context, backends } = this.deps;
+    if (this.coldWaitMs() !== undefined) context.metrics.coldHeldBack.inc({ outcome: 'waits' });
     context.logger.log('requestWaits', {
       request: id,
       why,
