Retry requests that did not run while time is left, and send none too late

Cause: (1) Each attempt beyond the first that reaches a server takes a retry of the budget, and when the budget was used up at that moment the caller was refused at once, 4 ms after the first attempt. Besides, servers that were never reached counted as refusals, of which five end a request; a request that must not run twice never returned to a server that had refused it; and a refused stream went on to full replicas. (2) Attempts were started with 20 ms left, whatever answers take, and a request that waited for its connection was written when that opened, also after the deadline.

Change: - A request without a retry waits if recent requests will have earned one within its wait (at most 1.5 s and 0.4 of the time left), and is refused at once otherwise. The budget itself is unchanged. - Only refusals that took a retry count as such. Tried servers may be tried again after the delay. - A refused request for a model queues like a new one instead of going to a full replica. - An attempt needs half of the expected time of its answer, at most half of the target time. - Attempts carry the last moment to send. It is checked before the first byte is written, on own connections and on relays, which read it from the deadline of the request. The new failure kind `tooLate` is no evidence against a server.

--- a/src/controllers/forwarding/retry-budget.ts
+++ b/src/controllers/forwarding/retry-budget.ts
@@ -94,6 +94,17 @@
     return retries + 1 <= limit && extra + 1 - Math.min(1, saved) <= extraLimit;
   }
 
+  /**
+   * Time until recent requests have earned the next retry; infinite if there were none. An estimate
+   * to decide on waiting: only `take` allows a retry.
+   */
+  waitMs(now: Milliseconds, share: number): Milliseconds {
+    const { requests, saved } = this.usage(now, share);
+    const { ratio, windowMs } = this.bounds;
+    const earnedPerMs = (SAFETY_FACTOR * ratio * requests) / windowMs;
+    return earnedPerMs > 0 ? (1 - Math.min(1, saved)) / earnedPerMs : Infinity;
+  }
+
   usage(now: Milliseconds, share: number): RetryUsage {
     this.currentSlice(now);
     const newestIndex = this.slices.at(-1)?.index ?? 0;
--- a/src/controllers/waiting/index.ts
+++ b/src/controllers/waiting/index.ts
@@ -1,3 +1,4 @@
 export * from './first-event-times.js';
 export * from './queue-order.js';
 export * from './capacity.js';
+export * from './useful-time.js';
--- a/src/gateway/backends/attempt.ts
+++ b/src/gateway/backends/attempt.ts
@@ -2,6 +2,7 @@
  * One attempt to send a request to one backend server.
  */
 import type { Dispatcher } from 'undici';
+import type { Clock, Milliseconds } from '../../core/clock/index.js';
 import type { ResponseHead, RequestCodec, ServerNotice } from '../../ports/index.js';
 import type { BackendConnection } from './connection.js';
 import type { BackendAddress, ConnectionPool } from './pool.js';
@@ -17,6 +18,8 @@
   requestId: string | undefined;
   /** Don't reuse a connection, because the server may just have closed an idle one. */
   requiresNewConnection: boolean;
+  /** Nothing is sent after this moment, as when the connection took too long to open. */
+  sendUntil: Milliseconds;
 }
 
 /** The head of a response that belongs to the request. */
@@ -33,6 +36,8 @@
   | { kind: 'notSent'; reason: string }
   /** No byte of the request was sent, because no other gateway could relay it. */
   | { kind: 'notRelayed'; reason: string }
+  /** No byte of the request was sent, because too little time was left by then. */
+  | { kind: 'tooLate'; reason: string }
   /** The backend server may have run the request. */
   | { kind: 'broken'; reason: string };
 
@@ -57,6 +62,9 @@
   resume(): void;
 }
 
+/** Reason of a failure of the kind `tooLate`. */
+export const TOO_LATE_REASON = 'too little time was left when the connection was open';
+
 /** Starts an attempt. */
 export type AttemptSender = (request: AttemptRequest, observer: AttemptObserver) => Attempt;
 
@@ -67,10 +75,11 @@
 export function createAttemptSender(
   pool: ConnectionPool,
   codec: RequestCodec,
+  clock: Clock,
   onNewConnection: (server: string) => void,
 ): AttemptSender {
   return (request, observer) => {
-    const attempt = new RunningAttempt(request, observer, pool, codec, onNewConnection);
+    const attempt = new RunningAttempt(request, observer, pool, codec, clock, onNewConnection);
     return attempt.start();
   };
 }
@@ -92,6 +101,7 @@
     private readonly observer: AttemptObserver,
     private readonly pool: ConnectionPool,
     private readonly codec: RequestCodec,
+    private readonly clock: Clock,
     private readonly onNewConnection: (server: string) => void,
   ) {
     this.server = request.server;
@@ -132,8 +142,12 @@
     this.controller?.resume();
   }
 
+  /** Called before the first byte is written; once `abort` was called, none is. */
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
+    if (this.isFinished || this.clock.now() <= this.request.sendUntil) return;
+    this.end({ kind: 'tooLate', reason: TOO_LATE_REASON });
+    controller.abort(new Error(TOO_LATE_REASON));
   }
 
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
@@ -183,12 +197,16 @@
   }
 
   private fail(error: unknown): void {
-    if (this.isFinished) return;
-    this.isFinished = true;
     const reason = error instanceof Error ? error.message : 'unknown error';
     const mayHaveBeenSent = this.connection.state.connected;
+    this.end({ kind: mayHaveBeenSent ? 'broken' : 'notSent', reason });
+  }
+
+  private end(failure: AttemptFailure): void {
+    if (this.isFinished) return;
+    this.isFinished = true;
     this.closeConnection();
-    this.observer.onFailure({ kind: mayHaveBeenSent ? 'broken' : 'notSent', reason });
+    this.observer.onFailure(failure);
   }
 
   private closeConnection(): void {
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -159,7 +159,7 @@
     pool.invalidateServer(server);
   });
   const watchdog = createWatchdog(context, backends);
-  const sendOverOwnLink = createAttemptSender(pool, platform.requests, (server) => {
+  const sendOverOwnLink = createAttemptSender(pool, platform.requests, clock, (server) => {
     links.recordNewConnection(server);
   });
   const relayPool = createConnectionPool({
--- a/src/gateway/relay/relay-handler.ts
+++ b/src/gateway/relay/relay-handler.ts
@@ -80,6 +80,10 @@
     incoming: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> => {
+    const receivedAt = context.clock.now();
+    // The other gateway writes the time that was left into the request for the backend server.
+    const leftMs =
+      context.platform.requests.decodeRequest(incoming.rawHeaders).deadlineMs ?? Infinity;
     const limits = board.serving.read()?.configuration.limits;
     const body = await readBody(incoming, limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES).result;
     if (body.kind !== 'read' || response.destroyed) {
@@ -109,6 +113,7 @@
       body: body.body,
       requestId: order.requestId,
       requiresNewConnection: order.requiresNewConnection,
+      sendUntil: receivedAt + leftMs,
     });
   };
   return {
@@ -194,7 +199,7 @@
 
   onFailure(failure: AttemptFailure): void {
     if (this.isFinished) return;
-    const kind = failure.kind === 'notRelayed' ? 'unavailable' : failure.kind;
+    const kind = toOutcomeKind(failure);
     if (kind === 'notSent') void this.options.links.investigate(this.server.id, 'unreachable');
     this.finish(kind);
     if (this.response.headersSent) this.response.destroy();
@@ -208,6 +213,17 @@
   }
 }
 
+function toOutcomeKind({ kind }: AttemptFailure): 'unavailable' | 'notSent' | 'broken' {
+  switch (kind) {
+    case 'notRelayed':
+    case 'tooLate':
+      return 'unavailable';
+    case 'notSent':
+    case 'broken':
+      return kind;
+  }
+}
+
 function refuse(response: ServerResponse, outcome: RelayOutcome): void {
   response.writeHead(BAD_GATEWAY_STATUS, [...encodeRelayOutcome(outcome), 'Content-Length', '0']);
   response.end();
--- a/src/gateway/relay/relayed-attempt.ts
+++ b/src/gateway/relay/relayed-attempt.ts
@@ -5,9 +5,11 @@
  * it can't, the next gateway is tried: nothing has reached the server by then.
  */
 import type { Dispatcher } from 'undici';
+import type { Clock } from '../../core/clock/index.js';
 import type { RequestCodec } from '../../ports/index.js';
 import {
   readRawHeaders,
+  TOO_LATE_REASON,
   type Attempt,
   type AttemptObserver,
   type AttemptRequest,
@@ -27,6 +29,7 @@
   /** Connections to the other gateways, by name. */
   pool: ConnectionPool;
   codec: RequestCodec;
+  clock: Clock;
   links: Pick<LinkMonitor, 'chooseRelay' | 'avoidRelay'>;
   /** Called with the name of each gateway that is asked to relay the request. */
   onRelay: (request: AttemptRequest, peer: string) => void;
@@ -72,9 +75,9 @@
   }
 
   private tryNext(): void {
-    const { links, onRelay } = this.options;
-    const peer =
-      this.tried.size < MAX_RELAYS ? links.chooseRelay(this.server.id, this.tried) : undefined;
+    const { clock, links, onRelay } = this.options;
+    const mayTry = this.tried.size < MAX_RELAYS && clock.now() <= this.request.sendUntil;
+    const peer = mayTry ? links.chooseRelay(this.server.id, this.tried) : undefined;
     if (peer === undefined) {
       // Reported later, because the caller does not have this attempt yet.
       queueMicrotask(() => {
@@ -170,6 +173,9 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
+    if (this.isFinished || this.options.clock.now() <= this.request.sendUntil) return;
+    this.fail({ kind: 'unavailable', reason: TOO_LATE_REASON });
+    controller.abort(new Error(TOO_LATE_REASON));
   }
 
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
--- a/src/gateway/relay/routed-sender.ts
+++ b/src/gateway/relay/routed-sender.ts
@@ -19,6 +19,7 @@
   const { context, links, pool, sendOverOwnLink } = options;
   const relayOptions: RelayedAttemptOptions = {
     pool,
+    clock: context.clock,
     codec: context.platform.requests,
     links,
     onRelay: ({ server, requestId }, peer) => {
--- a/src/gateway/requests/backend-tracker.ts
+++ b/src/gateway/requests/backend-tracker.ts
@@ -110,6 +110,8 @@
   /** Records that a retry has arrived at its server, or never will. */
   settleRetry(service: string): void;
   hasRetryLeft(service: string): boolean;
+  /** Time after which a retry should be left at the rate of recent requests; may be infinite. */
+  retryWaitMs(service: string): Milliseconds;
   suspicions: SuspicionTable;
   /** Called with each server that has restarted under its id. */
   onRestart(listener: (server: string) => void): void;
@@ -389,6 +391,7 @@
     settleRetry: (service) => {
       retryBudgetOf(service).settle(clock.now());
     },
+    retryWaitMs: (service) => retryBudgetOf(service).waitMs(clock.now(), retryShare()),
     hasRetryLeft: (service) => retryBudgetOf(service).hasLeft(clock.now(), retryShare()),
     suspicions,
     onRestart: (listener) => {
--- a/src/gateway/requests/request-attempts.ts
+++ b/src/gateway/requests/request-attempts.ts
@@ -2,6 +2,7 @@
  * The attempts of one request: where the next one goes, and which are in flight.
  */
 import { isRepeatable, type EventStream } from '../../controllers/forwarding/index.js';
+import { minUsefulMs } from '../../controllers/waiting/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { AttemptSender } from '../backends/attempt.js';
 import type { GatewayContext } from '../types.js';
@@ -86,14 +87,15 @@
   }
 
   /**
-   * Chooses a target, or `allFull` if the request has to queue. Only the first attempt at a model's
-   * replica queues: a retry has little time left, and without any replica queueing would not help.
+   * Chooses a target, or `allFull` if the request has to queue. Only a request for a model queues that
+   * no replica may have run: after a break or stall little time is left. Without any replica, queueing
+   * would not help.
    */
   chooseTarget(isQueued: boolean): ChosenTarget | 'allFull' | undefined {
     const { request, deps, triedServers } = this;
     const { service, model } = request;
     const { backends, queues } = deps;
-    if (this.sentCount > 0 || model === undefined)
+    if (this.mayHaveRun || model === undefined)
       return backends.choose(service, model?.name, triedServers);
     const mustQueue = !isQueued && queues.hasQueued(request);
     const withCapacity = mustQueue
@@ -109,6 +111,16 @@
     return this.deps.backends.choose(service, model?.name, this.triedServers) !== undefined;
   }
 
+  /** Whether what is left is enough for an answer of use. */
+  get hasUsefulTimeLeft(): boolean {
+    return this.budgetMs >= this.minUsefulMs;
+  }
+
+  private get minUsefulMs(): Milliseconds {
+    const { request, deps } = this;
+    return minUsefulMs(request.route.targetMs, deps.queues.expectedFirstEventMs(request));
+  }
+
   /** Takes a retry from the budget if the next attempt is one; returns false if none is left. */
   takeRetry(): boolean {
     if (this.arrivals === 0) return true;
@@ -155,6 +167,7 @@
       body: request.body,
       requestId: request.caller.id,
       requiresNewConnection: !this.isRepeatable,
+      sendUntil: deps.context.clock.now() + leftMs - this.minUsefulMs,
     });
   }
 
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -29,10 +29,8 @@
   links: Pick<LinkMonitor, 'isOutOfReach' | 'recordHeard'>;
 }
 
-/** A request fails after more refusals by backend servers than this. */
+/** A request fails after more refusals by backend servers than this; each took a retry. */
 const MAX_REFUSALS = 4;
-/** No attempt is started with less time left than this. */
-const MIN_ATTEMPT_MS: Milliseconds = 20;
 
 /** Drives one request to its final response. */
 export class RequestForwarder implements WatchedRequest, AttemptOwner {
@@ -105,7 +103,7 @@
       ending.refuseStopping();
       return;
     }
-    if (attempts.budgetMs < MIN_ATTEMPT_MS) {
+    if (!attempts.hasUsefulTimeLeft) {
       const isLimitedByShutdown = deps.shutdown.responseDeadline() < request.deadline;
       const reason = isLimitedByShutdown ? SHUTDOWN_REASON : 'too little time is left';
       if (!attempts.isAnyInFlight) ending.fail(reason);
@@ -117,7 +115,7 @@
       return;
     }
     if (!attempts.takeRetry()) {
-      if (!attempts.isAnyInFlight) ending.fail('no repeats left');
+      wait.handleNoRetry(why);
       return;
     }
     wait.end();
@@ -170,14 +168,15 @@
       this.attempts.end(attempt, `refused with ${response.status}`);
       // The time for which the server is left alone takes the place of a lower rank.
       if (this.deps.availability.cooldownLeftMs(server) === 0) backends.recordResult(server, true);
-      this.handleRefusal();
+      this.refusals += 1;
+      this.handleNotRun();
       return;
     }
     if (isValidSuccess(response)) {
       this.attempts.end(attempt, 'answered');
       backends.recordResult(server, false);
       if (this.relay?.hasPartialEvent) this.handleBrokenAttempt('the answer ended within an event');
-      else this.ending.answer(attempt, response);
+      else this.completeRequest(attempt, response);
       return;
     }
     this.attempts.end(attempt, `status ${response.status}`);
@@ -195,6 +194,12 @@
     );
   }
 
+  private completeRequest(attempt: TrackedAttempt, response: AttemptResponse): void {
+    const { clock } = this.deps.context;
+    if (!this.relay) this.deps.queues.recordFirstEvent(this.request, clock.now() - attempt.sentAt);
+    this.ending.answer(attempt, response);
+  }
+
   onFailure(attempt: TrackedAttempt, failure: AttemptFailure): void {
     const { backends, quarantine } = this.deps;
     this.attempts.end(attempt, failure.reason, failure.kind);
@@ -206,11 +211,12 @@
           failure.reason,
           attempt.isRelayed ? 'relayed' : 'unreachable',
         );
-        this.handleRefusal();
+        this.handleNotRun();
         break;
       case 'notRelayed':
+      case 'tooLate':
         this.attempts.recordNotArrived();
-        this.handleRefusal();
+        this.handleNotRun();
         break;
       case 'broken':
         // A relayed attempt may have broken off at the relay.
@@ -238,8 +244,7 @@
   }
 
   /** The request did not run, so it can be retried even if it must not run twice. */
-  private handleRefusal(): void {
-    this.refusals += 1;
+  private handleNotRun(): void {
     if (this.attempts.isAnyInFlight) return;
     if (this.refusals > MAX_REFUSALS) {
       this.ending.fail('refused everywhere');
--- a/src/gateway/requests/target-wait.ts
+++ b/src/gateway/requests/target-wait.ts
@@ -23,9 +23,14 @@
 const RETURN_SPREAD_MS: Milliseconds = 500;
 const NO_SERVERS: ReadonlySet<string> = new Set();
 
+/** Logged reason; `yuccasail explain` and `diagnose` match this text. */
+const NO_RETRY_REASON = 'no repeats left';
+
 /** Holds one request until a target is found, or refuses it. */
 export class TargetWait {
   private readonly wait: RequestWait;
+  /** It waits for the retry budget, and targets are known. */
+  private isForRetry = false;
 
   /** `sendNext` sends the next attempt, for the given reason, to a target that it chooses. */
   constructor(
@@ -45,6 +50,7 @@
   /** A target was found. */
   end(): void {
     this.wait.endTargetWait();
+    this.isForRetry = false;
   }
 
   leaveQueue(): void {
@@ -64,15 +70,34 @@
     }
   }
 
+  /**
+   * Handles that a target is known but the retry budget is used up. The request waits if recent requests
+   * will have earned a retry by the end of its wait, and is refused at once otherwise.
+   */
+  handleNoRetry(attemptReason: string): void {
+    const { request, deps, wait, attempts } = this;
+    if (attempts.isAnyInFlight) return;
+    const now = deps.context.clock.now();
+    if (deps.backends.retryWaitMs(request.service.name) > wait.waitLeftMs(now)) {
+      this.ending.fail(NO_RETRY_REASON);
+      return;
+    }
+    this.isForRetry = true;
+    if (wait.startTargetWait(now)) this.logWait(attemptReason);
+  }
+
   onTick(now: Milliseconds): void {
     if (this.attempts.isAnyInFlight) return;
-    if (this.wait.canRetry(now)) this.sendNext('waited');
+    const { wait, deps, request } = this;
+    const mayTry = !this.isForRetry || deps.backends.hasRetryLeft(request.service.name);
+    if (mayTry && wait.canRetry(now)) this.sendNext('waited');
     this.checkTimeout(now);
   }
 
   private checkTimeout(now: Milliseconds): void {
     if (this.ending.isFinished || this.attempts.isAnyInFlight) return;
-    if (this.wait.hasTimedOut(now)) this.ending.fail('no target in time');
+    if (this.wait.hasTimedOut(now))
+      this.ending.fail(this.isForRetry ? NO_RETRY_REASON : 'no target in time');
   }
 
   private enqueue(why: string): void {
@@ -111,8 +136,7 @@
   private failIfAllCoolDown(): boolean {
     const { request, deps, attempts } = this;
     if (attempts.isAnyInFlight) return false;
-    const excluded = attempts.isRepeatable ? NO_SERVERS : attempts.triedServers;
-    const leftMs = deps.backends.cooldownLeftMs(request.service, request.model?.name, excluded);
+    const leftMs = deps.backends.cooldownLeftMs(request.service, request.model?.name, NO_SERVERS);
     const waitLeftMs = this.wait.waitLeftMs(deps.context.clock.now());
     if (leftMs === undefined || leftMs <= waitLeftMs) return false;
     this.ending.fail('all targets are cooling down', leftMs + this.drawSpread());
@@ -127,9 +151,11 @@
     const { attempts } = this;
     if (attempts.isAnyInFlight) return;
     const now = this.deps.context.clock.now();
+    this.isForRetry = false;
     if (this.wait.startTargetWait(now)) this.logWait(why);
     if (attempts.triedServers.size > 0) this.wait.delayRetry(now);
-    if (attempts.isRepeatable) attempts.triedServers.clear();
+    // Whatever is retried may be sent to the same servers again: it did not run there, or may run twice.
+    attempts.triedServers.clear();
   }
 
   private logWait(why: string): void {
