--- a/src/gateway/peers/follow-control.ts
+++ b/src/gateway/peers/follow-control.ts
@@ -55,15 +55,15 @@
   const startedAt = clock.now();
   let followUntil = Number.NEGATIVE_INFINITY;
   let mode: FollowMode = 'off';
+  let followEvacuationsUntil = Number.NEGATIVE_INFINITY;
+  let evacuationMode: FollowMode = 'off';
 
   const isStale = (proof: Proof | undefined, boundMs: Milliseconds, now: Milliseconds): boolean =>
     (proofAge(proof, now) ?? Infinity) >
     computeProofBounds(boundMs).fallbackAfterMs(table.hubInterval());
   const isAnyProofStale = (now: Milliseconds): boolean =>
     isStale(board.configurationProof.read(), settings.configuration.applyMs, now) ||
-    isStale(board.fleetProof.read(), settings.servers.drainMs, now) ||
-    (settings.evacuation !== undefined &&
-      isStale(board.evacuationProof.read(), settings.evacuation.evacuateMs, now));
+    isStale(board.fleetProof.read(), settings.servers.drainMs, now);
   /** Why this gateway has to follow on its own; undefined if it can rely on the hub. */
   const findFallbackReason = (now: Milliseconds): string | undefined => {
     const hubStatus = table.hubStatus(now);
@@ -84,11 +84,23 @@
     mode = next;
     configuration.follower.setMode(next);
     fleet.follower.setMode(next);
-    evacuation?.follower.setMode(next);
     if ((before === 'off') !== (next === 'off')) {
       logger.log(next === 'off' ? 'followingEnded' : 'followingBegan', { reason });
     }
   };
+  /**
+   * Evacuations are followed by the hub, and by others only while their own proof of them is too old.
+   * Their bound is longer than the others: a hub that is briefly not trusted costs no calls.
+   */
+  const updateEvacuation = (now: Milliseconds): void => {
+    if (evacuation === undefined || settings.evacuation === undefined) return;
+    if (isStale(board.evacuationProof.read(), settings.evacuation.evacuateMs, now))
+      followEvacuationsUntil = now + MIN_FOLLOW_MS;
+    const others = now < followEvacuationsUntil ? 'forItself' : 'off';
+    const next = table.isHub() ? 'forDomain' : others;
+    if (next !== evacuationMode) evacuation.follower.setMode(next);
+    evacuationMode = next;
+  };
   /** Best effort: a peer that misses a message detects its lag from the next digest. */
   const relayToDomain = (send: (address: string) => Promise<void>): void => {
     if (!table.isHub()) return;
@@ -107,6 +119,7 @@
   });
   return {
     update: (now) => {
+      updateEvacuation(now);
       const fallbackReason = findFallbackReason(now);
       const next = selectMode(fallbackReason, now);
       if (next === mode) return;
