Refuse at once what cold servers can't take in time; scenarios with gateways

Cause: requests of plain services that wait for a target were not counted, so each of them saw the next permit of a cold server as its own and was held until it had waited in vain.

Change: requests that wait for any target are counted per service and model; a new request does not take a permit that others wait for, and is refused at once with the reason "all targets are cold" if its turn would come too late. explain and diagnose name that cause.

--- a/features/gateway/site.ts
+++ b/features/gateway/site.ts
@@ -54,6 +54,8 @@
   readsLog: boolean;
   /** Grace period of a stop; the default of the settings when absent. */
   graceMs?: number;
+  /** Bounds for cold servers; off when absent. */
+  coldServers?: { overrun: number; slack: number };
 }
 
 /** A response as received by a caller. */
@@ -76,6 +78,7 @@
 /** Formats the settings file of a gateway. */
 export function writeSettings(plan: Omit<GatewayPlan, 'readsLog'>): string {
   const { name, failureDomain, callers, readiness, peers, metrics, store, seeds, graceMs } = plan;
+  const { coldServers: cold } = plan;
   return [
     `name = "${name}"`,
     `failureDomain = "${failureDomain}"`,
@@ -89,6 +92,7 @@
     `address = "${store}"`,
     '[engines]',
     'stallMs = 1000',
+    ...(cold ? ['[coldServers]', `overrun = ${cold.overrun}`, `slack = ${cold.slack}`] : []),
     ...(graceMs === undefined ? [] : ['[stopping]', `graceMs = ${graceMs}`]),
   ].join('\n');
 }
--- a/features/gateway/stand-ins/configuration.ts
+++ b/features/gateway/stand-ins/configuration.ts
@@ -7,6 +7,8 @@
   /** Overrides fields of all routes. */
   route?: Record<string, unknown>;
   keys?: readonly string[];
+  /** Overrides fields of all services. */
+  service?: Record<string, unknown>;
 }
 
 export const MODEL = 'small';
@@ -27,7 +29,7 @@
 
 /** A plain service with a safe and an unsafe route, and an engine service with a streaming route. */
 export function exampleConfiguration(options: ExampleOptions = {}): unknown {
-  const { version = 2, route = {}, keys = [KEY] } = options;
+  const { version = 2, route = {}, keys = [KEY], service = {} } = options;
   const common = {
     host: 'passes.example',
     timeout_ms: 2_000,
@@ -53,11 +55,12 @@
       },
     ],
     services: [
-      { name: 'app', health_path: '/healthz', max_connections: 50 },
+      { name: 'app', health_path: '/healthz', max_connections: 50, ...service },
       {
         name: 'models',
         health_path: '/healthz',
         max_connections: 50,
+        ...service,
         engine: {
           slots: 12,
           stride: 5,
--- a/features/gateway/stand-ins/engine.ts
+++ b/features/gateway/stand-ins/engine.ts
@@ -105,6 +105,10 @@
   refusesCalls = false;
   /** `Server-Leaving` of all its answers; its entry does not show it. */
   leavingNotice: string | undefined;
+  /** Until when it is cold, in Unix milliseconds. */
+  coldUntil = 0;
+  /** Where it tells that it is cold, or since when it is not. */
+  coldShownIn: 'entries' | 'answers' = 'entries';
   /** When it received an order or was asked for a report, on the clock of the scenario. */
   readonly callTimes: number[] = [];
   /** Start time in Unix milliseconds. */
@@ -175,6 +179,16 @@
     this.report();
   }
 
+  turnCold(forMs: number, shownIn: 'entries' | 'answers'): void {
+    this.coldUntil = Date.now() + forMs;
+    this.coldShownIn = shownIn;
+    this.report();
+  }
+
+  private get coldLeftMs(): number {
+    return Math.max(0, this.coldUntil - Date.now());
+  }
+
   report(): void {
     if (this.hasCrashed) return;
     const { id, service, zone, domain, store } = this.options;
@@ -189,7 +203,7 @@
       state: this.leaving ? 'draining' : 'ready',
       born: this.born,
       sequence: 1,
-      cold_remaining_ms: 0,
+      ...(this.coldShownIn === 'entries' && { cold_remaining_ms: this.coldLeftMs }),
       ...(domain && { stage: 'dual', models, domain, staged: this.staged, group }),
     });
   }
@@ -205,6 +219,7 @@
     }
     if (this.fault.kind === 'stall') return;
     if (this.leavingNotice !== undefined) response.setHeader('Server-Leaving', this.leavingNotice);
+    if (this.coldShownIn === 'answers') response.setHeader('Cold-Ms', String(this.coldLeftMs));
     const isCall = request.url === '/report' || request.url === '/order';
     if (isCall) this.callTimes.push(performance.now());
     if (isCall && this.refusesCalls && this.fault.kind === 'refuse') this.refuse(response);
--- a/src/cli/diagnose/losses.ts
+++ b/src/cli/diagnose/losses.ts
@@ -12,6 +12,7 @@
   waitedForReplica: 'It waited at the gateway until a backend server could take it.',
   noRoom: 'It waited at the gateway, and its turn would have come too late.',
   allCoolingDown: 'All backend servers that could take it had named a cooldown.',
+  allCold: 'All backend servers that could take it were cold, with no permit left in time.',
   outOfReach: 'No gateway had links to the backend servers of its service.',
   refusedByServer: 'A backend server that it was sent to refused it.',
   noRetryLeft: 'A sending failed, and the retry budget was used up.',
@@ -174,6 +175,7 @@
   if (reason === 'the gateway stopped') return 'gatewayStopping';
   if (reason === 'no room in time') return 'noRoom';
   if (reason === 'all targets are cooling down') return 'allCoolingDown';
+  if (reason === 'all targets are cold') return 'allCold';
   if (reason === 'no gateway reaches the service') return 'outOfReach';
   if (reason === 'no target in time' && sends === 0) return 'noReplica';
   if (reason === 'no repeats left') return 'noRetryLeft';
--- a/src/cli/explain/findings.ts
+++ b/src/cli/explain/findings.ts
@@ -15,6 +15,8 @@
     'All replicas of its model were full, and its turn would have come after its caller had left.',
   allCoolingDown:
     'All backend servers that could take it had refused requests and named times that it could not wait.',
+  allCold:
+    'All backend servers that could take it were cold, and it could not wait until one might get it.',
   outOfReach:
     'Neither its gateway nor another one had a link to the backend servers of its service.',
   refusedByServers: 'The backend servers that it was sent to refused it without running it.',
@@ -48,6 +50,8 @@
 const NO_ROOM = 'no room in time';
 /** How gateways write that all targets had named a cooldown. */
 const ALL_COOLING_DOWN = 'all targets are cooling down';
+/** How gateways write that all targets were cold and none might get the request in time. */
+const ALL_COLD = 'all targets are cold';
 /** How gateways write that no gateway has links to the service. */
 const OUT_OF_REACH = 'no gateway reaches the service';
 /** How gateways write that a stop ended a request. */
@@ -71,6 +75,8 @@
     'domainTaken',
     'serviceCutOff',
     'serviceReached',
+    'serverCold',
+    'serverWarm',
   ] as const),
 ]);
 
@@ -104,6 +110,7 @@
   if (reason === 'no repeats left') return 'noRepeats';
   if (reason === NO_ROOM) return 'noRoom';
   if (reason === ALL_COOLING_DOWN) return 'allCoolingDown';
+  if (reason === ALL_COLD) return 'allCold';
   if (reason === OUT_OF_REACH) return 'outOfReach';
   const attempts = lines.filter(({ name }) => name === 'attemptEnded');
   const last = textOf(attempts.at(-1), 'how');
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -125,7 +125,8 @@
 
   private checkWaitTimeout(now: Milliseconds): void {
     if (this.isFinished || this.attempts.size > 0) return;
-    if (this.wait.hasTimedOut(now)) this.failRequest('no target in time');
+    if (this.wait.hasTimedOut(now))
+      this.failRequest(this.coldWaitMs() === undefined ? 'no target in time' : ALL_COLD);
   }
 
   private get isQuarantined(): boolean {
@@ -202,7 +203,7 @@
     const { service, model } = request;
     const { backends, queues } = deps;
     if (this.attemptCount > 0 || model === undefined)
-      return backends.choose(service, model?.name, triedServers);
+      return this.isBehindOthers ? undefined : backends.choose(service, model?.name, triedServers);
     const mustQueue = !this.wait.isQueued && queues.hasQueued(request);
     const withCapacity = mustQueue
       ? undefined
@@ -265,15 +266,22 @@
     metrics.coldHeldBack.inc({ outcome: 'refused' });
     // Another gateway may send to them sooner.
     const spreadMs = random.fraction() * RETURN_SPREAD_MS;
-    this.failRequest('all targets are cold', Math.min(waitMs, RETRY_AFTER_MS) + spreadMs);
+    this.failRequest(ALL_COLD, Math.min(waitMs, RETRY_AFTER_MS) + spreadMs);
     return true;
   }
 
+  /** Whether others wait for the permits of cold targets, which it must not take from them. */
+  private get isBehindOthers(): boolean {
+    const { attemptCount, deps, request, wait } = this;
+    if (attemptCount > 0 || wait.isWaiting || deps.queues.countWaiting(request) === 0) return false;
+    return this.coldWaitMs() !== undefined;
+  }
+
   private coldWaitMs(): Milliseconds | undefined {
     const { request, deps, wait } = this;
     if (this.attempts.size > 0) return undefined;
     const excluded = this.isRepeatable ? NO_SERVERS : this.triedServers;
-    const ahead = wait.isQueued ? 0 : deps.queues.countQueued(request);
+    const ahead = wait.isQueued || wait.isWaiting ? 0 : deps.queues.countWaiting(request);
     return deps.backends.coldWaitMs(request.service, request.model?.name, excluded, ahead);
   }
 
@@ -612,7 +620,7 @@
   private finish(outcome: RequestOutcome, reason: string): void {
     if (this.isFinished) return;
     this.isFinished = true;
-    this.wait.leaveQueue();
+    this.wait.end();
     this.deps.watchdog.requests.delete(this);
     for (const attempt of [...this.attempts]) {
       attempt.cancel();
@@ -643,6 +651,8 @@
   }
 }
 
+/** Reason of a refusal that logs and `yuccasail explain` name. */
+const ALL_COLD = 'all targets are cold';
 const NO_SERVERS: ReadonlySet<string> = new Set();
 const EMPTY_BUFFER = Buffer.alloc(0);
 
--- a/src/gateway/requests/request-queues.ts
+++ b/src/gateway/requests/request-queues.ts
@@ -30,8 +30,11 @@
   recordSent(request: AdmittedRequest): void;
   /** Whether other requests for the same model are queued. */
   hasQueued(request: AdmittedRequest): boolean;
-  /** The number of queued requests for the same model. */
-  countQueued(request: AdmittedRequest): number;
+  /** The number of requests for the same service and model that are queued or wait for any target. */
+  countWaiting(request: AdmittedRequest): number;
+  /** Counts a request that waits for any target without being queued. */
+  addWaiting(request: AdmittedRequest): void;
+  removeWaiting(request: AdmittedRequest): void;
   /** Dispatches in the next turn of the event loop, after a target may have become free. */
   scheduleDispatch(): void;
   /** Sends queued requests to targets with free slots; rejects those that can't be in time. */
@@ -46,6 +49,8 @@
 
 interface RequestQueue {
   waiting: Set<QueuedRequest>;
+  /** Requests that wait for any target. */
+  unqueued: number;
   pace: QueueThroughput;
 }
 
@@ -58,7 +63,11 @@
     const key = queueKey(request);
     const existing = queues.get(key);
     if (existing) return existing;
-    const created: RequestQueue = { waiting: new Set(), pace: { since: 0, sent: 0 } };
+    const created: RequestQueue = {
+      waiting: new Set(),
+      unqueued: 0,
+      pace: { since: 0, sent: 0 },
+    };
     queues.set(key, created);
     return created;
   };
@@ -96,7 +105,13 @@
       queueOf(request).pace.sent += 1;
     },
     hasQueued: (request) => queueOf(request).waiting.size > 0,
-    countQueued: (request) => queueOf(request).waiting.size,
+    countWaiting: (request) => queueOf(request).waiting.size + queueOf(request).unqueued,
+    addWaiting: (request) => {
+      queueOf(request).unqueued += 1;
+    },
+    removeWaiting: (request) => {
+      queueOf(request).unqueued -= 1;
+    },
     scheduleDispatch: () => {
       if (isDispatchScheduled) return;
       isDispatchScheduled = true;
--- a/src/gateway/requests/request-wait.ts
+++ b/src/gateway/requests/request-wait.ts
@@ -26,8 +26,13 @@
     return this.queued !== undefined;
   }
 
+  /** Whether it waits for any target. */
+  get isWaiting(): boolean {
+    return this.targetWaitEndsAt !== undefined;
+  }
+
   enqueue(handlers: Pick<QueuedRequest, 'trySend' | 'reject'>): void {
-    this.targetWaitEndsAt = undefined;
+    this.endTargetWait();
     this.queued = this.queues.enqueue(this.request, handlers);
     this.queues.scheduleDispatch();
   }
@@ -42,6 +47,7 @@
   startTargetWait(now: Milliseconds): boolean {
     if (this.targetWaitEndsAt !== undefined) return false;
     this.targetWaitEndsAt = this.waitEnd(now);
+    this.queues.addWaiting(this.request);
     return true;
   }
 
@@ -61,7 +67,15 @@
   }
 
   endTargetWait(): void {
+    if (this.targetWaitEndsAt === undefined) return;
     this.targetWaitEndsAt = undefined;
+    this.queues.removeWaiting(this.request);
+  }
+
+  /** Ends all waiting, as the request has ended. */
+  end(): void {
+    this.leaveQueue();
+    this.endTargetWait();
   }
 
   /** Whether it waits for a target and the retry delay is over. */
