--- a/features/gateway/site.ts
+++ b/features/gateway/site.ts
@@ -56,6 +56,8 @@
   graceMs?: number;
   /** Follows evacuations with this bound; not at all when absent. */
   evacuateMs?: number;
+  /** Bounds for cold servers; off when absent. */
+  coldServers?: { overrun: number; slack: number };
 }
 
 /** A response as received by a caller. */
@@ -79,6 +81,7 @@
 export function writeSettings(plan: Omit<GatewayPlan, 'readsLog'>): string {
   const { name, failureDomain, callers, readiness, peers, metrics, store, seeds } = plan;
   const { graceMs, evacuateMs } = plan;
+  const { coldServers: cold } = plan;
   return [
     `name = "${name}"`,
     `failureDomain = "${failureDomain}"`,
@@ -93,6 +96,7 @@
     '[engines]',
     'stallMs = 1000',
     ...(evacuateMs === undefined ? [] : ['[evacuation]', `evacuateMs = ${evacuateMs}`]),
+    ...(cold ? ['[coldServers]', `overrun = ${cold.overrun}`, `slack = ${cold.slack}`] : []),
     ...(graceMs === undefined ? [] : ['[stopping]', `graceMs = ${graceMs}`]),
   ].join('\n');
 }
--- a/src/cli/diagnose/losses.ts
+++ b/src/cli/diagnose/losses.ts
@@ -13,6 +13,7 @@
   noRoom: 'It waited at the gateway, and its turn would have come too late.',
   allCoolingDown: 'All backend servers that could take it had named a cooldown.',
   evacuated: 'Operators had evacuated all failure domains with servers of its service.',
+  allCold: 'All backend servers that could take it were cold, with no permit left in time.',
   outOfReach: 'No gateway had links to the backend servers of its service.',
   refusedByServer: 'A backend server that it was sent to refused it.',
   noRetryLeft: 'A sending failed, and the retry budget was used up.',
@@ -176,6 +177,7 @@
   if (reason === 'no room in time') return 'noRoom';
   if (reason === 'all targets are cooling down') return 'allCoolingDown';
   if (reason === 'all its failure domains are evacuated') return 'evacuated';
+  if (reason === 'all targets are cold') return 'allCold';
   if (reason === 'no gateway reaches the service') return 'outOfReach';
   if (reason === 'no target in time' && sends === 0) return 'noReplica';
   if (reason === 'no repeats left') return 'noRetryLeft';
--- a/src/cli/explain/findings.ts
+++ b/src/cli/explain/findings.ts
@@ -16,6 +16,8 @@
   allCoolingDown:
     'All backend servers that could take it had refused requests and named times that it could not wait.',
   evacuated: 'Operators had evacuated all failure domains with backend servers of its service.',
+  allCold:
+    'All backend servers that could take it were cold, and it could not wait until one might get it.',
   outOfReach:
     'Neither its gateway nor another one had a link to the backend servers of its service.',
   refusedByServers: 'The backend servers that it was sent to refused it without running it.',
@@ -51,6 +53,8 @@
 const ALL_COOLING_DOWN = 'all targets are cooling down';
 /** How gateways write that all servers of the service are in evacuated failure domains. */
 const EVACUATED = 'all its failure domains are evacuated';
+/** How gateways write that all targets were cold and none might get the request in time. */
+const ALL_COLD = 'all targets are cold';
 /** How gateways write that no gateway has links to the service. */
 const OUT_OF_REACH = 'no gateway reaches the service';
 /** How gateways write that a stop ended a request. */
@@ -77,6 +81,8 @@
     'evacuationBegan',
     'evacuationEnded',
     'evacuationsAssumed',
+    'serverCold',
+    'serverWarm',
   ] as const),
 ]);
 
@@ -111,6 +117,7 @@
   if (reason === NO_ROOM) return 'noRoom';
   if (reason === ALL_COOLING_DOWN) return 'allCoolingDown';
   if (reason === EVACUATED) return 'evacuated';
+  if (reason === ALL_COLD) return 'allCold';
   if (reason === OUT_OF_REACH) return 'outOfReach';
   const attempts = lines.filter(({ name }) => name === 'attemptEnded');
   const last = textOf(attempts.at(-1), 'how');
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -52,7 +52,7 @@
     this.relay = stream && new StreamRelay(request, stream, reply, deps.context, deps.queues);
     const { attempts, relay } = this;
     this.ending = new RequestEnding(request, { reply, attempts, relay }, deps, () => {
-      this.wait.leaveQueue();
+      this.wait.handleRequestEnd();
       deps.watchdog.requests.delete(this);
       onFinish();
     });
@@ -109,7 +109,7 @@
       if (!attempts.isAnyInFlight) ending.fail(reason);
       return;
     }
-    const chosen = attempts.chooseTarget(wait.isQueued);
+    const chosen = wait.isBehindOthers ? undefined : attempts.chooseTarget(wait.isQueued);
     if (chosen === 'allFull' || chosen === undefined) {
       wait.handleNoTarget(chosen ?? 'none', why);
       return;
--- a/src/gateway/requests/target-wait.ts
+++ b/src/gateway/requests/target-wait.ts
@@ -23,10 +23,10 @@
 const RETURN_SPREAD_MS: Milliseconds = 500;
 /** Logged for requests that are refused because of evacuations; `explain` looks for it. */
 const EVACUATED_REASON = 'all its failure domains are evacuated';
-const NO_SERVERS: ReadonlySet<string> = new Set();
-
-/** Logged reason; `yuccasail explain` and `diagnose` match this text. */
+/** Logged reasons; `yuccasail explain` and `diagnose` match these texts. */
 const NO_RETRY_REASON = 'no repeats left';
+const ALL_COLD_REASON = 'all targets are cold';
+const NO_SERVERS: ReadonlySet<string> = new Set();
 
 /** Holds one request until a target is found, or refuses it. */
 export class TargetWait {
@@ -55,8 +55,16 @@
     this.isForRetry = false;
   }
 
-  leaveQueue(): void {
-    this.wait.leaveQueue();
+  /** Ends all waiting, as the request has ended. */
+  handleRequestEnd(): void {
+    this.wait.end();
+  }
+
+  /** Whether others wait for the permits of cold targets, which it must not take from them. */
+  get isBehindOthers(): boolean {
+    const { attempts, deps, request, wait } = this;
+    if (request.model !== undefined || attempts.sent > 0 || wait.isWaiting) return false;
+    return deps.queues.countWaiting(request) > 0 && this.coldWaitMs() !== undefined;
   }
 
   /** Handles that all targets are full, or that there is none, when an attempt is due. */
@@ -98,8 +106,12 @@
 
   private checkTimeout(now: Milliseconds): void {
     if (this.ending.isFinished || this.attempts.isAnyInFlight) return;
-    if (this.wait.hasTimedOut(now))
-      this.ending.fail(this.isForRetry ? NO_RETRY_REASON : 'no target in time');
+    if (this.wait.hasTimedOut(now)) this.ending.fail(this.timeoutReason);
+  }
+
+  private get timeoutReason(): string {
+    if (this.isForRetry) return NO_RETRY_REASON;
+    return this.coldWaitMs() === undefined ? 'no target in time' : ALL_COLD_REASON;
   }
 
   private enqueue(why: string): void {
@@ -166,7 +178,7 @@
     if (waitMs <= this.wait.waitLeftMs(clock.now())) return false;
     metrics.coldHeldBack.inc({ outcome: 'refused' });
     // Another gateway may send to them sooner.
-    this.ending.fail('all targets are cold', Math.min(waitMs, RETRY_AFTER_MS) + this.drawSpread());
+    this.ending.fail(ALL_COLD_REASON, Math.min(waitMs, RETRY_AFTER_MS) + this.drawSpread());
     return true;
   }
 
@@ -174,7 +186,7 @@
     const { request, deps, attempts, wait } = this;
     if (attempts.isAnyInFlight) return undefined;
     const excluded = attempts.isRepeatable ? NO_SERVERS : attempts.triedServers;
-    const ahead = wait.isQueued ? 0 : deps.queues.countQueued(request);
+    const ahead = wait.isQueued || wait.isWaiting ? 0 : deps.queues.countWaiting(request);
     return deps.backends.coldWaitMs(request.service, request.model?.name, excluded, ahead);
   }
 
