--- a/bench/profile/measured-gateway.ts
+++ b/bench/profile/measured-gateway.ts
@@ -9,6 +9,7 @@
 import { build } from 'esbuild';
 import { writeSettings } from '../../features/gateway/site.js';
 import { nextAddress } from '../../features/support/ports.js';
+import { gatewayBundle } from '../../scripts/gateway-bundle.mjs';
 
 /** Where the gateway listens. */
 export interface GatewayAddresses {
@@ -43,15 +44,10 @@
 /** Builds the gateway with the names of its functions, for samples. */
 export async function buildReadable(): Promise<void> {
   await build({
-    entryPoints: ['platform/main.ts'],
+    ...gatewayBundle,
     outfile: READABLE,
-    bundle: true,
-    platform: 'node',
-    target: 'node20',
-    format: 'cjs',
     // The program's own entry is a function that its loader calls.
     footer: { js: 'module.exports.run(process.argv[2]);' },
-    logLevel: 'warning',
   });
 }
 
--- a/scripts/build-gateway.mjs
+++ b/scripts/build-gateway.mjs
@@ -4,24 +4,18 @@
 import { setFlagsFromString } from 'node:v8';
 import { build } from 'esbuild';
 import { compileGateway } from './gateway-loader.mjs';
+import { gatewayBundle } from './gateway-bundle.mjs';
 
 const SCRIPT = 'target/yuccasail-gateway.cjs';
 
 // What is there stays until it is written anew: another build may run beside this one.
 await mkdir('target', { recursive: true });
 await build({
-  entryPoints: { 'yuccasail-gateway': 'platform/main.ts' },
-  outdir: 'target',
-  outExtension: { '.js': '.cjs' },
-  bundle: true,
+  ...gatewayBundle,
+  outfile: SCRIPT,
   minify: true,
   // Names of functions stand in the stack traces of the log.
   keepNames: true,
-  platform: 'node',
-  target: 'node20',
-  // A script, because only scripts can be run from compiled code.
-  format: 'cjs',
-  logLevel: 'warning',
 });
 await copyFile('scripts/gateway-loader.mjs', 'target/yuccasail-gateway.mjs');
 // All functions are compiled, not only those that are used while the modules are evaluated: the first
--- /dev/null
+++ b/scripts/gateway-bundle.d.mts
@@ -0,0 +1,3 @@
+import type { BuildOptions } from 'esbuild';
+
+export const gatewayBundle: BuildOptions;
