Gateway: run periodic work at shared wake-ups

Cause: six timers of 100 to 1,000 ms woke a gateway at rest at different times, and each wake-up of an idle process starts with cold caches. Change: a ticker runs the periodic work of all components when the watchdog wakes up: each 100 ms at rest, each 50 ms with requests in flight. The intervals stay as they were.

--- /dev/null
+++ b/src/core/ticker/index.ts
@@ -0,0 +1,1 @@
+export * from './ticker.js';
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -17,6 +17,7 @@
 import { createSystemClock, type Milliseconds } from '../core/clock/index.js';
 import { createBoundedLogger, type BoundedLogger } from '../core/logger/index.js';
 import { createRandom } from '../core/random/index.js';
+import { createTicker, type DrivenTicker } from '../core/ticker/index.js';
 import { createAttemptSender } from './backends/attempt.js';
 import { createConnectionPool } from './backends/pool.js';
 import { createEngineCalls } from './backends/engine-calls.js';
@@ -159,6 +160,9 @@
     pool.invalidateServer(server);
   });
   const watchdog = createWatchdog(context, backends);
+  watchdog.onTick(() => {
+    context.ticker.run();
+  });
   const sendOverOwnLink = createAttemptSender(pool, platform.requests, (server) => {
     links.recordNewConnection(server);
   });
@@ -216,12 +220,12 @@
     if (board.fleet.read().revision === 0) return 'it knows no backend servers yet';
     return undefined;
   });
-  const pruneTimer = setInterval(() => {
+  const pruning = context.ticker.every(PRUNE_INTERVAL_MS, () => {
     const { servers } = board.fleet.read();
     pool.prune((id) => servers.has(id));
     const peerNames = board.peers.read();
     relayPool.prune((name) => peerNames.has(name));
-  }, PRUNE_INTERVAL_MS);
+  });
 
   const listening = await requestPath.listen();
   if (listening.isErr()) logger.log('listenFailed', { reason: listening.error.message });
@@ -264,7 +268,7 @@
         inFlight: unfinishedCount,
         tookMs: Math.round(clock.now() - startedAt),
       });
-      clearInterval(pruneTimer);
+      pruning.stop();
       requestPath.close();
       const closing = Promise.allSettled([
         ...parts.map((part) => part.stop()),
@@ -298,7 +302,7 @@
   settings: GatewaySettings,
   platform: ServingPlatform,
   board: GatewayBoardWriters,
-): GatewayContext & { logger: BoundedLogger } {
+): GatewayContext & { logger: BoundedLogger; ticker: DrivenTicker } {
   const clock = createSystemClock();
   const metrics = createGatewayMetrics();
   return {
@@ -307,6 +311,7 @@
     board,
     clock,
     random: createRandom(randomInt(MAX_SEED)),
+    ticker: createTicker(clock),
     logger: createBoundedLogger({
       source: settings.name,
       level: settings.logLevel,
--- a/src/gateway/groups/groups-part.ts
+++ b/src/gateway/groups/groups-part.ts
@@ -11,6 +11,7 @@
 import type { GatewayPeer } from '../../controllers/peering/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { groupBy, memoizeLatest } from '../../core/collections/index.js';
+import type { TickerTask } from '../../core/ticker/index.js';
 import type { GroupModel } from '../../ports/index.js';
 import type { EngineCalls } from '../backends/engine-calls.js';
 import type { BackendTracker } from '../requests/backend-tracker.js';
@@ -52,7 +53,7 @@
   const controllers = new Map<string, DomainController>();
   const ownedKeys = new Set<string>();
   const startedAt = clock.now();
-  let timer: NodeJS.Timeout | undefined;
+  let ticking: TickerTask | undefined;
   const memoizedDomains = memoizeLatest(groupByDomain);
   /** Called only for owned domains, because it is expensive with hundreds of instances. */
   const memoizedStates = memoizeLatest(createDomainStates);
@@ -163,10 +164,10 @@
   return {
     releaseAll,
     start: () => {
-      timer = setInterval(reconcile, RECONCILE_INTERVAL_MS);
+      ticking = context.ticker.every(RECONCILE_INTERVAL_MS, reconcile);
     },
     stop: () => {
-      clearInterval(timer);
+      ticking?.stop();
     },
   };
 }
--- a/src/gateway/links/link-monitor.ts
+++ b/src/gateway/links/link-monitor.ts
@@ -11,6 +11,7 @@
   type RelayPeer,
 } from '../../controllers/links/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
+import type { TickerTask } from '../../core/ticker/index.js';
 import type { BackendServer } from '../../ports/index.js';
 import type { ProbeOutcome } from '../backends/probe.js';
 import type { GatewayContext, GatewayPart } from '../types.js';
@@ -71,7 +72,7 @@
   const table = new LinkTable();
   const relays = new RelayPeers();
   const investigations = new Map<string, Promise<LinkVerdict>>();
-  let timer: NodeJS.Timeout | undefined;
+  let ticking: TickerTask | undefined;
 
   const findServer = (id: string): BackendServer | undefined => board.fleet.read().servers.get(id);
   const publish = (): void => {
@@ -198,10 +199,10 @@
         table.retain((id) => servers.has(id));
         publish();
       });
-      timer = setInterval(tick, TICK_MS);
+      ticking = context.ticker.every(TICK_MS, tick);
     },
     stop: () => {
-      clearInterval(timer);
+      ticking?.stop();
     },
   };
 }
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -18,6 +18,7 @@
 import type { FleetMembers } from '../../controllers/quotas/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { Failure } from '../../core/errors/index.js';
+import type { TickerTask } from '../../core/ticker/index.js';
 import type { BackendTracker } from '../requests/backend-tracker.js';
 import type { Quarantine } from '../requests/quarantine.js';
 import type { ConfigurationPart } from '../store/configuration-part.js';
@@ -78,7 +79,7 @@
   let isStopping = false;
   let publishedAt = Number.NEGATIVE_INFINITY;
   let hasUnpublishedChanges = false;
-  let timer: NodeJS.Timeout | undefined;
+  let ticking: TickerTask | undefined;
 
   const ownVersions = (): Versions => ({
     configurationVersion: board.serving.read()?.configuration.version ?? 0,
@@ -287,7 +288,7 @@
       }
       void registration.register();
       followControl.update(clock.now());
-      timer = setInterval(tick, PEERING_TICK_MS);
+      ticking = context.ticker.every(PEERING_TICK_MS, tick);
       // Gateways in this failure domain use the same backend servers, so they hear of changes at once.
       const notifyDomain = (): void => {
         for (const peer of table.listDomainPartners()) void exchange(peer);
@@ -321,7 +322,7 @@
       );
     },
     stop: async () => {
-      clearInterval(timer);
+      ticking?.stop();
       await Promise.all([listener.close(), client.close()]);
     },
   };
--- a/src/gateway/store/fleet-part.ts
+++ b/src/gateway/store/fleet-part.ts
@@ -15,6 +15,7 @@
 } from '../../controllers/forwarding/index.js';
 import { incarnationKey } from '../../controllers/groups/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
+import type { TickerTask } from '../../core/ticker/index.js';
 import type { BackendServer, StoreChange, StoreObject } from '../../ports/index.js';
 import type { GatewayContext, GatewayPart } from '../types.js';
 import type { ObjectStore } from './client.js';
@@ -81,7 +82,7 @@
   const listeners: ((update: FleetUpdate) => void)[] = [];
   /** Incarnations of servers that are gone, with the time at which they were removed. */
   const goneIncarnations = new Map<string, Milliseconds>();
-  let expiryTimer: NodeJS.Timeout | undefined;
+  let expiring: TickerTask | undefined;
   let relistTimers: NodeJS.Timeout[] = [];
   /** When this gateway last detected that the store was restored from an older copy. */
   let restoredAt = Number.NEGATIVE_INFINITY;
@@ -250,12 +251,12 @@
       commit({ ...next, changed: listChanged(before, next.servers, affected) });
     },
     start: () => {
-      expiryTimer = setInterval(() => {
+      expiring = context.ticker.every(EXPIRY_INTERVAL_MS, () => {
         commit(expireVanished(section.read(), clock.now()));
-      }, EXPIRY_INTERVAL_MS);
+      });
     },
     stop: async () => {
-      clearInterval(expiryTimer);
+      expiring?.stop();
       relistTimers.forEach(clearTimeout);
       await follower.stop();
     },
--- a/src/gateway/store/reachability-probe.ts
+++ b/src/gateway/store/reachability-probe.ts
@@ -2,6 +2,7 @@
  * Probes the store when a gateway has no other calls that would show that it is unreachable.
  */
 import type { Milliseconds } from '../../core/clock/index.js';
+import type { TickerTask } from '../../core/ticker/index.js';
 import type { GatewayContext, GatewayPart } from '../types.js';
 import type { ObjectStore } from './client.js';
 import type { ReachabilityTracker } from './reachability.js';
@@ -38,7 +39,7 @@
   isFollowing,
 }: ReachabilityProbeOptions): GatewayPart {
   const { board, clock, random, settings } = context;
-  let timer: NodeJS.Timeout | undefined;
+  let ticking: TickerTask | undefined;
   let isProbing = false;
   let retryAt = 0;
 
@@ -57,10 +58,10 @@
   };
   return {
     start: () => {
-      timer = setInterval(() => void probeIfDue(), CHECK_INTERVAL_MS);
+      ticking = context.ticker.every(CHECK_INTERVAL_MS, () => void probeIfDue());
     },
     stop: () => {
-      clearInterval(timer);
+      ticking?.stop();
     },
   };
 }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -8,6 +8,7 @@
 import type { Clock, Milliseconds } from '../core/clock/index.js';
 import type { Logger } from '../core/logger/index.js';
 import type { Random } from '../core/random/index.js';
+import type { Ticker } from '../core/ticker/index.js';
 import type {
   BackendServer,
   OrderCodec,
@@ -94,6 +95,8 @@
   board: GatewayBoard;
   clock: Clock;
   random: Random;
+  /** Runs the periodic work of all components at the same wake-ups. */
+  ticker: Ticker;
   logger: Logger;
   metrics: GatewayMetrics;
   /** Identifies this run of the process. */
