Gateway: do not sample the delays of the event loop

Cause: prom-client's default metrics sample the event loop with a timer of 10 ms, which woke a gateway at rest 100 times a second (strace). Change: gateways export nodejs_eventloop_lag_seconds, which is measured when it is read, but none of its sampled statistics (min, max, mean, stddev, p50, p90, p99). Entries keep them.

--- a/scripts/reference/pages.ts
+++ b/scripts/reference/pages.ts
@@ -91,7 +91,7 @@
 }
 
 function renderMetrics(): Page {
-  const rows = createMetrics(createBufferedBytesTracker())
+  const rows = createMetrics({ unreadBytes: createBufferedBytesTracker() })
     .registry.getMetricsAsArray()
     .filter(({ name }) => name.startsWith(METRIC_PREFIX))
     .map((metric) => [`\`${metric.name}\``, listLabels(metric), metric.help])
--- a/src/core/metrics/metrics.ts
+++ b/src/core/metrics/metrics.ts
@@ -44,17 +44,33 @@
 const INTER_TOKEN_BUCKETS = [0.005, 0.01, 0.015, 0.02, 0.024, 0.028, 0.035, 0.05, 0.1, 0.25, 1];
 const TOTAL_DURATION_BUCKETS = [0.01, 0.05, 0.1, 0.5, 1, 2, 5, 10, 30, 60, 300];
 
+/** Statistics of timers that fire too late, as prom-client names them. */
+const EVENT_LOOP_DELAYS = ['min', 'max', 'mean', 'stddev', 'p50', 'p90', 'p99'].map(
+  (statistic) => `nodejs_eventloop_lag_${statistic}_seconds`,
+);
+/** Longest interval of the timer that prom-client samples those statistics with. */
+const UNUSED_SAMPLING_MS: Milliseconds = 2 ** 31 - 1;
+
 type Labels = 'workspace' | 'class';
 
+interface MetricsOptions {
+  /** Bytes to export as a gauge. */
+  unreadBytes?: BufferedBytesTracker;
+  /** Whether to sample the delays of the event loop, which wakes the process 100 times a second. */
+  samplesEventLoop?: boolean;
+}
+
 /**
- * Creates the metrics of an entry in a new registry. If `unreadBytes` is given, its total is exported
- * as a gauge.
+ * Creates the metrics of an entry or gateway in a new registry.
  *
  * @example createMetrics().timingsOf('market-east', 'gate').whole(480);
  */
-export function createMetrics(unreadBytes?: BufferedBytesTracker): Metrics {
+export function createMetrics({
+  unreadBytes,
+  samplesEventLoop = true,
+}: MetricsOptions = {}): Metrics {
   const registry = new Registry();
-  collectDefaultMetrics({ register: registry });
+  collectProcessMetrics(registry, samplesEventLoop);
   const histograms = createHistograms(registry);
   const errors = new Counter({
     name: 'yuccasail_request_errors_total',
@@ -99,6 +115,15 @@
   };
 }
 
+function collectProcessMetrics(registry: Registry, samplesEventLoop: boolean): void {
+  if (samplesEventLoop) {
+    collectDefaultMetrics({ register: registry });
+    return;
+  }
+  collectDefaultMetrics({ register: registry, eventLoopMonitoringPrecision: UNUSED_SAMPLING_MS });
+  for (const name of EVENT_LOOP_DELAYS) registry.removeSingleMetric(name);
+}
+
 function registerUnreadBytes(registry: Registry, unreadBytes: BufferedBytesTracker): void {
   new Gauge({
     name: 'yuccasail_unread_answer_bytes',
--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -193,7 +193,7 @@
   });
   const onceCalls = createOnceCalls(context);
   const services = createServices();
-  const metrics = createMetrics(context.unreadBytes);
+  const metrics = createMetrics({ unreadBytes: context.unreadBytes });
   const eligible = createEligibleReplicas(board, settings.health.freshMs);
   const requests = createRequests(context, {
     services,
--- a/src/gateway/operations/metrics.ts
+++ b/src/gateway/operations/metrics.ts
@@ -27,7 +27,7 @@
 
 /** Creates the metrics in a new registry. */
 export function createGatewayMetrics(): GatewayMetrics {
-  const metrics = createMetrics();
+  const metrics = createMetrics({ samplesEventLoop: false });
   const registers = [metrics.registry];
   return {
     ...metrics,
