Gateway: recompute owners and silent peers only after a change

Cause: ten times a second each gateway hashed the names of its failure domain once for each fabric domain, to find its owner, and built the map of all gateways, to find silent ones. Timeouts are noticed at the same tick as before.

--- a/src/controllers/groups/ownership.ts
+++ b/src/controllers/groups/ownership.ts
@@ -28,7 +28,7 @@
   isPeerStateCurrent: boolean;
 }
 
-/** A service in a fabric domain. */
+/** A service in a fabric domain. Immutable. */
 export interface OwnedDomain {
   /** Identifies the domain on all gateways. */
   key: string;
@@ -67,9 +67,16 @@
     byService.set(service, names);
     return names;
   };
-  return ({ key, service, failureDomain }) => {
-    const { all, byFailureDomain } = namesFor(service);
-    return findByRendezvous(byFailureDomain.get(failureDomain) ?? all, key);
+  // Every gateway asks for the owner of each domain ten times a second.
+  const owners = new WeakMap<OwnedDomain, string>();
+  return (domain) => {
+    const known = owners.get(domain);
+    if (known !== undefined) return known;
+    const { all, byFailureDomain } = namesFor(domain.service);
+    const names = byFailureDomain.get(domain.failureDomain) ?? all;
+    const owner = findByRendezvous(names, domain.key);
+    if (owner !== undefined) owners.set(domain, owner);
+    return owner;
   };
 }
 
--- a/src/controllers/peering/peer-table.ts
+++ b/src/controllers/peering/peer-table.ts
@@ -33,6 +33,8 @@
 const MAX_MISSED_EXCHANGES = 3;
 /** Interval at which {@link PeerTable.listDuePeers} is called. */
 export const PEERING_TICK_MS: Milliseconds = 100;
+/** Longest time without a check for gateways that were never heard from and are to be removed. */
+const MAX_UNCHECKED_MS: Milliseconds = 500;
 /** Allows for three missed exchanges at the cross-domain interval. */
 const PEER_TIMEOUT_MS: Milliseconds = 2_000;
 /** Longer than {@link PEER_TIMEOUT_MS}, because the state is forwarded by two hubs. */
@@ -69,6 +71,10 @@
   private readonly unansweredSince = new Map<string, Milliseconds>();
   /** Gateways that were alive at the last {@link removeTimedOut}. */
   private alive: ReadonlyMap<string, GatewayPeer> = new Map();
+  /** When {@link removeTimedOut} was last called. */
+  private checkedAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  /** Until when {@link removeTimedOut} finds nothing new, unless a message arrives. */
+  private unchangedUntil: Milliseconds = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly self: KnownPeer) {
     this.roster = new Roster(self);
@@ -82,6 +88,7 @@
   /** Applies a received digest. Returns the suspicions in it for the caller to evaluate. */
   applyDigest(digest: Digest, now: Milliseconds): ReportedSuspicion[] {
     if (digest.name === this.self.name) return [];
+    this.unchangedUntil = Number.NEGATIVE_INFINITY;
     this.addPeer(digest, now);
     digest.known?.forEach((peer) => {
       this.addPeer(peer, now);
@@ -112,6 +119,11 @@
 
   /** Removes gateways that timed out. Returns those that were alive at the last call. */
   removeTimedOut(now: Milliseconds): TimedOutPeer[] {
+    const { checkedAt } = this;
+    this.checkedAt = now;
+    if (now < this.unchangedUntil) return [];
+    // They were still alive at the last call, which has not recorded it if nothing had changed.
+    for (const name of this.alive.keys()) this.roster.markHeard(name, checkedAt);
     for (const [peer, { receivedAt }] of this.digests) {
       if (now - receivedAt <= PEER_TIMEOUT_MS) continue;
       this.digests.delete(peer);
@@ -131,11 +143,27 @@
     this.alive = this.listAlive(now);
     for (const name of this.alive.keys()) this.roster.markHeard(name, now);
     this.removeStalePeers(now);
+    this.unchangedUntil = Math.min(this.nextTimeoutAt(), now + MAX_UNCHECKED_MS);
     return [...before.values()]
       .filter(({ name }) => !this.alive.has(name))
       .map(({ name, lastHeardAt }) => ({ peer: name, silentMs: now - lastHeardAt }));
   }
 
+  /** The earliest time at which anything that was received may time out. */
+  private nextTimeoutAt(): Milliseconds {
+    let next = Number.POSITIVE_INFINITY;
+    for (const { lastHeardAt, failureDomain } of this.alive.values())
+      next = Math.min(next, lastHeardAt + this.peerTimeout(failureDomain));
+    for (const received of [this.digests, this.stopping])
+      for (const { receivedAt } of received.values())
+        next = Math.min(next, receivedAt + PEER_TIMEOUT_MS);
+    for (const since of this.unansweredSince.values())
+      next = Math.min(next, since + PEER_TIMEOUT_MS);
+    for (const [domain, { createdAt }] of this.summaries)
+      next = Math.min(next, createdAt + this.peerTimeout(domain));
+    return next;
+  }
+
   private removeStalePeers(now: Milliseconds): void {
     for (const name of this.roster.removeStale(now)) {
       this.nextExchangeAt.delete(name);
@@ -222,6 +250,7 @@
       this.nextExchangeAt.set(peer.name, now + intervalMs);
       if (!this.digests.has(peer.name) && !this.unansweredSince.has(peer.name)) {
         this.unansweredSince.set(peer.name, now);
+        this.unchangedUntil = Math.min(this.unchangedUntil, now + PEER_TIMEOUT_MS);
       }
       return true;
     });
@@ -247,11 +276,14 @@
   listPartners(): KnownPeer[] {
     const { roster, self } = this;
     if (this.isPairwise()) return roster.all();
+    const hub = roster.hubOf(self.failureDomain);
+    if (this.digests.size > 0 && hub !== self.name) {
+      const partner = roster.get(hub);
+      return partner ? [partner] : [];
+    }
     const unresolvedSeeds = roster.listUnresolvedSeeds();
     const domainMembers = roster.membersOf(self.failureDomain);
     if (this.digests.size === 0) return [...domainMembers, ...unresolvedSeeds];
-    const hub = roster.hubOf(self.failureDomain);
-    if (hub !== self.name) return domainMembers.filter(({ name }) => name === hub);
     const otherDomains = roster.listDomains().filter((domain) => domain !== self.failureDomain);
     const hubs = otherDomains.flatMap((domain) => roster.get(roster.hubOf(domain)) ?? []);
     const unconfirmedMembers = domainMembers.filter(({ name }) => !this.digests.has(name));
