Build: keep identifiers instead of restoring function names

Cause: keepNames restores the name of each minified function with a call at each start. Change: the bundle is minified without renaming identifiers. Measured: processor time until ready, 5 starts at a load of 31: median 502 ms before, 473 ms after; least 484 ms before, 418 ms after.

--- a/scripts/build-gateway.mjs
+++ b/scripts/build-gateway.mjs
@@ -13,9 +13,10 @@
 await build({
   ...gatewayBundle,
   outfile: SCRIPT,
-  minify: true,
-  // Names of functions stand in the stack traces of the log.
-  keepNames: true,
+  // Identifiers are kept: names of functions stand in the stack traces of the log, and restoring them
+  // takes a call for each function at a start.
+  minifyWhitespace: true,
+  minifySyntax: true,
 });
 await copyFile('scripts/gateway-loader.mjs', 'target/yuccasail-gateway.mjs');
 // All functions are compiled, not only those that are used while the modules are evaluated: the first
