--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -18,6 +18,7 @@
 import { createSystemClock, type Milliseconds } from '../core/clock/index.js';
 import { createBoundedLogger, type BoundedLogger } from '../core/logger/index.js';
 import { createRandom } from '../core/random/index.js';
+import { createTicker, type DrivenTicker } from '../core/ticker/index.js';
 import { createAttemptSender } from './backends/attempt.js';
 import { createConnectionPool } from './backends/pool.js';
 import { createEngineCalls } from './backends/engine-calls.js';
@@ -177,6 +178,9 @@
     pool.invalidateServer(server);
   });
   const watchdog = createWatchdog(context, backends);
+  watchdog.onTick(() => {
+    context.ticker.run();
+  });
   const sendOverOwnLink = createAttemptSender(pool, platform.requests, clock, (server) => {
     links.recordNewConnection(server);
   });
@@ -236,12 +240,12 @@
     if (board.evacuations.read()?.source === 'none') return 'it knows no evacuations yet';
     return undefined;
   });
-  const pruneTimer = setInterval(() => {
+  const pruning = context.ticker.every(PRUNE_INTERVAL_MS, () => {
     const { servers } = board.fleet.read();
     pool.prune((id) => servers.has(id));
     const peerNames = board.peers.read();
     relayPool.prune((name) => peerNames.has(name));
-  }, PRUNE_INTERVAL_MS);
+  });
 
   const listening = await requestPath.listen();
   if (listening.isErr()) logger.log('listenFailed', { reason: listening.error.message });
@@ -285,7 +289,7 @@
         inFlight: unfinishedCount,
         tookMs: Math.round(clock.now() - startedAt),
       });
-      clearInterval(pruneTimer);
+      pruning.stop();
       requestPath.close();
       const closing = Promise.allSettled([
         ...parts.map((part) => part.stop()),
@@ -321,7 +325,7 @@
   settings: GatewaySettings,
   platform: ServingPlatform,
   board: GatewayBoardWriters,
-): GatewayContext & { logger: BoundedLogger } {
+): GatewayContext & { logger: BoundedLogger; ticker: DrivenTicker } {
   const clock = createSystemClock();
   const metrics = createGatewayMetrics();
   return {
@@ -330,6 +334,7 @@
     board,
     clock,
     random: createRandom(randomInt(MAX_SEED)),
+    ticker: createTicker(clock),
     logger: createBoundedLogger({
       source: settings.name,
       level: settings.logLevel,
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -19,6 +19,7 @@
 import type { FleetMembers } from '../../controllers/quotas/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { Failure } from '../../core/errors/index.js';
+import type { TickerTask } from '../../core/ticker/index.js';
 import type { BackendTracker } from '../requests/backend-tracker.js';
 import type { Quarantine } from '../requests/quarantine.js';
 import type { ConfigurationPart } from '../store/configuration-part.js';
@@ -83,7 +84,7 @@
   let isStopping = false;
   let publishedAt = Number.NEGATIVE_INFINITY;
   let hasUnpublishedChanges = false;
-  let timer: NodeJS.Timeout | undefined;
+  let ticking: TickerTask | undefined;
 
   const ownVersions = (): Versions => ({
     configurationVersion: board.serving.read()?.configuration.version ?? 0,
@@ -314,7 +315,7 @@
       }
       void registration.register();
       followControl.update(clock.now());
-      timer = setInterval(tick, PEERING_TICK_MS);
+      ticking = context.ticker.every(PEERING_TICK_MS, tick);
       // Gateways in this failure domain use the same backend servers, so they hear of changes at once.
       const notifyDomain = (): void => {
         for (const peer of table.listDomainPartners()) void exchange(peer);
@@ -349,7 +350,7 @@
       );
     },
     stop: async () => {
-      clearInterval(timer);
+      ticking?.stop();
       await Promise.all([listener.close(), client.close()]);
     },
   };
