Learn which backend servers are slow, share it and send them less

Cause: target selection considered requests in flight, failures and distance only, so a replica that is 4 to 12 times slower for some seconds got its full share until its streams stalled.

Change: gateways compare the times of first events, gaps between events and plain answers with the profile of the engine at the known load, report clear differences in their digests, and weigh targets by them. A server that has just started is ramped up; one that slows down near its full count gets fewer requests at a time.

--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -2,19 +2,31 @@
  * Compares ways to place requests in drawn deployments, without a network.
  *
  *     npm run bench:decisions -- --deployments 10 --seed 1
+ *
+ * With --slow, single replicas are 4 to 12 times slower for some seconds, and what gateways learn of it is
+ * compared instead.
  */
 import { parseArgs } from 'node:util';
-import { PLACEMENTS, playFleet, type FleetOptions } from './decisions/index.js';
+import {
+  drawingPlacement,
+  PLACEMENTS,
+  playFleet,
+  type FleetOptions,
+  type FleetOutcome,
+} from './decisions/index.js';
 import { createRandom } from '../src/core/random/index.js';
 
 const { values } = parseArgs({
   options: {
     deployments: { type: 'string', default: '10' },
     seed: { type: 'string', default: '1' },
+    slow: { type: 'boolean', default: false },
   },
 });
 
 const SECONDS = 15;
+/** Fraction of the replicas that are slow at a time. */
+const SLOW_FRACTION = 0.1;
 const SKIPPED_NUMBERS = 20;
 
 /** A deployment whose replicas are between a third and nearly full on average. */
@@ -46,17 +58,34 @@
   };
 }
 
+/** Spells of 2 to 6 s at single replicas, so that about one in ten is slow. */
+function addSlowSpells(options: FleetOptions): FleetOptions {
+  const durationMs = 4_000;
+  const intervalMs = durationMs / (SLOW_FRACTION * options.replicas);
+  return { ...options, slowSpells: { intervalMs, durationMs, minFactor: 4, maxFactor: 12 } };
+}
+
+function printOutcome(name: string, outcome: FleetOutcome): void {
+  const { onTime, veryLate, unserved, fromSlow } = outcome;
+  const shares = [onTime, veryLate, unserved, fromSlow].map((share) => share.toFixed(3)).join(', ');
+  console.log(`  ${name}: on time, very late, unserved, from slow ones ${shares}`);
+}
+
 const firstSeed = Number(values.seed);
 for (let index = 0; index < Number(values.deployments); index += 1) {
-  const options = drawDeployment(firstSeed + index);
+  const seed = firstSeed + index;
+  const options = drawDeployment(seed);
   const { replicas, slots, requestsPerSecond, targetMs } = options;
   console.log(
-    `deployment ${firstSeed + index}: ${replicas} replicas of ${slots} slots, ` +
+    `deployment ${seed}: ${replicas} replicas of ${slots} slots, ` +
       `${requestsPerSecond.toFixed(0)} requests a second, target ${targetMs.toFixed(0)} ms`,
   );
-  for (const [name, place] of Object.entries(PLACEMENTS)) {
-    const { onTime, veryLate, unserved } = playFleet(options, place, firstSeed + index);
-    const shares = [onTime, veryLate, unserved].map((share) => share.toFixed(3)).join(', ');
-    console.log(`  ${name}: on time, very late, unserved ${shares}`);
+  if (values.slow) {
+    const withSpells = addSlowSpells(options);
+    for (const learning of ['none', 'own', 'shared', 'exact'] as const)
+      printOutcome(`speeds: ${learning}`, playFleet(withSpells, drawingPlacement, seed, learning));
+    continue;
   }
+  for (const [name, place] of Object.entries(PLACEMENTS))
+    printOutcome(name, playFleet(options, place, seed));
 }
--- a/bench/decisions/model.ts
+++ b/bench/decisions/model.ts
@@ -5,6 +5,13 @@
  */
 import type { Milliseconds } from '../../src/core/clock/index.js';
 import { createRandom, type Random } from '../../src/core/random/index.js';
+import {
+  ageSpeedReports,
+  mergeSpeedReports,
+  ServerSpeeds,
+  type SpeedReport,
+  type TargetSpeed,
+} from '../../src/controllers/speed/index.js';
 
 /** A deployment and its load. */
 export interface FleetOptions {
@@ -29,8 +36,22 @@
   /** Time until gateways notice that a replica has stalled. */
   noticeMs: Milliseconds;
   seconds: number;
+  /** Replicas that become slow for some time; absent if all keep their speed. */
+  slowSpells?: SlowSpells;
 }
 
+/** Times for which single replicas take a multiple of the usual times. */
+export interface SlowSpells {
+  /** Time from the beginning of one spell to that of the next, at any replica. */
+  intervalMs: Milliseconds;
+  durationMs: Milliseconds;
+  minFactor: number;
+  maxFactor: number;
+}
+
+/** What gateways learn of the speeds of replicas, and whether they tell each other. */
+export type SpeedLearning = 'none' | 'own' | 'shared' | 'exact';
+
 /** A replica as one gateway knows it when it places a request. */
 export interface ReplicaView {
   id: number;
@@ -40,6 +61,8 @@
   slots: number;
   /** Time since the gateways learned that it serves. */
   openForMs: Milliseconds;
+  /** Absent while it counts as usual. */
+  speed?: TargetSpeed;
 }
 
 /** Returns the chosen replica, or undefined when there is none. */
@@ -51,6 +74,8 @@
   /** First events later than four times the target. */
   veryLate: number;
   unserved: number;
+  /** First events from replicas while they were slow. */
+  fromSlow: number;
 }
 
 interface Replica {
@@ -60,6 +85,8 @@
   lostAt: Milliseconds;
   running: number;
   queue: PlacedRequest[];
+  slowFactor: number;
+  slowUntil: Milliseconds;
 }
 
 interface PlacedRequest {
@@ -74,6 +101,15 @@
   own: Map<number, number>;
   reported: ReadonlyMap<number, number>;
   heard: ReadonlyMap<number, number>;
+  speeds: ServerSpeeds;
+  reportedSpeeds: readonly SpeedReport[];
+  reportedAt: Milliseconds;
+}
+
+/** What a hub last told the others of the speeds in its failure domain. */
+interface SpeedSummary {
+  reports: readonly SpeedReport[];
+  at: Milliseconds;
 }
 
 interface ScheduledEvent {
@@ -86,21 +122,41 @@
 const WARM_UP_MS: Milliseconds = 4_000;
 const VERY_LATE_MULTIPLE = 4;
 const MS_PER_SECOND = 1_000;
+/** Interval at which a gateway compares the gaps between the events of a stream. */
+const GAP_INTERVAL_MS: Milliseconds = 300;
+const REFRESH_INTERVAL_MS: Milliseconds = 250;
+const MODEL_GROUP = 'models';
 
 /** Plays the fleet with `place` deciding where each request goes. */
-export function playFleet(options: FleetOptions, place: Placement, seed: number): FleetOutcome {
+export function playFleet(
+  options: FleetOptions,
+  place: Placement,
+  seed: number,
+  learning: SpeedLearning = 'none',
+): FleetOutcome {
   const random = createRandom(seed);
   const placementRandom = createRandom(seed + 1);
+  const spellRandom = createRandom(seed + 2);
+  const noiseRandom = createRandom(seed + 3);
   const events = new EventQueue();
   let now = 0;
   let nextId = 0;
   const replicas = new Map<number, Replica>();
   const endsAt = options.seconds * MS_PER_SECOND;
-  const counts = { all: 0, onTime: 0, veryLate: 0, unserved: 0 };
+  const counts = { all: 0, onTime: 0, veryLate: 0, unserved: 0, fromSlow: 0 };
 
   const openReplica = (domain: number): void => {
     const id = nextId++;
-    replicas.set(id, { id, domain, openedAt: now, lostAt: Infinity, running: 0, queue: [] });
+    replicas.set(id, {
+      id,
+      domain,
+      openedAt: now,
+      lostAt: Infinity,
+      running: 0,
+      queue: [],
+      slowFactor: 1,
+      slowUntil: 0,
+    });
   };
   for (let index = 0; index < options.replicas; index += 1)
     openReplica(index % options.failureDomains);
@@ -110,6 +166,9 @@
     own: new Map(),
     reported: new Map(),
     heard: new Map(),
+    speeds: new ServerSpeeds(),
+    reportedSpeeds: [],
+    reportedAt: 0,
   }));
   /** What each hub last heard from each other hub. */
   const summaries = Array.from({ length: options.failureDomains }, () =>
@@ -121,7 +180,60 @@
       if (gateway.domain === domain && gateway !== except) addAll(sum, gateway.reported);
     return sum;
   };
+  const speedSummaries = Array.from({ length: options.failureDomains }, (): SpeedSummary => ({
+    reports: [],
+    at: 0,
+  }));
+  const mergeDomainSpeeds = (domain: number, except?: Gateway): SpeedReport[] =>
+    mergeSpeedReports(
+      gateways
+        .filter((gateway) => gateway.domain === domain && gateway !== except)
+        .flatMap((gateway) => ageSpeedReports(gateway.reportedSpeeds, now - gateway.reportedAt)),
+    );
+  const exchangeSpeeds = (gateway: Gateway): void => {
+    gateway.speeds.adopt(`${gateway.domain}`, mergeDomainSpeeds(gateway.domain, gateway), now);
+    speedSummaries.forEach(({ reports, at }, domain) => {
+      if (domain !== gateway.domain)
+        gateway.speeds.adopt(`${domain}`, ageSpeedReports(reports, now - at), now);
+    });
+    gateway.reportedSpeeds = gateway.speeds.report(now);
+    gateway.reportedAt = now;
+  };
+  const refreshSpeeds = (): void => {
+    const groups = new Map([[MODEL_GROUP, [...replicas.keys()].map(String)]]);
+    for (const gateway of gateways) {
+      gateway.speeds.refresh(groups, now);
+      // A gateway that finds a slow replica itself tells its hub at once.
+      if (learning === 'shared' && gateway.speeds.takeNews()) exchangeWithHub(gateway);
+    }
+  };
+  const factorOf = ({ slowFactor, slowUntil }: Replica): number =>
+    now < slowUntil ? slowFactor : 1;
+  const observe = (
+    gateway: Gateway,
+    replica: Replica,
+    kind: 'firstEvent' | 'eventGaps',
+    ratio: number,
+  ): void => {
+    if (learning === 'none') return;
+    // Times vary by the prompts and the lengths of the other requests at the replica.
+    const noise = 0.7 + 0.8 * noiseRandom.fraction();
+    const use = replica.running / options.slots;
+    gateway.speeds.record(
+      { server: String(replica.id), group: MODEL_GROUP, kind, ratio: ratio * noise, use },
+      now,
+    );
+  };
+  /** When work that takes `workMs` at the usual speed is done, if it begins now. */
+  const endOf = (replica: Replica, workMs: Milliseconds): Milliseconds => {
+    const slowMs = Math.max(0, replica.slowUntil - now);
+    const doneSlowly = slowMs / replica.slowFactor;
+    return workMs <= doneSlowly
+      ? now + workMs * replica.slowFactor
+      : now + slowMs + workMs - doneSlowly;
+  };
   const exchangeWithHub = (gateway: Gateway): void => {
+    if (learning === 'shared') exchangeSpeeds(gateway);
     const load = sumDomain(gateway.domain, gateway);
     summaries[gateway.domain]?.forEach((summary, domain) => {
       if (domain !== gateway.domain) addAll(load, summary);
@@ -157,18 +269,33 @@
   };
   const run = (replica: Replica, request: PlacedRequest): void => {
     replica.running += 1;
-    const firstEventAt = now + options.firstEventMs;
+    const firstEventAt = endOf(replica, options.firstEventMs);
+    const beganAt = now;
+    const wasSlow = now < replica.slowUntil;
+    const observeGaps = (): void => {
+      if (now >= endsAt || replica.lostAt < now || hasEnded) return;
+      observe(request.gateway, replica, 'eventGaps', factorOf(replica));
+      events.push({ at: now + GAP_INTERVAL_MS, run: observeGaps });
+    };
+    let hasEnded = false;
     const end = (): void => {
+      hasEnded = true;
       if (replica.lostAt < now) return;
       replica.running -= 1;
       adjustOwn(request.gateway, replica.id, -1);
       startNext(replica);
     };
-    events.push({ at: now + request.durationMs, run: end });
+    events.push({ at: endOf(replica, request.durationMs), run: end });
     events.push({
       at: firstEventAt,
       run: () => {
-        if (replica.lostAt > now) record(request, firstEventAt);
+        if (replica.lostAt <= now) return;
+        record(request, firstEventAt);
+        if (wasSlow && request.arrivedAt >= WARM_UP_MS) counts.fromSlow += 1;
+        if (learning === 'none') return;
+        const ratio = (firstEventAt - beganAt) / options.firstEventMs;
+        observe(request.gateway, replica, 'firstEvent', ratio);
+        events.push({ at: now + GAP_INTERVAL_MS, run: observeGaps });
       },
     });
     // A replica that is lost before the first event keeps its requests until the stall is noticed.
@@ -184,17 +311,26 @@
     if (request.attempts < MAX_ATTEMPTS) send(request);
     else record(request, Infinity);
   };
+  const speedKnownTo = (gateway: Gateway, id: string): TargetSpeed | undefined => {
+    if (learning !== 'exact') return gateway.speeds.speedOf(id, now);
+    const replica = replicas.get(Number(id));
+    const slowness = replica ? factorOf(replica) : 1;
+    const isTooSlow = slowness * options.firstEventMs > options.targetMs;
+    return slowness > 1 ? { slowness, isTooSlow } : undefined;
+  };
   const send = (request: PlacedRequest): void => {
     const { gateway } = request;
     const views: ReplicaView[] = [];
     for (const { id, domain, openedAt, lostAt } of replicas.values()) {
       if (now - lostAt > options.noticeMs) continue;
+      const speed = speedKnownTo(gateway, String(id));
       views.push({
         id,
         isNear: domain === gateway.domain,
         inFlight: (gateway.own.get(id) ?? 0) + (gateway.heard.get(id) ?? 0),
         slots: options.slots,
         openForMs: now - openedAt,
+        ...(speed && { speed }),
       });
     }
     const chosen = place(views, placementRandom);
@@ -243,6 +379,19 @@
     });
   };
 
+  const repeatSpells = ({ intervalMs, durationMs, minFactor, maxFactor }: SlowSpells): void => {
+    const begin = (): void => {
+      const alive = [...replicas.values()].filter(({ lostAt }) => lostAt === Infinity);
+      const replica = alive[spellRandom.below(alive.length)];
+      if (replica && now >= replica.slowUntil) {
+        replica.slowFactor = minFactor + (maxFactor - minFactor) * spellRandom.fraction();
+        replica.slowUntil = now + durationMs * (0.5 + spellRandom.fraction());
+      }
+      events.push({ at: now + intervalMs, run: begin });
+    };
+    events.push({ at: intervalMs, run: begin });
+  };
+
   for (const gateway of gateways)
     repeat(options.hubIntervalMs, () => {
       exchangeWithHub(gateway);
@@ -251,9 +400,20 @@
     repeat(options.crossIntervalMs, () => {
       const sum = sumDomain(domain);
       for (const row of summaries) row[domain] = sum;
+      if (learning === 'shared')
+        speedSummaries[domain] = { reports: mergeDomainSpeeds(domain), at: now };
     });
   }
   if (options.lossIntervalMs > 0) repeat(options.lossIntervalMs, loseReplica);
+  const { slowSpells } = options;
+  if (slowSpells) {
+    repeatSpells(slowSpells);
+  }
+  if (learning !== 'none') {
+    for (const { speeds } of gateways)
+      speeds.recordHeadroom(MODEL_GROUP, options.targetMs / options.firstEventMs);
+    repeat(REFRESH_INTERVAL_MS, refreshSpeeds);
+  }
   const arrive = (): void => {
     const gateway = gateways[random.below(gateways.length)];
     // Durations are spread as widely as the lengths of answers.
@@ -272,6 +432,7 @@
     onTime: share(counts.onTime),
     veryLate: share(counts.veryLate),
     unserved: share(counts.unserved),
+    fromSlow: share(counts.fromSlow),
   };
 }
 
--- a/bench/decisions/placements.ts
+++ b/bench/decisions/placements.ts
@@ -20,12 +20,13 @@
 
 function describeReplicas(replicas: readonly ReplicaView[]): ModelTargets {
   const states = new Map<Target, TargetState>();
-  for (const { id, isNear, inFlight, slots } of replicas) {
+  for (const { id, isNear, inFlight, slots, speed } of replicas) {
     const name = String(id);
     const failureDomain = isNear ? 'near' : 'far';
     const server = { id: name, service: 'models', address: '', failureDomain, slots };
     const target = { server: { ...server, leaving: false }, members: [name] };
-    states.set(target, { target, inFlight, slots, isRemote: !isNear, failureRate: 0 });
+    const state = { target, inFlight, slots, isRemote: !isNear, failureRate: 0 };
+    states.set(target, { ...state, ...(speed && { speed }) });
   }
   const list = (isRemote: boolean): Target[] =>
     [...states.values()].filter((state) => state.isRemote === isRemote).map(({ target }) => target);
--- a/features/gateway/peering-model.ts
+++ b/features/gateway/peering-model.ts
@@ -3,10 +3,12 @@
  */
 import {
   collectReports,
+  collectSpeedSources,
   PEERING_TICK_MS,
   PeerTable,
   type Digest,
 } from '../../src/controllers/peering/index.js';
+import { ServerSpeeds } from '../../src/controllers/speed/index.js';
 import type { RequestReport } from '../../src/controllers/quarantine/index.js';
 
 /** A simulated gateway. */
@@ -21,6 +23,7 @@
   reports: RequestReport[] = [];
   /** Servers that other gateways reported to have ended while handling a request. */
   readonly reportedServerEnds = new Set<string>();
+  readonly speeds = new ServerSpeeds();
   private incarnation = 0;
 
   constructor(
@@ -44,7 +47,8 @@
     for (const { location } of seeds) this.table.addPeer(location, now);
   }
 
-  createDigest(): Digest {
+  createDigest(now = 0): Digest {
+    const speeds = this.speeds.report(now);
     return {
       ...this.location,
       incarnation: String(this.incarnation),
@@ -56,11 +60,14 @@
       load: this.load,
       suspicions: [],
       ...(this.reports.length > 0 && { reports: this.reports }),
+      ...(speeds.length > 0 && { speeds }),
     };
   }
 
   applyDigest(digest: Digest, now: number): void {
     this.table.applyDigest(digest, now);
+    for (const { source, reports } of collectSpeedSources(digest))
+      this.speeds.adopt(source, reports, now);
     for (const report of collectReports(digest)) {
       if (report.kind === 'serverEnded') this.reportedServerEnds.add(report.server);
     }
@@ -68,7 +75,7 @@
 
   /** The own digest with domain summaries. */
   createExchangeDigest(now: number, caller?: Digest): Digest {
-    const own = this.createDigest();
+    const own = this.createDigest(now);
     return { ...own, summaries: this.table.listSummaries(own, now, caller) };
   }
 }
--- a/src/controllers/forwarding/choose.ts
+++ b/src/controllers/forwarding/choose.ts
@@ -3,6 +3,7 @@
  */
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { Random } from '../../core/random/index.js';
+import { speedCost, type TargetSpeed } from '../speed/index.js';
 import type { Target } from './directory.js';
 
 /** Load and health of a target at selection time. */
@@ -16,6 +17,8 @@
   isRemote: boolean;
   /** Fraction of recent responses that were failures of the target itself, 0 to 1. */
   failureRate: number;
+  /** Absent while the target has the usual speed. */
+  speed?: TargetSpeed;
 }
 
 /**
@@ -41,7 +44,7 @@
   let best: TargetState | undefined;
   let bestCost = Infinity;
   for (const state of states) {
-    const cost = estimateCost(state) + random.fraction();
+    const cost = estimateCost(state, random) + random.fraction();
     if (cost >= bestCost) continue;
     best = state;
     bestCost = cost;
@@ -50,13 +53,14 @@
 }
 
 /** Estimated wait at a target plus its penalties, in milliseconds. */
-function estimateCost(state: TargetState): Milliseconds {
-  const { inFlight, slots, isRemote, failureRate } = state;
+function estimateCost(state: TargetState, random: Random): Milliseconds {
+  const { inFlight, slots, isRemote, failureRate, speed } = state;
   const queued = Math.max(0, inFlight + 1 - slots);
   return (
     (LOAD_PENALTY_MS * Math.min(inFlight, slots)) / slots +
     (SLOT_TIME_MS * queued) / slots +
     (isRemote ? CROSS_DOMAIN_PENALTY_MS : 0) +
-    FAILURE_PENALTY_MS * failureRate
+    FAILURE_PENALTY_MS * failureRate +
+    speedCost(speed, () => random.fraction())
   );
 }
--- a/src/controllers/forwarding/weighted-draw.ts
+++ b/src/controllers/forwarding/weighted-draw.ts
@@ -7,6 +7,7 @@
  * the weights still keep requests away from targets that are full.
  */
 import type { Random } from '../../core/random/index.js';
+import { canAvoidSlow, speedWeight } from '../speed/index.js';
 import type { TargetState } from './choose.js';
 
 /** Part of a reported difference in load that still holds when a request arrives. */
@@ -26,7 +27,8 @@
   random: Random,
 ): TargetState | undefined {
   const meanUse = states.reduce((sum, state) => sum + useOf(state), 0) / Math.max(1, states.length);
-  const weights = states.map((state) => weigh(state, meanUse));
+  const canAvoid = canAvoidSlow(states.filter(({ speed }) => !speed).map(useOf));
+  const weights = states.map((state) => weigh(state, meanUse) * speedWeight(state.speed, canAvoid));
   const total = weights.reduce((sum, weight) => sum + weight, 0);
   let left = random.fraction() * total;
   for (const [index, state] of states.entries()) {
--- a/src/controllers/peering/peer-table.ts
+++ b/src/controllers/peering/peer-table.ts
@@ -11,6 +11,7 @@
 import { addLoad } from './load.js';
 import { ageReports } from './reports.js';
 import { Roster } from './roster.js';
+import { summarizeSpeeds } from './speeds.js';
 import type { Digest, DomainSummary, GatewayPeer, KnownPeer, ReportedSuspicion } from './types.js';
 
 /**
@@ -348,6 +349,7 @@
         ageLimitReports(digest.limits ?? [], now - receivedAt),
       ),
     ]);
+    const speeds = summarizeSpeeds(own, domainDigests, now, caller);
     const hashes = new Set([own, ...domainDigests.map(({ digest }) => digest)].map(membersHashOf));
     const [membersHash] = hashes.size === 1 ? hashes : [];
     return {
@@ -360,6 +362,7 @@
       suspicions: [...own.suspicions, ...suspicions],
       ...(allReports.length > 0 && { reports: allReports }),
       ...(allLimits.length > 0 && { limits: allLimits }),
+      ...(speeds.length > 0 && { speeds }),
     };
   }
 
--- a/src/controllers/peering/types.ts
+++ b/src/controllers/peering/types.ts
@@ -5,6 +5,7 @@
 import type { Milliseconds } from '../../core/clock/index.js';
 import { requestReportSchema, quarantineNoticeSchema } from '../quarantine/index.js';
 import { limitReportSchema } from '../quotas/index.js';
+import { speedReportSchema } from '../speed/index.js';
 
 const nonNegativeSchema = z.number().nonnegative();
 /** Requests in flight by backend server. */
@@ -18,6 +19,8 @@
 const reportsSchema = z.array(requestReportSchema).max(10_000);
 /** Rates that backend servers name. */
 const limitsSchema = z.array(limitReportSchema).max(10_000);
+/** Backend servers that are slower than usual. */
+const speedsSchema = z.array(speedReportSchema).max(1_000);
 
 export const knownPeerSchema = z.object({
   name: z.string(),
@@ -70,6 +73,7 @@
   suspicions: suspicionsSchema,
   reports: reportsSchema.optional(),
   limits: limitsSchema.optional(),
+  speeds: speedsSchema.optional(),
 });
 
 export const digestSchema = gatewayStatusSchema.extend({
@@ -77,6 +81,7 @@
   suspicions: suspicionsSchema,
   reports: reportsSchema.optional(),
   limits: limitsSchema.optional(),
+  speeds: speedsSchema.optional(),
   /** All requests that the sender has quarantined. */
   quarantined: z.array(quarantineNoticeSchema).max(1_000).optional(),
   /** Summary of the sender's failure domain, and summaries that it forwards. */
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -321,6 +321,16 @@
     level: 'info',
     message: 'A server of a service that was cut off answers this gateway again.',
   },
+  serverSlow: {
+    number: 2314,
+    level: 'warn',
+    message: 'A backend server takes a multiple of the usual times; it gets fewer requests.',
+  },
+  serverNoLongerSlow: {
+    number: 2315,
+    level: 'info',
+    message: 'A backend server that was slow has about the usual speed again.',
+  },
   groupPlanWritten: {
     number: 2400,
     level: 'info',
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -34,6 +34,7 @@
 import { createRelayHandler } from './relay/relay-handler.js';
 import { createRoutedSender } from './relay/routed-sender.js';
 import { createQuarantine } from './requests/quarantine.js';
+import { createSpeedTracker } from './requests/speed-tracker.js';
 import { createRequestServer } from './requests/request-server.js';
 import { createWatchdog } from './requests/watchdog.js';
 import type { GatewaySettings } from './settings.js';
@@ -154,11 +155,15 @@
     section,
   });
   const engineCalls = createEngineCalls({ codec: platform.orders, onProbe, availability, links });
-  const backends = createBackendTracker(context, members, availability, links);
+  const speeds = createSpeedTracker(context);
+  const backends = createBackendTracker(context, members, availability, links, speeds);
   backends.onRestart((server) => {
     pool.invalidateServer(server);
   });
   const watchdog = createWatchdog(context, backends);
+  watchdog.onTimer((lateMs, dueAt) => {
+    speeds.recordTick(lateMs, dueAt);
+  });
   const sendOverOwnLink = createAttemptSender(pool, platform.requests, (server) => {
     links.recordNewConnection(server);
   });
@@ -178,6 +183,7 @@
     send,
     links,
     quarantine,
+    speeds,
   });
   const peers = createPeersPart({
     context,
@@ -186,6 +192,7 @@
     relay,
     store,
     backends,
+    speeds,
     members,
     quarantine,
     configuration,
--- a/src/gateway/operations/metrics.ts
+++ b/src/gateway/operations/metrics.ts
@@ -17,6 +17,8 @@
   connections: Counter;
   suspicions: Counter;
   lostLinks: Gauge;
+  slowServers: Gauge;
+  timedAnswers: Counter<'kind' | 'outcome'>;
   relayed: Counter<'outcome'>;
   cooldowns: Counter<'kind'>;
   leavingAnswers: Counter;
@@ -85,6 +87,17 @@
       help: 'Backend servers that answer other gateways, but not this one.',
       registers,
     }),
+    slowServers: new Gauge({
+      name: 'yuccasail_gateway_slow_servers',
+      help: 'Backend servers that count as slow.',
+      registers,
+    }),
+    timedAnswers: new Counter({
+      name: 'yuccasail_gateway_timed_answers_total',
+      help: 'Times of backend servers that were compared with the usual ones, or ignored since this process was late.',
+      labelNames: ['kind', 'outcome'],
+      registers,
+    }),
     relayed: new Counter({
       name: 'yuccasail_gateway_relayed_requests_total',
       help: 'Requests that other gateways had this one send to backend servers, by outcome.',
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -6,6 +6,7 @@
 import { roundedProofAge } from '../../controllers/freshness/index.js';
 import {
   collectLimitReports,
+  collectSpeedSources,
   observeMembers,
   PEERING_TICK_MS,
   PeerTable,
@@ -19,6 +20,7 @@
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { Failure } from '../../core/errors/index.js';
 import type { BackendTracker } from '../requests/backend-tracker.js';
+import type { SpeedTracker } from '../requests/speed-tracker.js';
 import type { Quarantine } from '../requests/quarantine.js';
 import type { ConfigurationPart } from '../store/configuration-part.js';
 import type { ObjectStore } from '../store/client.js';
@@ -48,6 +50,7 @@
   relay: Pick<RelayHandler, 'handle'>;
   store: ObjectStore;
   backends: BackendTracker;
+  speeds: SpeedTracker;
   members: FleetMembers;
   quarantine: Quarantine;
   configuration: ConfigurationPart;
@@ -87,6 +90,7 @@
   const createDigest = (): Digest => {
     const now = clock.now();
     const limits = backends.listRateLimits();
+    const speeds = options.speeds.report();
     const cutOffFrom = board.cutOffServices.read();
     return {
       ...self,
@@ -101,6 +105,7 @@
       load: [...backends.inFlight()],
       suspicions: listOwnSuspicions(now),
       ...(limits.length > 0 && { limits }),
+      ...(speeds.length > 0 && { speeds }),
       ...quarantine.buildDigest(),
     };
   };
@@ -188,6 +193,7 @@
     for (const report of collectLimitReports(digest)) {
       backends.adoptRateLimit(report, digest.name);
     }
+    options.speeds.adopt(collectSpeedSources(digest));
     if (incarnations.get(digest.name) !== digest.incarnation) {
       incarnations.set(digest.name, digest.incarnation);
       logger.log('peerHeard', { peer: digest.name, address: digest.address });
@@ -297,6 +303,7 @@
         relaySuspicions(listOwnSuspicions(clock.now()).filter((own) => own.server === server));
       });
       backends.onRateLimitChange(notifyDomain);
+      options.speeds.onNews(notifyDomain);
       // Other gateways must neither choose this one as a relay nor leave fabric domains to it.
       board.cutOffServices.subscribe(() => {
         for (const peer of table.listPartners()) void exchange(peer);
--- a/src/gateway/requests/backend-tracker.ts
+++ b/src/gateway/requests/backend-tracker.ts
@@ -29,6 +29,7 @@
 import type { LinkMonitor } from '../links/link-monitor.js';
 import type { LinkEvidence } from '../links/types.js';
 import type { GatewayContext } from '../types.js';
+import type { SpeedTracker } from './speed-tracker.js';
 
 /** A chosen target with the state that it was chosen by. */
 export interface ChosenTarget extends TargetState {
@@ -124,6 +125,7 @@
   members: FleetMembers,
   availability: ServerAvailability,
   links: TrackedLinks,
+  speeds?: Pick<SpeedTracker, 'describe'>,
 ): BackendTracker {
   const { board, clock, random, logger, metrics, settings } = context;
   const inFlightCounts = new Map<string, number>();
@@ -215,6 +217,7 @@
     target,
     inFlight: estimateInFlight(target.server.id),
     slots: service.engine?.slots ?? target.server.slots,
+    ...speeds?.describe(target, service),
     isRemote: target.server.failureDomain !== settings.failureDomain,
     failureRate: failures.rateOf(target.server.id),
   });
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -24,6 +24,7 @@
 import { createStoppingFailure, SHUTDOWN_REASON, type ShutdownPolicy } from './shutdown.js';
 import type { AdmittedRequest, RequestOutcome } from './types.js';
 import type { RequestQueues } from './request-queues.js';
+import type { SpeedTracker } from './speed-tracker.js';
 import type { Watchdog, WatchedRequest } from './watchdog.js';
 
 /** What a forwarder shares with all others of its gateway. */
@@ -37,6 +38,7 @@
   shutdown: ShutdownPolicy;
   queues: RequestQueues;
   quarantine: Quarantine;
+  speeds: SpeedTracker;
 }
 
 /** A request fails after more refusals by backend servers than this. */
@@ -292,6 +294,7 @@
       deps.queues.expectedFirstEventMs(request),
     );
     const attempt = new TrackedAttempt(server, limits, this, deps.context.clock);
+    attempt.timing = deps.speeds.time(request, chosen, attempt, lastEventId !== undefined);
     attempt.isUnsettledRetry = this.arrivals > 0;
     this.arrivals += 1;
     this.attempts.add(attempt);
@@ -363,6 +366,7 @@
       return;
     }
     if (part.count === 0) return;
+    attempt.timing?.recordEvents(part.count, this.deps.backends.inFlightAt(attempt.server));
     const { clock, platform } = this.deps.context;
     const limits = limitsBetweenEvents(this.request);
     if (limits) attempt.updateLimits(limits);
@@ -419,6 +423,7 @@
       relayEvents(reply, requests, attempt, response, EMPTY_BUFFER);
       reply.end();
     } else {
+      attempt.timing?.recordAnswer();
       sendBuffered(reply, requests, response, Buffer.concat(attempt.body));
     }
     this.finish('answered', `${response.status} by ${response.framing}`);
--- a/src/gateway/requests/request-report.ts
+++ b/src/gateway/requests/request-report.ts
@@ -36,7 +36,7 @@
 export function reportAttempt(
   context: GatewayContext,
   { id, fingerprint }: AdmittedRequest,
-  { target, inFlight, candidates, isRemote }: ChosenTarget,
+  { target, inFlight, candidates, isRemote, speed }: ChosenTarget,
   { why, attempt, leftMs, lastEventId }: AttemptSummary,
 ): void {
   const { server } = target;
@@ -50,6 +50,7 @@
     inFlight,
     candidates,
     remote: isRemote,
+    slowness: speed && Math.round(speed.slowness * 10) / 10,
     fleetRevision: context.board.fleet.read().revision,
     ...describeConfiguration(context),
     leftMs: Math.round(leftMs),
--- a/src/gateway/requests/request-server.ts
+++ b/src/gateway/requests/request-server.ts
@@ -24,6 +24,7 @@
 import { createShutdownPolicy, createStoppingFailure } from './shutdown.js';
 import type { RequestHead } from './types.js';
 import { createRequestQueues } from './request-queues.js';
+import type { SpeedTracker } from './speed-tracker.js';
 import type { Watchdog, WatchedRequest } from './watchdog.js';
 
 /** The running HTTP server for callers. */
@@ -49,6 +50,7 @@
   send: AttemptSender;
   links: ForwarderDependencies['links'];
   quarantine: Quarantine;
+  speeds: SpeedTracker;
 }
 
 /** Added to the callers' idle timeout, so that the server does not close as a request arrives. */
--- a/src/gateway/requests/tracked-attempt.ts
+++ b/src/gateway/requests/tracked-attempt.ts
@@ -12,6 +12,7 @@
 } from '../backends/attempt.js';
 import type { BackendServer, ServerNotice } from '../../ports/index.js';
 import type { StallLimits } from './stall-limits.js';
+import type { AttemptTiming } from './attempt-timing.js';
 import type { WatchedAttempt } from './watchdog.js';
 
 /** Receives the events of its attempts; none after an attempt has ended. */
@@ -39,6 +40,8 @@
   attemptStallMs: Milliseconds;
   paused = false;
   isUnsettledRetry = false;
+  /** Compares its times with the usual ones; absent if they can't be compared. */
+  timing: AttemptTiming | undefined;
   /** Its owner no longer uses it; later events are ignored. */
   isEnded = false;
   private attempt: Attempt | undefined;
@@ -82,6 +85,7 @@
   resume(): void {
     this.paused = false;
     this.lastProgressAt = this.clock.now();
+    this.timing?.interrupt();
     this.attempt?.resume();
   }
 
--- a/src/gateway/requests/watchdog.ts
+++ b/src/gateway/requests/watchdog.ts
@@ -40,6 +40,8 @@
   requests: Set<WatchedRequest>;
   /** Called on each tick, after all requests were checked. */
   onTick(listener: () => void): void;
+  /** Called at the start of each tick with its lateness, and when the next one is due. */
+  onTimer(listener: (lateMs: Milliseconds, dueAt: Milliseconds) => void): void;
   /** Called after the process was paused, as by a suspended machine. */
   onPause(listener: () => void): void;
 }
@@ -64,6 +66,7 @@
   const requests = new Set<WatchedRequest>();
   const pauseListeners: (() => void)[] = [];
   const tickListeners: (() => void)[] = [];
+  const timerListeners: ((lateMs: Milliseconds, dueAt: Milliseconds) => void)[] = [];
   let timer: NodeJS.Timeout | undefined;
   let dueAt = clock.now();
   let resumedAt = Number.NEGATIVE_INFINITY;
@@ -78,6 +81,7 @@
     const now = clock.now();
     const lateMs = now - dueAt;
     schedule();
+    for (const listener of timerListeners) listener(lateMs, dueAt);
     if (lateMs > PROCESS_PAUSE_MS) {
       resumedAt = now;
       logger.log('gatewayPaused', { lateMs: Math.round(lateMs) });
@@ -119,6 +123,9 @@
     onTick: (listener) => {
       tickListeners.push(listener);
     },
+    onTimer: (listener) => {
+      timerListeners.push(listener);
+    },
     onPause: (listener) => {
       pauseListeners.push(listener);
     },
