Send elsewhere after a server has refused; diagnose late answers of slow servers

Cause: one arrival in six was refused by its server. After an answer with 421 (no longer the head) or 503 (full) the next requests of the same gateway still went there.

--- a/features/cli/diagnose.feature
+++ b/features/cli/diagnose.feature
@@ -9,6 +9,7 @@
       | happened                               | outcome  | cause            |
       | began late at its only server          | late     | slowFirstEvent   |
       | paused too long                        | late     | pauseInStream    |
+      | went to a slow server                  | late     | slowServer       |
       | was sent again after a stall           | late     | stalled          |
       | was sent again after a refusal         | late     | refusedByServer  |
       | waited for a replica                   | late     | waitedForReplica |
--- a/features/cli/diagnose.steps.ts
+++ b/features/cli/diagnose.steps.ts
@@ -32,6 +32,7 @@
 const REQUESTS: Readonly<Record<string, readonly Values[]>> = {
   'began late at its only server': [SENT, LATE],
   'paused too long': [SENT, { ...ON_TIME, gapMs: 900 }],
+  'went to a slow server': [{ ...SENT, slowness: 5.2 }, LATE],
   'was sent again after a stall': [SENT, attemptEnded('nothing moved there'), SENT, LATE],
   'was sent again after a refusal': [SENT, attemptEnded('refused with 503'), SENT, LATE],
   'waited for a replica': [{ name: 'requestWaits', why: 'no room' }, SENT, LATE],
--- a/src/cli/diagnose/losses.ts
+++ b/src/cli/diagnose/losses.ts
@@ -18,6 +18,8 @@
   stalled: 'Nothing moved at the backend server that it was sent to first.',
   connectionBroken: 'The connection to the backend server ended.',
   serverFailed: 'The backend server answered with a failure of its own.',
+  slowServer:
+    'Sent once, to a backend server that was already known to be slow; see serverSlow in the log.',
   slowFirstEvent:
     'Sent once, and its answer began late: a queue at the backend server, or a slow one.',
   pauseInStream: 'Its answer began in time, with a pause between two events that was too long.',
@@ -63,6 +65,8 @@
   sends: number;
   firstFailure: RequestLine | undefined;
   hasWaited: boolean;
+  /** The backend server that it was sent to was known to be slow. */
+  wasSentToSlow: boolean;
 }
 
 interface Outcome {
@@ -72,6 +76,8 @@
 
 const MS_PER_SECOND = 1_000;
 const MAX_SAMPLES = 3;
+/** From this multiple of the usual times on, the server explains a late answer. */
+const SLOW_SLOWNESS = 1.6;
 const SAMPLE_LENGTH = 80;
 
 /** Summarizes the texts of log files. */
@@ -85,7 +91,7 @@
   const historyOf = (request: string): RequestHistory => {
     const known = histories.get(request);
     if (known) return known;
-    const created = { sends: 0, firstFailure: undefined, hasWaited: false };
+    const created = { sends: 0, firstFailure: undefined, hasWaited: false, wasSentToSlow: false };
     histories.set(request, created);
     return created;
   };
@@ -104,6 +110,7 @@
     switch (line.name) {
       case 'requestSent':
         historyOf(line.request).sends += 1;
+        if ((line.slowness ?? 1) >= SLOW_SLOWNESS) historyOf(line.request).wasSentToSlow = true;
         break;
       case 'requestWaits':
         historyOf(line.request).hasWaited = true;
@@ -190,6 +197,7 @@
   const { firstFailure } = history;
   if (firstFailure) return causeOfAttempt(firstFailure) ?? 'serverFailed';
   if (isLate && history.hasWaited) return 'waitedForReplica';
+  if (history.wasSentToSlow) return 'slowServer';
   if (!isStream) return 'slowAnswer';
   return isLate ? 'slowFirstEvent' : 'pauseInStream';
 }
--- a/src/cli/diagnose/request-lines.ts
+++ b/src/cli/diagnose/request-lines.ts
@@ -27,6 +27,7 @@
   tookMs: z.number().exactOptional(),
   firstMs: z.number().exactOptional(),
   targetMs: z.number().exactOptional(),
+  slowness: z.number().exactOptional(),
   gapMs: z.number().exactOptional(),
   gapTargetMs: z.number().exactOptional(),
 });
--- a/src/controllers/forwarding/index.ts
+++ b/src/controllers/forwarding/index.ts
@@ -7,6 +7,7 @@
 export * from './fleet.js';
 export * from './incarnations.js';
 export * from './leaving-table.js';
+export * from './refusals.js';
 export * from './retry-budget.js';
 export * from './routes.js';
 export * from './serving-index.js';
--- a/src/gateway/requests/backend-tracker.ts
+++ b/src/gateway/requests/backend-tracker.ts
@@ -9,6 +9,8 @@
   FailureRates,
   IncarnationTable,
   ProgressTracker,
+  refusalKindOf,
+  RefusalTable,
   RetryBudget,
   evaluateAll,
   SuspicionTable,
@@ -24,7 +26,7 @@
 } from '../../controllers/quotas/index.js';
 import { hasRoom } from '../../controllers/waiting/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
-import type { RateLimit, ServingService } from '../../ports/index.js';
+import type { BackendServer, RateLimit, ServingService } from '../../ports/index.js';
 import type { ServerAvailability } from '../backends/server-availability.js';
 import type { LinkMonitor } from '../links/link-monitor.js';
 import type { LinkEvidence } from '../links/types.js';
@@ -100,6 +102,8 @@
   adoptRateLimit(report: LimitReport, peer: string): void;
   /** This gateway's observations of rate limits, for peers. */
   listRateLimits(): LimitReport[];
+  /** Records that the server refused an attempt unrun, with `status`. */
+  recordRefusal(server: BackendServer, status: number): void;
   /** Records the result of an attempt for the failure rate. */
   recordResult(server: string, failed: boolean): void;
   /** Counts a request towards the retry budget of its service. */
@@ -142,6 +146,7 @@
   const suspicions = new SuspicionTable();
   const failures = new FailureRates();
   const limits = new ServerLimits(members);
+  const refusals = new RefusalTable();
   const retryBudgets = new Map<string, RetryBudget>();
   let hasForwarded = false;
   const suspicionListeners: ((server: string) => void)[] = [];
@@ -164,6 +169,7 @@
       contacts.forget(server);
       failures.forget(server);
       limits.forget(server);
+      refusals.forget(server);
     }
     previousFleet = fleet;
     directory = createTargetDirectory(fleet, settings.failureDomain);
@@ -285,17 +291,23 @@
     choose: (service, model, excluded, requiresCapacity = false) => {
       const now = clock.now();
       const targets = directory.find(service, model);
+      let avoidsRefusing = !refusals.isEmpty;
       const evaluate = (target: Target): TargetState | undefined => {
         const { id } = target.server;
+        if (avoidsRefusing && refusals.isRefusing(target.server, now)) return undefined;
         if (!isPossible(target, excluded, now)) return undefined;
         if (availability.cooldownLeftMs(id) > 0 || !limits.hasPermit(id, now)) return undefined;
         const state = describeTarget(target, service);
         return requiresCapacity && !hasRoom(state) ? undefined : state;
       };
       const { isLate } = board.peerLoad.read();
-      const states = isLate
-        ? sampleTargets(targets, evaluate, random)
-        : evaluateAll(targets, evaluate);
+      const listStates = (): TargetState[] =>
+        isLate ? sampleTargets(targets, evaluate, random) : evaluateAll(targets, evaluate);
+      let states = listStates();
+      if (states.length === 0 && avoidsRefusing) {
+        avoidsRefusing = false;
+        states = listStates();
+      }
       const chosen = isLate ? drawTarget(states, random) : chooseTarget(states, random);
       return chosen && { ...chosen, candidates: states.length };
     },
@@ -370,6 +382,10 @@
       if (limits.adopt(report, clock.now())) logLimit(report.server, peer);
     },
     listRateLimits: () => limits.report(clock.now()),
+    recordRefusal: (server, status) => {
+      const kind = refusalKindOf(status);
+      if (kind !== undefined) refusals.record(server, kind, clock.now());
+    },
     recordResult: (server, failed) => {
       if (!isAmbiguous(server)) failures.record(server, failed);
     },
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -384,6 +384,7 @@
     const { backends } = this.deps;
     const { server } = attempt;
     if (response.notRun) {
+      backends.recordRefusal(attempt.target, response.status);
       this.endAttempt(attempt, `refused with ${response.status}`);
       // The time for which the server is left alone takes the place of a lower rank.
       if (this.deps.availability.cooldownLeftMs(server) === 0) backends.recordResult(server, true);
