--- a/features/gateway/peering-model.ts
+++ b/features/gateway/peering-model.ts
@@ -10,10 +10,12 @@
 import { laterProof, proofAge, type Proof } from '../../src/controllers/freshness/index.js';
 import {
   collectReports,
+  collectSpeedSources,
   PEERING_TICK_MS,
   PeerTable,
   type Digest,
 } from '../../src/controllers/peering/index.js';
+import { ServerSpeeds } from '../../src/controllers/speed/index.js';
 import type { RequestReport } from '../../src/controllers/quarantine/index.js';
 
 /** A simulated gateway. */
@@ -33,6 +35,7 @@
   onEvacuations: ((state: EvacuationState) => void) | undefined;
   /** Servers that other gateways reported to have ended while handling a request. */
   readonly reportedServerEnds = new Set<string>();
+  readonly speeds = new ServerSpeeds();
   private incarnation = 0;
 
   constructor(
@@ -56,7 +59,8 @@
     for (const { location } of seeds) this.table.addPeer(location, now);
   }
 
-  createDigest(): Digest {
+  createDigest(now = 0): Digest {
+    const speeds = this.speeds.report(now);
     return {
       ...this.location,
       incarnation: String(this.incarnation),
@@ -68,6 +72,7 @@
       load: this.load,
       suspicions: [],
       ...(this.reports.length > 0 && { reports: this.reports }),
+      ...(speeds.length > 0 && { speeds }),
     };
   }
 
@@ -90,6 +95,8 @@
   applyDigest(digest: Digest, now: number): void {
     if (digest.evacuations) this.applyEvacuations(digest.evacuations, now);
     this.table.applyDigest(digest, now);
+    for (const { source, reports } of collectSpeedSources(digest))
+      this.speeds.adopt(source, reports, now);
     for (const report of collectReports(digest)) {
       if (report.kind === 'serverEnded') this.reportedServerEnds.add(report.server);
     }
@@ -100,7 +107,7 @@
     const { source, revision, domains } = this.evacuations;
     const ageMs = proofAge(this.evacuationProof, now);
     const evacuations = { revision, domains: [...domains], ...(ageMs !== undefined && { ageMs }) };
-    const own = { ...this.createDigest(), ...(source === 'known' && { evacuations }) };
+    const own = { ...this.createDigest(now), ...(source === 'known' && { evacuations }) };
     return { ...own, summaries: this.table.listSummaries(own, now, caller) };
   }
 }
--- a/src/controllers/peering/types.ts
+++ b/src/controllers/peering/types.ts
@@ -6,6 +6,7 @@
 import { evacuationReportSchema } from '../evacuation/index.js';
 import { requestReportSchema, quarantineNoticeSchema } from '../quarantine/index.js';
 import { limitReportSchema } from '../quotas/index.js';
+import { speedReportSchema } from '../speed/index.js';
 
 const nonNegativeSchema = z.number().nonnegative();
 /** Requests in flight by backend server. */
@@ -19,6 +20,8 @@
 const reportsSchema = z.array(requestReportSchema).max(10_000);
 /** Rates that backend servers name. */
 const limitsSchema = z.array(limitReportSchema).max(10_000);
+/** Backend servers that are slower than usual. */
+const speedsSchema = z.array(speedReportSchema).max(1_000);
 
 export const knownPeerSchema = z.object({
   name: z.string(),
@@ -71,6 +74,7 @@
   suspicions: suspicionsSchema,
   reports: reportsSchema.optional(),
   limits: limitsSchema.optional(),
+  speeds: speedsSchema.optional(),
 });
 
 export const digestSchema = gatewayStatusSchema.extend({
@@ -80,6 +84,7 @@
   limits: limitsSchema.optional(),
   /** Absent if the sender does not know or follow evacuations. */
   evacuations: evacuationReportSchema.optional(),
+  speeds: speedsSchema.optional(),
   /** All requests that the sender has quarantined. */
   quarantined: z.array(quarantineNoticeSchema).max(1_000).optional(),
   /** Summary of the sender's failure domain, and summaries that it forwards. */
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -347,6 +347,16 @@
     level: 'info',
     message: 'A backend server is no longer cold.',
   },
+  serverSlow: {
+    number: 2316,
+    level: 'warn',
+    message: 'A backend server takes a multiple of the usual times; it gets fewer requests.',
+  },
+  serverNoLongerSlow: {
+    number: 2317,
+    level: 'info',
+    message: 'A backend server that was slow has about the usual speed again.',
+  },
   groupPlanWritten: {
     number: 2400,
     level: 'info',
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -37,6 +37,7 @@
 import { createRelayHandler } from './relay/relay-handler.js';
 import { createRoutedSender } from './relay/routed-sender.js';
 import { createQuarantine } from './requests/quarantine.js';
+import { createSpeedTracker } from './requests/speed-tracker.js';
 import { createRequestServer } from './requests/request-server.js';
 import { createWatchdog } from './requests/watchdog.js';
 import type { GatewaySettings } from './settings.js';
@@ -173,7 +174,8 @@
     section,
   });
   const engineCalls = createEngineCalls({ codec: platform.orders, onProbe, availability, links });
-  const backends = createBackendTracker(context, members, availability, links, cold);
+  const speeds = createSpeedTracker(context);
+  const backends = createBackendTracker(context, members, availability, links, cold, speeds);
   backends.onRestart((server) => {
     pool.invalidateServer(server);
   });
@@ -181,6 +183,9 @@
   watchdog.onTick(() => {
     context.ticker.run();
   });
+  watchdog.onTimer((lateMs, dueAt) => {
+    speeds.recordTick(lateMs, dueAt);
+  });
   const sendOverOwnLink = createAttemptSender(pool, platform.requests, clock, (server) => {
     links.recordNewConnection(server);
   });
@@ -200,6 +205,7 @@
     send,
     links,
     quarantine,
+    speeds,
   });
   const peers = createPeersPart({
     context,
@@ -208,6 +214,7 @@
     relay,
     store,
     backends,
+    speeds,
     members,
     quarantine,
     configuration,
--- a/src/gateway/operations/metrics.ts
+++ b/src/gateway/operations/metrics.ts
@@ -18,6 +18,8 @@
   suspicions: Counter;
   lostLinks: Gauge;
   evacuatedDomains: Gauge;
+  slowServers: Gauge;
+  timedAnswers: Counter<'kind' | 'outcome'>;
   relayed: Counter<'outcome'>;
   cooldowns: Counter<'kind'>;
   leavingAnswers: Counter;
@@ -93,6 +95,17 @@
       help: 'Failure domains that operators have evacuated, as far as this gateway knows.',
       registers,
     }),
+    slowServers: new Gauge({
+      name: 'yuccasail_gateway_slow_servers',
+      help: 'Backend servers that count as slow.',
+      registers,
+    }),
+    timedAnswers: new Counter({
+      name: 'yuccasail_gateway_timed_answers_total',
+      help: 'Times of backend servers that were compared with the usual ones, or ignored since this process was late.',
+      labelNames: ['kind', 'outcome'],
+      registers,
+    }),
     relayed: new Counter({
       name: 'yuccasail_gateway_relayed_requests_total',
       help: 'Requests that other gateways had this one send to backend servers, by outcome.',
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -6,6 +6,7 @@
 import { roundedProofAge } from '../../controllers/freshness/index.js';
 import {
   collectLimitReports,
+  collectSpeedSources,
   observeMembers,
   PEERING_TICK_MS,
   PeerTable,
@@ -21,6 +22,7 @@
 import type { Failure } from '../../core/errors/index.js';
 import type { TickerTask } from '../../core/ticker/index.js';
 import type { BackendTracker } from '../requests/backend-tracker.js';
+import type { SpeedTracker } from '../requests/speed-tracker.js';
 import type { Quarantine } from '../requests/quarantine.js';
 import type { ConfigurationPart } from '../store/configuration-part.js';
 import type { ObjectStore } from '../store/client.js';
@@ -51,6 +53,7 @@
   relay: Pick<RelayHandler, 'handle'>;
   store: ObjectStore;
   backends: BackendTracker;
+  speeds: SpeedTracker;
   members: FleetMembers;
   quarantine: Quarantine;
   configuration: ConfigurationPart;
@@ -93,6 +96,7 @@
   const createDigest = (): Digest => {
     const now = clock.now();
     const limits = backends.listRateLimits();
+    const speeds = options.speeds.report();
     const cutOffFrom = board.cutOffServices.read();
     const evacuations = evacuation?.report();
     return {
@@ -109,6 +113,7 @@
       suspicions: listOwnSuspicions(now),
       ...(limits.length > 0 && { limits }),
       ...(evacuations && { evacuations }),
+      ...(speeds.length > 0 && { speeds }),
       ...quarantine.buildDigest(),
     };
   };
@@ -211,6 +216,7 @@
     for (const report of collectLimitReports(digest)) {
       backends.adoptRateLimit(report, digest.name);
     }
+    options.speeds.adopt(collectSpeedSources(digest));
     if (incarnations.get(digest.name) !== digest.incarnation) {
       incarnations.set(digest.name, digest.incarnation);
       logger.log('peerHeard', { peer: digest.name, address: digest.address });
@@ -326,6 +332,7 @@
       });
       backends.onRateLimitChange(notifyDomain);
       evacuation?.onChange(relayEvacuations);
+      options.speeds.onNews(notifyDomain);
       // Other gateways must neither choose this one as a relay nor leave fabric domains to it.
       board.cutOffServices.subscribe(() => {
         for (const peer of table.listPartners()) void exchange(peer);
--- a/src/gateway/requests/backend-tracker.ts
+++ b/src/gateway/requests/backend-tracker.ts
@@ -11,6 +11,8 @@
   FailureRates,
   IncarnationTable,
   ProgressTracker,
+  refusalKindOf,
+  RefusalTable,
   RetryBudget,
   evaluateAll,
   SuspicionTable,
@@ -33,6 +35,7 @@
 import type { LinkEvidence } from '../links/types.js';
 import type { GatewayContext } from '../types.js';
 import { estimateColdWait, isColdTarget, listColdStates } from './cold-targets.js';
+import type { SpeedTracker } from './speed-tracker.js';
 
 /** A chosen target with the state that it was chosen by. */
 export interface ChosenTarget extends TargetState {
@@ -115,6 +118,8 @@
   adoptRateLimit(report: LimitReport, peer: string): void;
   /** This gateway's observations of rate limits and cold servers, for peers. */
   listRateLimits(): LimitReport[];
+  /** Records that the server refused an attempt unrun, with `status`. */
+  recordRefusal(server: BackendServer, status: number): void;
   /** Records the result of an attempt for the failure rate. */
   recordResult(server: string, failed: boolean): void;
   /** Counts a request towards the retry budget of its service. */
@@ -143,6 +148,7 @@
   availability: ServerAvailability,
   links: TrackedLinks,
   cold: ColdServerLimits = NO_COLD_SERVERS,
+  speeds?: Pick<SpeedTracker, 'describe'>,
 ): BackendTracker {
   const { board, clock, random, logger, metrics, settings } = context;
   const inFlightCounts = new Map<string, number>();
@@ -159,6 +165,7 @@
   const suspicions = new SuspicionTable();
   const failures = new FailureRates();
   const limits = new ServerLimits(members);
+  const refusals = new RefusalTable();
   const retryBudgets = new Map<string, RetryBudget>();
   let hasForwarded = false;
   const suspicionListeners: ((server: string) => void)[] = [];
@@ -183,6 +190,7 @@
       contacts.forget(server);
       failures.forget(server);
       limits.forget(server);
+      refusals.forget(server);
     }
     previousFleet = fleet;
     directory = createDirectory();
@@ -243,6 +251,8 @@
     target,
     inFlight: estimateInFlight(target.server.id),
     slots: usableSlots(target.server, service),
+    // In a small fleet, each gateway sees most of the load, and stalls show slow servers early.
+    ...(board.peerLoad.read().isLate && speeds?.describe(target, service)),
     isRemote: target.server.failureDomain !== settings.failureDomain,
     failureRate: failures.rateOf(target.server.id),
   });
@@ -311,8 +321,10 @@
       const now = clock.now();
       const targets = directory.find(service, model);
       const isAnyCold = cold.isAnyCold();
+      let avoidsRefusing = !refusals.isEmpty;
       const evaluate = (target: Target): TargetState | undefined => {
         const { id } = target.server;
+        if (avoidsRefusing && refusals.isRefusing(target.server, now)) return undefined;
         if (!isPossible(target, excluded, now)) return undefined;
         if (availability.cooldownLeftMs(id) > 0 || !limits.hasPermit(id, now)) return undefined;
         const state = describeTarget(target, service);
@@ -322,9 +334,13 @@
       const evaluateWarm = isAnyCold
         ? (target: Target) => (isColdTarget(cold, target) ? undefined : evaluate(target))
         : evaluate;
-      const states = isLate
-        ? sampleTargets(targets, evaluateWarm, random)
-        : evaluateAll(targets, evaluateWarm);
+      const listWarmStates = (): TargetState[] =>
+        isLate ? sampleTargets(targets, evaluateWarm, random) : evaluateAll(targets, evaluateWarm);
+      let states = listWarmStates();
+      if (states.length === 0 && avoidsRefusing) {
+        avoidsRefusing = false;
+        states = listWarmStates();
+      }
       const warm = isLate ? drawTarget(states, random) : chooseTarget(states, random);
       const chosen = isAnyCold
         ? chooseWithCold(warm, listColdStates(cold, targets, evaluate), random)
@@ -415,6 +431,10 @@
       else if (limits.adopt(report, clock.now())) logLimit(report.server, peer);
     },
     listRateLimits: () => [...limits.report(clock.now()), ...cold.report()],
+    recordRefusal: (server, status) => {
+      const kind = refusalKindOf(status);
+      if (kind !== undefined) refusals.record(server, kind, clock.now());
+    },
     recordResult: (server, failed) => {
       if (!isAmbiguous(server)) failures.record(server, failed);
     },
--- a/src/gateway/requests/request-attempts.ts
+++ b/src/gateway/requests/request-attempts.ts
@@ -10,6 +10,7 @@
 import { reportAttempt } from './request-report.js';
 import type { RequestQueues } from './request-queues.js';
 import type { ShutdownPolicy } from './shutdown.js';
+import type { SpeedTracker } from './speed-tracker.js';
 import { limitsBeforeFirstEvent } from './stall-limits.js';
 import { TrackedAttempt, type AttemptOwner } from './tracked-attempt.js';
 import type { AdmittedRequest } from './types.js';
@@ -23,6 +24,7 @@
   send: AttemptSender;
   shutdown: ShutdownPolicy;
   queues: RequestQueues;
+  speeds: Pick<SpeedTracker, 'time'>;
 }
 
 /** Subtracted from the time that a backend server gets, for relaying its response. */
@@ -149,6 +151,7 @@
       deps.queues.expectedFirstEventMs(request),
     );
     const attempt = new TrackedAttempt(server, limits, owner, deps.context.clock);
+    attempt.timing = deps.speeds.time(request, chosen, attempt, lastEventId !== undefined);
     attempt.isUnsettledRetry = this.arrivals > 0;
     this.arrivals += 1;
     this.inFlight.add(attempt);
--- a/src/gateway/requests/request-ending.ts
+++ b/src/gateway/requests/request-ending.ts
@@ -69,7 +69,10 @@
     const { reply, relay } = this.parts;
     this.deps.quarantine.recordAnswered(this.request.fingerprint);
     if (relay) relay.end(attempt, response);
-    else this.sendBuffered(attempt, response, reply);
+    else {
+      attempt.timing?.recordAnswer();
+      this.sendBuffered(attempt, response, reply);
+    }
     this.finish('answered', `${response.status} by ${response.framing}`);
   }
 
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -49,7 +49,7 @@
     const isStream = request.route.repeatability === 'stream';
     const stream = isStream ? new EventStream(request.caller.lastEventId) : undefined;
     this.attempts = new RequestAttempts(request, stream, deps);
-    this.relay = stream && new StreamRelay(request, stream, reply, deps.context, deps.queues);
+    this.relay = stream && new StreamRelay(request, stream, reply, deps);
     const { attempts, relay } = this;
     this.ending = new RequestEnding(request, { reply, attempts, relay }, deps, () => {
       this.wait.handleRequestEnd();
@@ -165,6 +165,7 @@
     const { backends } = this.deps;
     const { server } = attempt;
     if (response.notRun) {
+      backends.recordRefusal(attempt.target, response.status);
       this.attempts.end(attempt, `refused with ${response.status}`);
       // The time for which the server is left alone takes the place of a lower rank.
       if (this.deps.availability.cooldownLeftMs(server) === 0) backends.recordResult(server, true);
--- a/src/gateway/requests/stream-relay.ts
+++ b/src/gateway/requests/stream-relay.ts
@@ -5,6 +5,7 @@
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { AttemptResponse } from '../backends/attempt.js';
 import type { GatewayContext } from '../types.js';
+import type { BackendTracker } from './backend-tracker.js';
 import type { Reply } from './reply.js';
 import type { RequestQueues } from './request-queues.js';
 import { relayEvents } from './response-relay.js';
@@ -19,6 +20,12 @@
   longestGapMs: Milliseconds;
 }
 
+interface StreamRelayDependencies {
+  context: Pick<GatewayContext, 'clock' | 'platform'>;
+  queues: Pick<RequestQueues, 'recordFirstEvent'>;
+  backends: Pick<BackendTracker, 'inFlightAt'>;
+}
+
 const EMPTY_BUFFER = Buffer.alloc(0);
 
 /** Relays the events of one request. */
@@ -33,8 +40,7 @@
     private readonly request: AdmittedRequest,
     private readonly stream: EventStream,
     private readonly reply: Reply,
-    private readonly context: Pick<GatewayContext, 'clock' | 'platform'>,
-    private readonly queues: Pick<RequestQueues, 'recordFirstEvent'>,
+    private readonly deps: StreamRelayDependencies,
   ) {}
 
   get lastEventId(): string | undefined {
@@ -51,26 +57,27 @@
     const part = this.stream.push(chunk);
     if (part.kind === 'gap') return false;
     if (part.count === 0) return true;
+    attempt.timing?.recordEvents(part.count, this.deps.backends.inFlightAt(attempt.server));
     const limits = limitsBetweenEvents(this.request);
     if (limits) attempt.updateLimits(limits);
     this.recordEvent(attempt);
-    relayEvents(this.reply, this.context.platform.requests, attempt, response, part.bytes);
+    relayEvents(this.reply, this.deps.context.platform.requests, attempt, response, part.bytes);
     return true;
   }
 
   /** Ends the response to the caller after its last event. */
   end(attempt: TrackedAttempt, response: AttemptResponse): void {
-    relayEvents(this.reply, this.context.platform.requests, attempt, response, EMPTY_BUFFER);
+    relayEvents(this.reply, this.deps.context.platform.requests, attempt, response, EMPTY_BUFFER);
     this.reply.end();
   }
 
   private recordEvent(attempt: TrackedAttempt): void {
     const { times } = this;
-    const now = this.context.clock.now();
+    const now = this.deps.context.clock.now();
     times.longestGapMs = Math.max(times.longestGapMs, now - (times.lastEventAt ?? now));
     times.lastEventAt = now;
     if (times.firstEventAt !== undefined) return;
     times.firstEventAt = now;
-    this.queues.recordFirstEvent(this.request, now - attempt.sentAt);
+    this.deps.queues.recordFirstEvent(this.request, now - attempt.sentAt);
   }
 }
