Keep names of evacuations within what messages may carry

An object with a name of more than 256 characters, or more than 1,000 objects, made the digests of every gateway invalid. Such names are dropped, since they are no failure domains, and a state that is too large is followed in the store by each gateway.

--- a/features/gateway/drawn-notices.steps.ts
+++ b/features/gateway/drawn-notices.steps.ts
@@ -90,6 +90,7 @@
         fleet: this.fleet,
         peers: createSection(new Map()),
         cutOffServices: createSection<readonly string[]>([]),
+        evacuations: createSection(undefined),
         peerLoad: createSection({ byServer: new Map(), unheard: 0, isLate: false }),
       },
     };
--- a/features/gateway/evacuation.feature
+++ b/features/gateway/evacuation.feature
@@ -5,6 +5,13 @@
   Scenario: News of evacuations arrive in any order
     Then over random histories what is known is always the state of its revision
 
+  # Guards against objects with odd names that make the digests of all gateways invalid.
+  Scenario: Names that no message may carry
+    When the store holds evacuations of "north" and of a name of 300 characters
+    Then only "north" is evacuated, and gateways tell each other
+    When the store holds 1001 evacuations
+    Then all of them count, and gateways do not tell each other
+
   # Guards against requests that reach an evacuated failure domain after the bound, whatever has failed.
   Scenario Outline: An evacuation in a fleet of 102 gateways while <failure>
     Given 102 gateways that follow evacuations of a store that answers after <delay> ms
--- a/features/gateway/evacuation.steps.ts
+++ b/features/gateway/evacuation.steps.ts
@@ -7,8 +7,11 @@
 import {
   applyEvacuationChanges,
   applyEvacuationState,
+  evacuationStateSchema,
+  isEvacuated,
   isStartupWaitOver,
   returnShare,
+  toEvacuationState,
   UNKNOWN_EVACUATIONS,
   type EvacuationChange,
   type Evacuations,
@@ -153,6 +156,34 @@
   fc.assert(property, { seed: SEED, numRuns: RUNS });
 });
 
+When(
+  'the store holds evacuations of {string} and of a name of {int} characters',
+  function (this: EvacuationWorld, name: string, length: number) {
+    const state = stateOf(1, [name, 'x'.repeat(length)]);
+    this.evacuations = applyEvacuationState(UNKNOWN_EVACUATIONS, state, 0);
+  },
+);
+
+When('the store holds {int} evacuations', function (this: EvacuationWorld, count: number) {
+  const names = Array.from({ length: count }, (_, index) => `domain-${index}`);
+  this.evacuations = applyEvacuationState(UNKNOWN_EVACUATIONS, stateOf(1, names), 0);
+});
+
+Then(
+  'only {string} is evacuated, and gateways tell each other',
+  function (this: EvacuationWorld, name: string) {
+    assert.ok(this.evacuations);
+    const state = toEvacuationState(this.evacuations);
+    assert.deepEqual(evacuationStateSchema.parse(state), stateOf(1, [name]));
+  },
+);
+
+Then('all of them count, and gateways do not tell each other', function (this: EvacuationWorld) {
+  assert.ok(this.evacuations);
+  assert.ok(isEvacuated(this.evacuations, 'domain-1000'));
+  assert.equal(toEvacuationState(this.evacuations), undefined);
+});
+
 // --- a fleet ---
 
 Given(
--- a/features/gateway/former-lives.steps.ts
+++ b/features/gateway/former-lives.steps.ts
@@ -73,6 +73,7 @@
       fleet,
       peers: createSection(new Map()),
       cutOffServices: createSection<readonly string[]>([]),
+      evacuations: createSection(undefined),
       peerLoad: createSection({ byServer: new Map(), unheard: 0 }),
     },
   };
--- a/src/controllers/evacuation/evacuations.ts
+++ b/src/controllers/evacuation/evacuations.ts
@@ -1,38 +1,14 @@
 /**
  * The evacuated failure domains, from the store or from another gateway.
  */
-import * as z from 'zod';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { RETURN_MS } from './return-share.js';
-
-const MAX_NAME_CHARACTERS = 256;
-const MAX_DOMAINS = 1_000;
-
-/** All evacuated failure domains at one qualified revision of the store. */
-export const evacuationStateSchema = z.object({
-  revision: z.number().nonnegative(),
-  domains: z.array(z.string().max(MAX_NAME_CHARACTERS)).max(MAX_DOMAINS),
-});
-
-/** The same in a digest. Whole, so that a gateway that lags needs no further call. */
-export const evacuationReportSchema = evacuationStateSchema.extend({
-  /** Time since the state was proven to be the newest; absent if it never was. */
-  ageMs: z.number().nonnegative().optional(),
-});
-
-export type EvacuationState = z.infer<typeof evacuationStateSchema>;
-export type EvacuationReport = z.infer<typeof evacuationReportSchema>;
-
-/** What a gateway knows of evacuations. Immutable. */
-export interface Evacuations {
-  /** `assumedNone`: neither the store nor a peer answered in time after the start. */
-  source: 'none' | 'assumedNone' | 'known';
-  /** Qualified revision that `domains` is complete up to; 0 unless known. */
-  revision: number;
-  domains: ReadonlySet<string>;
-  /** When the evacuations that have ended recently were known to have ended. */
-  endedAt: ReadonlyMap<string, Milliseconds>;
-}
+import {
+  MAX_NAME_CHARACTERS,
+  MAX_REPORTED_DOMAINS,
+  type Evacuations,
+  type EvacuationState,
+} from './types.js';
 
 /** Before the first answer of the store or a peer; nothing may be sent to any backend server. */
 export const UNKNOWN_EVACUATIONS: Evacuations = {
@@ -74,7 +50,7 @@
   now: Milliseconds,
 ): Evacuations {
   if (known.source === 'known' && revision <= known.revision) return known;
-  const next = new Set(domains);
+  const next = new Set(domains.filter(({ length }) => length <= MAX_NAME_CHARACTERS));
   const endedAt = new Map([...known.endedAt].filter(([, at]) => now - at < RETURN_MS));
   for (const domain of known.domains) if (!next.has(domain)) endedAt.set(domain, now);
   for (const domain of next) endedAt.delete(domain);
@@ -102,6 +78,19 @@
   return { revision, domains: [...domains].sort() };
 }
 
+/**
+ * The state for peers; undefined if there is none, or if it is larger than a message may be. Peers then
+ * follow the store themselves; a part of the state would hide the rest from them.
+ */
+export function toEvacuationState({
+  source,
+  revision,
+  domains,
+}: Evacuations): EvacuationState | undefined {
+  if (source !== 'known' || domains.size > MAX_REPORTED_DOMAINS) return undefined;
+  return { revision, domains: [...domains] };
+}
+
 /** Failure domains whose evacuation differs between two states. */
 export function compareEvacuations(
   before: Evacuations,
--- a/src/controllers/evacuation/return-share.ts
+++ b/src/controllers/evacuation/return-share.ts
@@ -2,7 +2,7 @@
  * How load returns to the backend servers of a failure domain whose evacuation has ended.
  */
 import type { Milliseconds } from '../../core/clock/index.js';
-import type { Evacuations } from './evacuations.js';
+import type { Evacuations } from './types.js';
 
 /**
  * Time until a returning server gets its usual load. Servers that have become cold during the evacuation
--- a/src/gateway/store/evacuation-part.ts
+++ b/src/gateway/store/evacuation-part.ts
@@ -8,6 +8,7 @@
   ASSUMED_NO_EVACUATIONS,
   compareEvacuations,
   isStartupWaitOver,
+  toEvacuationState,
   type EvacuationReport,
   UNKNOWN_EVACUATIONS,
   type Evacuations,
@@ -69,7 +70,9 @@
     }
     for (const failureDomain of ended)
       logger.log('evacuationEnded', { failureDomain, revision, toldBy });
-    if (begun.length + ended.length > 0) for (const listener of listeners) listener(state);
+    const reported = toEvacuationState(next);
+    if (reported && begun.length + ended.length > 0)
+      for (const listener of listeners) listener(reported);
   };
   const follower = createFollowerSwitch({
     store,
@@ -105,10 +108,10 @@
   return {
     follower,
     report: () => {
-      const { source, revision, domains } = read();
-      if (source !== 'known') return undefined;
+      const state = toEvacuationState(read());
+      if (state === undefined) return undefined;
       const ageMs = roundedProofAge(proof.read(), clock.now());
-      return { revision, domains: [...domains], ...(ageMs !== undefined && { ageMs }) };
+      return { ...state, ...(ageMs !== undefined && { ageMs }) };
     },
     applyState: apply,
     recordProof: (revision, at) => {
