Page on servers of uneven speed; half-life of 2 s, less avoidance when the others are nearly full

Change: slow targets are avoided beyond their throughput only while the others drawn use less than 0.8 of their slots. Observations have a half-life of 2 s, and fewer than half of one is no longer reported.

--- a/src/controllers/speed/server-speeds.ts
+++ b/src/controllers/speed/server-speeds.ts
@@ -52,7 +52,7 @@
 /** From this slowness on, a server counts as slow, until it is below {@link CLEAR_SLOWNESS}. */
 const SLOW_SLOWNESS = 2;
 /** Least count that is worth reporting. */
-const MIN_REPORTED_COUNT = 0.2;
+const MIN_REPORTED_COUNT = 0.5;
 /** Use of the slots from which observations count as made near the full count. */
 const NEAR_FULL_USE = 0.75;
 /** Servers of which the usual ratio of a service is known. */
--- a/src/controllers/speed/speed-reports.ts
+++ b/src/controllers/speed/speed-reports.ts
@@ -20,7 +20,7 @@
 export type SpeedReport = z.infer<typeof speedReportSchema>;
 
 /** Half-life of observations. Servers are slow for seconds, so older ones say little. */
-const SPEED_HALF_LIFE_MS: Milliseconds = 1_000;
+const SPEED_HALF_LIFE_MS: Milliseconds = 2_000;
 /** Most servers that one digest or summary reports. */
 const MAX_SPEED_REPORTS = 32;
 /** Bounds of a believable slowness; values beyond are clamped. */
--- a/src/controllers/speed/target-speed.ts
+++ b/src/controllers/speed/target-speed.ts
@@ -14,7 +14,7 @@
 /** Part of its usual requests that a server gets that is too slow, to notice when it no longer is. */
 const PROBE_SHARE = 0.04;
 /** Mean use of the other targets from which a slow one is needed as well. */
-const NEARLY_FULL_USE = 0.9;
+const NEARLY_FULL_USE = 0.8;
 /** How much more strongly than by its lower throughput a slow target is avoided. */
 const AVOIDANCE_EXPONENT = 2;
 /** Added cost of a target per multiple of the usual time that it needs. */
