Share the room of a model between workspaces and tell refused callers when to return

Cause: The queue of a model sent the newest timely request first, whoever it came from. A workspace that floods, or whose callers retry at once, always has the newest one. Lower priorities got nothing in an overload, and all callers refused for lack of room were told to return after the same 700 ms.

Change, where the configuration has workspaces: - Within a priority, the workspace with the fewest recent sends is next; within a workspace as before. - A lower priority that is served less than 0.35 times as often as all goes first. - Retry-After follows from the length of the queue and the measured rate of sends, is spread, and is at most a third of the time that the caller has left. - The reason names the workspace whose share was used; explain and diagnose have the cause `shareUsed`, and yuccasail_gateway_queued_requests_total counts by workspace. - A caller that has left while its body was read gets nothing sent.

--- a/features/cli/diagnose.feature
+++ b/features/cli/diagnose.feature
@@ -14,6 +14,7 @@
       | waited for a replica                   | late     | waitedForReplica |
       | found no replica                       | unserved | noReplica        |
       | would have waited in vain              | unserved | noRoom           |
+      | came from a workspace over its share   | unserved | shareUsed        |
       | had no retry left                      | unserved | noRetryLeft      |
       | found all servers in a cooldown        | unserved | allCoolingDown   |
       | found no gateway with links            | unserved | outOfReach       |
--- a/features/cli/diagnose.steps.ts
+++ b/features/cli/diagnose.steps.ts
@@ -37,6 +37,10 @@
   'waited for a replica': [{ name: 'requestWaits', why: 'no room' }, SENT, LATE],
   'found no replica': [{ name: 'requestWaits' }, ended('refused', 'no target in time')],
   'would have waited in vain': [{ name: 'requestWaits' }, ended('refused', 'no room in time')],
+  'came from a workspace over its share': [
+    { name: 'requestWaits' },
+    ended('refused', 'the share of workspace market was used'),
+  ],
   'had no retry left': [SENT, attemptEnded('status 500'), ended('refused', 'no repeats left')],
   'found all servers in a cooldown': [
     SENT,
--- a/src/cli/diagnose/losses.ts
+++ b/src/cli/diagnose/losses.ts
@@ -10,6 +10,7 @@
   gatewayStopping: 'Its gateway was told to stop.',
   noReplica: 'No backend server was open and free of suspicion in time.',
   waitedForReplica: 'It waited at the gateway until a backend server could take it.',
+  shareUsed: 'Room was scarce, and its workspace had been sent more than its share.',
   noRoom: 'It waited at the gateway, and its turn would have come too late.',
   allCoolingDown: 'All backend servers that could take it had named a cooldown.',
   outOfReach: 'No gateway had links to the backend servers of its service.',
@@ -173,6 +174,7 @@
   const { reason = '', outcome } = end;
   if (reason === 'the gateway stopped') return 'gatewayStopping';
   if (reason === 'no room in time') return 'noRoom';
+  if (/^the share of workspace .* was used$/.test(reason)) return 'shareUsed';
   if (reason === 'all targets are cooling down') return 'allCoolingDown';
   if (reason === 'no gateway reaches the service') return 'outOfReach';
   if (reason === 'no target in time' && sends === 0) return 'noReplica';
--- a/src/cli/explain/findings.ts
+++ b/src/cli/explain/findings.ts
@@ -13,6 +13,8 @@
   noTarget: 'No backend server could take it: none was open and free of suspicion in time.',
   noRoom:
     'All replicas of its model were full, and its turn would have come after its caller had left.',
+  shareUsed:
+    'Room was scarce, and its workspace had been sent more than its share; others went first.',
   allCoolingDown:
     'All backend servers that could take it had refused requests and named times that it could not wait.',
   outOfReach:
@@ -46,6 +48,8 @@
 
 /** How gateways write that a request waited in vain, or would have, for a place at a replica. */
 const NO_ROOM = 'no room in time';
+/** How gateways write that a workspace was sent more than its share. */
+const SHARE_USED = /^the share of workspace .* was used$/;
 /** How gateways write that all targets had named a cooldown. */
 const ALL_COOLING_DOWN = 'all targets are cooling down';
 /** How gateways write that no gateway has links to the service. */
@@ -103,6 +107,7 @@
   if (outcome === 'failedThere') return 'serverFailed';
   if (reason === 'no repeats left') return 'noRepeats';
   if (reason === NO_ROOM) return 'noRoom';
+  if (SHARE_USED.test(reason)) return 'shareUsed';
   if (reason === ALL_COOLING_DOWN) return 'allCoolingDown';
   if (reason === OUT_OF_REACH) return 'outOfReach';
   const attempts = lines.filter(({ name }) => name === 'attemptEnded');
--- a/src/controllers/waiting/queue-order.ts
+++ b/src/controllers/waiting/queue-order.ts
@@ -13,6 +13,8 @@
 export interface WaitingRequest {
   /** Requests with a lower rank are served first. */
   rank: number;
+  /** Whose share of the room it takes; absent if room is not shared between workspaces. */
+  workspace?: string;
   /** Time of arrival. */
   since: Milliseconds;
   /** Latest time to send the request for its answer to start within the target time. */
@@ -44,12 +46,27 @@
   waiting: Iterable<Waiting>,
   now: Milliseconds,
 ): Waiting[] {
-  const isLate = ({ onTimeUntil }: WaitingRequest): boolean => now > onTimeUntil;
-  return [...waiting].sort((a, b) => {
-    if (a.rank !== b.rank) return a.rank - b.rank;
-    if (isLate(a) !== isLate(b)) return Number(isLate(a)) - Number(isLate(b));
-    return isLate(a) ? a.since - b.since : b.since - a.since;
-  });
+  return [...waiting].sort((a, b) => a.rank - b.rank || compareTurns(a, b, now));
+}
+
+/** Compares two requests of the same rank; negative if `a` is sent first. */
+export function compareTurns(a: WaitingRequest, b: WaitingRequest, now: Milliseconds): number {
+  if (isLate(a, now) !== isLate(b, now)) return Number(isLate(a, now)) - Number(isLate(b, now));
+  return isLate(a, now) ? a.since - b.since : b.since - a.since;
+}
+
+/** Whether the answer can no longer start within the target time. */
+export function isLate({ onTimeUntil }: WaitingRequest, now: Milliseconds): boolean {
+  return now > onTimeUntil;
+}
+
+/** The measured rate of sends; undefined if it was not measured for long enough. */
+export function measuredRate(
+  { since, sent }: QueueThroughput,
+  now: Milliseconds,
+): number | undefined {
+  const observedMs = now - since;
+  return observedMs < MIN_OBSERVATION_MS ? undefined : Math.max(1, sent) / observedMs;
 }
 
 /**
@@ -59,10 +76,9 @@
 export function listUnservable<Waiting extends WaitingRequest>(
   ordered: readonly Waiting[],
   now: Milliseconds,
-  { since, sent }: QueueThroughput,
+  throughput: QueueThroughput,
 ): Waiting[] {
-  const observedMs = now - since;
-  const sentPerMs = observedMs < MIN_OBSERVATION_MS ? Infinity : Math.max(1, sent) / observedMs;
+  const sentPerMs = measuredRate(throughput, now) ?? Infinity;
   return ordered.filter(({ worthUntil }, index) => {
     const remainingMs = worthUntil - now;
     return remainingMs <= 0 || index > THROUGHPUT_SAFETY_FACTOR * sentPerMs * remainingMs;
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -384,7 +384,7 @@
   retryDenied: {
     number: 2508,
     level: 'warn',
-    message: 'The retry budget of the service is used up; the request is not sent again.',
+    message: 'The retry budget of the service is used up; a request is not sent again for now.',
   },
 } as const satisfies Record<string, LogEvent>;
 
--- a/src/core/metrics/metrics.ts
+++ b/src/core/metrics/metrics.ts
@@ -24,6 +24,8 @@
 export interface Metrics {
   /** Returns the cached histograms of a workspace and request class. */
   timingsOf(workspace: string, requestClass: string): RequestTimings;
+  /** The label of a workspace; those beyond a fixed number share one. */
+  workspaceLabel(workspace: string): string;
   /** Counts a request that ended in a failure of this kind. */
   countError(kind: ErrorKind): void;
   /** Counts an attempt other than the first of its request. */
@@ -85,6 +87,7 @@
       timings.set(key, created);
       return created;
     },
+    workspaceLabel: (workspace) => limitWorkspaceLabel(workspaces, workspace),
     countError: (kind) => {
       errors.inc({ kind });
     },
--- a/src/gateway/operations/metrics.ts
+++ b/src/gateway/operations/metrics.ts
@@ -10,6 +10,7 @@
   requests: Counter<'route' | 'outcome'>;
   attempts: Counter<'outcome'>;
   retries: Counter<'service' | 'outcome'>;
+  queued: Counter<'workspace' | 'outcome'>;
   storeCalls: Counter;
   storeReturns: Counter;
   orders: Counter<'kind' | 'outcome'>;
@@ -49,6 +50,12 @@
       labelNames: ['service', 'outcome'],
       registers,
     }),
+    queued: new Counter({
+      name: 'yuccasail_gateway_queued_requests_total',
+      help: 'Requests that left the queue of a model, by workspace and outcome: sent, refused for lack of room, or refused since the share of the workspace was used.',
+      labelNames: ['workspace', 'outcome'],
+      registers,
+    }),
     storeCalls: new Counter({
       name: 'yuccasail_gateway_store_calls_total',
       help: 'Calls to the object store.',
--- a/src/gateway/requests/admission.ts
+++ b/src/gateway/requests/admission.ts
@@ -14,6 +14,9 @@
 import type { GatewayContext } from '../types.js';
 import type { RequestHead } from './types.js';
 
+/** Anonymous callers share the room of one workspace. */
+const ANONYMOUS = '';
+
 /** A new gateway loads its configuration within this time if the store is reachable. */
 const NO_CONFIGURATION_RETRY_MS: Milliseconds = 500;
 
@@ -65,6 +68,7 @@
     service,
     ...(model && { model }),
     ...(keyHolder && { keyHolder }),
+    ...(index.keyHolders && { workspace: keyHolder?.workspace ?? ANONYMOUS }),
     arrivedAt,
     deadline: arrivedAt + timeoutMs,
   });
--- a/src/gateway/requests/request-ending.ts
+++ b/src/gateway/requests/request-ending.ts
@@ -1,6 +1,7 @@
 /**
  * How one request ends: its only final response, and the report of it.
  */
+import { chooseRetryAfterMs, UNKNOWN_RATE_MS } from '../../controllers/waiting/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import type { AttemptResponse } from '../backends/attempt.js';
@@ -30,9 +31,6 @@
   relay: StreamRelay | undefined;
 }
 
-/** `Retry-After` without capacity: about the time that a new replica takes to open. */
-export const RETRY_AFTER_MS: Milliseconds = 700;
-
 /** Ends one request exactly once. */
 export class RequestEnding {
   private isEnded = false;
@@ -79,7 +77,7 @@
   }
 
   /** Fails the request with what is known of its attempts. */
-  fail(reason: string, retryAfterMs = RETRY_AFTER_MS): void {
+  fail(reason: string, retryAfterMs = this.drawRetryAfter(UNKNOWN_RATE_MS)): void {
     const { reply, attempts } = this.parts;
     const { failedAttempt, request } = this;
     this.lastFailureReason = reason;
@@ -100,6 +98,17 @@
     this.respondWithFailure(createFailure('noCapacity', { name }, retryAfterMs), 'refused', reason);
   }
 
+  /**
+   * Returns when the caller should return if room should be free in `freeInMs`. Without workspaces, all
+   * callers are told the same.
+   */
+  drawRetryAfter(freeInMs: Milliseconds): Milliseconds {
+    const { clock, random } = this.deps.context;
+    if (this.request.workspace === undefined) return UNKNOWN_RATE_MS;
+    const leftMs = this.request.deadline - clock.now();
+    return chooseRetryAfterMs(freeInMs, leftMs, random.fraction());
+  }
+
   /** Fails a quarantined request and cancels attempts, to keep their servers from crashing. */
   failQuarantined(): void {
     const { reply, attempts } = this.parts;
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -64,6 +64,7 @@
   start(): void {
     this.deps.watchdog.requests.add(this);
     this.deps.backends.recordRequest(this.request.service.name);
+    this.deps.queues.recordArrival(this.request);
     this.sendNextAttempt('first');
   }
 
--- a/src/gateway/requests/request-queues.ts
+++ b/src/gateway/requests/request-queues.ts
@@ -4,19 +4,31 @@
 import {
   FirstEventTimes,
   listUnservable,
+  measuredRate,
+  orderFairly,
   orderQueue,
+  QueueUsage,
+  roomFreeInMs,
   type QueueThroughput,
   type WaitingRequest,
 } from '../../controllers/waiting/index.js';
 import type { Clock, Milliseconds } from '../../core/clock/index.js';
 import type { AdmittedRequest } from './types.js';
 
+/** Why a queued request is refused. */
+export interface QueueRefusal {
+  /** Whether its workspace was sent more than an equal share of what was sent recently. */
+  isShareUsed: boolean;
+  /** Time until room should be free. */
+  freeInMs: Milliseconds;
+}
+
 /** A queued request. */
 export interface QueuedRequest extends WaitingRequest {
   /** Sends the request; returns false when no target has a free slot. */
   trySend(): boolean;
   /** Fails the request because it can't be served in time. */
-  reject(): void;
+  reject(refusal: QueueRefusal): void;
 }
 
 /** All queues of a gateway. */
@@ -26,6 +38,8 @@
     handlers: Pick<QueuedRequest, 'trySend' | 'reject'>,
   ): QueuedRequest;
   remove(request: AdmittedRequest, queued: QueuedRequest): void;
+  /** Counts a request, whether it is queued or not. */
+  recordArrival(request: AdmittedRequest): void;
   /** Counts an attempt, whether its request was queued or not. */
   recordSent(request: AdmittedRequest): void;
   /** Whether other requests for the same model are queued. */
@@ -45,6 +59,9 @@
 interface RequestQueue {
   waiting: Set<QueuedRequest>;
   pace: QueueThroughput;
+  usage: QueueUsage;
+  /** Room is shared between workspaces, because the configuration has some. */
+  isShared: boolean;
 }
 
 export function createRequestQueues(clock: Clock): RequestQueues {
@@ -56,16 +73,29 @@
     const key = queueKey(request);
     const existing = queues.get(key);
     if (existing) return existing;
-    const created: RequestQueue = { waiting: new Set(), pace: { since: 0, sent: 0 } };
+    const created: RequestQueue = {
+      waiting: new Set(),
+      pace: { since: 0, sent: 0 },
+      usage: new QueueUsage(),
+      isShared: false,
+    };
     queues.set(key, created);
     return created;
   };
-  const dispatchQueue = ({ waiting, pace }: RequestQueue): void => {
+  const order = ({ waiting, usage, isShared }: RequestQueue, now: Milliseconds): QueuedRequest[] =>
+    isShared ? orderFairly(waiting, now, usage) : orderQueue(waiting, now);
+  const dispatchQueue = (queue: RequestQueue): void => {
     const now = clock.now();
-    for (const next of orderQueue(waiting, now)) {
+    for (const next of order(queue, now)) {
       if (!next.trySend()) break;
     }
-    for (const expired of listUnservable(orderQueue(waiting, now), now, pace)) expired.reject();
+    const { waiting, pace, usage } = queue;
+    const freeInMs = roomFreeInMs({ queued: waiting.size, sentPerMs: measuredRate(pace, now) });
+    for (const expired of listUnservable(order(queue, now), now, pace)) {
+      const { workspace } = expired;
+      const isShareUsed = workspace !== undefined && usage.isOverShare(workspace, now);
+      expired.reject({ isShareUsed, freeInMs });
+    }
   };
   const dispatch = (): void => {
     for (const queue of queues.values()) if (queue.waiting.size > 0) dispatchQueue(queue);
@@ -75,11 +105,13 @@
       const now = clock.now();
       const queue = queueOf(request);
       if (queue.waiting.size === 0) queue.pace = { since: now, sent: 0 };
-      const { route, keyHolder, arrivedAt } = request;
+      const { route, workspace, arrivedAt } = request;
+      queue.isShared = workspace !== undefined;
       const firstEventMs = firstEvents.expect(queueKey(request), route.targetMs);
       const queued: QueuedRequest = {
         ...handlers,
-        rank: keyHolder?.priority ?? route.priority,
+        rank: rankOf(request),
+        ...(workspace !== undefined && { workspace }),
         since: arrivedAt,
         onTimeUntil: arrivedAt + route.targetMs - firstEventMs,
         worthUntil: Math.min(request.deadline, arrivedAt + CALLER_PATIENCE_MS) - firstEventMs,
@@ -90,8 +122,15 @@
     remove: (request, queued) => {
       queueOf(request).waiting.delete(queued);
     },
+    recordArrival: (request) => {
+      if (request.workspace === undefined) return;
+      queueOf(request).usage.recordArrival(rankOf(request), clock.now());
+    },
     recordSent: (request) => {
-      queueOf(request).pace.sent += 1;
+      const queue = queueOf(request);
+      queue.pace.sent += 1;
+      const { workspace } = request;
+      if (workspace !== undefined) queue.usage.recordSent(workspace, rankOf(request), clock.now());
     },
     hasQueued: (request) => queueOf(request).waiting.size > 0,
     scheduleDispatch: () => {
@@ -111,6 +150,10 @@
   };
 }
 
+function rankOf({ keyHolder, route }: AdmittedRequest): number {
+  return keyHolder?.priority ?? route.priority;
+}
+
 function queueKey({ service, model }: AdmittedRequest): string {
   return `${service.name} ${model?.name ?? ''}`;
 }
--- a/src/gateway/requests/request-server.ts
+++ b/src/gateway/requests/request-server.ts
@@ -151,7 +151,9 @@
     response.once('close', () => {
       forwarder.handleCallerDisconnect();
     });
-    forwarder.start();
+    // A caller that has left while its body was read gets nothing sent.
+    if (response.destroyed) forwarder.handleCallerDisconnect();
+    else forwarder.start();
   };
   const server = createServer(
     { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS },
--- a/src/gateway/requests/target-wait.ts
+++ b/src/gateway/requests/target-wait.ts
@@ -1,13 +1,14 @@
 /**
  * What happens to one request that has no target now: it queues, waits or is refused.
  */
+import { UNKNOWN_RATE_MS } from '../../controllers/waiting/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { LinkMonitor } from '../links/link-monitor.js';
 import type { GatewayContext } from '../types.js';
 import type { BackendTracker } from './backend-tracker.js';
 import type { RequestAttempts } from './request-attempts.js';
-import { RETRY_AFTER_MS, type RequestEnding } from './request-ending.js';
-import type { RequestQueues } from './request-queues.js';
+import type { RequestEnding } from './request-ending.js';
+import type { QueueRefusal, RequestQueues } from './request-queues.js';
 import { RequestWait } from './request-wait.js';
 import type { AdmittedRequest } from './types.js';
 
@@ -105,18 +106,32 @@
     this.logWait('no room');
     this.wait.enqueue({
       trySend: () => this.trySend(why),
-      reject: () => {
-        this.wait.leaveQueue();
-        this.ending.fail('no room in time');
+      reject: (refusal) => {
+        this.refuseQueued(refusal);
       },
     });
   }
 
+  private refuseQueued({ isShareUsed, freeInMs }: QueueRefusal): void {
+    const { workspace = '' } = this.request;
+    this.wait.leaveQueue();
+    this.countQueued(isShareUsed ? 'refusedOverShare' : 'refused');
+    const reason = isShareUsed ? `the share of workspace ${workspace} was used` : 'no room in time';
+    this.ending.fail(reason, this.ending.drawRetryAfter(freeInMs));
+  }
+
+  private countQueued(outcome: 'sent' | 'refused' | 'refusedOverShare'): void {
+    const { metrics } = this.deps.context;
+    const workspace = metrics.workspaceLabel(this.request.workspace ?? '');
+    metrics.queued.inc({ workspace, outcome });
+  }
+
   /** Called when it is first in its queue; returns false when all targets are full. */
   private trySend(why: string): boolean {
     if (this.attempts.chooseTarget(true) === 'allFull') return this.failIfNoneCanServe();
     this.sendNext(why);
     this.wait.leaveQueue();
+    if (this.attempts.isAnyInFlight) this.countQueued('sent');
     return true;
   }
 
@@ -128,7 +143,7 @@
   private failIfOutOfReach(): boolean {
     const { request, deps, attempts } = this;
     if (attempts.isAnyInFlight || !deps.links.isOutOfReach(request.service.name)) return false;
-    this.ending.fail('no gateway reaches the service', RETRY_AFTER_MS + this.drawSpread());
+    this.ending.fail('no gateway reaches the service', UNKNOWN_RATE_MS + this.drawSpread());
     return true;
   }
 
--- a/src/gateway/requests/types.ts
+++ b/src/gateway/requests/types.ts
@@ -20,6 +20,8 @@
   /** Present when engines serve the request as replicas of a model. */
   model?: GroupModel;
   keyHolder?: KeyHolder;
+  /** Whose share of scarce room it takes, empty for anonymous callers; absent without workspaces. */
+  workspace?: string;
   arrivedAt: Milliseconds;
   /** The earlier of the caller's deadline and the route's timeout. */
   deadline: Milliseconds;
