--- a/src/cli/diagnose/losses.ts
+++ b/src/cli/diagnose/losses.ts
@@ -10,6 +10,7 @@
   gatewayStopping: 'Its gateway was told to stop.',
   noReplica: 'No backend server was open and free of suspicion in time.',
   waitedForReplica: 'It waited at the gateway until a backend server could take it.',
+  shareUsed: 'Room was scarce, and its workspace had been sent more than its share.',
   noRoom: 'It waited at the gateway, and its turn would have come too late.',
   allCoolingDown: 'All backend servers that could take it had named a cooldown.',
   evacuated: 'Operators had evacuated all failure domains with servers of its service.',
@@ -182,6 +183,7 @@
   const { reason = '', outcome } = end;
   if (reason === 'the gateway stopped') return 'gatewayStopping';
   if (reason === 'no room in time') return 'noRoom';
+  if (/^the share of workspace .* was used$/.test(reason)) return 'shareUsed';
   if (reason === 'all targets are cooling down') return 'allCoolingDown';
   if (reason === 'all its failure domains are evacuated') return 'evacuated';
   if (reason === 'all targets are cold') return 'allCold';
--- a/src/gateway/requests/target-wait.ts
+++ b/src/gateway/requests/target-wait.ts
@@ -1,13 +1,14 @@
 /**
  * What happens to one request that has no target now: it queues, waits or is refused.
  */
+import { UNKNOWN_RATE_MS } from '../../controllers/waiting/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { LinkMonitor } from '../links/link-monitor.js';
 import type { GatewayContext } from '../types.js';
 import type { BackendTracker } from './backend-tracker.js';
 import type { RequestAttempts } from './request-attempts.js';
-import { RETRY_AFTER_MS, type RequestEnding } from './request-ending.js';
-import type { RequestQueues } from './request-queues.js';
+import type { RequestEnding } from './request-ending.js';
+import type { QueueRefusal, RequestQueues } from './request-queues.js';
 import { RequestWait } from './request-wait.js';
 import type { AdmittedRequest } from './types.js';
 
@@ -21,9 +22,8 @@
 
 /** Callers that are told to wait for the same moment are spread over this time after it. */
 const RETURN_SPREAD_MS: Milliseconds = 500;
-/** Logged for requests that are refused because of evacuations; `explain` looks for it. */
-const EVACUATED_REASON = 'all its failure domains are evacuated';
 /** Logged reasons; `yuccasail explain` and `diagnose` match these texts. */
+const EVACUATED_REASON = 'all its failure domains are evacuated';
 const NO_RETRY_REASON = 'no repeats left';
 const ALL_COLD_REASON = 'all targets are cold';
 const NO_SERVERS: ReadonlySet<string> = new Set();
@@ -119,18 +119,32 @@
     this.logWait('no room');
     this.wait.enqueue({
       trySend: () => this.trySend(why),
-      reject: () => {
-        this.wait.leaveQueue();
-        this.ending.fail('no room in time');
+      reject: (refusal) => {
+        this.refuseQueued(refusal);
       },
     });
   }
 
+  private refuseQueued({ isShareUsed, freeInMs }: QueueRefusal): void {
+    const { workspace = '' } = this.request;
+    this.wait.leaveQueue();
+    this.countQueued(isShareUsed ? 'refusedOverShare' : 'refused');
+    const reason = isShareUsed ? `the share of workspace ${workspace} was used` : 'no room in time';
+    this.ending.fail(reason, this.ending.drawRetryAfter(freeInMs));
+  }
+
+  private countQueued(outcome: 'sent' | 'refused' | 'refusedOverShare'): void {
+    const { metrics } = this.deps.context;
+    const workspace = metrics.workspaceLabel(this.request.workspace ?? '');
+    metrics.queued.inc({ workspace, outcome });
+  }
+
   /** Called when it is first in its queue; returns false when all targets are full. */
   private trySend(why: string): boolean {
     if (this.attempts.chooseTarget(true) === 'allFull') return this.failIfNoneCanServe();
     this.sendNext(why);
     this.wait.leaveQueue();
+    if (this.attempts.isAnyInFlight) this.countQueued('sent');
     return true;
   }
 
@@ -147,7 +161,7 @@
   private failIfEvacuated(): boolean {
     const { request, deps, attempts } = this;
     if (attempts.isAnyInFlight || !deps.backends.isEvacuated(request.service)) return false;
-    this.ending.fail(EVACUATED_REASON, RETRY_AFTER_MS + this.drawSpread(), 'evacuated');
+    this.ending.fail(EVACUATED_REASON, UNKNOWN_RATE_MS + this.drawSpread(), 'evacuated');
     return true;
   }
 
@@ -155,7 +169,7 @@
   private failIfOutOfReach(): boolean {
     const { request, deps, attempts } = this;
     if (attempts.isAnyInFlight || !deps.links.isOutOfReach(request.service.name)) return false;
-    this.ending.fail('no gateway reaches the service', RETRY_AFTER_MS + this.drawSpread());
+    this.ending.fail('no gateway reaches the service', UNKNOWN_RATE_MS + this.drawSpread());
     return true;
   }
 
@@ -178,7 +192,7 @@
     if (waitMs <= this.wait.waitLeftMs(clock.now())) return false;
     metrics.coldHeldBack.inc({ outcome: 'refused' });
     // Another gateway may send to them sooner.
-    this.ending.fail(ALL_COLD_REASON, Math.min(waitMs, RETRY_AFTER_MS) + this.drawSpread());
+    this.ending.fail(ALL_COLD_REASON, Math.min(waitMs, UNKNOWN_RATE_MS) + this.drawSpread());
     return true;
   }
 
