--- a/src/controllers/peering/peer-table.ts
+++ b/src/controllers/peering/peer-table.ts
@@ -8,6 +8,7 @@
  */
 import type { Milliseconds } from '../../core/clock/index.js';
 import { ageLimitReports, newestLimitReports } from '../quotas/index.js';
+import { rankByRendezvous } from '../membership/rendezvous.js';
 import { addLoad } from './load.js';
 import { ageReports } from './reports.js';
 import { Roster } from './roster.js';
@@ -33,6 +34,13 @@
 const MAX_MISSED_EXCHANGES = 3;
 /** Interval at which {@link PeerTable.listDuePeers} is called. */
 export const PEERING_TICK_MS: Milliseconds = 100;
+/**
+ * Gateways of its failure domain that a gateway of a large fleet calls first after its start; any of
+ * them introduces it to the others. With calls to all, each start of one of 34 made 33 connections.
+ */
+const FIRST_CALLS = 4;
+/** Time without an answer after which it calls all of them. */
+const FIRST_CALLS_MS: Milliseconds = 300;
 /** Longest time without a check for gateways that were never heard from and are to be removed. */
 const MAX_UNCHECKED_MS: Milliseconds = 500;
 /** Allows for three missed exchanges at the cross-domain interval. */
@@ -69,6 +77,8 @@
   private readonly nextExchangeAt = new Map<string, Milliseconds>();
   /** Time of the first unanswered call to each gateway that was never heard from. */
   private readonly unansweredSince = new Map<string, Milliseconds>();
+  /** When this gateway first called others in a large fleet. */
+  private firstCallAt: Milliseconds | undefined;
   /** Gateways that were alive at the last {@link removeTimedOut}. */
   private alive: ReadonlyMap<string, GatewayPeer> = new Map();
   /** When {@link removeTimedOut} was last called. */
@@ -240,7 +250,7 @@
 
   /** Gateways to call now. Each is returned at most once per exchange interval. */
   listDuePeers(now: Milliseconds): KnownPeer[] {
-    return this.listPartners().filter((peer) => {
+    return this.listCallees(now).filter((peer) => {
       const intervalMs = this.exchangeInterval(peer);
       const lastReceivedAt = this.digests.get(peer.name)?.receivedAt ?? Number.NEGATIVE_INFINITY;
       // An exchange updates both sides, so only one of them calls unless it is overdue.
@@ -256,6 +266,18 @@
     });
   }
 
+  /** The partners, of which only a few are called until one has answered. */
+  private listCallees(now: Milliseconds): KnownPeer[] {
+    const partners = this.listPartners();
+    if (this.isPairwise() || this.digests.size > 0) return partners;
+    this.firstCallAt ??= now;
+    if (now - this.firstCallAt >= FIRST_CALLS_MS) return partners;
+    const { failureDomain } = this.self;
+    const members = partners.filter((peer) => this.isInOwnDomain(peer)).map(({ name }) => name);
+    const first = new Set(rankByRendezvous(members, failureDomain).slice(0, FIRST_CALLS));
+    return partners.filter((peer) => !this.isInOwnDomain(peer) || first.has(peer.name));
+  }
+
   /**
    * Whether this gateway calls `peer` rather than the other way round. A member calls its hub, because
    * only responses have a known age and can carry proofs. Otherwise the name that sorts first calls.
