--- a/features/gateway/evacuating.feature
+++ b/features/gateway/evacuating.feature
@@ -99,6 +99,15 @@
     When "north" is evacuated and the gateways know it
     Then the first gateway refuses to relay to "north" and relays to "south"
 
+  # Guards against changes that cross two hubs in exchanges only, which takes most of the bound.
+  Scenario: Hubs tell each other at once
+    Given a gateway that follows evacuations and plain servers in "north,south"
+    And the hub of another failure domain
+    When "north" is evacuated and the gateways know it
+    Then the other hub is told of it apart from exchanges
+    When the other hub tells apart from exchanges that "south" is evacuated
+    Then the gateways know that "south" is evacuated
+
   # Guards against any effect on deployments that do not follow evacuations.
   Scenario: Evacuations are not followed
     Given a gateway that does not follow evacuations and plain servers in "north,south"
--- a/features/gateway/evacuating.steps.ts
+++ b/features/gateway/evacuating.steps.ts
@@ -4,9 +4,17 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import { request as httpRequest, type IncomingMessage } from 'node:http';
-import { Given, Then, When } from '@cucumber/cucumber';
-import { createPeerClient } from '../../src/gateway/peers/rpc.js';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import type { RpcListener } from '../../src/adapters/peers/index.js';
+import type { EvacuationState } from '../../src/controllers/evacuation/index.js';
+import type { Digest } from '../../src/controllers/peering/index.js';
+import {
+  createPeerClient,
+  createPeerListener,
+  type PeerClient,
+} from '../../src/gateway/peers/rpc.js';
 import { encodeRelayOrder } from '../../src/gateway/relay/relay-messages.js';
+import { nextAddress } from '../support/ports.js';
 import { waitFor } from '../support/waiting.js';
 import { Site, type Answer, type GatewayPlan, type GatewayProcess } from './site.js';
 import { exampleHeaders } from './stand-ins/configuration.js';
@@ -21,6 +29,10 @@
   /** Orders of each engine before the event of the scenario. */
   ordersBefore: Map<EngineStandIn, number>;
   restarted: EngineStandIn[];
+  otherHub: RpcListener;
+  peerClient: PeerClient;
+  /** What the other hub was told apart from exchanges. */
+  notices: EvacuationState[];
 }
 
 const KIND = 'evacuations';
@@ -313,6 +325,69 @@
   },
 );
 
+/** Of a gateway in a failure domain of its own, which is therefore its hub. */
+function createForeignDigest(name: string, address: string): Digest {
+  return {
+    name,
+    address,
+    failureDomain: 'elsewhere',
+    incarnation: '1',
+    storeReachable: false,
+    stopping: false,
+    hasServed: false,
+    configurationVersion: 0,
+    fleetRevision: 0,
+    load: [],
+    suspicions: [],
+  };
+}
+
+Given('the hub of another failure domain', async function (this: EvacuatingWorld) {
+  const address = nextAddress();
+  const digest = createForeignDigest('another-hub', address);
+  this.notices = [];
+  this.otherHub = createPeerListener(address, {
+    exchange: () => digest,
+    catchUp: () => ({}),
+    applyFleetUpdate: () => undefined,
+    applySuspicions: () => undefined,
+    applyEvacuations: (state) => {
+      this.notices.push(state);
+    },
+    noteConfigurationVersion: () => undefined,
+    checkServer: () => Promise.resolve({ kind: 'unknown' }),
+  });
+  (await this.otherHub.listen())._unsafeUnwrap();
+  this.peerClient = createPeerClient();
+  await this.peerClient.exchange(this.plan.peers, digest);
+});
+
+After(async function (this: Partial<EvacuatingWorld>) {
+  await this.peerClient?.close();
+  await this.otherHub?.close();
+});
+
+Then('the other hub is told of it apart from exchanges', async function (this: EvacuatingWorld) {
+  await waitFor('a notice', () => this.notices.some(({ domains }) => domains.includes('north')));
+});
+
+When(
+  'the other hub tells apart from exchanges that {string} is evacuated',
+  async function (this: EvacuatingWorld, domain: string) {
+    const known = this.notices.at(-1);
+    assert.ok(known);
+    const state = { revision: known.revision + 1, domains: [...known.domains, domain] };
+    await this.peerClient.sendEvacuations(this.plan.peers, state);
+  },
+);
+
+Then(
+  'the gateways know that {string} is evacuated',
+  async function (this: EvacuatingWorld, domain: string) {
+    await waitUntilKnown(this, domain, true);
+  },
+);
+
 async function askToRelay(world: EvacuatingWorld, domain: string): Promise<IncomingMessage> {
   const [host, port] = world.plan.peers.split(':');
   const requestId = world.site.nextId();
@@ -344,17 +419,7 @@
     assert.ok(!this.site.store.calledKinds.has(KIND));
     const client = createPeerClient();
     const digest = await client.exchange(this.plan.peers, {
-      name: 'asks',
-      address: NO_STORE,
-      failureDomain: 'south',
-      incarnation: '1',
-      storeReachable: false,
-      stopping: false,
-      hasServed: false,
-      configurationVersion: 0,
-      fleetRevision: 0,
-      load: [],
-      suspicions: [],
+      ...createForeignDigest('asks', NO_STORE),
       evacuations: { revision: 9, domains: ['north', 'south'], ageMs: 0 },
     });
     await client.close();
