Apply changes of evacuations in the order of the store

Sorting them by revision put an object whose revision can't be read, and which gets that of the answer, after its removal in the same answer: the evacuation would have stayed until the next list.

--- a/features/gateway/evacuation.feature
+++ b/features/gateway/evacuation.feature
@@ -5,6 +5,11 @@
   Scenario: News of evacuations arrive in any order
     Then over random histories what is known is always the state of its revision
 
+  # Guards against an evacuation that stays because its object had no revision that can be read.
+  Scenario: An object without a revision is set and removed before the next answer
+    When one answer of a watch up to revision 10 tells of "north" without a revision and of its removal at 9
+    Then nothing is evacuated
+
   # Guards against objects with odd names that make the digests of all gateways invalid.
   Scenario: Names that no message may carry
     When the store holds evacuations of "north" and of a name of 300 characters
--- a/features/gateway/evacuation.steps.ts
+++ b/features/gateway/evacuation.steps.ts
@@ -156,6 +156,22 @@
   fc.assert(property, { seed: SEED, numRuns: RUNS });
 });
 
+When(
+  'one answer of a watch up to revision {int} tells of {string} without a revision and of its removal at {int}',
+  function (this: EvacuationWorld, newest: number, domain: string, removedAt: number) {
+    const changes: EvacuationChange[] = [
+      { domain, revision: newest, ended: false },
+      { domain, revision: removedAt, ended: true },
+    ];
+    const known = applyEvacuationState(UNKNOWN_EVACUATIONS, stateOf(1, []), 0);
+    this.evacuations = applyEvacuationState(known, applyEvacuationChanges(known, changes), 0);
+  },
+);
+
+Then('nothing is evacuated', function (this: EvacuationWorld) {
+  assert.deepEqual([...(this.evacuations?.domains ?? ['unknown'])], []);
+});
+
 When(
   'the store holds evacuations of {string} and of a name of {int} characters',
   function (this: EvacuationWorld, name: string, length: number) {
--- a/src/controllers/evacuation/evacuations.ts
+++ b/src/controllers/evacuation/evacuations.ts
@@ -58,24 +58,24 @@
 }
 
 /**
- * The state after `changes` from a watch, in the order of their revisions. Those that `known` includes are
- * skipped: a peer may have told of later ones, which an older change must not undo.
+ * The state after `changes` from a watch, in the order in which the store lists them: an object whose
+ * revision can't be read has that of the answer, which may be too high. If a peer has told of a later
+ * state, that has a higher revision and stays.
  */
 export function applyEvacuationChanges(
-  known: Evacuations,
+  { domains: known, revision }: Evacuations,
   changes: readonly EvacuationChange[],
 ): EvacuationState {
-  const domains = new Set(known.domains);
-  let { revision } = known;
-  const later = changes
-    .filter((change) => change.revision > known.revision)
-    .sort((one, other) => one.revision - other.revision);
-  for (const { domain, ended, revision: changedAt } of later) {
+  const domains = new Set(known);
+  for (const { domain, ended } of changes) {
     if (ended) domains.delete(domain);
     else domains.add(domain);
-    revision = changedAt;
   }
-  return { revision, domains: [...domains].sort() };
+  const revisions = changes.map((change) => change.revision);
+  return {
+    revision: revisions.length > 0 ? Math.max(...revisions) : revision,
+    domains: [...domains].sort(),
+  };
 }
 
 /**
