Refuse a request at once that is larger than the memory of a replica

Cause: an engine whose requests exceed its memory crashes, and a request that exceeds it alone was sent to one replica after the other.

Change: admission refuses it with the new error tooManyTokens (413) if prompt and maximum output exceed the engine's memoryTokens. What all requests in flight at a replica hold together is not bounded yet.

--- a/features/gateway/stand-ins/configuration.ts
+++ b/features/gateway/stand-ins/configuration.ts
@@ -7,6 +7,8 @@
   /** Overrides fields of all routes. */
   route?: Record<string, unknown>;
   keys?: readonly string[];
+  /** Overrides fields of the engine of the engine service. */
+  engine?: Record<string, unknown>;
   /** Overrides fields of all services. */
   service?: Record<string, unknown>;
 }
@@ -29,7 +31,7 @@
 
 /** A plain service with a safe and an unsafe route, and an engine service with a streaming route. */
 export function exampleConfiguration(options: ExampleOptions = {}): unknown {
-  const { version = 2, route = {}, keys = [KEY], service = {} } = options;
+  const { version = 2, route = {}, keys = [KEY], service = {}, engine = {} } = options;
   const common = {
     host: 'passes.example',
     timeout_ms: 2_000,
@@ -72,6 +74,7 @@
           loads_per_s: 5,
           loads_at_once: 7,
           form_ms: 10,
+          ...engine,
         },
       },
     ],
--- a/features/promises/causes.ts
+++ b/features/promises/causes.ts
@@ -53,6 +53,9 @@
   invalidRequest: (site) => askOnce(site, { path: '/v1/chat/completions', body: '{"model":' }),
   bodyTooLarge: (site) =>
     askOnce(site, { ...completion(), body: `{"x":"${'x'.repeat(TOO_MANY_BYTES)}"}` }),
+  tooManyTokens: {
+    reason: 'told by gateways; features/gateway/token-memory.feature causes it',
+  },
   senderTooSlow: (site) => askOnce(site, { ...completion(), body: sendHalf() }),
   limitExceeded: (site) => askUntil(site, 'limitExceeded', () => asPoor()),
   overloaded: burst,
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -86,6 +86,14 @@
       `The body is larger than ${limitBytes} bytes.`,
     hint: 'Send a smaller body.',
   }),
+  tooManyTokens: defineError({
+    title: 'Too many tokens',
+    status: 413,
+    conclusion: 'refused',
+    message: ({ tokens, limit }: { tokens: number; limit: number }) =>
+      `The request may take ${tokens} tokens; a replica of the model holds ${limit}.`,
+    hint: 'Shorten the prompt or lower the maximum number of output tokens.',
+  }),
   senderTooSlow: defineError({
     title: 'Request timeout',
     status: 408,
--- a/src/gateway/requests/admission.ts
+++ b/src/gateway/requests/admission.ts
@@ -56,6 +56,10 @@
   if (service.engine && model === undefined) {
     return err(createFailure('modelUnknown', { name: caller.model ?? '' }));
   }
+  const tokens = caller.promptTokens + caller.maxOutputTokens;
+  const limit = service.engine?.memoryTokens ?? Infinity;
+  // An engine whose requests exceed its memory crashes, so no replica could ever run it.
+  if (tokens > limit) return err(createFailure('tooManyTokens', { tokens, limit }));
   const timeoutMs = Math.min(route.timeoutMs, caller.deadlineMs ?? Infinity);
   return ok({
     id: caller.id ?? '(none)',
