Don't starve servers that have just started, nor overload the others of a small fleet

A server that is too slow cost the same however long the queues of the others were.

Change: one choice in `slowness` ignores the added cost, and the high cost holds only while the others have room.

--- a/features/gateway/server-speed.feature
+++ b/features/gateway/server-speed.feature
@@ -31,6 +31,17 @@
     When a gateway of a large fleet draws 4000 times
     Then the slow one gets between 0.05 and 0.4 of the requests
 
+  # Guards against long queues at the servers of usual speed of a small fleet while a slow one is idle.
+  Scenario Outline: The servers of usual speed of a small fleet have <use> times as many requests as slots
+    Given 4 targets, one of them 8 times slower and the others with <use> times as many requests as slots
+    When a gateway of a small fleet chooses 1000 times
+    Then the slow one gets between <least> and <most> of the requests
+
+    Examples:
+      | use | least | most |
+      | 0.5 | 0.01  | 0.08 |
+      | 1.8 | 0.95  | 1    |
+
   # Guards against a server that is avoided for one late answer.
   Scenario: A single late answer
     Given 20 replicas, of which 0 are 1 times slower
--- a/features/gateway/server-speed.steps.ts
+++ b/features/gateway/server-speed.steps.ts
@@ -218,10 +218,30 @@
   }
 });
 
+Given(
+  '{int} targets, one of them 8 times slower and the others with {float} times as many requests as slots',
+  function (this: SpeedWorld, count: number, use: number) {
+    this.states = listIds(count).map((id, index) =>
+      index === 0
+        ? { ...createState(id), speed: { slowness: 8, isTooSlow: true } }
+        : createState(id, Math.round(use * SLOTS)),
+    );
+  },
+);
+
+When('a gateway of a small fleet chooses {int} times', function (this: SpeedWorld, times: number) {
+  const random = createRandom(1);
+  this.drawn = new Map();
+  for (let index = 0; index < times; index += 1) {
+    const id = chooseTarget(this.states, random)?.target.server.id ?? '';
+    this.drawn.set(id, (this.drawn.get(id) ?? 0) + 1 / times);
+  }
+});
+
 Then(
   'the slow one gets between {float} and {float} of the requests',
   function (this: SpeedWorld, least: number, most: number) {
-    const share = this.drawn.get('head-0') ?? 0;
+    const share = Math.round(1e6 * (this.drawn.get('head-0') ?? 0)) / 1e6;
     assert.ok(share >= least && share <= most, `${share}`);
   },
 );
@@ -515,7 +535,7 @@
         const weight = speedWeight(speed, canAvoidSlow([0.5]));
         this.results.push({
           weight,
-          cost: speedCost(speed, () => 0.5) + this.speeds.usableSlots(id, SLOTS),
+          cost: speedCost(speed, true, () => 0.5) + this.speeds.usableSlots(id, SLOTS),
           reports: mergeSpeedReports([...this.speeds.report(this.now), report]),
         });
       }
--- a/src/controllers/forwarding/choose.ts
+++ b/src/controllers/forwarding/choose.ts
@@ -3,7 +3,7 @@
  */
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { Random } from '../../core/random/index.js';
-import { speedCost, type TargetSpeed } from '../speed/index.js';
+import { canAvoidSlow, speedCost, type TargetSpeed } from '../speed/index.js';
 import type { Target } from './directory.js';
 
 /** Load and health of a target at selection time. */
@@ -41,10 +41,15 @@
   states: readonly TargetState[],
   random: Random,
 ): TargetState | undefined {
+  const canAvoid = canAvoidSlow(
+    states
+      .filter(({ speed }) => !speed)
+      .map(({ inFlight, slots }) => inFlight / Math.max(1, slots)),
+  );
   let best: TargetState | undefined;
   let bestCost = Infinity;
   for (const state of states) {
-    const cost = estimateCost(state, random) + random.fraction();
+    const cost = estimateCost(state, canAvoid, random) + random.fraction();
     if (cost >= bestCost) continue;
     best = state;
     bestCost = cost;
@@ -53,7 +58,7 @@
 }
 
 /** Estimated wait at a target plus its penalties, in milliseconds. */
-function estimateCost(state: TargetState, random: Random): Milliseconds {
+function estimateCost(state: TargetState, canAvoid: boolean, random: Random): Milliseconds {
   const { inFlight, slots, isRemote, failureRate, speed } = state;
   const queued = Math.max(0, inFlight + 1 - slots);
   return (
@@ -61,6 +66,6 @@
     (SLOT_TIME_MS * queued) / slots +
     (isRemote ? CROSS_DOMAIN_PENALTY_MS : 0) +
     FAILURE_PENALTY_MS * failureRate +
-    speedCost(speed, () => random.fraction())
+    speedCost(speed, canAvoid, () => random.fraction())
   );
 }
--- a/src/controllers/speed/target-speed.ts
+++ b/src/controllers/speed/target-speed.ts
@@ -37,8 +37,15 @@
 }
 
 /** Added cost of a target; `fraction` is random in [0, 1) and lets a few probes through. */
-export function speedCost(speed: TargetSpeed | undefined, fraction: () => number): Milliseconds {
+export function speedCost(
+  speed: TargetSpeed | undefined,
+  canAvoid: boolean,
+  fraction: () => number,
+): Milliseconds {
   if (speed === undefined) return 0;
-  if (speed.isTooSlow) return fraction() < PROBE_SHARE ? 0 : TOO_SLOW_PENALTY_MS;
+  const avoids = speed.isTooSlow && canAvoid;
+  // A fixed cost alone would keep a server that has just started from any request of an idle fleet.
+  if (fraction() < (avoids ? PROBE_SHARE : 1 / speed.slowness)) return 0;
+  if (avoids) return TOO_SLOW_PENALTY_MS;
   return SLOWNESS_PENALTY_MS * (speed.slowness - 1);
 }
