Test that nothing goes on for callers that leave before an answer begins

Two scenarios on a manual clock: the connection to the server is closed at once, and a request that waits for a retry is not sent after its caller has left. Both pass; they found no fault.

--- a/features/gateway/forwarding-model.ts
+++ b/features/gateway/forwarding-model.ts
@@ -58,6 +58,8 @@
 export class ForwardingModel {
   readonly clock = createManualClock(100_000);
   readonly sent: SentAttempt[] = [];
+  /** Attempts whose connection was closed by the gateway. */
+  cancelled = 0;
   /** The gateway's own answer to the caller. */
   failure: Failure | undefined;
   readonly deps: ForwarderDependencies;
@@ -80,7 +82,10 @@
       send: (request: AttemptRequest, observer: AttemptObserver) => {
         this.sent.push({ request, observer });
         const server = request.server;
-        return { server, isRelayed: false, cancel: noop, pause: noop, resume: noop };
+        const cancel = (): void => {
+          this.cancelled += 1;
+        };
+        return { server, isRelayed: false, cancel, pause: noop, resume: noop };
       },
       links: { isOutOfReach: () => false, recordHeard: noop },
       shutdown: {
@@ -127,6 +132,10 @@
     observer?.onEnd();
   }
 
+  leave(): void {
+    this.forwarder?.handleCallerDisconnect();
+  }
+
   fail(failure: AttemptFailure): void {
     this.sent.at(-1)?.observer.onFailure(failure);
   }
--- a/features/gateway/not-run.feature
+++ b/features/gateway/not-run.feature
@@ -34,6 +34,20 @@
     And 200 ms pass with their requests
     Then the request was sent twice to that server
 
+  # Guards against work for callers that have left: at once at the server, and not later from a wait.
+  Scenario: A caller leaves before the first byte of its answer
+    Given a gateway with 3 plain servers, an empty retry budget and 200 requests a second
+    When a request that must not run twice is sent and its caller leaves
+    Then the connection to its server was closed
+
+  # Guards against sending a request that waited after its caller has left.
+  Scenario: A caller leaves while its request waits
+    Given a gateway with 3 plain servers, an empty retry budget and 200 requests a second
+    When a request that must not run twice is refused by its server
+    And its caller leaves
+    And 1000 ms pass with their requests
+    Then the request was sent to 1 servers
+
   # Guards against attempts that can't be answered any more when their turn comes.
   Scenario Outline: A request is refused with <left> ms left where answers take <takes> ms
     Given a gateway with 3 plain servers, a free retry budget and 20 requests a second
--- a/features/gateway/not-run.steps.ts
+++ b/features/gateway/not-run.steps.ts
@@ -77,6 +77,23 @@
   },
 );
 
+When(
+  'a request that must not run twice is sent and its caller leaves',
+  function (this: NotRunWorld) {
+    this.model.start(6_000);
+    this.model.leave();
+  },
+);
+
+When('its caller leaves', function (this: NotRunWorld) {
+  this.model.leave();
+});
+
+Then('the connection to its server was closed', function (this: NotRunWorld) {
+  assert.equal(this.model.sent.length, 1);
+  assert.equal(this.model.cancelled, 1);
+});
+
 When('{int} ms pass with their requests', function (this: NotRunWorld, ms: number) {
   passWithOthers(this, ms);
 });
