Refuse requests that wait for a retry at once when none can serve

Cause: While a request waited for the retry budget it did not look for targets, and so did not notice that no gateway reached its service any more or that all targets cool down. "All gateways lose all links (silent)" was red twice: refusals after 700 and 697 ms.

Change: The wait for the budget checks on each tick whether any target can serve at all.

--- a/src/gateway/requests/target-wait.ts
+++ b/src/gateway/requests/target-wait.ts
@@ -77,7 +77,7 @@
    */
   handleNoRetry(attemptReason: string): void {
     const { request, deps, wait, attempts } = this;
-    if (attempts.isAnyInFlight) return;
+    if (attempts.isAnyInFlight || this.failIfNoneCanServe()) return;
     const now = deps.context.clock.now();
     if (deps.backends.retryWaitMs(request.service.name) > wait.waitLeftMs(now)) {
       this.ending.fail(NO_RETRY_REASON);
@@ -89,6 +89,8 @@
 
   onTick(now: Milliseconds): void {
     if (this.attempts.isAnyInFlight) return;
+    // While it waits for the budget it does not look for targets, so it has to notice their loss here.
+    if (this.isForRetry && this.failIfNoneCanServe()) return;
     const { wait, deps, request } = this;
     const mayTry = !this.isForRetry || deps.backends.hasRetryLeft(request.service.name);
     if (mayTry && wait.canRetry(now)) this.sendNext('waited');
