--- a/src/controllers/waiting/queue-order.ts
+++ b/src/controllers/waiting/queue-order.ts
@@ -56,7 +56,7 @@
 }
 
 /** Whether the answer can no longer start within the target time. */
-export function isLate({ onTimeUntil }: WaitingRequest, now: Milliseconds): boolean {
+function isLate({ onTimeUntil }: WaitingRequest, now: Milliseconds): boolean {
   return now > onTimeUntil;
 }
 
