--- a/src/controllers/speed/server-speeds.ts
+++ b/src/controllers/speed/server-speeds.ts
@@ -5,6 +5,18 @@
  * apart, so that no observation is counted twice. A server without observations counts as usual.
  */
 import type { Milliseconds } from '../../core/clock/index.js';
+import {
+  addEvidence,
+  CLEAR_SLOWNESS,
+  countAt,
+  estimateSlowness,
+  forgetIfContradicted,
+  isClearlySlow,
+  mergeEvidence,
+  noEvidence,
+  PRIOR_COUNT,
+  type Evidence,
+} from './evidence.js';
 import {
   ageWeight,
   boundReport,
@@ -37,18 +49,8 @@
   isSlow: boolean;
 }
 
-/** Observations at the usual speed that are assumed of each server: a few slow answers prove little. */
-const PRIOR_COUNT = 2;
-/** Observations that count at most, so that a server that is usual again is noticed soon. */
-const MAX_EVIDENCE = 20;
-/** Factor from the mean of the earlier observations by which a new one contradicts them. */
-const CONTRADICTING_FACTOR = 2.5;
-/** What earlier observations count together once one contradicts them. */
-const CONTRADICTED_COUNT = 1.5;
 /** Age up to which usual answers contradict the reports of others, whose server may have just changed. */
 const CONTRADICTION_MS: Milliseconds = 400;
-/** From this slowness on, a target is avoided and reported. */
-const CLEAR_SLOWNESS = 1.6;
 /** From this slowness on, a server counts as slow, until it is below {@link CLEAR_SLOWNESS}. */
 const SLOW_SLOWNESS = 2;
 /** Least count that is worth reporting. */
@@ -75,13 +77,6 @@
 /** Most servers of which observations are kept. */
 const MAX_SERVERS = 4_096;
 
-/** Observations, weighted as of `at`. */
-interface Evidence {
-  count: number;
-  logSum: number;
-  at: Milliseconds;
-}
-
 interface OwnEvidence {
   usual: Evidence;
   nearFull: Evidence;
@@ -341,48 +336,6 @@
   }
 }
 
-function noEvidence(now: Milliseconds): Evidence {
-  return { count: 0, logSum: 0, at: now };
-}
-
-function countAt({ count, at }: Evidence, now: Milliseconds): number {
-  return count * ageWeight(now - at);
-}
-
-function addEvidence(evidence: Evidence, count: number, slowness: number, now: Milliseconds): void {
-  const weight = ageWeight(now - evidence.at);
-  evidence.count = evidence.count * weight + count;
-  evidence.logSum = evidence.logSum * weight + count * Math.log(slowness);
-  evidence.at = now;
-}
-
-function isClearlySlow({ count, logSum }: Evidence): boolean {
-  return count > 0 && logSum / count >= Math.log(CLEAR_SLOWNESS);
-}
-
-/** Lets observations of another speed count little, so that a change shows after a few new ones. */
-function forgetIfContradicted(evidence: Evidence, slowness: number): void {
-  if (evidence.count <= CONTRADICTED_COUNT) return;
-  const difference = Math.abs(evidence.logSum / evidence.count - Math.log(slowness));
-  if (difference < Math.log(CONTRADICTING_FACTOR)) return;
-  evidence.logSum *= CONTRADICTED_COUNT / evidence.count;
-  evidence.count = CONTRADICTED_COUNT;
-}
-
-function mergeEvidence(into: Evidence, from: Evidence, now: Milliseconds): void {
-  if (from.count > 0)
-    addEvidence(into, countAt(from, now), Math.exp(from.logSum / from.count), now);
-}
-
-/** Slowness by the evidence, drawn towards 1 by the prior. */
-function estimate(...parts: readonly Evidence[]): number {
-  const count = parts.reduce((sum, part) => sum + part.count, 0);
-  if (count === 0) return 1;
-  const meanLog = parts.reduce((sum, part) => sum + part.logSum, 0) / count;
-  const bounded = Math.min(MAX_EVIDENCE, count);
-  return Math.exp((meanLog * bounded) / (bounded + PRIOR_COUNT));
-}
-
 /** Median slowness of the targets of a group; those without observations count as usual. */
 function medianSlowness(
   observed: readonly string[],
@@ -391,7 +344,7 @@
 ): number {
   const estimates = observed.map((server) => {
     const own = evidence.get(server);
-    return own ? estimate(own.usual, own.nearFull) : 1;
+    return own ? estimateSlowness(own.usual, own.nearFull) : 1;
   });
   const unobserved = Array.from({ length: all - observed.length }, () => 1);
   return lowerMedian([...estimates, ...unobserved]) ?? 1;
@@ -404,13 +357,13 @@
   wasSlow: boolean,
 ): KnownSpeed {
   const base = Math.max(1, groupUsual);
-  const atLowUse = Math.max(1, estimate(usual) / base);
-  const atHighUse = Math.max(1, estimate(nearFull) / base);
+  const atLowUse = Math.max(1, estimateSlowness(usual) / base);
+  const atHighUse = Math.max(1, estimateSlowness(nearFull) / base);
   // Slow near the full count only. A server that has just become slow fills up, so what was observed with
   // fewer requests counts only while it is recent.
   const isProven = usual.count >= Math.max(PRIOR_COUNT, nearFull.count);
   const slowsDown = isProven && atHighUse >= SLOW_SLOWNESS && atLowUse < CLEAR_SLOWNESS;
-  const slowness = slowsDown ? atLowUse : Math.max(1, estimate(usual, nearFull) / base);
+  const slowness = slowsDown ? atLowUse : Math.max(1, estimateSlowness(usual, nearFull) / base);
   const isSlow = slowness >= (wasSlow ? CLEAR_SLOWNESS : SLOW_SLOWNESS);
   const isTooSlow = isSlow && slowness > Math.max(CLEAR_SLOWNESS, headroom);
   return { slowness, isSlow, isTooSlow, slotShare: slowsDown ? NEAR_FULL_USE : 1 };
