--- a/features/gateway/forwarding-model.ts
+++ b/features/gateway/forwarding-model.ts
@@ -96,6 +96,7 @@
       },
       queues: createRequestQueues(this.clock),
       quarantine: { leftMs: () => undefined, recordAnswered: noop, recordBroken: noop },
+      speeds: { time: () => undefined },
     } as unknown as ForwarderDependencies;
   }
 
@@ -175,6 +176,7 @@
         stop: createSection(undefined),
         peers: createSection(new Map()),
         cutOffServices: createSection<readonly string[]>([]),
+        evacuations: createSection(undefined),
         peerLoad: createSection({ byServer: new Map(), unheard: 0, isLate: false }),
       },
     };
--- a/features/gateway/refusals.steps.ts
+++ b/features/gateway/refusals.steps.ts
@@ -60,6 +60,7 @@
     board: {
       fleet: this.fleetSection,
       cutOffServices: createSection<readonly string[]>([]),
+      evacuations: createSection(undefined),
       peerLoad: createSection({ byServer: new Map(), unheard: 0, isLate: false }),
     },
   } as unknown as GatewayContext;
