Group queued requests by the shared function of core

fair-order.ts had its own copy of groupBy, since the shared one took only keys of text; that takes any key now. Type check, lint and format are clean.

--- a/src/controllers/waiting/fair-order.ts
+++ b/src/controllers/waiting/fair-order.ts
@@ -6,6 +6,7 @@
  * itself. Strict priorities would serve the lower ones nothing in an overload.
  */
 import type { Milliseconds } from '../../core/clock/index.js';
+import { groupBy } from '../../core/collections/index.js';
 import { compareTurns, type WaitingRequest } from './queue-order.js';
 import { RecentCounts } from './recent-counts.js';
 
@@ -109,17 +110,6 @@
   return turns;
 }
 
-function groupBy<Item, Key>(items: Iterable<Item>, keyOf: (item: Item) => Key): Map<Key, Item[]> {
-  const groups = new Map<Key, Item[]>();
-  for (const item of items) {
-    const key = keyOf(item);
-    const group = groups.get(key);
-    if (group) group.push(item);
-    else groups.set(key, [item]);
-  }
-  return groups;
-}
-
 function sumOf(counts: ReadonlyMap<string, number>): number {
   return [...counts.values()].reduce((sum, count) => sum + count, 0);
 }
--- a/src/core/collections/group-by.ts
+++ b/src/core/collections/group-by.ts
@@ -8,11 +8,11 @@
  *
  * @example groupBy(servers, ({ service }) => service).get('models')
  */
-export function groupBy<Value>(
+export function groupBy<Value, Key>(
   values: Iterable<Value>,
-  keyOf: (value: Value) => string | undefined,
-): Map<string, Value[]> {
-  const groups = new Map<string, Value[]>();
+  keyOf: (value: Value) => Key | undefined,
+): Map<Key, Value[]> {
+  const groups = new Map<Key, Value[]>();
   for (const value of values) {
     const key = keyOf(value);
     if (key === undefined) continue;
