Log the shared parts of a prompt with the ends of attempts and requests

The logs of the incident can't tell whether the requests under which engines end have a part of their prompts in common, nor whether those in quarantine have it: the fingerprint covers the whole request. No decision reads them.

--- a/features/gateway/bad-input.steps.ts
+++ b/features/gateway/bad-input.steps.ts
@@ -28,3 +28,14 @@
     assert.equal(plainStallTimeout(targetMs), timeoutMs);
   },
 );
+
+When(
+  'a request names the parts {string} of its prompt',
+  function (this: InputWorld, header: string) {
+    this.caller = platform.requests.decodeRequest(['Prompt-Prefix', header]);
+  },
+);
+
+Then('it may share {string} with other requests', function (this: InputWorld, shared: string) {
+  assert.equal(this.caller.sharedParts?.join() ?? '', shared);
+});
--- a/src/gateway/requests/request-attempts.ts
+++ b/src/gateway/requests/request-attempts.ts
@@ -206,6 +206,7 @@
       request: request.id,
       server: attempt.server,
       fingerprint: request.fingerprint,
+      parts: request.caller.sharedParts?.join(),
       how,
       kind,
     });
--- a/src/gateway/requests/request-report.ts
+++ b/src/gateway/requests/request-report.ts
@@ -72,7 +72,7 @@
 /** Records the end of a request in metrics and log. */
 export function reportEnd(
   { board, clock, metrics, logger }: GatewayContext,
-  { id, route, keyHolder, arrivedAt }: RequestHead,
+  { id, caller, route, keyHolder, arrivedAt }: RequestHead,
   summary: RequestSummary,
 ): void {
   const { outcome, firstEventAt, lastEventAt } = summary;
@@ -87,6 +87,7 @@
     outcome,
     reason: summary.reason,
     route: route.name,
+    parts: caller.sharedParts?.join(),
     sends: summary.attempts,
     runs: summary.possibleRuns,
     tookMs: Math.round(now - arrivedAt),
--- a/src/ports/requests.ts
+++ b/src/ports/requests.ts
@@ -19,6 +19,8 @@
   promptTokens: number;
   /** Maximum number of output tokens that the caller allows. */
   maxOutputTokens: number;
+  /** Parts of the prompt that other requests may have too, in order; absent if there are none. */
+  sharedParts?: readonly string[];
   /** The stream is resumed after this event. */
   lastEventId?: string;
 }
