Test: prompts with one part in common crash the engines that answer them (failing)

Reproduces the incident without the bench: 24 engines, 3 gateways, sound requests that share their caller and their other parts, and every 150 ms another request with the part. Four rows by what an engine has sent when it crashes: the head, whole events, part of an event, and events without length or chunks.

The first run of the third row ended in an ECONNRESET that nobody handled, a fault of the test's caller: the connection was reset between the response and its reading. It handles that now.

--- a/features/gateway/site.ts
+++ b/features/gateway/site.ts
@@ -224,6 +224,8 @@
     });
     outgoing.end(ask.body);
     const [incoming] = (await once(outgoing, 'response')) as [IncomingMessage];
+    // A connection may be reset between its response and the reading of it.
+    outgoing.on('error', () => undefined);
     let body = '';
     try {
       for await (const chunk of incoming) body += String(chunk);
--- a/features/gateway/stand-ins/engine.ts
+++ b/features/gateway/stand-ins/engine.ts
@@ -61,8 +61,21 @@
   | { kind: 'failSome'; failing: number; of: number }
   /** Crashes when it begins to run a request with this body, and restarts later. */
   | { kind: 'endUnder'; body: string; backAfterMs: number }
+  /** Crashes when it has begun to write an answer to a prompt with this part, and restarts later. */
+  | { kind: 'endUnderPart'; part: string; how: StreamCrash; backAfterMs: number }
   | { kind: 'encode' };
 
+/** What an engine has sent of a stream when it crashes, and how its connections close. */
+export type StreamCrash =
+  /** The head alone; its connections are reset. */
+  | 'after the head'
+  /** Some events; its connections are reset. */
+  | 'after some events'
+  /** A part of an event, without length or chunks; its connections close. */
+  | 'within an unframed event'
+  /** Whole events, without length or chunks; its connections close. */
+  | 'after unframed events';
+
 export interface EngineOptions {
   id: string;
   service: string;
@@ -84,6 +97,8 @@
 
 const JOIN_MS = 30;
 const RESET_AFTER_MS = 20;
+/** How long an engine writes before it crashes under the request. */
+const CRASH_AFTER_MS = 60;
 
 export class EngineStandIn {
   fault: EngineFault = { kind: 'none' };
@@ -164,10 +179,13 @@
   }
 
   /** Stops at once without updating its entry. */
-  crash(): void {
+  crash(how: 'reset' | 'close' = 'reset'): void {
     this.hasCrashed = true;
     this.server.close();
-    for (const socket of this.sockets) hardReset(socket);
+    for (const socket of this.sockets) {
+      if (how === 'reset') hardReset(socket);
+      else socket.destroySoon();
+    }
   }
 
   close(): void {
@@ -361,6 +379,10 @@
       await this.crashDuring(arrival, this.fault.backAfterMs);
       return;
     }
+    if (this.fault.kind === 'endUnderPart' && hasPart(request, this.fault.part)) {
+      await this.crashWhileWriting(arrival, response, this.fault);
+      return;
+    }
     if (domain) await this.runStream(request, response, id);
     else await this.answer(response, id);
   }
@@ -379,6 +401,52 @@
     await this.restart();
   }
 
+  private async crashWhileWriting(
+    arrival: Arrival,
+    response: ServerResponse,
+    { how, backAfterMs }: Extract<EngineFault, { kind: 'endUnderPart' }>,
+  ): Promise<void> {
+    const { id } = arrival;
+    const event = 'id: 1\ndata: token 1\n\n';
+    const { socket } = response;
+    switch (how) {
+      case 'after the head':
+        response.writeHead(200, this.streamHeaders(id)).flushHeaders();
+        break;
+      case 'after some events':
+        response.writeHead(200, this.streamHeaders(id)).write(event);
+        break;
+      case 'within an unframed event':
+        socket?.write(`${this.unframedHead(id)}${event}id: 2\ndata: par`);
+        break;
+      case 'after unframed events':
+        socket?.write(`${this.unframedHead(id)}${event}`);
+        break;
+    }
+    await sleep(CRASH_AFTER_MS);
+    if (this.hasCrashed) return;
+    arrival.endedAt = performance.now();
+    this.crash(how.includes('unframed') ? 'close' : 'reset');
+    await sleep(backAfterMs);
+    await this.restart();
+  }
+
+  private streamHeaders(id: string): Record<string, string> {
+    return {
+      'Content-Type': 'text/event-stream',
+      'Attempt-Id': id,
+      'Response-Seal': `seal-${this.options.id}`,
+    };
+  }
+
+  /** The head of a stream with neither a length nor chunks. */
+  private unframedHead(id: string): string {
+    const headers = Object.entries(this.streamHeaders(id)).map(
+      ([name, value]) => `${name}: ${value}`,
+    );
+    return ['HTTP/1.1 200 OK', ...headers, '', ''].join('\r\n');
+  }
+
   private async answer(response: ServerResponse, id: string): Promise<void> {
     const head = { 'Attempt-Id': id, 'Response-Seal': `seal-${this.options.id}` };
     const body = `answer to ${id}`;
@@ -439,11 +507,7 @@
   ): Promise<void> {
     const { events = 10, gapMs = 10 } = this.options;
     const from = Number(request.headers['last-event-id'] ?? 0);
-    response.writeHead(200, {
-      'Content-Type': 'text/event-stream',
-      'Attempt-Id': id,
-      'Response-Seal': `seal-${this.options.id}`,
-    });
+    response.writeHead(200, this.streamHeaders(id));
     for (let event = from + 1; event <= events; event += 1) {
       await sleep(gapMs);
       if (this.isStalled() || response.destroyed) return;
@@ -461,6 +525,11 @@
   }
 }
 
+function hasPart({ headers }: IncomingMessage, part: string): boolean {
+  const parts = String(headers['prompt-prefix'] ?? '').split(',');
+  return parts.some((each) => each.startsWith(`${part}:`));
+}
+
 function groupKey({ name, epoch }: Pick<Membership, 'name' | 'epoch'>): string {
   return `${name} ${epoch}`;
 }
