Quarantine parts of prompts under which engines end, not only whole requests

What callers saw: requests of one route ended engine after engine; sound requests under way there broke off, were sent on together and broke off again, 79 ends in 13 s. A request was known by one digest of all that it holds, so requests that differ in anything had one end each, and what they have in common had no name. Sound requests that had been at three ends were held instead.

The quarantine's table now counts by fingerprint of a request or of a part of its prompt, in one mechanism: the same reports, digests, store entries and restore. The last part, which is a request's own, gets no fingerprint. - An answer clears all fingerprints of its request, as of when the server began it: an answer begun before an end says nothing about it. - A part answered in the last minute takes five ends and 2 s without an answer instead of three ends, and is held for 30 s first. Gateways report with an end which of its parts they know as answered, so that those who don't get such requests know it too. - Ends that come together count once for a part: servers that lose power together don't end for what a request holds. - What no end tells apart is held together: only requests with all of it. - Whom a later find explains is released. - An answer whose head has arrived is no clearance any more: the ends of the incident came 41 to 130 ms after it. - An answer that ends with its connection may be the end of its server. It counts once a probe has found the process alive or gone; so does a stream that ends within an event. - Held requests are refused before they count as demand or for the budget.

--- a/features/gateway/bad-input.feature
+++ b/features/gateway/bad-input.feature
@@ -31,3 +31,4 @@
       | aa:40               |        |
       |                     |        |
       | ,,:40,aa,cc:9       | aa     |
+      | a+b:4,xyz:4,0a:4,9  | 0a     |
--- a/features/gateway/crashing-parts.feature
+++ b/features/gateway/crashing-parts.feature
@@ -1,7 +1,6 @@
 Feature: Requests are refused for a part of their prompts that crashes engines
 
   # Guards against one part of many different prompts that crashes one engine after the other.
-  @known-red
   Scenario Outline: Prompts with one part in common crash the engines that answer them, <how>
     Given a site with 24 engines that crash under one part, <how>, and 3 ready gateways
     When sound requests come all the time, 40 a second
--- a/features/gateway/forwarding-model.ts
+++ b/features/gateway/forwarding-model.ts
@@ -95,7 +95,13 @@
         recordDuration: noop,
       },
       queues: createRequestQueues(this.clock),
-      quarantine: { leftMs: () => undefined, recordAnswered: noop, recordBroken: noop },
+      quarantine: {
+        leftMs: () => undefined,
+        recordAnswered: noop,
+        recordBroken: noop,
+        recordClosed: noop,
+        recordUnreachable: noop,
+      },
       speeds: { time: () => undefined },
     } as unknown as ForwarderDependencies;
   }
@@ -109,6 +115,7 @@
       incoming: { method: 'GET', url: '/check/in', rawHeaders: [] } as unknown as IncomingMessage,
       body: undefined,
       fingerprint: 'f',
+      fingerprints: ['f'],
       route: ROUTE,
       service: SERVICE,
       arrivedAt: now,
--- a/features/gateway/quarantine-decisions.steps.ts
+++ b/features/gateway/quarantine-decisions.steps.ts
@@ -30,7 +30,7 @@
 function recordEnds(world: DecisionWorld, fingerprint: string, servers: readonly string[]): void {
   for (const server of servers) {
     world.fingerprints.add(fingerprint);
-    world.table.recordOwnReport(endReport(fingerprint, server), world.now);
+    world.table.recordOwnFailure(server, [[fingerprint]], world.now, world.now);
   }
 }
 
@@ -55,7 +55,7 @@
   function (this: DecisionWorld, fingerprint: string, servers: string) {
     this.fingerprints.add(fingerprint);
     for (const server of parseNames(servers)) {
-      this.table.applyReport(endReport(fingerprint, server, 100), this.now);
+      this.table.applyReports([endReport(fingerprint, server, 100)], this.now);
     }
   },
 );
@@ -69,7 +69,7 @@
   'it is answered, and a server {string} ends under it',
   function (this: DecisionWorld, server: string) {
     this.now += END_INTERVAL_MS;
-    this.table.recordOwnReport({ kind: 'answered', fingerprint: FINGERPRINT, ageMs: 0 }, this.now);
+    this.table.recordOwnAnswer([FINGERPRINT], this.now, this.now);
     assert.ok(this.table.listOwnReports(this.now).some(({ kind }) => kind === 'answered'));
     this.now += END_INTERVAL_MS;
     recordEnds(this, FINGERPRINT, [server]);
@@ -79,10 +79,12 @@
 Then(
   '{int} more answers after the next tell the other gateways nothing more',
   function (this: DecisionWorld, answers: number) {
-    const answer = { kind: 'answered', fingerprint: FINGERPRINT, ageMs: 0 } as const;
-    this.table.recordOwnReport(answer, this.now);
+    const answer = (): void => {
+      this.table.recordOwnAnswer([FINGERPRINT], this.now, this.now);
+    };
+    answer();
     const reportCount = this.table.listOwnReports(this.now).length;
-    for (let index = 0; index < answers; index += 1) this.table.recordOwnReport(answer, this.now);
+    for (let index = 0; index < answers; index += 1) answer();
     assert.equal(this.table.listOwnReports(this.now).length, reportCount);
   },
 );
@@ -94,7 +96,7 @@
 
 When('another gateway tells that it was answered', function (this: DecisionWorld) {
   this.now += END_INTERVAL_MS;
-  this.table.applyReport({ kind: 'answered', fingerprint: FINGERPRINT, ageMs: 200 }, this.now);
+  this.table.applyReports([{ kind: 'answered', fingerprint: FINGERPRINT, ageMs: 200 }], this.now);
 });
 
 When(
@@ -103,7 +105,7 @@
     this.now = withinMs;
     for (let index = 0; index < gateways; index += 1) {
       const ageMs = Math.round((index * withinMs) / gateways);
-      this.table.applyReport(endReport(name, server, ageMs), this.now);
+      this.table.applyReports([endReport(name, server, ageMs)], this.now);
     }
     this.fingerprints.add(name);
   },
@@ -138,7 +140,7 @@
 });
 
 Then('{string} is in quarantine', function (this: DecisionWorld, name: string) {
-  assert.ok(this.table.remainingMs(name, this.now) !== undefined);
+  assert.ok(this.table.remainingMs([name], this.now) !== undefined);
 });
 
 Then('nothing is in quarantine', function (this: DecisionWorld) {
--- a/features/gateway/quarantine-store.steps.ts
+++ b/features/gateway/quarantine-store.steps.ts
@@ -38,7 +38,7 @@
 
 Given('a gateway under whose request a server has ended', async function (this: StoreWorld) {
   createObservedQuarantine(this);
-  this.quarantine.recordBroken(FINGERPRINT, createServer('server-0'));
+  this.quarantine.recordBroken([FINGERPRINT], createServer('server-0'));
   await waitFor('the end to be reported', () => this.quarantine.buildDigest().reports?.length);
 });
 
@@ -60,12 +60,12 @@
 Then(
   'the request is in quarantine, and its gateway has nothing to store',
   function (this: StoreWorld) {
-    assert.notEqual(this.quarantine.leftMs(FINGERPRINT), undefined);
+    assert.notEqual(this.quarantine.leftMs([FINGERPRINT]), undefined);
     assert.equal(this.writes, 0);
   },
 );
 
 Then('the request is in quarantine, and its gateway is to store that', function (this: StoreWorld) {
-  assert.notEqual(this.quarantine.leftMs(FINGERPRINT), undefined);
+  assert.notEqual(this.quarantine.leftMs([FINGERPRINT]), undefined);
   assert.equal(this.writes, 1);
 });
--- /dev/null
+++ b/src/controllers/quarantine/culprits.ts
@@ -0,0 +1,171 @@
+/**
+ * Decides which fingerprints backend servers fail for.
+ *
+ * All requests on a failed server are involved in its failure, and sound requests share most parts of
+ * their prompts with the one that caused it. What sets the cause apart is that nothing with it is
+ * answered. A part that was answered shortly before may have stopped working only now, or may just not
+ * have been answered again yet; it takes more failures, and some time without any answer.
+ */
+import type { Milliseconds } from '../../core/clock/index.js';
+import { isSameFailure, type Evidence, type Involvement } from './evidence.js';
+import { isPartFingerprint } from './types.js';
+
+/** Number of unattributed failures after which a fingerprint is quarantined. */
+const FAILURES_UNTIL_QUARANTINE = 3;
+/** The same for a fingerprint that is quarantined already, but only together with others. */
+const FAILURES_UNTIL_WIDENED = 2;
+/** The same for a part that was answered before. */
+const FAILURES_OF_ANSWERED_PART = 5;
+/** For so long a part that was answered before must have failed without an answer. */
+const ANSWERED_PART_WAIT_MS: Milliseconds = 2_000;
+/** A part that was answered within this time before its first failure was answered before. */
+const ANSWERED_BEFORE_MS: Milliseconds = 60_000;
+/** Servers that fail together, such as for lack of power, don't fail for something in a request. */
+const SIMULTANEOUS_MS: Milliseconds = 100;
+const QUARANTINE_MS: Milliseconds = 600_000;
+/** Short, since a wrong quarantine of a part that many requests share would refuse all of them. */
+const ANSWERED_PART_QUARANTINE_MS: Milliseconds = 30_000;
+
+/** A quarantine: requests with all of the fingerprints are held. */
+export interface HeldFingerprints {
+  fingerprints: readonly string[];
+}
+
+/** Fingerprints to be quarantined together, because no failure tells them apart. */
+export interface Culprit extends HeldFingerprints {
+  forMs: Milliseconds;
+}
+
+/** Whether a part was answered shortly before the first of its failures. */
+export function wasAnsweredBefore(
+  evidence: Evidence,
+  fingerprint: string,
+  firstFailureAt: Milliseconds,
+): boolean {
+  return (
+    isPartFingerprint(fingerprint) &&
+    evidence.answeredAt(fingerprint) >= firstFailureAt - ANSWERED_BEFORE_MS
+  );
+}
+
+/**
+ * The most specific fingerprints that explain enough failures which `held` doesn't explain; undefined
+ * if there are none among `candidates`. `isRepeated` tells whether one was quarantined before.
+ */
+export function findCulprit(
+  evidence: Evidence,
+  candidates: Iterable<string>,
+  held: readonly HeldFingerprints[],
+  isRepeated: (fingerprint: string) => boolean,
+): Culprit | undefined {
+  let best: { culprit: Culprit; failures: number } | undefined;
+  for (const fingerprint of candidates) {
+    if (!isCulprit(evidence, fingerprint, held)) continue;
+    const failures = evidence.failuresOf(fingerprint);
+    const fingerprints = listInseparable(evidence, fingerprint, failures);
+    const isBetter =
+      best === undefined ||
+      fingerprints.length > best.culprit.fingerprints.length ||
+      (fingerprints.length === best.culprit.fingerprints.length && failures.length > best.failures);
+    if (!isBetter) continue;
+    const isShort =
+      !isRepeated(fingerprint) && wasAnsweredBefore(evidence, fingerprint, firstOf(failures));
+    const forMs = isShort ? ANSWERED_PART_QUARANTINE_MS : QUARANTINE_MS;
+    best = { culprit: { fingerprints, forMs }, failures: failures.length };
+  }
+  return best?.culprit;
+}
+
+/** Whether the fingerprint explains enough failures that `held` doesn't explain. */
+function isCulprit(
+  evidence: Evidence,
+  fingerprint: string,
+  held: readonly HeldFingerprints[],
+): boolean {
+  const failures = evidence.failuresOf(fingerprint);
+  if (failures.length < FAILURES_UNTIL_WIDENED) return false;
+  const isHeldWithOthers = held.some(({ fingerprints }) => fingerprints.includes(fingerprint));
+  const unattributed = failures.filter(
+    (failure) => !isAttributed(evidence, fingerprint, failure, failures.length, held),
+  );
+  const count = countIndependent(fingerprint, unattributed);
+  if (!wasAnsweredBefore(evidence, fingerprint, firstOf(failures)))
+    return count >= (isHeldWithOthers ? FAILURES_UNTIL_WIDENED : FAILURES_UNTIL_QUARANTINE);
+  const times = unattributed.map(({ at }) => at);
+  return (
+    count >= FAILURES_OF_ANSWERED_PART &&
+    Math.max(...times) - Math.min(...times) >= ANSWERED_PART_WAIT_MS
+  );
+}
+
+/** Whether `held` explains all known failures of the fingerprint, of which there are some. */
+export function isExplained(
+  evidence: Evidence,
+  fingerprint: string,
+  held: readonly HeldFingerprints[],
+): boolean {
+  const failures = evidence.failuresOf(fingerprint);
+  return (
+    failures.length > 0 &&
+    failures.every((failure) => isAttributed(evidence, fingerprint, failure, failures.length, held))
+  );
+}
+
+/** The fingerprint and those that each request with it had at each failure, but for sound ones. */
+function listInseparable(
+  evidence: Evidence,
+  fingerprint: string,
+  failures: readonly Involvement[],
+): string[] {
+  const [first, ...others] = failures;
+  const firstAt = firstOf(failures);
+  const companions = (first?.companions ?? []).filter(
+    (companion) =>
+      others.every(({ companions: each }) => each.includes(companion)) &&
+      evidence.answeredAt(companion) < firstAt &&
+      !wasAnsweredBefore(evidence, companion, firstAt),
+  );
+  return [fingerprint, ...companions].sort();
+}
+
+/**
+ * Whether a quarantine explains the failure: all of its fingerprints were involved, and either in at
+ * least `count` failures, or by a request that had this fingerprint as well.
+ */
+function isAttributed(
+  evidence: Evidence,
+  fingerprint: string,
+  failure: Involvement,
+  count: number,
+  held: readonly HeldFingerprints[],
+): boolean {
+  return held.some(({ fingerprints }) => {
+    const others = fingerprints.filter((other) => other !== fingerprint);
+    return (
+      others.length > 0 &&
+      others.every((other) => {
+        const failures = evidence.failuresOf(other);
+        const same = failures.find((each) => isSameFailure(each, failure));
+        const isAsFrequent = failures.length >= count;
+        return same !== undefined && (isAsFrequent || same.companions.includes(fingerprint));
+      })
+    );
+  });
+}
+
+/** Counts failures; those of a part that came together count once. */
+function countIndependent(fingerprint: string, failures: readonly Involvement[]): number {
+  if (!isPartFingerprint(fingerprint)) return failures.length;
+  let count = 0;
+  let countedAt = Number.NEGATIVE_INFINITY;
+  for (const at of failures.map((failure) => failure.at).sort((a, b) => a - b)) {
+    if (at - countedAt < SIMULTANEOUS_MS) continue;
+    count += 1;
+    countedAt = at;
+  }
+  return count;
+}
+
+function firstOf(failures: readonly Involvement[]): Milliseconds {
+  return Math.min(...failures.map(({ at }) => at));
+}
--- a/src/controllers/quarantine/quarantine-table.ts
+++ b/src/controllers/quarantine/quarantine-table.ts
@@ -1,108 +1,133 @@
 /**
- * Tracks requests during which backend servers fail, and quarantines those that cause it repeatedly.
+ * Tracks requests, and parts of their prompts, during which backend servers fail, and quarantines those
+ * that cause it repeatedly.
  *
  * A request that makes every backend server fail could otherwise take down one after another, because
- * its caller retries at any gateway. Requests are identified by their fingerprint, and gateways share
- * their reports.
+ * its caller retries at any gateway; so could different requests that have the cause in common. Both are
+ * identified by fingerprints, and gateways share their reports.
  *
- * Other requests on the failed servers must not be quarantined too: an answer clears a request, and
- * a failure doesn't count against it if a quarantined request was involved in this failure and in at
- * least as many.
+ * Other requests on the failed servers must not be quarantined too: an answer clears all of a request's
+ * fingerprints, and a failure doesn't count against one if a quarantine explains it better.
  */
 import type { Milliseconds } from '../../core/clock/index.js';
-import type { RequestReport, QuarantineNotice } from './types.js';
-
-/** Number of unattributed failures after which a request is quarantined. */
-const FAILURES_UNTIL_QUARANTINE = 3;
-const QUARANTINE_MS: Milliseconds = 600_000;
-/** Exceeds the quarantine, so that a single failure after it starts the next one. */
-const FAILURE_RETENTION_MS: Milliseconds = 1_200_000;
-/** Reports of one server within this time refer to the same failure. A restart takes longer. */
-const SAME_FAILURE_WINDOW_MS: Milliseconds = 2_000;
+import { findCulprit, isExplained, wasAnsweredBefore } from './culprits.js';
+import { Evidence } from './evidence.js';
+import { covers, QuarantineList, type Quarantine } from './quarantine-list.js';
+import {
+  fingerprintsOf,
+  isPartFingerprint,
+  parseFingerprints,
+  type QuarantineNotice,
+  type RequestReport,
+} from './types.js';
+
+/** Limits what another gateway may ask for. */
+const MAX_QUARANTINE_MS: Milliseconds = 600_000;
 /** How long own reports are shared; covers several exchanges at the longest interval. */
 const REPORT_SHARING_MS: Milliseconds = 3_000;
 const MAX_SHARED_REPORTS = 200;
-const MAX_SHARED_QUARANTINES = 100;
-/** Maximum number of tracked requests. Beyond it, the oldest without a quarantine is evicted. */
-const MAX_RECORDS = 5_000;
-
-interface ServerFailure {
-  server: string;
-  at: Milliseconds;
-  /** This gateway has reported it, possibly beside others. */
-  isOwn: boolean;
-}
-
-interface Quarantine {
-  since: Milliseconds;
-  until: Milliseconds;
-}
-
-interface RequestRecord {
-  failures: ServerFailure[];
-  /** When the request was last answered. Earlier failures don't count. */
-  answeredAt: Milliseconds;
-  quarantine: Quarantine | undefined;
-}
+/** A part that was answered is not reported again within this time. */
+const ANSWER_SHARING_INTERVAL_MS: Milliseconds = 1_000;
 
 interface OwnReport {
   report: RequestReport;
   at: Milliseconds;
 }
 
-/** The suspect and quarantined requests known to one gateway. */
+/** The suspect and quarantined fingerprints known to one gateway. */
 export class QuarantineTable {
-  private readonly records = new Map<string, RequestRecord>();
-  /** Fingerprints of the records with an active or expired quarantine. */
-  private readonly quarantined = new Set<string>();
+  private readonly quarantines = new QuarantineList();
+  private readonly evidence = new Evidence((fingerprint) => this.quarantines.isHeld(fingerprint));
   private ownReports: OwnReport[] = [];
 
-  /** Number of tracked requests. */
+  /** Number of tracked fingerprints. */
   get size(): number {
-    return this.records.size;
+    return this.evidence.size;
   }
 
-  /** Records a report of this gateway; returns whether it quarantines the request. */
-  recordOwnReport(report: RequestReport, now: Milliseconds): boolean {
+  /** Records that a server failed while it ran these requests; returns what this quarantines. */
+  recordOwnFailure(
+    server: string,
+    requests: readonly (readonly string[])[],
+    at: Milliseconds,
+    now: Milliseconds,
+  ): string[] {
+    const ageMs = now - at;
+    const reports = requests.map(([fingerprint = '', ...parts]): RequestReport => {
+      return {
+        kind: 'serverEnded',
+        fingerprint,
+        ...(parts.length > 0 && { parts }),
+        server,
+        ageMs,
+      };
+    });
+    const parts = new Set(requests.flat().filter(isPartFingerprint));
+    this.share([...this.reportSoundParts(parts, at, now), ...reports], now);
+    return this.applyReports(reports, now, true);
+  }
+
+  /** Records an answer that began at `at` to a request of this gateway. */
+  recordOwnAnswer(fingerprints: readonly string[], at: Milliseconds, now: Milliseconds): void {
+    const [fingerprint = '', ...parts] = fingerprints;
+    const isCleared = this.applyAnswer(fingerprints, at, now);
     // Answers to requests that aren't suspect need not be shared.
-    if (report.kind === 'answered' && !this.isSuspect(report.fingerprint)) return false;
-    const reports = [...this.ownReports, { report, at: now - report.ageMs }];
-    this.ownReports = reports.slice(-MAX_SHARED_REPORTS);
-    return this.applyReport(report, now, true);
-  }
-
-  /** Applies a report of any gateway; returns whether it quarantines the request. */
-  applyReport(report: RequestReport, now: Milliseconds, isOwn = false): boolean {
-    const at = now - report.ageMs;
-    switch (report.kind) {
-      case 'answered':
-        this.clearUntil(report.fingerprint, at);
-        return false;
-      case 'serverEnded':
-        return this.addFailure(report.fingerprint, { server: report.server, at, isOwn }, now);
+    if (!isCleared) return;
+    const report: RequestReport = { kind: 'answered', fingerprint, ageMs: now - at };
+    this.share([{ ...report, ...(parts.length > 0 && { parts }) }], now);
+  }
+
+  /** Applies reports of any gateway; returns the quarantines that they start. */
+  applyReports(reports: readonly RequestReport[], now: Milliseconds, isOwn = false): string[] {
+    const suspects = new Set<string>();
+    for (const report of reports) {
+      const fingerprints = fingerprintsOf(report);
+      const at = now - report.ageMs;
+      switch (report.kind) {
+        case 'answered':
+          this.applyAnswer(fingerprints, at, now);
+          break;
+        case 'serverEnded':
+          for (const fingerprint of this.evidence.addFailure(
+            fingerprints,
+            { server: report.server, at, isOwn },
+            now,
+          ))
+            suspects.add(fingerprint);
+          break;
+      }
     }
+    return this.quarantineCulprits(suspects, now);
   }
 
-  /** Applies a quarantine of another gateway; returns whether it was unknown here. */
+  /** Applies a quarantine of another gateway; returns whether it holds requests that weren't held. */
   applyNotice({ fingerprint, ageMs, leftMs }: QuarantineNotice, now: Milliseconds): boolean {
+    const fingerprints = parseFingerprints(fingerprint);
     const since = now - ageMs;
-    const record = this.records.get(fingerprint);
-    if (record && record.answeredAt >= since) return false;
-    if (this.remainingMs(fingerprint, now) !== undefined || leftMs <= 0) return false;
-    const until = now + Math.min(leftMs, QUARANTINE_MS);
-    this.startQuarantine(fingerprint, this.getOrCreateRecord(fingerprint), { since, until });
+    if (this.remainingMs(fingerprints, now) !== undefined || leftMs <= 0) return false;
+    if (this.quarantines.wasReleasedAfter(fingerprints, since)) return false;
+    if (fingerprints.some((each) => this.evidence.answeredAt(each) >= since)) return false;
+    this.quarantines.start(fingerprints, since, now + Math.min(leftMs, MAX_QUARANTINE_MS));
     return true;
   }
 
-  /** Remaining time of the request's quarantine; undefined if the request may be sent. */
-  remainingMs(fingerprint: string, now: Milliseconds): Milliseconds | undefined {
-    const until = this.records.get(fingerprint)?.quarantine?.until;
-    return until !== undefined && until > now ? until - now : undefined;
+  /** Remaining time in quarantine of requests with these fingerprints; undefined if they may be sent. */
+  remainingMs(fingerprints: readonly string[], now: Milliseconds): Milliseconds | undefined {
+    return this.quarantines.remainingMs(fingerprints, now);
   }
 
-  /** Whether this gateway has itself reported a failure of the request. */
-  hasOwnEvidence(fingerprint: string): boolean {
-    return this.records.get(fingerprint)?.failures.some(({ isOwn }) => isOwn) ?? false;
+  /** Whether anything is held against one of the fingerprints. */
+  isSuspect(fingerprints: readonly string[]): boolean {
+    return fingerprints.some(
+      (each) => this.evidence.failuresOf(each).length > 0 || this.quarantines.isHeld(each),
+    );
+  }
+
+  /** Whether this gateway has itself reported a failure that is held against the fingerprints. */
+  hasOwnEvidence(quarantine: string): boolean {
+    return parseFingerprints(quarantine).some((fingerprint) =>
+      this.evidence.failuresOf(fingerprint).some(({ isOwn }) => isOwn),
+    );
   }
 
   /** Recent reports of this gateway, to be shared with other gateways. */
@@ -110,115 +135,96 @@
     this.ownReports = this.ownReports.filter(({ at }) => now - at <= REPORT_SHARING_MS);
     return this.ownReports.map(({ report, at }) => ({
       ...report,
-      ageMs: Math.round(now - at),
+      ageMs: Math.round(report.ageMs + now - at),
     }));
   }
 
-  /** Quarantined requests, including those learned from other gateways. */
+  /** Quarantines, including those learned from other gateways. */
   listQuarantined(now: Milliseconds): QuarantineNotice[] {
-    const notices: QuarantineNotice[] = [];
-    for (const fingerprint of this.quarantined) {
-      const quarantine = this.records.get(fingerprint)?.quarantine;
-      const leftMs = this.remainingMs(fingerprint, now);
-      if (quarantine === undefined || leftMs === undefined) continue;
-      const ageMs = Math.round(now - quarantine.since);
-      notices.push({ fingerprint, ageMs, leftMs: Math.round(leftMs) });
-    }
-    return notices.slice(-MAX_SHARED_QUARANTINES);
+    return this.quarantines.listNotices(now);
   }
 
-  /** Whether the request has recorded failures or a quarantine. */
-  private isSuspect(fingerprint: string): boolean {
-    const record = this.records.get(fingerprint);
-    return record !== undefined && (record.failures.length > 0 || record.quarantine !== undefined);
+  private share(reports: readonly RequestReport[], now: Milliseconds): void {
+    const added = reports.map((report) => ({ report, at: now }));
+    this.ownReports = [...this.ownReports, ...added].slice(-MAX_SHARED_REPORTS);
   }
 
-  private clearUntil(fingerprint: string, at: Milliseconds): void {
-    const record = this.records.get(fingerprint);
-    if (record === undefined) return;
-    record.answeredAt = Math.max(record.answeredAt, at);
-    record.failures = record.failures.filter((failure) => failure.at > record.answeredAt);
-    if (record.quarantine && record.quarantine.since <= record.answeredAt) {
-      record.quarantine = undefined;
-      this.quarantined.delete(fingerprint);
-    }
+  /** Tells other gateways, which may not have answered these parts, that they are not new. */
+  private reportSoundParts(
+    parts: Iterable<string>,
+    failedAt: Milliseconds,
+    now: Milliseconds,
+  ): RequestReport[] {
+    return [...parts]
+      .filter((part) => wasAnsweredBefore(this.evidence, part, failedAt))
+      .filter(
+        (part) =>
+          !this.ownReports.some(
+            ({ report, at }) =>
+              report.kind === 'answered' &&
+              fingerprintsOf(report).includes(part) &&
+              now - at < ANSWER_SHARING_INTERVAL_MS,
+          ),
+      )
+      .map((fingerprint) => ({
+        kind: 'answered',
+        fingerprint,
+        ageMs: now - this.evidence.answeredAt(fingerprint),
+      }));
   }
 
-  private addFailure(fingerprint: string, failure: ServerFailure, now: Milliseconds): boolean {
-    const record = this.getOrCreateRecord(fingerprint);
-    if (failure.at <= record.answeredAt) return false;
-    const recent = record.failures.filter(({ at }) => now - at < FAILURE_RETENTION_MS);
-    record.failures = recent;
-    const known = recent.find((other) => isSameFailure(other, failure));
-    if (known) {
-      known.isOwn ||= failure.isOwn;
-      return false;
-    }
-    recent.push(failure);
-    if (this.remainingMs(fingerprint, now) !== undefined) return false;
-    const unattributed = recent.filter(
-      (candidate) => !this.isAttributedToOther(fingerprint, candidate, recent.length),
-    );
-    if (unattributed.length < FAILURES_UNTIL_QUARANTINE) return false;
-    this.startQuarantine(fingerprint, record, { since: now, until: now + QUARANTINE_MS });
-    return true;
-  }
-
-  /**
-   * Whether another quarantined request was involved in this failure and has at least `minCount`
-   * failures. A request with more failures than that is the more likely cause, even if found later.
-   */
-  private isAttributedToOther(
-    fingerprint: string,
-    failure: ServerFailure,
-    minCount: number,
+  /** Returns whether the answer clears anything. */
+  private applyAnswer(
+    fingerprints: readonly string[],
+    at: Milliseconds,
+    now: Milliseconds,
   ): boolean {
-    for (const otherFingerprint of this.quarantined) {
-      const others =
-        otherFingerprint === fingerprint
-          ? []
-          : (this.records.get(otherFingerprint)?.failures ?? []);
-      if (others.length >= minCount && others.some((other) => isSameFailure(other, failure)))
-        return true;
+    const cleared = this.evidence.addAnswer(fingerprints, at);
+    let isReleased = false;
+    for (const quarantine of this.quarantines.all) {
+      const sound = at >= quarantine.since ? fingerprints : cleared;
+      if (!quarantine.fingerprints.some((each) => sound.includes(each))) continue;
+      this.release(quarantine, sound, now);
+      isReleased = true;
     }
-    return false;
+    return cleared.length > 0 || isReleased;
   }
 
-  private startQuarantine(
-    fingerprint: string,
-    record: RequestRecord,
-    quarantine: Quarantine,
+  /** Takes fingerprints that were answered out of a quarantine, which ends if none is left. */
+  private release(
+    { fingerprints, since, until }: Quarantine,
+    sound: readonly string[],
+    now: Milliseconds,
   ): void {
-    record.quarantine = quarantine;
-    this.quarantined.add(fingerprint);
-  }
-
-  private getOrCreateRecord(fingerprint: string): RequestRecord {
-    const existing = this.records.get(fingerprint);
-    if (existing) return existing;
-    if (this.records.size >= MAX_RECORDS) this.evictOldest();
-    const created: RequestRecord = {
-      failures: [],
-      answeredAt: Number.NEGATIVE_INFINITY,
-      quarantine: undefined,
-    };
-    this.records.set(fingerprint, created);
-    return created;
-  }
-
-  private evictOldest(): void {
-    for (const fingerprint of this.records.keys()) {
-      if (this.quarantined.has(fingerprint)) continue;
-      this.records.delete(fingerprint);
-      return;
+    this.quarantines.release({ fingerprints }, now);
+    const others = fingerprints.filter((each) => !sound.includes(each));
+    if (others.length > 0) this.quarantines.start(others, since, until);
+  }
+
+  private quarantineCulprits(suspects: ReadonlySet<string>, now: Milliseconds): string[] {
+    const candidates = new Set(suspects);
+    const started: string[] = [];
+    while (candidates.size > 0) {
+      const culprit = findCulprit(this.evidence, candidates, this.quarantines.all, (each) =>
+        this.quarantines.isHeld(each),
+      );
+      if (culprit === undefined) break;
+      const { fingerprints, forMs } = culprit;
+      for (const fingerprint of fingerprints) candidates.delete(fingerprint);
+      if (this.remainingMs(fingerprints, now) !== undefined) continue;
+      started.push(this.quarantines.start(fingerprints, now, now + forMs));
+      this.releaseExplained(fingerprints, now);
     }
-    const [oldest] = this.quarantined;
-    if (oldest === undefined) return;
-    this.quarantined.delete(oldest);
-    this.records.delete(oldest);
+    return started;
   }
-}
 
-function isSameFailure(first: ServerFailure, second: ServerFailure): boolean {
-  return first.server === second.server && Math.abs(first.at - second.at) < SAME_FAILURE_WINDOW_MS;
+  /** Ends quarantines whose failures are explained by that of `fingerprints`, which was found later. */
+  private releaseExplained(fingerprints: readonly string[], now: Milliseconds): void {
+    const found = [{ fingerprints }];
+    for (const quarantine of this.quarantines.all) {
+      if (covers({ fingerprints }, quarantine.fingerprints)) continue;
+      if (quarantine.fingerprints.every((each) => isExplained(this.evidence, each, found)))
+        this.quarantines.release(quarantine, now);
+    }
+  }
 }
--- /dev/null
+++ b/src/gateway/requests/exit-checks.ts
@@ -0,0 +1,54 @@
+/**
+ * Checks whether processes of backend servers have ended.
+ */
+import { incarnationKey } from '../../controllers/groups/index.js';
+import type { Clock, Milliseconds } from '../../core/clock/index.js';
+import type { BackendServer } from '../../ports/index.js';
+import type { EngineCalls } from '../backends/engine-calls.js';
+
+/** A check of one process. */
+export interface ExitCheck {
+  startedAt: Milliseconds;
+  result: 'checking' | 'ended' | 'alive' | 'unconfirmed';
+}
+
+export interface ExitChecks {
+  /** Checks the server's process, unless a check of it has started a moment ago; returns that. */
+  check(server: BackendServer): ExitCheck;
+}
+
+/** Attempts that break off at one server within this time share one check. */
+const VALID_MS: Milliseconds = 500;
+
+/** `onResult` is called with each finished check. */
+export function createExitChecks(
+  clock: Clock,
+  calls: Pick<EngineCalls, 'probe'>,
+  onResult: (server: BackendServer, check: ExitCheck) => void,
+): ExitChecks {
+  const checks = new Map<string, ExitCheck>();
+
+  const run = async (server: BackendServer, check: ExitCheck): Promise<void> => {
+    const { kind } = await calls.probe(server);
+    check.result = kind === 'gone' ? 'ended' : kind === 'answers' ? 'alive' : 'unconfirmed';
+    onResult(server, check);
+  };
+  const prune = (now: Milliseconds): void => {
+    for (const [processKey, { startedAt, result }] of checks) {
+      if (result !== 'checking' && now - startedAt >= VALID_MS) checks.delete(processKey);
+    }
+  };
+  return {
+    check: (server) => {
+      const now = clock.now();
+      prune(now);
+      const processKey = incarnationKey(server);
+      const existing = checks.get(processKey);
+      if (existing) return existing;
+      const check: ExitCheck = { startedAt: now, result: 'checking' };
+      checks.set(processKey, check);
+      void run(server, check);
+      return check;
+    },
+  };
+}
--- a/src/gateway/requests/quarantine.ts
+++ b/src/gateway/requests/quarantine.ts
@@ -1,115 +1,150 @@
 /**
- * Quarantines requests that crash backend servers, and shares the evidence with the other gateways.
+ * Quarantines requests, and parts of prompts, that crash backend servers, and shares the evidence with
+ * the other gateways.
  *
  * A broken connection alone is no evidence. The server is probed, and the requests that broke off
- * there count as suspects only if its process has ended.
+ * there count as suspects only if its process has ended. An answer that ended with its connection may
+ * have been cut by the end of its server, so it counts neither as broken nor as complete before that.
  */
 import { incarnationKey } from '../../controllers/groups/index.js';
 import { collectReports, type Digest } from '../../controllers/peering/index.js';
 import {
+  parseFingerprints,
   QuarantineTable,
-  type RequestReport,
   type QuarantineNotice,
 } from '../../controllers/quarantine/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { BackendServer } from '../../ports/index.js';
 import type { EngineCalls } from '../backends/engine-calls.js';
 import type { GatewayContext } from '../types.js';
+import { createExitChecks, type ExitCheck } from './exit-checks.js';
 
 /** The part of a peer digest about requests that crash servers. */
 export type QuarantineDigest = Pick<Digest, 'reports' | 'quarantined'>;
 
+/** Fingerprints of one request: its own, then those of the parts of its prompt. */
+export type RequestFingerprints = readonly string[];
+
 /** Requests that are not sent to any backend server. */
 export interface Quarantine {
-  /** Time left in quarantine; undefined when the request may be sent. */
-  leftMs(fingerprint: string): Milliseconds | undefined;
+  /** Time left in quarantine; undefined when requests with these fingerprints may be sent. */
+  leftMs(fingerprints: RequestFingerprints): Milliseconds | undefined;
   /** Records that an attempt at this process of `server` broke off. */
-  recordBroken(fingerprint: string, server: BackendServer): void;
-  /** Records that a server responded to the request completely. */
-  recordAnswered(fingerprint: string): void;
-  /** Reports and quarantined requests to send to other gateways. */
+  recordBroken(fingerprints: RequestFingerprints, server: BackendServer): void;
+  /** Records a complete response that a server began at `begunAt`. */
+  recordAnswered(fingerprints: RequestFingerprints, begunAt: Milliseconds): void;
+  /** Records a response that ended with its connection, so that it may be incomplete. */
+  recordClosed(
+    fingerprints: RequestFingerprints,
+    server: BackendServer,
+    begunAt: Milliseconds,
+  ): void;
+  /** Records that no connection to the server could be opened. */
+  recordUnreachable(server: BackendServer): void;
+  /** Reports and quarantines to send to other gateways. */
   buildDigest(): QuarantineDigest;
   /** Merges the digest of another gateway. */
   mergeDigest(digest: Digest): void;
   list(): QuarantineNotice[];
-  /** Restores the requests that were in quarantine before a restart. */
+  /** Restores the quarantines from before a restart. */
   restore(quarantined: readonly QuarantineNotice[]): void;
   /** Called when this gateway has a new report that the others should get immediately. */
   onReport(listener: () => void): void;
-  /** Called when a request has been quarantined of which this gateway has evidence of its own. */
+  /** Called when a quarantine has begun for which this gateway has evidence of its own. */
   onQuarantine(listener: () => void): void;
 }
 
-/** A check whether a server process has ended. */
-interface ExitCheck {
-  startedAt: Milliseconds;
-  result: 'checking' | 'ended' | 'unconfirmed';
-  /** Fingerprints of requests that broke off at the server meanwhile. */
-  pending: Set<string>;
+/** A response that ended with its connection. */
+interface ClosedResponse {
+  fingerprints: RequestFingerprints;
+  begunAt: Milliseconds;
+  closedAt: Milliseconds;
 }
 
-/** Attempts that break off at one server within this time share one check. */
-const EXIT_CHECK_VALID_MS: Milliseconds = 500;
+/** Requests at one server process that a check is to decide on. */
+interface UndecidedRequests {
+  /** Those that broke off, by their own fingerprint. */
+  broken: Map<string, RequestFingerprints>;
+  closed: ClosedResponse[];
+}
+
+/** A server that has ended is noticed within this time after its connections have closed. */
+const CLOSED_RETENTION_MS: Milliseconds = 3_000;
 
 export function createQuarantine(
   { clock, logger, metrics }: Pick<GatewayContext, 'clock' | 'logger' | 'metrics'>,
   calls: Pick<EngineCalls, 'probe'>,
 ): Quarantine {
   const table = new QuarantineTable();
-  const exitChecks = new Map<string, ExitCheck>();
+  const undecided = new Map<string, UndecidedRequests>();
   const reportListeners: (() => void)[] = [];
   const quarantineListeners: (() => void)[] = [];
 
   const logQuarantined = (fingerprint: string, source: string): void => {
     metrics.quarantined.inc();
-    const leftMs = Math.round(table.remainingMs(fingerprint, clock.now()) ?? 0);
+    const leftMs = Math.round(table.remainingMs(parseFingerprints(fingerprint), clock.now()) ?? 0);
     logger.log('requestQuarantined', { fingerprint, source, leftMs });
   };
-  const recordServerExit = (server: string, fingerprints: Iterable<string>): void => {
-    const now = clock.now();
-    const newlyQuarantined = [...fingerprints].filter((fingerprint) =>
-      table.recordOwnReport({ kind: 'serverEnded', fingerprint, server, ageMs: 0 }, now),
-    );
-    for (const fingerprint of newlyQuarantined) logQuarantined(fingerprint, 'own evidence');
+  const recordServerExit = (
+    server: string,
+    requests: readonly RequestFingerprints[],
+    at: Milliseconds,
+  ): void => {
+    const started = table.recordOwnFailure(server, requests, at, clock.now());
+    for (const quarantine of started) logQuarantined(quarantine, 'own evidence');
     for (const listener of reportListeners) listener();
-    if (newlyQuarantined.length > 0) for (const listener of quarantineListeners) listener();
+    if (started.length > 0) for (const listener of quarantineListeners) listener();
+  };
+  const recordAnswered = (fingerprints: RequestFingerprints, begunAt: Milliseconds): void => {
+    table.recordOwnAnswer(fingerprints, begunAt, clock.now());
   };
-  const runExitCheck = async (server: BackendServer, check: ExitCheck): Promise<void> => {
-    const outcome = await calls.probe(server);
-    check.result = outcome.kind === 'gone' ? 'ended' : 'unconfirmed';
-    if (check.result === 'ended') {
-      const requests = check.pending.size;
-      logger.log('serverEndedUnderRequests', { server: server.id, requests });
-      recordServerExit(server.id, check.pending);
+  const decide = (server: BackendServer, { result, startedAt }: ExitCheck): void => {
+    const requests = undecided.get(incarnationKey(server));
+    if (requests === undefined) return;
+    const { broken, closed } = requests;
+    switch (result) {
+      case 'ended': {
+        const suspects = [...broken.values(), ...closed.map(({ fingerprints }) => fingerprints)];
+        logger.log('serverEndedUnderRequests', { server: server.id, requests: suspects.length });
+        recordServerExit(server.id, suspects, startedAt);
+        break;
+      }
+      case 'alive':
+        for (const { fingerprints, begunAt, closedAt } of closed) {
+          if (closedAt <= startedAt) recordAnswered(fingerprints, begunAt);
+        }
+        break;
+      case 'unconfirmed':
+      case 'checking':
+        break;
     }
-    check.pending.clear();
+    undecided.delete(incarnationKey(server));
   };
-  const startExitCheck = (
-    server: BackendServer,
-    processKey: string,
-    now: Milliseconds,
-  ): ExitCheck => {
-    const check: ExitCheck = { startedAt: now, result: 'checking', pending: new Set() };
-    exitChecks.set(processKey, check);
-    void runExitCheck(server, check);
-    return check;
+  const checks = createExitChecks(clock, calls, decide);
+  const getUndecided = (server: BackendServer): UndecidedRequests => {
+    pruneClosed(clock.now());
+    const processKey = incarnationKey(server);
+    const existing = undecided.get(processKey);
+    if (existing) return existing;
+    const created: UndecidedRequests = { broken: new Map(), closed: [] };
+    undecided.set(processKey, created);
+    return created;
   };
-  const pruneExitChecks = (now: Milliseconds): void => {
-    for (const [processKey, { startedAt, result }] of exitChecks) {
-      if (result !== 'checking' && now - startedAt >= EXIT_CHECK_VALID_MS)
-        exitChecks.delete(processKey);
+  const pruneClosed = (now: Milliseconds): void => {
+    for (const [processKey, { broken, closed }] of undecided) {
+      const [oldest] = closed;
+      if (oldest === undefined || now - oldest.closedAt < CLOSED_RETENTION_MS) continue;
+      closed.shift();
+      if (broken.size + closed.length === 0) undecided.delete(processKey);
     }
   };
   /**
    * Gateways with evidence of their own store the quarantine, whoever has completed it: that keeps
    * the number of writes small in large fleets.
    */
-  const handleQuarantinedByPeer = (fingerprint: string, source: string): void => {
-    logQuarantined(fingerprint, source);
-    if (table.hasOwnEvidence(fingerprint)) for (const listener of quarantineListeners) listener();
-  };
-  const mergeReport = (report: RequestReport, peer: string): void => {
-    if (table.applyReport(report, clock.now())) handleQuarantinedByPeer(report.fingerprint, peer);
+  const handleQuarantinedByPeer = (quarantine: string, source: string): void => {
+    logQuarantined(quarantine, source);
+    if (table.hasOwnEvidence(quarantine)) for (const listener of quarantineListeners) listener();
   };
   const mergeQuarantined = (quarantined: readonly QuarantineNotice[], source: string): void => {
     for (const entry of quarantined) {
@@ -117,25 +152,28 @@
     }
   };
   return {
-    leftMs: (fingerprint) => table.remainingMs(fingerprint, clock.now()),
-    recordBroken: (fingerprint, server) => {
-      const now = clock.now();
-      pruneExitChecks(now);
-      const processKey = incarnationKey(server);
-      const check = exitChecks.get(processKey) ?? startExitCheck(server, processKey, now);
+    leftMs: (fingerprints) => table.remainingMs(fingerprints, clock.now()),
+    recordBroken: (fingerprints, server) => {
+      const check = checks.check(server);
       switch (check.result) {
         case 'checking':
-          check.pending.add(fingerprint);
+          getUndecided(server).broken.set(fingerprints[0] ?? '', fingerprints);
           break;
         case 'ended':
-          recordServerExit(server.id, [fingerprint]);
+          recordServerExit(server.id, [fingerprints], check.startedAt);
           break;
+        case 'alive':
         case 'unconfirmed':
           break;
       }
     },
-    recordAnswered: (fingerprint) => {
-      table.recordOwnReport({ kind: 'answered', fingerprint, ageMs: 0 }, clock.now());
+    recordAnswered,
+    recordClosed: (fingerprints, server, begunAt) => {
+      getUndecided(server).closed.push({ fingerprints, begunAt, closedAt: clock.now() });
+      if (table.isSuspect(fingerprints)) checks.check(server);
+    },
+    recordUnreachable: (server) => {
+      if (undecided.has(incarnationKey(server))) checks.check(server);
     },
     buildDigest: () => {
       const now = clock.now();
@@ -147,7 +185,8 @@
       };
     },
     mergeDigest: (digest) => {
-      for (const report of collectReports(digest)) mergeReport(report, digest.name);
+      for (const quarantine of table.applyReports(collectReports(digest), clock.now()))
+        handleQuarantinedByPeer(quarantine, digest.name);
       mergeQuarantined(digest.quarantined ?? [], digest.name);
     },
     list: () => table.listQuarantined(clock.now()),
--- a/src/gateway/requests/request-attempts.ts
+++ b/src/gateway/requests/request-attempts.ts
@@ -73,11 +73,6 @@
     return this.possibleRunCount > 0 || this.isAnyInFlight;
   }
 
-  /** Whether a backend server has begun to respond; it is not expected to crash on this request. */
-  get hasResponseStarted(): boolean {
-    return [...this.inFlight].some(({ response }) => response !== undefined);
-  }
-
   /**
    * Time that a backend server gets for an attempt. Ends before a shutdown does, so that the server
    * gives up by itself with a proper response instead of being disconnected.
--- a/src/gateway/requests/request-ending.ts
+++ b/src/gateway/requests/request-ending.ts
@@ -52,6 +52,11 @@
     return this.isEnded;
   }
 
+  /** Whether nothing of a response has been sent to the caller. */
+  get isUnanswered(): boolean {
+    return this.parts.reply.isUnsent;
+  }
+
   /** Records why an attempt failed; the reason is logged if the deadline passes. */
   recordFailureReason(reason: string): void {
     this.lastFailureReason = reason;
@@ -65,7 +70,7 @@
   /** Sends the rest of a complete response. */
   answer(attempt: TrackedAttempt, response: AttemptResponse): void {
     const { reply, relay } = this.parts;
-    this.deps.quarantine.recordAnswered(this.request.fingerprint);
+    this.recordSound(attempt, response);
     if (relay) relay.end(attempt, response);
     else {
       attempt.timing?.recordAnswer();
@@ -74,6 +79,14 @@
     this.finish('answered', `${response.status} by ${response.framing}`);
   }
 
+  private recordSound({ target, respondedAt }: TrackedAttempt, response: AttemptResponse): void {
+    const { fingerprints } = this.request;
+    const { quarantine } = this.deps;
+    if (response.framing === 'connection')
+      quarantine.recordClosed(fingerprints, target, respondedAt);
+    else quarantine.recordAnswered(fingerprints, respondedAt);
+  }
+
   /** The caller closed its connection. */
   handleCallerDisconnect(): void {
     this.finish('callerGone', 'the caller disconnected');
@@ -123,7 +136,7 @@
       this.fail('backend servers end under it');
       return;
     }
-    const leftMs = this.deps.quarantine.leftMs(this.request.fingerprint);
+    const leftMs = this.deps.quarantine.leftMs(this.request.fingerprints);
     this.respondWithFailure(createFailure('quarantined', undefined, leftMs), 'refused');
   }
 
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -62,6 +62,10 @@
   }
 
   start(): void {
+    if (this.isQuarantined) {
+      this.ending.failQuarantined();
+      return;
+    }
     this.deps.watchdog.requests.add(this);
     this.deps.backends.recordRequest(this.request.service.name);
     this.deps.queues.recordArrival(this.request);
@@ -79,7 +83,7 @@
       this.ending.handleDeadline();
       return;
     }
-    if (this.isQuarantined && !this.attempts.hasResponseStarted) {
+    if (this.isQuarantined && this.ending.isUnanswered) {
       this.ending.failQuarantined();
       return;
     }
@@ -91,7 +95,7 @@
   }
 
   private get isQuarantined(): boolean {
-    return this.deps.quarantine.leftMs(this.request.fingerprint) !== undefined;
+    return this.deps.quarantine.leftMs(this.request.fingerprints) !== undefined;
   }
 
   private sendNextAttempt(why: string): void {
@@ -177,8 +181,10 @@
     if (isValidSuccess(response)) {
       this.attempts.end(attempt, 'answered');
       backends.recordResult(server, false);
-      if (this.relay?.hasPartialEvent) this.handleBrokenAttempt('the answer ended within an event');
-      else this.completeRequest(attempt, response);
+      if (this.relay?.hasPartialEvent) {
+        this.deps.quarantine.recordBroken(this.request.fingerprints, attempt.target);
+        this.handleBrokenAttempt('the answer ended within an event');
+      } else this.completeRequest(attempt, response);
       return;
     }
     this.attempts.end(attempt, `status ${response.status}`);
@@ -208,6 +214,7 @@
     switch (failure.kind) {
       case 'notSent':
         this.attempts.recordNotArrived();
+        if (!attempt.isRelayed) quarantine.recordUnreachable(attempt.target);
         backends.suspect(
           attempt.server,
           failure.reason,
@@ -223,7 +230,7 @@
       case 'broken':
         // A relayed attempt may have broken off at the relay.
         if (!attempt.isRelayed) backends.recordResult(attempt.server, true);
-        quarantine.recordBroken(this.request.fingerprint, attempt.target);
+        quarantine.recordBroken(this.request.fingerprints, attempt.target);
         this.handleBrokenAttempt(failure.reason);
         break;
     }
--- a/src/gateway/requests/request-server.ts
+++ b/src/gateway/requests/request-server.ts
@@ -15,7 +15,7 @@
 import type { ServerAvailability } from '../backends/server-availability.js';
 import type { BackendTracker } from './backend-tracker.js';
 import { readBody, type BodyResult } from './request-body.js';
-import { computeFingerprint } from './fingerprint.js';
+import { computeFingerprints } from './fingerprint.js';
 import type { Quarantine } from './quarantine.js';
 import { createReply, type Reply } from './reply.js';
 import { reportIncompleteBody } from './request-report.js';
@@ -141,9 +141,10 @@
     reply: Reply,
   ): void => {
     updateInFlight(1);
-    const fingerprint = computeFingerprint({ ...head, body });
+    const fingerprints = computeFingerprints({ ...head, body });
+    const [fingerprint = ''] = fingerprints;
     const forwarder = new RequestForwarder(
-      { ...head, body, fingerprint },
+      { ...head, body, fingerprint, fingerprints },
       reply,
       dependencies,
       () => {
--- a/src/gateway/requests/tracked-attempt.ts
+++ b/src/gateway/requests/tracked-attempt.ts
@@ -35,6 +35,8 @@
   readonly body: Buffer[] = [];
   response: AttemptResponse | undefined;
   readonly sentAt: Milliseconds;
+  /** When the server began to respond; the time of sending before that. */
+  respondedAt: Milliseconds;
   lastProgressAt: Milliseconds;
   serverStallMs: Milliseconds;
   attemptStallMs: Milliseconds;
@@ -56,6 +58,7 @@
     this.attemptStallMs = limits.attemptStallMs;
     this.sentAt = clock.now();
     this.lastProgressAt = this.sentAt;
+    this.respondedAt = this.sentAt;
   }
 
   get server(): string {
@@ -101,6 +104,7 @@
   onResponse(response: AttemptResponse): void {
     this.response = response;
     this.lastProgressAt = this.clock.now();
+    this.respondedAt = this.lastProgressAt;
     if (!this.isEnded) this.owner.onResponse(this, response);
   }
 
--- a/src/gateway/requests/types.ts
+++ b/src/gateway/requests/types.ts
@@ -15,6 +15,8 @@
   body: Buffer | undefined;
   /** Hash that all attempts of the same request share. */
   fingerprint: string;
+  /** The same, and those of the parts of its prompt. */
+  fingerprints: readonly string[];
   route: Route;
   service: ServingService;
   /** Present when engines serve the request as replicas of a model. */
@@ -28,7 +30,7 @@
 }
 
 /** A request whose body has not been read yet. */
-export type RequestHead = Omit<AdmittedRequest, 'body' | 'fingerprint'>;
+export type RequestHead = Omit<AdmittedRequest, 'body' | 'fingerprint' | 'fingerprints'>;
 
 /** How a request ended, for logs and metrics. */
 export type RequestOutcome =
