Hold a crashing part over the whole fleet, with properties at 7, 85 and 300 gateways

Hubs now pass on at once what is new to them: reports of their domain to the other hubs, quarantines to all (one small call, only while there are any). The relays of urgent news have a module of their own.

A gateway decided on the fresh suspects alone, so a sound part was chosen where the report of the crashing one was 10 to 60 ms behind. All fingerprints with failures are candidates now, the most specific first, and none that others explain better. - Nothing decided while no report came, as when all engines had ended. The table is reviewed once the time without an answer is over. - Ages of answers crept forward as each gateway passed them on. A report names the parts that its gateway itself had answered; that clears nothing. - A gateway that was cut off told of a quarantine by few failures; those who know better don't adopt it.

--- a/bench/profile/stand-in-peers.ts
+++ b/bench/profile/stand-in-peers.ts
@@ -61,6 +61,7 @@
       catchUp: () => ({}),
       applyFleetUpdate: () => undefined,
       applySuspicions: () => undefined,
+      applyQuarantineNews: () => undefined,
       applyEvacuations: () => undefined,
       noteConfigurationVersion: () => undefined,
       checkServer: () => Promise.resolve({ kind: 'unknown' }),
--- a/features/gateway/evacuating.steps.ts
+++ b/features/gateway/evacuating.steps.ts
@@ -351,6 +351,7 @@
     catchUp: () => ({}),
     applyFleetUpdate: () => undefined,
     applySuspicions: () => undefined,
+    applyQuarantineNews: () => undefined,
     applyEvacuations: (state) => {
       this.notices.push(state);
     },
--- a/features/gateway/peering-model.ts
+++ b/features/gateway/peering-model.ts
@@ -33,6 +33,8 @@
   evacuationProof: Proof | undefined;
   /** Called with evacuations that have begun or ended. */
   onEvacuations: ((state: EvacuationState) => void) | undefined;
+  /** Called with each digest that it has applied. */
+  onDigest: ((digest: Digest) => void) | undefined;
   /** Servers that other gateways reported to have ended while handling a request. */
   readonly reportedServerEnds = new Set<string>();
   readonly speeds = new ServerSpeeds();
@@ -100,6 +102,7 @@
     for (const report of collectReports(digest)) {
       if (report.kind === 'serverEnded') this.reportedServerEnds.add(report.server);
     }
+    this.onDigest?.(digest);
   }
 
   /** The own digest with domain summaries. */
@@ -117,11 +120,17 @@
   now = 0;
   readonly gateways: ModelGateway[] = [];
 
-  constructor(domains: number, size: number) {
+  constructor(
+    domains: number,
+    size: number,
+    create: (...location: ConstructorParameters<typeof ModelGateway>) => ModelGateway = (
+      ...location
+    ) => new ModelGateway(...location),
+  ) {
     for (let index = 0; index < domains * size; index += 1) {
       const domain = `domain-${index % domains}`;
       const load: [string, number][] = [[`server-${index % 7}`, 1 + (index % 3)]];
-      this.gateways.push(new ModelGateway(`gateway-${index}`, domain, load));
+      this.gateways.push(create(`gateway-${index}`, domain, load));
     }
     for (const gateway of this.gateways) gateway.restart(this.gateways, 0);
   }
--- a/src/controllers/peering/index.ts
+++ b/src/controllers/peering/index.ts
@@ -1,6 +1,7 @@
 export * from './lag.js';
 export * from './load.js';
 export * from './peer-table.js';
+export * from './quarantine-news.js';
 export * from './reports.js';
 export * from './speeds.js';
 export * from './types.js';
--- a/src/controllers/quarantine/culprits.ts
+++ b/src/controllers/quarantine/culprits.ts
@@ -15,11 +15,9 @@
 /** The same for a fingerprint that is quarantined already, but only together with others. */
 const FAILURES_UNTIL_WIDENED = 2;
 /** The same for a part that was answered before. */
-const FAILURES_OF_ANSWERED_PART = 5;
+export const FAILURES_OF_ANSWERED_PART = 5;
 /** For so long a part that was answered before must have failed without an answer. */
-const ANSWERED_PART_WAIT_MS: Milliseconds = 2_000;
-/** A part that was answered within this time before its first failure was answered before. */
-const ANSWERED_BEFORE_MS: Milliseconds = 60_000;
+export const ANSWERED_PART_WAIT_MS: Milliseconds = 2_000;
 /** Servers that fail together, such as for lack of power, don't fail for something in a request. */
 const SIMULTANEOUS_MS: Milliseconds = 100;
 const QUARANTINE_MS: Milliseconds = 600_000;
@@ -36,44 +34,71 @@
   forMs: Milliseconds;
 }
 
-/** Whether a part was answered shortly before the first of its failures. */
-export function wasAnsweredBefore(
-  evidence: Evidence,
-  fingerprint: string,
-  firstFailureAt: Milliseconds,
-): boolean {
-  return (
-    isPartFingerprint(fingerprint) &&
-    evidence.answeredAt(fingerprint) >= firstFailureAt - ANSWERED_BEFORE_MS
-  );
+/** A fingerprint that explains enough failures. */
+interface Candidate {
+  fingerprint: string;
+  failures: readonly Involvement[];
+  /** Those that each request with it had as well, at each failure. */
+  companions: readonly string[];
 }
 
 /**
  * The most specific fingerprints that explain enough failures which `held` doesn't explain; undefined
- * if there are none among `candidates`. `isRepeated` tells whether one was quarantined before.
+ * if none of `suspects` explains enough. `isRepeated` tells whether one was quarantined before.
  */
 export function findCulprit(
   evidence: Evidence,
-  candidates: Iterable<string>,
+  suspects: Iterable<string>,
   held: readonly HeldFingerprints[],
   isRepeated: (fingerprint: string) => boolean,
+  now: Milliseconds,
 ): Culprit | undefined {
-  let best: { culprit: Culprit; failures: number } | undefined;
-  for (const fingerprint of candidates) {
-    if (!isCulprit(evidence, fingerprint, held)) continue;
-    const failures = evidence.failuresOf(fingerprint);
-    const fingerprints = listInseparable(evidence, fingerprint, failures);
-    const isBetter =
-      best === undefined ||
-      fingerprints.length > best.culprit.fingerprints.length ||
-      (fingerprints.length === best.culprit.fingerprints.length && failures.length > best.failures);
-    if (!isBetter) continue;
-    const isShort =
-      !isRepeated(fingerprint) && wasAnsweredBefore(evidence, fingerprint, firstOf(failures));
-    const forMs = isShort ? ANSWERED_PART_QUARANTINE_MS : QUARANTINE_MS;
-    best = { culprit: { fingerprints, forMs }, failures: failures.length };
-  }
-  return best?.culprit;
+  if (![...suspects].some((each) => isCulprit(evidence, each, held, now))) return undefined;
+  const candidates = evidence
+    .listFailed(FAILURES_UNTIL_WIDENED)
+    .filter((each) => isCulprit(evidence, each, held, now))
+    .map((fingerprint) => toCandidate(evidence, fingerprint))
+    .filter(({ fingerprint }) => !isDominated(evidence, fingerprint));
+  const [best] = candidates.sort(
+    (a, b) => b.companions.length - a.companions.length || b.failures.length - a.failures.length,
+  );
+  if (best === undefined) return undefined;
+  const { fingerprint, failures, companions } = best;
+  const firstAt = firstOf(failures);
+  const wasSound = evidence.wasAnsweredBefore(fingerprint, firstAt);
+  const inseparable = companions.filter((each) => {
+    // Beside something new, what was answered before is the less likely cause.
+    const isLessLikely = !wasSound && evidence.wasAnsweredBefore(each, firstAt);
+    return !isLessLikely && evidence.answeredAt(each) < firstAt;
+  });
+  return {
+    fingerprints: [fingerprint, ...inseparable].sort(),
+    forMs: wasSound && !isRepeated(fingerprint) ? ANSWERED_PART_QUARANTINE_MS : QUARANTINE_MS,
+  };
+}
+
+function toCandidate(evidence: Evidence, fingerprint: string): Candidate {
+  const failures = evidence.failuresOf(fingerprint);
+  const [first, ...others] = failures;
+  const companions = (first?.companions ?? []).filter((companion) =>
+    others.every((failure) => failure.companions.includes(companion)),
+  );
+  return { fingerprint, failures, companions };
+}
+
+/** Whether a fingerprint of other requests explains all of the failures, and more. */
+export function isDominated(evidence: Evidence, fingerprint: string): boolean {
+  const { failures, companions } = toCandidate(evidence, fingerprint);
+  if (failures.length === 0) return false;
+  return evidence
+    .listFailed(failures.length + 1)
+    .some(
+      (other) =>
+        !companions.includes(other) &&
+        failures.every((failure) =>
+          evidence.failuresOf(other).some((each) => isSameFailure(each, failure)),
+        ),
+    );
 }
 
 /** Whether the fingerprint explains enough failures that `held` doesn't explain. */
@@ -81,6 +106,7 @@
   evidence: Evidence,
   fingerprint: string,
   held: readonly HeldFingerprints[],
+  now: Milliseconds,
 ): boolean {
   const failures = evidence.failuresOf(fingerprint);
   if (failures.length < FAILURES_UNTIL_WIDENED) return false;
@@ -89,13 +115,9 @@
     (failure) => !isAttributed(evidence, fingerprint, failure, failures.length, held),
   );
   const count = countIndependent(fingerprint, unattributed);
-  if (!wasAnsweredBefore(evidence, fingerprint, firstOf(failures)))
+  if (!evidence.wasAnsweredBefore(fingerprint, firstOf(failures)))
     return count >= (isHeldWithOthers ? FAILURES_UNTIL_WIDENED : FAILURES_UNTIL_QUARANTINE);
-  const times = unattributed.map(({ at }) => at);
-  return (
-    count >= FAILURES_OF_ANSWERED_PART &&
-    Math.max(...times) - Math.min(...times) >= ANSWERED_PART_WAIT_MS
-  );
+  return count >= FAILURES_OF_ANSWERED_PART && now - firstOf(unattributed) >= ANSWERED_PART_WAIT_MS;
 }
 
 /** Whether `held` explains all known failures of the fingerprint, of which there are some. */
@@ -111,23 +133,6 @@
   );
 }
 
-/** The fingerprint and those that each request with it had at each failure, but for sound ones. */
-function listInseparable(
-  evidence: Evidence,
-  fingerprint: string,
-  failures: readonly Involvement[],
-): string[] {
-  const [first, ...others] = failures;
-  const firstAt = firstOf(failures);
-  const companions = (first?.companions ?? []).filter(
-    (companion) =>
-      others.every(({ companions: each }) => each.includes(companion)) &&
-      evidence.answeredAt(companion) < firstAt &&
-      !wasAnsweredBefore(evidence, companion, firstAt),
-  );
-  return [fingerprint, ...companions].sort();
-}
-
 /**
  * Whether a quarantine explains the failure: all of its fingerprints were involved, and either in at
  * least `count` failures, or by a request that had this fingerprint as well.
--- a/src/controllers/quarantine/evidence.ts
+++ b/src/controllers/quarantine/evidence.ts
@@ -14,6 +14,8 @@
 /** Maximum number of fingerprints with failures. Beyond it, the oldest that isn't held is evicted. */
 const MAX_RECORDS = 5_000;
 const MAX_ANSWERED_PARTS = 4_000;
+/** A part that was answered within this time before its first failure was answered before. */
+const ANSWERED_BEFORE_MS: Milliseconds = 60_000;
 
 /** A failed backend server. */
 export interface ServerFailure {
@@ -33,6 +35,8 @@
   /** Failures since the last answer, in the order of their reports. */
   failures: Involvement[];
   answeredAt: Milliseconds;
+  /** The last failure of which another gateway reported that it had answered the part before. */
+  reportedSoundAt: Milliseconds;
 }
 
 /** What one gateway knows of fingerprints. */
@@ -54,6 +58,30 @@
     return this.records.get(fingerprint)?.failures ?? [];
   }
 
+  /** Fingerprints with at least so many failures since their last answer. */
+  listFailed(minFailures: number): string[] {
+    return [...this.records]
+      .filter(([, { failures }]) => failures.length >= minFailures)
+      .map(([fingerprint]) => fingerprint);
+  }
+
+  /** Whether a part was answered shortly before the first of its failures. */
+  wasAnsweredBefore(fingerprint: string, firstFailureAt: Milliseconds): boolean {
+    if (!isPartFingerprint(fingerprint)) return false;
+    const record = this.records.get(fingerprint);
+    const soundAt = Math.max(
+      this.answeredAt(fingerprint),
+      record?.reportedSoundAt ?? Number.NEGATIVE_INFINITY,
+    );
+    return soundAt >= firstFailureAt - ANSWERED_BEFORE_MS;
+  }
+
+  /** Adds that another gateway had answered the part shortly before a failure. */
+  addSoundBefore(part: string, failureAt: Milliseconds): void {
+    const record = this.records.get(part);
+    if (record) record.reportedSoundAt = Math.max(record.reportedSoundAt, failureAt);
+  }
+
   /** When a request with the fingerprint was last answered, as far as known. */
   answeredAt(fingerprint: string): Milliseconds {
     return (
@@ -122,7 +150,11 @@
     const existing = this.records.get(fingerprint);
     if (existing) return existing;
     if (this.records.size >= MAX_RECORDS) this.evictOldest();
-    const created: FingerprintRecord = { failures: [], answeredAt: this.answeredAt(fingerprint) };
+    const created: FingerprintRecord = {
+      failures: [],
+      answeredAt: this.answeredAt(fingerprint),
+      reportedSoundAt: Number.NEGATIVE_INFINITY,
+    };
     this.answeredParts.delete(fingerprint);
     this.records.set(fingerprint, created);
     return created;
--- a/src/controllers/quarantine/quarantine-table.ts
+++ b/src/controllers/quarantine/quarantine-table.ts
@@ -10,12 +10,17 @@
  * fingerprints, and a failure doesn't count against one if a quarantine explains it better.
  */
 import type { Milliseconds } from '../../core/clock/index.js';
-import { findCulprit, isExplained, wasAnsweredBefore } from './culprits.js';
+import {
+  ANSWERED_PART_WAIT_MS,
+  FAILURES_OF_ANSWERED_PART,
+  findCulprit,
+  isDominated,
+  isExplained,
+} from './culprits.js';
 import { Evidence } from './evidence.js';
 import { covers, QuarantineList, type Quarantine } from './quarantine-list.js';
 import {
   fingerprintsOf,
-  isPartFingerprint,
   parseFingerprints,
   type QuarantineNotice,
   type RequestReport,
@@ -26,19 +31,30 @@
 /** How long own reports are shared; covers several exchanges at the longest interval. */
 const REPORT_SHARING_MS: Milliseconds = 3_000;
 const MAX_SHARED_REPORTS = 200;
-/** A part that was answered is not reported again within this time. */
-const ANSWER_SHARING_INTERVAL_MS: Milliseconds = 1_000;
+/** Failures are reviewed for this long without further ones. */
+const REVIEW_MS: Milliseconds = 5_000;
+const REVIEW_INTERVAL_MS: Milliseconds = 250;
 
 interface OwnReport {
   report: RequestReport;
   at: Milliseconds;
 }
 
+/** What reports of other gateways have changed here. */
+export interface ReportOutcome {
+  /** Quarantines that have begun. */
+  started: string[];
+  /** The reports that were news. */
+  fresh: RequestReport[];
+}
+
 /** The suspect and quarantined fingerprints known to one gateway. */
 export class QuarantineTable {
   private readonly quarantines = new QuarantineList();
   private readonly evidence = new Evidence((fingerprint) => this.quarantines.isHeld(fingerprint));
   private ownReports: OwnReport[] = [];
+  /** When failures that have led to no quarantine may do so without another one. */
+  private reviewAt: Milliseconds | undefined;
 
   /** Number of tracked fingerprints. */
   get size(): number {
@@ -54,50 +70,46 @@
   ): string[] {
     const ageMs = now - at;
     const reports = requests.map(([fingerprint = '', ...parts]): RequestReport => {
+      const answeredParts = parts.filter((part) => this.evidence.wasAnsweredBefore(part, at));
       return {
         kind: 'serverEnded',
         fingerprint,
         ...(parts.length > 0 && { parts }),
+        ...(answeredParts.length > 0 && { answeredParts }),
         server,
         ageMs,
       };
     });
-    const parts = new Set(requests.flat().filter(isPartFingerprint));
-    this.share([...this.reportSoundParts(parts, at, now), ...reports], now);
-    return this.applyReports(reports, now, true);
+    this.share(reports, now);
+    return this.applyReports(reports, now, true).started;
   }
 
   /** Records an answer that began at `at` to a request of this gateway. */
   recordOwnAnswer(fingerprints: readonly string[], at: Milliseconds, now: Milliseconds): void {
     const [fingerprint = '', ...parts] = fingerprints;
-    const isCleared = this.applyAnswer(fingerprints, at, now);
     // Answers to requests that aren't suspect need not be shared.
-    if (!isCleared) return;
+    if (!this.applyAnswer(fingerprints, at, now)) return;
     const report: RequestReport = { kind: 'answered', fingerprint, ageMs: now - at };
     this.share([{ ...report, ...(parts.length > 0 && { parts }) }], now);
   }
 
-  /** Applies reports of any gateway; returns the quarantines that they start. */
-  applyReports(reports: readonly RequestReport[], now: Milliseconds, isOwn = false): string[] {
+  /** Applies reports of any gateway. */
+  applyReports(reports: readonly RequestReport[], now: Milliseconds, isOwn = false): ReportOutcome {
     const suspects = new Set<string>();
-    for (const report of reports) {
-      const fingerprints = fingerprintsOf(report);
-      const at = now - report.ageMs;
-      switch (report.kind) {
-        case 'answered':
-          this.applyAnswer(fingerprints, at, now);
-          break;
-        case 'serverEnded':
-          for (const fingerprint of this.evidence.addFailure(
-            fingerprints,
-            { server: report.server, at, isOwn },
-            now,
-          ))
-            suspects.add(fingerprint);
-          break;
-      }
-    }
-    return this.quarantineCulprits(suspects, now);
+    const fresh = reports.filter((report) => this.applyReport(report, now, isOwn, suspects));
+    return { started: this.quarantineCulprits(suspects, now), fresh };
+  }
+
+  /** To be called often: returns quarantines that begin as nothing was answered for long enough. */
+  review(now: Milliseconds): string[] {
+    if (this.reviewAt === undefined || now < this.reviewAt) return [];
+    const suspects = this.evidence.listFailed(FAILURES_OF_ANSWERED_PART);
+    const started = this.quarantineCulprits(suspects, now);
+    const isWaiting = suspects.some(
+      (each) => !this.quarantines.isHeld(each) && this.hasFailedSince(each, now - REVIEW_MS),
+    );
+    this.reviewAt = isWaiting ? now + REVIEW_INTERVAL_MS : undefined;
+    return started;
   }
 
   /** Applies a quarantine of another gateway; returns whether it holds requests that weren't held. */
@@ -107,6 +119,8 @@
     if (this.remainingMs(fingerprints, now) !== undefined || leftMs <= 0) return false;
     if (this.quarantines.wasReleasedAfter(fingerprints, since)) return false;
     if (fingerprints.some((each) => this.evidence.answeredAt(each) >= since)) return false;
+    // The other gateway may have heard of few of the failures.
+    if (fingerprints.every((each) => isDominated(this.evidence, each))) return false;
     this.quarantines.start(fingerprints, since, now + Math.min(leftMs, MAX_QUARANTINE_MS));
     return true;
   }
@@ -144,33 +158,37 @@
     return this.quarantines.listNotices(now);
   }
 
+  private hasFailedSince(fingerprint: string, since: Milliseconds): boolean {
+    return this.evidence.failuresOf(fingerprint).some(({ at }) => at >= since);
+  }
+
   private share(reports: readonly RequestReport[], now: Milliseconds): void {
     const added = reports.map((report) => ({ report, at: now }));
     this.ownReports = [...this.ownReports, ...added].slice(-MAX_SHARED_REPORTS);
   }
 
-  /** Tells other gateways, which may not have answered these parts, that they are not new. */
-  private reportSoundParts(
-    parts: Iterable<string>,
-    failedAt: Milliseconds,
+  /** Adds the fingerprints that the report makes suspect to `suspects`; returns whether it is news. */
+  private applyReport(
+    report: RequestReport,
     now: Milliseconds,
-  ): RequestReport[] {
-    return [...parts]
-      .filter((part) => wasAnsweredBefore(this.evidence, part, failedAt))
-      .filter(
-        (part) =>
-          !this.ownReports.some(
-            ({ report, at }) =>
-              report.kind === 'answered' &&
-              fingerprintsOf(report).includes(part) &&
-              now - at < ANSWER_SHARING_INTERVAL_MS,
-          ),
-      )
-      .map((fingerprint) => ({
-        kind: 'answered',
-        fingerprint,
-        ageMs: now - this.evidence.answeredAt(fingerprint),
-      }));
+    isOwn: boolean,
+    suspects: Set<string>,
+  ): boolean {
+    const fingerprints = fingerprintsOf(report);
+    const at = now - report.ageMs;
+    switch (report.kind) {
+      case 'answered':
+        return this.applyAnswer(fingerprints, at, now);
+      case 'serverEnded': {
+        const failure = { server: report.server, at, isOwn };
+        const involved = this.evidence.addFailure(fingerprints, failure, now);
+        if (!isOwn)
+          for (const part of report.answeredParts ?? []) this.evidence.addSoundBefore(part, at);
+        for (const fingerprint of involved) suspects.add(fingerprint);
+        if (involved.length > 0) this.reviewAt ??= now + ANSWERED_PART_WAIT_MS;
+        return involved.length > 0;
+      }
+    }
   }
 
   /** Returns whether the answer clears anything. */
@@ -201,21 +219,22 @@
     if (others.length > 0) this.quarantines.start(others, since, until);
   }
 
-  private quarantineCulprits(suspects: ReadonlySet<string>, now: Milliseconds): string[] {
-    const candidates = new Set(suspects);
+  private quarantineCulprits(suspects: Iterable<string>, now: Milliseconds): string[] {
     const started: string[] = [];
-    while (candidates.size > 0) {
-      const culprit = findCulprit(this.evidence, candidates, this.quarantines.all, (each) =>
-        this.quarantines.isHeld(each),
+    for (;;) {
+      const culprit = findCulprit(
+        this.evidence,
+        suspects,
+        this.quarantines.all,
+        (each) => this.quarantines.isHeld(each),
+        now,
       );
-      if (culprit === undefined) break;
+      if (culprit === undefined) return started;
       const { fingerprints, forMs } = culprit;
-      for (const fingerprint of fingerprints) candidates.delete(fingerprint);
-      if (this.remainingMs(fingerprints, now) !== undefined) continue;
+      if (this.remainingMs(fingerprints, now) !== undefined) return started;
       started.push(this.quarantines.start(fingerprints, now, now + forMs));
       this.releaseExplained(fingerprints, now);
     }
-    return started;
   }
 
   /** Ends quarantines whose failures are explained by that of `fingerprints`, which was found later. */
--- a/src/controllers/quarantine/types.ts
+++ b/src/controllers/quarantine/types.ts
@@ -15,6 +15,8 @@
     kind: z.literal('serverEnded'),
     fingerprint: z.string(),
     parts,
+    /** Those of the parts that the reporting gateway had answered shortly before. */
+    answeredParts: parts,
     server: z.string(),
     ageMs: durationMs,
   }),
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -16,7 +16,6 @@
   type ReportedSuspicion,
   type Versions,
 } from '../../controllers/peering/index.js';
-import type { EvacuationState } from '../../controllers/evacuation/index.js';
 import type { FleetMembers } from '../../controllers/quotas/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { Failure } from '../../core/errors/index.js';
@@ -33,6 +32,7 @@
 import { createFollowControl } from './follow-control.js';
 import type { LinkMonitor } from '../links/link-monitor.js';
 import type { RelayHandler } from '../relay/relay-handler.js';
+import { createNewsRelay } from './news-relay.js';
 import { createPeerListener, type PeerClient, type PeerHandlers } from './rpc.js';
 import type { CatchUpResponse } from './messages.js';
 import { createGatewayRegistration } from './registration.js';
@@ -81,6 +81,7 @@
     failureDomain: settings.failureDomain,
   };
   const table = new PeerTable(self);
+  const relay = createNewsRelay(self, table, client, logger);
   const incarnations = new Map<string, string>();
   const pendingExchanges = new Set<string>();
   const startedAt = clock.now();
@@ -176,32 +177,7 @@
     );
     for (const { server, ageMs } of adopted)
       logger.log('suspicionLearned', { server, peer, ageMs });
-    relaySuspicions(adopted);
-  };
-  /**
-   * A hub tells its failure domain and the other hubs at once. With the next exchange only, each gateway
-   * of a large fleet would go on sending to a stalled server for about as long as a request lasts.
-   */
-  const relaySuspicions = (suspicions: readonly ReportedSuspicion[]): void => {
-    if (suspicions.length === 0) return;
-    for (const peer of table.listRelayPeers()) {
-      client.sendSuspicions(peer.address, suspicions).catch((error: unknown) => {
-        logger.log('peerCallFailed', { peer: peer.name, reason: String(error) });
-      });
-    }
-  };
-  /**
-   * A hub tells its failure domain and the other hubs at once. With exchanges alone a change would cross
-   * two hubs and use up most of the time within which it has to be in force.
-   */
-  const relayEvacuations = (state: EvacuationState): void => {
-    if (!table.isHub()) return;
-    const peers = table.isPairwise() ? table.listPartners() : table.listRelayPeers();
-    for (const peer of peers) {
-      client.sendEvacuations(peer.address, state).catch((error: unknown) => {
-        logger.log('peerCallFailed', { peer: peer.name, reason: String(error) });
-      });
-    }
+    relay.suspicions(adopted);
   };
   const listOwnSuspicions = (now: Milliseconds): ReportedSuspicion[] =>
     backends.suspicions.listConfirmed(now).map(({ server, since, until }) => ({
@@ -221,7 +197,8 @@
       incarnations.set(digest.name, digest.incarnation);
       logger.log('peerHeard', { peer: digest.name, address: digest.address });
     }
-    quarantine.mergeDigest(digest);
+    const isOwnDomain = digest.failureDomain === self.failureDomain;
+    relay.quarantine(quarantine.mergeDigest(digest), isOwnDomain);
     configuration.noteVersion(digest.configurationVersion);
     if (digest.evacuations) evacuation?.applyState(digest.evacuations, digest.name);
     publishThrottled();
@@ -290,6 +267,9 @@
     applySuspicions: (suspicions) => {
       adoptSuspicions(suspicions, 'relayed');
     },
+    applyQuarantineNews: (news) => {
+      relay.quarantine(quarantine.mergeNews(news, 'relayed'), false);
+    },
     applyEvacuations: (state) => {
       evacuation?.applyState(state, 'relayed');
     },
@@ -328,18 +308,21 @@
       };
       backends.onSuspicion((server) => {
         notifyDomain();
-        relaySuspicions(listOwnSuspicions(clock.now()).filter((own) => own.server === server));
+        relay.suspicions(listOwnSuspicions(clock.now()).filter((own) => own.server === server));
       });
       backends.onRateLimitChange(notifyDomain);
-      evacuation?.onChange(relayEvacuations);
+      evacuation?.onChange((state) => {
+        relay.evacuations(state);
+      });
       options.speeds.onNews(notifyDomain);
       // Other gateways must neither choose this one as a relay nor leave fabric domains to it.
       board.cutOffServices.subscribe(() => {
         for (const peer of table.listPartners()) void exchange(peer);
       });
       // The next copy of a harmful request may reach any gateway, so report it immediately.
-      quarantine.onReport(() => {
+      quarantine.onReport((quarantined) => {
         for (const peer of table.listPartners()) void exchange(peer);
+        relay.quarantine({ reports: [], quarantined: [...quarantined] }, true);
       });
     },
     refreshRegistration: () => {
--- a/src/gateway/peers/rpc.ts
+++ b/src/gateway/peers/rpc.ts
@@ -8,8 +8,10 @@
 import { createRpcLink, createRpcListener, type RpcListener } from '../../adapters/peers/index.js';
 import {
   digestSchema,
+  quarantineNewsSchema,
   suspicionsSchema,
   type Digest,
+  type QuarantineNews,
   type ReportedSuspicion,
   type Versions,
 } from '../../controllers/peering/index.js';
@@ -34,6 +36,8 @@
   applyFleetUpdate(update: FleetUpdate): void;
   /** Called with suspicions that another gateway has just raised or heard of. */
   applySuspicions(suspicions: readonly ReportedSuspicion[]): void;
+  /** Called with servers that ended under requests, and quarantines, that are new to a hub. */
+  applyQuarantineNews(news: QuarantineNews): void;
   /** Called with evacuations that a hub has just learned of. */
   applyEvacuations(state: EvacuationState): void;
   /** Called when another gateway has applied this version of the configuration. */
@@ -59,6 +63,9 @@
     suspicions: procedure.input(suspicionsSchema).mutation(({ input }) => {
       handlers.applySuspicions(input);
     }),
+    quarantine: procedure.input(quarantineNewsSchema).mutation(({ input }) => {
+      handlers.applyQuarantineNews(input);
+    }),
     evacuations: procedure.input(evacuationStateSchema).mutation(({ input }) => {
       handlers.applyEvacuations(input);
     }),
@@ -94,6 +101,7 @@
   catchUp(address: string, versions: Versions): Promise<CatchUpResponse>;
   sendFleetUpdate(address: string, update: FleetUpdate): Promise<void>;
   sendSuspicions(address: string, suspicions: readonly ReportedSuspicion[]): Promise<void>;
+  sendQuarantineNews(address: string, news: QuarantineNews): Promise<void>;
   sendEvacuations(address: string, state: EvacuationState): Promise<void>;
   notifyConfigurationVersion(address: string, configurationVersion: number): Promise<void>;
   checkServer(address: string, server: string): Promise<ServerCheck>;
@@ -129,6 +137,10 @@
       callWithTimeout(CALL_TIMEOUT_MS, (signal) =>
         rpcClientFor(address).suspicions.mutate([...suspicions], { signal }),
       ),
+    sendQuarantineNews: (address, news) =>
+      callWithTimeout(CALL_TIMEOUT_MS, (signal) =>
+        rpcClientFor(address).quarantine.mutate(news, { signal }),
+      ),
     sendEvacuations: (address, state) =>
       callWithTimeout(CALL_TIMEOUT_MS, (signal) =>
         rpcClientFor(address).evacuations.mutate(state, { signal }),
--- a/src/gateway/requests/quarantine.ts
+++ b/src/gateway/requests/quarantine.ts
@@ -7,7 +7,11 @@
  * have been cut by the end of its server, so it counts neither as broken nor as complete before that.
  */
 import { incarnationKey } from '../../controllers/groups/index.js';
-import { collectReports, type Digest } from '../../controllers/peering/index.js';
+import {
+  collectReports,
+  type Digest,
+  type QuarantineNews,
+} from '../../controllers/peering/index.js';
 import {
   parseFingerprints,
   QuarantineTable,
@@ -43,13 +47,18 @@
   recordUnreachable(server: BackendServer): void;
   /** Reports and quarantines to send to other gateways. */
   buildDigest(): QuarantineDigest;
-  /** Merges the digest of another gateway. */
-  mergeDigest(digest: Digest): void;
+  /** Merges the digest of another gateway; returns what of it was news. */
+  mergeDigest(digest: Digest): QuarantineNews;
+  /** Merges what the gateway `source` tells at once; returns what of it was news. */
+  mergeNews(news: QuarantineNews, source: string): QuarantineNews;
   list(): QuarantineNotice[];
   /** Restores the quarantines from before a restart. */
   restore(quarantined: readonly QuarantineNotice[]): void;
-  /** Called when this gateway has a new report that the others should get immediately. */
-  onReport(listener: () => void): void;
+  /**
+   * Called when this gateway has a new report that the others should get immediately, with the
+   * quarantines that began with it.
+   */
+  onReport(listener: (quarantined: readonly QuarantineNotice[]) => void): void;
   /** Called when a quarantine has begun for which this gateway has evidence of its own. */
   onQuarantine(listener: () => void): void;
 }
@@ -77,7 +86,7 @@
 ): Quarantine {
   const table = new QuarantineTable();
   const undecided = new Map<string, UndecidedRequests>();
-  const reportListeners: (() => void)[] = [];
+  const reportListeners: ((quarantined: readonly QuarantineNotice[]) => void)[] = [];
   const quarantineListeners: (() => void)[] = [];
 
   const logQuarantined = (fingerprint: string, source: string): void => {
@@ -85,6 +94,12 @@
     const leftMs = Math.round(table.remainingMs(parseFingerprints(fingerprint), clock.now()) ?? 0);
     logger.log('requestQuarantined', { fingerprint, source, leftMs });
   };
+  const listNotices = (quarantines: readonly string[]): QuarantineNotice[] =>
+    quarantines.length === 0
+      ? []
+      : table
+          .listQuarantined(clock.now())
+          .filter(({ fingerprint }) => quarantines.includes(fingerprint));
   const recordServerExit = (
     server: string,
     requests: readonly RequestFingerprints[],
@@ -92,7 +107,8 @@
   ): void => {
     const started = table.recordOwnFailure(server, requests, at, clock.now());
     for (const quarantine of started) logQuarantined(quarantine, 'own evidence');
-    for (const listener of reportListeners) listener();
+    const notices = listNotices(started);
+    for (const listener of reportListeners) listener(notices);
     if (started.length > 0) for (const listener of quarantineListeners) listener();
   };
   const recordAnswered = (fingerprints: RequestFingerprints, begunAt: Milliseconds): void => {
@@ -142,17 +158,26 @@
    * Gateways with evidence of their own store the quarantine, whoever has completed it: that keeps
    * the number of writes small in large fleets.
    */
-  const handleQuarantinedByPeer = (quarantine: string, source: string): void => {
+  const handleQuarantined = (quarantine: string, source: string): void => {
     logQuarantined(quarantine, source);
     if (table.hasOwnEvidence(quarantine)) for (const listener of quarantineListeners) listener();
   };
-  const mergeQuarantined = (quarantined: readonly QuarantineNotice[], source: string): void => {
-    for (const entry of quarantined) {
-      if (table.applyNotice(entry, clock.now())) handleQuarantinedByPeer(entry.fingerprint, source);
-    }
+  const mergeNews = ({ reports, quarantined }: QuarantineNews, source: string): QuarantineNews => {
+    const now = clock.now();
+    const { started, fresh } = table.applyReports(reports, now);
+    const adopted = quarantined
+      .filter((notice) => table.applyNotice(notice, now))
+      .map(({ fingerprint }) => fingerprint);
+    const begun = [...started, ...adopted];
+    for (const quarantine of begun) handleQuarantined(quarantine, source);
+    return { reports: fresh, quarantined: listNotices(begun) };
   };
   return {
-    leftMs: (fingerprints) => table.remainingMs(fingerprints, clock.now()),
+    leftMs: (fingerprints) => {
+      const now = clock.now();
+      for (const quarantine of table.review(now)) handleQuarantined(quarantine, 'own evidence');
+      return table.remainingMs(fingerprints, now);
+    },
     recordBroken: (fingerprints, server) => {
       const check = checks.check(server);
       switch (check.result) {
@@ -185,13 +210,13 @@
       };
     },
     mergeDigest: (digest) => {
-      for (const quarantine of table.applyReports(collectReports(digest), clock.now()))
-        handleQuarantinedByPeer(quarantine, digest.name);
-      mergeQuarantined(digest.quarantined ?? [], digest.name);
+      const { quarantined = [] } = digest;
+      return mergeNews({ reports: collectReports(digest), quarantined }, digest.name);
     },
+    mergeNews,
     list: () => table.listQuarantined(clock.now()),
     restore: (quarantined) => {
-      mergeQuarantined(quarantined, 'store');
+      mergeNews({ reports: [], quarantined: [...quarantined] }, 'store');
     },
     onReport: (listener) => {
       reportListeners.push(listener);
