Entry: refuse completions with a message that crashes engines

It now asks the same quarantine table: a completion by workspace, model and messages, its parts are all messages but the last. A break counts once a check has found the engine's process ended; reports and quarantines travel as an extension of the digests, within its bound of bytes. A completion is refused before it counts as demand or admission, and before each further attempt.

Open: not kept in the platform, so entries that all restart forget it; calls to plain services; entries of other domains that hear only summaries.

--- a/bench/relay/entry.ts
+++ b/bench/relay/entry.ts
@@ -15,7 +15,7 @@
 import { createMetrics } from '../../src/core/metrics/index.js';
 import { createRandom } from '../../src/core/random/index.js';
 import { entrySettingsSchema } from '../../src/core/settings/index.js';
-import { createRequests } from '../../src/entry/requests/index.js';
+import { createRequestQuarantine, createRequests } from '../../src/entry/requests/index.js';
 import type { EntryContext } from '../../src/entry/types.js';
 import { modelSchema, replicaSchema, workspaceSchema } from '../../src/objects/index.js';
 
@@ -38,6 +38,7 @@
     onceCalls: { run: () => Promise.reject(new Error('not part of this benchmark')) },
     eligible: createEligible(engine),
     health: { reportFailure: () => undefined, reportAnswer: () => undefined },
+    quarantine: createRequestQuarantine(context),
     metrics: createMetrics(),
     hasBeenReady: () => true,
   });
--- a/features/replicas/fakes.ts
+++ b/features/replicas/fakes.ts
@@ -145,6 +145,7 @@
       if (world.order(instance, order, now())) return report(instance);
       return errAsync(createFailure('orderRefused', { name: instance, reason: 'fenced' }));
     },
+    checkProcess: failUnusedCall,
     complete: failUnusedCall,
     cancel: failUnusedCall,
     cacheEvents: failUnusedCall,
--- a/features/requests/fixture.ts
+++ b/features/requests/fixture.ts
@@ -17,7 +17,12 @@
 import { createRandom } from '../../src/core/random/index.js';
 import { entrySettingsSchema } from '../../src/core/settings/index.js';
 import { createHealthPart, type HealthPart } from '../../src/entry/health/index.js';
-import { createRequests, type Requests } from '../../src/entry/requests/index.js';
+import {
+  createRequestQuarantine,
+  createRequests,
+  type RequestQuarantine,
+  type Requests,
+} from '../../src/entry/requests/index.js';
 import type { EntryContext } from '../../src/entry/types.js';
 import {
   instanceSchema,
@@ -49,6 +54,7 @@
   readonly requests: Requests;
   readonly callers: Callers;
   readonly health: HealthPart;
+  readonly quarantine: RequestQuarantine;
   readonly #client: EngineClient;
   readonly #services: Services = createServices();
   readonly unread = createBufferedBytesTracker();
@@ -58,11 +64,13 @@
     this.#client = createEngineClient({}, this.unread);
     this.context = createContext(this.board, this.#client);
     this.health = createHealthPart(this.context);
+    this.quarantine = createRequestQuarantine(this.context);
     this.requests = createRequests(this.context, {
       services: this.#services,
       onceCalls: createOnceCallsFake(),
       eligible: createEligibleReplicas(this.board, this.context.settings.health.freshMs),
       health: this.health,
+      quarantine: this.quarantine,
       metrics: createMetrics(),
       hasBeenReady: () => this.board.configuration.read().revision > 0,
     });
--- a/src/adapters/engines/engine-client.ts
+++ b/src/adapters/engines/engine-client.ts
@@ -107,6 +107,19 @@
       call(address, '/health', 'GET', timeoutMs, reports.listHeaders(address)).andThen((answer) =>
         reports.read(address, answer),
       ),
+    checkProcess: async (address, { instance, incarnation }, timeoutMs) => {
+      try {
+        const answer = await callWhole(calls, address, '/health', 'GET', timeoutMs, {});
+        const report = readAnswer(address, answer, engineReportSchema);
+        if (report.isErr()) return 'unconfirmed';
+        const isOther =
+          report.value.instance !== instance ||
+          (incarnation !== undefined && report.value.incarnation !== incarnation);
+        return isOther ? 'ended' : 'alive';
+      } catch (error) {
+        return isConnectionRefused(error) ? 'ended' : 'unconfirmed';
+      }
+    },
     order: (address, order, timeoutMs) =>
       sendOrder(address, order, timeoutMs, settings.maxAnswerBytes),
     complete: (address, request, signal) =>
@@ -150,3 +163,7 @@
     return err(createFailure('orderRefused', { name: address, reason }));
   });
 }
+
+function isConnectionRefused(error: unknown): boolean {
+  return error instanceof Error && (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+}
--- a/src/adapters/engines/types.ts
+++ b/src/adapters/engines/types.ts
@@ -25,9 +25,24 @@
 
 export type EngineFailure = Failure<'unreachable' | 'messageInvalid' | 'orderRefused'>;
 
+/** The process of an engine instance. */
+export interface EngineProcess {
+  instance: string;
+  /** Undefined if any process of the instance will do. */
+  incarnation?: string;
+}
+
+/** Whether a process has ended: nothing or another process listens at its address. */
+export type ProcessCheck = 'ended' | 'alive' | 'unconfirmed';
+
 /** What can be asked of one engine instance, at its `host:port` address. */
 export interface Engines {
   health(address: string, timeoutMs: Milliseconds): ResultAsync<EngineReport, EngineFailure>;
+  checkProcess(
+    address: string,
+    process: EngineProcess,
+    timeoutMs: Milliseconds,
+  ): Promise<ProcessCheck>;
   /** `timeoutMs` bounds the whole call: an order older than that is not delivered by this entry. */
   order(
     address: string,
--- a/src/controllers/membership/messages.ts
+++ b/src/controllers/membership/messages.ts
@@ -76,7 +76,11 @@
   demands: z.array(demandSchema).max(MAX_DIGEST_LIST_LENGTH),
   leaving: z.array(leavingMarkSchema).max(MAX_DIGEST_LIST_LENGTH),
   /** Data of other controllers, each as JSON text with its own schema. */
-  extensions: z.strictObject({ health: extension.optional(), limits: extension.optional() }),
+  extensions: z.strictObject({
+    health: extension.optional(),
+    limits: extension.optional(),
+    quarantine: extension.optional(),
+  }),
 });
 
 /** The digest of one entry, sent by the entry itself or relayed. */
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -150,8 +150,9 @@
     title: 'Request quarantined',
     status: 503,
     conclusion: 'notRun',
-    message: () => 'The request was not run: backend servers ended while they ran it before.',
-    hint: 'Report it to the operators; the same request is refused until the time in Retry-After.',
+    message: () =>
+      'The request was not run: backend servers ended while they ran it, or others with a part of its prompt.',
+    hint: 'Report it to the operators; such requests are refused until the time in Retry-After.',
   }),
   deadlineBeforeStart: defineError({
     title: 'Deadline passed',
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -415,7 +415,8 @@
   requestQuarantined: {
     number: 2507,
     level: 'warn',
-    message: 'Backend servers end under a request; it is sent to none for now.',
+    message:
+      'Backend servers end under a request or a part of prompts; it is sent to none for now.',
   },
   retryDenied: {
     number: 2508,
--- a/src/entry/create-entry.ts
+++ b/src/entry/create-entry.ts
@@ -36,7 +36,7 @@
 import { createMembership } from './membership/index.js';
 import { createOperations } from './operations/index.js';
 import { createReplicasPart } from './replicas/index.js';
-import { createRequests } from './requests/index.js';
+import { createRequestQuarantine, createRequests } from './requests/index.js';
 import { abortEntryStart, stopEntry } from './stop-entry.js';
 import type { EntryParts, RunningEntry } from './running-entry.js';
 import type { EntryContext } from './types.js';
@@ -174,9 +174,11 @@
   const configuration = createConfiguration(context, peers);
   const health = createHealthPart(context);
   const limits = createLimits(context, () => configuration.platformAt());
+  const quarantine = createRequestQuarantine(context);
   const membership = createMembership(context, configuration, peers, {
     extensions: [
       health.extension,
+      quarantine.extension,
       {
         name: 'limits',
         export: () => limits.exportDigest(),
@@ -200,6 +202,7 @@
     onceCalls,
     eligible,
     health,
+    quarantine,
     metrics,
     refresh: () => configuration.refresh(),
     hasBeenReady: createLatch(() => membership.readiness().kind === 'ready'),
--- a/src/entry/membership/types.ts
+++ b/src/entry/membership/types.ts
@@ -9,7 +9,7 @@
 
 /** Data that another part adds to this entry's digest and reads from the digests of peers. */
 export interface DigestExtension {
-  name: 'health' | 'limits';
+  name: 'health' | 'limits' | 'quarantine';
   /** JSON text in its own schema, at most `MAX_EXTENSION_LENGTH` characters; undefined to omit it. */
   export(): string | undefined;
   /** Called when the digest of `peer` changed; `ageMs` is the age of the digest. */
--- a/src/entry/requests/completion-attempt.ts
+++ b/src/entry/requests/completion-attempt.ts
@@ -89,11 +89,16 @@
   const { attempt } = active;
   const { state, parts } = run;
   let tokens = 0;
+  let begunAt = parts.context.clock.now();
   for await (const chunk of chunks) {
-    if (tokens === 0 && chunk.kind === 'token') parts.dispatcher.reportFirstToken(attempt);
+    if (tokens === 0 && chunk.kind === 'token') {
+      parts.dispatcher.reportFirstToken(attempt);
+      begunAt = parts.context.clock.now();
+    }
     tokens += 1;
     run.apply({ kind: 'chunk', attempt, chunk });
     if (chunk.kind === 'end' && state.phase === 'answered') {
+      parts.quarantine.recordAnswered(run.fingerprints, begunAt);
       return { kind: 'completed', outputTokens: tokens - 1, cachedTokens: chunk.cachedTokens };
     }
     if (state.attempt !== attempt) break;
@@ -128,6 +133,7 @@
   if (active.abortController.signal.aborted && run.state.phase === 'answered')
     return { kind: 'cancelled' };
   run.parts.health.reportFailure(active.candidate.leader);
+  if (end.kind !== 'notSent') run.parts.quarantine.recordBroken(run.fingerprints, active.candidate);
   run.apply({ kind: 'ended', attempt: active.attempt, end });
   return { kind: end.kind === 'notSent' ? 'notSent' : 'lost' };
 }
--- a/src/entry/requests/completion-run.ts
+++ b/src/entry/requests/completion-run.ts
@@ -10,6 +10,7 @@
 import type { Candidate, Prefix } from '../../controllers/routing/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { RequestTimings } from '../../core/metrics/index.js';
+import type { CompletionFingerprints } from './request-quarantine.js';
 import type { RequestParts } from './types.js';
 
 /** An attempt that was sent and has not ended. */
@@ -30,6 +31,7 @@
   arrivedAt: Milliseconds;
   promptTokens: number;
   prefixes: readonly Prefix[];
+  fingerprints: CompletionFingerprints;
   seed: number;
   /** Ticket of the current offer to the dispatcher; also the id of the resulting attempt. */
   ticket: string;
--- a/src/entry/requests/completions.ts
+++ b/src/entry/requests/completions.ts
@@ -20,6 +20,7 @@
 import type { CompletionRun } from './completion-run.js';
 import { sendAttempt } from './completion-attempt.js';
 import { logRetry } from './request-log.js';
+import { fingerprintCompletion, type CompletionFingerprints } from './request-quarantine.js';
 import type { RequestParts } from './types.js';
 
 const SEED_UPPER_BOUND = 2 ** 30;
@@ -34,13 +35,23 @@
   const { workspace } = request.caller;
   const model = resolveModel(configuration.read(), workspace, request.model);
   if (model.isErr()) return { kind: 'failed', failure: model.error };
+  const fingerprints = fingerprintCompletion(request);
+  const refusal = parts.quarantine.refusalOf(fingerprints);
+  if (refusal) return { kind: 'failed', failure: refusal };
   const promptTokens = estimateTokens(request.messages);
   const admissionRequest: AdmissionRequest = {
     workspace,
     tokens: promptTokens + request.maxTokens,
   };
   parts.attemptTracker.recordDemand(workspace, admissionRequest.tokens);
-  const outcome = await runAdmitted(parts, request, output, admissionRequest, promptTokens);
+  const outcome = await runAdmitted(
+    parts,
+    request,
+    output,
+    admissionRequest,
+    promptTokens,
+    fingerprints,
+  );
   parts.attemptTracker.recordFinished(workspace);
   return outcome;
 }
@@ -51,10 +62,11 @@
   output: TokenOutput,
   admissionRequest: AdmissionRequest,
   promptTokens: number,
+  fingerprints: CompletionFingerprints,
 ): Promise<CompletionOutcome> {
   const admission = parts.admission.admit(admissionRequest);
   if (admission.kind === 'refused') return { kind: 'failed', failure: admission.failure };
-  const run = createRun(parts, request, output, promptTokens);
+  const run = createRun(parts, request, output, promptTokens, fingerprints);
   const outcome = await runAttempts(run);
   parts.admission.release(admissionRequest, promptTokens + run.state.delivered);
   run.timings.whole(parts.context.clock.now() - run.arrivedAt);
@@ -66,6 +78,7 @@
   request: CompletionRequest,
   output: TokenOutput,
   promptTokens: number,
+  fingerprints: CompletionFingerprints,
 ): CompletionRun {
   const { clock, random } = parts.context;
   const { workspace, class: requestClass } = request.caller;
@@ -78,6 +91,7 @@
     arrivedAt: clock.now(),
     promptTokens,
     prefixes: hashPrefixes(request.messages),
+    fingerprints,
     seed: request.seed ?? random.below(SEED_UPPER_BOUND),
     ticket: '',
     offerCount: 0,
@@ -186,6 +200,11 @@
 
 function offerToDispatcher(run: CompletionRun, excluded: readonly string[]): void {
   const { request, parts, promptTokens, prefixes, arrivedAt, state } = run;
+  const refusal = parts.quarantine.refusalOf(run.fingerprints);
+  if (refusal) {
+    run.apply({ kind: 'refused', failure: refusal });
+    return;
+  }
   run.offerCount += 1;
   const ticket = `${request.id}.${run.offerCount}`;
   run.ticket = ticket;
--- a/src/entry/requests/types.ts
+++ b/src/entry/requests/types.ts
@@ -14,6 +14,7 @@
 import type { ReplicaLossMonitor } from './replica-loss-monitor.js';
 import type { OpenRequests } from './open-requests.js';
 import type { PauseDetector } from './pause-detector.js';
+import type { RequestQuarantine } from './request-quarantine.js';
 
 /** Dependencies of the request path on other parts of the entry. */
 export interface RequestDependencies {
@@ -21,6 +22,7 @@
   onceCalls: OnceCalls;
   eligible: EligibleReplicas;
   health: Pick<HealthPart, 'reportFailure' | 'reportAnswer'>;
+  quarantine: RequestQuarantine;
   metrics: Metrics;
   /** Whether the entry has been ready for callers at any time since it started. */
   hasBeenReady: () => boolean;
