--- a/features/gateway/server-notices.feature
+++ b/features/gateway/server-notices.feature
@@ -1,4 +1,3 @@
-@known-red
 Feature: A backend server is left alone when its answers ask for it
 
   # Guards against gateways that go on sending to a server that refuses requests and asks for rest.
