Gateway: ask again whether a silent server has ended; soak with crashing parts

What callers saw, in the new soak alone: engines whose address doesn't refuse connections while they are down (there a proxy stands before them) crashed one after the other under one part, 21 to 47 in 4 s, and no gateway held it. The one probe after a break had no answer, which is no evidence, and nobody asked again. It now asks up to eight times, 700 ms apart, until the next process or the same one answers; the end counts from the break.

Its judge counts sendings by gateways that weren't disturbed themselves.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -5,7 +5,8 @@
  *     npm run soak -- --seeds 5 --first 1 --seconds 20 --gateways 3
  *
  * With --restores, the store is also restored from copies that are some seconds old; with --links,
- * gateways also lose their links to all backend servers.
+ * gateways also lose their links to all backend servers; with --parts, engines crash under one part of
+ * prompts, and most new connections go to one gateway at times.
  *
  * Prints one line for each seed, after a breach also the faults. Ends with status 1 when any
  * promise was broken.
@@ -22,6 +23,7 @@
     gateways: { type: 'string', default: '3' },
     restores: { type: 'boolean', default: false },
     links: { type: 'boolean', default: false },
+    parts: { type: 'boolean', default: false },
   },
 });
 
@@ -50,6 +52,7 @@
     gateways: Number(values.gateways),
     withRestores: values.restores,
     withLinkCuts: values.links,
+    withCrashingPart: values.parts,
   });
   await report(result);
   if (result.breaches.length > 0) broken += 1;
--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -7,7 +7,8 @@
 import { MODEL } from '../../features/gateway/stand-ins/configuration.js';
 import type { SoakGateway, SoakSite } from './site.js';
 
-export type AskedKind = 'list' | 'check' | 'chat';
+/** `crash`: a stream whose prompt has the part under which engines crash. */
+export type AskedKind = 'list' | 'check' | 'chat' | 'crash';
 
 /** One request and how it ended; times are of the run's clock. */
 export interface AskedRecord {
@@ -31,7 +32,11 @@
 /** How long a caller waits. */
 export const DEADLINE_MS = 2_000;
 const PAUSE_MS = 15;
-const PATHS = { list: '/list/x', check: '/check/x', chat: '/chat/x' } as const;
+const PATHS = { list: '/list/x', check: '/check/x', chat: '/chat/x', crash: '/chat/x' } as const;
+const CRASH_PAUSE_MS = 120;
+/** One in so many requests goes elsewhere while one gateway is favoured. */
+const ELSEWHERE_ONE_IN = 8;
+export const CRASHING_PART = 'bad0';
 
 /** Callers of one run. */
 export class Callers {
@@ -46,6 +51,22 @@
     for (let index = 0; index < count; index += 1) this.running.push(this.runCaller(index));
   }
 
+  /** Sends different prompts with the crashing part, at one gateway after the other. */
+  startCrashing(): void {
+    this.running.push(this.runCrashing());
+  }
+
+  private async runCrashing(): Promise<void> {
+    const pending: Promise<unknown>[] = [];
+    for (let at = 0; !this.isStopped; at += 1) {
+      const { gateways } = this.site;
+      const gateway = gateways[at % gateways.length];
+      if (gateway) pending.push(this.ask(gateway, 'crash'));
+      await sleep(CRASH_PAUSE_MS);
+    }
+    await Promise.all(pending);
+  }
+
   async stop(): Promise<void> {
     this.isStopped = true;
     await Promise.all(this.running);
@@ -54,11 +75,12 @@
   private async runCaller(index: number): Promise<void> {
     const agent = new Agent({ keepAlive: true, maxSockets: 1 });
     for (let at = index; !this.isStopped;) {
-      const { gateways } = this.site;
-      const gateway = gateways[at % gateways.length];
+      const { gateways, favoured } = this.site;
+      const isFavoured = favoured !== undefined && this.asked % ELSEWHERE_ONE_IN !== 0;
+      const gateway = isFavoured ? favoured : gateways[at % gateways.length];
       const kind = KINDS[this.asked % KINDS.length];
       if (!gateway || !kind) break;
-      const record = await this.ask(gateway, kind, agent);
+      const record = await this.ask(gateway, kind, isFavoured ? undefined : agent);
       // A caller stays with its gateway until that one is not there.
       if (record.refused || record.status === undefined) at += 1;
       await sleep(PAUSE_MS);
@@ -97,17 +119,18 @@
   const outgoing = httpRequest({
     host,
     port,
-    path: PATHS[record.kind],
+    // No two prompts with the crashing part are alike.
+    path: record.kind === 'crash' ? `${PATHS.crash}/${record.id}` : PATHS[record.kind],
     ...(agent && { agent }),
     headers: {
       host: 'passes.example',
       'Attempt-Id': record.id,
       'Deadline-Ms': String(DEADLINE_MS),
       Authorization: `Bearer ${record.key}`,
-      ...(record.kind === 'chat' && {
+      ...((record.kind === 'chat' || record.kind === 'crash') && {
         Model: MODEL,
         'Token-Count': '100,50',
-        'Prompt-Prefix': 'aa:40,bb:60',
+        'Prompt-Prefix': record.kind === 'chat' ? 'aa:40,bb:60' : `aa:40,${CRASHING_PART}:20,bb:40`,
       }),
     },
   });
@@ -115,6 +138,8 @@
   try {
     outgoing.end();
     const [incoming] = (await once(outgoing, 'response')) as [IncomingMessage];
+    // A connection may be reset between its response and the reading of it.
+    outgoing.on('error', () => undefined);
     record.status = incoming.statusCode ?? 0;
     const seal = incoming.headers['response-seal'];
     if (typeof seal === 'string') record.seal = seal;
--- a/bench/soak/inject.ts
+++ b/bench/soak/inject.ts
@@ -105,6 +105,11 @@
       return nameOf(server);
     case 'cutLinks':
       return cutLinks(site, target, forMs);
+    case 'favourGateway':
+      site.favoured = gateway;
+      await sleep(forMs);
+      site.favoured = undefined;
+      return gateway.plan.name;
     case 'restoreStore':
       await site.restoreStore(target % LONGEST_COPY_AGE_MS, forMs);
       return 'store';
--- a/bench/soak/judge.ts
+++ b/bench/soak/judge.ts
@@ -2,14 +2,22 @@
  * The promises, judged from what callers got and what backend servers ran.
  */
 import type { Arrival } from '../../features/gateway/stand-ins/engine.js';
-import { DEADLINE_MS, type AskedRecord } from './callers.js';
+import { CRASHING_PART, DEADLINE_MS, type AskedRecord } from './callers.js';
 import type { InjectedFault } from './inject.js';
 import type { FaultKind } from './schedule.js';
 import { EVENTS } from './site.js';
 
 /** A promise that was broken, with the evidence. */
 export interface Breach {
-  promise: 'once' | 'refusal' | 'own answer' | 'order' | 'asked' | 'planned stop' | 'late answer';
+  promise:
+    | 'once'
+    | 'refusal'
+    | 'own answer'
+    | 'order'
+    | 'asked'
+    | 'planned stop'
+    | 'late answer'
+    | 'crashing part';
   detail: string;
 }
 
@@ -23,7 +31,13 @@
 /** These say that the request has not run and never will. */
 const REFUSALS = new Set([408, 421, 429, 503]);
 /** Only these are planned: with nothing else under way, no request that was taken on may be lost. */
-const PLANNED = new Set<FaultKind>(['stopGateway', 'changeKey', 'drainEngine', 'storeForgets']);
+const PLANNED = new Set<FaultKind>([
+  'stopGateway',
+  'changeKey',
+  'drainEngine',
+  'storeForgets',
+  'favourGateway',
+]);
 /** Consequences of a fault reach a little beyond it. */
 const AFTERMATH_MS = 4_000;
 /** A final answer later than this after the request's deadline is late. */
@@ -35,7 +49,10 @@
   return [
     ...evidence.records.flatMap((record) => judgeRecord(record, runs.get(record.id) ?? 0)),
     ...judgeArrivals(evidence),
-    ...evidence.records.flatMap((record) => judgeEnd(record, evidence.faults)),
+    ...evidence.records
+      .filter(({ kind }) => kind !== 'crash')
+      .flatMap((record) => judgeEnd(record, evidence.faults)),
+    ...judgeCrashingPart(evidence),
   ];
 }
 
@@ -55,7 +72,7 @@
     breaches.push({ promise: 'refusal', detail: `${id} got ${status} and ran` });
   }
   if (status === 200 && whole) {
-    const isOwn = kind === 'chat' ? isWholeStream(body) : body === `answer to ${id}`;
+    const isOwn = isOwnBody(record);
     if (!isOwn) breaches.push({ promise: 'own answer', detail: `${id} got ${body.slice(0, 80)}` });
     if (!record.seal) breaches.push({ promise: 'own answer', detail: `${id} has no seal` });
   }
@@ -65,6 +82,19 @@
   return breaches;
 }
 
+function isOwnBody({ id, kind, body }: AskedRecord): boolean {
+  switch (kind) {
+    case 'chat':
+      return isWholeStream(body);
+    case 'crash':
+      // Nothing tells the end of an answer without length or chunks from the end of its engine.
+      return isPrefixOfStream(body);
+    case 'list':
+    case 'check':
+      return body === `answer to ${id}`;
+  }
+}
+
 const EVENT = /id: (\d+)\ndata: token (\d+)\n\n/g;
 
 function readEvents(body: string): number[] {
@@ -104,3 +134,31 @@
   if (status === undefined && near.some(({ kind }) => kind === 'stopGateway')) return [];
   return [{ promise: 'planned stop', detail: `${id} at ${gateway} was cut, status ${status}` }];
 }
+
+/** Requests with the part that gateways in touch may send once they must know it, over the whole fleet. */
+const MOST_LATE_SENDINGS = 3;
+const CRASHES_UNTIL_KNOWN = 5;
+const KNOWN_AFTER_MS = 3_000;
+
+/** Gateways that ran without a disturbance of their own for as long must not send the part any more. */
+function judgeCrashingPart({ arrivals, records, faults }: Evidence): Breach[] {
+  const crashing = arrivals.filter(({ headers }) =>
+    String(headers['prompt-prefix']).includes(`${CRASHING_PART}:`),
+  );
+  const crashes = crashing.flatMap(({ endedAt }) => endedAt ?? []).sort((a, b) => a - b);
+  const fifth = crashes[CRASHES_UNTIL_KNOWN - 1];
+  if (fifth === undefined) return [];
+  const gateways = new Map(records.map(({ id, gateway }) => [id, gateway]));
+  const isInTouch = (id: string, at: number): boolean =>
+    !faults.some(
+      ({ kind, target, from, to }) =>
+        (target === gateways.get(id) || kind === 'cutLinks') &&
+        kind !== 'favourGateway' &&
+        from <= at &&
+        to + KNOWN_AFTER_MS >= at,
+    );
+  const late = crashing.filter(({ id, at }) => at > fifth + KNOWN_AFTER_MS && isInTouch(id, at));
+  if (late.length <= MOST_LATE_SENDINGS) return [];
+  const detail = `${late.length} sendings later than that, ${crashes.length} crashes in all`;
+  return [{ promise: 'crashing part', detail }];
+}
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -3,10 +3,17 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { waitFor } from '../../features/support/waiting.js';
-import { Callers, type AskedKind, type AskedRecord } from './callers.js';
+import { Callers, CRASHING_PART, type AskedKind, type AskedRecord } from './callers.js';
 import { inject, type InjectedFault } from './inject.js';
 import { judge, type Breach } from './judge.js';
-import { drawLinkCuts, drawRestores, drawSchedule, type ScheduledFault } from './schedule.js';
+import {
+  drawFavours,
+  drawLinkCuts,
+  drawRestores,
+  drawSchedule,
+  drawStreamCrash,
+  type ScheduledFault,
+} from './schedule.js';
 import { SoakSite, type SoakGateway } from './site.js';
 
 export interface SoakOptions {
@@ -17,6 +24,11 @@
   withRestores?: boolean;
   /** Whether gateways lose their links to all backend servers, beside the other faults. */
   withLinkCuts?: boolean;
+  /**
+   * Whether engines crash under one part of prompts, and most new connections go to one gateway at
+   * times, beside the other faults.
+   */
+  withCrashingPart?: boolean;
 }
 
 /** What one run showed. */
@@ -37,20 +49,33 @@
 const KEPT_LINES = 4_000;
 /** Between two questions of one gateway after the faults. */
 const PAUSE_MS = 100;
+/** An engine that crashed under a prompt is back after this time. */
+const BACK_AFTER_MS = 1_500;
 
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
-  const { seed, gateways, withLinkCuts = false } = options;
+  const { seed, gateways, withLinkCuts = false, withCrashingPart = false } = options;
   const site = new SoakSite(withLinkCuts ? gateways : 0);
+  if (withCrashingPart)
+    site.crashingPart = {
+      part: CRASHING_PART,
+      how: drawStreamCrash(seed),
+      backAfterMs: BACK_AFTER_MS,
+    };
   try {
     await site.open(gateways);
     const callers = new Callers(site);
     callers.start(CALLERS);
+    if (withCrashingPart) callers.startCrashing();
     const faults = await playFaults(site, drawFaults(options));
     const recovery = await checkRecovery(site, callers);
     await callers.stop();
     const { records } = callers;
     const breaches = [
-      ...judge({ records, arrivals: site.site.journal, faults }),
+      ...judge({
+        records,
+        arrivals: site.site.journal,
+        faults: [...faults, ...listPartCrashes(site)],
+      }),
       ...recovery.map((detail) => ({ promise: 'recovery' as const, detail })),
       ...site.breaches.map((detail) => ({ promise: 'replicas' as const, detail })),
       ...site.gateways.flatMap(({ plan, ownExits }) =>
@@ -74,6 +99,15 @@
   }
 }
 
+/** Crashes under the part, which are unplanned. */
+function listPartCrashes({ site }: SoakSite): InjectedFault[] {
+  return site.journal.flatMap(({ server, endedAt }) =>
+    endedAt === undefined
+      ? []
+      : [{ kind: 'crashEngine' as const, target: server, from: endedAt, to: endedAt }],
+  );
+}
+
 /** Requests by how they ended: a status, cut off, or not taken. */
 function countEnds(records: readonly AskedRecord[]): Record<string, number> {
   const ends: Record<string, number> = {};
@@ -87,10 +121,14 @@
 
 function drawFaults(options: SoakOptions): ScheduledFault[] {
   const { seed, seconds, withRestores = false, withLinkCuts = false } = options;
+  const { withCrashingPart = false } = options;
   const forMs = seconds * MS_PER_SECOND;
   const restores = withRestores ? drawRestores(seed, forMs) : [];
   const linkCuts = withLinkCuts ? drawLinkCuts(seed, forMs) : [];
-  return [...drawSchedule(seed, forMs), ...restores, ...linkCuts].sort((a, b) => a.atMs - b.atMs);
+  const favours = withCrashingPart ? drawFavours(seed, forMs) : [];
+  return [...drawSchedule(seed, forMs), ...restores, ...linkCuts, ...favours].sort(
+    (a, b) => a.atMs - b.atMs,
+  );
 }
 
 async function playFaults(
--- a/bench/soak/schedule.ts
+++ b/bench/soak/schedule.ts
@@ -1,9 +1,10 @@
 /**
  * Which faults come when: drawn from a seed. Faults overlap, and some come in series.
  */
+import type { StreamCrash } from '../../features/gateway/stand-ins/engine.js';
 import { createRandom, type Random } from '../../src/core/random/index.js';
 
-export type FaultKind = (typeof KINDS)[number] | typeof RESTORE | typeof LINK_CUT;
+export type FaultKind = (typeof KINDS)[number] | typeof RESTORE | typeof LINK_CUT | typeof FAVOUR;
 
 /** A fault of one target; the target is a number, taken among those that are there by then. */
 export interface ScheduledFault {
@@ -34,6 +35,11 @@
 const SHORTEST_LINK_CUT_GAP_MS = 800;
 const LINK_CUT_GAP_SPREAD_MS = 3_000;
 
+/** Drawn apart from the others as well. */
+const FAVOUR = 'favourGateway';
+const SHORTEST_FAVOUR_GAP_MS = 1_500;
+const FAVOUR_GAP_SPREAD_MS = 4_000;
+
 const SHORTEST_GAP_MS = 60;
 const GAP_SPREAD_MS = 700;
 const SHORTEST_FAULT_MS = 150;
@@ -97,6 +103,31 @@
   return faults;
 }
 
+const STREAM_CRASHES: readonly StreamCrash[] = [
+  'after the head',
+  'after some events',
+  'within an unframed event',
+  'after unframed events',
+];
+
+/** How engines crash under a prompt in this run. */
+export function drawStreamCrash(seed: number): StreamCrash {
+  return STREAM_CRASHES[createRandom(seed).below(STREAM_CRASHES.length)] ?? 'after the head';
+}
+
+/** Times in which most new connections go to one gateway, within `forMs`. */
+export function drawFavours(seed: number, forMs: number): ScheduledFault[] {
+  const random = createRandom(seed);
+  const faults: ScheduledFault[] = [];
+  const drawFavourGap = (): number => SHORTEST_FAVOUR_GAP_MS + random.below(FAVOUR_GAP_SPREAD_MS);
+  for (let atMs = drawFavourGap(); atMs < forMs; atMs += drawFavourGap()) {
+    const target = random.below(TARGETS);
+    const spanMs = SHORTEST_FAULT_MS + random.below(FAULT_SPREAD_MS);
+    faults.push({ atMs, kind: FAVOUR, target, forMs: spanMs });
+  }
+  return faults;
+}
+
 function drawGap(random: Random): number {
   return SHORTEST_GAP_MS + random.below(GAP_SPREAD_MS);
 }
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -6,7 +6,7 @@
 import { createProxy, type Proxy } from '../../src/stand-ins/proxy/index.js';
 import { GatewayLinks } from '../../features/gateway/gateway-links.js';
 import { Site, type GatewayPlan, type GatewayProcess } from '../../features/gateway/site.js';
-import type { EngineStandIn } from '../../features/gateway/stand-ins/engine.js';
+import type { CrashingPart, EngineStandIn } from '../../features/gateway/stand-ins/engine.js';
 import { waitFor } from '../../features/support/waiting.js';
 
 /** One gateway over all its lives. */
@@ -44,6 +44,10 @@
   readonly gateways: SoakGateway[] = [];
   readonly breaches: string[] = [];
   servers: SoakServer[] = [];
+  /** Gets most new connections of callers. */
+  favoured: SoakGateway | undefined;
+  /** Under which all engines crash, if any. */
+  crashingPart: CrashingPart | undefined;
   readonly keys = ['key-1'];
   /** Of each gateway to all servers; none if all gateways share the servers' links. */
   readonly links: readonly GatewayLinks[];
@@ -117,6 +121,7 @@
         return link.address;
       },
     });
+    if (domain) standIn.crashingPart = this.crashingPart;
     this.fleet.set(standIn.options.id, standIn);
     if (link) this.servers.push({ standIn, link });
   }
@@ -125,7 +130,7 @@
   async crash(server: SoakServer): Promise<void> {
     const { id, domain } = server.standIn.options;
     this.servers = this.servers.filter((each) => each !== server);
-    server.standIn.crash();
+    server.standIn.close();
     await sleep(LAPSE_MS);
     this.site.store.remove('servers', id);
     await this.addServer(domain);
@@ -139,7 +144,7 @@
     await this.addServer(domain);
     await sleep(forMs);
     this.site.store.remove('servers', id);
-    server.standIn.crash();
+    server.standIn.close();
   }
 
   /** A new version replaces the callers' key; the old one is taken away. */
--- a/features/gateway/crashing-parts.steps.ts
+++ b/features/gateway/crashing-parts.steps.ts
@@ -107,12 +107,7 @@
         service: 'models',
         domain,
       });
-      engine.fault = {
-        kind: 'endUnderPart',
-        part: CRASHING_PART,
-        how,
-        backAfterMs: RESTART_AFTER_MS,
-      };
+      engine.crashingPart = { part: CRASHING_PART, how, backAfterMs: RESTART_AFTER_MS };
     }
     this.site.configure();
     const plans = Array.from({ length: Number(gateways) }, () => this.site.planGateway());
--- a/features/gateway/soak.feature
+++ b/features/gateway/soak.feature
@@ -26,3 +26,16 @@
       | seed |
       | 403  |
       | 404  |
+
+  # Engines crash under one part of prompts, and most new connections go to one gateway at times, beside
+  # all other faults.
+  @known-red
+  Scenario Outline: A short run with a part of prompts that crashes engines
+    When 3 gateways live through the faults of seed <seed> and a part that crashes engines for 6 seconds
+    Then no promise was broken
+
+    Examples:
+      | seed |
+      | 482  |
+      | 492  |
+      | 512  |
--- a/features/gateway/soak.steps.ts
+++ b/features/gateway/soak.steps.ts
@@ -39,6 +39,14 @@
   },
 );
 
+When(
+  '{int} gateways live through the faults of seed {int} and a part that crashes engines for {int} seconds',
+  { timeout: STEP_TIMEOUT_MS },
+  async function (this: SoakWorld, gateways: number, seed: number, seconds: number) {
+    this.report = await runSoak({ seed, seconds, gateways, withCrashingPart: true });
+  },
+);
+
 Then('no promise was broken', function (this: SoakWorld) {
   const { breaches, faults } = this.report;
   assert.deepEqual(breaches, [], JSON.stringify(faults));
--- a/features/gateway/stand-ins/engine.ts
+++ b/features/gateway/stand-ins/engine.ts
@@ -61,10 +61,15 @@
   | { kind: 'failSome'; failing: number; of: number }
   /** Crashes when it begins to run a request with this body, and restarts later. */
   | { kind: 'endUnder'; body: string; backAfterMs: number }
-  /** Crashes when it has begun to write an answer to a prompt with this part, and restarts later. */
-  | { kind: 'endUnderPart'; part: string; how: StreamCrash; backAfterMs: number }
   | { kind: 'encode' };
 
+/** Crashes when it has begun to write an answer to a prompt with this part, and restarts later. */
+export interface CrashingPart {
+  part: string;
+  how: StreamCrash;
+  backAfterMs: number;
+}
+
 /** What an engine has sent of a stream when it crashes, and how its connections close. */
 export type StreamCrash =
   /** The head alone; its connections are reset. */
@@ -102,6 +107,8 @@
 
 export class EngineStandIn {
   fault: EngineFault = { kind: 'none' };
+  /** Beside the fault. */
+  crashingPart: CrashingPart | undefined;
   membership: Membership | undefined;
   /** Models staged on the host. */
   staged: string[] = [];
@@ -189,6 +196,7 @@
   }
 
   close(): void {
+    this.crashingPart = undefined;
     this.crash();
   }
 
@@ -379,8 +387,8 @@
       await this.crashDuring(arrival, this.fault.backAfterMs);
       return;
     }
-    if (this.fault.kind === 'endUnderPart' && hasPart(request, this.fault.part)) {
-      await this.crashWhileWriting(arrival, response, this.fault);
+    if (this.crashingPart && hasPart(request, this.crashingPart.part)) {
+      await this.crashWhileWriting(arrival, response, this.crashingPart);
       return;
     }
     if (domain) await this.runStream(request, response, id);
@@ -404,7 +412,7 @@
   private async crashWhileWriting(
     arrival: Arrival,
     response: ServerResponse,
-    { how, backAfterMs }: Extract<EngineFault, { kind: 'endUnderPart' }>,
+    { how, backAfterMs }: CrashingPart,
   ): Promise<void> {
     const { id } = arrival;
     const event = 'id: 1\ndata: token 1\n\n';
@@ -428,7 +436,8 @@
     arrival.endedAt = performance.now();
     this.crash(how.includes('unframed') ? 'close' : 'reset');
     await sleep(backAfterMs);
-    await this.restart();
+    // It may have been removed meanwhile.
+    if (this.crashingPart) await this.restart();
   }
 
   private streamHeaders(id: string): Record<string, string> {
--- a/src/gateway/requests/exit-checks.ts
+++ b/src/gateway/requests/exit-checks.ts
@@ -1,6 +1,10 @@
 /**
  * Checks whether processes of backend servers have ended.
+ *
+ * A server that does not answer may have ended without its address refusing connections. It is asked
+ * again, until its next process answers or it may have been silent for another reason.
  */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { incarnationKey } from '../../controllers/groups/index.js';
 import type { Clock, Milliseconds } from '../../core/clock/index.js';
 import type { BackendServer } from '../../ports/index.js';
@@ -9,6 +13,8 @@
 /** A check of one process. */
 export interface ExitCheck {
   startedAt: Milliseconds;
+  /** When the last probe was sent. */
+  probedAt: Milliseconds;
   result: 'checking' | 'ended' | 'alive' | 'unconfirmed';
 }
 
@@ -19,6 +25,8 @@
 
 /** Attempts that break off at one server within this time share one check. */
 const VALID_MS: Milliseconds = 500;
+const RECHECK_INTERVAL_MS: Milliseconds = 700;
+const MAX_PROBES = 8;
 
 /** `onResult` is called with each finished check. */
 export function createExitChecks(
@@ -29,8 +37,14 @@
   const checks = new Map<string, ExitCheck>();
 
   const run = async (server: BackendServer, check: ExitCheck): Promise<void> => {
-    const { kind } = await calls.probe(server);
-    check.result = kind === 'gone' ? 'ended' : kind === 'answers' ? 'alive' : 'unconfirmed';
+    for (let probes = 1; check.result === 'checking'; probes += 1) {
+      check.probedAt = clock.now();
+      const { kind } = await calls.probe(server);
+      if (kind === 'gone') check.result = 'ended';
+      else if (kind === 'answers') check.result = 'alive';
+      else if (probes >= MAX_PROBES) check.result = 'unconfirmed';
+      else await sleep(RECHECK_INTERVAL_MS, undefined, { ref: false });
+    }
     onResult(server, check);
   };
   const prune = (now: Milliseconds): void => {
@@ -45,7 +59,7 @@
       const processKey = incarnationKey(server);
       const existing = checks.get(processKey);
       if (existing) return existing;
-      const check: ExitCheck = { startedAt: now, result: 'checking' };
+      const check: ExitCheck = { startedAt: now, probedAt: now, result: 'checking' };
       checks.set(processKey, check);
       void run(server, check);
       return check;
--- a/src/gateway/requests/quarantine.ts
+++ b/src/gateway/requests/quarantine.ts
@@ -114,7 +114,7 @@
   const recordAnswered = (fingerprints: RequestFingerprints, begunAt: Milliseconds): void => {
     table.recordOwnAnswer(fingerprints, begunAt, clock.now());
   };
-  const decide = (server: BackendServer, { result, startedAt }: ExitCheck): void => {
+  const decide = (server: BackendServer, { result, startedAt, probedAt }: ExitCheck): void => {
     const requests = undecided.get(incarnationKey(server));
     if (requests === undefined) return;
     const { broken, closed } = requests;
@@ -127,7 +127,7 @@
       }
       case 'alive':
         for (const { fingerprints, begunAt, closedAt } of closed) {
-          if (closedAt <= startedAt) recordAnswered(fingerprints, begunAt);
+          if (closedAt <= probedAt) recordAnswered(fingerprints, begunAt);
         }
         break;
       case 'unconfirmed':
