Gateway: load weights when no engine has them

What callers saw, in the soak: after all engines had started again without weights, every stream was refused for 12 s and more (no target in time), from idle engines. Cause: once there is traffic only engines with weights count as capacity, the replicas to have follow from the capacity, and weights are loaded for replicas to have; with none, nothing was ever loaded. A service whose domains can't form a single replica now counts all engines.

--- a/src/gateway/groups/domain-states.ts
+++ b/src/gateway/groups/domain-states.ts
@@ -59,7 +59,7 @@
   for (const [name, domains] of groupBy(serviceDomains, ({ service }) => service)) {
     const [first] = domains;
     if (first === undefined) continue;
-    const capacities = domains.map((domain) => measureCapacity(domain, beforeTraffic));
+    const capacities = measureCapacities(domains, first.profile.models, beforeTraffic);
     const targetsOf = splitDomains(capacities, shares.get(name) ?? first.profile.models);
     const demands = domains.map(({ domain, servers }): LoadDemand => {
       const loads = countLoadDemand(servers, targetsOf.get(domain) ?? [], countGroups(servers));
@@ -80,6 +80,22 @@
   return Math.min(loadsAtOnce, loadsPerSecond * LOAD_WINDOW_S);
 }
 
+/**
+ * The capacities to plan by. Without enough weights for a single replica all instances count, since
+ * weights are only loaded for replicas that are planned.
+ */
+function measureCapacities(
+  domains: readonly ServiceDomain[],
+  models: readonly GroupModel[],
+  beforeTraffic: boolean,
+): DomainCapacity[] {
+  const capacities = domains.map((domain) => measureCapacity(domain, beforeTraffic));
+  const smallest = Math.min(...models.map(({ size }) => size));
+  return capacities.some(({ instances }) => instances >= smallest)
+    ? capacities
+    : domains.map((domain) => measureCapacity(domain, true));
+}
+
 /** Counts instances without weights only before there is traffic, when loading is fast. */
 function measureCapacity(
   { domain, failureDomain, servers }: ServiceDomain,
