Hold the part, not a sound request that is at as many ends

The quarantine of a request no longer explains the ends of a part that the request doesn't have, and of two with as many ends the part is held.

--- a/src/controllers/quarantine/culprits.ts
+++ b/src/controllers/quarantine/culprits.ts
@@ -60,7 +60,10 @@
     .map((fingerprint) => toCandidate(evidence, fingerprint))
     .filter(({ fingerprint }) => !isDominated(evidence, fingerprint));
   const [best] = candidates.sort(
-    (a, b) => b.companions.length - a.companions.length || b.failures.length - a.failures.length,
+    (a, b) =>
+      b.companions.length - a.companions.length ||
+      b.failures.length - a.failures.length ||
+      Number(isPartFingerprint(b.fingerprint)) - Number(isPartFingerprint(a.fingerprint)),
   );
   if (best === undefined) return undefined;
   const { fingerprint, failures, companions } = best;
@@ -151,7 +154,9 @@
       others.every((other) => {
         const failures = evidence.failuresOf(other);
         const same = failures.find((each) => isSameFailure(each, failure));
-        const isAsFrequent = failures.length >= count;
+        // A sound request that is sent again and again is at as many failures as a part that causes them.
+        const isRequestBesidePart = isPartFingerprint(fingerprint) && !isPartFingerprint(other);
+        const isAsFrequent = failures.length >= count && !isRequestBesidePart;
         return same !== undefined && (isAsFrequent || same.companions.includes(fingerprint));
       })
     );
