--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -46,7 +46,7 @@
 /** After the last fault everything serves again within this time. */
 const RECOVERY_MS = 12_000;
 const KINDS: readonly AskedKind[] = ['list', 'check', 'chat'];
-const KEPT_LINES = 4_000;
+const KEPT_LINES = 12_000;
 /** Between two questions of one gateway after the faults. */
 const PAUSE_MS = 100;
 /** An engine that crashed under a prompt is back after this time. */
@@ -91,7 +91,10 @@
       faults,
       tally: { requests: records.length, faults: faults.length, ends: countEnds(records) },
       logs: Object.fromEntries(
-        site.gateways.map(({ plan, process }) => [plan.name, process.lines.slice(-KEPT_LINES)]),
+        site.gateways.map(({ plan, process, formerLines }) => [
+          plan.name,
+          [...formerLines, ...process.lines].slice(-KEPT_LINES),
+        ]),
       ),
     };
   } finally {
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -13,6 +13,8 @@
 export interface SoakGateway {
   plan: GatewayPlan;
   process: GatewayProcess;
+  /** What its former processes logged. */
+  formerLines: object[];
   storeLink: Proxy;
   /** Ends that nobody asked for, with their exit codes. */
   ownExits: (number | null)[];
@@ -79,7 +81,14 @@
     if (own) plan.failureDomain = `${plan.failureDomain}-${plan.name}`;
     plan.seeds = this.gateways.map((gateway) => gateway.plan.peers);
     const process = await this.site.launch(plan);
-    const gateway = { plan, process, storeLink, isAway: false, ownExits: [] };
+    const gateway = {
+      plan,
+      process,
+      formerLines: [],
+      storeLink,
+      isAway: false,
+      ownExits: [],
+    };
     this.gateways.push(gateway);
     this.watchExit(gateway);
   }
@@ -98,6 +107,7 @@
     gateway.process.signal('SIGCONT');
     gateway.process.signal(signal);
     await gateway.process.exited;
+    gateway.formerLines.push(...gateway.process.lines);
     await sleep(RESTART_MS);
     gateway.process = await this.site.launch(gateway.plan);
     gateway.isAway = false;
