Quarantine: free a sound request once a part explains its failures

Where the report about the request came before that about the part, the request was at more failures than the part, and a quarantine explained either all failures or none. A part now explains each failure that it is known to be involved in. - A quarantine was compared with others only when those began. It is now reviewed with each report, ends when others explain most of it, and isn't taken over from another gateway where that is so.

Reports name what the reporting gateway knew to be answered; what others had only reported is left out, as the type says. Releases are logged, and ended servers with the fingerprints that were under way there.

--- a/features/gateway/quarantine-fleet.steps.ts
+++ b/features/gateway/quarantine-fleet.steps.ts
@@ -14,9 +14,16 @@
 const SEED = 48;
 
 When(
-  /^(\d+) fleets of (\d+) failure domains of (\d+) gateways meet a part that was (never answered|answered before)$/,
+  /^(\d+) fleets of (\d+) failure domains of (\d+) gateways meet a part that was (never answered|answered before) beside (different sound requests|one repeated sound request)$/,
   { timeout: 120_000 },
-  function (this: FleetWorld, fleets: string, domains: string, size: string, history: string) {
+  function (
+    this: FleetWorld,
+    fleets: string,
+    domains: string,
+    size: string,
+    history: string,
+    sound: string,
+  ) {
     const drawn = fc.record({
       seed: fc.integer({ min: 1, max: 1_000_000 }),
       crashingPerSecond: fc.integer({ min: 1, max: 15 }),
@@ -24,9 +31,12 @@
       otherParts: fc.integer({ min: 1, max: 12 }),
       disturbancesPerSecond: fc.constantFrom(0, 0.5, 2),
     });
+    const isSoundRepeated = sound === 'one repeated sound request';
     this.played = fc.sample(drawn, { numRuns: Number(fleets), seed: SEED }).map((draw) => {
       const wasSound = history === 'answered before';
-      const plan = { ...draw, wasSound, domains: Number(domains), size: Number(size) };
+      const scale = { domains: Number(domains), size: Number(size) };
+      const otherCrashesPerSecond = isSoundRepeated ? 1 : 0;
+      const plan = { ...draw, ...scale, wasSound, isSoundRepeated, otherCrashesPerSecond };
       return { plan, result: new QuarantineFleet(plan).play() };
     });
     const results = this.played.map(({ result }) => result);
--- a/features/gateway/quarantine-fleet.ts
+++ b/features/gateway/quarantine-fleet.ts
@@ -29,6 +29,10 @@
   otherParts: number;
   /** Whether the crashing part was answered before it began to crash engines. */
   wasSound: boolean;
+  /** Whether all sound requests are the same one, sent again and again. */
+  isSoundRepeated: boolean;
+  /** Engines that crash for another reason, a second over the whole fleet. */
+  otherCrashesPerSecond: number;
   /** Gateways that restart, freeze or lose their peers, a second. */
   disturbancesPerSecond: number;
 }
@@ -65,6 +69,7 @@
 
 const STEP_MS = 10;
 const COMMON_PART = partFingerprint('aa');
+const REPEATED_REQUEST = ['repeated', COMMON_PART, partFingerprint('c0')];
 const CRASHING_PART = partFingerprint('bad0');
 const TOLERANCE_MS = 3_000;
 const ALLOWED_CRASHES = 5;
@@ -177,6 +182,7 @@
 
   private runFor(ms: number): void {
     const { crashingPerSecond, soundPerSecond, disturbancesPerSecond } = this.plan;
+    const { otherCrashesPerSecond } = this.plan;
     const until = this.now + ms;
     while (this.now < until) {
       this.now += STEP_MS;
@@ -188,6 +194,8 @@
       if (this.isDue(isCrashing || this.plan.wasSound ? crashingPerSecond : 0))
         this.arrive(this.drawCrashing());
       if (this.isDue(disturbancesPerSecond)) this.disturb();
+      if (isCrashing && otherCrashesPerSecond > 0 && this.isDue(otherCrashesPerSecond))
+        this.crash(this.pick(this.engines).name);
     }
   }
 
@@ -214,7 +222,8 @@
     return partFingerprint(`c${this.random.below(this.plan.otherParts)}`);
   }
 
-  private drawSound(): string[] {
+  private drawSound(): readonly string[] {
+    if (this.plan.isSoundRepeated) return REPEATED_REQUEST;
     this.sentCount += 1;
     return [`request-${this.sentCount}`, COMMON_PART, this.drawOther()];
   }
@@ -262,6 +271,7 @@
       if (request.endsAt > this.now || !this.running.has(request)) continue;
       const { gateway, fingerprints, begunAt, isCrashing, server } = request;
       if (isCrashing) {
+        this.crashTimes.push(this.now);
         this.crash(server);
         continue;
       }
@@ -274,7 +284,6 @@
   private crash(server: string): void {
     const engine = this.engines.find(({ name }) => name === server);
     if (engine) engine.backAt = this.now + this.draw(RESTART_MS);
-    this.crashTimes.push(this.now);
     const brokenAt = this.now;
     const broken = [...this.running].filter((request) => request.server === server);
     const byGateway = new Map<QuarantineGateway, (readonly string[])[]>();
@@ -401,12 +410,12 @@
 
   private countHeldSound(): number {
     const parts = Array.from({ length: this.plan.otherParts }, (_, index) => `c${index}`);
+    const sound = [
+      REPEATED_REQUEST,
+      ...parts.map((part) => ['new', COMMON_PART, partFingerprint(part)]),
+    ];
     return this.members.filter(({ quarantine }) =>
-      parts.some(
-        (part) =>
-          quarantine.remainingMs(['new', COMMON_PART, partFingerprint(part)], this.now) !==
-          undefined,
-      ),
+      sound.some((each) => quarantine.remainingMs(each, this.now) !== undefined),
     ).length;
   }
 
--- a/features/gateway/quarantine-store.steps.ts
+++ b/features/gateway/quarantine-store.steps.ts
@@ -20,6 +20,7 @@
 
 function createObservedQuarantine(world: StoreWorld): void {
   const context = {
+    board: { fleet: { subscribe: () => undefined } },
     clock: createManualClock(1_000),
     logger: { log: () => undefined },
     metrics: { quarantined: { inc: () => undefined } },
--- a/src/controllers/quarantine/culprits.ts
+++ b/src/controllers/quarantine/culprits.ts
@@ -3,26 +3,27 @@
  *
  * All requests on a failed server are involved in its failure, and sound requests share most parts of
  * their prompts with the one that caused it. What sets the cause apart is that nothing with it is
- * answered. A part that was answered shortly before may have stopped working only now, or may just not
- * have been answered again yet; it takes more failures, and some time without any answer.
+ * answered. What was answered shortly before may have stopped working only now, or may just not have been
+ * answered again yet; it takes more failures, and some time without any answer.
  */
 import type { Milliseconds } from '../../core/clock/index.js';
 import { isSameFailure, type Evidence, type Involvement } from './evidence.js';
+import { covers, type QuarantineList } from './quarantine-list.js';
 import { isPartFingerprint } from './types.js';
 
 /** Number of unattributed failures after which a fingerprint is quarantined. */
 const FAILURES_UNTIL_QUARANTINE = 3;
 /** The same for a fingerprint that is quarantined already, but only together with others. */
 const FAILURES_UNTIL_WIDENED = 2;
-/** The same for a part that was answered before. */
-export const FAILURES_OF_ANSWERED_PART = 5;
-/** For so long a part that was answered before must have failed without an answer. */
-export const ANSWERED_PART_WAIT_MS: Milliseconds = 2_000;
+/** The same for a fingerprint that was answered before. */
+export const FAILURES_OF_ANSWERED = 5;
+/** For so long a fingerprint that was answered before must have failed without an answer. */
+export const ANSWERED_WAIT_MS: Milliseconds = 2_000;
 /** Servers that fail together, such as for lack of power, don't fail for something in a request. */
 const SIMULTANEOUS_MS: Milliseconds = 100;
 const QUARANTINE_MS: Milliseconds = 600_000;
-/** Short, since a wrong quarantine of a part that many requests share would refuse all of them. */
-const ANSWERED_PART_QUARANTINE_MS: Milliseconds = 30_000;
+/** Short, since a wrong quarantine would refuse what was answered until then. */
+const ANSWERED_QUARANTINE_MS: Milliseconds = 30_000;
 
 /** A quarantine: requests with all of the fingerprints are held. */
 export interface HeldFingerprints {
@@ -43,30 +44,38 @@
 }
 
 /**
- * The most specific fingerprints that explain enough failures which `held` doesn't explain; undefined
- * if none of `suspects` explains enough. `isRepeated` tells whether one was quarantined before.
+ * The most specific fingerprints that explain enough failures which no quarantine explains, and that
+ * aren't held yet; undefined if none of `suspects` explains enough.
  */
 export function findCulprit(
   evidence: Evidence,
   suspects: Iterable<string>,
-  held: readonly HeldFingerprints[],
-  isRepeated: (fingerprint: string) => boolean,
+  quarantines: QuarantineList,
   now: Milliseconds,
 ): Culprit | undefined {
+  const held = quarantines.all;
   if (![...suspects].some((each) => isCulprit(evidence, each, held, now))) return undefined;
-  const candidates = evidence
+  return evidence
     .listFailed(FAILURES_UNTIL_WIDENED)
     .filter((each) => isCulprit(evidence, each, held, now))
     .map((fingerprint) => toCandidate(evidence, fingerprint))
-    .filter(({ fingerprint }) => !isDominated(evidence, fingerprint));
-  const [best] = candidates.sort(
-    (a, b) =>
-      b.companions.length - a.companions.length ||
-      b.failures.length - a.failures.length ||
-      Number(isPartFingerprint(b.fingerprint)) - Number(isPartFingerprint(a.fingerprint)),
-  );
-  if (best === undefined) return undefined;
-  const { fingerprint, failures, companions } = best;
+    .filter(({ fingerprint }) => !isDominated(evidence, fingerprint))
+    .sort(
+      (a, b) =>
+        b.companions.length - a.companions.length ||
+        b.failures.length - a.failures.length ||
+        Number(isPartFingerprint(b.fingerprint)) - Number(isPartFingerprint(a.fingerprint)),
+    )
+    .map((candidate) => toCulprit(evidence, candidate, quarantines))
+    .find(({ fingerprints }) => quarantines.remainingMs(fingerprints, now) === undefined);
+}
+
+/** The candidate with those of its companions that no failure and no answer tells from it. */
+function toCulprit(
+  evidence: Evidence,
+  { fingerprint, failures, companions }: Candidate,
+  quarantines: Pick<QuarantineList, 'isHeld'>,
+): Culprit {
   const firstAt = firstOf(failures);
   const wasSound = evidence.wasAnsweredBefore(fingerprint, firstAt);
   const inseparable = companions.filter((each) => {
@@ -74,9 +83,10 @@
     const isLessLikely = !wasSound && evidence.wasAnsweredBefore(each, firstAt);
     return !isLessLikely && evidence.answeredAt(each) < firstAt;
   });
+  const isRepeated = quarantines.isHeld(fingerprint);
   return {
     fingerprints: [fingerprint, ...inseparable].sort(),
-    forMs: wasSound && !isRepeated(fingerprint) ? ANSWERED_PART_QUARANTINE_MS : QUARANTINE_MS,
+    forMs: wasSound && !isRepeated ? ANSWERED_QUARANTINE_MS : QUARANTINE_MS,
   };
 }
 
@@ -89,7 +99,10 @@
   return { fingerprint, failures, companions };
 }
 
-/** Whether a fingerprint of other requests explains all of the failures, and more. */
+/**
+ * Whether a fingerprint of other requests explains all of the failures, and more. A request doesn't
+ * explain those of a part: a sound one that is sent again and again is at all of them.
+ */
 export function isDominated(evidence: Evidence, fingerprint: string): boolean {
   const { failures, companions } = toCandidate(evidence, fingerprint);
   if (failures.length === 0) return false;
@@ -97,6 +110,7 @@
     .listFailed(failures.length + 1)
     .some(
       (other) =>
+        (isPartFingerprint(other) || !isPartFingerprint(fingerprint)) &&
         !companions.includes(other) &&
         failures.every((failure) =>
           evidence.failuresOf(other).some((each) => isSameFailure(each, failure)),
@@ -118,27 +132,54 @@
     (failure) => !isAttributed(evidence, fingerprint, failure, failures.length, held),
   );
   const count = countIndependent(fingerprint, unattributed);
-  if (!evidence.wasAnsweredBefore(fingerprint, firstOf(failures)))
+  const firstAt = firstOf(failures);
+  if (!evidence.wasAnsweredBefore(fingerprint, firstAt))
     return count >= (isHeldWithOthers ? FAILURES_UNTIL_WIDENED : FAILURES_UNTIL_QUARANTINE);
-  return count >= FAILURES_OF_ANSWERED_PART && now - firstOf(unattributed) >= ANSWERED_PART_WAIT_MS;
+  const needed = isHeldWithOthers ? FAILURES_UNTIL_WIDENED : FAILURES_OF_ANSWERED;
+  return count >= needed && now - firstAt >= ANSWERED_WAIT_MS;
 }
 
-/** Whether `held` explains all known failures of the fingerprint, of which there are some. */
+/**
+ * Whether `held` explains most known failures of a combination of fingerprints, and too few are left to
+ * hold it. Those with the fewest failures tell the combination from other requests.
+ *
+ * A narrower quarantine explains only the failures of requests that it holds: what many requests share is
+ * at more failures than what a few of them have besides.
+ */
 export function isExplained(
   evidence: Evidence,
-  fingerprint: string,
+  fingerprints: readonly string[],
   held: readonly HeldFingerprints[],
 ): boolean {
-  const failures = evidence.failuresOf(fingerprint);
+  const countOf = (fingerprint: string): number => evidence.failuresOf(fingerprint).length;
+  const fewest = Math.min(...fingerprints.map(countOf));
+  const narrower = held.filter((each) => covers({ fingerprints }, each.fingerprints));
+  const others = held.filter((each) => !narrower.includes(each));
+  const needed = narrower.length > 0 ? FAILURES_UNTIL_WIDENED : FAILURES_UNTIL_QUARANTINE;
   return (
-    failures.length > 0 &&
-    failures.every((failure) => isAttributed(evidence, fingerprint, failure, failures.length, held))
+    fewest > 0 &&
+    fingerprints
+      .filter((each) => countOf(each) === fewest)
+      .every((each) => {
+        const unattributed = evidence
+          .failuresOf(each)
+          .filter(
+            (failure) =>
+              !isAttributed(evidence, each, failure, fewest, others) &&
+              !isAttributed(evidence, each, failure, Infinity, narrower),
+          ).length;
+        return unattributed < needed && 2 * unattributed < fewest;
+      })
   );
 }
 
 /**
  * Whether a quarantine explains the failure: all of its fingerprints were involved, and either in at
  * least `count` failures, or by a request that had this fingerprint as well.
+ *
+ * A request beside a part is explained however often the part is known to have failed, since reports of
+ * one failure arrive one by one. A part beside a request is not: a sound request that is sent again and
+ * again is at as many failures as the part that causes them.
  */
 function isAttributed(
   evidence: Evidence,
@@ -154,10 +195,11 @@
       others.every((other) => {
         const failures = evidence.failuresOf(other);
         const same = failures.find((each) => isSameFailure(each, failure));
-        // A sound request that is sent again and again is at as many failures as a part that causes them.
-        const isRequestBesidePart = isPartFingerprint(fingerprint) && !isPartFingerprint(other);
-        const isAsFrequent = failures.length >= count && !isRequestBesidePart;
-        return same !== undefined && (isAsFrequent || same.companions.includes(fingerprint));
+        if (same === undefined) return false;
+        const isPart = isPartFingerprint(fingerprint);
+        const isOtherPart = isPartFingerprint(other);
+        const isAsFrequent = isPart === isOtherPart ? failures.length >= count : isOtherPart;
+        return isAsFrequent || same.companions.includes(fingerprint);
       })
     );
   });
--- a/src/controllers/quarantine/evidence.ts
+++ b/src/controllers/quarantine/evidence.ts
@@ -1,8 +1,8 @@
 /**
  * Which fingerprints were involved when backend servers failed, and when they were last answered.
  *
- * Parts of prompts that are answered are remembered even if no server has failed with them, so that a
- * part that many requests share is known to be sound before anything is held against it.
+ * Answers are remembered even if no server has failed, so that a request that is sent again and again, or
+ * a part that many requests share, is known to be sound before anything is held against it.
  */
 import type { Milliseconds } from '../../core/clock/index.js';
 import { isPartFingerprint } from './types.js';
@@ -13,9 +13,12 @@
 const SAME_FAILURE_WINDOW_MS: Milliseconds = 2_000;
 /** Maximum number of fingerprints with failures. Beyond it, the oldest that isn't held is evicted. */
 const MAX_RECORDS = 5_000;
-const MAX_ANSWERED_PARTS = 4_000;
+/** Maximum numbers of requests and of parts without failures whose answers are remembered. */
+const MAX_ANSWERED = 4_000;
 /** A part that was answered within this time before its first failure was answered before. */
-const ANSWERED_BEFORE_MS: Milliseconds = 60_000;
+const PART_ANSWERED_BEFORE_MS: Milliseconds = 60_000;
+/** Shorter for a request, which only its caller's next try would clear. */
+const REQUEST_ANSWERED_BEFORE_MS: Milliseconds = 3_000;
 
 /** A failed backend server. */
 export interface ServerFailure {
@@ -35,15 +38,15 @@
   /** Failures since the last answer, in the order of their reports. */
   failures: Involvement[];
   answeredAt: Milliseconds;
-  /** The last failure of which another gateway reported that it had answered the part before. */
+  /** The last failure of which another gateway reported that it had answered the fingerprint before. */
   reportedSoundAt: Milliseconds;
 }
 
 /** What one gateway knows of fingerprints. */
 export class Evidence {
   private readonly records = new Map<string, FingerprintRecord>();
-  /** When parts without a record were last answered, least recent first. */
-  private readonly answeredParts = new Map<string, Milliseconds>();
+  private readonly answeredRequests = new AnswerTimes();
+  private readonly answeredParts = new AnswerTimes();
 
   /** `isHeld` tells which fingerprints must not be evicted. */
   constructor(private readonly isHeld: (fingerprint: string) => boolean) {}
@@ -65,20 +68,24 @@
       .map(([fingerprint]) => fingerprint);
   }
 
-  /** Whether a part was answered shortly before the first of its failures. */
+  /** Whether the fingerprint was answered shortly before the first of its failures. */
   wasAnsweredBefore(fingerprint: string, firstFailureAt: Milliseconds): boolean {
-    if (!isPartFingerprint(fingerprint)) return false;
     const record = this.records.get(fingerprint);
-    const soundAt = Math.max(
-      this.answeredAt(fingerprint),
-      record?.reportedSoundAt ?? Number.NEGATIVE_INFINITY,
+    const reportedAt = record?.reportedSoundAt ?? Number.NEGATIVE_INFINITY;
+    return (
+      reportedAt >= firstFailureAt - answeredBeforeMs(fingerprint) ||
+      this.hasAnsweredBefore(fingerprint, firstFailureAt)
     );
-    return soundAt >= firstFailureAt - ANSWERED_BEFORE_MS;
   }
 
-  /** Adds that another gateway had answered the part shortly before a failure. */
-  addSoundBefore(part: string, failureAt: Milliseconds): void {
-    const record = this.records.get(part);
+  /** The same without what other gateways have only reported as answered before. */
+  hasAnsweredBefore(fingerprint: string, firstFailureAt: Milliseconds): boolean {
+    return this.answeredAt(fingerprint) >= firstFailureAt - answeredBeforeMs(fingerprint);
+  }
+
+  /** Adds that another gateway had answered the fingerprint shortly before a failure. */
+  addSoundBefore(fingerprint: string, failureAt: Milliseconds): void {
+    const record = this.records.get(fingerprint);
     if (record) record.reportedSoundAt = Math.max(record.reportedSoundAt, failureAt);
   }
 
@@ -86,7 +93,7 @@
   answeredAt(fingerprint: string): Milliseconds {
     return (
       this.records.get(fingerprint)?.answeredAt ??
-      this.answeredParts.get(fingerprint) ??
+      this.answerTimesOf(fingerprint).get(fingerprint) ??
       Number.NEGATIVE_INFINITY
     );
   }
@@ -127,7 +134,7 @@
   private clear(fingerprint: string, at: Milliseconds): boolean {
     const record = this.records.get(fingerprint);
     if (record === undefined) {
-      if (isPartFingerprint(fingerprint)) this.rememberAnswer(fingerprint, at);
+      this.answerTimesOf(fingerprint).record(fingerprint, at);
       return false;
     }
     if (at <= record.answeredAt) return false;
@@ -137,13 +144,9 @@
     return record.failures.length < before;
   }
 
-  private rememberAnswer(part: string, at: Milliseconds): void {
-    const before = this.answeredParts.get(part) ?? Number.NEGATIVE_INFINITY;
-    this.answeredParts.delete(part);
-    this.answeredParts.set(part, Math.max(before, at));
-    if (this.answeredParts.size <= MAX_ANSWERED_PARTS) return;
-    const [leastRecent] = this.answeredParts.keys();
-    if (leastRecent !== undefined) this.answeredParts.delete(leastRecent);
+  /** Requests have times of their own, since there are many more of them. */
+  private answerTimesOf(fingerprint: string): AnswerTimes {
+    return isPartFingerprint(fingerprint) ? this.answeredParts : this.answeredRequests;
   }
 
   private getOrCreateRecord(fingerprint: string): FingerprintRecord {
@@ -155,7 +158,7 @@
       answeredAt: this.answeredAt(fingerprint),
       reportedSoundAt: Number.NEGATIVE_INFINITY,
     };
-    this.answeredParts.delete(fingerprint);
+    this.answerTimesOf(fingerprint).delete(fingerprint);
     this.records.set(fingerprint, created);
     return created;
   }
@@ -169,6 +172,32 @@
   }
 }
 
+/** When fingerprints without failures were last answered; the least recent ones are evicted. */
+class AnswerTimes {
+  private readonly times = new Map<string, Milliseconds>();
+
+  get(fingerprint: string): Milliseconds | undefined {
+    return this.times.get(fingerprint);
+  }
+
+  record(fingerprint: string, at: Milliseconds): void {
+    const before = this.times.get(fingerprint) ?? Number.NEGATIVE_INFINITY;
+    this.times.delete(fingerprint);
+    this.times.set(fingerprint, Math.max(before, at));
+    if (this.times.size <= MAX_ANSWERED) return;
+    const [leastRecent] = this.times.keys();
+    if (leastRecent !== undefined) this.times.delete(leastRecent);
+  }
+
+  delete(fingerprint: string): void {
+    this.times.delete(fingerprint);
+  }
+}
+
+function answeredBeforeMs(fingerprint: string): Milliseconds {
+  return isPartFingerprint(fingerprint) ? PART_ANSWERED_BEFORE_MS : REQUEST_ANSWERED_BEFORE_MS;
+}
+
 export function isSameFailure(first: ServerFailure, second: ServerFailure): boolean {
   return first.server === second.server && Math.abs(first.at - second.at) < SAME_FAILURE_WINDOW_MS;
 }
--- a/src/controllers/quarantine/quarantine-list.ts
+++ b/src/controllers/quarantine/quarantine-list.ts
@@ -45,15 +45,7 @@
     return until > now ? until - now : undefined;
   }
 
-  /** Starts a quarantine in place of those that hold a part of its requests only. */
   start(fingerprints: readonly string[], since: Milliseconds, until: Milliseconds): string {
-    for (const other of this.all) {
-      if (
-        other.fingerprints.length > fingerprints.length &&
-        covers({ fingerprints }, other.fingerprints)
-      )
-        this.quarantines.delete(joinFingerprints(other.fingerprints));
-    }
     const id = joinFingerprints(fingerprints);
     this.quarantines.delete(id);
     this.quarantines.set(id, { fingerprints: [...fingerprints], since, until });
--- a/src/controllers/quarantine/quarantine-table.ts
+++ b/src/controllers/quarantine/quarantine-table.ts
@@ -11,8 +11,8 @@
  */
 import type { Milliseconds } from '../../core/clock/index.js';
 import {
-  ANSWERED_PART_WAIT_MS,
-  FAILURES_OF_ANSWERED_PART,
+  ANSWERED_WAIT_MS,
+  FAILURES_OF_ANSWERED,
   findCulprit,
   isDominated,
   isExplained,
@@ -21,6 +21,7 @@
 import { covers, QuarantineList, type Quarantine } from './quarantine-list.js';
 import {
   fingerprintsOf,
+  joinFingerprints,
   parseFingerprints,
   type QuarantineNotice,
   type RequestReport,
@@ -56,6 +57,11 @@
   /** When failures that have led to no quarantine may do so without another one. */
   private reviewAt: Milliseconds | undefined;
 
+  /** `onRelease` is called with each quarantine that ends early, and with what of it remains held. */
+  constructor(
+    private readonly onRelease: (quarantine: string, remaining?: string) => void = () => undefined,
+  ) {}
+
   /** Number of tracked fingerprints. */
   get size(): number {
     return this.evidence.size;
@@ -69,13 +75,14 @@
     now: Milliseconds,
   ): string[] {
     const ageMs = now - at;
-    const reports = requests.map(([fingerprint = '', ...parts]): RequestReport => {
-      const answeredParts = parts.filter((part) => this.evidence.wasAnsweredBefore(part, at));
+    const reports = requests.map((fingerprints): RequestReport => {
+      const [fingerprint = '', ...parts] = fingerprints;
+      const answered = fingerprints.filter((each) => this.evidence.hasAnsweredBefore(each, at));
       return {
         kind: 'serverEnded',
         fingerprint,
         ...(parts.length > 0 && { parts }),
-        ...(answeredParts.length > 0 && { answeredParts }),
+        ...(answered.length > 0 && { answeredBefore: answered }),
         server,
         ageMs,
       };
@@ -97,13 +104,15 @@
   applyReports(reports: readonly RequestReport[], now: Milliseconds, isOwn = false): ReportOutcome {
     const suspects = new Set<string>();
     const fresh = reports.filter((report) => this.applyReport(report, now, isOwn, suspects));
-    return { started: this.quarantineCulprits(suspects, now), fresh };
+    const started = this.quarantineCulprits(suspects, now);
+    if (suspects.size > 0) this.releaseExplained(now);
+    return { started, fresh };
   }
 
   /** To be called often: returns quarantines that begin as nothing was answered for long enough. */
   review(now: Milliseconds): string[] {
     if (this.reviewAt === undefined || now < this.reviewAt) return [];
-    const suspects = this.evidence.listFailed(FAILURES_OF_ANSWERED_PART);
+    const suspects = this.evidence.listFailed(FAILURES_OF_ANSWERED);
     const started = this.quarantineCulprits(suspects, now);
     const isWaiting = suspects.some(
       (each) => !this.quarantines.isHeld(each) && this.hasFailedSince(each, now - REVIEW_MS),
@@ -121,6 +130,7 @@
     if (fingerprints.some((each) => this.evidence.answeredAt(each) >= since)) return false;
     // The other gateway may have heard of few of the failures.
     if (fingerprints.every((each) => isDominated(this.evidence, each))) return false;
+    if (this.isExplainedByOthers(fingerprints, now)) return false;
     this.quarantines.start(fingerprints, since, now + Math.min(leftMs, MAX_QUARANTINE_MS));
     return true;
   }
@@ -183,9 +193,9 @@
         const failure = { server: report.server, at, isOwn };
         const involved = this.evidence.addFailure(fingerprints, failure, now);
         if (!isOwn)
-          for (const part of report.answeredParts ?? []) this.evidence.addSoundBefore(part, at);
+          for (const each of report.answeredBefore ?? []) this.evidence.addSoundBefore(each, at);
         for (const fingerprint of involved) suspects.add(fingerprint);
-        if (involved.length > 0) this.reviewAt ??= now + ANSWERED_PART_WAIT_MS;
+        if (involved.length > 0) this.reviewAt ??= now + ANSWERED_WAIT_MS;
         return involved.length > 0;
       }
     }
@@ -198,6 +208,7 @@
     now: Milliseconds,
   ): boolean {
     const cleared = this.evidence.addAnswer(fingerprints, at);
+    if (!fingerprints.some((each) => this.quarantines.isHeld(each))) return cleared.length > 0;
     let isReleased = false;
     for (const quarantine of this.quarantines.all) {
       const sound = at >= quarantine.since ? fingerprints : cleared;
@@ -216,34 +227,35 @@
   ): void {
     this.quarantines.release({ fingerprints }, now);
     const others = fingerprints.filter((each) => !sound.includes(each));
-    if (others.length > 0) this.quarantines.start(others, since, until);
+    const remaining = others.length > 0 ? this.quarantines.start(others, since, until) : undefined;
+    this.onRelease(joinFingerprints(fingerprints), remaining);
   }
 
   private quarantineCulprits(suspects: Iterable<string>, now: Milliseconds): string[] {
     const started: string[] = [];
     for (;;) {
-      const culprit = findCulprit(
-        this.evidence,
-        suspects,
-        this.quarantines.all,
-        (each) => this.quarantines.isHeld(each),
-        now,
-      );
+      const culprit = findCulprit(this.evidence, suspects, this.quarantines, now);
       if (culprit === undefined) return started;
       const { fingerprints, forMs } = culprit;
-      if (this.remainingMs(fingerprints, now) !== undefined) return started;
       started.push(this.quarantines.start(fingerprints, now, now + forMs));
-      this.releaseExplained(fingerprints, now);
     }
   }
 
-  /** Ends quarantines whose failures are explained by that of `fingerprints`, which was found later. */
-  private releaseExplained(fingerprints: readonly string[], now: Milliseconds): void {
-    const found = [{ fingerprints }];
+  /** Ends quarantines that others have turned out to explain, as reports arrive one by one. */
+  private releaseExplained(now: Milliseconds): void {
     for (const quarantine of this.quarantines.all) {
-      if (covers({ fingerprints }, quarantine.fingerprints)) continue;
-      if (quarantine.fingerprints.every((each) => isExplained(this.evidence, each, found)))
-        this.quarantines.release(quarantine, now);
+      if (quarantine.until <= now) continue;
+      if (!this.isExplainedByOthers(quarantine.fingerprints, now)) continue;
+      this.quarantines.release(quarantine, now);
+      this.onRelease(joinFingerprints(quarantine.fingerprints));
     }
   }
+
+  /** Whether quarantines that aren't wider than this one explain it. */
+  private isExplainedByOthers(fingerprints: readonly string[], now: Milliseconds): boolean {
+    const others = this.quarantines.all.filter(
+      (other) => other.until > now && !covers(other, fingerprints),
+    );
+    return isExplained(this.evidence, fingerprints, others);
+  }
 }
--- a/src/controllers/quarantine/types.ts
+++ b/src/controllers/quarantine/types.ts
@@ -15,8 +15,8 @@
     kind: z.literal('serverEnded'),
     fingerprint: z.string(),
     parts,
-    /** Those of the parts that the reporting gateway had answered shortly before. */
-    answeredParts: parts,
+    /** Those of the fingerprints that the reporting gateway knew to be answered shortly before. */
+    answeredBefore: parts,
     server: z.string(),
     ageMs: durationMs,
   }),
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -418,6 +418,11 @@
     message:
       'Backend servers end under a request or a part of prompts; it is sent to none for now.',
   },
+  quarantineReleased: {
+    number: 2510,
+    level: 'info',
+    message: 'A quarantine has ended early; what it holds was answered, or others explain it.',
+  },
   retryDenied: {
     number: 2508,
     level: 'warn',
--- a/src/entry/requests/request-quarantine.ts
+++ b/src/entry/requests/request-quarantine.ts
@@ -63,7 +63,9 @@
   logger,
   settings,
 }: Pick<EntryContext, 'board' | 'clock' | 'engines' | 'logger' | 'settings'>): RequestQuarantine {
-  const table = new QuarantineTable();
+  const table = new QuarantineTable((fingerprint, remaining) => {
+    logger.log('quarantineReleased', { fingerprint, ...(remaining && { remaining }) });
+  });
   const listeners = new Set<() => void>();
 
   const logStarted = (quarantines: readonly string[], source: string): void => {
--- a/src/gateway/peers/registration.ts
+++ b/src/gateway/peers/registration.ts
@@ -69,8 +69,9 @@
   let isWriting = false;
   let isRegistered = false;
   let isListing = false;
-  /** What the stored entry says. */
+  /** What the stored entry says, as far as known. */
   let isStoredAsCounted = false;
+  let storedQuarantines: ReadonlySet<string> = new Set();
   let nextListAt = Number.POSITIVE_INFINITY;
 
   const restoreQuarantine = (value: unknown): void => {
@@ -83,6 +84,7 @@
   };
   const tryWrite = (condition: number | undefined): ResultAsync<WriteResult, StoreFailure> => {
     const quarantined = toStoredQuarantine(quarantine.list());
+    storedQuarantines = new Set(quarantined.map(({ fingerprint }) => fingerprint));
     isStoredAsCounted = members.isCounted;
     const entry = {
       ...self,
@@ -164,6 +166,9 @@
     void writeWhileStale();
   };
   quarantine.onQuarantine(refresh);
+  quarantine.onRelease((fingerprint) => {
+    if (storedQuarantines.has(fingerprint)) refresh();
+  });
   return {
     refresh,
     // Retrying lets a gateway without a reachable seed discover its peers after a store outage.
--- a/src/gateway/requests/quarantine.ts
+++ b/src/gateway/requests/quarantine.ts
@@ -61,6 +61,8 @@
   onReport(listener: (quarantined: readonly QuarantineNotice[]) => void): void;
   /** Called when a quarantine has begun for which this gateway has evidence of its own. */
   onQuarantine(listener: () => void): void;
+  /** Called when a quarantine has ended early. */
+  onRelease(listener: (fingerprint: string) => void): void;
 }
 
 /** A response that ended with its connection. */
@@ -72,6 +74,7 @@
 
 /** Requests at one server process that a check is to decide on. */
 interface UndecidedRequests {
+  server: BackendServer;
   /** Those that broke off, by their own fingerprint. */
   broken: Map<string, RequestFingerprints>;
   closed: ClosedResponse[];
@@ -79,12 +82,19 @@
 
 /** A server that has ended is noticed within this time after its connections have closed. */
 const CLOSED_RETENTION_MS: Milliseconds = 3_000;
+const MAX_LOGGED_FINGERPRINTS = 20;
+
+type QuarantineContext = Pick<GatewayContext, 'board' | 'clock' | 'logger' | 'metrics'>;
 
 export function createQuarantine(
-  { clock, logger, metrics }: Pick<GatewayContext, 'clock' | 'logger' | 'metrics'>,
+  { board, clock, logger, metrics }: QuarantineContext,
   calls: Pick<EngineCalls, 'probe'>,
 ): Quarantine {
-  const table = new QuarantineTable();
+  const releaseListeners: ((fingerprint: string) => void)[] = [];
+  const table = new QuarantineTable((fingerprint, remaining) => {
+    logger.log('quarantineReleased', { fingerprint, ...(remaining && { remaining }) });
+    for (const listener of releaseListeners) listener(fingerprint);
+  });
   const undecided = new Map<string, UndecidedRequests>();
   const reportListeners: ((quarantined: readonly QuarantineNotice[]) => void)[] = [];
   const quarantineListeners: (() => void)[] = [];
@@ -105,6 +115,8 @@
     requests: readonly RequestFingerprints[],
     at: Milliseconds,
   ): void => {
+    const fingerprints = [...new Set(requests.flat())].slice(0, MAX_LOGGED_FINGERPRINTS).join();
+    logger.log('serverEndedUnderRequests', { server, requests: requests.length, fingerprints });
     const started = table.recordOwnFailure(server, requests, at, clock.now());
     for (const quarantine of started) logQuarantined(quarantine, 'own evidence');
     const notices = listNotices(started);
@@ -121,7 +133,6 @@
     switch (result) {
       case 'ended': {
         const suspects = [...broken.values(), ...closed.map(({ fingerprints }) => fingerprints)];
-        logger.log('serverEndedUnderRequests', { server: server.id, requests: suspects.length });
         recordServerExit(server.id, suspects, startedAt);
         break;
       }
@@ -142,7 +153,7 @@
     const processKey = incarnationKey(server);
     const existing = undecided.get(processKey);
     if (existing) return existing;
-    const created: UndecidedRequests = { broken: new Map(), closed: [] };
+    const created: UndecidedRequests = { server, broken: new Map(), closed: [] };
     undecided.set(processKey, created);
     return created;
   };
@@ -154,6 +165,17 @@
       if (broken.size + closed.length === 0) undecided.delete(processKey);
     }
   };
+  // Responses that ended with their connections may be the only ones that an ended process leaves.
+  board.fleet.subscribe(() => {
+    if (undecided.size === 0) return;
+    pruneClosed(clock.now());
+    const { servers } = board.fleet.read();
+    for (const { server } of [...undecided.values()]) {
+      const listed = servers.get(server.id);
+      if (listed === undefined || incarnationKey(listed) !== incarnationKey(server))
+        checks.check(server);
+    }
+  });
   /**
    * Gateways with evidence of their own store the quarantine, whoever has completed it: that keeps
    * the number of writes small in large fleets.
@@ -224,5 +246,8 @@
     onQuarantine: (listener) => {
       quarantineListeners.push(listener);
     },
+    onRelease: (listener) => {
+      releaseListeners.push(listener);
+    },
   };
 }
