Sockets: one check for refused connections; bound what reports name

isConnectionRefused stood twice, in the gateway's probes and in the engine client of the entries. A report may name the request itself besides its 32 parts as answered before; the schema allowed 32, so that a peer would have dropped the whole digest of a request with 32 parts. Found by reading; no test sends 32 parts.

--- a/src/adapters/engines/engine-client.ts
+++ b/src/adapters/engines/engine-client.ts
@@ -8,6 +8,7 @@
 import { Agent } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure } from '../../core/errors/index.js';
+import { isConnectionRefused } from '../../core/sockets/index.js';
 import {
   createBufferedBytesTracker,
   type BufferedBytesTracker,
@@ -163,7 +164,3 @@
     return err(createFailure('orderRefused', { name: address, reason }));
   });
 }
-
-function isConnectionRefused(error: unknown): boolean {
-  return error instanceof Error && (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
-}
--- a/src/controllers/quarantine/types.ts
+++ b/src/controllers/quarantine/types.ts
@@ -6,8 +6,10 @@
 import * as z from 'zod';
 
 const durationMs = z.number().nonnegative();
+const fingerprint = z.string().max(64);
+const MAX_PARTS = 32;
 /** Fingerprints of the parts of a request's prompt. */
-const parts = z.array(z.string().max(64)).max(32).optional();
+const parts = z.array(fingerprint).max(MAX_PARTS).optional();
 
 export const requestReportSchema = z.discriminatedUnion('kind', [
   /** A backend server failed while it was processing the request. */
@@ -16,7 +18,10 @@
     fingerprint: z.string(),
     parts,
     /** Those of the fingerprints that the reporting gateway knew to be answered shortly before. */
-    answeredBefore: parts,
+    answeredBefore: z
+      .array(fingerprint)
+      .max(MAX_PARTS + 1)
+      .optional(),
     server: z.string(),
     ageMs: durationMs,
   }),
--- a/src/core/sockets/index.ts
+++ b/src/core/sockets/index.ts
@@ -1,1 +1,2 @@
+export * from './connection-refused.js';
 export * from './hard-reset.js';
--- a/src/gateway/backends/engine-calls.ts
+++ b/src/gateway/backends/engine-calls.ts
@@ -3,12 +3,13 @@
  */
 import { Agent } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
+import { isConnectionRefused } from '../../core/sockets/index.js';
 import { callWithTimeout } from '../../core/timeout/index.js';
 import type { EngineCall, OrderCodec, OrderOutcome } from '../../ports/index.js';
 import type { LinkMonitor } from '../links/link-monitor.js';
 import type { DueOrder, GroupMember } from '../../controllers/groups/index.js';
 import { flattenHeaders } from './headers.js';
-import { isConnectionRefused, readProbe, type ProbeOutcome } from './probe.js';
+import { readProbe, type ProbeOutcome } from './probe.js';
 import type { ServerAvailability } from './server-availability.js';
 
 /** `escalating`: from here, and if that fails, from other gateways as well. */
--- a/src/gateway/backends/probe.ts
+++ b/src/gateway/backends/probe.ts
@@ -29,8 +29,3 @@
   if (isOtherProcess && startedAt !== undefined) return { kind: 'gone' };
   return { kind: 'answers', pace: report?.pace ?? 1 };
 }
-
-/** Whether nothing listens at the address. */
-export function isConnectionRefused(error: unknown): boolean {
-  return error instanceof Error && (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
-}
--- a/src/gateway/links/server-check.ts
+++ b/src/gateway/links/server-check.ts
@@ -3,10 +3,11 @@
  */
 import { Agent } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
+import { isConnectionRefused } from '../../core/sockets/index.js';
 import { callWithTimeout } from '../../core/timeout/index.js';
 import type { BackendServer, OrderCodec } from '../../ports/index.js';
 import { flattenHeaders } from '../backends/headers.js';
-import { isConnectionRefused, readProbe, type ProbeOutcome } from '../backends/probe.js';
+import { readProbe, type ProbeOutcome } from '../backends/probe.js';
 import type { ServerAvailability } from '../backends/server-availability.js';
 
 /** Checks servers without reusing connections, because old ones may outlive a cut. */
