Test: replicas are planned where no instance has weights

A service whose instances have all lost their weights is now planned without a network, and one where a domain still has them keeps to that domain.

--- a/features/gateway/load-slots.feature
+++ b/features/gateway/load-slots.feature
@@ -35,3 +35,16 @@
     Given 40 domains with 3 instances without weights each
     When loads of at most 7 at once are run until none is left
     Then all instances have weights after 18 rounds of loads
+
+  # Guards against a service that is never served again once no instance has weights: weights are loaded
+  # for planned replicas only.
+  Scenario: No instance of a service has weights left
+    Given 2 domains with 4 instances without weights each
+    When their replicas are planned during traffic
+    Then each domain is to have replicas
+
+  Scenario: One domain still has weights
+    Given 1 domain with 7 instances without weights each
+    And 1 domain whose instances all have weights
+    When their replicas are planned during traffic
+    Then only the last domain is to have replicas
--- a/features/gateway/load-slots.steps.ts
+++ b/features/gateway/load-slots.steps.ts
@@ -10,6 +10,8 @@
 interface SlotWorld {
   domains: ServiceDomain[];
   slots: readonly number[];
+  /** Replicas to have, by domain. */
+  planned: readonly number[];
   rounds: number;
 }
 
@@ -60,9 +62,12 @@
   },
 );
 
-Given('{int} domains whose instances all have weights', function (this: SlotWorld, count: number) {
-  addDomains(this, count, 10, [SMALL, 'large']);
-});
+Given(
+  '{int} domain(s) whose instances all have weights',
+  function (this: SlotWorld, count: number) {
+    addDomains(this, count, 10, [SMALL, 'large']);
+  },
+);
 
 When(
   'their load slots are computed for {int} loads at once',
@@ -71,6 +76,24 @@
   },
 );
 
+When('their replicas are planned during traffic', function (this: SlotWorld) {
+  const states = createDomainStates(this.domains, false);
+  this.planned = this.domains.map(({ key }) =>
+    sum(states.get(key)?.targets.map(({ groups }) => groups) ?? []),
+  );
+});
+
+Then('each domain is to have replicas', function (this: SlotWorld) {
+  assert.ok(this.planned.every((count) => count > 0));
+});
+
+Then('only the last domain is to have replicas', function (this: SlotWorld) {
+  assert.deepEqual(
+    this.planned.map((count) => count > 0),
+    this.planned.map((_, index) => index === this.planned.length - 1),
+  );
+});
+
 Then('the domains may run {int} loads together', function (this: SlotWorld, total: number) {
   assert.equal(sum(this.slots), total);
 });
