--- a/features/gateway/quarantine-decisions.steps.ts
+++ b/features/gateway/quarantine-decisions.steps.ts
@@ -3,13 +3,19 @@
  */
 import assert from 'node:assert/strict';
 import { Before, Given, Then, When } from '@cucumber/cucumber';
-import { QuarantineTable, type RequestReport } from '../../src/controllers/quarantine/index.js';
+import {
+  partFingerprint,
+  QuarantineTable,
+  type RequestReport,
+} from '../../src/controllers/quarantine/index.js';
 import type { PeeringModel } from './peering-model.js';
 
 interface DecisionWorld {
   table: QuarantineTable;
   now: number;
   fingerprints: Set<string>;
+  /** When servers ended that ended one after the other. */
+  endTimes: Map<string, number>;
   model: PeeringModel;
 }
 
@@ -21,6 +27,7 @@
   this.table = new QuarantineTable();
   this.now = 0;
   this.fingerprints = new Set();
+  this.endTimes = new Map();
 });
 
 function endReport(fingerprint: string, server: string, ageMs = 0): RequestReport {
@@ -60,6 +67,86 @@
   },
 );
 
+/** Records that servers ended one after the other, each while `requestsAt` of it ran there. */
+function recordEndsInTurn(
+  world: DecisionWorld,
+  servers: string,
+  requestsAt: (server: string) => readonly (readonly string[])[],
+): void {
+  for (const server of parseNames(servers)) {
+    world.now += END_INTERVAL_MS;
+    world.endTimes.set(server, world.now);
+    world.table.recordOwnFailure(server, requestsAt(server), world.now, world.now);
+  }
+}
+
+Given(
+  /^the servers (.*) ended under a part "(\w)", beside the request "(\w)"$/,
+  function (this: DecisionWorld, servers: string, part: string, request: string) {
+    recordEndsInTurn(this, servers, (server) => [
+      [`with-${part}-at-${server}`, partFingerprint(part)],
+      [request],
+    ]);
+  },
+);
+
+Given('a request with a part {string} that was answered', function (this: DecisionWorld, part) {
+  this.table.recordOwnAnswer(['answered', partFingerprint(String(part))], this.now, this.now);
+});
+
+Given(
+  /^the servers (.*) ended under a part "(\w)" that comes with a part "(\w)"$/,
+  function (this: DecisionWorld, servers: string, part: string, other: string) {
+    recordEndsInTurn(this, servers, (server) => [
+      [`with-${part}-at-${server}`, partFingerprint(part), partFingerprint(other)],
+    ]);
+  },
+);
+
+When(
+  /^the servers (.*) end under a part "(\w)"$/,
+  function (this: DecisionWorld, servers: string, part: string) {
+    recordEndsInTurn(this, servers, (server) => [
+      [`with-${part}-at-${server}`, partFingerprint(part)],
+    ]);
+  },
+);
+
+Given(
+  /^the servers (.*) ended one after the other under a request "(\w)"$/,
+  function (this: DecisionWorld, servers: string, request: string) {
+    recordEndsInTurn(this, servers, () => [[request]]);
+  },
+);
+
+When(
+  /^requests with a part "(\w)" are told to have been at the ends of (.*) too$/,
+  function (this: DecisionWorld, part: string, servers: string) {
+    for (const server of parseNames(servers)) {
+      const ageMs = this.now - (this.endTimes.get(server) ?? this.now);
+      const report = endReport(`with-${part}-at-${server}`, server, ageMs);
+      this.table.applyReports([{ ...report, parts: [partFingerprint(part)] }], this.now);
+    }
+  },
+);
+
+Then('only the part {string} is in quarantine', function (this: DecisionWorld, part: string) {
+  assertQuarantined(this, [partFingerprint(part)]);
+});
+
+Then('requests with {string} are in quarantine', function (this: DecisionWorld, part: string) {
+  const fingerprints = ['another', partFingerprint(part)];
+  assert.ok(this.table.remainingMs(fingerprints, this.now) !== undefined);
+});
+
+Then(
+  'another gateway that still tells of {string} is not followed',
+  function (this: DecisionWorld, fingerprint: string) {
+    const notice = { fingerprint, ageMs: 50, leftMs: 500_000 };
+    assert.equal(this.table.applyNotice(notice, this.now), false);
+  },
+);
+
 When('a server {string} ends under {string}', function (this: DecisionWorld, server, fingerprint) {
   this.now += END_INTERVAL_MS;
   recordEnds(this, String(fingerprint), [String(server)]);
--- a/features/gateway/quarantine.feature
+++ b/features/gateway/quarantine.feature
@@ -43,6 +43,29 @@
     And a server "d" ends under "x"
     Then "x" is in quarantine
 
+  # Guards against a sound request that is held because reports of one crash arrive one by one.
+  @quarantine-table
+  Scenario: A request is reported before the part beside it that crashed the server
+    Given the servers "a", "b" and "c" ended under a part "p", beside the request "x"
+    When the request "x" is told to have been at the ends of "d" too
+    Then only the part "p" is in quarantine
+
+  # Guards against a sound request that stays held once the cause of its failures is known.
+  @quarantine-table
+  Scenario: A request is held before the part beside it is reported
+    Given the servers "a", "b", "c" and "d" ended one after the other under a request "x"
+    When requests with a part "p" are told to have been at the ends of "a", "b" and "c" too
+    Then only the part "p" is in quarantine
+    And another gateway that still tells of "x" is not followed
+
+  # Guards against a quarantine that hides all that are found after it.
+  @quarantine-table
+  Scenario: A second part crashes servers while a more specific one is held
+    Given a request with a part "r" that was answered
+    And the servers "a", "b" and "c" ended under a part "p" that comes with a part "r"
+    When the servers "d", "e" and "f" end under a part "q"
+    Then requests with "q" are in quarantine
+
   @quarantine-table
   Scenario: An answer clears a request, also at other gateways
     Given a request "x" that ended the servers "a" and "b"
