Gateway: store quarantines while stopping

Cause: all gateways had been told to stop, drained streams for some seconds, and wrote nothing more to the store from the order on; a quarantine that began or ended then was lost with the processes. The loop that writes the entry now ends with the process; registration and lists still end with the order.

--- a/features/gateway/quarantine-store.steps.ts
+++ b/features/gateway/quarantine-store.steps.ts
@@ -3,31 +3,47 @@
  */
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
+import { okAsync } from 'neverthrow';
 import type { Digest } from '../../src/controllers/peering/index.js';
 import { createManualClock } from '../../src/core/clock/index.js';
 import type { EngineCalls } from '../../src/gateway/backends/engine-calls.js';
+import { createGatewayRegistration } from '../../src/gateway/peers/registration.js';
 import { createQuarantine, type Quarantine } from '../../src/gateway/requests/quarantine.js';
+import type { FleetMembers } from '../../src/controllers/quotas/index.js';
+import type { ObjectStore } from '../../src/gateway/store/client.js';
 import type { GatewayContext } from '../../src/gateway/types.js';
 import { waitFor } from '../support/waiting.js';
 import { createServer } from './planning-model.js';
 
 interface StoreWorld {
   quarantine: Quarantine;
+  stored: StoredEntry | undefined;
   writes: number;
 }
 
+/** What the store holds of a gateway. */
+interface StoredEntry {
+  quarantined: readonly { fingerprint: string }[];
+}
+
 const FINGERPRINT = 'x';
+const NOW = 1_000;
 
-function createObservedQuarantine(world: StoreWorld): void {
+function createContext(): GatewayContext {
   const context = {
     board: { fleet: { subscribe: () => undefined } },
-    clock: createManualClock(1_000),
+    clock: createManualClock(NOW),
+    incarnation: 'life-1',
     logger: { log: () => undefined },
     metrics: { quarantined: { inc: () => undefined } },
   };
+  return context as unknown as GatewayContext;
+}
+
+function createObservedQuarantine(world: StoreWorld, context = createContext()): void {
   const calls: Pick<EngineCalls, 'probe'> = { probe: () => Promise.resolve({ kind: 'gone' }) };
   world.writes = 0;
-  world.quarantine = createQuarantine(context as unknown as GatewayContext, calls);
+  world.quarantine = createQuarantine(context, calls);
   world.quarantine.onQuarantine(() => {
     world.writes += 1;
   });
@@ -39,8 +55,40 @@
 
 Given('a gateway under whose request a server has ended', async function (this: StoreWorld) {
   createObservedQuarantine(this);
-  this.quarantine.recordBroken([FINGERPRINT], createServer('server-0'));
-  await waitFor('the end to be reported', () => this.quarantine.buildDigest().reports?.length);
+  await recordEnd(this);
+});
+
+async function recordEnd({ quarantine }: StoreWorld): Promise<void> {
+  quarantine.recordBroken([FINGERPRINT], createServer('server-0'));
+  await waitFor('the end to be reported', () => quarantine.buildDigest().reports?.length);
+}
+
+Given(
+  'a gateway that has been told to stop, under whose request a server has ended',
+  async function (this: StoreWorld) {
+    const context = createContext();
+    createObservedQuarantine(this, context);
+    const store = {
+      write: (_kind: string, _name: string, entry: StoredEntry) => {
+        this.stored = entry;
+        return okAsync({ kind: 'written', object: { revision: 1 } });
+      },
+    };
+    const registration = createGatewayRegistration({
+      context,
+      store: store as unknown as ObjectStore,
+      self: { name: 'gateway-0', address: '10.0.0.1:9000', failureDomain: 'north' },
+      members: { isCounted: true } as unknown as FleetMembers,
+      quarantine: this.quarantine,
+      onPeer: () => undefined,
+    });
+    registration.stop();
+    await recordEnd(this);
+  },
+);
+
+When('an answer to the request arrives', function (this: StoreWorld) {
+  this.quarantine.recordAnswered([FINGERPRINT], NOW + 1);
 });
 
 When('another gateway reports two more ends under it', function (this: StoreWorld) {
@@ -70,3 +118,15 @@
   assert.notEqual(this.quarantine.leftMs([FINGERPRINT]), undefined);
   assert.equal(this.writes, 1);
 });
+
+Then('its entry in the store names the request', async function (this: StoreWorld) {
+  await waitFor('the entry to name it', () => listStored(this).includes(FINGERPRINT));
+});
+
+Then('its entry in the store names no request', async function (this: StoreWorld) {
+  await waitFor('the entry to name none', () => listStored(this).length === 0);
+});
+
+function listStored({ stored }: StoreWorld): string[] {
+  return stored?.quarantined.map(({ fingerprint }) => fingerprint) ?? [];
+}
--- a/features/gateway/quarantine.feature
+++ b/features/gateway/quarantine.feature
@@ -128,3 +128,12 @@
     Given a gateway under whose request no server has ended
     When another gateway tells of the quarantine
     Then the request is in quarantine, and its gateway has nothing to store
+
+  # Guards against a quarantine that is lost because all gateways stop as it begins, and against one that
+  # is restored after it has ended.
+  Scenario: A gateway that stops keeps its entry true
+    Given a gateway that has been told to stop, under whose request a server has ended
+    When another gateway reports two more ends under it
+    Then its entry in the store names the request
+    When an answer to the request arrives
+    Then its entry in the store names no request
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -341,6 +341,7 @@
     },
     stop: async () => {
       ticking?.stop();
+      registration.close();
       await Promise.all([listener.close(), client.close()]);
     },
   };
--- a/src/gateway/peers/registration.ts
+++ b/src/gateway/peers/registration.ts
@@ -27,7 +27,9 @@
   relist(delayMs: Milliseconds): void;
   /** Called regularly: lists the entries again, and writes the own one when it is out of date. */
   update(now: Milliseconds): void;
+  /** From now on only changes of the quarantine are written. */
   stop(): void;
+  close(): void;
 }
 
 interface GatewayRegistrationOptions {
@@ -64,6 +66,7 @@
   /** Revision of the last successful write. */
   let revision: number | undefined;
   let isStopping = false;
+  let isClosed = false;
   /** The stored entry is, or may be, out of date. */
   let isStale = false;
   let isWriting = false;
@@ -152,12 +155,12 @@
   const writeWhileStale = async (): Promise<void> => {
     if (isWriting) return;
     isWriting = true;
-    while (!isStopping && isStale) {
+    while (!isClosed && isStale) {
       // Reset before the write, so that a change during the write triggers another one.
       isStale = false;
       if (await writeEntry()) continue;
       isStale = true;
-      await sleep(RETRY_DELAY_MS);
+      await sleep(RETRY_DELAY_MS, undefined, { ref: false });
     }
     isWriting = false;
   };
@@ -187,6 +190,9 @@
     stop: () => {
       isStopping = true;
     },
+    close: () => {
+      isClosed = true;
+    },
   };
 }
 
