Quarantine: bound what one report starts and reviews

Found by reading: with more than 500 fingerprints at three ends each, the most that a gateway holds, a new quarantine ended the oldest one, whose fingerprint was the next candidate, and so on for ever: the gateway's thread did not come back.

--- a/features/gateway/quarantine-decisions.steps.ts
+++ b/features/gateway/quarantine-decisions.steps.ts
@@ -222,6 +222,25 @@
   },
 );
 
+When(
+  '{int} requests are each at the ends of three servers of their own',
+  function (this: DecisionWorld, requests: number) {
+    for (let index = 0; index < requests; index += 1)
+      recordEnds(this, `other-${index}`, [`${index}-a`, `${index}-b`, `${index}-c`]);
+  },
+);
+
+Then(
+  '{int} of them are in quarantine, the last one too',
+  function (this: DecisionWorld, expected: number) {
+    const held = [...this.fingerprints].filter(
+      (each) => this.table.remainingMs([each], this.now) !== undefined,
+    );
+    assert.equal(held.length, expected);
+    assert.equal(held.at(-1), [...this.fingerprints].at(-1));
+  },
+);
+
 Then('only {string} is in quarantine', function (this: DecisionWorld, name: string) {
   assertQuarantined(this, [name]);
 });
--- a/features/gateway/quarantine.feature
+++ b/features/gateway/quarantine.feature
@@ -98,6 +98,12 @@
     Then at most 5000 of them are remembered, "x" among them
     And a digest tells of at most 200 of them
 
+  # Guards against a gateway that replaces quarantines by each other for ever once it holds the most it can.
+  @quarantine-table
+  Scenario: More requests end servers than a gateway can hold
+    When 520 requests are each at the ends of three servers of their own
+    Then 500 of them are in quarantine, the last one too
+
   Scenario Outline: All gateways of a fleet of <domains> times <size> know in time
     # Any gateway may get the request next; in large fleets reports travel over hubs.
     Given <domains> failure domains of <size> gateways each that exchange digests
--- a/src/controllers/quarantine/culprits.ts
+++ b/src/controllers/quarantine/culprits.ts
@@ -44,8 +44,8 @@
 }
 
 /**
- * The most specific fingerprints that explain enough failures which no quarantine explains, and that
- * aren't held yet; undefined if none of `suspects` explains enough.
+ * The most specific fingerprints, of those at the same servers as `suspects`, that explain enough failures
+ * which no quarantine explains, and that aren't held yet; undefined if none of `suspects` explains enough.
  */
 export function findCulprit(
   evidence: Evidence,
@@ -54,9 +54,14 @@
   now: Milliseconds,
 ): Culprit | undefined {
   const held = quarantines.all;
-  if (![...suspects].some((each) => isCulprit(evidence, each, held, now))) return undefined;
+  const proven = [...suspects].filter((each) => isCulprit(evidence, each, held, now));
+  if (proven.length === 0) return undefined;
+  const servers = new Set(
+    proven.flatMap((each) => evidence.failuresOf(each).map(({ server }) => server)),
+  );
   return evidence
     .listFailed(FAILURES_UNTIL_WIDENED)
+    .filter((each) => evidence.failuresOf(each).some(({ server }) => servers.has(server)))
     .filter((each) => isCulprit(evidence, each, held, now))
     .map((fingerprint) => toCandidate(evidence, fingerprint))
     .filter(({ fingerprint }) => !isDominated(evidence, fingerprint))
--- a/src/controllers/quarantine/quarantine-table.ts
+++ b/src/controllers/quarantine/quarantine-table.ts
@@ -32,6 +32,7 @@
 /** How long own reports are shared; covers several exchanges at the longest interval. */
 const REPORT_SHARING_MS: Milliseconds = 3_000;
 const MAX_SHARED_REPORTS = 200;
+const MAX_STARTED_AT_ONCE = 20;
 /** Failures are reviewed for this long without further ones. */
 const REVIEW_MS: Milliseconds = 5_000;
 const REVIEW_INTERVAL_MS: Milliseconds = 250;
@@ -105,7 +106,7 @@
     const suspects = new Set<string>();
     const fresh = reports.filter((report) => this.applyReport(report, now, isOwn, suspects));
     const started = this.quarantineCulprits(suspects, now);
-    if (suspects.size > 0) this.releaseExplained(now);
+    if (suspects.size > 0) this.releaseExplained(reports, now);
     return { started, fresh };
   }
 
@@ -233,18 +234,25 @@
 
   private quarantineCulprits(suspects: Iterable<string>, now: Milliseconds): string[] {
     const started: string[] = [];
-    for (;;) {
+    // Bounded, since a quarantine beyond the maximum number ends another one, which may be next.
+    while (started.length < MAX_STARTED_AT_ONCE) {
       const culprit = findCulprit(this.evidence, suspects, this.quarantines, now);
-      if (culprit === undefined) return started;
+      if (culprit === undefined) break;
       const { fingerprints, forMs } = culprit;
       started.push(this.quarantines.start(fingerprints, now, now + forMs));
     }
+    return started;
   }
 
   /** Ends quarantines that others have turned out to explain, as reports arrive one by one. */
-  private releaseExplained(now: Milliseconds): void {
+  private releaseExplained(reports: readonly RequestReport[], now: Milliseconds): void {
+    const servers = new Set(
+      reports.flatMap((report) => (report.kind === 'serverEnded' ? [report.server] : [])),
+    );
+    const isConcerned = (fingerprint: string): boolean =>
+      this.evidence.failuresOf(fingerprint).some(({ server }) => servers.has(server));
     for (const quarantine of this.quarantines.all) {
-      if (quarantine.until <= now) continue;
+      if (quarantine.until <= now || !quarantine.fingerprints.some(isConcerned)) continue;
       if (!this.isExplainedByOthers(quarantine.fingerprints, now)) continue;
       this.quarantines.release(quarantine, now);
       this.onRelease(joinFingerprints(quarantine.fingerprints));
