Quarantine: review what is held when another gateway's arrives

Causes: a gateway that learned of the part by the quarantine of another one did not compare what it held itself, since only reports did that; and a gateway that had just started, with reports of three seconds and no answers, held the part that all prompts share, and the others followed it although they had answered it a moment before. A quarantine of another gateway is now followed by the review, and not followed if all that it names was answered here within the two seconds before it began.

Evidence: two scenarios without processes fail before and pass.

--- a/features/gateway/quarantine-decisions.steps.ts
+++ b/features/gateway/quarantine-decisions.steps.ts
@@ -130,6 +130,16 @@
   },
 );
 
+When(
+  'another gateway tells that it holds the part {string}',
+  function (this: DecisionWorld, part: string) {
+    const ageMs = 50;
+    this.now += 2 * ageMs;
+    const notice = { fingerprint: partFingerprint(part), ageMs, leftMs: 500_000 };
+    this.table.applyNotice(notice, this.now);
+  },
+);
+
 Then('only the part {string} is in quarantine', function (this: DecisionWorld, part: string) {
   assertQuarantined(this, [partFingerprint(part)]);
 });
--- a/features/gateway/quarantine.feature
+++ b/features/gateway/quarantine.feature
@@ -58,6 +58,21 @@
     Then only the part "p" is in quarantine
     And another gateway that still tells of "x" is not followed
 
+  # The same, where another gateway is the one that finds the part.
+  @quarantine-table
+  Scenario: Another gateway tells of the part beside a request that is held
+    Given the servers "a", "b" and "c" ended one after the other under a request "x"
+    When requests with a part "p" are told to have been at the ends of "a" and "b" too
+    And another gateway tells that it holds the part "p"
+    Then only the part "p" is in quarantine
+
+  # Guards against a sound part that is held because a gateway has started after the answers to it.
+  @quarantine-table
+  Scenario: Another gateway holds a part that was answered here a moment ago
+    Given a request with a part "r" that was answered
+    When another gateway tells that it holds the part "r"
+    Then nothing is in quarantine
+
   # Guards against a quarantine that hides all that are found after it.
   @quarantine-table
   Scenario: A second part crashes servers while a more specific one is held
--- a/src/controllers/quarantine/quarantine-table.ts
+++ b/src/controllers/quarantine/quarantine-table.ts
@@ -106,7 +106,11 @@
     const suspects = new Set<string>();
     const fresh = reports.filter((report) => this.applyReport(report, now, isOwn, suspects));
     const started = this.quarantineCulprits(suspects, now);
-    if (suspects.size > 0) this.releaseExplained(reports, now);
+    if (suspects.size > 0)
+      this.releaseExplained(
+        reports.flatMap((report) => (report.kind === 'serverEnded' ? [report.server] : [])),
+        now,
+      );
     return { started, fresh };
   }
 
@@ -129,10 +133,18 @@
     if (this.remainingMs(fingerprints, now) !== undefined || leftMs <= 0) return false;
     if (this.quarantines.wasReleasedAfter(fingerprints, since)) return false;
     if (fingerprints.some((each) => this.evidence.answeredAt(each) >= since)) return false;
+    // What is sound here may have failed where no answer to it has been heard of.
+    if (fingerprints.every((each) => this.evidence.answeredAt(each) >= since - ANSWERED_WAIT_MS))
+      return false;
     // The other gateway may have heard of few of the failures.
     if (fingerprints.every((each) => isDominated(this.evidence, each))) return false;
     if (this.isExplainedByOthers(fingerprints, now)) return false;
     this.quarantines.start(fingerprints, since, now + Math.min(leftMs, MAX_QUARANTINE_MS));
+    const failures = fingerprints.flatMap((each) => this.evidence.failuresOf(each));
+    this.releaseExplained(
+      failures.map(({ server }) => server),
+      now,
+    );
     return true;
   }
 
@@ -244,13 +256,10 @@
     return started;
   }
 
-  /** Ends quarantines that others have turned out to explain, as reports arrive one by one. */
-  private releaseExplained(reports: readonly RequestReport[], now: Milliseconds): void {
-    const servers = new Set(
-      reports.flatMap((report) => (report.kind === 'serverEnded' ? [report.server] : [])),
-    );
+  /** Ends quarantines with failures of `servers` that others have turned out to explain. */
+  private releaseExplained(servers: readonly string[], now: Milliseconds): void {
     const isConcerned = (fingerprint: string): boolean =>
-      this.evidence.failuresOf(fingerprint).some(({ server }) => servers.has(server));
+      this.evidence.failuresOf(fingerprint).some(({ server }) => servers.includes(server));
     for (const quarantine of this.quarantines.all) {
       if (quarantine.until <= now || !quarantine.fingerprints.some(isConcerned)) continue;
       if (!this.isExplainedByOthers(quarantine.fingerprints, now)) continue;
