Quarantine: don't free a part for the sake of a narrower quarantine

Cause: the first crashes came with one other part, so that the two were held together; once a gateway held the part alone, others whose reports were behind took the narrower quarantine for the better explanation and did not follow, up to 5 s. A narrower quarantine now explains only what was answered before, which a crashing part was not.

--- a/src/controllers/quarantine/culprits.ts
+++ b/src/controllers/quarantine/culprits.ts
@@ -148,8 +148,8 @@
  * Whether `held` explains most known failures of a combination of fingerprints, and too few are left to
  * hold it. Those with the fewest failures tell the combination from other requests.
  *
- * A narrower quarantine explains only the failures of requests that it holds: what many requests share is
- * at more failures than what a few of them have besides.
+ * A narrower quarantine explains only what was answered before, and the failures of requests that it
+ * holds: what many requests share is at more failures than what a few of them have besides.
  */
 export function isExplained(
   evidence: Evidence,
@@ -166,13 +166,13 @@
     fingerprints
       .filter((each) => countOf(each) === fewest)
       .every((each) => {
-        const unattributed = evidence
-          .failuresOf(each)
-          .filter(
-            (failure) =>
-              !isAttributed(evidence, each, failure, fewest, others) &&
-              !isAttributed(evidence, each, failure, Infinity, narrower),
-          ).length;
+        const failures = evidence.failuresOf(each);
+        const wasSound = evidence.wasAnsweredBefore(each, firstOf(failures));
+        const unattributed = failures.filter(
+          (failure) =>
+            !isAttributed(evidence, each, failure, fewest, others) &&
+            !(wasSound && isAttributed(evidence, each, failure, Infinity, narrower)),
+        ).length;
         return unattributed < needed && 2 * unattributed < fewest;
       })
   );
