Soak: draw all separate faults by one function

Restores, lost links and favoured gateways were drawn by three copies of one loop that differed in gaps and spans; they are descriptions now.

--- a/bench/soak/schedule.ts
+++ b/bench/soak/schedule.ts
@@ -4,7 +4,8 @@
 import type { StreamCrash } from '../../features/gateway/stand-ins/engine.js';
 import { createRandom, type Random } from '../../src/core/random/index.js';
 
-export type FaultKind = (typeof KINDS)[number] | typeof RESTORE | typeof LINK_CUT | typeof FAVOUR;
+export type FaultKind =
+  (typeof KINDS)[number] | typeof RESTORE.kind | typeof LINK_CUT.kind | typeof FAVOUR.kind;
 
 /** A fault of one target; the target is a number, taken among those that are there by then. */
 export interface ScheduledFault {
@@ -23,22 +24,13 @@
   ...(['delayEngine', 'resetEngine', 'loseAnswers', 'cutStreams', 'lateOrders'] as const),
 ] as const;
 
-/** Drawn apart from the others, so that a seed without restores stays the same. */
-const RESTORE = 'restoreStore';
-const SHORTEST_RESTORE_GAP_MS = 1_500;
-const RESTORE_GAP_SPREAD_MS = 5_000;
-/** Shorter than other faults: the store is away for a moment only. */
-const RESTORE_SPREAD_MS = 1_000;
-
-/** Drawn apart from the others as well. */
-const LINK_CUT = 'cutLinks';
-const SHORTEST_LINK_CUT_GAP_MS = 800;
-const LINK_CUT_GAP_SPREAD_MS = 3_000;
-
-/** Drawn apart from the others as well. */
-const FAVOUR = 'favourGateway';
-const SHORTEST_FAVOUR_GAP_MS = 1_500;
-const FAVOUR_GAP_SPREAD_MS = 4_000;
+/** Faults drawn apart from the others, so that a seed without them stays the same. */
+interface SeparateFault<Kind extends string> {
+  kind: Kind;
+  shortestGapMs: number;
+  gapSpreadMs: number;
+  spanSpreadMs: number;
+}
 
 const SHORTEST_GAP_MS = 60;
 const GAP_SPREAD_MS = 700;
@@ -46,6 +38,31 @@
 /** Beyond the silence after which gateways drop each other, 2 s. */
 const FAULT_SPREAD_MS = 2_800;
 const TARGETS = 1_000;
+/** Shorter than other faults: the store is away for a moment only. */
+const RESTORE_SPREAD_MS = 1_000;
+
+/** Restores of the store from copies some seconds old. */
+const RESTORE: SeparateFault<'restoreStore'> = {
+  kind: 'restoreStore',
+  shortestGapMs: 1_500,
+  gapSpreadMs: 5_000,
+  spanSpreadMs: RESTORE_SPREAD_MS,
+};
+/** Times in which gateways lose their links to all backend servers. */
+const LINK_CUT: SeparateFault<'cutLinks'> = {
+  kind: 'cutLinks',
+  shortestGapMs: 800,
+  gapSpreadMs: 3_000,
+  spanSpreadMs: FAULT_SPREAD_MS,
+};
+/** Times in which most new connections go to one gateway. */
+const FAVOUR: SeparateFault<'favourGateway'> = {
+  kind: 'favourGateway',
+  shortestGapMs: 1_500,
+  gapSpreadMs: 4_000,
+  spanSpreadMs: FAULT_SPREAD_MS,
+};
+
 /** One in so many faults comes again at once at the next target. */
 const SERIES_ONE_IN = 5;
 const SERIES_LENGTH = 3;
@@ -72,33 +89,30 @@
   return faults.sort((a, b) => a.atMs - b.atMs);
 }
 
-/** Restores of the store from copies some seconds old, within `forMs`. */
 export function drawRestores(seed: number, forMs: number): ScheduledFault[] {
-  const random = createRandom(seed);
-  const faults: ScheduledFault[] = [];
-  const drawRestoreGap = (): number =>
-    SHORTEST_RESTORE_GAP_MS + random.below(RESTORE_GAP_SPREAD_MS);
-  for (let atMs = drawRestoreGap(); atMs < forMs; atMs += drawRestoreGap()) {
-    const target = random.below(TARGETS);
-    const spanMs = SHORTEST_FAULT_MS + random.below(RESTORE_SPREAD_MS);
-    faults.push({ atMs, kind: RESTORE, target, forMs: spanMs });
-  }
-  return faults;
+  return drawSeparately(RESTORE, seed, forMs);
 }
 
-/** Times in which gateways lose their links to all backend servers, within `forMs`. */
 export function drawLinkCuts(seed: number, forMs: number): ScheduledFault[] {
+  return drawSeparately(LINK_CUT, seed, forMs);
+}
+
+export function drawFavours(seed: number, forMs: number): ScheduledFault[] {
+  return drawSeparately(FAVOUR, seed, forMs);
+}
+
+function drawSeparately(
+  { kind, shortestGapMs, gapSpreadMs, spanSpreadMs }: SeparateFault<FaultKind>,
+  seed: number,
+  forMs: number,
+): ScheduledFault[] {
   const random = createRandom(seed);
   const faults: ScheduledFault[] = [];
-  const drawCutGap = (): number => SHORTEST_LINK_CUT_GAP_MS + random.below(LINK_CUT_GAP_SPREAD_MS);
-  for (let atMs = drawCutGap(); atMs < forMs; atMs += drawCutGap()) {
+  const drawNextGap = (): number => shortestGapMs + random.below(gapSpreadMs);
+  for (let atMs = drawNextGap(); atMs < forMs; atMs += drawNextGap()) {
     const target = random.below(TARGETS);
-    faults.push({
-      atMs,
-      kind: LINK_CUT,
-      target,
-      forMs: SHORTEST_FAULT_MS + random.below(FAULT_SPREAD_MS),
-    });
+    const spanMs = SHORTEST_FAULT_MS + random.below(spanSpreadMs);
+    faults.push({ atMs, kind, target, forMs: spanMs });
   }
   return faults;
 }
@@ -115,19 +129,6 @@
   return STREAM_CRASHES[createRandom(seed).below(STREAM_CRASHES.length)] ?? 'after the head';
 }
 
-/** Times in which most new connections go to one gateway, within `forMs`. */
-export function drawFavours(seed: number, forMs: number): ScheduledFault[] {
-  const random = createRandom(seed);
-  const faults: ScheduledFault[] = [];
-  const drawFavourGap = (): number => SHORTEST_FAVOUR_GAP_MS + random.below(FAVOUR_GAP_SPREAD_MS);
-  for (let atMs = drawFavourGap(); atMs < forMs; atMs += drawFavourGap()) {
-    const target = random.below(TARGETS);
-    const spanMs = SHORTEST_FAULT_MS + random.below(FAULT_SPREAD_MS);
-    faults.push({ atMs, kind: FAVOUR, target, forMs: spanMs });
-  }
-  return faults;
-}
-
 function drawGap(random: Random): number {
   return SHORTEST_GAP_MS + random.below(GAP_SPREAD_MS);
 }
