Quarantine: gateways and entries hash fingerprints by one function

Both had the digest, its length and the reason for it.

Measured: fingerprints of requests with and without body and parts, and of a completion, are the same as before.

--- a/src/entry/requests/request-quarantine.ts
+++ b/src/entry/requests/request-quarantine.ts
@@ -4,11 +4,14 @@
  * An attempt that breaks off is evidence only if the engine's process has ended. Entries share their
  * reports and quarantines as an extension of their digests.
  */
-import { createHash } from 'node:crypto';
 import type { CompletionRequest } from '../../adapters/callers/index.js';
 import { MAX_EXTENSION_LENGTH } from '../../controllers/membership/index.js';
 import { quarantineNewsSchema, type QuarantineNews } from '../../controllers/peering/index.js';
-import { partFingerprint, QuarantineTable } from '../../controllers/quarantine/index.js';
+import {
+  hashFingerprint,
+  partFingerprint,
+  QuarantineTable,
+} from '../../controllers/quarantine/index.js';
 import type { Candidate } from '../../controllers/routing/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
@@ -31,8 +34,6 @@
 
 /** Messages after these are not told apart from the prompt as a whole. */
 const MAX_PARTS = 16;
-/** Hexadecimal digits: 64 bits make collisions negligible. */
-const FINGERPRINT_DIGITS = 16;
 
 /** Fingerprints the completion by its workspace, model and messages. */
 export function fingerprintCompletion({
@@ -41,18 +42,15 @@
   messages,
 }: Pick<CompletionRequest, 'caller' | 'model' | 'messages'>): string[] {
   const shared = messages.slice(0, -1).slice(0, MAX_PARTS);
-  const parts = shared.map(({ role, content }) => partFingerprint(digestOf([role, content])));
+  const parts = shared.map(({ role, content }) =>
+    partFingerprint(hashFingerprint([role, content])),
+  );
   const identity = [
     caller.workspace,
     model,
     ...messages.flatMap((each) => [each.role, each.content]),
   ];
-  return [digestOf(identity), ...new Set(parts)];
-}
-
-function digestOf(values: readonly string[]): string {
-  const hash = createHash('sha1').update(JSON.stringify(values));
-  return hash.digest('hex').slice(0, FINGERPRINT_DIGITS);
+  return [hashFingerprint(identity), ...new Set(parts)];
 }
 
 /** Creates the quarantine of an entry. */
