Quarantine: one way to apply what another gateway tells

Gateways, entries and the simulated fleets each applied reports, then quarantines, and joined what began; the table does it now, and lists what is in force of it.

--- a/features/gateway/quarantine-fleet.ts
+++ b/features/gateway/quarantine-fleet.ts
@@ -110,18 +110,8 @@
   }
 
   mergeNews({ reports, quarantined }: QuarantineNews, now: number): QuarantineNews {
-    const { started, fresh } = this.quarantine.applyReports(reports, now);
-    const adopted = quarantined
-      .filter((notice) => this.quarantine.applyNotice(notice, now))
-      .map(({ fingerprint }) => fingerprint);
-    return { reports: fresh, quarantined: this.notices([...started, ...adopted], now) };
-  }
-
-  notices(quarantines: readonly string[], now: number): QuarantineNotice[] {
-    if (quarantines.length === 0) return [];
-    return this.quarantine
-      .listQuarantined(now)
-      .filter(({ fingerprint }) => quarantines.includes(fingerprint));
+    const { started, fresh } = this.quarantine.applyNews(reports, quarantined, now);
+    return { reports: fresh, quarantined: this.quarantine.listAmong(started, now) };
   }
 
   isInTouch(now: number): boolean {
@@ -311,7 +301,11 @@
     const started = gateway.quarantine.recordOwnFailure(server, requests, brokenAt, this.now);
     if (started.length > 0) this.writeQuarantines(gateway);
     for (const { name } of gateway.table.listPartners()) this.exchangeSoon(gateway, name);
-    this.tell(gateway, { reports: [], quarantined: gateway.notices(started, this.now) }, true);
+    this.tell(
+      gateway,
+      { reports: [], quarantined: gateway.quarantine.listAmong(started, this.now) },
+      true,
+    );
   }
 
   private exchangeSoon(gateway: QuarantineGateway, name: string): void {
--- a/src/controllers/quarantine/quarantine-table.ts
+++ b/src/controllers/quarantine/quarantine-table.ts
@@ -42,9 +42,9 @@
   at: Milliseconds;
 }
 
-/** What reports of other gateways have changed here. */
+/** What reports and quarantines of other gateways have changed here. */
 export interface ReportOutcome {
-  /** Quarantines that have begun. */
+  /** Quarantines that have begun here. */
   started: string[];
   /** The reports that were news. */
   fresh: RequestReport[];
@@ -114,6 +114,17 @@
     return { started, fresh };
   }
 
+  /** Applies what another gateway tells: its reports, then its quarantines. */
+  applyNews(
+    reports: readonly RequestReport[],
+    notices: readonly QuarantineNotice[],
+    now: Milliseconds,
+  ): ReportOutcome {
+    const { started, fresh } = this.applyReports(reports, now);
+    const adopted = notices.filter((notice) => this.applyNotice(notice, now));
+    return { started: [...started, ...adopted.map(({ fingerprint }) => fingerprint)], fresh };
+  }
+
   /** To be called often: returns quarantines that begin as nothing was answered for long enough. */
   review(now: Milliseconds): string[] {
     if (this.reviewAt === undefined || now < this.reviewAt) return [];
@@ -181,6 +192,12 @@
     return this.quarantines.listNotices(now);
   }
 
+  /** Those of the given quarantines that are in force. */
+  listAmong(quarantines: readonly string[], now: Milliseconds): QuarantineNotice[] {
+    if (quarantines.length === 0) return [];
+    return this.listQuarantined(now).filter(({ fingerprint }) => quarantines.includes(fingerprint));
+  }
+
   private hasFailedSince(fingerprint: string, since: Milliseconds): boolean {
     return this.evidence.failuresOf(fingerprint).some(({ at }) => at >= since);
   }
--- a/src/entry/requests/request-quarantine.ts
+++ b/src/entry/requests/request-quarantine.ts
@@ -97,10 +97,7 @@
     for (const listener of listeners) listener();
   };
   const merge = ({ reports, quarantined }: QuarantineNews, source: string): void => {
-    const now = clock.now();
-    const { started } = table.applyReports(reports, now);
-    const adopted = quarantined.filter((notice) => table.applyNotice(notice, now));
-    logStarted([...started, ...adopted.map(({ fingerprint }) => fingerprint)], source);
+    logStarted(table.applyNews(reports, quarantined, clock.now()).started, source);
   };
   return {
     refusalOf: (fingerprints) => {
--- a/src/gateway/requests/quarantine.ts
+++ b/src/gateway/requests/quarantine.ts
@@ -104,12 +104,6 @@
     const leftMs = Math.round(table.remainingMs(parseFingerprints(fingerprint), clock.now()) ?? 0);
     logger.log('requestQuarantined', { fingerprint, source, leftMs });
   };
-  const listNotices = (quarantines: readonly string[]): QuarantineNotice[] =>
-    quarantines.length === 0
-      ? []
-      : table
-          .listQuarantined(clock.now())
-          .filter(({ fingerprint }) => quarantines.includes(fingerprint));
   const recordServerExit = (
     server: string,
     requests: readonly RequestFingerprints[],
@@ -119,7 +113,7 @@
     logger.log('serverEndedUnderRequests', { server, requests: requests.length, fingerprints });
     const started = table.recordOwnFailure(server, requests, at, clock.now());
     for (const quarantine of started) logQuarantined(quarantine, 'own evidence');
-    const notices = listNotices(started);
+    const notices = table.listAmong(started, clock.now());
     for (const listener of reportListeners) listener(notices);
     if (started.length > 0) for (const listener of quarantineListeners) listener();
   };
@@ -186,13 +180,9 @@
   };
   const mergeNews = ({ reports, quarantined }: QuarantineNews, source: string): QuarantineNews => {
     const now = clock.now();
-    const { started, fresh } = table.applyReports(reports, now);
-    const adopted = quarantined
-      .filter((notice) => table.applyNotice(notice, now))
-      .map(({ fingerprint }) => fingerprint);
-    const begun = [...started, ...adopted];
-    for (const quarantine of begun) handleQuarantined(quarantine, source);
-    return { reports: fresh, quarantined: listNotices(begun) };
+    const { started, fresh } = table.applyNews(reports, quarantined, now);
+    for (const quarantine of started) handleQuarantined(quarantine, source);
+    return { reports: fresh, quarantined: table.listAmong(started, now) };
   };
   return {
     leftMs: (fingerprints) => {
