Tests: one check for a part in the prompt of a request

The stand-in engine, the steps of crashing parts and the judge of the soak each read the header in their own way; the stand-in's check, which compares whole ids and not text anywhere in the header, serves all three.

--- a/bench/soak/judge.ts
+++ b/bench/soak/judge.ts
@@ -1,7 +1,7 @@
 /**
  * The promises, judged from what callers got and what backend servers ran.
  */
-import type { Arrival } from '../../features/gateway/stand-ins/engine.js';
+import { hasPart, type Arrival } from '../../features/gateway/stand-ins/engine.js';
 import { CRASHING_PART, DEADLINE_MS, type AskedRecord } from './callers.js';
 import type { InjectedFault } from './inject.js';
 import type { FaultKind } from './schedule.js';
@@ -142,9 +142,7 @@
 
 /** Gateways that ran without a disturbance of their own for as long must not send the part any more. */
 function judgeCrashingPart({ arrivals, records, faults }: Evidence): Breach[] {
-  const crashing = arrivals.filter(({ headers }) =>
-    String(headers['prompt-prefix']).includes(`${CRASHING_PART}:`),
-  );
+  const crashing = arrivals.filter((arrival) => hasPart(arrival, CRASHING_PART));
   const crashes = crashing.flatMap(({ endedAt }) => endedAt ?? []).sort((a, b) => a - b);
   const fifth = crashes[CRASHES_UNTIL_KNOWN - 1];
   if (fifth === undefined) return [];
--- a/features/gateway/crashing-parts.steps.ts
+++ b/features/gateway/crashing-parts.steps.ts
@@ -6,7 +6,7 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { waitFor } from '../support/waiting.js';
 import { Site, type Answer, type GatewayProcess } from './site.js';
-import type { Arrival, StreamCrash } from './stand-ins/engine.js';
+import { hasPart, type Arrival, type StreamCrash } from './stand-ins/engine.js';
 import type { GatewayWorld } from './world.js';
 
 interface PartsWorld extends GatewayWorld {
@@ -68,12 +68,8 @@
   return send(world, gateway, [COMMON_PART, CRASHING_PART, otherPart(world)]);
 }
 
-function hasCrashingPart({ headers }: Arrival): boolean {
-  return String(headers['prompt-prefix']).includes(`${CRASHING_PART}:`);
-}
-
 function listCrashing({ site }: PartsWorld): Arrival[] {
-  return site.journal.filter(hasCrashingPart);
+  return site.journal.filter((arrival) => hasPart(arrival, CRASHING_PART));
 }
 
 function crashTimes(world: PartsWorld): number[] {
--- a/features/gateway/stand-ins/engine.ts
+++ b/features/gateway/stand-ins/engine.ts
@@ -534,7 +534,8 @@
   }
 }
 
-function hasPart({ headers }: IncomingMessage, part: string): boolean {
+/** Whether the prompt of a request has the part. */
+export function hasPart({ headers }: Pick<IncomingMessage, 'headers'>, part: string): boolean {
   const parts = String(headers['prompt-prefix'] ?? '').split(',');
   return parts.some((each) => each.startsWith(`${part}:`));
 }
