Quarantine: forget all responses that ended with their connection too long ago

What would be seen: a server ends, and requests whose responses it had completed long before count as involved, so that sound ones come closer to a quarantine. Cause: such responses count for 3 s, but only one of each server was dropped at a time, when another one arrived; several of one moment stayed. Found on reading.

Evidence: 'A server ends long after some of its responses' named two of three such requests beside the one that broke off; now it names that one alone.

--- a/features/gateway/quarantine-store.steps.ts
+++ b/features/gateway/quarantine-store.steps.ts
@@ -5,7 +5,7 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { okAsync } from 'neverthrow';
 import type { Digest } from '../../src/controllers/peering/index.js';
-import { createManualClock } from '../../src/core/clock/index.js';
+import { createManualClock, type ManualClock } from '../../src/core/clock/index.js';
 import type { EngineCalls } from '../../src/gateway/backends/engine-calls.js';
 import { createGatewayRegistration } from '../../src/gateway/peers/registration.js';
 import { createQuarantine, type Quarantine } from '../../src/gateway/requests/quarantine.js';
@@ -17,6 +17,7 @@
 
 interface StoreWorld {
   quarantine: Quarantine;
+  clock: ManualClock;
   stored: StoredEntry | undefined;
   writes: number;
 }
@@ -29,10 +30,10 @@
 const FINGERPRINT = 'x';
 const NOW = 1_000;
 
-function createContext(): GatewayContext {
+function createContext(clock = createManualClock(NOW)): GatewayContext {
   const context = {
     board: { fleet: { subscribe: () => undefined } },
-    clock: createManualClock(NOW),
+    clock,
     incarnation: 'life-1',
     logger: { log: () => undefined },
     metrics: { quarantined: { inc: () => undefined } },
@@ -130,3 +131,30 @@
 function listStored({ stored }: StoreWorld): string[] {
   return stored?.quarantined.map(({ fingerprint }) => fingerprint) ?? [];
 }
+
+Given(
+  'a gateway to which a server has closed the connections of {string}, {string} and {string} after their responses',
+  function (this: StoreWorld, first: string, second: string, third: string) {
+    this.clock = createManualClock(NOW);
+    createObservedQuarantine(this, createContext(this.clock));
+    for (const request of [first, second, third])
+      this.quarantine.recordClosed([request], createServer('server-0'), NOW);
+  },
+);
+
+When(
+  '{int} ms pass, and the server ends under {string}',
+  async function (this: StoreWorld, passedMs: number, request: string) {
+    this.clock.advance(passedMs);
+    this.quarantine.recordBroken([request], createServer('server-0'));
+    await waitFor('the end to be reported', () => this.quarantine.buildDigest().reports?.length);
+  },
+);
+
+Then('the gateway reports the end for {string} alone', function (this: StoreWorld, name: string) {
+  const reports = this.quarantine.buildDigest().reports ?? [];
+  assert.deepEqual(
+    reports.map(({ fingerprint }) => fingerprint),
+    [name],
+  );
+});
--- a/features/gateway/quarantine.feature
+++ b/features/gateway/quarantine.feature
@@ -158,3 +158,9 @@
     Then its entry in the store names the request
     When an answer to the request arrives
     Then its entry in the store names no request
+
+  # Guards against blaming requests for the end of a server that has closed their connections long before.
+  Scenario: A server ends long after some of its responses
+    Given a gateway to which a server has closed the connections of "a", "b" and "c" after their responses
+    When 4000 ms pass, and the server ends under "d"
+    Then the gateway reports the end for "d" alone
--- a/src/gateway/requests/quarantine.ts
+++ b/src/gateway/requests/quarantine.ts
@@ -152,10 +152,10 @@
     return created;
   };
   const pruneClosed = (now: Milliseconds): void => {
+    const isOld = (response?: ClosedResponse): boolean =>
+      response !== undefined && now - response.closedAt >= CLOSED_RETENTION_MS;
     for (const [processKey, { broken, closed }] of undecided) {
-      const [oldest] = closed;
-      if (oldest === undefined || now - oldest.closedAt < CLOSED_RETENTION_MS) continue;
-      closed.shift();
+      while (isOld(closed[0])) closed.shift();
       if (broken.size + closed.length === 0) undecided.delete(processKey);
     }
   };
