Logs: version and proof of refusals, the phase of a request whose caller left

The records of the two incidents could not tell their hypotheses apart: a refusal at the door named neither the version of the configuration nor the age of its proof, and the end of a request whose caller had left did not say how far the request was.

Refusals now carry version, age and source of the proof and whether the store is reached; a newer version known elsewhere (2121) and a failed read (2122) have lines of their own; requests whose callers left name their phase, which is counted too.

--- a/features/gateway/forwarding-model.ts
+++ b/features/gateway/forwarding-model.ts
@@ -172,6 +172,7 @@
         attempts: counter,
         suspicions: counter,
         requests: counter,
+        departures: counter,
         countError: noop,
         timingsOf: () => ({ whole: noop, firstToken: noop }),
       },
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -202,6 +202,16 @@
     level: 'warn',
     message: 'A version of the configuration can not be read; the one before stays in force.',
   },
+  newerConfigurationKnown: {
+    number: 2121,
+    level: 'info',
+    message: 'Another gateway has a newer version of the configuration in force.',
+  },
+  configurationReadFailed: {
+    number: 2122,
+    level: 'warn',
+    message: 'The configuration could not be read from the store.',
+  },
   serverEntryRejected: {
     number: 2104,
     level: 'warn',
--- a/src/gateway/operations/metrics.ts
+++ b/src/gateway/operations/metrics.ts
@@ -9,6 +9,7 @@
   registry: Registry;
   requests: Counter<'route' | 'outcome'>;
   attempts: Counter<'outcome'>;
+  departures: Counter<'phase'>;
   retries: Counter<'service' | 'outcome'>;
   queued: Counter<'workspace' | 'outcome'>;
   storeCalls: Counter;
@@ -49,6 +50,12 @@
       labelNames: ['outcome'],
       registers,
     }),
+    departures: new Counter({
+      name: 'yuccasail_gateway_departures_total',
+      help: 'Requests whose callers left, by how far the request was: receiving, waiting, sent, relayed or answering.',
+      labelNames: ['phase'],
+      registers,
+    }),
     retries: new Counter({
       name: 'yuccasail_gateway_retries_total',
       help: 'Sendings beyond the first of their request that the retry budget of the service allowed or denied.',
--- a/src/gateway/requests/request-attempts.ts
+++ b/src/gateway/requests/request-attempts.ts
@@ -59,6 +59,11 @@
     return this.inFlight.size > 0;
   }
 
+  /** Whether another gateway relays one that is in flight. */
+  get isAnyRelayed(): boolean {
+    return [...this.inFlight].some(({ isRelayed }) => isRelayed);
+  }
+
   get isRepeatable(): boolean {
     return isRepeatable(this.request.route);
   }
--- a/src/gateway/requests/request-ending.ts
+++ b/src/gateway/requests/request-ending.ts
@@ -14,7 +14,7 @@
 import { createStoppingFailure, SHUTDOWN_REASON, type ShutdownPolicy } from './shutdown.js';
 import type { StreamRelay } from './stream-relay.js';
 import type { TrackedAttempt } from './tracked-attempt.js';
-import type { AdmittedRequest, RequestOutcome } from './types.js';
+import type { AdmittedRequest, RequestOutcome, RequestPhase } from './types.js';
 
 /** What the endings of all requests share. */
 export interface EndingDependencies {
@@ -89,7 +89,14 @@
 
   /** The caller closed its connection. */
   handleCallerDisconnect(): void {
-    this.finish('callerGone', 'the caller disconnected');
+    this.finish('callerGone', 'the caller disconnected', this.phase);
+  }
+
+  private get phase(): RequestPhase {
+    const { reply, attempts } = this.parts;
+    if (!reply.isUnsent) return 'answering';
+    if (!attempts.isAnyInFlight) return 'waiting';
+    return attempts.isAnyRelayed ? 'relayed' : 'sent';
   }
 
   /** Fails the request with what is known of its attempts. */
@@ -193,7 +200,7 @@
     this.finish(outcome, reason);
   }
 
-  private finish(outcome: RequestOutcome, reason: string): void {
+  private finish(outcome: RequestOutcome, reason: string, leftWhile?: RequestPhase): void {
     if (this.isEnded) return;
     this.isEnded = true;
     const { attempts, relay } = this.parts;
@@ -211,6 +218,7 @@
       lastEventAt: relay?.times.lastEventAt,
       longestGapMs: relay?.times.longestGapMs ?? 0,
       lastEventId: relay?.lastEventId,
+      ...(leftWhile && { leftWhile }),
     });
     this.onFinish();
   }
--- a/src/gateway/requests/request-report.ts
+++ b/src/gateway/requests/request-report.ts
@@ -3,9 +3,10 @@
  */
 import { roundedProofAge } from '../../controllers/freshness/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
+import type { Failure } from '../../core/errors/index.js';
 import type { GatewayContext } from '../types.js';
 import type { ChosenTarget } from './backend-tracker.js';
-import type { AdmittedRequest, RequestHead, RequestOutcome } from './types.js';
+import type { AdmittedRequest, RequestHead, RequestOutcome, RequestPhase } from './types.js';
 
 /** Summary of a finished request. */
 export interface RequestSummary {
@@ -20,6 +21,8 @@
   /** Longest time between two events of a stream. */
   longestGapMs: Milliseconds;
   lastEventId: string | undefined;
+  /** How far it was when its caller left. */
+  leftWhile?: RequestPhase;
 }
 
 /** What is logged of an attempt besides its target. */
@@ -58,17 +61,38 @@
   });
 }
 
-/** The active configuration version, and how long ago it was last confirmed to be the newest. */
+/**
+ * The active configuration version, how long ago it was last confirmed to be the newest, and by whom.
+ * A refusal with an old confirmation may follow an outdated configuration.
+ */
 function describeConfiguration({
   board,
   clock,
-}: GatewayContext): Record<string, number | undefined> {
+}: GatewayContext): Record<string, number | string | undefined> {
+  const proof = board.configurationProof.read();
   return {
     configuration: board.serving.read()?.configuration.version,
-    configurationAgeMs: roundedProofAge(board.configurationProof.read(), clock.now()),
+    configurationAgeMs: roundedProofAge(proof, clock.now()),
+    configurationProvedBy: proof?.source,
   };
 }
 
+/** Records a request that was refused before it was admitted. */
+export function reportRefusal(context: GatewayContext, request: string, failure: Failure): void {
+  const { board, clock, logger, metrics } = context;
+  const stop = board.stop.read();
+  metrics.countError(failure.kind);
+  metrics.requests.inc({ route: 'none', outcome: 'refused' });
+  logger.log('requestRefusedAtDoor', {
+    request,
+    kind: failure.kind,
+    reason: failure.message,
+    ...describeConfiguration(context),
+    storeReachable: board.storeReachability.read().reachable,
+    leftMs: stop && Math.round(stop.lastAnswerAt - clock.now()),
+  });
+}
+
 /** Records the end of a request in metrics and log. */
 export function reportEnd(
   { board, clock, metrics, logger }: GatewayContext,
@@ -79,6 +103,7 @@
   const now = clock.now();
   const stop = board.stop.read();
   metrics.requests.inc({ route: route.repeatability, outcome });
+  if (summary.leftWhile) metrics.departures.inc({ phase: summary.leftWhile });
   const timings = metrics.timingsOf(keyHolder?.workspace ?? '', route.repeatability);
   timings.whole(now - arrivedAt);
   if (firstEventAt !== undefined) timings.firstToken(firstEventAt - arrivedAt);
@@ -97,6 +122,7 @@
     gapMs: lastEventAt && Math.round(summary.longestGapMs),
     gapTargetMs: route.targetEventGapMs,
     lastEventId: summary.lastEventId,
+    leftWhile: summary.leftWhile,
     waitedMs: Math.round(summary.startedAt - arrivedAt),
     graceLeftMs: stop && Math.round(stop.lastAnswerAt - now),
   });
@@ -114,5 +140,6 @@
     lastEventAt: undefined,
     longestGapMs: 0,
     lastEventId: undefined,
+    leftWhile: 'receiving',
   });
 }
--- a/src/gateway/requests/request-server.ts
+++ b/src/gateway/requests/request-server.ts
@@ -18,7 +18,7 @@
 import { computeFingerprints } from './fingerprint.js';
 import type { Quarantine } from './quarantine.js';
 import { createReply, type Reply } from './reply.js';
-import { reportIncompleteBody } from './request-report.js';
+import { reportIncompleteBody, reportRefusal } from './request-report.js';
 import { RequestForwarder, type ForwarderDependencies } from './request-forwarder.js';
 import { createStartupWait } from './startup-wait.js';
 import { createShutdownPolicy, createStoppingFailure } from './shutdown.js';
@@ -194,20 +194,12 @@
 }
 
 function rejectRequest(
-  { board, clock, logger, metrics, platform }: GatewayContext,
+  context: GatewayContext,
   reply: Reply,
   incoming: IncomingMessage,
   failure: Failure,
 ): void {
-  const id = platform.requests.decodeRequest(incoming.rawHeaders).id ?? '(none)';
-  metrics.countError(failure.kind);
-  metrics.requests.inc({ route: 'none', outcome: 'refused' });
-  const stop = board.stop.read();
-  logger.log('requestRefusedAtDoor', {
-    request: id,
-    kind: failure.kind,
-    reason: failure.message,
-    leftMs: stop && Math.round(stop.lastAnswerAt - clock.now()),
-  });
+  const id = context.platform.requests.decodeRequest(incoming.rawHeaders).id ?? '(none)';
+  reportRefusal(context, id, failure);
   reply.sendFailure(failure, id);
 }
--- a/src/gateway/requests/types.ts
+++ b/src/gateway/requests/types.ts
@@ -42,3 +42,15 @@
   /** The response was aborted after its first bytes had been sent. */
   | 'cut'
   | 'callerGone';
+
+/** How far a request is that has no complete response yet. */
+export type RequestPhase =
+  /** Its body is still being received. */
+  | 'receiving'
+  /** It waits for a target. */
+  | 'waiting'
+  /** A backend server has it, over a link of this gateway or through another one. */
+  | 'sent'
+  | 'relayed'
+  /** The caller has received the beginning of the response. */
+  | 'answering';
--- a/src/gateway/store/configuration-part.ts
+++ b/src/gateway/store/configuration-part.ts
@@ -104,7 +104,15 @@
   const readFromStore = async (): Promise<boolean> => {
     const at = clock.now();
     const object = await store.read(platform.configurationKind, platform.configurationName);
-    if (object.isErr() || object.value === undefined) return false;
+    if (object.isErr() || object.value === undefined) {
+      logger.log('configurationReadFailed', {
+        wanted: newestPeerVersion,
+        inForce: activeVersion(),
+        tookMs: Math.round(clock.now() - at),
+        reason: object.isErr() ? object.error.message : 'there is none',
+      });
+      return false;
+    }
     applyNewest([object.value]);
     proof.write(laterProof(proof.read(), { at, source: 'store' }));
     return true;
@@ -156,7 +164,15 @@
     apply: applyVersion,
     noteVersion: (version) => {
       if (version <= (activeVersion() ?? 0)) return;
-      newestPeerVersion = Math.max(newestPeerVersion, version);
+      if (version > newestPeerVersion) {
+        newestPeerVersion = version;
+        logger.log('newerConfigurationKnown', {
+          version,
+          inForce: activeVersion(),
+          inForceAgeMs: roundedProofAge(proof.read(), clock.now()),
+          follows: follower.isOn(),
+        });
+      }
       if (follower.isOn()) follower.abortCallsBefore(clock.now() - PROPAGATION_MS);
       else readIfIdle();
     },
