Tests: a change without a store, definite refusals, and callers that leave, all red

A failure domain of 5 of 15 gateways that has lost the store, turned away or silent, has a change in force after 2,366 to 2,967 ms; the bound is 2,000. After 4 s of a silent store gateways still answer 404 and 401 by a configuration that nothing has confirmed. Servers work on for callers that had sent a request behind another one on the same connection, by each way to leave, direct and relayed, and for one that ended its side without reading its events.

--- /dev/null
+++ b/features/gateway/departures.feature
@@ -0,0 +1,28 @@
+Feature: No backend server works on for a caller that has left
+
+  @known-red
+  # Guards against requests that go on at their servers because their gateway does not notice, in some
+  # state or for some way to leave, that the caller has left.
+  Scenario Outline: Callers <leave> in every state of their requests, at a gateway that reaches servers <how>
+    Given a site with slow servers, and a gateway that reaches them <how>
+    When callers <leave> whose requests are in these states
+      | waits for the answer                       |
+      | is the second on its connection            |
+      | was refused by one server                  |
+      | has sent half of its body                  |
+      | waits for the head of a stream             |
+      | waits for the first event                  |
+      | receives events                            |
+      | does not read its events                   |
+      | is behind another stream on its connection |
+      | is behind two others on its connection     |
+    Then within 500 ms no server works on any of them, and no more have reached one
+
+    Examples:
+      | leave                  | how                  |
+      | close their connection | itself               |
+      | reset their connection | itself               |
+      | end their side         | itself               |
+      | close their connection | over another gateway |
+      | reset their connection | over another gateway |
+      | end their side         | over another gateway |
--- /dev/null
+++ b/features/gateway/departures.steps.ts
@@ -0,0 +1,193 @@
+/**
+ * Callers that leave while their requests are in different states, with gateways as processes.
+ */
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect, type Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { After, Given, Then, When, type DataTable } from '@cucumber/cucumber';
+import { waitFor } from '../support/waiting.js';
+import { LinkedSite } from './linked-site.js';
+import { cutOff, type RelayWorld } from './relay.steps.js';
+import { exampleHeaders } from './stand-ins/configuration.js';
+import type { Pace } from './stand-ins/engine.js';
+
+/** A caller with its own connection and the requests that it has sent there. */
+interface Caller {
+  state: string;
+  socket: Socket;
+  ids: readonly string[];
+}
+
+interface DepartureWorld extends RelayWorld {
+  callers: Caller[];
+  leftAt: number;
+}
+
+interface CallerPlan {
+  paths: readonly string[];
+  /** Sends the next request only when the previous one was answered. */
+  inTurn?: boolean;
+  /** Does not read what it gets. */
+  isDeaf?: boolean;
+  /** Sends only the first half of the body. */
+  isHalfSent?: boolean;
+  /** Requests that reach a server before the caller leaves. */
+  running: number;
+}
+
+const GATEWAYS = 2;
+const ENGINES = 4;
+const PLAIN_SERVERS = 2;
+/** Longer than the scenario. */
+const LONG_MS = 5_000;
+const GAP_MS = 40;
+const LARGE_EVENT_BYTES = 65_536;
+const BODY_BYTES = 2_000;
+/** Time for each request to get into its state. */
+const SETTLE_MS = 350;
+
+const PACES: Readonly<Record<string, Pace>> = {
+  '/list/slow': { firstMs: LONG_MS },
+  '/list/quick': { firstMs: 5 },
+  '/check/slow': { firstMs: LONG_MS },
+  '/chat/late-head': { headMs: LONG_MS },
+  '/chat/late-event': { firstMs: LONG_MS },
+  '/chat/events': { events: LONG_MS / GAP_MS, gapMs: GAP_MS },
+  '/chat/flood': { events: LONG_MS, gapMs: 2, eventBytes: LARGE_EVENT_BYTES },
+};
+
+const PLANS: Readonly<Record<string, CallerPlan>> = {
+  'waits for the answer': { paths: ['/list/slow'], running: 1 },
+  'is the second on its connection': {
+    paths: ['/list/quick', '/list/slow'],
+    inTurn: true,
+    running: 1,
+  },
+  'was refused by one server': { paths: ['/list/refused'], running: 1 },
+  'has sent half of its body': { paths: ['/check/slow'], isHalfSent: true, running: 0 },
+  'waits for the head of a stream': { paths: ['/chat/late-head'], running: 1 },
+  'waits for the first event': { paths: ['/chat/late-event'], running: 1 },
+  'receives events': { paths: ['/chat/events'], running: 1 },
+  'does not read its events': { paths: ['/chat/flood'], isDeaf: true, running: 1 },
+  'is behind another stream on its connection': {
+    paths: ['/chat/events', '/chat/late-event'],
+    running: 2,
+  },
+  'is behind two others on its connection': {
+    paths: ['/list/slow', '/list/slow', '/chat/events'],
+    running: 3,
+  },
+};
+
+const DEPARTURES: Readonly<Record<string, (socket: Socket) => void>> = {
+  'close their connection': (socket) => socket.destroy(),
+  'reset their connection': (socket) => socket.resetAndDestroy(),
+  'end their side': (socket) => socket.end(),
+};
+
+After(function (this: Partial<DepartureWorld>) {
+  for (const { socket } of this.callers ?? []) socket.destroy();
+});
+
+/** A pace for each path; the first server that gets the refused one refuses it. */
+function createPaces(): (path: string) => Pace {
+  let hasRefused = false;
+  return (path) => {
+    if (path !== '/list/refused') return PACES[path] ?? {};
+    const refuses = !hasRefused;
+    hasRefused = true;
+    return { refuses, firstMs: LONG_MS };
+  };
+}
+
+Given(
+  /^a site with slow servers, and a gateway that reaches them (itself|over another gateway)$/,
+  async function (this: DepartureWorld, how: string) {
+    this.site = new LinkedSite(GATEWAYS);
+    this.attempts = [];
+    this.earlier = [];
+    this.callers = [];
+    await this.site.open();
+    for (let index = 0; index < ENGINES; index += 1)
+      await this.site.addServer({ id: `engine-${index}`, service: 'models', domain: 'fabric-0' });
+    for (let index = 0; index < PLAIN_SERVERS; index += 1)
+      await this.site.addServer({ id: `plain-${index}`, service: 'app' });
+    this.site.configure({ route: { timeout_ms: LONG_MS } });
+    await this.site.startGateways();
+    await this.site.waitForOpenGroups(ENGINES / 2);
+    if (how !== 'itself') await cutOff(this, 1);
+    const paceOf = createPaces();
+    for (const { options } of this.site.servers) options.paceOf = paceOf;
+  },
+);
+
+function formatRequest(id: string, path: string): string {
+  const method = path.startsWith('/list/') ? 'GET' : 'POST';
+  const headers = Object.entries(exampleHeaders(id, LONG_MS)).map(([name, value]) => [name, value]);
+  if (method === 'POST') headers.push(['Content-Length', String(BODY_BYTES)]);
+  const lines = headers.map(([name, value]) => `${name}: ${value}`);
+  const body = method === 'POST' ? 'b'.repeat(BODY_BYTES) : '';
+  return [`${method} ${path} HTTP/1.1`, ...lines, '', body].join('\r\n');
+}
+
+async function openCaller(world: DepartureWorld, state: string): Promise<Caller> {
+  const plan = PLANS[state];
+  const [gateway] = world.site.gateways;
+  assert.ok(plan && gateway, state);
+  const [host, port] = gateway.callers.split(':');
+  const socket = connect({ host, port: Number(port), allowHalfOpen: true });
+  socket.on('error', () => undefined);
+  await once(socket, 'connect');
+  const ids = plan.paths.map((_, index) => `${state.replaceAll(' ', '-')}-${index}`);
+  const requests = plan.paths.map((path, index) => formatRequest(ids[index] ?? '', path));
+  if (!plan.isDeaf) socket.on('data', () => undefined);
+  if (plan.isHalfSent) socket.write(requests.join('').slice(0, -BODY_BYTES / 2));
+  else if (plan.inTurn) {
+    for (const request of requests) {
+      socket.write(request);
+      if (request !== requests.at(-1)) await once(socket, 'data');
+    }
+  } else socket.write(requests.join(''));
+  return { state, socket, ids };
+}
+
+/** Ids of this caller's requests that a server works on. */
+function listWorkedOn({ site }: DepartureWorld, { ids }: Caller): string[] {
+  return ids.filter((id) => site.servers.some(({ working }) => working.has(id)));
+}
+
+When(
+  /^callers (.+) whose requests are in these states$/,
+  async function (this: DepartureWorld, how: string, states: DataTable) {
+    const leave = DEPARTURES[how];
+    assert.ok(leave);
+    const names = states.raw().flat();
+    this.callers = await Promise.all(names.map((state) => openCaller(this, state)));
+    await waitFor('each request to get into its state', () =>
+      this.callers.every(
+        (caller) => listWorkedOn(this, caller).length === PLANS[caller.state]?.running,
+      ),
+    );
+    await sleep(SETTLE_MS);
+    this.leftAt = performance.now();
+    for (const { socket } of this.callers) leave(socket);
+  },
+);
+
+Then(
+  'within {int} ms no server works on any of them, and no more have reached one',
+  async function (this: DepartureWorld, ms: number) {
+    await sleep(ms);
+    const left = this.callers.flatMap((caller) =>
+      listWorkedOn(this, caller).map((id) => `${caller.state}: ${id}`),
+    );
+    assert.deepEqual(left, []);
+    const late = this.site.journal.filter(({ at, id }) => at > this.leftAt && id.includes('-'));
+    const ids = new Set(this.callers.flatMap((caller) => caller.ids));
+    assert.deepEqual(
+      late.filter(({ id }) => ids.has(id)).map(({ id }) => id),
+      [],
+    );
+  },
+);
--- a/features/gateway/relay.steps.ts
+++ b/features/gateway/relay.steps.ts
@@ -13,7 +13,7 @@
 import { exampleHeaders } from './stand-ins/configuration.js';
 import type { EngineFault } from './stand-ins/engine.js';
 
-interface RelayWorld extends LinkWorld {
+export interface RelayWorld extends LinkWorld {
   refusals: { status: number; headers: IncomingMessage['headers'] }[];
 }
 
@@ -29,7 +29,7 @@
 /** Between two requests of a series. */
 const PAUSE_MS = 10;
 
-async function cutOff(world: RelayWorld, count: number): Promise<void> {
+export async function cutOff(world: RelayWorld, count: number): Promise<void> {
   world.cutGateways = world.site.gateways.slice(0, count);
   await world.site.cut(count, 'reset');
   await waitFor('the links to be found lost', async () => {
--- a/features/gateway/stand-ins/engine.ts
+++ b/features/gateway/stand-ins/engine.ts
@@ -81,6 +81,20 @@
   /** Whole events, without length or chunks; its connections close. */
   | 'after unframed events';
 
+/** How a server answers requests to one path. */
+export interface Pace {
+  /** Answers that it did not run the request. */
+  refuses?: boolean;
+  /** Time until the head of a stream. */
+  headMs?: number;
+  /** Time until an answer, or until the first event of a stream. */
+  firstMs?: number;
+  events?: number;
+  gapMs?: number;
+  /** Size of each event. */
+  eventBytes?: number;
+}
+
 export interface EngineOptions {
   id: string;
   service: string;
@@ -92,6 +106,8 @@
   /** Number of events in each stream. */
   events?: number;
   gapMs?: number;
+  /** Answers requests to this path at a pace of their own. */
+  paceOf?: (path: string) => Pace;
   /** Maps its own address to the one in its entry, such as that of a proxy. */
   advertised?: (address: string) => Promise<string>;
   /** All engines, to check the invariants of replicas. */
@@ -119,6 +135,8 @@
   readonly readyGroups = new Set<string>();
   hasCrashed = false;
   runningStreams = 0;
+  /** Requests that it works on; it drops them when their connection closes. */
+  readonly working = new Set<string>();
   /** Named in its answers as the requests per second that it takes from all gateways together. */
   namedLimit: string | string[] | undefined;
   /** `Retry-After` of its refusals. */
@@ -377,11 +395,14 @@
       response.writeHead(421, { 'Instance-Id': server, 'content-length': 0 }).end();
       return;
     }
-    if (this.fault.kind === 'refuse') {
+    const pace = this.options.paceOf?.(arrival.path) ?? {};
+    if (this.fault.kind === 'refuse' || pace.refuses) {
       this.refuse(response);
       return;
     }
     arrival.ran = true;
+    this.working.add(id);
+    response.once('close', () => this.working.delete(id));
     this.checkAllMembersReady();
     if (this.fault.kind === 'endUnder' && this.fault.body === body) {
       await this.crashDuring(arrival, this.fault.backAfterMs);
@@ -391,8 +412,8 @@
       await this.crashWhileWriting(arrival, response, this.crashingPart);
       return;
     }
-    if (domain) await this.runStream(request, response, id);
-    else await this.answer(response, id);
+    if (domain) await this.runStream(request, response, id, pace);
+    else await this.answer(response, id, pace);
   }
 
   private refuse(response: ServerResponse): void {
@@ -456,10 +477,10 @@
     return ['HTTP/1.1 200 OK', ...headers, '', ''].join('\r\n');
   }
 
-  private async answer(response: ServerResponse, id: string): Promise<void> {
+  private async answer(response: ServerResponse, id: string, pace: Pace): Promise<void> {
     const head = { 'Attempt-Id': id, 'Response-Seal': `seal-${this.options.id}` };
     const body = `answer to ${id}`;
-    await sleep(this.options.gapMs ?? 5);
+    await sleep(pace.firstMs ?? this.options.gapMs ?? 5);
     switch (this.fault.kind) {
       case 'loseAnswer':
         hardReset(response.socket);
@@ -503,9 +524,10 @@
     request: IncomingMessage,
     response: ServerResponse,
     id: string,
+    pace: Pace,
   ): Promise<void> {
     this.runningStreams += 1;
-    await this.stream(request, response, id);
+    await this.stream(request, response, id, pace);
     this.runningStreams -= 1;
   }
 
@@ -513,10 +535,14 @@
     request: IncomingMessage,
     response: ServerResponse,
     id: string,
+    { headMs = 0, firstMs = 0, eventBytes = 0, ...pace }: Pace,
   ): Promise<void> {
-    const { events = 10, gapMs = 10 } = this.options;
+    const { events = 10, gapMs = 10 } = { ...this.options, ...pace };
     const from = Number(request.headers['last-event-id'] ?? 0);
+    if (headMs > 0) await sleep(headMs);
     response.writeHead(200, this.streamHeaders(id));
+    if (firstMs > 0) response.flushHeaders();
+    await sleep(firstMs);
     for (let event = from + 1; event <= events; event += 1) {
       await sleep(gapMs);
       if (this.isStalled() || response.destroyed) return;
@@ -524,7 +550,7 @@
         response.write(`id: ${event}\ndata: par`, () => void resetSoon(response));
         return;
       }
-      response.write(`id: ${event}\ndata: token ${event}\n\n`);
+      response.write(`id: ${event}\ndata: token ${event}${'x'.repeat(eventBytes)}\n\n`);
     }
     response.end();
   }
--- a/features/gateway/store-feed.feature
+++ b/features/gateway/store-feed.feature
@@ -59,3 +59,41 @@
     And one gateway of each failure domain has come to follow the store
     When one that does not follow is cut off from the store
     Then it knows within 7000 ms that it does not reach the store
+
+  # Guards against a change that reaches gateways without a store too late, since they and their hub wait
+  # for a store before they ask another gateway.
+  Scenario Outline: <who> <lose> the store, and <ms> ms later a change is acknowledged
+    Given a site with 15 gateways in 3 failure domains, each with one that follows the store
+    When <who> <lose> the store for <ms> ms
+    And the operator revokes the key
+    Then every gateway refuses with 401 within 2000 ms of the acknowledgement
+
+    @known-red
+    Examples:
+      | who                                | lose               | ms   |
+      | all gateways of one failure domain | are turned away by | 0    |
+      | all gateways of one failure domain | are turned away by | 3000 |
+      | all gateways of one failure domain | hear nothing of    | 0    |
+      | all gateways of one failure domain | hear nothing of    | 6000 |
+
+    Examples:
+      | who                                | lose               | ms   |
+      | those that follow                  | are turned away by | 0    |
+      | those that follow                  | hear nothing of    | 0    |
+      | all gateways but those that follow | are turned away by | 0    |
+      | all gateways but those that follow | hear nothing of    | 0    |
+
+  # Guards against a definite refusal by a configuration that may be outdated: callers do not come back.
+  Scenario Outline: The store is silent for <ms> ms, and requests come that the last known configuration does not allow
+    Given a site with 1 plain server and 2 ready gateways
+    When the store is silent for <ms> ms while requests come without a known route and key
+    Then they are refused with <status>, and from the store's return on with 404 and 401 again
+
+    Examples:
+      | ms   | status      |
+      | 1000 | 404 and 401 |
+
+    @known-red
+    Examples:
+      | ms   | status                   |
+      | 4000 | 503 and a time to return |
--- a/features/gateway/store-feed.steps.ts
+++ b/features/gateway/store-feed.steps.ts
@@ -6,13 +6,15 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { createProxy, type Proxy, type ProxyControl } from '../../src/stand-ins/proxy/index.js';
 import { waitFor } from '../support/waiting.js';
-import type { GatewayPlan, GatewayProcess } from './site.js';
+import type { Answer, GatewayPlan, GatewayProcess } from './site.js';
 import type { StoreFault } from './stand-ins/store.js';
 import { openSite, type GatewayWorld } from './world.js';
 
 const LIST = { path: '/list/slots' };
-const FAILURE_DOMAINS = ['north', 'south'];
+const FAILURE_DOMAINS = ['north', 'south', 'east'];
 const SLOW_ANSWER_DELAY_MS = 800;
+/** Gateways that start together each follow the store until they have heard of the others. */
+const STARTUP_MS = 2_500;
 
 /** Gateways that each reach the store through their own proxy. */
 interface FeedWorld extends GatewayWorld {
@@ -20,6 +22,11 @@
   links: Proxy[];
 }
 
+/** Refusals of requests that the configuration does not allow. */
+interface RefusalWorld extends GatewayWorld {
+  refusals: Refusals[];
+}
+
 After(async function (this: Partial<FeedWorld>) {
   for (const link of this.links ?? []) await link.stop();
 });
@@ -39,22 +46,65 @@
   async function (this: FeedWorld, servers: number, gateways: number, domains: number) {
     await openSite(this, servers);
     this.site.configure();
-    this.links = [];
-    this.plans = [];
-    for (let index = 0; index < gateways; index += 1) {
-      const link = await createProxy({ listen: '127.0.0.1:0', target: this.site.store.address });
-      this.links.push(link._unsafeUnwrap());
-      const failureDomain = FAILURE_DOMAINS[index % domains] ?? '';
-      const plan = this.site.planGateway(this.links.at(-1)?.address);
-      this.plans.push({ ...plan, failureDomain });
-    }
-    await waitUntilConnected(
-      this,
-      await Promise.all(this.plans.map((plan) => this.site.launch(plan))),
+    await waitUntilConnected(this, await launchWithLinks(this, gateways, domains));
+  },
+);
+
+/** Starts gateways that each reach the store over a link of their own. */
+async function launchWithLinks(
+  world: FeedWorld,
+  gateways: number,
+  domains: number,
+): Promise<GatewayProcess[]> {
+  world.links = [];
+  world.plans = [];
+  for (let index = 0; index < gateways; index += 1) {
+    const link = await createProxy({ listen: '127.0.0.1:0', target: world.site.store.address });
+    world.links.push(link._unsafeUnwrap());
+    const failureDomain = FAILURE_DOMAINS[index % domains] ?? '';
+    const plan = world.site.planGateway(world.links.at(-1)?.address);
+    const seeds = world.plans.slice(0, domains).map(({ peers }) => peers);
+    world.plans.push({ ...plan, failureDomain, seeds });
+  }
+  return Promise.all(world.plans.map((plan) => world.site.launch(plan)));
+}
+
+Given(
+  'a site with {int} gateways in {int} failure domains, each with one that follows the store',
+  async function (this: FeedWorld, gateways: number, domains: number) {
+    await openSite(this, 1);
+    this.site.configure();
+    for (const gateway of await launchWithLinks(this, gateways, domains))
+      await this.site.waitUntilReady(gateway);
+    await sleep(STARTUP_MS);
+    await waitFor(
+      'one of each domain to follow',
+      () => this.site.gateways.filter(isFollowing).length === domains,
     );
   },
 );
 
+When(
+  /^(all gateways of one failure domain|all gateways but those that follow|those that follow) (are turned away by|hear nothing of) the store for (\d+) ms$/,
+  async function (this: FeedWorld, who: string, how: string, ms: string) {
+    const [first] = this.plans;
+    const isMeant = (gateway: GatewayProcess, index: number): boolean => {
+      if (who === 'all gateways of one failure domain')
+        return this.plans[index]?.failureDomain === first?.failureDomain;
+      return isFollowing(gateway) === (who === 'those that follow');
+    };
+    const links = this.site.gateways.flatMap((gateway) => {
+      const index = this.plans.findIndex(({ callers }) => callers === gateway.callers);
+      return isMeant(gateway, index) ? (this.links[index] ?? []) : [];
+    });
+    assert.ok(links.length > 0);
+    const fault: ProxyControl =
+      how === 'hear nothing of' ? { cut: 'both' } : { refuse: true, resetAll: true };
+    for (const link of links) await link.control(fault);
+    await sleep(Number(ms));
+  },
+);
+
 async function waitUntilConnected(world: GatewayWorld, gateways: GatewayProcess[]): Promise<void> {
   for (const gateway of gateways) await world.site.waitUntilReady(gateway);
   await waitFor('the gateways to know each other', () =>
@@ -217,7 +267,8 @@
 );
 
 Then('one gateway of each failure domain follows the store', function (this: FeedWorld) {
-  assert.equal(this.site.gateways.filter(isFollowing).length, FAILURE_DOMAINS.length);
+  const domains = new Set(this.plans.map(({ failureDomain }) => failureDomain));
+  assert.equal(this.site.gateways.filter(isFollowing).length, domains.size);
 });
 
 Given(
@@ -225,7 +276,9 @@
   async function (this: FeedWorld) {
     await waitFor(
       'the others to stop following',
-      () => this.site.gateways.filter(isFollowing).length === FAILURE_DOMAINS.length,
+      () =>
+        this.site.gateways.filter(isFollowing).length ===
+        new Set(this.plans.map(({ failureDomain }) => failureDomain)).size,
     );
   },
 );
@@ -268,3 +321,52 @@
     );
   },
 );
+
+interface Refusals {
+  unknownRoute: Answer;
+  unknownKey: Answer;
+}
+
+async function askForRefusals({ site }: GatewayWorld): Promise<Refusals[]> {
+  return Promise.all(
+    site.gateways.map(async (gateway) => ({
+      unknownRoute: await site.request(gateway, { path: '/nowhere/x' }),
+      unknownKey: await site.request(gateway, {
+        ...LIST,
+        headers: { Authorization: 'Bearer unknown' },
+      }),
+    })),
+  );
+}
+
+When(
+  'the store is silent for {int} ms while requests come without a known route and key',
+  async function (this: RefusalWorld, ms: number) {
+    this.site.store.fault = 'silent';
+    await sleep(ms);
+    this.refusals = await askForRefusals(this);
+    this.site.store.fault = 'none';
+  },
+);
+
+Then(
+  /^they are refused with (404 and 401|503 and a time to return), and from the store's return on with 404 and 401 again$/,
+  async function (this: RefusalWorld, statuses: string) {
+    for (const { unknownRoute, unknownKey } of this.refusals) {
+      if (statuses === '404 and 401') {
+        assert.deepEqual([unknownRoute.status, unknownKey.status], [404, 401]);
+        continue;
+      }
+      for (const { status, headers } of [unknownRoute, unknownKey]) {
+        assert.equal(status, 503);
+        assert.ok(Number(headers['retry-after']) > 0);
+      }
+    }
+    await waitFor('definite refusals', async () => {
+      const refusals = await askForRefusals(this);
+      return refusals.every(
+        ({ unknownRoute, unknownKey }) => unknownRoute.status === 404 && unknownKey.status === 401,
+      );
+    });
+  },
+);
