Requests: notice callers that leave in every state of their connection

Cause: the gateway listened for the 'close' of a request's response. Node emits it only for the response that is first in line on its connection, and not while the other side has only ended and unread data waits. A request sent behind another one on a connection was never told, and ran to its end. The entry and the relay listened the same way.

Change: departures are noticed at the connection: each request on it is told of its end and of its close, through one listener per connection. What is complete is still delivered to a caller that has only ended its side.

It leaves KNOWN-RED.

--- a/features/gateway/departures.feature
+++ b/features/gateway/departures.feature
@@ -1,6 +1,5 @@
 Feature: No backend server works on for a caller that has left
 
-  @known-red
   # Guards against requests that go on at their servers because their gateway does not notice, in some
   # state or for some way to leave, that the caller has left.
   Scenario Outline: Callers <leave> in every state of their requests, at a gateway that reaches servers <how>
@@ -9,6 +8,7 @@
       | waits for the answer                       |
       | is the second on its connection            |
       | was refused by one server                  |
+      | was refused by one engine                  |
       | has sent half of its body                  |
       | waits for the head of a stream             |
       | waits for the first event                  |
--- a/features/gateway/departures.steps.ts
+++ b/features/gateway/departures.steps.ts
@@ -65,6 +65,7 @@
     running: 1,
   },
   'was refused by one server': { paths: ['/list/refused'], running: 1 },
+  'was refused by one engine': { paths: ['/chat/refused'], running: 1 },
   'has sent half of its body': { paths: ['/check/slow'], isHalfSent: true, running: 0 },
   'waits for the head of a stream': { paths: ['/chat/late-head'], running: 1 },
   'waits for the first event': { paths: ['/chat/late-event'], running: 1 },
@@ -92,11 +93,11 @@
 
 /** A pace for each path; the first server that gets the refused one refuses it. */
 function createPaces(): (path: string) => Pace {
-  let hasRefused = false;
+  const refused = new Set<string>();
   return (path) => {
-    if (path !== '/list/refused') return PACES[path] ?? {};
-    const refuses = !hasRefused;
-    hasRefused = true;
+    if (!path.endsWith('/refused')) return PACES[path] ?? {};
+    const refuses = !refused.has(path);
+    refused.add(path);
     return { refuses, firstMs: LONG_MS };
   };
 }
--- a/src/adapters/callers/create-callers.ts
+++ b/src/adapters/callers/create-callers.ts
@@ -15,6 +15,7 @@
 import type { Credentials } from '../../controllers/attempts/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
+import { hasLeft, onDeparture } from '../../core/sockets/index.js';
 import type { BufferedBytesTracker } from '../../core/buffered-bytes/index.js';
 import { closeServer, drainServer, listenOn } from '../../core/listening/index.js';
 import type { Logger } from '../../core/logger/index.js';
@@ -144,9 +145,12 @@
     return RESPONSE_ALREADY_SENT;
   }
   const gone = new AbortController();
-  outgoing.once('close', () => {
-    if (!outgoing.writableFinished) gone.abort();
-  });
+  if (hasLeft(incoming, outgoing)) gone.abort();
+  else {
+    onDeparture(incoming, outgoing, () => {
+      gone.abort();
+    });
+  }
   const head: RequestHead = { id, caller: caller.value, signal: gone.signal };
   await handler(options, head, incoming, outgoing);
   limitFlush(outgoing, options.settings.bodyTimeoutMs);
--- a/src/core/sockets/index.ts
+++ b/src/core/sockets/index.ts
@@ -1,2 +1,3 @@
 export * from './connection-refused.js';
+export * from './departure.js';
 export * from './hard-reset.js';
--- a/src/gateway/relay/relay-handler.ts
+++ b/src/gateway/relay/relay-handler.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { memoizeLatest } from '../../core/collections/index.js';
 import { parseAddress } from '../../core/listening/index.js';
+import { hasLeft, onDeparture } from '../../core/sockets/index.js';
 import { isEvacuated } from '../../controllers/evacuation/index.js';
 import type { GatewayPeer } from '../../controllers/peering/index.js';
 import type { BackendServer } from '../../ports/index.js';
@@ -89,7 +90,7 @@
       context.platform.requests.decodeRequest(incoming.rawHeaders).deadlineMs ?? Infinity;
     const limits = board.serving.read()?.configuration.limits;
     const body = await readBody(incoming, limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES).result;
-    if (body.kind !== 'read' || response.destroyed) {
+    if (body.kind !== 'read' || hasLeft(incoming, response)) {
       response.destroy();
       return;
     }
@@ -104,6 +105,9 @@
       if (inFlight.size === 0) for (const listener of drainListeners.splice(0)) listener();
     };
     const relayed = new RelayedRequest(server, response, { availability, links, finish });
+    onDeparture(incoming, response, () => {
+      relayed.cancel();
+    });
     inFlight.add(relayed);
     relayed.start(send, {
       server: { id: server.id, address: server.address },
@@ -159,12 +163,14 @@
     private readonly server: BackendServer,
     private readonly response: ServerResponse,
     private readonly options: RelayedRequestOptions,
-  ) {
-    response.once('close', () => {
-      if (this.isFinished) return;
-      this.finish('broken');
-      this.attempt?.cancel();
-    });
+  ) {}
+
+  /** The other gateway no longer waits for the response. */
+  cancel(): void {
+    if (this.isFinished) return;
+    this.finish('broken');
+    this.attempt?.cancel();
+    this.response.destroy();
   }
 
   start(send: AttemptSender, request: Parameters<AttemptSender>[0]): void {
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -72,6 +72,11 @@
     this.sendNextAttempt('first');
   }
 
+  /** Whether the response is complete or has failed; it may not have been delivered yet. */
+  get isFinished(): boolean {
+    return this.ending.isFinished;
+  }
+
   /** The caller closed its connection. */
   handleCallerDisconnect(): void {
     if (!this.ending.isFinished) this.ending.handleCallerDisconnect();
--- a/src/gateway/requests/request-server.ts
+++ b/src/gateway/requests/request-server.ts
@@ -9,6 +9,7 @@
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import { drainServer, listenOn } from '../../core/listening/index.js';
+import { hasLeft, onDeparture } from '../../core/sockets/index.js';
 import type { AttemptSender } from '../backends/attempt.js';
 import type { GatewayContext } from '../types.js';
 import { admitRequest } from './admission.js';
@@ -84,7 +85,7 @@
     const reply = createReply(response, () => shutdown.isShuttingDown());
     const startup = waitForConfiguration();
     if (startup !== undefined) await startup;
-    if (response.destroyed) return;
+    if (hasLeft(incoming, response)) return;
     const admitted = admitRequest(context, incoming, arrivedAt);
     if (admitted.isErr()) {
       rejectRequest(context, reply, incoming, admitted.error);
@@ -151,12 +152,18 @@
         updateInFlight(-1);
       },
     );
-    response.once('close', () => {
+    // A caller that has left while its body was read gets nothing sent.
+    if (hasLeft(head.incoming, response)) {
       forwarder.handleCallerDisconnect();
+      return;
+    }
+    onDeparture(head.incoming, response, () => {
+      // A response that is complete here may still be delivered to a caller that only ended its side.
+      if (forwarder.isFinished) return;
+      forwarder.handleCallerDisconnect();
+      response.destroy();
     });
-    // A caller that has left while its body was read gets nothing sent.
-    if (response.destroyed) forwarder.handleCallerDisconnect();
-    else forwarder.start();
+    forwarder.start();
   };
   const server = createServer(
     { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS },
