Requests: refuse for good only by a configuration that is proven

What callers saw: 404 for a route that was there; callers take 401, 403 and 404 for final and do not come back.

Cause: admission followed the active configuration however old its proof was. Class: a definite refusal from a belief that is not proven.

Change: while the proof is older than the time within which a change has to be in force, or another gateway is known to have a newer version, such a refusal becomes 503 with a time to return; nothing of the request has run.

--- a/src/gateway/requests/admission.ts
+++ b/src/gateway/requests/admission.ts
@@ -8,6 +8,7 @@
   type KeyHolder,
   type ServingIndex,
 } from '../../controllers/forwarding/index.js';
+import { isProven } from '../../controllers/freshness/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import type { CallerRequest } from '../../ports/index.js';
@@ -20,16 +21,49 @@
 /** A new gateway loads its configuration within this time if the store is reachable. */
 const NO_CONFIGURATION_RETRY_MS: Milliseconds = 500;
 
+/** Callers may return once the configuration has been confirmed, which takes one call. */
+const UNPROVEN_RETRY_MS: Milliseconds = 500;
+
+/** Refusals that follow from the configuration and that callers take for final. */
+const FINAL_REFUSALS: ReadonlySet<Failure['kind']> = new Set([
+  'routeUnknown',
+  'workspaceUnknown',
+  'modelUnknown',
+  'tooManyTokens',
+]);
+
 /**
  * Checks a request against the active configuration.
  *
- * Fails with the retryable `notReady` before the first configuration is loaded, because the request
- * may well be allowed.
+ * Fails with the retryable `notReady` before the first configuration is loaded, and in place of a final
+ * refusal by one that may be outdated, because the request may well be allowed.
  */
 export function admitRequest(
   context: GatewayContext,
   incoming: IncomingMessage,
   arrivedAt: Milliseconds,
+): Result<RequestHead, Failure> {
+  return checkRequest(context, incoming, arrivedAt).mapErr((failure) => {
+    if (!FINAL_REFUSALS.has(failure.kind) || isConfigurationProven(context, arrivedAt))
+      return failure;
+    const reason = 'its configuration may be outdated';
+    return createFailure('notReady', { reason }, UNPROVEN_RETRY_MS);
+  });
+}
+
+function isConfigurationProven({ board, settings }: GatewayContext, now: Milliseconds): boolean {
+  const state = {
+    active: board.serving.read()?.configuration.version ?? 0,
+    newest: board.newestVersion.read(),
+    proof: board.configurationProof.read(),
+  };
+  return isProven(state, settings.configuration.applyMs, now);
+}
+
+function checkRequest(
+  context: GatewayContext,
+  incoming: IncomingMessage,
+  arrivedAt: Milliseconds,
 ): Result<RequestHead, Failure> {
   const index = context.board.serving.read();
   if (index === undefined) {
