Store: no copy of a call whose answer is arriving

Cause, read and not shown to be all of it: a call without an answer was repeated every 400 ms and ended after 1.5 s as a whole, however much of its answer had come. Over a link that is full of such copies none is ever complete. Class: a retry that makes its own success less likely.

Change: a call is repeated, given up or aborted for news only if no part of its answer has come for that long; an answer that keeps coming has 10 s, and 32 MB at most.

--- a/features/gateway/following.feature
+++ b/features/gateway/following.feature
@@ -23,3 +23,15 @@
     Given a gateway that reaches the store
     When 5 of its writes are rejected
     Then it still reaches the store, and missing entries count as gone at once
+
+  # Guards against copies of a call whose large answer is still arriving: they fill the link, and none of
+  # them is ever complete.
+  Scenario: A large answer arrives slowly
+    Given a follower of a store whose answers arrive in parts for 1500 ms, retrying every 300 ms
+    When its calls from before now are aborted after 700 ms
+    Then it has processed a list within 3000 ms
+    And the store was called at most 2 times
+
+  Scenario: A large answer stops arriving
+    Given a follower of a store whose answers stop arriving, retrying every 100 ms
+    Then the store is called 3 times within 1500 ms
--- a/features/gateway/following.steps.ts
+++ b/features/gateway/following.steps.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import { okAsync, ResultAsync } from 'neverthrow';
+import { ok, okAsync, ResultAsync } from 'neverthrow';
 import { createSection } from '../../src/board/index.js';
 import { createSystemClock } from '../../src/core/clock/index.js';
 import { createFailure } from '../../src/core/errors/index.js';
@@ -36,7 +36,9 @@
   await this.follower?.stop();
 });
 
-function startFollower(world: FollowingWorld, isSilent: boolean): void {
+type ListBehavior = Pick<ObjectStore, 'list'>['list'];
+
+function startFollower(world: FollowingWorld, isSilent: boolean, list?: ListBehavior): void {
   world.calls = 0;
   world.listsProcessed = 0;
   world.remainingThrows = 0;
@@ -46,8 +48,9 @@
   const neverAnswered = <Value>(): ResultAsync<Value, StoreFailure> =>
     new ResultAsync(new Promise(() => undefined));
   const store: ObjectStore = {
-    list: () => {
+    list: (kind, call) => {
       countCall();
+      if (list) return list(kind, call);
       return isSilent ? neverAnswered() : okAsync({ objects: [], more: false, revision: 1 });
     },
     watch: () => {
@@ -149,3 +152,46 @@
     assert.equal(this.reachability.absenceEffectiveFrom(now), now);
   },
 );
+
+const PART_INTERVAL_MS = 100;
+
+/** Answers after `forMs`, of which parts arrive until then; or never, once its first parts have. */
+function listInParts(forMs: number, isWhole: boolean): ListBehavior {
+  return (_kind, { onProgress, signal } = {}) => {
+    const parts = setInterval(() => onProgress?.(), PART_INTERVAL_MS);
+    signal?.addEventListener('abort', () => {
+      clearInterval(parts);
+    });
+    const page = { objects: [], more: false, revision: 1 };
+    return new ResultAsync(
+      sleep(forMs).then(() => {
+        clearInterval(parts);
+        return isWhole ? ok(page) : new Promise<never>(() => undefined);
+      }),
+    );
+  };
+}
+
+Given(
+  'a follower of a store whose answers arrive in parts for {int} ms, retrying every {int} ms',
+  function (this: FollowingWorld, forMs: number, everyMs: number) {
+    this.retryAfterMs = everyMs;
+    startFollower(this, false, listInParts(forMs, true));
+  },
+);
+
+Given(
+  'a follower of a store whose answers stop arriving, retrying every {int} ms',
+  function (this: FollowingWorld, everyMs: number) {
+    this.retryAfterMs = everyMs;
+    startFollower(this, false, listInParts(2 * PART_INTERVAL_MS, false));
+  },
+);
+
+When(
+  'its calls from before now are aborted after {int} ms',
+  async function (this: FollowingWorld, ms: number) {
+    await sleep(ms);
+    this.follower.abortCallsBefore(clock.now() - 2 * PART_INTERVAL_MS);
+  },
+);
--- a/src/core/timeout/index.ts
+++ b/src/core/timeout/index.ts
@@ -1,1 +1,2 @@
+export * from './progress.js';
 export * from './timeout.js';
--- a/src/gateway/store/client.ts
+++ b/src/gateway/store/client.ts
@@ -5,7 +5,7 @@
 import { Pool } from 'undici';
 import type { Clock, Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
-import { callWithTimeout } from '../../core/timeout/index.js';
+import { callWhileProgressing } from '../../core/timeout/index.js';
 import {
   eraOf,
   qualifyChanges,
@@ -29,17 +29,23 @@
 /** Result of a watch. `historyGone`: the store has discarded the changes; the caller must relist. */
 export type WatchAnswer = { kind: 'changes'; changes: StoreChanges } | { kind: 'historyGone' };
 
+/** Lets the sender of a call end it, and see that its answer is arriving. */
+export interface CallOptions {
+  signal?: AbortSignal;
+  onProgress?: () => void;
+}
+
 /** The object store, as used by the components of a gateway. */
 export interface ObjectStore {
   /** All objects of a kind, read page by page. */
-  list(kind: string, signal?: AbortSignal): ResultAsync<StorePage, StoreFailure>;
+  list(kind: string, call?: CallOptions): ResultAsync<StorePage, StoreFailure>;
   /** Resolves to undefined when the object does not exist. */
   read(kind: string, name: string): ResultAsync<StoreObject | undefined, StoreFailure>;
   watch(
     kind: string,
     since: number,
     waitMs: Milliseconds,
-    signal: AbortSignal,
+    call: CallOptions,
   ): ResultAsync<WatchAnswer, StoreFailure>;
   /** Conditional write: requires `revision`, or without one that the object does not exist. */
   write(
@@ -98,6 +104,10 @@
  * usual 4 ms still answers within it.
  */
 const WATCH_GRACE_MS: Milliseconds = 900;
+/** Longest time for an answer of which parts keep coming, as over a link that is full. */
+const WHOLE_ANSWER_MS: Milliseconds = 10_000;
+/** Far above an answer with all objects of a page. */
+const MAX_ANSWER_BYTES = 33_554_432;
 /** Limits one list; a page holds about 500 objects. */
 const MAX_PAGES = 100;
 const STATUS_UNAVAILABLE = 503;
@@ -138,15 +148,15 @@
   const send = (
     call: StoreCall,
     waitMs: Milliseconds,
-    signal?: AbortSignal,
+    { signal, onProgress }: CallOptions = {},
   ): ResultAsync<StoreAnswer, StoreFailure> => {
     options.onCall();
     const kind = call.method === 'GET' ? 'read' : 'write';
     const sentAt = clock.now();
     const usedPool = pool;
-    const request = callWithTimeout(
-      waitMs,
-      async (callSignal) => {
+    const request = callWhileProgressing(
+      { firstMs: waitMs, idleMs: timeoutMs, wholeMs: WHOLE_ANSWER_MS },
+      async (callSignal, onPart) => {
         const { statusCode, headers, body } = await usedPool.request({
           method: call.method,
           path: call.path,
@@ -154,9 +164,13 @@
           body: call.body ?? null,
           signal: callSignal,
         });
+        const text = await readText(body, () => {
+          onPart();
+          onProgress?.();
+        });
         return {
           status: statusCode,
-          body: await body.text(),
+          body: text,
           era: codec.decodeEra(headers),
         };
       },
@@ -183,13 +197,13 @@
   const listFrom = (
     kind: string,
     pages: readonly StorePage[],
-    signal?: AbortSignal,
+    options?: CallOptions,
   ): Promise<Result<StorePage, StoreFailure>> =>
-    listPages({ codec, kind, pages, send: (call) => send(call, timeoutMs, signal) });
+    listPages({ codec, kind, pages, send: (call) => send(call, timeoutMs, options) });
 
   return {
     replaceConnections,
-    list: (kind, signal) => new ResultAsync(listFrom(kind, [], signal)),
+    list: (kind, call) => new ResultAsync(listFrom(kind, [], call)),
     read: (kind, name) =>
       send(codec.read(kind, name), timeoutMs).andThen((answer) => {
         const { status, body } = answer;
@@ -197,12 +211,12 @@
         const object = status === 200 ? codec.decodeObject(body) : undefined;
         return object ? ok(qualifyObject(object, answer.era)) : err(unusableAnswer(status));
       }),
-    watch: (kind, since, waitMs, signal) => {
+    watch: (kind, since, waitMs, call) => {
       if (isFromEarlierEra(since)) return okAsync({ kind: 'historyGone' });
       return send(
         codec.watch(kind, revisionOf(since), waitMs),
         Math.max(timeoutMs, waitMs + WATCH_GRACE_MS),
-        signal,
+        call,
       ).andThen((answer): Result<WatchAnswer, StoreFailure> => {
         const { status, body } = answer;
         if (codec.isHistoryGone(status) || isFromEarlierEra(since))
@@ -244,6 +258,18 @@
   };
 }
 
+async function readText(body: AsyncIterable<unknown>, onPart: () => void): Promise<string> {
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  for await (const part of body as AsyncIterable<Buffer>) {
+    onPart();
+    bytes += part.length;
+    if (bytes > MAX_ANSWER_BYTES) throw new Error(`the answer has over ${MAX_ANSWER_BYTES} bytes`);
+    parts.push(part);
+  }
+  return Buffer.concat(parts).toString();
+}
+
 function createPool(address: string): Pool {
   return new Pool(`http://${address}`, {
     connections: MAX_CONNECTIONS,
--- a/src/gateway/store/follower.ts
+++ b/src/gateway/store/follower.ts
@@ -11,7 +11,7 @@
 import type { Clock, Milliseconds } from '../../core/clock/index.js';
 import type { Random } from '../../core/random/index.js';
 import type { StoreChanges, StorePage } from '../../ports/index.js';
-import type { ObjectStore, StoreFailure, WatchAnswer } from './client.js';
+import type { CallOptions, ObjectStore, StoreFailure, WatchAnswer } from './client.js';
 import { callHedged } from './hedged-call.js';
 
 export interface FollowOptions {
@@ -40,7 +40,10 @@
 /** A loop that runs until it is stopped. */
 export interface Follower {
   start(): void;
-  /** Aborts the call in flight if it was sent before `at`, and sends a short one instead. */
+  /**
+   * Aborts the call in flight if it was sent before `at` and nothing of its answer has come since, and
+   * sends a short one instead.
+   */
   abortCallsBefore(at: Milliseconds): void;
   /** Lists all objects again. */
   relist(): void;
@@ -63,16 +66,16 @@
 export function createFollower(options: FollowOptions): Follower {
   const stop = new AbortController();
   let call = new AbortController();
-  let sentAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  let activeAt: Milliseconds = Number.NEGATIVE_INFINITY;
   let running: Promise<void> | undefined;
   let mustRelist = false;
   const isStopped = (): boolean => stop.signal.aborted;
   const isCallAborted = (): boolean => call.signal.aborted;
   const { clock, random } = options;
 
-  const onSent = (): Milliseconds => {
-    sentAt = clock.now();
-    return sentAt;
+  const recordActivity = (): Milliseconds => {
+    activeAt = clock.now();
+    return activeAt;
   };
   const run = async (): Promise<void> => {
     let state: FollowState = { revision: undefined, isConnected: false };
@@ -82,7 +85,7 @@
       mustRelist = false;
       const signal = AbortSignal.any([stop.signal, call.signal]);
       const startedAt = clock.now();
-      const result = await runStep({ options, state, signal, onSent }).catch(recover);
+      const result = await runStep({ options, state, signal, recordActivity }).catch(recover);
       if (isStopped()) return;
       if (isCallAborted()) {
         state = { ...state, isConnected: false };
@@ -113,7 +116,7 @@
       running ??= run();
     },
     abortCallsBefore: (at) => {
-      if (sentAt < at) call.abort();
+      if (activeAt < at) call.abort();
     },
     relist: () => {
       mustRelist = true;
@@ -142,8 +145,8 @@
   options: FollowOptions;
   state: FollowState;
   signal: AbortSignal;
-  /** Called for each call that is sent; returns the time. */
-  onSent: () => Milliseconds;
+  /** Called for each call that is sent and each part of its answer; returns the time. */
+  recordActivity: () => Milliseconds;
 }
 
 /** An answer with the time at which its call was sent. */
@@ -157,9 +160,7 @@
   const { revision } = state;
   const disconnected = { revision, isConnected: false, changed: false };
   if (revision === undefined) {
-    const page = await callUntilAnswered(context, (callSignal) =>
-      options.store.list(options.kind, callSignal),
-    );
+    const page = await callUntilAnswered(context, (call) => options.store.list(options.kind, call));
     if (page.isErr() || signal.aborted) return disconnected;
     options.onList(page.value.value);
     options.onProof(page.value.sentAt);
@@ -201,21 +202,22 @@
 }
 
 async function waitForChange(context: StepContext, revision: number): Promise<WatchResult> {
-  const { options, signal, onSent } = context;
-  const sentAt = onSent();
-  const answer = await options.store.watch(options.kind, revision, options.watchMs, signal);
+  const { options, signal, recordActivity } = context;
+  const sentAt = recordActivity();
+  const call = { signal, onProgress: recordActivity };
+  const answer = await options.store.watch(options.kind, revision, options.watchMs, call);
   return answer.map((value) => ({ value, sentAt }));
 }
 
 /** Polls whenever a proof of freshness is due; resolves with the first failure or change. */
 async function pollUntilNews(context: StepContext, revision: number): Promise<WatchResult> {
   const { options, signal } = context;
-  const onSent = (): Milliseconds => options.clock.now();
+  const recordActivity = (): Milliseconds => options.clock.now();
   for (;;) {
     const dueInMs = Math.max(MIN_PROOF_DELAY_MS, options.proofDueInMs());
     await sleep(dueInMs, undefined, { signal }).catch(ignoreAbort);
     if (options.proofDueInMs() > 0 && !signal.aborted) continue;
-    const answer = await peek({ ...context, onSent }, revision);
+    const answer = await peek({ ...context, recordActivity }, revision);
     if (!isUnchanged(answer, revision)) return answer;
     options.onProof(answer.value.sentAt);
   }
@@ -235,20 +237,22 @@
 /** Returns the changes made so far, without waiting for more. */
 function peek(context: StepContext, revision: number): Promise<WatchResult> {
   const { store, kind } = context.options;
-  return callUntilAnswered(context, (callSignal) =>
-    store.watch(kind, revision, PEEK_WAIT_MS, callSignal),
-  );
+  return callUntilAnswered(context, (call) => store.watch(kind, revision, PEEK_WAIT_MS, call));
 }
 
 /** Repeats a call until the store answers; each repetition uses a new connection. */
 function callUntilAnswered<Value>(
-  { options, signal, onSent }: StepContext,
-  call: (callSignal: AbortSignal) => ResultAsync<Value, StoreFailure>,
+  { options, signal, recordActivity }: StepContext,
+  call: (options: CallOptions) => ResultAsync<Value, StoreFailure>,
 ): Promise<Result<TimedAnswer<Value>, StoreFailure>> {
   return callHedged({
-    call: (callSignal) => {
-      const sentAt = onSent();
-      return call(callSignal).map((value) => ({ value, sentAt }));
+    call: ({ signal: callSignal, onProgress }) => {
+      const sentAt = recordActivity();
+      const onPart = (): void => {
+        recordActivity();
+        onProgress();
+      };
+      return call({ signal: callSignal, onProgress: onPart }).map((value) => ({ value, sentAt }));
     },
     hedgeDelayMs: options.retryAfterMs,
     clock: options.clock,
--- a/src/gateway/store/hedged-call.ts
+++ b/src/gateway/store/hedged-call.ts
@@ -4,15 +4,15 @@
 import { err, type Result, type ResultAsync } from 'neverthrow';
 import type { Clock, Milliseconds } from '../../core/clock/index.js';
 import { createFailure } from '../../core/errors/index.js';
-import type { StoreFailure } from './client.js';
+import type { CallOptions, StoreFailure } from './client.js';
 
 /** Interval of the check for whether the next copy is due; short against any delay between copies. */
 const CHECK_INTERVAL_MS: Milliseconds = 25;
 
 interface HedgedCallOptions<Value> {
-  /** Sends one call that ends when `signal` aborts. */
-  call: (signal: AbortSignal) => ResultAsync<Value, StoreFailure>;
-  /** Time without an answer after which another copy is sent; read again at each check. */
+  /** Sends one call that ends when its signal aborts and reports the parts of its answer. */
+  call: (options: Required<CallOptions>) => ResultAsync<Value, StoreFailure>;
+  /** Time without any part of an answer after which another copy is sent; read again at each check. */
   hedgeDelayMs: () => Milliseconds;
   clock: Clock;
   /** Called before each copy after the first. */
@@ -35,7 +35,7 @@
   if (signal.aborted) return Promise.resolve(err(cancelled));
   return new Promise((resolve) => {
     let inFlight = 0;
-    let lastSentAt = 0;
+    let lastActivityAt = 0;
     const finish = (result: Result<Value, StoreFailure>): void => {
       clearInterval(timer);
       options.signal.removeEventListener('abort', cancel);
@@ -45,15 +45,19 @@
     const cancel = (): void => {
       finish(err(cancelled));
     };
+    // A copy of a call whose large answer is arriving would only slow that answer down.
+    const recordActivity = (): void => {
+      lastActivityAt = options.clock.now();
+    };
     const sendCall = async (): Promise<void> => {
-      lastSentAt = options.clock.now();
+      recordActivity();
       inFlight += 1;
-      const result = await options.call(signal);
+      const result = await options.call({ signal, onProgress: recordActivity });
       inFlight -= 1;
       if (result.isOk() || inFlight === 0) finish(result);
     };
     const timer = setInterval(() => {
-      if (options.clock.now() - lastSentAt < options.hedgeDelayMs()) return;
+      if (options.clock.now() - lastActivityAt < options.hedgeDelayMs()) return;
       options.onHedge();
       void sendCall();
     }, CHECK_INTERVAL_MS);
