Backends: end answers that have no end

What would be seen: one faulty server keeps a gateway busy or fills its memory until the time of a request is over, and all its other callers wait. Bytes that are no answer may come without end, in a head or a body.

Cause: the parser skips blank lines, reason phrases, interim responses and chunk extensions without telling anybody; plain responses were kept without a bound; each chunk of a stream was joined with all before and searched from the start; anything that came counted as progress.

Change: a connection ends when more than 256 KB and eight times the body have come that belong to no body. Streams look at each byte once and end after 256 KB without an event; only events count as progress. Calls to engines and checks have a bound on the bytes of a second. The server is blamed as for other broken answers, and the request is retried where it may be.

--- /dev/null
+++ b/features/gateway/endless-answers.feature
@@ -0,0 +1,35 @@
+Feature: Bytes of a backend server that are no answer and have no end
+
+  # Guards against a gateway that one faulty server keeps busy, or fills its memory, until the time of a
+  # request is over. Its other callers would wait, and their departures go unnoticed. An answer may have
+  # 8 MB, and the sockets of both sides hold some more.
+  Scenario Outline: A server sends <what> without end
+    Given a gateway beside plain servers and engines, one of each sending <what> without end
+    When 12 lookups and 12 streams come while others use the sound servers
+    Then all of the lookups and streams are answered whole by other servers
+    And each answer without end was closed after at most 20 MB
+    And the gateway has used at most 3000 ms of processor time and 100 MB more of memory
+    And the log blames the servers for them
+
+    Examples:
+      | what                              |
+      | header fields                     |
+      | one header field                  |
+      | a reason phrase                   |
+      | blank lines                       |
+      | bytes that are no answer          |
+      | interim responses                 |
+      | a chunk extension                 |
+      | a chunk size                      |
+      | a body that ends with its connection |
+      | a body in chunks                  |
+      | a body with a huge length         |
+      | trailers                          |
+      | one event                         |
+      | comment lines                     |
+      | comments                          |
+
+  # Guards against work for each chunk that grows with what has come before it.
+  Scenario: An event without end arrives in small chunks
+    When 200 KB of an event without end arrive in chunks of 16 bytes
+    Then reading them takes at most 1000 ms, and 100 KB more are one too many
--- a/features/gateway/forwarding-model.ts
+++ b/features/gateway/forwarding-model.ts
@@ -103,6 +103,7 @@
         recordUnreachable: noop,
       },
       speeds: { time: () => undefined },
+      answers: { take: () => true, release: noop },
     } as unknown as ForwarderDependencies;
   }
 
--- a/features/gateway/site.ts
+++ b/features/gateway/site.ts
@@ -32,6 +32,7 @@
 
 /** A gateway process. */
 export interface GatewayProcess {
+  pid: number;
   callers: string;
   readiness: string;
   metrics: string;
@@ -178,6 +179,7 @@
       });
     }
     const gateway: GatewayProcess = {
+      pid: child.pid ?? 0,
       callers,
       readiness,
       metrics,
--- a/features/gateway/stand-ins/engine.ts
+++ b/features/gateway/stand-ins/engine.ts
@@ -61,6 +61,8 @@
   | { kind: 'failSome'; failing: number; of: number }
   /** Crashes when it begins to run a request with this body, and restarts later. */
   | { kind: 'endUnder'; body: string; backAfterMs: number }
+  /** Sends `begin` and then `repeat` without end, until the caller closes the connection. */
+  | { kind: 'endless'; begin: (id: string) => string; repeat: string }
   | { kind: 'encode' };
 
 /** Crashes when it has begun to write an answer to a prompt with this part, and restarts later. */
@@ -118,6 +120,7 @@
 
 const JOIN_MS = 30;
 const RESET_AFTER_MS = 20;
+const ENDLESS_PART_BYTES = 16_384;
 /** How long an engine writes before it crashes under the request. */
 const CRASH_AFTER_MS = 60;
 
@@ -137,6 +140,8 @@
   runningStreams = 0;
   /** Requests that it works on; it drops them when their connection closes. */
   readonly working = new Set<string>();
+  /** Bytes of each answer without end, once its connection was closed. */
+  readonly endlessBytes: number[] = [];
   /** Named in its answers as the requests per second that it takes from all gateways together. */
   namedLimit: string | string[] | undefined;
   /** `Retry-After` of its refusals. */
@@ -482,6 +487,9 @@
     const body = `answer to ${id}`;
     await sleep(pace.firstMs ?? this.options.gapMs ?? 5);
     switch (this.fault.kind) {
+      case 'endless':
+        this.sendWithoutEnd(response, id, this.fault);
+        return;
       case 'loseAnswer':
         hardReset(response.socket);
         return;
@@ -540,6 +548,10 @@
     const { events = 10, gapMs = 10 } = { ...this.options, ...pace };
     const from = Number(request.headers['last-event-id'] ?? 0);
     if (headMs > 0) await sleep(headMs);
+    if (this.fault.kind === 'endless') {
+      this.sendWithoutEnd(response, id, this.fault);
+      return;
+    }
     response.writeHead(200, this.streamHeaders(id));
     if (firstMs > 0) response.flushHeaders();
     await sleep(firstMs);
@@ -555,6 +567,24 @@
     response.end();
   }
 
+  private sendWithoutEnd(
+    { socket }: ServerResponse,
+    id: string,
+    { begin, repeat }: Extract<EngineFault, { kind: 'endless' }>,
+  ): void {
+    if (!socket) return;
+    const part = Buffer.from(repeat.repeat(Math.ceil(ENDLESS_PART_BYTES / repeat.length)));
+    const send = (): void => {
+      while (!socket.destroyed && socket.write(part));
+    };
+    socket.on('drain', send);
+    socket.once('close', () => {
+      this.endlessBytes.push(socket.bytesWritten);
+    });
+    socket.write(begin(id));
+    send();
+  }
+
   private isStalled(): boolean {
     return this.fault.kind === 'stall';
   }
--- a/scripts/undici-dispatchers.cjs
+++ b/scripts/undici-dispatchers.cjs
@@ -1,4 +1,5 @@
 // The part of undici that the gateway uses. Its own entry point loads fetch, mocks and caches too.
+const buildConnector = require('undici/lib/core/connect');
 const Agent = require('undici/lib/dispatcher/agent');
 const Client = require('undici/lib/dispatcher/client');
 const Dispatcher = require('undici/lib/dispatcher/dispatcher');
@@ -8,4 +9,4 @@
 // undici's own entry point adds these methods to its dispatchers.
 Object.assign(Dispatcher.prototype, { request });
 
-module.exports = { Agent, Client, Dispatcher, Pool };
+module.exports = { Agent, Client, Dispatcher, Pool, buildConnector };
--- a/src/controllers/forwarding/event-stream.ts
+++ b/src/controllers/forwarding/event-stream.ts
@@ -4,21 +4,44 @@
  * Prevents duplicate and missing events when a stream is resumed on another backend server. Only
  * complete events are forwarded, so the caller never has a partial event. The next run resumes after
  * the last forwarded id, and events that it repeats are dropped.
+ *
+ * Each byte is looked at once, and only a bounded number of bytes may come without a new event: a server
+ * may send comments, or an event, without end.
  */
 
 /** The result of processing one chunk. */
 export type StreamPart =
-  /** Bytes of complete events, ready to forward; empty when no event is complete. */
-  | { kind: 'events'; bytes: Buffer; count: number }
+  | {
+      kind: 'events';
+      /** Bytes of complete blocks, ready to forward; empty when none is complete. */
+      bytes: Buffer;
+      /** New events among them; blocks without data, such as comments, are none. */
+      count: number;
+    }
   /** Events are missing between the last forwarded one and this one. */
-  | { kind: 'gap' };
+  | { kind: 'gap' }
+  /** More bytes have come without a new event than any event has. */
+  | { kind: 'endless' };
+
+/** Most bytes without a new event; an event holds a few tokens. */
+export const MAX_BYTES_WITHOUT_EVENT = 262_144;
 
 const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = /^id:[ ]?(.*)$/m;
+const DATA_FIELD = /^data(?::|$)/m;
 
 /** The state of one response across all its runs. Mutable; owned by one request. */
 export class EventStream {
-  private partialEvent: Buffer = Buffer.alloc(0);
+  /** Chunks of the block that is not complete yet. */
+  private partial: Buffer[] = [];
+  private partialBytes = 0;
+  /** Whether the block has a complete line. */
+  private hasLine = false;
+  /** Bytes of the line that is not complete yet, and its first one. */
+  private lineBytes = 0;
+  private firstOfLine = 0;
+  private bytesWithoutEvent = 0;
   private last: number | undefined;
 
   /** `lastEventId` is the id after which the caller asked to resume. */
@@ -33,42 +56,111 @@
 
   /** Whether part of an incomplete event is buffered. */
   get hasPartialEvent(): boolean {
-    return this.partialEvent.length > 0;
+    return this.partialBytes > 0;
   }
 
   /** Starts a new run and discards the partial event of the last one, which is sent again. */
   startRun(): void {
-    this.partialEvent = Buffer.alloc(0);
+    this.clearBlock();
+    this.bytesWithoutEvent = 0;
   }
 
   /** Appends a chunk and returns the new complete events. */
   push(chunk: Buffer): StreamPart {
-    const bytes =
-      this.partialEvent.length === 0 ? chunk : Buffer.concat([this.partialEvent, chunk]);
-    const newEvents: Buffer[] = [];
+    const blocks: Buffer[] = [];
+    let count = 0;
     let start = 0;
-    for (let end = findEventEnd(bytes, start); end > 0; end = findEventEnd(bytes, start)) {
-      const event = bytes.subarray(start, end);
+    for (let end = this.findBlockEnd(chunk, 0); end > 0; end = this.findBlockEnd(chunk, start)) {
+      const block = this.completeBlock(chunk.subarray(start, end));
       start = end;
-      const classification = this.classify(event);
-      if (classification === 'gap') return { kind: 'gap' };
-      if (classification === 'new') newEvents.push(event);
+      const classification = classifyBlock(block, this.last);
+      switch (classification.kind) {
+        case 'gap':
+          return { kind: 'gap' };
+        case 'known':
+          break;
+        case 'comment':
+          blocks.push(block);
+          break;
+        case 'new':
+          this.last = classification.id ?? this.last;
+          this.bytesWithoutEvent = 0;
+          count += 1;
+          blocks.push(block);
+          break;
+      }
     }
-    this.partialEvent = bytes.subarray(start);
-    const [first] = newEvents;
-    const joined = newEvents.length === 1 && first ? first : Buffer.concat(newEvents);
-    return { kind: 'events', bytes: joined, count: newEvents.length };
+    const rest = chunk.subarray(start);
+    if (rest.length > 0) {
+      this.partial.push(rest);
+      this.partialBytes += rest.length;
+    }
+    if (this.bytesWithoutEvent + this.partialBytes > MAX_BYTES_WITHOUT_EVENT)
+      return { kind: 'endless' };
+    const [first] = blocks;
+    const bytes = blocks.length === 1 && first ? first : Buffer.concat(blocks);
+    return { kind: 'events', bytes, count };
+  }
+
+  /** Returns the index after the blank line that ends the current block; 0 when it is incomplete. */
+  private findBlockEnd(chunk: Buffer, start: number): number {
+    let from = start;
+    for (
+      let index = chunk.indexOf(LINE_FEED, from);
+      index >= 0;
+      index = chunk.indexOf(LINE_FEED, from)
+    ) {
+      this.addToLine(chunk, from, index);
+      const isBlank =
+        this.lineBytes === 0 || (this.lineBytes === 1 && this.firstOfLine === CARRIAGE_RETURN);
+      const isEnd = isBlank && this.hasLine;
+      this.hasLine = !isEnd;
+      this.lineBytes = 0;
+      from = index + 1;
+      if (isEnd) return from;
+    }
+    this.addToLine(chunk, from, chunk.length);
+    return 0;
+  }
+
+  private addToLine(chunk: Buffer, from: number, to: number): void {
+    if (to === from) return;
+    if (this.lineBytes === 0) this.firstOfLine = chunk[from] ?? 0;
+    this.lineBytes += to - from;
   }
 
-  private classify(event: Buffer): 'new' | 'known' | 'gap' {
-    const id = parseId(ID_FIELD.exec(event.toString('latin1'))?.[1]);
-    if (id === undefined) return 'new';
-    const { last } = this;
-    if (last !== undefined && id <= last) return 'known';
-    if (last !== undefined && id > last + 1) return 'gap';
-    this.last = id;
-    return 'new';
+  /** The whole block whose last bytes are `end`. */
+  private completeBlock(end: Buffer): Buffer {
+    const block = this.partial.length === 0 ? end : Buffer.concat([...this.partial, end]);
+    this.bytesWithoutEvent += block.length;
+    this.partial = [];
+    this.partialBytes = 0;
+    return block;
   }
+
+  private clearBlock(): void {
+    this.partial = [];
+    this.partialBytes = 0;
+    this.hasLine = false;
+    this.lineBytes = 0;
+  }
+}
+
+type BlockClass =
+  | { kind: 'new'; id: number | undefined }
+  /** Has been forwarded before. */
+  | { kind: 'known' }
+  | { kind: 'gap' }
+  /** Has no data. */
+  | { kind: 'comment' };
+
+function classifyBlock(block: Buffer, last: number | undefined): BlockClass {
+  const text = block.toString('latin1');
+  const id = parseId(ID_FIELD.exec(text)?.[1]);
+  if (id === undefined) return DATA_FIELD.test(text) ? { kind: 'new', id } : { kind: 'comment' };
+  if (last !== undefined && id <= last) return { kind: 'known' };
+  if (last !== undefined && id > last + 1) return { kind: 'gap' };
+  return { kind: 'new', id };
 }
 
 function parseId(text: string | undefined): number | undefined {
@@ -76,14 +168,3 @@
   const id = Number(text.trim());
   return Number.isInteger(id) && text.trim() !== '' ? id : undefined;
 }
-
-/** Returns the index after the blank line that ends the event at `start`; 0 when incomplete. */
-function findEventEnd(bytes: Buffer, start: number): number {
-  let index = bytes.indexOf(LINE_FEED, start);
-  while (index >= 0 && index + 1 < bytes.length) {
-    if (bytes[index + 1] === LINE_FEED) return index + 2;
-    if (bytes[index + 1] === 0x0d && bytes[index + 2] === LINE_FEED) return index + 3;
-    index = bytes.indexOf(LINE_FEED, index + 1);
-  }
-  return 0;
-}
--- a/src/core/sockets/index.ts
+++ b/src/core/sockets/index.ts
@@ -1,3 +1,4 @@
 export * from './connection-refused.js';
 export * from './departure.js';
 export * from './hard-reset.js';
+export * from './received-bytes.js';
--- a/src/gateway/backends/attempt.ts
+++ b/src/gateway/backends/attempt.ts
@@ -145,6 +145,9 @@
   /** Called before the first byte is written; once `abort` was called, none is. */
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
+    const { received } = this.connection.state;
+    received.before = received.total();
+    received.body = 0;
     if (this.isFinished || this.clock.now() <= this.request.sendUntil) return;
     this.end({ kind: 'tooLate', reason: TOO_LATE_REASON });
     controller.abort(new Error(TOO_LATE_REASON));
@@ -173,6 +176,7 @@
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.receivedBytes += chunk.length;
+    this.connection.state.received.body += chunk.length;
     if (!this.isFinished) this.observer.onData(chunk);
   }
 
--- a/src/gateway/backends/connection.ts
+++ b/src/gateway/backends/connection.ts
@@ -4,6 +4,7 @@
 import { connect, type Socket } from 'node:net';
 import { Client } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
+import { watchReceivedBytes } from '../../core/sockets/index.js';
 import { parseAddress } from '../../core/listening/index.js';
 
 /** A connection that is open or about to be opened. */
@@ -26,12 +27,29 @@
   isFirstUse: boolean;
   /** When the last request on it ended. */
   idleSince: Milliseconds;
+  received: ReceivedBytes;
+}
+
+/** What has come over a connection since its current request was sent. */
+export interface ReceivedBytes {
+  /** Total of the connection, read at any time. */
+  total: () => number;
+  /** The total at the start of the request. */
+  before: number;
+  /** Bytes of the response body. */
+  body: number;
 }
 
 /** Far above a round trip in a region, and below the SYN retransmission timeout of one second. */
 const CONNECT_TIMEOUT_MS: Milliseconds = 500;
 /** Closes idle connections before the backend server does. */
 const IDLE_TIMEOUT_MS: Milliseconds = 4_000;
+/**
+ * Bytes that may come beside those of a response body, for its head and for data that is not read yet;
+ * chunks may add a multiple of the body.
+ */
+const MAX_BYTES_BESIDE_BODY = 262_144;
+const MAX_FRAMING_FACTOR = 8;
 /** Maximum size of response headers. */
 const MAX_HEADER_BYTES = 65_536;
 
@@ -53,6 +71,7 @@
     generation,
     isFirstUse: true,
     idleSince: 0,
+    received: { total: () => 0, before: 0, body: 0 },
   };
   const client = new Client(`http://${address}`, {
     pipelining: 1,
@@ -101,6 +120,14 @@
   });
   socket.once('connect', () => {
     state.connected = true;
+    state.received.total = () => socket.bytesRead;
+    watchReceivedBytes(socket, () => findExcess(state.received));
     settle(null, socket);
   });
 }
+
+function findExcess({ total, before, body }: ReceivedBytes): string | undefined {
+  const besideBody = total() - before - body;
+  const isExceeded = besideBody > MAX_BYTES_BESIDE_BODY + MAX_FRAMING_FACTOR * body;
+  return isExceeded ? `${besideBody} bytes that are no part of an answer` : undefined;
+}
--- a/src/gateway/backends/engine-calls.ts
+++ b/src/gateway/backends/engine-calls.ts
@@ -3,7 +3,7 @@
  */
 import { Agent } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
-import { isConnectionRefused } from '../../core/sockets/index.js';
+import { createBoundedConnector, isConnectionRefused } from '../../core/sockets/index.js';
 import { callWithTimeout } from '../../core/timeout/index.js';
 import type { EngineCall, OrderCodec, OrderOutcome } from '../../ports/index.js';
 import type { LinkMonitor } from '../links/link-monitor.js';
@@ -27,6 +27,8 @@
 const ORDER_TIMEOUT_MS: Milliseconds = 700;
 /** Engines answer probes without a free slot, so a short timeout is enough. */
 const PROBE_TIMEOUT_MS: Milliseconds = 300;
+/** Far above what an engine answers to calls; the rest would be no answer. */
+const MAX_BYTES_PER_SECOND = 2_097_152;
 const KEEP_ALIVE_MS: Milliseconds = 2_000;
 
 interface CallResponse {
@@ -55,7 +57,7 @@
     connections: 4,
     pipelining: 1,
     keepAliveTimeout: KEEP_ALIVE_MS,
-    connect: { timeout: PROBE_TIMEOUT_MS },
+    connect: createBoundedConnector(PROBE_TIMEOUT_MS, MAX_BYTES_PER_SECOND),
   });
   const call = async (
     engine: CalledEngine,
--- a/src/gateway/links/server-check.ts
+++ b/src/gateway/links/server-check.ts
@@ -3,7 +3,7 @@
  */
 import { Agent } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
-import { isConnectionRefused } from '../../core/sockets/index.js';
+import { createBoundedConnector, isConnectionRefused } from '../../core/sockets/index.js';
 import { callWithTimeout } from '../../core/timeout/index.js';
 import type { BackendServer, OrderCodec } from '../../ports/index.js';
 import { flattenHeaders } from '../backends/headers.js';
@@ -22,6 +22,9 @@
 /** Servers answer checks without a free slot. */
 const CHECK_TIMEOUT_MS: Milliseconds = 300;
 
+/** Far above what a server answers to a check; the rest would be no answer. */
+const MAX_BYTES_PER_SECOND = 2_097_152;
+
 interface ServerChecksOptions {
   codec: OrderCodec;
   availability: ServerAvailability;
@@ -33,7 +36,8 @@
   availability,
   onProbe,
 }: ServerChecksOptions): ServerChecks {
-  const agent = new Agent({ pipelining: 0, connect: { timeout: CHECK_TIMEOUT_MS } });
+  const connect = createBoundedConnector(CHECK_TIMEOUT_MS, MAX_BYTES_PER_SECOND);
+  const agent = new Agent({ pipelining: 0, connect });
   return {
     check: async (server, timeoutMs = CHECK_TIMEOUT_MS) => {
       if (availability.cooldownLeftMs(server.id) > 0) return { kind: 'coolingDown' };
--- a/src/gateway/requests/request-attempts.ts
+++ b/src/gateway/requests/request-attempts.ts
@@ -6,6 +6,7 @@
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { AttemptSender } from '../backends/attempt.js';
 import type { GatewayContext } from '../types.js';
+import type { AnswerBudget } from './answer-budget.js';
 import type { BackendTracker, ChosenTarget } from './backend-tracker.js';
 import { reportAttempt } from './request-report.js';
 import type { RequestQueues } from './request-queues.js';
@@ -25,8 +26,11 @@
   shutdown: ShutdownPolicy;
   queues: RequestQueues;
   speeds: Pick<SpeedTracker, 'time'>;
+  answers: AnswerBudget;
 }
 
+/** Parts of one buffered response; each costs processor time, however small it is. */
+const MAX_PARTS = 65_536;
 /** Subtracted from the time that a backend server gets, for relaying its response. */
 const DEADLINE_MARGIN_MS: Milliseconds = 5;
 
@@ -40,6 +44,8 @@
   private sentCount = 0;
   /** Attempts that have arrived at a backend server or may still do so. */
   private arrivals = 0;
+  /** Bytes of all its responses that are kept until it ends. */
+  private bufferedBytes = 0;
 
   constructor(
     private readonly request: AdmittedRequest,
@@ -174,6 +180,21 @@
     });
   }
 
+  /** Keeps a part of a response that is sent once it is complete. */
+  buffer(attempt: TrackedAttempt, chunk: Buffer): 'progress' | 'endless' {
+    if (attempt.body.length >= MAX_PARTS) return 'endless';
+    if (!this.deps.answers.take(chunk.length, this.bufferedBytes)) return 'endless';
+    this.bufferedBytes += chunk.length;
+    attempt.body.push(chunk);
+    return 'progress';
+  }
+
+  /** Called when the request has ended. */
+  releaseBuffers(): void {
+    this.deps.answers.release(this.bufferedBytes);
+    this.bufferedBytes = 0;
+  }
+
   /** Records that nothing of an attempt has arrived at its server. */
   recordNotArrived(): void {
     this.arrivals -= 1;
--- a/src/gateway/requests/request-ending.ts
+++ b/src/gateway/requests/request-ending.ts
@@ -205,6 +205,7 @@
     this.isEnded = true;
     const { attempts, relay } = this.parts;
     attempts.cancelAll(outcome);
+    attempts.releaseBuffers();
     const { context, shutdown } = this.deps;
     if (attempts.sent > 0)
       shutdown.recordDuration(this.request, context.clock.now() - this.startedAt);
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -160,15 +160,31 @@
 
   onData(attempt: TrackedAttempt, response: AttemptResponse, chunk: Buffer): void {
     this.recordContact(attempt);
-    if (!this.relay || !isValidSuccess(response)) {
-      attempt.body.push(chunk);
-      return;
+    const result =
+      this.relay && isValidSuccess(response)
+        ? this.relay.relay(attempt, response, chunk)
+        : this.attempts.buffer(attempt, chunk);
+    switch (result) {
+      case 'progress':
+        attempt.recordProgress();
+        if (this.relay) this.deps.backends.recordProgress(attempt.server);
+        break;
+      case 'noEvent':
+        break;
+      case 'gap':
+        this.breakOff(attempt, 'events are missing in the answer');
+        break;
+      case 'endless':
+        this.deps.backends.recordResult(attempt.server, true);
+        this.breakOff(attempt, 'the answer goes on without end');
+        break;
     }
-    this.deps.backends.recordProgress(attempt.server);
-    if (this.relay.relay(attempt, response, chunk)) return;
-    this.attempts.end(attempt, 'events are missing');
+  }
+
+  private breakOff(attempt: TrackedAttempt, reason: string): void {
+    this.attempts.end(attempt, reason);
     attempt.cancel();
-    this.handleBrokenAttempt('events are missing in the answer');
+    this.handleBrokenAttempt(reason);
   }
 
   onEnd(attempt: TrackedAttempt, response: AttemptResponse): void {
--- a/src/gateway/requests/request-server.ts
+++ b/src/gateway/requests/request-server.ts
@@ -13,6 +13,7 @@
 import type { AttemptSender } from '../backends/attempt.js';
 import type { GatewayContext } from '../types.js';
 import { admitRequest } from './admission.js';
+import { createAnswerBudget } from './answer-budget.js';
 import type { ServerAvailability } from '../backends/server-availability.js';
 import type { BackendTracker } from './backend-tracker.js';
 import { readBody, type BodyResult } from './request-body.js';
@@ -69,7 +70,12 @@
   watchdog.onTick(() => {
     queues.dispatch();
   });
-  const dependencies: ForwarderDependencies = { ...options, shutdown, queues };
+  const dependencies: ForwarderDependencies = {
+    ...options,
+    shutdown,
+    queues,
+    answers: createAnswerBudget(),
+  };
   const waitForConfiguration = createStartupWait(context);
   let inFlight = 0;
 
--- a/src/gateway/requests/stream-relay.ts
+++ b/src/gateway/requests/stream-relay.ts
@@ -20,6 +20,16 @@
   longestGapMs: Milliseconds;
 }
 
+/** What a chunk of a stream has brought. */
+export type RelayResult =
+  | 'progress'
+  /** No new event is complete. */
+  | 'noEvent'
+  /** Events are missing before those in the chunk. */
+  | 'gap'
+  /** It goes on without events. */
+  | 'endless';
+
 interface StreamRelayDependencies {
   context: Pick<GatewayContext, 'clock' | 'platform'>;
   queues: Pick<RequestQueues, 'recordFirstEvent'>;
@@ -52,17 +62,29 @@
     return this.stream.hasPartialEvent;
   }
 
-  /** Relays the complete events in `chunk`; returns false if events are missing before them. */
-  relay(attempt: TrackedAttempt, response: AttemptResponse, chunk: Buffer): boolean {
+  /** Relays the complete events in `chunk`. */
+  relay(attempt: TrackedAttempt, response: AttemptResponse, chunk: Buffer): RelayResult {
     const part = this.stream.push(chunk);
-    if (part.kind === 'gap') return false;
-    if (part.count === 0) return true;
-    attempt.timing?.recordEvents(part.count, this.deps.backends.inFlightAt(attempt.server));
+    if (part.kind !== 'events') return part.kind;
+    if (part.bytes.length > 0) this.relayBytes(attempt, response, part.bytes, part.count);
+    return part.count > 0 ? 'progress' : 'noEvent';
+  }
+
+  private relayBytes(
+    attempt: TrackedAttempt,
+    response: AttemptResponse,
+    bytes: Buffer,
+    count: number,
+  ): void {
+    if (count > 0) this.recordEvents(attempt, count);
+    relayEvents(this.reply, this.deps.context.platform.requests, attempt, response, bytes);
+  }
+
+  private recordEvents(attempt: TrackedAttempt, count: number): void {
+    attempt.timing?.recordEvents(count, this.deps.backends.inFlightAt(attempt.server));
     const limits = limitsBetweenEvents(this.request);
     if (limits) attempt.updateLimits(limits);
     this.recordEvent(attempt);
-    relayEvents(this.reply, this.deps.context.platform.requests, attempt, response, part.bytes);
-    return true;
   }
 
   /** Ends the response to the caller after its last event. */
--- a/src/gateway/requests/tracked-attempt.ts
+++ b/src/gateway/requests/tracked-attempt.ts
@@ -97,6 +97,11 @@
     this.attemptStallMs = limits.attemptStallMs;
   }
 
+  /** Records that data came that the request can use. */
+  recordProgress(): void {
+    this.lastProgressAt = this.clock.now();
+  }
+
   onNotice(notice: ServerNotice): void {
     this.owner.onNotice(this, notice);
   }
@@ -110,7 +115,6 @@
 
   onData(chunk: Buffer): void {
     if (this.isEnded || this.response === undefined) return;
-    this.lastProgressAt = this.clock.now();
     this.owner.onData(this, this.response, chunk);
   }
 
