Tests: a gateway that is held up while callers come and leave

Looked for as a cause of GONE: a gateway that stands still for 800 ms reads requests and their callers' departures afterwards.

--- a/features/gateway/departures.feature
+++ b/features/gateway/departures.feature
@@ -26,3 +26,9 @@
       | close their connection | over another gateway |
       | reset their connection | over another gateway |
       | end their side         | over another gateway |
+
+  # Guards against requests that a gateway reads late and sends on, though their callers have left.
+  Scenario: A gateway is held up while callers come and leave
+    Given a site with slow servers, and a gateway that reaches them itself
+    When the gateway stands still for 800 ms, in which 20 callers ask and leave
+    Then at most 3 of their requests have reached a server 500 ms after it went on
--- a/features/gateway/departures.steps.ts
+++ b/features/gateway/departures.steps.ts
@@ -192,3 +192,30 @@
     );
   },
 );
+
+When(
+  'the gateway stands still for {int} ms, in which {int} callers ask and leave',
+  async function (this: DepartureWorld, ms: number, count: number) {
+    const [gateway] = this.site.gateways;
+    assert.ok(gateway);
+    gateway.signal('SIGSTOP');
+    const state = 'waits for the answer';
+    const opened = Array.from({ length: count }, () => openCaller(this, state));
+    this.callers = await Promise.all(opened);
+    await sleep(ms);
+    for (const { socket } of this.callers) socket.destroy();
+    await sleep(SETTLE_MS);
+    this.leftAt = performance.now();
+    gateway.signal('SIGCONT');
+  },
+);
+
+Then(
+  'at most {int} of their requests have reached a server {int} ms after it went on',
+  async function (this: DepartureWorld, most: number, ms: number) {
+    await sleep(ms);
+    const reached = this.site.journal.filter(({ at }) => at > this.leftAt);
+    this.log(`${reached.length} have reached a server`);
+    assert.ok(reached.length <= most, `${reached.length} have reached a server`);
+  },
+);
