--- a/src/controllers/propagation/version-pursuit.ts
+++ b/src/controllers/propagation/version-pursuit.ts
@@ -10,7 +10,7 @@
   { kind: 'readStore' } | { kind: 'askPeer'; /** Address of the gateway. */ peer: string };
 
 /** Time without an answer after which the next source is asked. */
-export const NEXT_SOURCE_AFTER_MS: Milliseconds = 250;
+const NEXT_SOURCE_AFTER_MS: Milliseconds = 250;
 /** Gateways that are remembered to have the newest version. */
 const MAX_HOLDERS = 8;
 
