Soak: callers that leave, answers without end, and changes in time

Two new checks, of all runs: no engine works on for a caller that left 500 ms ago, and no gateway, without a store neither, refuses a valid key more than 2 s after its change.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -6,7 +6,8 @@
  *
  * With --restores, the store is also restored from copies that are some seconds old; with --links,
  * gateways also lose their links to all backend servers; with --parts, engines crash under one part of
- * prompts, and most new connections go to one gateway at times.
+ * prompts, and most new connections go to one gateway at times; with --departures, callers leave early and
+ * servers send bytes without end.
  *
  * Prints one line for each seed, after a breach also the faults. Ends with status 1 when any
  * promise was broken.
@@ -24,6 +25,7 @@
     restores: { type: 'boolean', default: false },
     links: { type: 'boolean', default: false },
     parts: { type: 'boolean', default: false },
+    departures: { type: 'boolean', default: false },
   },
 });
 
@@ -53,6 +55,7 @@
     withRestores: values.restores,
     withLinkCuts: values.links,
     withCrashingPart: values.parts,
+    withDepartures: values.departures,
   });
   await report(result);
   if (result.breaches.length > 0) broken += 1;
--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -26,6 +26,8 @@
   whole: boolean;
   /** Nobody took the connection. */
   refused: boolean;
+  /** When the caller left, if it did before its answer. */
+  leftAt?: number;
 }
 
 const KINDS: readonly AskedKind[] = ['list', 'check', 'chat', 'chat'];
@@ -38,6 +40,15 @@
 const ELSEWHERE_ONE_IN = 8;
 export const CRASHING_PART = 'bad0';
 
+/** When and how a caller leaves: 0 closes its connection, 1 resets it. */
+interface Departure {
+  afterMs: number;
+  how: number;
+}
+
+const LEAVE_PAUSE_MS = 40;
+const LEAVE_AFTER_MS: readonly number[] = [1, 8, 20, 60, 150, 300];
+
 /** Callers of one run. */
 export class Callers {
   readonly records: AskedRecord[] = [];
@@ -67,6 +78,24 @@
     await Promise.all(pending);
   }
 
+  /** Asks and leaves at different times, in different ways, at one gateway after the other. */
+  startLeaving(): void {
+    this.running.push(this.runLeaving());
+  }
+
+  private async runLeaving(): Promise<void> {
+    const pending: Promise<unknown>[] = [];
+    for (let at = 0; !this.isStopped; at += 1) {
+      const { gateways } = this.site;
+      const gateway = gateways[at % gateways.length];
+      const leave = { afterMs: LEAVE_AFTER_MS[at % LEAVE_AFTER_MS.length] ?? 0, how: at % 2 };
+      const kind = at % 3 === 0 ? 'list' : 'chat';
+      if (gateway) pending.push(this.ask(gateway, kind, undefined, undefined, leave));
+      await sleep(LEAVE_PAUSE_MS);
+    }
+    await Promise.all(pending);
+  }
+
   async stop(): Promise<void> {
     this.isStopped = true;
     await Promise.all(this.running);
@@ -94,6 +123,7 @@
     kind: AskedKind,
     agent?: Agent,
     key?: string,
+    leave?: Departure,
   ): Promise<AskedRecord> {
     this.asked += 1;
     const record: AskedRecord = {
@@ -108,13 +138,18 @@
       refused: false,
     };
     this.records.push(record);
-    await send(record, gateway.plan.callers, agent);
+    await send(record, gateway.plan.callers, agent, leave);
     record.endedAt = performance.now();
     return record;
   }
 }
 
-async function send(record: AskedRecord, address: string, agent?: Agent): Promise<void> {
+async function send(
+  record: AskedRecord,
+  address: string,
+  agent?: Agent,
+  leave?: Departure,
+): Promise<void> {
   const [host = '', port = ''] = address.split(':');
   const outgoing = httpRequest({
     host,
@@ -135,6 +170,13 @@
     },
   });
   const timer = setTimeout(() => outgoing.destroy(), 2 * DEADLINE_MS);
+  const leaveTimer =
+    leave &&
+    setTimeout(() => {
+      record.leftAt = performance.now();
+      if (leave.how === 0) outgoing.destroy();
+      else outgoing.socket?.resetAndDestroy();
+    }, leave.afterMs);
   try {
     outgoing.end();
     const [incoming] = (await once(outgoing, 'response')) as [IncomingMessage];
@@ -150,5 +192,6 @@
     record.refused = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
   } finally {
     clearTimeout(timer);
+    clearTimeout(leaveTimer);
   }
 }
--- a/bench/soak/judge.ts
+++ b/bench/soak/judge.ts
@@ -17,7 +17,9 @@
     | 'asked'
     | 'planned stop'
     | 'late answer'
-    | 'crashing part';
+    | 'crashing part'
+    | 'departure'
+    | 'late change';
   detail: string;
 }
 
@@ -26,6 +28,8 @@
   records: readonly AskedRecord[];
   arrivals: readonly Arrival[];
   faults: readonly InjectedFault[];
+  /** When the configuration with a key was written, by key. */
+  keyTimes: ReadonlyMap<string, number>;
 }
 
 /** These say that the request has not run and never will. */
@@ -50,9 +54,11 @@
     ...evidence.records.flatMap((record) => judgeRecord(record, runs.get(record.id) ?? 0)),
     ...judgeArrivals(evidence),
     ...evidence.records
-      .filter(({ kind }) => kind !== 'crash')
+      .filter(({ kind, leftAt }) => kind !== 'crash' && leftAt === undefined)
       .flatMap((record) => judgeEnd(record, evidence.faults)),
     ...judgeCrashingPart(evidence),
+    ...judgeDepartures(evidence),
+    ...judgeChanges(evidence),
   ];
 }
 
@@ -160,3 +166,59 @@
   const detail = `${late.length} sendings later than that, ${crashes.length} crashes in all`;
   return [{ promise: 'crashing part', detail }];
 }
+
+/** An engine may work on for so long for a caller that has left. */
+const DEPARTURE_MS = 500;
+/** Disturbances of the way between a gateway and an engine, and of gateways. */
+const HOLDS_UP = new Set<FaultKind>([
+  'pauseGateway',
+  'cutEngine',
+  'delayEngine',
+  'stallEngine',
+  'cutLinks',
+]);
+
+function judgeDepartures({ arrivals, records, faults }: Evidence): Breach[] {
+  const departures = new Map(records.flatMap(({ id, leftAt }) => (leftAt ? [[id, leftAt]] : [])));
+  return arrivals.flatMap(({ id, server, ran, at, stoppedAt = Infinity }): Breach[] => {
+    const leftAt = departures.get(id);
+    if (leftAt === undefined || !ran || stoppedAt <= leftAt + DEPARTURE_MS) return [];
+    const isHeldUp = faults.some(
+      ({ kind, from, to }) =>
+        HOLDS_UP.has(kind) && from <= leftAt + DEPARTURE_MS && to >= Math.min(at, leftAt),
+    );
+    if (isHeldUp) return [];
+    const workedMs = Math.round(stoppedAt - leftAt);
+    return [{ promise: 'departure', detail: `${server} worked on ${id} for ${workedMs} ms more` }];
+  });
+}
+
+/** Time within which a change is in force. */
+const APPLY_MS = 2_000;
+/** A gateway that was held up, or started, has as long again. */
+const EXCUSED_MS = 4_000;
+const EXCUSES_CHANGES = new Set<FaultKind>([
+  'killGateway',
+  'stopGateway',
+  'pauseGateway',
+  'storeDown',
+  'storeSilent',
+  'restoreStore',
+]);
+
+/** A valid key is not refused for good, by gateways without a store neither. */
+function judgeChanges({ records, faults, keyTimes }: Evidence): Breach[] {
+  return records.flatMap(({ id, gateway, key, status, sentAt }): Breach[] => {
+    const changedAt = keyTimes.get(key);
+    const newest = Math.max(...[...keyTimes.values()].filter((at) => at <= sentAt));
+    const isDue = changedAt !== undefined && changedAt === newest && sentAt > newest + APPLY_MS;
+    if (status !== 401 || !isDue) return [];
+    const isExcused = faults.some(
+      ({ kind, from, to }) =>
+        EXCUSES_CHANGES.has(kind) && from <= sentAt && to + EXCUSED_MS >= sentAt,
+    );
+    if (isExcused) return [];
+    const detail = `${gateway} refused ${id} ${Math.round(sentAt - newest)} ms after the change`;
+    return [{ promise: 'late change', detail }];
+  });
+}
--- a/bench/soak/schedule.ts
+++ b/bench/soak/schedule.ts
@@ -5,7 +5,11 @@
 import { createRandom, type Random } from '../../src/core/random/index.js';
 
 export type FaultKind =
-  (typeof KINDS)[number] | typeof RESTORE.kind | typeof LINK_CUT.kind | typeof FAVOUR.kind;
+  | (typeof KINDS)[number]
+  | typeof RESTORE.kind
+  | typeof LINK_CUT.kind
+  | typeof FAVOUR.kind
+  | typeof ENDLESS.kind;
 
 /** A fault of one target; the target is a number, taken among those that are there by then. */
 export interface ScheduledFault {
@@ -63,6 +67,14 @@
   spanSpreadMs: FAULT_SPREAD_MS,
 };
 
+/** Times in which a server sends bytes without end that are no answer. */
+const ENDLESS: SeparateFault<'endlessAnswers'> = {
+  kind: 'endlessAnswers',
+  shortestGapMs: 600,
+  gapSpreadMs: 2_000,
+  spanSpreadMs: 1_000,
+};
+
 /** One in so many faults comes again at once at the next target. */
 const SERIES_ONE_IN = 5;
 const SERIES_LENGTH = 3;
@@ -101,6 +113,10 @@
   return drawSeparately(FAVOUR, seed, forMs);
 }
 
+export function drawEndlessAnswers(seed: number, forMs: number): ScheduledFault[] {
+  return drawSeparately(ENDLESS, seed, forMs);
+}
+
 function drawSeparately(
   { kind, shortestGapMs, gapSpreadMs, spanSpreadMs }: SeparateFault<FaultKind>,
   seed: number,
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -51,6 +51,8 @@
   /** Under which all engines crash, if any. */
   crashingPart: CrashingPart | undefined;
   readonly keys = ['key-1'];
+  /** When the configuration with a key was written. */
+  readonly keyTimes = new Map<string, number>();
   /** Of each gateway to all servers; none if all gateways share the servers' links. */
   readonly links: readonly GatewayLinks[];
   private readonly fleet = new Map<string, EngineStandIn>();
@@ -162,6 +164,7 @@
     this.version += 1;
     this.keys.push(`key-${this.version}`);
     this.writeConfiguration();
+    this.keyTimes.set(`key-${this.version}`, performance.now());
   }
 
   /**
--- a/features/gateway/soak.steps.ts
+++ b/features/gateway/soak.steps.ts
@@ -47,6 +47,15 @@
   },
 );
 
+When(
+  '{int} gateways live through the faults of seed {int} and departures for {int} seconds',
+  { timeout: STEP_TIMEOUT_MS },
+  async function (this: SoakWorld, gateways: number, seed: number, seconds: number) {
+    this.report = await runSoak({ seed, seconds, gateways, withDepartures: true });
+    assert.ok(this.report.faults.some(({ kind }) => kind === 'endlessAnswers'));
+  },
+);
+
 Then('no promise was broken', function (this: SoakWorld) {
   const { breaches, faults } = this.report;
   assert.deepEqual(breaches, [], JSON.stringify(faults));
--- a/features/gateway/stand-ins/engine.ts
+++ b/features/gateway/stand-ins/engine.ts
@@ -21,6 +21,8 @@
   ran: boolean;
   /** When the server crashed while running it. */
   endedAt?: number;
+  /** When it stopped to work on it, by its end or since its connection was closed. */
+  stoppedAt?: number;
 }
 
 interface Membership {
@@ -407,7 +409,10 @@
     }
     arrival.ran = true;
     this.working.add(id);
-    response.once('close', () => this.working.delete(id));
+    response.once('close', () => {
+      this.working.delete(id);
+      arrival.stoppedAt = performance.now();
+    });
     this.checkAllMembersReady();
     if (this.fault.kind === 'endUnder' && this.fault.body === body) {
       await this.crashDuring(arrival, this.fault.backAfterMs);
