Configuration: only hubs compute the difference between versions

Every gateway compared two whole configurations at each change, also those that tell nobody. No behaviour changes; found on reading the diff.

--- a/src/gateway/peers/follow-control.ts
+++ b/src/gateway/peers/follow-control.ts
@@ -114,14 +114,15 @@
     if (table.isHub())
       relay(table.listDomainPeers(), (address) => client.sendFleetUpdate(address, update));
   });
-  configuration.onUpdate(({ source, notice }) => {
+  configuration.onUpdate(({ source, createNotice }) => {
     if (!table.isHub()) return;
     // A hub without a store hears of it from all others, so that it need not tell them.
     const peers = [
       ...table.listDomainPeers(),
       ...(source === 'store' ? table.listOtherHubs() : []),
     ];
-    const addressed = { ...notice, holder: settings.listen.peers };
+    if (peers.length === 0) return;
+    const addressed = { ...createNotice(), holder: settings.listen.peers };
     relay(peers, (address) => client.sendConfigurationNotice(address, addressed));
   });
   return {
--- a/src/gateway/store/configuration-part.ts
+++ b/src/gateway/store/configuration-part.ts
@@ -42,7 +42,8 @@
 /** A version that has become active. */
 export interface ConfigurationUpdate {
   source: 'store' | 'peer';
-  notice: ConfigurationNotice;
+  /** What other gateways are told of it; compares two whole configurations. */
+  createNotice: () => ConfigurationNotice;
 }
 
 /** Two lost calls in a row still leave time to apply a change. */
@@ -93,10 +94,11 @@
       source,
       routes: configuration.routes.length,
     });
-    if (listeners.length === 0) return;
-    const delta = before && diffConfigurations(before, configuration, MAX_DELTA_CHARACTERS);
-    const update = { source, notice: { configurationVersion: version, ...(delta && { delta }) } };
-    for (const listener of listeners) listener(update);
+    const createNotice = (): ConfigurationNotice => {
+      const delta = before && diffConfigurations(before, configuration, MAX_DELTA_CHARACTERS);
+      return { configurationVersion: version, ...(delta && { delta }) };
+    };
+    for (const listener of listeners) listener({ source, createNotice });
   };
   /** Returns false when the object holds no valid configuration. */
   const applyObject = ({ value, revision }: StoreObject): boolean => {
