Relay: count the bytes of relayed answers as their own

What callers would have seen: answers over 256 KB in all, relayed on one kept connection between gateways, broken off in their middle.

Cause: my bound on bytes beside a body (end answers that have no end) counts from the start of a request on its connection; relayed attempts use such connections and told them neither of the start of a request nor of its body.

--- a/src/gateway/backends/attempt.ts
+++ b/src/gateway/backends/attempt.ts
@@ -4,7 +4,7 @@
 import type { Dispatcher } from 'undici';
 import type { Clock, Milliseconds } from '../../core/clock/index.js';
 import type { ResponseHead, RequestCodec, ServerNotice } from '../../ports/index.js';
-import type { BackendConnection } from './connection.js';
+import { countFromRequest, type BackendConnection } from './connection.js';
 import type { BackendAddress, ConnectionPool } from './pool.js';
 
 /** A request to a backend server. */
@@ -145,9 +145,7 @@
   /** Called before the first byte is written; once `abort` was called, none is. */
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
-    const { received } = this.connection.state;
-    received.before = received.total();
-    received.body = 0;
+    countFromRequest(this.connection.state);
     if (this.isFinished || this.clock.now() <= this.request.sendUntil) return;
     this.end({ kind: 'tooLate', reason: TOO_LATE_REASON });
     controller.abort(new Error(TOO_LATE_REASON));
--- a/src/gateway/backends/connection.ts
+++ b/src/gateway/backends/connection.ts
@@ -40,6 +40,12 @@
   body: number;
 }
 
+/** Called before a request is written to the connection. */
+export function countFromRequest({ received }: ConnectionState): void {
+  received.before = received.total();
+  received.body = 0;
+}
+
 /** Far above a round trip in a region, and below the SYN retransmission timeout of one second. */
 const CONNECT_TIMEOUT_MS: Milliseconds = 500;
 /** Closes idle connections before the backend server does. */
--- a/src/gateway/relay/relayed-attempt.ts
+++ b/src/gateway/relay/relayed-attempt.ts
@@ -15,7 +15,7 @@
   type AttemptRequest,
   type AttemptResponse,
 } from '../backends/attempt.js';
-import type { BackendConnection } from '../backends/connection.js';
+import { countFromRequest, type BackendConnection } from '../backends/connection.js';
 import type { BackendAddress, ConnectionPool } from '../backends/pool.js';
 import type { LinkMonitor } from '../links/link-monitor.js';
 import {
@@ -173,6 +173,7 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
+    countFromRequest(this.connection.state);
     if (this.isFinished || this.options.clock.now() <= this.request.sendUntil) return;
     this.fail({ kind: 'unavailable', reason: TOO_LATE_REASON });
     controller.abort(new Error(TOO_LATE_REASON));
@@ -196,6 +197,7 @@
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.connection.state.received.body += chunk.length;
     if (!this.isFinished) this.observer.onData(chunk);
   }
 
