--- a/features/gateway/departures.steps.ts
+++ b/features/gateway/departures.steps.ts
@@ -20,7 +20,7 @@
 }
 
 interface DepartureWorld extends RelayWorld {
-  callers: Caller[];
+  leavers: Caller[];
   /** Callers opened so far, for unique ids. */
   opened: number;
   leftAt: number;
@@ -93,7 +93,7 @@
 };
 
 After(function (this: Partial<DepartureWorld>) {
-  for (const { socket } of this.callers ?? []) socket.destroy();
+  for (const { socket } of this.leavers ?? []) socket.destroy();
 });
 
 /** A pace for each path; the first server that gets the refused one refuses it. */
@@ -113,7 +113,7 @@
     this.site = new LinkedSite(GATEWAYS);
     this.attempts = [];
     this.earlier = [];
-    this.callers = [];
+    this.leavers = [];
     this.opened = 0;
     await this.site.open();
     for (let index = 0; index < ENGINES; index += 1)
@@ -168,20 +168,20 @@
 }
 
 function areInTheirStates(world: DepartureWorld): boolean {
-  return world.callers.every(
+  return world.leavers.every(
     (caller) => listWorkedOn(world, caller).length === PLANS[caller.state]?.running,
   );
 }
 
 /** Returns false if the requests did not get into their states together, as on a busy machine. */
 async function openCallers(world: DepartureWorld, states: readonly string[]): Promise<boolean> {
-  for (const { socket } of world.callers) socket.destroy();
+  for (const { socket } of world.leavers) socket.destroy();
   await waitFor('the servers to be free', () =>
     world.site.servers.every(({ working }) => working.size === 0),
   );
   const paceOf = createPaces();
   for (const { options } of world.site.servers) options.paceOf = paceOf;
-  world.callers = await Promise.all(states.map((state) => openCaller(world, state)));
+  world.leavers = await Promise.all(states.map((state) => openCaller(world, state)));
   const giveUpAt = performance.now() + TRY_MS;
   while (!areInTheirStates(world) && performance.now() < giveUpAt) await sleep(POLL_MS);
   await sleep(SETTLE_MS);
@@ -196,7 +196,7 @@
     const names = states.raw().flat();
     await waitFor('all requests to be in their states at once', () => openCallers(this, names));
     this.leftAt = performance.now();
-    for (const { socket } of this.callers) leave(socket);
+    for (const { socket } of this.leavers) leave(socket);
   },
 );
 
@@ -204,12 +204,12 @@
   'within {int} ms no server works on any of them, and no more have reached one',
   async function (this: DepartureWorld, ms: number) {
     await sleep(ms);
-    const left = this.callers.flatMap((caller) =>
+    const left = this.leavers.flatMap((caller) =>
       listWorkedOn(this, caller).map((id) => `${caller.state}: ${id}`),
     );
     assert.deepEqual(left, []);
     const late = this.site.journal.filter(({ at, id }) => at > this.leftAt && id.includes('-'));
-    const ids = new Set(this.callers.flatMap((caller) => caller.ids));
+    const ids = new Set(this.leavers.flatMap((caller) => caller.ids));
     assert.deepEqual(
       late.filter(({ id }) => ids.has(id)).map(({ id }) => id),
       [],
@@ -225,9 +225,9 @@
     gateway.signal('SIGSTOP');
     const state = 'waits for the answer';
     const opened = Array.from({ length: count }, () => openCaller(this, state));
-    this.callers = await Promise.all(opened);
+    this.leavers = await Promise.all(opened);
     await sleep(ms);
-    for (const { socket } of this.callers) socket.destroy();
+    for (const { socket } of this.leavers) socket.destroy();
     await sleep(SETTLE_MS);
     this.leftAt = performance.now();
     gateway.signal('SIGCONT');
--- a/features/requests/departures.steps.ts
+++ b/features/requests/departures.steps.ts
@@ -15,10 +15,10 @@
 import { waitFor } from '../support/waiting.js';
 
 interface DepartureWorld {
-  callers: Callers;
+  entryListener: Callers;
   address: string;
   signals: AbortSignal[];
-  socket: Socket;
+  leavingSocket: Socket;
 }
 
 const SETTINGS = { maxBodyBytes: 10_000, bodyTimeoutMs: 5_000 };
@@ -43,8 +43,8 @@
 };
 
 After(async function (this: Partial<DepartureWorld>) {
-  this.socket?.destroy();
-  await this.callers?.close();
+  this.leavingSocket?.destroy();
+  await this.entryListener?.close();
 });
 
 Given("an entry's listener for callers", async function (this: DepartureWorld) {
@@ -57,7 +57,7 @@
       return new Promise(() => undefined);
     },
   };
-  this.callers = createCallers({
+  this.entryListener = createCallers({
     address: '127.0.0.1:0',
     settings: SETTINGS,
     path,
@@ -66,19 +66,19 @@
     unread: { track: () => () => undefined },
     logger: silentLogger,
   } as unknown as CallersOptions);
-  this.address = (await this.callers.listen())._unsafeUnwrap();
+  this.address = (await this.entryListener.listen())._unsafeUnwrap();
 });
 
 When(
   /^a caller sends (\d+) completions on one connection, and (.+)$/,
   async function (this: DepartureWorld, count: string, how: string) {
     const [host, port] = this.address.split(':');
-    this.socket = connect({ host, port: Number(port), allowHalfOpen: true });
-    this.socket.on('error', () => undefined).on('data', () => undefined);
-    await once(this.socket, 'connect');
-    this.socket.write(REQUEST.repeat(Number(count)));
+    this.leavingSocket = connect({ host, port: Number(port), allowHalfOpen: true });
+    this.leavingSocket.on('error', () => undefined).on('data', () => undefined);
+    await once(this.leavingSocket, 'connect');
+    this.leavingSocket.write(REQUEST.repeat(Number(count)));
     await waitFor('the completions to begin', () => this.signals.length === Number(count));
-    DEPARTURES[how]?.(this.socket);
+    DEPARTURES[how]?.(this.leavingSocket);
   },
 );
 
