Requests: a failure response of a stream is no progress of its server

With the bound on answers without end, the body of a failure response on a stream route counted as progress of its server; before it did not.

--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -160,14 +160,14 @@
 
   onData(attempt: TrackedAttempt, response: AttemptResponse, chunk: Buffer): void {
     this.recordContact(attempt);
-    const result =
-      this.relay && isValidSuccess(response)
-        ? this.relay.relay(attempt, response, chunk)
-        : this.attempts.buffer(attempt, chunk);
+    const relay = isValidSuccess(response) ? this.relay : undefined;
+    const result = relay
+      ? relay.relay(attempt, response, chunk)
+      : this.attempts.buffer(attempt, chunk);
     switch (result) {
       case 'progress':
         attempt.recordProgress();
-        if (this.relay) this.deps.backends.recordProgress(attempt.server);
+        if (relay) this.deps.backends.recordProgress(attempt.server);
         break;
       case 'noEvent':
         break;
