Observability: name which orders cause loads and why, sum loads over gateways, and show lateness

Cause: an order's line said neither whether the engine loads weights for it nor why it was sent, nothing summed loads over gateways, and the end of a request did not tell how late the process was when it noticed that its caller had left.

Change: orders carry their reason and whether they cause a load, by what the engine reports; both are logged with the time of day, and counted in yuccasail_gateway_loads_total. The line that ends a request whose caller left has lateMs, and yuccasail_gateway_lateness_seconds tells the worst lateness of the last second. No decision is changed.

--- a/features/cli/diagnose.feature
+++ b/features/cli/diagnose.feature
@@ -41,3 +41,9 @@
   Scenario: Nothing to diagnose
     When "diagnose" reads an empty log
     Then it exits with 4
+
+  # Guards against a limit of the fleet that each gateway seems to keep by its own log.
+  Scenario: Loads of weights are summed over gateways
+    Given the logs of 3 gateways that each ordered 4 loads within a second, and 2 more 20 s later
+    When their loads are diagnosed
+    Then 18 loads are told, 12 of them within 5 s
--- a/features/cli/diagnose.steps.ts
+++ b/features/cli/diagnose.steps.ts
@@ -3,6 +3,7 @@
  */
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
+import { summarizeLoads, type LoadSummary } from '../../src/cli/diagnose/loads.js';
 import { summarizeLosses, type LossSummary } from '../../src/cli/diagnose/losses.js';
 import { renderTable } from '../../src/cli/diagnose/render.js';
 import { runProgram } from './program.js';
@@ -10,6 +11,7 @@
 interface DiagnoseWorld {
   lines: string[];
   summary: LossSummary;
+  loads: LoadSummary;
   tookMs: number;
   exit: number | null;
 }
@@ -146,3 +148,28 @@
 Then('it exits with {int}', function (this: DiagnoseWorld, code: number) {
   assert.equal(this.exit, code);
 });
+
+Given(
+  'the logs of {int} gateways that each ordered {int} loads within a second, and {int} more {int} s later',
+  function (this: DiagnoseWorld, gateways: number, loads: number, more: number, laterS: number) {
+    const order = { name: 'orderSent', why: 'stageFree', causesLoad: true, beforeTraffic: false };
+    this.lines = Array.from({ length: gateways }, (_, gateway) => [
+      ...Array.from({ length: loads }, (_, index) => gateway * 100 + index * 200),
+      ...Array.from({ length: more }, () => laterS * 1_000),
+    ])
+      .flat()
+      .map((sentAt) => JSON.stringify({ ...order, sentAt }));
+  },
+);
+
+When('their loads are diagnosed', function (this: DiagnoseWorld) {
+  this.loads = summarizeLoads(this.lines);
+});
+
+Then(
+  '{int} loads are told, {int} of them within 5 s',
+  function (this: DiagnoseWorld, total: number, most: number) {
+    assert.equal(this.loads.total, total);
+    assert.equal(this.loads.most?.loads, most);
+  },
+);
--- a/features/gateway/forwarding-model.ts
+++ b/features/gateway/forwarding-model.ts
@@ -78,7 +78,7 @@
       context,
       backends: createBackendTracker(context, members, availability, SOUND_LINKS),
       availability,
-      watchdog: { attempts: new Set(), requests: new Set() },
+      watchdog: { attempts: new Set(), requests: new Set(), latenessMs: () => 0 },
       send: (request: AttemptRequest, observer: AttemptObserver) => {
         this.sent.push({ request, observer });
         const server = request.server;
--- a/features/gateway/retry-arrival.steps.ts
+++ b/features/gateway/retry-arrival.steps.ts
@@ -5,6 +5,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { createManualClock } from '../../src/core/clock/index.js';
 import type { BackendTracker } from '../../src/gateway/requests/backend-tracker.js';
+import { createGatewayMetrics } from '../../src/gateway/operations/metrics.js';
 import { createWatchdog, type Watchdog } from '../../src/gateway/requests/watchdog.js';
 import type { GatewayContext } from '../../src/gateway/types.js';
 import { waitFor } from '../support/waiting.js';
@@ -32,7 +33,10 @@
       lastProgressAt: () => SENT_AT,
       isPreviousProcess: () => false,
     };
-    const context: Partial<GatewayContext> = { clock: createManualClock(CHECKED_AT) };
+    const context: Partial<GatewayContext> = {
+      clock: createManualClock(CHECKED_AT),
+      metrics: createGatewayMetrics(),
+    };
     this.watchdog = createWatchdog(context as GatewayContext, backends as BackendTracker);
     this.hasArrived = false;
     this.ticks = 0;
--- a/src/cli/diagnose/render.ts
+++ b/src/cli/diagnose/render.ts
@@ -1,6 +1,7 @@
 /**
  * Prints what the logs tell of lost requests: a table of causes, and a line for each second.
  */
+import { LOAD_WINDOW_MS, type LoadSummary } from './loads.js';
 import { LOSS_CAUSES, type LossCause, type LossSummary, type SecondCounts } from './losses.js';
 
 /** Width of the bar of the second with the most requests. */
@@ -38,3 +39,14 @@
       bar(each.unserved, 'x'),
   );
 }
+
+export function renderLoads({ total, most, byReason }: LoadSummary): string[] {
+  const rows = Object.entries(byReason).sort(([, a], [, b]) => b - a);
+  return [
+    `${total} orders for which weights are loaded`,
+    ...(most === undefined
+      ? []
+      : [`${most.loads} at most within ${LOAD_WINDOW_MS} ms, from ${most.from}`]),
+    ...rows.map(([reason, count]) => `  ${count} ${reason}`),
+  ];
+}
--- a/src/controllers/groups/orders.ts
+++ b/src/controllers/groups/orders.ts
@@ -1,9 +1,15 @@
 /**
  * Derives the orders that bring a fabric domain closer to its stored plan.
  */
-import type { BackendServer, GroupModel } from '../../ports/index.js';
-import type { GroupTarget } from './targets.js';
-import { toMember, type DueOrder, type GroupPlan, type PlannedGroup } from './types.js';
+import type { BackendServer, EngineOrder, GroupModel } from '../../ports/index.js';
+import {
+  toMember,
+  type DueOrder,
+  type GroupMember,
+  type GroupPlan,
+  type OrderReason,
+  type PlannedGroup,
+} from './types.js';
 import { findLackingModels, holdsOneModelTwice } from './reserve.js';
 import {
   countActiveGroups,
@@ -20,7 +26,7 @@
 export function listOrders(plan: GroupPlan, view: DomainView): DueOrder[] {
   return [
     ...plan.groups.flatMap((group) => listGroupOrders(group, view)),
-    ...listOrphans(view, plan).flatMap(listOrphanOrders),
+    ...listOrphans(view, plan).flatMap((server) => listOrphanOrders(view, server)),
     ...listStagingOrders(plan, view),
   ];
 }
@@ -36,16 +42,14 @@
   const ids = members.map(({ id }) => id);
   const notJoined = members.filter(({ id }) => membershipIn(view, group, id) === undefined);
   if (notJoined.length > 0) {
-    return notJoined.map((to) => ({
-      to,
-      order: { kind: 'join', group: name, epoch, model, members: ids },
-    }));
+    const order: EngineOrder = { kind: 'join', group: name, epoch, model, members: ids };
+    return notJoined.map((to) => createOrder(view, to, order, 'form'));
   }
   const [head] = members;
   if (head === undefined || membershipIn(view, group, head.id)?.state !== 'ready') return [];
   // Engines don't check that all members are ready in the same formation of the group.
   const areAllReady = ids.every((id) => membershipIn(view, group, id)?.state === 'ready');
-  return areAllReady ? [{ to: head, order: { kind: 'open', group: name, epoch } }] : [];
+  return areAllReady ? [createOrder(view, head, { kind: 'open', group: name, epoch }, 'open')] : [];
 }
 
 /**
@@ -59,19 +63,20 @@
   if (head && closing === 'drain' && isResponsive(view, head.id)) {
     if (state === 'closing') return [];
     if (state === 'open') {
-      return [{ to: head, order: { kind: 'close', group: name, epoch, preempt: false } }];
+      const order: EngineOrder = { kind: 'close', group: name, epoch, preempt: false };
+      return [createOrder(view, head, order, 'drain')];
     }
   }
   return group.members
     .filter(({ id }) => isResponsive(view, id) && membershipIn(view, group, id) !== undefined)
-    .map((to) => ({ to, order: { kind: 'leave', group: name, epoch } }));
+    .map((to) => createOrder(view, to, { kind: 'leave', group: name, epoch }, 'disband'));
 }
 
-function listOrphanOrders(server: BackendServer): DueOrder[] {
+function listOrphanOrders(view: DomainView, server: BackendServer): DueOrder[] {
   const membership = server.engine?.membership;
   if (membership === undefined) return [];
   const { group, epoch } = membership;
-  return [{ to: toMember(server), order: { kind: 'leave', group, epoch } }];
+  return [createOrder(view, toMember(server), { kind: 'leave', group, epoch }, 'orphan')];
 }
 
 /**
@@ -88,12 +93,12 @@
     const model = selectStagingModel(models, spares);
     if (model === undefined) return [];
     spares.set(model.name, (spares.get(model.name) ?? 0) + 1);
-    return [createStageOrder(server, model)];
+    return [createStageOrder(view, server, model, 'stageFree')];
   });
   if (view.beforeTraffic) return [...orders, ...listSecondModelOrders(plan, view, models)];
   const candidates = [
     ...orders,
-    ...listRestagingOrders(free, plan, targets),
+    ...listRestagingOrders(free, plan, view),
     ...listReserveOrders(plan, view),
   ];
   const freeSlots = Math.max(0, view.loadSlots - view.staging.size);
@@ -107,9 +112,9 @@
 function listRestagingOrders(
   free: readonly BackendServer[],
   plan: GroupPlan,
-  targets: readonly GroupTarget[],
+  view: DomainView,
 ): DueOrder[] {
-  const target = targets.find(({ model, groups }) => countActiveGroups(plan, model) < groups);
+  const target = view.targets.find(({ model, groups }) => countActiveGroups(plan, model) < groups);
   if (target === undefined) return [];
   const { model } = target;
   const hasModelWeights = (server: BackendServer): boolean => hasWeights(server, model);
@@ -117,7 +122,7 @@
   return free
     .filter((server) => !hasModelWeights(server) && server.engine?.staged.length !== 0)
     .slice(0, Math.max(0, missingInstances))
-    .map((server) => createStageOrder(server, model));
+    .map((server) => createStageOrder(view, server, model, 'restage'));
 }
 
 function listSecondModelOrders(
@@ -132,7 +137,7 @@
       const server = view.servers.get(id);
       const isLoaded = server?.engine?.model === group.model;
       if (!server || !isLoaded || server.engine?.staged.includes(other.name)) return [];
-      return [createStageOrder(server, other)];
+      return [createStageOrder(view, server, other, 'stageSecond')];
     });
   });
 }
@@ -152,12 +157,40 @@
       .flatMap(({ members }) => members.flatMap(({ id }) => view.servers.get(id) ?? []))
       .filter((server) => holdsOneModelTwice(server))
       .slice(0, missing)
-      .map((server) => createStageOrder(server, model)),
+      .map((server) => createStageOrder(view, server, model, 'stageReserve')),
   );
 }
 
-function createStageOrder(server: BackendServer, model: GroupModel): DueOrder {
-  return { to: toMember(server), order: { kind: 'stage', model: model.name } };
+function createStageOrder(
+  view: DomainView,
+  server: BackendServer,
+  model: GroupModel,
+  reason: OrderReason,
+): DueOrder {
+  return createOrder(view, toMember(server), { kind: 'stage', model: model.name }, reason);
+}
+
+function createOrder(
+  view: DomainView,
+  to: GroupMember,
+  order: EngineOrder,
+  reason: OrderReason,
+): DueOrder {
+  return { to, order, reason, causesLoad: causesLoad(order, view.servers.get(to.id)) };
+}
+
+/** Whether an engine that reports the state of `server` loads weights from the weight store for `order`. */
+function causesLoad(order: EngineOrder, server: BackendServer | undefined): boolean {
+  switch (order.kind) {
+    case 'stage':
+      return server?.engine?.staged.includes(order.model) !== true;
+    case 'join':
+      return server === undefined || !hasWeights(server, { name: order.model });
+    case 'open':
+    case 'close':
+    case 'leave':
+      return false;
+  }
 }
 
 function countStaged(free: readonly BackendServer[], model: string): number {
--- a/src/controllers/groups/types.ts
+++ b/src/controllers/groups/types.ts
@@ -49,8 +49,28 @@
 /** The plan of a domain without a stored plan. */
 export const EMPTY_PLAN: GroupPlan = { lastEpoch: 0, groups: [] };
 
+/** Why an order is sent. */
+export type OrderReason =
+  | 'form'
+  | 'open'
+  | 'drain'
+  | 'disband'
+  /** The engine reports a replica that is not in the plan. */
+  | 'orphan'
+  /** A free instance has no weights. */
+  | 'stageFree'
+  /** Members get a second model before there is traffic. */
+  | 'stageSecond'
+  /** A free instance has weights of which there are enough. */
+  | 'restage'
+  /** Too few instances hold a model to replace lost members. */
+  | 'stageReserve';
+
 /** An order that is due, with its recipient. */
 export interface DueOrder {
   to: GroupMember;
   order: EngineOrder;
+  reason: OrderReason;
+  /** Whether the engine has to load weights from the weight store for it, by what it reports. */
+  causesLoad: boolean;
 }
--- a/src/controllers/groups/view.ts
+++ b/src/controllers/groups/view.ts
@@ -89,6 +89,6 @@
 }
 
 /** Whether a server has the weights of `model` in memory or on its host. */
-export function hasWeights({ engine }: BackendServer, model: GroupModel): boolean {
+export function hasWeights({ engine }: BackendServer, model: Pick<GroupModel, 'name'>): boolean {
   return engine?.lastModel === model.name || engine?.staged.includes(model.name) === true;
 }
--- a/src/gateway/backends/engine-calls.ts
+++ b/src/gateway/backends/engine-calls.ts
@@ -19,7 +19,7 @@
 export interface EngineCalls {
   /** Whether the engine is to get no orders now, because it has named a cooldown. */
   isCoolingDown(engine: Pick<CalledEngine, 'id'>): boolean;
-  order(due: DueOrder): Promise<OrderOutcome>;
+  order(due: Pick<DueOrder, 'to' | 'order'>): Promise<OrderOutcome>;
   probe(member: GroupMember, from?: ProbeOrigin): Promise<ProbeOutcome>;
   close(): Promise<void>;
 }
--- a/src/gateway/groups/domain-controller.ts
+++ b/src/gateway/groups/domain-controller.ts
@@ -160,9 +160,11 @@
     }
     memberMonitor.recheckLost(now);
   };
-  const sendOrder = async (due: DueOrder): Promise<void> => {
-    const { order, to } = due;
+  const sendOrder = async (due: DueOrder, { beforeTraffic }: DomainState): Promise<void> => {
+    const { order, to, reason, causesLoad } = due;
     const startedAt = clock.now();
+    const sentAt = Date.now();
+    if (causesLoad) metrics.loads.inc({ reason, traffic: beforeTraffic ? 'notBegun' : 'begun' });
     const outcome = await calls.order(due);
     metrics.orders.inc({ kind: order.kind, outcome: outcome.kind });
     logger.log('orderSent', {
@@ -170,6 +172,11 @@
       server: to.id,
       group: 'group' in order ? order.group : undefined,
       model: 'model' in order ? order.model : undefined,
+      why: reason,
+      causesLoad,
+      beforeTraffic,
+      // The clocks of log lines begin with their processes; loads are summed over all gateways.
+      sentAt,
       outcome: outcome.kind,
       status: 'status' in outcome ? outcome.status : undefined,
       tookMs: Math.round(clock.now() - startedAt),
@@ -233,7 +240,7 @@
     const due = listOrders(current.plan, view).filter(
       (order) => !calls.isCoolingDown(order.to) && isDue(order, now),
     );
-    for (const order of due) void sendOrder(order);
+    for (const order of due) void sendOrder(order, state);
   };
   return {
     reconcile: (state) => {
--- a/src/gateway/operations/metrics.ts
+++ b/src/gateway/operations/metrics.ts
@@ -10,11 +10,13 @@
   requests: Counter<'route' | 'outcome'>;
   attempts: Counter<'outcome'>;
   departures: Counter<'phase'>;
+  lateness: Gauge;
   retries: Counter<'service' | 'outcome'>;
   queued: Counter<'workspace' | 'outcome'>;
   storeCalls: Counter;
   storeReturns: Counter;
   orders: Counter<'kind' | 'outcome'>;
+  loads: Counter<'reason' | 'traffic'>;
   probes: Counter;
   connections: Counter;
   suspicions: Counter;
@@ -56,6 +58,11 @@
       labelNames: ['phase'],
       registers,
     }),
+    lateness: new Gauge({
+      name: 'yuccasail_gateway_lateness_seconds',
+      help: 'How late the process was at worst within the last second, for timers and for what arrives.',
+      registers,
+    }),
     retries: new Counter({
       name: 'yuccasail_gateway_retries_total',
       help: 'Sendings beyond the first of their request that the retry budget of the service allowed or denied.',
@@ -84,6 +91,12 @@
       labelNames: ['kind', 'outcome'],
       registers,
     }),
+    loads: new Counter({
+      name: 'yuccasail_gateway_loads_total',
+      help: 'Orders for which engines load weights from the weight store, by reason and by whether traffic had begun. The weight store gets the sum over all gateways.',
+      labelNames: ['reason', 'traffic'],
+      registers,
+    }),
     probes: new Counter({
       name: 'yuccasail_gateway_probes_total',
       help: 'Reports asked of engines.',
--- a/src/gateway/requests/request-ending.ts
+++ b/src/gateway/requests/request-ending.ts
@@ -15,12 +15,14 @@
 import type { StreamRelay } from './stream-relay.js';
 import type { TrackedAttempt } from './tracked-attempt.js';
 import type { AdmittedRequest, RequestOutcome, RequestPhase } from './types.js';
+import type { Watchdog } from './watchdog.js';
 
 /** What the endings of all requests share. */
 export interface EndingDependencies {
   context: GatewayContext;
   shutdown: ShutdownPolicy;
   quarantine: Quarantine;
+  watchdog: Watchdog;
 }
 
 /** The parts of a request that its ending reads and stops. */
@@ -206,7 +208,7 @@
     const { attempts, relay } = this.parts;
     attempts.cancelAll(outcome);
     attempts.releaseBuffers();
-    const { context, shutdown } = this.deps;
+    const { context, shutdown, watchdog } = this.deps;
     if (attempts.sent > 0)
       shutdown.recordDuration(this.request, context.clock.now() - this.startedAt);
     reportEnd(context, this.request, {
@@ -219,7 +221,7 @@
       lastEventAt: relay?.times.lastEventAt,
       longestGapMs: relay?.times.longestGapMs ?? 0,
       lastEventId: relay?.lastEventId,
-      ...(leftWhile && { leftWhile }),
+      ...(leftWhile && { leftWhile, lateMs: watchdog.latenessMs() }),
     });
     this.onFinish();
   }
--- a/src/gateway/requests/request-report.ts
+++ b/src/gateway/requests/request-report.ts
@@ -23,6 +23,8 @@
   lastEventId: string | undefined;
   /** How far it was when its caller left. */
   leftWhile?: RequestPhase;
+  /** How late the process was when it noticed that its caller had left. */
+  lateMs?: Milliseconds;
 }
 
 /** What is logged of an attempt besides its target. */
@@ -123,6 +125,7 @@
     gapTargetMs: route.targetEventGapMs,
     lastEventId: summary.lastEventId,
     leftWhile: summary.leftWhile,
+    lateMs: summary.lateMs && Math.round(summary.lateMs),
     waitedMs: Math.round(summary.startedAt - arrivedAt),
     graceLeftMs: stop && Math.round(stop.lastAnswerAt - now),
   });
--- a/src/gateway/requests/watchdog.ts
+++ b/src/gateway/requests/watchdog.ts
@@ -4,6 +4,7 @@
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { GatewayContext, GatewayPart } from '../types.js';
 import type { BackendTracker } from './backend-tracker.js';
+import { Lateness } from './lateness.js';
 
 /** An attempt whose progress is checked. */
 export interface WatchedAttempt {
@@ -44,6 +45,8 @@
   onTimer(listener: (lateMs: Milliseconds, dueAt: Milliseconds) => void): void;
   /** Called after the process was paused, as by a suspended machine. */
   onPause(listener: () => void): void;
+  /** How late the process was at worst within the last second. */
+  latenessMs(): Milliseconds;
 }
 
 /** Interval with requests in flight; well below the shortest stall limit. */
@@ -55,11 +58,12 @@
  * the sockets, so stalls are measured from the end of the pause.
  */
 const PROCESS_PAUSE_MS: Milliseconds = 120;
+const MS_PER_SECOND = 1_000;
 /** Data that arrives sooner after an attempt was sent may have left the server before. */
 const ROUND_TRIP_MS: Milliseconds = 20;
 
 export function createWatchdog(
-  { clock, logger }: GatewayContext,
+  { clock, logger, metrics }: Pick<GatewayContext, 'clock' | 'logger' | 'metrics'>,
   backends: BackendTracker,
 ): Watchdog {
   const attempts = new Set<WatchedAttempt>();
@@ -70,6 +74,7 @@
   let timer: NodeJS.Timeout | undefined;
   let dueAt = clock.now();
   let resumedAt = Number.NEGATIVE_INFINITY;
+  const lateness = new Lateness();
 
   const schedule = (): void => {
     const isIdle = requests.size === 0 && attempts.size === 0;
@@ -81,6 +86,8 @@
     const now = clock.now();
     const lateMs = now - dueAt;
     schedule();
+    lateness.record(lateMs, now);
+    metrics.lateness.set(lateness.worst(now, now) / MS_PER_SECOND);
     for (const listener of timerListeners) listener(lateMs, dueAt);
     if (lateMs > PROCESS_PAUSE_MS) {
       resumedAt = now;
@@ -129,6 +136,7 @@
     onPause: (listener) => {
       pauseListeners.push(listener);
     },
+    latenessMs: () => lateness.worst(clock.now(), dueAt),
     start: schedule,
     stop: () => {
       clearTimeout(timer);
