--- a/features/gateway/departures.feature
+++ b/features/gateway/departures.feature
@@ -32,3 +32,20 @@
     Given a site with slow servers, and a gateway that reaches them itself
     When the gateway stands still for 800 ms, in which 20 callers ask and leave
     Then at most 3 of their requests have reached a server 500 ms after it went on
+
+  # Guards against a process with too little processor time that takes in new requests first, so that servers work on
+  # for callers whose leaving it has not looked at.
+  Scenario Outline: A gateway with a fifth of a core gets <rate> requests a second from callers that leave
+    Given a site with slow servers, and a gateway that reaches them itself
+    When the gateway has a fifth of a core, and <rate> callers a second ask and leave for 4 s
+    Then at most a quarter of the runs go on for more than 500 ms after their callers have left
+    And at most 5 requests reach a server more than 500 ms after their callers have left
+
+    Examples:
+      | rate |
+      | 30   |
+
+    @known-red
+    Examples:
+      | rate |
+      | 300  |
--- a/features/gateway/departures.steps.ts
+++ b/features/gateway/departures.steps.ts
@@ -24,6 +24,8 @@
   /** Callers opened so far, for unique ids. */
   opened: number;
   leftAt: number;
+  /** When the callers left, by the id of their requests. */
+  leftTimes: Map<string, number>;
 }
 
 interface CallerPlan {
@@ -243,3 +245,67 @@
     assert.ok(reached.length <= most, `${reached.length} have reached a server`);
   },
 );
+
+/** A fifth of a core, in turns that are short beside the limits of the scenario. */
+const RUN_MS = 15;
+const STOP_MS = 60;
+/** How long callers wait before they leave. */
+const PATIENCE_MS = 400;
+
+When(
+  'the gateway has a fifth of a core, and {int} callers a second ask and leave for {int} s',
+  { timeout: 60_000 },
+  async function (this: DepartureWorld, rate: number, seconds: number) {
+    const [gateway] = this.site.gateways;
+    assert.ok(gateway);
+    this.leftTimes = new Map();
+    const endsAt = performance.now() + seconds * 1_000;
+    const callers: Promise<void>[] = [];
+    const throttled = (async () => {
+      while (performance.now() < endsAt + PATIENCE_MS + 3 * SETTLE_MS) {
+        gateway.signal('SIGSTOP');
+        await sleep(STOP_MS);
+        gateway.signal('SIGCONT');
+        await sleep(RUN_MS);
+      }
+    })();
+    const beganAt = performance.now();
+    for (let sent = 0; performance.now() < endsAt;) {
+      const due = ((performance.now() - beganAt) / 1_000) * rate;
+      for (; sent < due; sent += 1) callers.push(askAndLeave(this));
+      await sleep(POLL_MS);
+    }
+    await Promise.all(callers);
+    await throttled;
+  },
+);
+
+async function askAndLeave(world: DepartureWorld): Promise<void> {
+  const { socket, ids } = await openCaller(world, 'waits for the first event');
+  await sleep(PATIENCE_MS);
+  for (const id of ids) world.leftTimes.set(id, performance.now());
+  socket.destroy();
+}
+
+Then(
+  'at most a quarter of the runs go on for more than {int} ms after their callers have left',
+  function (this: DepartureWorld, ms: number) {
+    const runs = this.site.journal.filter(({ id, ran }) => ran && this.leftTimes.has(id));
+    const late = runs.filter(
+      ({ id, stoppedAt = Infinity }) => stoppedAt > (this.leftTimes.get(id) ?? 0) + ms,
+    );
+    this.log(`${late.length} of ${runs.length} runs of ${this.leftTimes.size} requests went on`);
+    assert.ok(runs.length > 0, 'requests must have reached servers');
+    assert.ok(late.length <= runs.length / 4, `${late.length} of ${runs.length} went on`);
+  },
+);
+
+Then(
+  'at most {int} requests reach a server more than {int} ms after their callers have left',
+  function (this: DepartureWorld, most: number, ms: number) {
+    const late = this.site.journal.filter(
+      ({ id, at }) => at > (this.leftTimes.get(id) ?? Infinity) + ms,
+    );
+    assert.ok(late.length <= most, `${late.length} have reached a server`);
+  },
+);
