Peers: a gateway is alive until its own time is over, and owners are chosen among all that aren't known to be gone

What callers saw: gateways that were late for half a second and more, while up to 55 of them owned the same fabric domain and sent the same orders.

Cause: what was known of others hung on one summary. A hub that has just taken over has heard from few, and its first summary made its members take all others for gone; the timeouts were below the time in which the news of a large failure domain comes round (two intervals of 30 ms for each member). Owners were chosen among those heard. Class: no news is taken for absence.

Change: each gateway stays alive until its own time is over; the time grows with the interval (three intervals and 500 ms, 2 s at least as before). Summaries name the gateways that are gone. Owners are chosen among all known gateways that are not known to be gone, those listed in the store and not heard yet included.

Measured: a summary of 2 members after one of 30 left 2 alive, now 30 (red before, off KNOWN-RED); after 8 s without news duties stay with all but the silent hub.

--- a/features/gateway/loads-fleet.ts
+++ b/features/gateway/loads-fleet.ts
@@ -309,6 +309,7 @@
       } as unknown as ServingIndex),
       fleet: this.feedOf(gateway).section,
       peers: this.peers,
+      ownerCandidates: this.peers,
       evacuations: createSection(undefined),
       cutOffServices: createSection<readonly string[]>([]),
       storeReachability: createSection({ reachable: true, since: this.clock.now() }),
--- a/features/gateway/peering.feature
+++ b/features/gateway/peering.feature
@@ -31,7 +31,6 @@
     Then each gateway considers all others alive
     And each failure domain has one hub
 
-  @known-red
   # Guards against no news of gateways being taken for their absence: a hub that has just taken over has heard of few,
   # and its members would own all fabric domains at once.
   Scenario: A hub that has heard of two members sends its first summary
@@ -39,6 +38,14 @@
     When another hub tells it of 2 members 700 ms later
     Then it considers 30 members alive
 
+  # Guards against a gateway that loses its hub and takes over the duties of all others.
+  Scenario: No news of the members comes, and then news of one that is gone
+    Given a gateway that a hub has told of 30 members
+    When no news comes for 8000 ms
+    Then it leaves duties to 29 others, which are all but the silent hub
+    When another hub tells it that "member-7" is gone
+    Then it leaves duties to 28 others, which are all but the silent hub
+
   Scenario: A gateway loses the one that it relies on for news of the store
     # Members must follow the store themselves well before a leaving server stops serving, which it
     # does 2 s after its announcement.
--- a/features/gateway/peering.steps.ts
+++ b/features/gateway/peering.steps.ts
@@ -7,6 +7,7 @@
 import {
   addLoad,
   LagTracker,
+  PEERING_TICK_MS,
   PeerTable,
   type Digest,
   type DomainSummary,
@@ -261,3 +262,25 @@
 Then('it considers {int} members alive', function (this: PeeringWorld, members: number) {
   assert.equal(this.table.listAlive(this.now).size, members);
 });
+
+When('no news comes for {int} ms', function (this: PeeringWorld, ms: number) {
+  for (const endsAt = this.now + ms; this.now < endsAt; this.now += PEERING_TICK_MS)
+    this.table.removeTimedOut(this.now);
+  assert.equal(this.table.listAlive(this.now).size, 0);
+});
+
+When('another hub tells it that {string} is gone', function (this: PeeringWorld, name: string) {
+  const digest = createHubDigest('member-1', 2);
+  const [summary] = digest.summaries ?? [];
+  assert.ok(summary);
+  this.table.applyDigest({ ...digest, summaries: [{ ...summary, gone: [name] }] }, this.now);
+});
+
+Then(
+  'it leaves duties to {int} others, which are all but the silent hub',
+  function (this: PeeringWorld, others: number) {
+    const candidates = this.table.listCandidates();
+    assert.equal(candidates.size, others);
+    assert.equal(candidates.has('member-0'), false);
+  },
+);
--- a/src/controllers/peering/peer-table.ts
+++ b/src/controllers/peering/peer-table.ts
@@ -46,8 +46,11 @@
 const MAX_UNCHECKED_MS: Milliseconds = 500;
 /** Allows for three missed exchanges at the cross-domain interval. */
 const PEER_TIMEOUT_MS: Milliseconds = 2_000;
-/** Longer than {@link PEER_TIMEOUT_MS}, because the state is forwarded by two hubs. */
-const CROSS_DOMAIN_PEER_TIMEOUT_MS: Milliseconds = 3_500;
+/** The state of a member is up to two intervals old when all exchanges succeed; allows for a missed one. */
+const TIMEOUT_INTERVALS = 3;
+const TIMEOUT_MARGIN_MS: Milliseconds = 500;
+/** Added between failure domains, because the state is forwarded by two hubs. */
+const CROSS_DOMAIN_MARGIN_MS: Milliseconds = 1_500;
 
 /** The last digest received from another gateway. */
 export interface ReceivedDigest {
@@ -75,6 +78,10 @@
   /** Last digests of gateways that are stopping and no longer count as alive. */
   private readonly stopping = new Map<string, ReceivedDigest>();
   private readonly summaries = new Map<string, ReceivedSummary>();
+  /** What was last heard of each gateway, directly or in a summary. */
+  private readonly heard = new Map<string, GatewayPeer>();
+  /** Gateways that a hub has told to be gone, and when, until they are heard from again. */
+  private readonly gone = new Map<string, Milliseconds>();
   private readonly nextExchangeAt = new Map<string, Milliseconds>();
   /** Time of the first unanswered call to each gateway that was never heard from. */
   private readonly unansweredSince = new Map<string, Milliseconds>();
@@ -112,6 +119,12 @@
       : [this.stopping, this.digests];
     from.delete(digest.name);
     to.set(digest.name, { digest, receivedAt: now });
+    if (digest.stopping) this.markGone(digest.name, now);
+    else {
+      const { name, address, failureDomain, storeReachable, cutOffFrom = [], hasServed } = digest;
+      const status = { name, address, failureDomain, storeReachable, cutOffFrom, hasServed };
+      this.markHeard({ ...status, lastHeardAt: now });
+    }
     const forwarded = (digest.summaries ?? []).map((summary) => this.applySummary(summary, now));
     return [...digest.suspicions, ...forwarded.flat()];
   }
@@ -121,13 +134,30 @@
     const before = this.summaries.get(summary.failureDomain);
     if (before && before.createdAt >= createdAt) return [];
     this.summaries.set(summary.failureDomain, { summary, createdAt });
-    const { failureDomain } = summary;
-    for (const { name, address } of summary.members) {
+    const { failureDomain, hasServed } = summary;
+    for (const { name, address, storeReachable, cutOffFrom = [], ageMs } of summary.members) {
       this.addPeer({ name, address, failureDomain }, now);
+      const status = { name, address, failureDomain, storeReachable, cutOffFrom, hasServed };
+      this.markHeard({ ...status, lastHeardAt: createdAt - ageMs });
     }
+    for (const name of summary.gone ?? []) this.markGone(name, createdAt);
     return summary.suspicions;
   }
 
+  private markHeard(peer: GatewayPeer): void {
+    const { name, lastHeardAt } = peer;
+    if (name === this.self.name || lastHeardAt <= (this.gone.get(name) ?? -Infinity)) return;
+    if (lastHeardAt < (this.heard.get(name)?.lastHeardAt ?? -Infinity)) return;
+    this.gone.delete(name);
+    this.heard.set(name, peer);
+  }
+
+  private markGone(name: string, at: Milliseconds): void {
+    if ((this.heard.get(name)?.lastHeardAt ?? -Infinity) > at) return;
+    this.heard.delete(name);
+    this.gone.set(name, Math.max(at, this.gone.get(name) ?? -Infinity));
+  }
+
   /** Removes gateways that timed out. Returns those that were alive at the last call. */
   removeTimedOut(now: Milliseconds): TimedOutPeer[] {
     const { checkedAt } = this;
@@ -135,8 +165,8 @@
     if (now < this.unchangedUntil) return [];
     // They were still alive at the last call, which has not recorded it if nothing had changed.
     for (const name of this.alive.keys()) this.roster.markHeard(name, checkedAt);
-    for (const [peer, { receivedAt }] of this.digests) {
-      if (now - receivedAt <= PEER_TIMEOUT_MS) continue;
+    for (const [peer, { digest, receivedAt }] of this.digests) {
+      if (now - receivedAt <= this.peerTimeout(digest.failureDomain)) continue;
       this.digests.delete(peer);
       this.roster.setUnresponsive(peer, true);
     }
@@ -165,9 +195,10 @@
     let next = Number.POSITIVE_INFINITY;
     for (const { lastHeardAt, failureDomain } of this.alive.values())
       next = Math.min(next, lastHeardAt + this.peerTimeout(failureDomain));
-    for (const received of [this.digests, this.stopping])
-      for (const { receivedAt } of received.values())
-        next = Math.min(next, receivedAt + PEER_TIMEOUT_MS);
+    for (const { digest, receivedAt } of this.digests.values())
+      next = Math.min(next, receivedAt + this.peerTimeout(digest.failureDomain));
+    for (const { receivedAt } of this.stopping.values())
+      next = Math.min(next, receivedAt + PEER_TIMEOUT_MS);
     for (const since of this.unansweredSince.values())
       next = Math.min(next, since + PEER_TIMEOUT_MS);
     for (const [domain, { createdAt }] of this.summaries)
@@ -179,44 +210,38 @@
     for (const name of this.roster.removeStale(now)) {
       this.nextExchangeAt.delete(name);
       this.unansweredSince.delete(name);
+      this.heard.delete(name);
+      this.gone.delete(name);
     }
   }
 
-  /** All other gateways that are alive, by name. */
+  /**
+   * All other gateways that are alive, by name. Each is alive until its own time is over: a summary that
+   * lacks it may be of a hub that has not heard from it yet.
+   */
   listAlive(now: Milliseconds): ReadonlyMap<string, GatewayPeer> {
-    const alive = new Map<string, GatewayPeer>();
-    for (const { summary, createdAt } of this.summaries.values()) {
-      const { failureDomain, hasServed } = summary;
-      for (const { name, address, storeReachable, cutOffFrom = [], ageMs } of summary.members) {
-        const lastHeardAt = createdAt - ageMs;
-        const isTimedOut = now - lastHeardAt > this.peerTimeout(failureDomain);
-        if (name === this.self.name || isTimedOut) continue;
-        alive.set(name, {
-          name,
-          address,
-          failureDomain,
-          lastHeardAt,
-          storeReachable,
-          cutOffFrom,
-          hasServed,
-        });
-      }
-    }
-    for (const [name, { digest, receivedAt }] of this.digests) {
-      const summarized = alive.get(name);
-      if (summarized && summarized.lastHeardAt >= receivedAt) continue;
-      const { address, failureDomain, storeReachable, cutOffFrom = [], hasServed } = digest;
-      alive.set(name, {
-        name,
-        address,
-        failureDomain,
-        lastHeardAt: receivedAt,
-        storeReachable,
-        cutOffFrom,
-        hasServed,
-      });
+    return new Map(
+      [...this.heard].filter(
+        ([, { failureDomain, lastHeardAt }]) =>
+          now - lastHeardAt <= this.peerTimeout(failureDomain),
+      ),
+    );
+  }
+
+  /**
+   * All other gateways that may hold duties of the fleet, by name: those that are known and not known to be
+   * gone. Without news of the others, a gateway must not take over what is theirs.
+   */
+  listCandidates(): ReadonlyMap<string, GatewayPeer> {
+    const candidates = new Map<string, GatewayPeer>();
+    for (const { name, address, failureDomain } of this.roster.all()) {
+      const isGone = this.gone.has(name) || this.roster.isUnresponsive(name);
+      if (isGone || name === address) continue;
+      const presumed = { storeReachable: true, cutOffFrom: [], hasServed: false };
+      const unheard = { name, address, failureDomain, lastHeardAt: -Infinity, ...presumed };
+      candidates.set(name, this.heard.get(name) ?? unheard);
     }
-    return alive;
+    return candidates;
   }
 
   /**
@@ -412,6 +437,7 @@
       ),
     ]);
     const speeds = summarizeSpeeds(own, domainDigests, now, caller);
+    const gone = this.listGone();
     const hashes = new Set([own, ...domainDigests.map(({ digest }) => digest)].map(membersHashOf));
     const [membersHash] = hashes.size === 1 ? hashes : [];
     return {
@@ -420,6 +446,7 @@
       hasServed: own.hasServed || domainDigests.some(({ digest }) => digest.hasServed),
       ...(membersHash !== undefined && { membersHash }),
       members: [toSummaryMember(own, 0), ...members],
+      ...(gone.length > 0 && { gone }),
       load: [...load],
       suspicions: [...own.suspicions, ...suspicions],
       ...(allReports.length > 0 && { reports: allReports }),
@@ -428,6 +455,12 @@
     };
   }
 
+  /** Gateways of this failure domain that are stopping, or were heard and are no longer. */
+  private listGone(): string[] {
+    const members = this.roster.membersOf(this.self.failureDomain).map(({ name }) => name);
+    return members.filter((name) => this.stopping.has(name) || this.roster.isUnresponsive(name));
+  }
+
   /** Whether the fleet is small enough for all gateways to exchange digests pairwise. */
   isPairwise(): boolean {
     return this.roster.size < MAX_PAIRWISE_GATEWAYS;
@@ -450,7 +483,11 @@
   }
 
   private peerTimeout(domain: string): Milliseconds {
-    return domain === this.self.failureDomain ? PEER_TIMEOUT_MS : CROSS_DOMAIN_PEER_TIMEOUT_MS;
+    const ownMs = Math.max(
+      PEER_TIMEOUT_MS,
+      TIMEOUT_INTERVALS * this.hubInterval() + TIMEOUT_MARGIN_MS,
+    );
+    return domain === this.self.failureDomain ? ownMs : ownMs + CROSS_DOMAIN_MARGIN_MS;
   }
 }
 
--- a/src/controllers/peering/types.ts
+++ b/src/controllers/peering/types.ts
@@ -69,6 +69,8 @@
       }),
     )
     .max(1_000),
+  /** Gateways of the domain that are stopping, or no longer heard by the hub. Others may just be unknown. */
+  gone: z.array(z.string()).max(1_000).optional(),
   /** Load of the domain. In a summary sent to a member of the domain, load of all other gateways. */
   load: loadSchema,
   suspicions: suspicionsSchema,
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -232,6 +232,7 @@
     fleet,
     evacuation,
     section: board.peers,
+    candidates: board.ownerCandidates,
     load: board.peerLoad,
   });
   const reachabilityProbe = createReachabilityProbe({
@@ -337,6 +338,7 @@
     hasTraffic: createSection(false),
     cutOffServices: createSection<readonly string[]>([]),
     peers: createSection<ReadonlyMap<string, GatewayPeer>>(new Map()),
+    ownerCandidates: createSection<ReadonlyMap<string, GatewayPeer>>(new Map()),
     peerLoad: createSection<PeerLoad>({ byServer: new Map(), unheard: 0, isLate: false }),
     stop: createSection<StopPlan | undefined>(undefined),
   };
--- a/src/gateway/groups/groups-part.ts
+++ b/src/gateway/groups/groups-part.ts
@@ -97,7 +97,7 @@
   const getOwnerFinder = (): OwnerFinder => {
     const storeReachableForMs = clock.now() - board.storeReachability.read().since;
     return memoizedOwnerFinder(
-      board.peers.read(),
+      board.ownerCandidates.read(),
       hasReceivedPeerState(storeReachableForMs),
       board.cutOffServices.read(),
     );
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -67,6 +67,7 @@
   /** Absent if evacuations are not followed. */
   evacuation: EvacuationPart | undefined;
   section: WritableSection<ReadonlyMap<string, GatewayPeer>>;
+  candidates: WritableSection<ReadonlyMap<string, GatewayPeer>>;
   load: WritableSection<PeerLoad>;
 }
 
@@ -183,6 +184,7 @@
     publishedAt = clock.now();
     hasUnpublishedChanges = false;
     section.write(table.listAlive(publishedAt));
+    options.candidates.write(table.listCandidates());
     options.load.write({
       byServer: table.sumLoad(),
       unheard: countUnheard(),
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -79,6 +79,8 @@
   cutOffServices: Section<readonly string[]>;
   /** Peers by name. */
   peers: Section<ReadonlyMap<string, GatewayPeer>>;
+  /** Other gateways that are not known to be gone, by name, whether they were heard from lately or not. */
+  ownerCandidates: Section<ReadonlyMap<string, GatewayPeer>>;
   peerLoad: Section<PeerLoad>;
   /** Undefined until the gateway is told to stop. */
   stop: Section<StopPlan | undefined>;
@@ -97,6 +99,7 @@
   hasTraffic: WritableSection<boolean>;
   cutOffServices: WritableSection<readonly string[]>;
   peers: WritableSection<ReadonlyMap<string, GatewayPeer>>;
+  ownerCandidates: WritableSection<ReadonlyMap<string, GatewayPeer>>;
   peerLoad: WritableSection<PeerLoad>;
   stop: WritableSection<StopPlan | undefined>;
 }
