Peers: publish which gateways may hold duties also when nobody has answered

Cause: the gateways among which owners are chosen were written to the board with messages only. Change: they are compared twice a second, and written if the gateways or their reach differ.

--- a/src/controllers/peering/peer-table.ts
+++ b/src/controllers/peering/peer-table.ts
@@ -491,6 +491,20 @@
   }
 }
 
+/** Whether both hold the same gateways, with the same reach. */
+export function haveSameDuties(
+  a: ReadonlyMap<string, GatewayPeer>,
+  b: ReadonlyMap<string, GatewayPeer>,
+): boolean {
+  if (a.size !== b.size) return false;
+  for (const [name, { storeReachable, cutOffFrom }] of a) {
+    const other = b.get(name);
+    if (other?.storeReachable !== storeReachable) return false;
+    if (other.cutOffFrom.join() !== cutOffFrom.join()) return false;
+  }
+  return true;
+}
+
 function membersHashOf({ membersHash }: Digest): string | undefined {
   return membersHash;
 }
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -15,6 +15,7 @@
   PEERING_TICK_MS,
   PeerTable,
   type Digest,
+  haveSameDuties,
   type GatewayPeer,
   type KnownPeer,
   type ReportedSuspicion,
@@ -74,6 +75,8 @@
 /** Time after which gateways that start together have heard from each other. */
 const STARTUP_DISCOVERY_MS: Milliseconds = 1_500;
 
+/** Longest time between two checks of the gateways that may hold duties of the fleet. */
+const CANDIDATES_INTERVAL_MS: Milliseconds = 500;
 /** Maximum random delay before rewriting the entry, so that gateways don't all write at once. */
 const REGISTRATION_JITTER_MS: Milliseconds = 1_000;
 
@@ -96,6 +99,7 @@
   const startedAt = clock.now();
   let isStopping = false;
   let publishedAt = Number.NEGATIVE_INFINITY;
+  let candidatesAt = Number.NEGATIVE_INFINITY;
   let hasUnpublishedChanges = false;
   let ticking: TickerTask | undefined;
 
@@ -180,11 +184,18 @@
   /** After {@link STARTUP_DISCOVERY_MS}, peers that were never heard from are considered down. */
   const countUnheard = (): number =>
     clock.now() - startedAt < STARTUP_DISCOVERY_MS ? table.countUnheard() : 0;
+  /** Gateways also become candidates, or cease to be, without a message. */
+  const publishCandidates = (): void => {
+    candidatesAt = clock.now();
+    const candidates = table.listCandidates();
+    if (!haveSameDuties(candidates, options.candidates.read()))
+      options.candidates.write(candidates);
+  };
   const publish = (): void => {
     publishedAt = clock.now();
     hasUnpublishedChanges = false;
     section.write(table.listAlive(publishedAt));
-    options.candidates.write(table.listCandidates());
+    publishCandidates();
     options.load.write({
       byServer: table.sumLoad(),
       unheard: countUnheard(),
@@ -318,6 +329,7 @@
     }
     const hasPeerChanges = timedOut.length > 0 || board.peerLoad.read().unheard !== countUnheard();
     if (hasUnpublishedChanges || hasPeerChanges) publish();
+    else if (now - candidatesAt >= CANDIDATES_INTERVAL_MS) publishCandidates();
     for (const peer of table.listDuePeers(now)) void exchange(peer);
     followControl.update(now);
     checkCatchUp();
