--- a/bench/soak/judge.ts
+++ b/bench/soak/judge.ts
@@ -19,7 +19,8 @@
     | 'late answer'
     | 'crashing part'
     | 'departure'
-    | 'late change';
+    | 'late change'
+    | 'ceiling';
   detail: string;
 }
 
@@ -30,6 +31,8 @@
   faults: readonly InjectedFault[];
   /** When the configuration with a key was written, by key. */
   keyTimes: ReadonlyMap<string, number>;
+  /** When loads of weights have begun at engines since there were callers. */
+  loadTimes: readonly number[];
 }
 
 /** These say that the request has not run and never will. */
@@ -59,6 +62,7 @@
     ...judgeCrashingPart(evidence),
     ...judgeDepartures(evidence),
     ...judgeChanges(evidence),
+    ...judgeLoads(evidence),
   ];
 }
 
@@ -222,3 +226,18 @@
     return [{ promise: 'late change', detail }];
   });
 }
+
+/** Loads that all engines together may begin in {@link LOAD_WINDOW_MS}: 5 a second, a tenth more, and 3. */
+const MOST_LOADS = 5 * 5 * 1.1 + 3;
+const LOAD_WINDOW_MS = 5_000;
+
+function judgeLoads({ loadTimes }: Evidence): Breach[] {
+  let first = 0;
+  let most = 0;
+  for (const [index, at] of loadTimes.entries()) {
+    while ((loadTimes[first] ?? at) <= at - LOAD_WINDOW_MS) first += 1;
+    most = Math.max(most, index - first + 1);
+  }
+  if (most <= MOST_LOADS) return [];
+  return [{ promise: 'ceiling', detail: `${most} loads have begun within ${LOAD_WINDOW_MS} ms` }];
+}
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -67,6 +67,8 @@
   try {
     await site.open(gateways);
     const callers = new Callers(site);
+    // Loads before there are callers are not limited.
+    site.loadTimes.length = 0;
     callers.start(CALLERS);
     if (withCrashingPart) callers.startCrashing();
     if (options.withDepartures) callers.startLeaving();
@@ -80,6 +82,7 @@
         arrivals: site.site.journal,
         faults: [...faults, ...listPartCrashes(site)],
         keyTimes: site.keyTimes,
+        loadTimes: site.loadTimes,
       }),
       ...recovery.map((detail) => ({ promise: 'recovery' as const, detail })),
       ...site.breaches.map((detail) => ({ promise: 'replicas' as const, detail })),
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -37,6 +37,7 @@
 /** A crashed server's entry stays this long. */
 const LAPSE_MS = 900;
 const RESTART_MS = 300;
+const STAGE_MS = 250;
 /** Within this time after a restore all entries are written again. */
 const REWRITE_MS = 1_500;
 
@@ -45,6 +46,8 @@
   readonly site = new Site();
   readonly gateways: SoakGateway[] = [];
   readonly breaches: string[] = [];
+  /** When loads of weights have begun, at all engines. */
+  readonly loadTimes: number[] = [];
   servers: SoakServer[] = [];
   /** Gets most new connections of callers. */
   favoured: SoakGateway | undefined;
@@ -127,6 +130,8 @@
       gapMs: domain ? GAP_MS : PLAIN_MS,
       fleet: this.fleet,
       breaches: this.breaches,
+      loadTimes: this.loadTimes,
+      stageMs: STAGE_MS,
       advertised: async (address) => {
         link = await this.openLink(address);
         for (const links of this.links) await links.add(link.address, domain ? 'models' : 'app');
--- a/features/gateway/stand-ins/engine.ts
+++ b/features/gateway/stand-ins/engine.ts
@@ -118,6 +118,10 @@
   fleet?: ReadonlyMap<string, EngineStandIn>;
   /** Collects violated invariants. */
   breaches?: string[];
+  /** Collects when loads of weights have begun, at all engines. */
+  loadTimes?: number[];
+  /** Time that staging takes; none if absent. */
+  stageMs?: number;
 }
 
 const JOIN_MS = 30;
@@ -326,17 +330,28 @@
         answer(200);
         return;
       case 'stage':
-        this.staged = [order.model];
-        this.report();
         answer(202);
+        await this.stage(order.model);
         return;
       default:
         answer(400);
     }
   }
 
+  private async stage(model: string): Promise<void> {
+    const { loadTimes, stageMs = 0 } = this.options;
+    if (!this.staged.includes(model)) loadTimes?.push(performance.now());
+    const { born } = this;
+    if (stageMs > 0) await sleep(stageMs);
+    if (born !== this.born) return;
+    this.staged = [model];
+    this.report();
+  }
+
   private async join(order: Order): Promise<void> {
     this.checkPreviousGroupClosed(order);
+    if (this.model !== order.model && !this.staged.includes(order.model))
+      this.options.loadTimes?.push(performance.now());
     this.seenEpoch = order.epoch;
     const { group, epoch, members } = order;
     const rank = members.indexOf(this.options.id);
--- a/src/controllers/groups/loads.ts
+++ b/src/controllers/groups/loads.ts
@@ -63,7 +63,7 @@
 }
 
 function isHeld(grant: LoadGrant, knowledge: LoadKnowledge, now: Milliseconds): boolean {
-  const { servers, fleetRevision, profile, answers } = knowledge;
+  const { servers, profile, answers } = knowledge;
   const answer = answers.get(grant.id);
   if (answer === 'refused') return false;
   const knownForMs = knownFor(grant, knowledge, now);
@@ -74,8 +74,7 @@
     const latenessMs = answer === 'accepted' ? 0 : ORDER_LATENESS_MS;
     return knownForMs < latenessMs + LOAD_WINDOW_MS;
   }
-  if (fleetRevision >= grant.fleetRevision && hasLoaded(server, grant))
-    return loadMs < LOAD_WINDOW_MS && knownForMs < LOAD_WINDOW_MS;
+  if (isDone(grant, knowledge)) return loadMs < LOAD_WINDOW_MS && knownForMs < LOAD_WINDOW_MS;
   return knownForMs < ORDER_LATENESS_MS + SLOW_LOAD_FACTOR * loadMs + LOAD_WINDOW_MS;
 }
 
@@ -87,11 +86,19 @@
   return incarnationKey({ id: server, ...(startedAt !== undefined && { startedAt }) });
 }
 
+/** The grants in `held` whose loads are not known to be done. */
+export function listUnderWay(held: readonly LoadGrant[], knowledge: LoadKnowledge): LoadGrant[] {
+  return held.filter((grant) => !isDone(grant, knowledge));
+}
+
 /** Whether the server shows that the order is carried out, with or without a load. */
-function hasLoaded(server: BackendServer, { order, model }: LoadGrant): boolean {
-  return order === 'stage'
-    ? server.engine?.staged.includes(model) === true
-    : hasWeights(server, { name: model });
+function isDone(grant: LoadGrant, { servers, fleetRevision }: LoadKnowledge): boolean {
+  const server = servers.get(grant.server);
+  if (server === undefined || incarnationKey(server) !== runOf(grant)) return false;
+  if (fleetRevision < grant.fleetRevision) return false;
+  return grant.order === 'stage'
+    ? server.engine?.staged.includes(grant.model) === true
+    : hasWeights(server, { name: grant.model });
 }
 
 /** How many more loads may be granted beside `held`. */
@@ -102,7 +109,8 @@
   now: Milliseconds,
 ): number {
   const starts = held.filter((grant) => mayStart(grant, knowledge, now));
-  return Math.max(0, Math.min(loadSlots - held.length, maxLoadStarts - starts.length));
+  const freeSlots = loadSlots - listUnderWay(held, knowledge).length;
+  return Math.max(0, Math.min(freeSlots, maxLoadStarts - starts.length));
 }
 
 /** Whether a load began within the window or may still begin; an order without an answer may be late. */
@@ -111,15 +119,15 @@
   return isRecent || knowledge.answers.get(grant.id) !== 'accepted';
 }
 
-/** Grants for the orders in `due` that cause loads, `room` at most, for engines without one. */
+/** Grants for the orders in `due` that cause loads, `room` at most, for engines without one under way. */
 export function grantLoads(
   due: readonly DueOrder[],
-  held: readonly LoadGrant[],
+  underWay: readonly LoadGrant[],
   room: number,
   createId: () => string,
   fleetRevision: number,
 ): LoadGrant[] {
-  const busy = new Set(held.map(({ server }) => server));
+  const busy = new Set(underWay.map(({ server }) => server));
   const granted: LoadGrant[] = [];
   for (const { order, to, reason, causesLoad } of due) {
     if (granted.length >= room) break;
--- a/src/gateway/groups/domain-controller.ts
+++ b/src/gateway/groups/domain-controller.ts
@@ -10,6 +10,7 @@
   incarnationKey,
   listHeldGrants,
   listOrders,
+  listUnderWay,
   LOAD_WINDOW_MS,
   revisePlan,
   toStageOrder,
@@ -162,13 +163,13 @@
     knownSince,
     answers,
   });
-  const createView = (state: DomainState, held: readonly LoadGrant[]): DomainView => ({
+  const createView = (state: DomainState, underWay: readonly LoadGrant[]): DomainView => ({
     profile: state.profile,
     targets: state.targets,
     servers: new Map(state.servers.map((server) => [server.id, server])),
     lost: memberMonitor.lost,
     slow: memberMonitor.slow,
-    staging: new Set(held.map(({ server }) => server)),
+    staging: new Set(underWay.map(({ server }) => server)),
     loadSlots: state.loadSlots,
     beforeTraffic: state.beforeTraffic,
     failedGroups: new Set([...refusedGroups, ...memberMonitor.stuckGroups]),
@@ -278,7 +279,8 @@
       now < grantsFrom
         ? []
         : listOrders(plan, view).filter((order) => !calls.isCoolingDown(order.to));
-    const granted = grantLoads(due, held, room, createGrantId, knowledge.fleetRevision);
+    const underWay = listUnderWay(held, knowledge);
+    const granted = grantLoads(due, underWay, room, createGrantId, knowledge.fleetRevision);
     const hasNewTraffic = isLimited && plan.hasTraffic !== true;
     const isChanged = plan !== stored?.plan || granted.length > 0 || hasNewTraffic;
     if (!isChanged) return plan;
@@ -302,8 +304,9 @@
     memberMonitor.retain(new Set(incarnationKeys), groupNames);
     checkSuspectGroups(stored.plan);
     observeGrants(stored.plan);
-    const held = listHeldGrants(stored.plan, knowledgeOf(state), clock.now());
-    const view = createView(state, held);
+    const knowledge = knowledgeOf(state);
+    const held = listHeldGrants(stored.plan, knowledge, clock.now());
+    const view = createView(state, listUnderWay(held, knowledge));
     const next = withGrants(revisePlan(stored.plan, view), view, held, state);
     if (next !== stored.plan && clock.now() >= storeRetryAt) await writePlan(state, next);
     // Writing the plan is asynchronous and resets `stored` if it failed.
