Peers: only gateways that exchange digests with this one are found silent

Cause: a gateway that had heard from another one directly found it silent when no more digests came, also when both had found their hub and no longer call each other. It then chose other hubs than the rest, and told that sound members were gone. Change: only partners are found silent: all in a small fleet, the hub for a member, the members for a hub. Who is heard of through others is neither told to be gone nor left out as an owner.

--- a/features/gateway/peering.feature
+++ b/features/gateway/peering.feature
@@ -42,9 +42,9 @@
   Scenario: No news of the members comes, and then news of one that is gone
     Given a gateway that a hub has told of 30 members
     When no news comes for 8000 ms
-    Then it leaves duties to 29 others, which are all but the silent hub
+    Then it leaves duties to 30 others
     When another hub tells it that "member-7" is gone
-    Then it leaves duties to 28 others, which are all but the silent hub
+    Then it leaves duties to 29 others
 
   Scenario: A gateway loses the one that it relies on for news of the store
     # Members must follow the store themselves well before a leaving server stops serving, which it
--- a/src/controllers/peering/peer-table.ts
+++ b/src/controllers/peering/peer-table.ts
@@ -167,8 +167,9 @@
     for (const name of this.alive.keys()) this.roster.markHeard(name, checkedAt);
     for (const [peer, { digest, receivedAt }] of this.digests) {
       if (now - receivedAt <= this.peerTimeout(digest.failureDomain)) continue;
+      const isExpected = this.expectsExchanges(digest);
       this.digests.delete(peer);
-      this.roster.setUnresponsive(peer, true);
+      if (isExpected) this.roster.setUnresponsive(peer, true);
     }
     for (const [peer, { receivedAt }] of this.stopping) {
       if (now - receivedAt > PEER_TIMEOUT_MS) this.stopping.delete(peer);
@@ -190,6 +191,16 @@
       .map(({ name, lastHeardAt }) => ({ peer: name, silentMs: now - lastHeardAt }));
   }
 
+  /**
+   * Whether `peer` exchanges digests with this gateway as long as it runs. In a large fleet, a member that
+   * has found its hub no longer calls the others.
+   */
+  private expectsExchanges(peer: KnownPeer): boolean {
+    const { roster, self } = this;
+    if (this.isPairwise() || roster.hubOf(peer.failureDomain) === peer.name) return true;
+    return this.isInOwnDomain(peer) && roster.hubOf(self.failureDomain) === self.name;
+  }
+
   /** The earliest time at which anything that was received may time out. */
   private nextTimeoutAt(): Milliseconds {
     let next = Number.POSITIVE_INFINITY;
@@ -235,8 +246,8 @@
   listCandidates(): ReadonlyMap<string, GatewayPeer> {
     const candidates = new Map<string, GatewayPeer>();
     for (const { name, address, failureDomain } of this.roster.all()) {
-      const isGone = this.gone.has(name) || this.roster.isUnresponsive(name);
-      if (isGone || name === address) continue;
+      const isSilent = this.roster.isUnresponsive(name) && !this.alive.has(name);
+      if (this.gone.has(name) || isSilent || name === address) continue;
       const presumed = { storeReachable: true, cutOffFrom: [], hasServed: false };
       const unheard = { name, address, failureDomain, lastHeardAt: -Infinity, ...presumed };
       candidates.set(name, this.heard.get(name) ?? unheard);
@@ -458,7 +469,10 @@
   /** Gateways of this failure domain that are stopping, or were heard and are no longer. */
   private listGone(): string[] {
     const members = this.roster.membersOf(this.self.failureDomain).map(({ name }) => name);
-    return members.filter((name) => this.stopping.has(name) || this.roster.isUnresponsive(name));
+    return members.filter(
+      (name) =>
+        this.stopping.has(name) || (this.roster.isUnresponsive(name) && !this.alive.has(name)),
+    );
   }
 
   /** Whether the fleet is small enough for all gateways to exchange digests pairwise. */
