--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -125,7 +125,7 @@
     for (const { sent, gateway } of clients)
       for (const { id } of sent) gatewayOf.set(id, gateway.name);
     const late = runs.filter(
-      ({ id, engine, at }) =>
+      ({ engine, at }) =>
         engine === leaving.id && at > removedAt + BOUNDS.drain_timeout_ms + MARGIN_MS,
     );
     const gateways = new Set(late.map(({ id }) => gatewayOf.get(id)));
