--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,118 +1,106 @@
 /**
- * Engines hand out wrong bytes: in few of their streams one event is spoiled. The callers must get every
- * piece once, or an answer that doesn't look complete.
+ * The store cuts off the watches that wait, and removes the entry of an engine at the same moment. The
+ * gateways ask again at once; they must stop sending to the engine within the bound.
  */
 import process from 'node:process';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath, URL } from 'node:url';
 import { Client } from '../lib/client.mjs';
-import { createConfiguration, MODEL } from '../lib/configuration.mjs';
-import { ModelEngine } from '../lib/model.mjs';
-import { runCase, waitFor } from '../lib/site.mjs';
+import { createConfiguration } from '../lib/configuration.mjs';
+import { ServiceEngine } from '../lib/service.mjs';
+import { BOUNDS, now, runCase } from '../lib/site.mjs';
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
-const ENGINES = 8;
-const PIECES = 34;
-/** A pass of 15 steps makes 15 tokens, which are three events of 5 tokens. */
-const PASS = { events: 3, everyMs: 117 };
-const STEPS_PER_PASS = 15;
-const PER_SECOND = 30;
-const SECONDS = 12;
-const GARBLE_FROM_MS = 3_000;
-/** `garble` of the site file: share 0.35 of the engines, x 0.02 of their answers, for 5.5 s. */
-const GARBLE_MS = 5_500;
-const GARBLE_SHARE = 0.35;
-const GARBLE_X = 0.02;
+const ZONE = 'tacoma-hall';
+const ROUNDS = 6;
+const STAYING_ENGINES = 3;
+const GATEWAYS = 3;
+/** In a release the new engine starts first, and the old one leaves then. */
+const LEAVES_AFTER_MS = 400;
+/** The engine serves on after `drain_timeout_ms`: "a little longer". */
+const LINGER_MS = 200;
+const EVERY_MS = 20;
+const WORK_MS = 85;
+/** Allowed beyond the bound, for the time that a request is on its way. */
+const MARGIN_MS = 20;
+const BETWEEN_ROUNDS_MS = 5_000;
 
-await runCase(fileURLToPath(new URL('record.txt', import.meta.url)), async (site) => {
+async function startEngine(site, id, runs) {
+  const engine = new ServiceEngine(site, {
+    id,
+    service: 'gate-app',
+    zone: ZONE,
+    workMs: WORK_MS,
+    runs,
+  });
+  await engine.listen();
+  return engine;
+}
+
+async function play(site) {
   const runs = [];
-  let isGarbling = false;
-  let spoiledCount = 0;
-  site.store.put('config', 'main', createConfiguration({ engine: { stride: STEPS_PER_PASS } }));
-  const engines = [];
-  const answersOf = new Map();
-  for (let index = 0; index < ENGINES; index += 1) {
-    const id = `i-lm${index + 1}`;
-    const engine = new ModelEngine(site, {
-      id,
-      service: 'lm-bench',
-      zone: 'tacoma-hall',
-      domain: `fabric-${1 + Math.floor(index / 4)}`,
-      runs,
-      pass: PASS,
-      total: PIECES,
-      spoil: (run) => {
-        if (!isGarbling || !garbling.has(id) || run.from > 0) return undefined;
-        const answers = (answersOf.get('all') ?? 0) + 1;
-        answersOf.set('all', answers);
-        if (spoiledCount + 1 > GARBLE_X * answers && answers > 1) return undefined;
-        spoiledCount += 1;
-        return 8;
-      },
-    });
-    await engine.listen();
-    engines.push(engine);
+  site.store.put('config', 'main', createConfiguration());
+  for (let index = 1; index <= STAYING_ENGINES; index += 1)
+    await startEngine(site, `i-app${index}`, runs);
+  let old = await startEngine(site, 'i-old0', runs);
+  const plans = [];
+  for (let index = 1; index <= GATEWAYS; index += 1)
+    plans.push(await site.planGateway(`edge-${index}`, ZONE));
+  for (const plan of plans) {
+    plan.seeds = plans.map(({ control }) => control);
+    site.launch(plan);
   }
-  const garbling = new Set();
-  const plans = [await site.planGateway('edge-1', 'tacoma-hall')];
-  plans.push(await site.planGateway('edge-2', 'tacoma-hall'));
-  for (const plan of plans) plan.seeds = plans.map(({ control }) => control);
-  for (const plan of plans) site.launch(plan);
   for (const plan of plans) await site.waitUntilReady(plan);
-  const heads = () => engines.filter(({ membership }) => membership?.state === 'open');
-  await waitFor('groups to open', () => heads().length === ENGINES / 2, 30_000);
-  await sleep(1_000);
-  for (const head of heads().slice(0, Math.floor(GARBLE_SHARE * heads().length) || 1))
-    garbling.add(head.id);
-  site.record(`open groups: ${heads().length}; engines that garble: ${[...garbling].join()}`);
+  await sleep(3_000);
 
-  const clients = plans.map((plan) => new Client(plan));
   const answers = [];
-  const count = PER_SECOND * SECONDS;
-  for (let index = 0; index < count; index += 1) {
-    const elapsed = (index * 1_000) / PER_SECOND;
-    isGarbling = HAS_TROUBLE && elapsed >= GARBLE_FROM_MS && elapsed < GARBLE_FROM_MS + GARBLE_MS;
-    answers.push(
-      clients[index % clients.length].send('POST', '/brief/a', {
-        deadlineMs: 6_000,
-        body: 'x'.repeat(100),
-        headers: {
-          Model: MODEL,
-          'Token-Count': '714,170',
-          'Prompt-Prefix': `5c1e07a2:40,${(0xe4402b00 + index).toString(16)}:674`,
-        },
-      }),
+  let isOver = false;
+  const clients = plans.map((plan) => new Client(plan));
+  const traffic = clients.map(async (client, index) => {
+    await sleep(index * 7);
+    for (let turn = 0; !isOver; turn += 1) {
+      const isUnsafe = turn % 2 === 0;
+      answers.push(
+        isUnsafe
+          ? client.send('POST', '/checkin/a', { body: '{"worker":1}' })
+          : client.send('GET', '/lookup/a'),
+      );
+      await sleep(EVERY_MS);
+    }
+  });
+  await sleep(4_000);
+
+  let lateCount = 0;
+  for (let round = 1; round <= ROUNDS; round += 1) {
+    const next = await startEngine(site, `i-old${round}`, runs);
+    await sleep(LEAVES_AFTER_MS);
+    if (HAS_TROUBLE) site.record(`the store cuts off ${site.store.cutWatches()} waiting watches`);
+    old.deregister();
+    const removedAt = now();
+    await sleep(BOUNDS.drain_timeout_ms + LINGER_MS);
+    old.close();
+    const own = runs.filter(({ engine }) => engine === old.id);
+    const late = own.filter(({ at }) => at > removedAt + BOUNDS.drain_timeout_ms + MARGIN_MS);
+    const last = own.at(-1)?.at ?? removedAt;
+    lateCount += late.length;
+    site.record(
+      `${old.id}: ${late.length} requests reached it later than ${BOUNDS.drain_timeout_ms} ms after its removal; the last one ${(last - removedAt).toFixed(0)} ms after`,
     );
-    await sleep(1_000 / PER_SECOND);
+    old = next;
+    await sleep(BETWEEN_ROUNDS_MS);
   }
+  isOver = true;
+  await Promise.all(traffic);
   const records = await Promise.all(answers);
   for (const client of clients) client.close();
-
-  const broken = [];
-  for (const { id, status, outcome, body } of records) {
-    const pieces = [...body.matchAll(/^id: (\d+)$/gm)].map(([, piece]) => Number(piece));
-    const own = runs.filter((run) => run.id === id);
-    const isWhole = pieces.length === PIECES && pieces.every((piece, index) => piece === index + 1);
-    const isSpoiled = own.some(({ spoiled }) => spoiled !== undefined);
-    if (status !== 200 || outcome !== 'complete') {
-      site.record(`${id}: ${status} ${outcome}, after ${pieces.length} pieces`);
-    } else if (!isWhole) {
-      const missing = Array.from({ length: PIECES }, (_, index) => index + 1).filter(
-        (piece) => !pieces.includes(piece),
-      );
-      // A piece that no engine has made rightly is not held against the system.
-      const made = missing.filter((piece) => own.some((run) => run.made.includes(piece)));
-      site.record(
-        `${id}: complete, but pieces ${missing.join()} are missing; ${made.join()} had been made rightly`,
-      );
-      if (made.length > 0) broken.push(id);
-    }
-    if (isSpoiled)
-      for (const { engine, from, spoiled, made } of own)
-        site.record(
-          `  ${id} ran on ${engine} after event ${from}: made ${made.at(0)} to ${made.at(-1)}, spoiled ${spoiled ?? 'none'}`,
-        );
+  site.record(`requests sent: ${records.length}, runs: ${runs.length}`);
+  const ids = new Set(runs.map(({ id }) => id));
+  for (const { id, path, status, outcome, gateway } of records) {
+    if (status === 200 && outcome === 'complete') continue;
+    const how = ids.has(id) && path.startsWith('/checkin') ? 'unsafe, ran, lost' : 'failed';
+    site.record(`${id} by ${gateway}: ${how}, ${status} ${outcome}`);
   }
-  site.record(`streams: ${records.length}, spoiled: ${spoiledCount}, broken: ${broken.length}`);
-  return broken.length > 0;
-});
+  return lateCount > 0;
+}
+
+await runCase(fileURLToPath(new URL('record.txt', import.meta.url)), play, BOUNDS);
