--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -87,6 +87,7 @@
   }
   const records = await Promise.all(answers);
   for (const client of clients) client.close();
+  site.recordRequests(records, runs);
 
   const broken = [];
   for (const { id, status, outcome, body } of records) {
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -93,6 +93,7 @@
   await Promise.all(traffic);
   const records = await Promise.all(answers);
   for (const client of clients) client.close();
+  site.recordRequests(records, runs);
   site.record(`requests sent: ${records.length}, runs: ${runs.length}`);
   const ids = new Set(runs.map(({ id }) => id));
   for (const { id, path, status, outcome, gateway } of records) {
--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -92,6 +92,22 @@
     appendFileSync(this.recordFile, `${this.at().toFixed(0).padStart(6)} ms  ${text}\n`);
   }
 
+  /** Writes one line for each request: what was sent, on which engines it ran, and what was answered. */
+  recordRequests(records, runs) {
+    const runsOf = new Map();
+    for (const run of runs) runsOf.set(run.id, [...(runsOf.get(run.id) ?? []), run]);
+    const lines = records.map(({ id, path, gateway, sentAt, endedAt, status, outcome }) => {
+      const ran = (runsOf.get(id) ?? []).map(
+        ({ engine, at, from }) =>
+          `${engine}${from ? ` after event ${from}` : ''} at ${this.at(at).toFixed(0)}`,
+      );
+      const sent = `sent ${path} to ${gateway} at ${this.at(sentAt).toFixed(0)}`;
+      const answered = `answered ${status} ${outcome} at ${this.at(endedAt).toFixed(0)}`;
+      return `  ${id}: ${sent}; ran on ${ran.join(', ') || 'none'}; ${answered}`;
+    });
+    appendFileSync(this.recordFile, `Requests, times in ms:\n${lines.join('\n')}\n`);
+  }
+
   /** Milliseconds since the start of the script. */
   at(time = now()) {
     return time - this.startedAt;
