--- a/review/lib/model.mjs
+++ b/review/lib/model.mjs
@@ -13,10 +13,25 @@
 export class ModelEngine {
   /**
    * `runs` collects the requests that an engine has begun to run. `pass` describes how events are made:
-   * `events` of them each `everyMs`. `spoil(run)` returns the id of an event to spoil, if any.
+   * `events` of them each `everyMs`. `spoil(run)` returns the id of an event to spoil, if any. Answers
+   * have no length and end with their connection if `endsWithConnection` is set.
    */
-  constructor(site, { id, service, zone, domain, runs, pass, total, spoil = () => undefined }) {
+  constructor(
+    site,
+    {
+      id,
+      service,
+      zone,
+      domain,
+      runs,
+      pass,
+      total,
+      spoil = () => undefined,
+      endsWithConnection = false,
+    },
+  ) {
     Object.assign(this, { site, id, service, zone, domain, runs, pass, total, spoil });
+    this.endsWithConnection = endsWithConnection;
     this.born = Date.now();
     this.staged = [];
     this.model = undefined;
@@ -190,10 +205,12 @@
     const run = { id, engine: this.id, from, at: now(), made: [] };
     this.runs.push(run);
     const spoiled = this.spoil(run);
+    if (this.endsWithConnection) response.useChunkedEncodingByDefault = false;
     response.writeHead(200, {
       'Content-Type': 'text/event-stream',
       'Attempt-Id': id,
       'Response-Seal': `${this.id}.${id}`,
+      ...(this.endsWithConnection && { Connection: 'close' }),
     });
     for (let next = from + 1; next <= this.total;) {
       await sleep(this.pass.everyMs);
