--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -61,7 +61,11 @@
     client.send('POST', '/brief/2f', {
       deadlineMs: 6_000,
       body: '{}',
-      headers: { Model: MODEL, 'Token-Count': '714,175', 'Prompt-Prefix': '5c1e07a2:40,91bd3f06:674' },
+      headers: {
+        Model: MODEL,
+        'Token-Count': '714,175',
+        'Prompt-Prefix': '5c1e07a2:40,91bd3f06:674',
+      },
     }),
   );
   await sleep(KILL_AFTER_MS);
