--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,216 +1,121 @@
 /**
- * Engines crash while they write answers whose end is marked by their connection: the connections are
- * reset right after the last bytes. Callers must not get what came until then as a whole answer.
+ * The store cuts off the watches that wait, and removes the entry of an engine at the same moment. The
+ * gateways ask again at once; they must stop sending to the engine within the bound.
  */
 import process from 'node:process';
-import { clearInterval, setImmediate, setInterval } from 'node:timers';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath, URL } from 'node:url';
-import { createConfiguration, MODEL } from '../lib/configuration.mjs';
-import { ModelEngine } from '../lib/model.mjs';
-import { sendRaw } from '../lib/raw-client.mjs';
+import { Client } from '../lib/client.mjs';
+import { createConfiguration } from '../lib/configuration.mjs';
 import { ServiceEngine } from '../lib/service.mjs';
-import { now, runCase, waitFor } from '../lib/site.mjs';
+import { BOUNDS, now, runCase } from '../lib/site.mjs';
 
-const hasTrouble = process.env.TROUBLE !== '0';
+const HAS_TROUBLE = process.env.TROUBLE !== '0';
 const ZONE = 'tacoma-hall';
-const PIECES = 30;
-const PASS_MS = 80;
-const STREAMS = 44;
-const CHECKINS = 15;
-const BODY_BYTES = 800;
-
-/** Ends the connection with a reset and no regular end. */
-function reset(socket) {
-  socket.resetAndClosing = true;
-  socket.destroy();
-}
-
-/** Makes one piece of all its streams in each pass. */
-class PassingEngine extends ModelEngine {
-  streams = new Map();
-
-  async run(request, response) {
-    const { membership } = this;
-    if (membership?.state !== 'open' || membership.members[0] !== this.id) {
-      this.refuse(response, 421);
-      return;
-    }
-    const id = request.headers['attempt-id'];
-    const from = Number(request.headers['last-event-id'] ?? 0);
-    this.runs.push({ id, engine: this.id, from, at: now() });
-    response.useChunkedEncodingByDefault = false;
-    response.writeHead(200, {
-      'Content-Type': 'text/event-stream',
-      'Attempt-Id': id,
-      'Response-Seal': `${this.id}.${id}`,
-      Connection: 'close',
-    });
-    this.streams.set(id, { response, next: from + 1 });
-    response.once('close', () => this.streams.delete(id));
-    this.timer ??= setInterval(() => this.makePass(), PASS_MS);
-  }
-
-  makePass() {
-    for (const [id, stream] of this.streams) {
-      stream.response.write(`id: ${stream.next}\ndata: ${id} piece ${stream.next}\n\n`);
-      stream.next += 1;
-      if (stream.next > PIECES) stream.response.end();
-    }
-    if (this.crashesNext) this.crash();
-  }
-
-  /** The bytes of the last pass are on their way; then all connections are reset. */
-  crash() {
-    clearInterval(this.timer);
-    setImmediate(() => {
-      const open = [...this.streams.values()];
-      for (const { response } of open) reset(response.socket);
-      this.close();
-      this.site.record(`${this.id} has crashed with ${open.length} streams`);
-    });
-  }
-
-  close() {
-    clearInterval(this.timer);
-    super.close();
-  }
-}
-
-/** Answers in two halves, without a length. */
-class HalvingEngine extends ServiceEngine {
-  answers = new Set();
-
-  async handle(request, response) {
-    const id = request.headers['attempt-id'];
-    if (id === undefined || request.headers['expect-instance'] !== this.id) {
-      await super.handle(request, response);
-      return;
-    }
-    request.resume();
-    this.runs.push({ id, engine: this.id, at: now() });
-    response.useChunkedEncodingByDefault = false;
-    response.writeHead(200, {
-      'Attempt-Id': id,
-      'Response-Seal': `${this.id}.${id}`,
-      Connection: 'close',
-    });
-    this.answers.add(response);
-    await this.untilWritten;
-    if (response.destroyed) return;
-    response.write('a'.repeat(BODY_BYTES / 2));
-    await sleep(20);
-    if (!response.destroyed) response.end('b'.repeat(BODY_BYTES / 2));
-  }
-
-  /** Holds back the bodies until `release` is called. */
-  hold() {
-    this.untilWritten = new Promise((resolve) => {
-      this.release = resolve;
-    });
-  }
-
-  crash() {
-    this.release();
-    setImmediate(() => {
-      const open = [...this.answers];
-      for (const response of open) reset(response.socket);
-      this.close();
-      this.site.record(`${this.id} has crashed with ${open.length} answers half written`);
-    });
-  }
-}
-
-async function startEngines(site, runs) {
-  const models = [];
-  for (let index = 0; index < 8; index += 1) {
-    const domain = `d${index < 4 ? 0 : 1}`;
-    const options = { id: `i-${index}`, service: 'lm-bench', zone: ZONE, domain, runs };
-    models.push(new PassingEngine(site, { ...options, pass: {}, total: PIECES }));
-  }
-  const services = [0, 1, 2].map(
-    (index) => new HalvingEngine(site, { id: `s-${index}`, service: 'gate-app', zone: ZONE, runs }),
-  );
-  for (const engine of [...models, ...services]) await engine.listen();
-  return { models, services };
-}
-
-async function playStreams(gateway, models) {
-  const streams = Array.from({ length: STREAMS }, () =>
-    sendRaw(gateway, 'POST', '/brief/2f', {
-      deadlineMs: 6_000,
-      body: '{}',
-      headers: {
-        Model: MODEL,
-        'Token-Count': '714,175',
-        'Prompt-Prefix': '5c1e07a2:40,91bd3f06:674',
-      },
-    }),
-  );
-  await sleep(1_000);
-  const [busiest] = [...models].sort((a, b) => b.streams.size - a.streams.size);
-  if (hasTrouble) busiest.crashesNext = true;
-  return Promise.all(streams);
+const ROUNDS = 6;
+const STAYING_ENGINES = 3;
+const GATEWAYS = 3;
+/** In a release the new engine starts first, and the old one leaves then. */
+const LEAVES_AFTER_MS = 400;
+/** The engine serves on after `drain_timeout_ms`: "a little longer". */
+const LINGER_MS = 200;
+const EVERY_MS = 20;
+const WORK_MS = 85;
+/** Allowed beyond the bound, for the time that a request is on its way. */
+const MARGIN_MS = 20;
+const BETWEEN_ROUNDS_MS = 5_000;
+
+async function startEngine(site, id, runs) {
+  const engine = new ServiceEngine(site, {
+    id,
+    service: 'gate-app',
+    zone: ZONE,
+    workMs: WORK_MS,
+    runs,
+  });
+  await engine.listen();
+  return engine;
 }
 
-async function playCheckins(gateway, services) {
-  for (const engine of services) engine.hold();
-  const checkins = Array.from({ length: CHECKINS }, () =>
-    sendRaw(gateway, 'POST', '/checkin/2f', { body: '{}' }),
-  );
-  // One caller without a gateway between for each engine, to see that the crash is told from an end.
-  const direct = services.map(({ id, address }) =>
-    sendRaw({ name: id, frontend: address }, 'POST', '/checkin/2f', {
-      body: '{}',
-      headers: { 'Expect-Instance': id },
-    }),
-  );
-  await sleep(200);
-  const [busiest, ...others] = [...services].sort((a, b) => b.answers.size - a.answers.size);
-  if (hasTrouble) busiest.crash();
-  else busiest.release();
-  for (const engine of others) engine.release();
-  return { checkins: await Promise.all(checkins), direct: await Promise.all(direct) };
+/** The gateways whose logs don't say that they left following the store to another one. */
+function findFollowers(plans) {
+  const isRelying = ({ log }) =>
+    (log.filter((line) => /following(Began|Ended)/.test(line)).at(-1) ?? '').includes('Ended');
+  return plans.filter((plan) => !isRelying(plan));
 }
 
-await runCase(fileURLToPath(new URL('record.txt', import.meta.url)), async (site) => {
+async function play(site) {
   const runs = [];
   site.store.put('config', 'main', createConfiguration());
-  const { models, services } = await startEngines(site, runs);
-  const gateway = await site.planGateway('edge-tacoma-1', ZONE);
-  site.launch(gateway);
-  await site.waitUntilReady(gateway);
-  await waitFor('the groups to open', () => {
-    const open = models.filter(({ membership }) => membership?.state === 'open');
-    return open.length === 4;
+  for (let index = 1; index <= STAYING_ENGINES; index += 1)
+    await startEngine(site, `i-app${index}`, runs);
+  let old = await startEngine(site, 'i-old0', runs);
+  const plans = [];
+  for (let index = 1; index <= GATEWAYS; index += 1)
+    plans.push(await site.planGateway(`edge-${index}`, ZONE));
+  for (const plan of plans) {
+    plan.seeds = plans.map(({ control }) => control);
+    site.launch(plan);
+  }
+  for (const plan of plans) await site.waitUntilReady(plan);
+  await sleep(3_000);
+  // Only these have a watch that waits; nothing touches the connections of the others.
+  const followers = new Set(findFollowers(plans).map(({ name }) => name));
+  site.record(`gateways that follow the store: ${[...followers].join()}`);
+
+  const answers = [];
+  let isOver = false;
+  const clients = plans.map((plan) => new Client(plan));
+  const traffic = clients.map(async (client, index) => {
+    await sleep(index * 7);
+    for (let turn = 0; !isOver; turn += 1) {
+      const isUnsafe = turn % 2 === 0;
+      answers.push(
+        isUnsafe
+          ? client.send('POST', '/checkin/a', { body: '{"worker":1}' })
+          : client.send('GET', '/lookup/a'),
+      );
+      await sleep(EVERY_MS);
+    }
   });
-  // The gateway learns of the last one.
-  await sleep(1_000);
-
-  const streams = await playStreams(gateway, models);
-  const { checkins, direct } = await playCheckins(gateway, services);
-  site.recordRequests([...streams, ...checkins, ...direct], runs);
-  const isSuccess = ({ status, headers, outcome }) =>
-    status === 200 && headers['response-seal'] !== undefined && outcome.startsWith('complete');
-  const countPieces = ({ body }) => [...body.matchAll(/^id: \d+$/gm)].length;
-  const shortStreams = streams.filter((each) => isSuccess(each) && countPieces(each) < PIECES);
-  const shortCheckins = checkins.filter((each) => isSuccess(each) && each.body.length < BODY_BYTES);
-  for (const each of shortStreams)
-    site.record(
-      `${each.id}: a sealed 200, ${each.outcome}, ${countPieces(each)} of ${PIECES} pieces`,
+  await sleep(4_000);
+
+  let lateCount = 0;
+  for (let round = 1; round <= ROUNDS; round += 1) {
+    const next = await startEngine(site, `i-old${round}`, runs);
+    await sleep(LEAVES_AFTER_MS);
+    if (HAS_TROUBLE) site.record(`the store cuts off ${site.store.cutWatches()} waiting watches`);
+    old.deregister();
+    const removedAt = now();
+    await sleep(BOUNDS.drain_timeout_ms + LINGER_MS);
+    old.close();
+    const own = runs.filter(({ engine }) => engine === old.id);
+    const late = own.filter(({ at }) => at > removedAt + BOUNDS.drain_timeout_ms + MARGIN_MS);
+    const gatewayOf = new Map(
+      clients.flatMap(({ sent, gateway }) => sent.map(({ id }) => [id, gateway.name])),
     );
-  for (const each of shortCheckins)
+    const untouched = late.filter(({ id }) => !followers.has(gatewayOf.get(id)));
+    const last = own.at(-1)?.at ?? removedAt;
+    lateCount += untouched.length;
     site.record(
-      `${each.id}: a sealed 200, ${each.outcome}, ${each.body.length} of ${BODY_BYTES} bytes`,
+      `${old.id}: ${late.length} requests reached it later than ${BOUNDS.drain_timeout_ms} ms after its removal, ${untouched.length} of them from gateways without a watch; the last one ${(last - removedAt).toFixed(0)} ms after`,
     );
-  site.record(
-    `${streams.length} streams: ${streams.filter(isSuccess).length} complete, ` +
-      `${shortStreams.length} of these lack pieces; ${checkins.length} check-ins: ` +
-      `${checkins.filter(isSuccess).length} complete, ${shortCheckins.length} of these lack bytes`,
-  );
-  const isAnyLost = [...streams, ...checkins].some((each) => !isSuccess(each));
-  if (hasTrouble && direct.every(({ end }) => end !== 'reset'))
-    throw new Error('the crash was not seen as a reset without a gateway');
-  if (!hasTrouble && isAnyLost) throw new Error('requests failed without trouble');
-  return shortStreams.length + shortCheckins.length > 0;
-});
+    old = next;
+    await sleep(BETWEEN_ROUNDS_MS);
+  }
+  isOver = true;
+  await Promise.all(traffic);
+  const records = await Promise.all(answers);
+  for (const client of clients) client.close();
+  site.recordRequests(records, runs);
+  site.record(`requests sent: ${records.length}, runs: ${runs.length}`);
+  const ids = new Set(runs.map(({ id }) => id));
+  for (const { id, path, status, outcome, gateway } of records) {
+    if (status === 200 && outcome === 'complete') continue;
+    const how = ids.has(id) && path.startsWith('/checkin') ? 'unsafe, ran, lost' : 'failed';
+    site.record(`${id} by ${gateway}: ${how}, ${status} ${outcome}`);
+  }
+  return lateCount > 0;
+}
+
+await runCase(fileURLToPath(new URL('record.txt', import.meta.url)), play, BOUNDS);
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -13,6 +13,12 @@
     this.waiting = new Set();
     /** When each kind was last asked for without waiting for a change. */
     this.polledAt = new Map();
+    /** Sent with each answer once the store has taken part in drills. */
+    this.era = undefined;
+    this.copy = undefined;
+    this.isAway = false;
+    /** When each server last wrote its entry; others don't expire. */
+    this.renewedAt = new Map();
     this.server = createServer((request, response) => {
       void this.handle(request, response);
     });
@@ -61,6 +67,47 @@
     this.append(kind, { ...before, metadata }, true);
   }
 
+  /** Writes the entry of a server, which expires if it is not written again. */
+  renew(name, spec) {
+    this.put('servers', name, spec);
+    this.renewedAt.set(name, performance.now());
+  }
+
+  /** Removes entries that were not written for `silenceMs`. */
+  expire(silenceMs) {
+    for (const [name, at] of this.renewedAt) {
+      if (performance.now() - at < silenceMs) continue;
+      this.renewedAt.delete(name);
+      this.remove('servers', name);
+    }
+  }
+
+  saveCopy() {
+    const kinds = [...this.kinds].map(([kind, objects]) => [kind, new Map(objects)]);
+    this.copy = { kinds: new Map(kinds), changes: [...this.changes], revision: this.revision };
+  }
+
+  /** Goes away: connections are closed and new calls get no answer until the store is back. */
+  goAway() {
+    this.isAway = true;
+    this.cutWatches();
+    this.server.closeAllConnections();
+  }
+
+  /** Comes back from the copy; silence of servers counts from now. */
+  comeBackFromCopy() {
+    const { kinds, changes, revision } = this.copy;
+    this.kinds = new Map([...kinds].map(([kind, objects]) => [kind, new Map(objects)]));
+    this.changes = [...changes];
+    this.revision = revision;
+    this.era += 1;
+    this.isAway = false;
+    for (const name of this.renewedAt.keys()) {
+      if (this.objects('servers').has(name)) this.renewedAt.set(name, performance.now());
+      else this.renewedAt.delete(name);
+    }
+  }
+
   append(kind, object, deleted) {
     this.changes.push({ kind, revision: this.revision, object, deleted });
     for (const watch of [...this.waiting]) watch.wake();
@@ -76,6 +123,10 @@
   async handle(request, response) {
     const chunks = [];
     for await (const chunk of request) chunks.push(chunk);
+    if (this.isAway) {
+      request.socket.destroy();
+      return;
+    }
     const text = Buffer.concat(chunks).toString();
     const url = new URL(request.url, 'http://store');
     const [, , kind = '', name] = url.pathname.split('/').map(decodeURIComponent);
@@ -115,6 +166,10 @@
     let abandon = () => undefined;
     response.once('close', () => abandon());
     for (;;) {
+      if (since > this.revision) {
+        this.answer(response, 410, { as_of: this.revision });
+        return;
+      }
       const events = this.changes
         .filter((change) => change.kind === kind && change.revision > since)
         .map(({ object, deleted }) => ({ object, deleted }));
@@ -178,6 +233,7 @@
     response.writeHead(status, {
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(text),
+      ...(this.era !== undefined && { 'Store-Era': this.era }),
     });
     response.end(text);
   }
