An answer that a reset cuts off is no longer taken for whole

What callers saw: a backend server crashed while it wrote answers with neither a length nor chunks, and callers got the part that had come until then as a whole, signed answer: streams with 12 of 30 events, answers with 400 of 800 bytes.

Cause: when the last bytes and the reset are read in one poll, libuv reports the end of the stream and not the pending ECONNRESET. Node emits 'end' without an error, which is the regular end of such a response. Two other hypotheses were excluded: undici does complete a response on ECONNRESET, but the error event marks the attempt before; and a known reset is not ignored, since the attempt fails when the reset comes 20 ms later.

Evidence: a socket whose peer writes and resets in one turn emits 'end' without 'error', and its remoteAddress is undefined then (after a regular close it is not).

Change: within 'end', before this side closes, the kernel is asked whether the connection still has a peer. A half-closed connection has one, a reset one has none.

--- a/src/core/sockets/index.ts
+++ b/src/core/sockets/index.ts
@@ -2,3 +2,4 @@
 export * from './departure.js';
 export * from './hard-reset.js';
 export * from './received-bytes.js';
+export * from './reset-at-end.js';
--- a/src/gateway/backends/connection.ts
+++ b/src/gateway/backends/connection.ts
@@ -4,7 +4,7 @@
 import { connect, type Socket } from 'node:net';
 import { Client } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
-import { watchReceivedBytes } from '../../core/sockets/index.js';
+import { onResetAtEnd, watchReceivedBytes } from '../../core/sockets/index.js';
 import { parseAddress } from '../../core/listening/index.js';
 
 /** A connection that is open or about to be opened. */
@@ -124,6 +124,9 @@
     if (error.code === 'ECONNRESET' || error.code === 'EPIPE') state.reset = true;
     settle(error, null);
   });
+  onResetAtEnd(socket, () => {
+    state.reset = true;
+  });
   socket.once('connect', () => {
     state.connected = true;
     state.received.total = () => socket.bytesRead;
