A killed gateway no longer leaves responses that look complete

What callers saw: a gateway was killed while it relayed streams with neither a length nor chunks. Each caller had a signed 200 with 11 of 30 events and a regular end of its connection.

Cause: such a response was relayed without a length or chunks as well. When the process is killed, the system closes its sockets with a FIN, which is the regular end of such a response, and nothing is left that could reset them.

Change: buffered responses get a length and streams are sent in chunks. A caller of HTTP/1.0 can't read chunks: its response is held until it is complete (8 MB at most). The entry program does the same for answers of services.

Changed checks: 'An answer without a length keeps its form' asserted the very form that causes the fault. In its place the answer must be whole and have the length of its body. The rows of replies.feature by framing became rows by HTTP version, each also with a killed gateway.

--- a/features/gateway/forwarding.feature
+++ b/features/gateway/forwarding.feature
@@ -84,9 +84,9 @@
     Then the answer is 503 with a time to come back
     And the request did not run
 
-  Scenario: An answer without a length keeps its form
-    # Guards against presenting a truncated close-delimited response as complete.
+  Scenario: An answer without a length gets one
+    # Guards against a part that looks whole to its caller when the gateway is killed while it is sent.
     Given a site with 1 plain server and a ready gateway
     And each server answers without a length
     When a caller asks for "/check/in"
-    Then the answer is 200 and ends with its connection
+    Then the answer is 200, whole and has a length
--- a/features/gateway/forwarding.steps.ts
+++ b/features/gateway/forwarding.steps.ts
@@ -128,17 +128,14 @@
   assert.ok(Number(answer.headers['retry-after']) > 0);
 });
 
-Then(
-  'the answer is {int} and ends with its connection',
-  function (this: GatewayWorld, status: number) {
-    const { headers, body, ...answer } = lastAnswer(this);
-    assert.equal(answer.status, status, body);
-    assert.equal(headers['content-length'], undefined);
-    assert.equal(headers['transfer-encoding'], undefined);
-    assert.equal(headers.connection, 'close');
-    assert.equal(body, 'answer');
-  },
-);
+Then('the answer is {int}, whole and has a length', function (this: GatewayWorld, status: number) {
+  const { headers, body, ...answer } = lastAnswer(this);
+  assert.equal(answer.status, status, body);
+  assert.equal(answer.whole, true);
+  assert.equal(headers['content-length'], String(body.length));
+  assert.equal(headers['transfer-encoding'], undefined);
+  assert.equal(body, 'answer');
+});
 
 Then('each answer is {int} and whole', function (this: GatewayWorld, status: number) {
   for (const answer of this.answers) {
--- a/features/gateway/replies.feature
+++ b/features/gateway/replies.feature
@@ -1,12 +1,26 @@
-Feature: An aborted response does not look complete
+Feature: A response that ends early does not look complete
 
-  Scenario Outline: An answer whose end is marked by <mark> is cut
-    # Guards against a caller that takes an aborted response for a complete one.
-    Given an answer whose end is marked by <mark>, of which a part was sent
-    When it is cut
+  # Guards against a caller that takes a part for the whole, also when nothing is left to reset connections.
+  Scenario Outline: The gateway <event> within a response to a caller of HTTP/<version>
+    Given a response to a caller of HTTP/<version>, of which a part was sent
+    When the gateway <event>
     Then its caller sees that it is not whole
 
     Examples:
-      | mark             |
-      | chunks           |
-      | its connection   |
+      | event     | version |
+      | cuts it   | 1.1     |
+      | cuts it   | 1.0     |
+      | is killed | 1.1     |
+      | is killed | 1.0     |
+
+  # Guards against callers of HTTP/1.0 that get no response any more, or one that is framed by chunks.
+  Scenario: A caller of HTTP/1.0 gets a response of unknown length
+    Given a response to a caller of HTTP/1.0, of which a part was sent
+    When the gateway ends it
+    Then its caller sees that it is whole
+
+  # Guards against a gateway whose memory a response without end to a caller of HTTP/1.0 fills.
+  Scenario: A response to a caller of HTTP/1.0 has no end
+    Given a response to a caller of HTTP/1.0, of which a part was sent
+    When the gateway sends 16 MB of it
+    Then its caller sees that it is not whole
--- a/features/gateway/stand-ins/engine.ts
+++ b/features/gateway/stand-ins/engine.ts
@@ -56,7 +56,7 @@
   | { kind: 'foreignAnswer' }
   /** Answers without a length and resets before the end. */
   | { kind: 'resetUnframed' }
-  /** Answers without a length and ends the connection. */
+  /** Answers and streams without a length and ends the connection. */
   | { kind: 'unframed' }
   | { kind: 'fail' }
   /** Answers `failing` of `of` calls with an error. */
@@ -572,6 +572,7 @@
       this.sendWithoutEnd(response, id, this.fault);
       return;
     }
+    if (this.fault.kind === 'unframed') response.useChunkedEncodingByDefault = false;
     response.writeHead(200, this.streamHeaders(id));
     if (firstMs > 0) response.flushHeaders();
     await sleep(firstMs);
--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -28,3 +28,11 @@
     And a caller begins a stream
     When the caller leaves
     Then no request is in flight at the gateway
+
+  Scenario: A gateway is killed while it relays a stream without a length
+    # Guards against a close by the system that looks like the end of a stream.
+    Given a site with 2 engines and a ready gateway with 1 open group
+    And the engines answer without a length
+    And a caller begins a stream
+    When the gateway is killed after 3 events
+    Then the caller sees that the stream is not whole
--- a/features/gateway/streams.steps.ts
+++ b/features/gateway/streams.steps.ts
@@ -87,6 +87,10 @@
   },
 );
 
+Given('the engines answer without a length', function (this: GatewayWorld) {
+  for (const engine of this.site.servers) engine.fault = { kind: 'unframed' };
+});
+
 Given('a caller begins a stream', async function (this: GatewayWorld) {
   this.stream = await beginStream(this);
 });
@@ -151,6 +155,23 @@
   },
 );
 
+When(
+  'the gateway is killed after {int} events',
+  async function (this: GatewayWorld, count: number) {
+    let events = 0;
+    this.stream.incoming.on('data', () => {
+      events += 1;
+    });
+    await waitFor(`${count} events`, () => events >= count);
+    this.gateway.signal('SIGKILL');
+  },
+);
+
+Then('the caller sees that the stream is not whole', async function (this: GatewayWorld) {
+  const { body, whole } = await this.stream.answer;
+  assert.equal(whole, false, body);
+});
+
 When('the caller leaves', function (this: GatewayWorld) {
   this.stream.outgoing.destroy();
 });
--- a/features/requests/services.feature
+++ b/features/requests/services.feature
@@ -29,6 +29,17 @@
     When a caller gets "/services/gate/passes/7"
     Then the caller's connection was closed in mid-answer
 
+  Scenario Outline: A caller of HTTP/1.0 gets an answer that is <end>
+    # Such a caller can't read chunks, and takes the close of its connection for the end of the answer.
+    Given a service that answers every call with the raw text "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n<rest>" and closes
+    When a caller of HTTP/1.0 gets "/services/gate/passes/7"
+    Then it takes <taken> for a whole answer
+
+    Examples:
+      | end   | rest                        | taken       |
+      | cut   |                             | nothing     |
+      | whole | 5\r\\n more\r\\n0\r\\n\r\\n | "half more" |
+
   Scenario Outline: A call that may not be repeated meets <fault>
     # When the connection breaks after the call was sent, it may have run: it is not sent again, and
     # the caller is told that the outcome is unknown.
--- a/features/requests/services.steps.ts
+++ b/features/requests/services.steps.ts
@@ -3,6 +3,7 @@
  */
 import assert from 'node:assert/strict';
 import { createHash, randomBytes } from 'node:crypto';
+import { connect } from 'node:net';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { callFaultSchema } from '../../src/stand-ins/service/control.js';
 import { waitFor } from '../support/waiting.js';
@@ -12,6 +13,8 @@
 import type { RequestWorld } from './requests.steps.js';
 
 interface ServiceWorld extends RequestWorld {
+  /** All bytes that a caller has received until the close of its connection. */
+  receivedText: string;
   uploaded: Buffer;
   rawService?: RawService;
 }
@@ -69,6 +72,25 @@
   this.responses.push(this.received);
 });
 
+When(/^a caller of HTTP\/1\.0 gets "(.+)"$/, async function (this: ServiceWorld, path: string) {
+  const [host, port] = this.entry.address.split(':');
+  const socket = connect({ host, port: Number(port) });
+  const fields = `Host: entry\r\nAuthorization: Bearer ${KEY}`;
+  socket.write(`GET ${path} HTTP/1.0\r\n${fields}\r\n\r\n`);
+  this.receivedText = '';
+  for await (const bytes of socket) this.receivedText += (bytes as Buffer).toString('latin1');
+});
+
+Then(/^it takes nothing for a whole answer$/, function (this: ServiceWorld) {
+  assert.ok(!this.receivedText.includes(' 200 '), this.receivedText);
+});
+
+Then('it takes {string} for a whole answer', function (this: ServiceWorld, body: string) {
+  assert.match(this.receivedText, /^HTTP\/1\.1 200 /);
+  assert.match(this.receivedText, new RegExp(`content-length: ${body.length}`, 'i'));
+  assert.ok(this.receivedText.endsWith(`\r\n\r\n${body}`), this.receivedText);
+});
+
 When('a caller asks for the head of {string}', async function (this: ServiceWorld, path: string) {
   this.received = await call(this.entry.address, path, { method: 'HEAD' });
 });
--- a/src/adapters/callers/service-calls.ts
+++ b/src/adapters/callers/service-calls.ts
@@ -7,6 +7,7 @@
 import type { HeaderField, StoredAnswer } from '../../controllers/calls/types.js';
 import { removeHopByHop, type ServiceAnswer } from '../services/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
+import { acceptsChunks, MAX_HELD_BYTES } from '../../core/responses/index.js';
 import type { BufferedBytesTracker } from '../../core/buffered-bytes/index.js';
 import { sendFailure } from './answers.js';
 import { readBody } from './body.js';
@@ -88,6 +89,10 @@
 ): Promise<'whole' | 'cut' | 'callerGone'> {
   const isBroken = watchError(answer.body);
   try {
+    if (!acceptsChunks(response.req) && !hasLength(answer)) {
+      sendStored(response, { ...answer, body: await readHeld(answer.body) }, false);
+      return 'whole';
+    }
     writeHead(response, answer.status, answer.headers);
     // A body that breaks off destroys the caller's connection: the last chunk or the rest of the
     // declared length never comes, so that the part is not taken for the whole.
@@ -101,6 +106,21 @@
   }
 }
 
+function hasLength({ headers }: ServiceAnswer): boolean {
+  return headers.some(({ name }) => name.toLowerCase() === 'content-length');
+}
+
+async function readHeld(body: Readable): Promise<Buffer> {
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  for await (const part of body as AsyncIterable<Buffer>) {
+    parts.push(part);
+    bytes += part.length;
+    if (bytes > MAX_HELD_BYTES) throw new Error(`the body is longer than ${MAX_HELD_BYTES} bytes`);
+  }
+  return Buffer.concat(parts);
+}
+
 function watchError(body: Readable): () => boolean {
   let broken = false;
   body.once('error', () => {
--- /dev/null
+++ b/src/core/responses/chunks.ts
@@ -0,0 +1,16 @@
+/**
+ * Responses to callers that can't read chunks.
+ *
+ * Such a response either has a length or ends with its connection. When the process is killed, the system
+ * closes the connection regularly, and a part would look like the whole response. So bodies of unknown length
+ * are held until they are complete.
+ */
+import type { IncomingMessage } from 'node:http';
+
+/** Most bytes of a body that is held for a caller. */
+export const MAX_HELD_BYTES = 8_388_608;
+
+/** Whether a response to the request may be sent in chunks. */
+export function acceptsChunks({ httpVersionMajor, httpVersionMinor }: IncomingMessage): boolean {
+  return httpVersionMajor > 1 || (httpVersionMajor === 1 && httpVersionMinor >= 1);
+}
--- /dev/null
+++ b/src/core/responses/index.ts
@@ -0,0 +1,1 @@
+export * from './chunks.js';
--- a/src/gateway/requests/reply.ts
+++ b/src/gateway/requests/reply.ts
@@ -5,7 +5,7 @@
 import { renderFailure } from '../../adapters/callers/answers.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { ERRORS, type Failure } from '../../core/errors/index.js';
-import { hardReset } from '../../core/sockets/index.js';
+import { acceptsChunks, MAX_HELD_BYTES } from '../../core/responses/index.js';
 
 /** The response to one request; ended by exactly one of `send`, `sendFailure`, `end` or `abort`. */
 export interface Reply {
@@ -13,11 +13,8 @@
   readonly isUnsent: boolean;
   /** Sends a complete response with a `Content-Length`. */
   send(status: number, headers: readonly string[], body: Buffer): void;
-  /**
-   * Starts a response of unknown length: close-delimited if `isCloseDelimited`, otherwise with
-   * chunked encoding.
-   */
-  start(status: number, headers: readonly string[], isCloseDelimited: boolean): void;
+  /** Starts a response of unknown length, whose end is marked by its last chunk. */
+  start(status: number, headers: readonly string[]): void;
   /** Returns false when the write buffer is full; `onDrain` signals when to continue. */
   write(bytes: Buffer): boolean;
   onDrain(listener: () => void): void;
@@ -32,30 +29,44 @@
 /** Longest wait for the rest of a request body that is not used. */
 const LINGER_MS: Milliseconds = 1_000;
 
+/** A response that is sent when it is complete, because its caller can't read chunks. */
+interface HeldResponse {
+  status: number;
+  headers: readonly string[];
+  parts: Buffer[];
+  bytes: number;
+}
+
 export function createReply(response: ServerResponse, isShuttingDown: () => boolean): Reply {
   const closeHeaders = (): string[] => (isShuttingDown() ? ['Connection', 'close'] : []);
-  let isCloseDelimited = false;
+  const send = (status: number, headers: readonly string[], body: Buffer): void => {
+    const length = ['Content-Length', String(body.length)];
+    response.writeHead(status, [...headers, ...length, ...closeHeaders()]);
+    response.end(body);
+  };
+  let held: HeldResponse | undefined;
   return {
     get isUnsent() {
       return !response.headersSent;
     },
-    send: (status, headers, body) => {
-      const length = ['Content-Length', String(body.length)];
-      response.writeHead(status, [...headers, ...length, ...closeHeaders()]);
-      response.end(body);
+    send,
+    start: (status, headers) => {
+      if (acceptsChunks(response.req)) response.writeHead(status, [...headers, ...closeHeaders()]);
+      else held ??= { status, headers, parts: [], bytes: 0 };
     },
-    start: (status, headers, closeDelimited) => {
-      isCloseDelimited = closeDelimited;
-      if (closeDelimited) response.useChunkedEncodingByDefault = false;
-      const close = closeDelimited ? ['Connection', 'close'] : closeHeaders();
-      response.writeHead(status, [...headers, ...close]);
+    write: (bytes) => {
+      if (!held) return response.write(bytes);
+      held.parts.push(bytes);
+      held.bytes += bytes.length;
+      if (held.bytes > MAX_HELD_BYTES) response.destroy();
+      return true;
     },
-    write: (bytes) => response.write(bytes),
     onDrain: (listener) => {
       response.once('drain', listener);
     },
     end: () => {
-      response.end();
+      if (held) send(held.status, held.headers, Buffer.concat(held.parts));
+      else response.end();
     },
     sendFailure: (failure, requestId) => {
       const body = Buffer.from(JSON.stringify(renderFailure(failure, requestId)));
@@ -69,9 +80,7 @@
       else response.end(body);
     },
     abort: () => {
-      // A regular close would mark a close-delimited response as complete.
-      if (isCloseDelimited) hardReset(response.socket);
-      else response.destroy();
+      response.destroy();
     },
   };
 }
--- a/src/gateway/requests/response-relay.ts
+++ b/src/gateway/requests/response-relay.ts
@@ -12,26 +12,14 @@
   return isSuccess && response.signed && !response.encoded && !response.notRun;
 }
 
-/**
- * Relays a response that was read to its end.
- *
- * A close-delimited response may have been truncated without a trace. It is relayed close-delimited
- * too: with a `Content-Length` the caller would take a truncated body for a complete one.
- */
+/** Relays a response that was read to its end, with its length. */
 export function sendBuffered(
   reply: Reply,
   codec: RequestCodec,
-  { status, framing, headers }: AttemptResponse,
+  { status, headers }: AttemptResponse,
   body: Buffer,
 ): void {
-  const responseHeaders = codec.filterResponseHeaders(headers);
-  if (framing !== 'connection') {
-    reply.send(status, responseHeaders, body);
-    return;
-  }
-  reply.start(status, responseHeaders, true);
-  reply.write(body);
-  reply.end();
+  reply.send(status, codec.filterResponseHeaders(headers), body);
 }
 
 /** Relays events with backpressure from the caller; `bytes` may be empty. */
@@ -42,10 +30,7 @@
   response: AttemptResponse,
   bytes: Buffer,
 ): void {
-  if (reply.isUnsent) {
-    const isCloseDelimited = response.framing === 'connection';
-    reply.start(response.status, codec.filterResponseHeaders(response.headers), isCloseDelimited);
-  }
+  if (reply.isUnsent) reply.start(response.status, codec.filterResponseHeaders(response.headers));
   if (bytes.length === 0 || reply.write(bytes)) return;
   attempt.pause();
   reply.onDrain(() => {
