Events before a gap in the same chunk are forwarded

What callers saw: a stream ended as complete without an event that the gateway had received, after another event of the same chunk came spoiled.

Cause: EventStream.push counts each event as forwarded when it finds it, and returned the events of a chunk at its end. A gap, or bytes without end, ended the chunk without them; the next run resumed after events that were counted and never forwarded.

Change: a part consists of its events and of the fault behind them, and the relay forwards the events before it acts on the fault.

The checks of endless-answers.feature and decisions.feature read the fault where they read the kind of the part, and ask the same.

--- a/features/gateway/decisions.steps.ts
+++ b/features/gateway/decisions.steps.ts
@@ -60,7 +60,7 @@
   for (let start = 0, index = 0; start < bytes.length; index += 1) {
     const end = start + (sizes[index % sizes.length] ?? 1);
     const chunk = stream.push(bytes.subarray(start, end));
-    if (chunk.kind !== 'events') return 'an event is missing';
+    if (chunk.fault !== undefined) return 'an event is missing';
     output += chunk.bytes.toString();
     start = end;
   }
--- a/features/gateway/endless-answers.steps.ts
+++ b/features/gateway/endless-answers.steps.ts
@@ -158,7 +158,7 @@
     const chunk = Buffer.alloc(size, 'x');
     const startedAt = performance.now();
     for (let sent = 0; sent < kb * 1_024; sent += size)
-      assert.equal(this.events.push(chunk).kind, 'events');
+      assert.equal(this.events.push(chunk).fault, undefined);
     this.spentMs = performance.now() - startedAt;
   },
 );
@@ -168,6 +168,6 @@
   function (this: EndlessWorld, ms: number, kb: number) {
     assert.ok(this.spentMs <= ms, `${this.spentMs} ms`);
     assert.ok(kb * 1_024 < MAX_BYTES_WITHOUT_EVENT);
-    assert.equal(this.events.push(Buffer.alloc(kb * 1_024, 'x')).kind, 'endless');
+    assert.equal(this.events.push(Buffer.alloc(kb * 1_024, 'x')).fault, 'endless');
   },
 );
--- a/src/controllers/forwarding/event-stream.ts
+++ b/src/controllers/forwarding/event-stream.ts
@@ -10,18 +10,20 @@
  */
 
 /** The result of processing one chunk. */
-export type StreamPart =
-  | {
-      kind: 'events';
-      /** Bytes of complete blocks, ready to forward; empty when none is complete. */
-      bytes: Buffer;
-      /** New events among them; blocks without data, such as comments, are none. */
-      count: number;
-    }
-  /** Events are missing between the last forwarded one and this one. */
-  | { kind: 'gap' }
+export interface StreamPart {
+  /** Bytes of complete blocks, to be forwarded also if a fault follows; empty when none is complete. */
+  bytes: Buffer;
+  /** New events among them; blocks without data, such as comments, are none. */
+  count: number;
+  /** Why nothing that follows the bytes can be used. */
+  fault: StreamFault | undefined;
+}
+
+export type StreamFault =
+  /** Events are missing between the last one and the next. */
+  | 'gap'
   /** More bytes have come without a new event than any event has. */
-  | { kind: 'endless' };
+  | 'endless';
 
 /** Most bytes without a new event; an event holds a few tokens. */
 export const MAX_BYTES_WITHOUT_EVENT = 262_144;
@@ -70,13 +72,17 @@
     const blocks: Buffer[] = [];
     let count = 0;
     let start = 0;
-    for (let end = this.findBlockEnd(chunk, 0); end > 0; end = this.findBlockEnd(chunk, start)) {
+    let fault: StreamFault | undefined;
+    while (fault === undefined) {
+      const end = this.findBlockEnd(chunk, start);
+      if (end === 0) break;
       const block = this.completeBlock(chunk.subarray(start, end));
       start = end;
       const classification = classifyBlock(block, this.last);
       switch (classification.kind) {
         case 'gap':
-          return { kind: 'gap' };
+          fault = 'gap';
+          break;
         case 'known':
           break;
         case 'comment':
@@ -90,16 +96,19 @@
           break;
       }
     }
-    const rest = chunk.subarray(start);
+    fault ??= this.keepRest(chunk.subarray(start));
+    const [first] = blocks;
+    const bytes = blocks.length === 1 && first ? first : Buffer.concat(blocks);
+    return { bytes, count, fault };
+  }
+
+  private keepRest(rest: Buffer): 'endless' | undefined {
     if (rest.length > 0) {
       this.partial.push(rest);
       this.partialBytes += rest.length;
     }
-    if (this.bytesWithoutEvent + this.partialBytes > MAX_BYTES_WITHOUT_EVENT)
-      return { kind: 'endless' };
-    const [first] = blocks;
-    const bytes = blocks.length === 1 && first ? first : Buffer.concat(blocks);
-    return { kind: 'events', bytes, count };
+    const isEndless = this.bytesWithoutEvent + this.partialBytes > MAX_BYTES_WITHOUT_EVENT;
+    return isEndless ? 'endless' : undefined;
   }
 
   /** Returns the index after the blank line that ends the current block; 0 when it is incomplete. */
--- a/src/gateway/requests/stream-relay.ts
+++ b/src/gateway/requests/stream-relay.ts
@@ -1,7 +1,7 @@
 /**
  * Relays the events of one request's stream, over all attempts, and measures the times between them.
  */
-import type { EventStream } from '../../controllers/forwarding/index.js';
+import type { EventStream, StreamFault } from '../../controllers/forwarding/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { AttemptResponse } from '../backends/attempt.js';
 import type { GatewayContext } from '../types.js';
@@ -25,10 +25,8 @@
   | 'progress'
   /** No new event is complete. */
   | 'noEvent'
-  /** Events are missing before those in the chunk. */
-  | 'gap'
-  /** It goes on without events. */
-  | 'endless';
+  /** Whatever follows the events that were relayed can't be used. */
+  | StreamFault;
 
 interface StreamRelayDependencies {
   context: Pick<GatewayContext, 'clock' | 'platform'>;
@@ -64,10 +62,9 @@
 
   /** Relays the complete events in `chunk`. */
   relay(attempt: TrackedAttempt, response: AttemptResponse, chunk: Buffer): RelayResult {
-    const part = this.stream.push(chunk);
-    if (part.kind !== 'events') return part.kind;
-    if (part.bytes.length > 0) this.relayBytes(attempt, response, part.bytes, part.count);
-    return part.count > 0 ? 'progress' : 'noEvent';
+    const { bytes, count, fault } = this.stream.push(chunk);
+    if (bytes.length > 0) this.relayBytes(attempt, response, bytes, count);
+    return fault ?? (count > 0 ? 'progress' : 'noEvent');
   }
 
   private relayBytes(
