A block that is complete and too large ends its stream

Cause: bytes without end were only looked at in the block that is not complete yet. When an event follows them in the same chunk, they are the begin of a complete block with data and without an id, and were forwarded as an event.

Change: the bound on bytes without an event holds for complete blocks too.

Evidence: 'event 1, 2 in a chunk' failed before; 9 of 9 scenarios of event-order.feature and decisions.feature pass now.

--- a/src/controllers/forwarding/event-stream.ts
+++ b/src/controllers/forwarding/event-stream.ts
@@ -78,6 +78,10 @@
       if (end === 0) break;
       const block = this.completeBlock(chunk.subarray(start, end));
       start = end;
+      if (this.bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT) {
+        fault = 'endless';
+        break;
+      }
       const classification = classifyBlock(block, this.last);
       switch (classification.kind) {
         case 'gap':
