A spoiled first or last event no longer passes for a comment

What callers would see: a stream that ends as complete without its first or last event, whose bytes the backend server had spoiled. Found on the paths next to the lost event before a gap.

Cause: a block without an id and without data counted as a comment, whatever it consists of, and was forwarded. Within a stream the next event then leaves a gap; before the first event no id is expected yet, and behind the last one nothing comes.

Change: such a block is a comment only if each of its lines is a comment or a field. Otherwise the run ends as at a gap, and the next one resumes.

--- a/features/gateway/event-order.feature
+++ b/features/gateway/event-order.feature
@@ -9,3 +9,8 @@
   Scenario: A run goes on without events
     When each event of 7 is followed once by bytes without end, in chunks of 1 to 7 events
     Then each stream is delivered whole after a sound run
+
+  # Guards against a first or last event that is lost without a gap, because others don't show that it is missing.
+  Scenario: An event of a run is spoiled
+    When each event of 7 is once replaced by bytes that are no event, in chunks of 1 to 7 events
+    Then each stream is delivered whole after a sound run
--- a/features/gateway/event-order.steps.ts
+++ b/features/gateway/event-order.steps.ts
@@ -9,15 +9,21 @@
   streams: { what: string; delivered: string; expected: string }[];
 }
 
-/** Pushes chunks until one can't be used; returns what is delivered. */
-function deliver(stream: EventStream, chunks: readonly string[]): string {
-  let delivered = '';
+interface Delivery {
+  text: string;
+  /** Whether the gateway takes the run for whole if its response ends here. */
+  isWhole: boolean;
+}
+
+/** Pushes chunks until one can't be used. */
+function deliver(stream: EventStream, chunks: readonly string[]): Delivery {
+  let text = '';
   for (const chunk of chunks) {
     const part = stream.push(Buffer.from(chunk));
-    delivered += part.bytes.toString();
-    if (part.fault !== undefined) break;
+    text += part.bytes.toString();
+    if (part.fault !== undefined) return { text, isWhole: false };
   }
-  return delivered;
+  return { text, isWhole: !stream.hasPartialEvent };
 }
 
 function renderEvents(count: number): string[] {
@@ -44,9 +50,12 @@
     for (let size = 1; size <= maxSize; size += 1) {
       const faulty = events.map((event, index) => (index === wrong ? replace(event) : event));
       const stream = new EventStream();
-      let delivered = deliver(stream, group(faulty, size));
-      stream.startRun();
-      delivered += deliver(stream, events.slice(Number(stream.lastEventId ?? 0)));
+      const run = deliver(stream, group(faulty, size));
+      let delivered = run.text;
+      if (!run.isWhole) {
+        stream.startRun();
+        delivered += deliver(stream, events.slice(Number(stream.lastEventId ?? 0))).text;
+      }
       const what = `event ${wrong + 1}, ${size} in a chunk`;
       world.streams.push({ what, delivered, expected: events.join('') });
     }
@@ -60,6 +69,13 @@
   },
 );
 
+When(
+  'each event of {int} is once replaced by bytes that are no event, in chunks of 1 to {int} events',
+  function (this: OrderWorld, count: number, maxSize: number) {
+    runAll(this, { count, maxSize }, [0, count - 1], (event) => `${'#'.repeat(event.length)}\n\n`);
+  },
+);
+
 When(
   'each event of {int} is followed once by bytes without end, in chunks of 1 to {int} events',
   function (this: OrderWorld, count: number, maxSize: number) {
--- a/src/controllers/forwarding/event-stream.ts
+++ b/src/controllers/forwarding/event-stream.ts
@@ -20,6 +20,8 @@
 }
 
 export type StreamFault =
+  /** A block is neither an event nor a comment. */
+  | 'garbled'
   /** Events are missing between the last one and the next. */
   | 'gap'
   /** More bytes have come without a new event than any event has. */
@@ -32,6 +34,8 @@
 const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = /^id:[ ]?(.*)$/m;
 const DATA_FIELD = /^data(?::|$)/m;
+/** A comment, a field with a value, or a field that may have none. */
+const KNOWN_LINE = /^(?::|[A-Za-z][\w-]*:|(?:data|event|id|retry)$|$)/;
 
 /** The state of one response across all its runs. Mutable; owned by one request. */
 export class EventStream {
@@ -85,7 +89,8 @@
       const classification = classifyBlock(block, this.last);
       switch (classification.kind) {
         case 'gap':
-          fault = 'gap';
+        case 'garbled':
+          fault = classification.kind;
           break;
         case 'known':
           break;
@@ -164,13 +169,18 @@
   /** Has been forwarded before. */
   | { kind: 'known' }
   | { kind: 'gap' }
+  | { kind: 'garbled' }
   /** Has no data. */
   | { kind: 'comment' };
 
 function classifyBlock(block: Buffer, last: number | undefined): BlockClass {
   const text = block.toString('latin1');
   const id = parseId(ID_FIELD.exec(text)?.[1]);
-  if (id === undefined) return DATA_FIELD.test(text) ? { kind: 'new', id } : { kind: 'comment' };
+  if (id === undefined) {
+    if (DATA_FIELD.test(text)) return { kind: 'new', id };
+    const isComment = text.split(/\r?\n/).every((line) => KNOWN_LINE.test(line));
+    return { kind: isComment ? 'comment' : 'garbled' };
+  }
   if (last !== undefined && id <= last) return { kind: 'known' };
   if (last !== undefined && id > last + 1) return { kind: 'gap' };
   return { kind: 'new', id };
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -174,6 +174,9 @@
       case 'gap':
         this.breakOff(attempt, 'events are missing in the answer');
         break;
+      case 'garbled':
+        this.breakOff(attempt, 'the answer has bytes that are no events');
+        break;
       case 'endless':
         this.deps.backends.recordResult(attempt.server, true);
         this.breakOff(attempt, 'the answer goes on without end');
