A watch that is cut off no longer counts as an outage of the store

What callers saw: the store cut off the watches that wait and removed the entry of a backend server that left. The gateways of the failure domain sent to it for 2.2 to 2.4 s more, beyond the 2 s for which it stays, and requests that must not run twice got 502.

Cause: any failed read counted as an outage and the next answer as its end. For 2.2 s after an outage a missing entry counts as present, since entries may have lapsed. Neither depended on what had failed, nor on whether an entry can have lapsed in that time.

Change: the failure of a watch that waits says nothing of the store; the follower asks again at once, and that call shows whether it is reachable. Missing entries are kept only if the last answer, here or at the gateway that follows for the others, is two heartbeats old, as an entry lapses after three.

Changed check: 'The store is down and all entries lapse' removed the entries some ms after the gateway had lost the store, which no store does: it removes entries after three heartbeats. The outage lasts 3.6 s there now, and every caller must still be served.

--- a/features/gateway/following.feature
+++ b/features/gateway/following.feature
@@ -35,3 +35,35 @@
   Scenario: A large answer stops arriving
     Given a follower of a store whose answers stop arriving, retrying every 100 ms
     Then the store is called 3 times within 1500 ms
+
+  # Guards against a pause in which no change is heard, after a watch that the store has cut off.
+  Scenario: A watch is cut off
+    Given a follower whose watch waits, retrying after 5000 ms
+    When its watch is cut off
+    Then the store is called 4 times within 500 ms
+
+  # Guards against an outage that is made up from one failed call, during which servers that left are kept.
+  Scenario Outline: A <kind> fails, and the store answers again <later> ms later
+    Given a gateway whose store has just answered
+    When a <kind> of it fails and the store answers again <later> ms later
+    Then entries that are missing then count as gone after <wait> ms
+
+    Examples:
+      | kind  | later | wait |
+      | watch | 10    | 0    |
+      | read  | 10    | 0    |
+      | read  | 2300  | 0    |
+      | read  | 2400  | 2200 |
+      | read  | 9000  | 2200 |
+
+  # Guards against the same at a gateway that has no path to the store, while another one hears of the servers.
+  Scenario: Another gateway reaches the store
+    Given a gateway whose store has just answered
+    When a read of it fails, and 9000 ms later another gateway has an answer
+    Then entries that are missing then count as gone after 0 ms
+
+  # Guards against plans that are given up because one watch was cut off.
+  Scenario: A watch that waits is no sign of an outage
+    Given a gateway whose store has just answered
+    When a watch of it fails and the store answers again 300 ms later
+    Then the gateway has not counted the store as lost
--- a/features/gateway/following.steps.ts
+++ b/features/gateway/following.steps.ts
@@ -4,12 +4,16 @@
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import { ok, okAsync, ResultAsync } from 'neverthrow';
+import { err, ok, okAsync, ResultAsync } from 'neverthrow';
 import { createSection } from '../../src/board/index.js';
-import { createSystemClock } from '../../src/core/clock/index.js';
+import {
+  createManualClock,
+  createSystemClock,
+  type ManualClock,
+} from '../../src/core/clock/index.js';
 import { createFailure } from '../../src/core/errors/index.js';
 import { createRandom } from '../../src/core/random/index.js';
-import type { ObjectStore, StoreFailure } from '../../src/gateway/store/client.js';
+import type { CallKind, ObjectStore, StoreFailure } from '../../src/gateway/store/client.js';
 import {
   createReachabilityTracker,
   type ReachabilityTracker,
@@ -26,16 +30,32 @@
   listsProcessed: number;
   remainingThrows: number;
   retryAfterMs: number;
+  /** Cuts off the watches that wait; those that return what there is are answered. */
+  cutWatches: (() => void) | undefined;
+  manualClock: ManualClock;
   reachability: ReachabilityTracker;
   section: ReturnType<typeof createSection<StoreReachability>>;
 }
 
 const clock = createSystemClock();
+const WATCH_MS = 8_000;
+const HEARTBEAT_MS = 1_200;
+const settings = { servers: { heartbeatMs: HEARTBEAT_MS } };
 
 After(async function (this: Partial<FollowingWorld>) {
   await this.follower?.stop();
 });
 
+function waitUntilCut(world: FollowingWorld): ReturnType<ObjectStore['watch']> {
+  return new ResultAsync(
+    new Promise((resolve) => {
+      world.cutWatches = () => {
+        resolve(err(createFailure('platformUnavailable', { reason: 'cut off' })));
+      };
+    }),
+  );
+}
+
 type ListBehavior = Pick<ObjectStore, 'list'>['list'];
 
 function startFollower(world: FollowingWorld, isSilent: boolean, list?: ListBehavior): void {
@@ -53,8 +73,9 @@
       if (list) return list(kind, call);
       return isSilent ? neverAnswered() : okAsync({ objects: [], more: false, revision: 1 });
     },
-    watch: () => {
+    watch: (_kind, _revision, waitMs) => {
       countCall();
+      if (waitMs === WATCH_MS && world.cutWatches) return waitUntilCut(world);
       return okAsync({ kind: 'changes', changes: { changes: [], revision: 1 } });
     },
     read: neverAnswered,
@@ -71,7 +92,7 @@
     kind: 'things',
     clock,
     random: createRandom(1),
-    watchMs: 8_000,
+    watchMs: WATCH_MS,
     coalesceMs: () => 0,
     proofDueInMs: () => 1_000,
     retryAfterMs: () => world.retryAfterMs,
@@ -133,7 +154,7 @@
 Given('a gateway that reaches the store', function (this: FollowingWorld) {
   this.section = createSection<StoreReachability>({ reachable: false, since: 0 });
   const logger = { log: () => undefined };
-  this.reachability = createReachabilityTracker({ clock, logger }, this.section);
+  this.reachability = createReachabilityTracker({ clock, logger, settings }, this.section);
   this.reachability.record({ kind: 'read', sentAt: clock.now(), failure: undefined });
 });
 
@@ -195,3 +216,62 @@
     this.follower.abortCallsBefore(clock.now() - 2 * PART_INTERVAL_MS);
   },
 );
+
+Given(
+  'a follower whose watch waits, retrying after {int} ms',
+  async function (this: FollowingWorld, retryMs: number) {
+    this.retryAfterMs = retryMs;
+    this.cutWatches = () => undefined;
+    startFollower(this, false);
+    await waitFor('the watch', () => this.calls >= 2);
+  },
+);
+
+When('its watch is cut off', function (this: FollowingWorld) {
+  this.cutWatches?.();
+});
+
+const LOST = createFailure('platformUnavailable', { reason: 'cut off' });
+
+function record(world: FollowingWorld, kind: CallKind, failure?: StoreFailure): void {
+  world.reachability.record({ kind, sentAt: world.manualClock.now(), failure });
+}
+
+Given('a gateway whose store has just answered', function (this: FollowingWorld) {
+  this.manualClock = createManualClock(100_000);
+  this.section = createSection<StoreReachability>({ reachable: false, since: 0 });
+  const logger = { log: () => undefined };
+  const context = { clock: this.manualClock, logger, settings };
+  this.reachability = createReachabilityTracker(context, this.section);
+  record(this, 'read');
+});
+
+When(
+  /^a (read|watch) of it fails and the store answers again (\d+) ms later$/,
+  function (this: FollowingWorld, kind: CallKind, ms: string) {
+    record(this, kind, LOST);
+    this.manualClock.advance(Number(ms));
+    record(this, 'read');
+  },
+);
+
+When(
+  'a read of it fails, and {int} ms later another gateway has an answer',
+  function (this: FollowingWorld, ms: number) {
+    record(this, 'read', LOST);
+    this.manualClock.advance(ms);
+    this.reachability.recordPeerContact(this.manualClock.now());
+  },
+);
+
+Then(
+  'entries that are missing then count as gone after {int} ms',
+  function (this: FollowingWorld, ms: number) {
+    const now = this.manualClock.now();
+    assert.equal(this.reachability.absenceEffectiveFrom(now) - now, ms);
+  },
+);
+
+Then('the gateway has not counted the store as lost', function (this: FollowingWorld) {
+  assert.deepEqual(this.section.read(), { reachable: true, since: 100_000 });
+});
--- a/features/gateway/store-updates.steps.ts
+++ b/features/gateway/store-updates.steps.ts
@@ -1,12 +1,14 @@
 import assert from 'node:assert/strict';
 import { Agent } from 'node:http';
-import { setImmediate as nextTurn } from 'node:timers/promises';
+import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises';
 import { Then, When } from '@cucumber/cucumber';
 import { waitFor } from '../support/waiting.js';
 import type { Answer } from './site.js';
 import type { GatewayWorld } from './world.js';
 
 const LIST = { path: '/list/slots' };
+/** Three heartbeats, after which the store removes an entry that is not renewed. */
+const ENTRY_LAPSE_MS = 3_600;
 
 When('the operator revokes the key in a newer version', function (this: GatewayWorld) {
   this.site.configure({ version: 9, keys: ['another-key'] });
@@ -54,6 +56,7 @@
       await waitFor('the gateway to notice', () =>
         this.gateway.lines.some(({ name }) => name === 'storeLost'),
       );
+      await sleep(ENTRY_LAPSE_MS);
       for (const { options } of servers) store.remove('servers', options.id);
       store.fault = 'none';
       await waitFor('the gateway to reach the store', () => {
--- a/src/gateway/store/client.ts
+++ b/src/gateway/store/client.ts
@@ -84,9 +84,12 @@
   onRestore(era: number, before: number): void;
 }
 
+/** A `watch` waits for a change; one that returns what there is counts as a `read`. */
+export type CallKind = 'read' | 'write' | 'watch';
+
 /** The outcome of one call, used to track whether the store is reachable. */
 export interface CallOutcome {
-  kind: 'read' | 'write';
+  kind: CallKind;
   sentAt: Milliseconds;
   failure: StoreFailure | undefined;
 }
@@ -149,9 +152,9 @@
     call: StoreCall,
     waitMs: Milliseconds,
     { signal, onProgress }: CallOptions = {},
+    kind: CallKind = call.method === 'GET' ? 'read' : 'write',
   ): ResultAsync<StoreAnswer, StoreFailure> => {
     options.onCall();
-    const kind = call.method === 'GET' ? 'read' : 'write';
     const sentAt = clock.now();
     const usedPool = pool;
     const request = callWhileProgressing(
@@ -217,6 +220,7 @@
         codec.watch(kind, revisionOf(since), waitMs),
         Math.max(timeoutMs, waitMs + WATCH_GRACE_MS),
         call,
+        waitMs > timeoutMs ? 'watch' : 'read',
       ).andThen((answer): Result<WatchAnswer, StoreFailure> => {
         const { status, body } = answer;
         if (codec.isHistoryGone(status) || isFromEarlierEra(since))
--- a/src/gateway/store/fleet-part.ts
+++ b/src/gateway/store/fleet-part.ts
@@ -217,6 +217,7 @@
   return {
     follower,
     recordProof: (revision, at) => {
+      reachability.recordPeerContact(at);
       if (revision > section.read().revision) return;
       proof.write(laterProof(proof.read(), { at, source: 'peer' }));
     },
--- a/src/gateway/store/follower.ts
+++ b/src/gateway/store/follower.ts
@@ -101,7 +101,11 @@
     options.onError(error);
     return { revision: undefined, isConnected: false, changed: false };
   };
-  const pauseAfter = ({ isConnected, changed }: StepResult, tookMs: Milliseconds): Milliseconds => {
+  const pauseAfter = (
+    { isConnected, changed, wasCutOff }: StepResult,
+    tookMs: Milliseconds,
+  ): Milliseconds => {
+    if (wasCutOff) return MIN_CALL_INTERVAL_MS - tookMs;
     if (!isConnected) return addJitter(options.retryAfterMs(), random);
     return changed ? options.coalesceMs() : MIN_CALL_INTERVAL_MS - tookMs;
   };
@@ -139,6 +143,8 @@
 
 interface StepResult extends FollowState {
   changed: boolean;
+  /** A watch that waited was cut off, which says nothing of the store. */
+  wasCutOff?: boolean;
 }
 
 interface StepContext {
@@ -166,8 +172,10 @@
     options.onProof(page.value.sentAt);
     return { revision: page.value.value.revision, isConnected: true, changed: false };
   }
-  const answer = await (state.isConnected ? watch(context, revision) : peek(context, revision));
-  if (answer.isErr() || signal.aborted) return disconnected;
+  const { answer, wasCutOff } = await (state.isConnected
+    ? watch(context, revision)
+    : peek(context, revision).then((result) => ({ answer: result, wasCutOff: false })));
+  if (answer.isErr() || signal.aborted) return { ...disconnected, wasCutOff };
   const { value, sentAt } = answer.value;
   if (value.kind === 'historyGone')
     return { revision: undefined, isConnected: true, changed: false };
@@ -187,16 +195,23 @@
  * A watch on a dead connection looks like one without changes; the poll tells the two apart long
  * before the watch times out.
  */
-async function watch(context: StepContext, revision: number): Promise<WatchResult> {
+async function watch(
+  context: StepContext,
+  revision: number,
+): Promise<{ answer: WatchResult; wasCutOff: boolean }> {
   const finished = new AbortController();
   const watchContext = { ...context, signal: AbortSignal.any([context.signal, finished.signal]) };
   const { clock, onSilentWatch } = context.options;
   const startedAt = clock.now();
   const polled = pollUntilNews(watchContext, revision).then((answer) => {
     if (answer.isOk()) onSilentWatch(clock.now() - startedAt);
-    return answer;
+    return { answer, wasCutOff: false };
   });
-  const winner = await Promise.race([waitForChange(watchContext, revision), polled]);
+  const waited = waitForChange(watchContext, revision).then((answer) => ({
+    answer,
+    wasCutOff: answer.isErr(),
+  }));
+  const winner = await Promise.race([waited, polled]);
   finished.abort();
   return winner;
 }
--- a/src/gateway/store/reachability.ts
+++ b/src/gateway/store/reachability.ts
@@ -3,22 +3,33 @@
  */
 import type { WritableSection } from '../../board/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
+import type { GatewaySettings } from '../settings.js';
 import type { GatewayContext, StoreReachability } from '../types.js';
 import type { CallOutcome } from './client.js';
 
 /** Time after an outage within which backend servers have rewritten entries that lapsed; they take 2 s. */
 export const ENTRY_RECOVERY_MS: Milliseconds = 2_200;
+/**
+ * Heartbeats that an outage lasts at least if an entry lapses for it: entries lapse after three, and the last
+ * one may have been written a heartbeat before the outage.
+ */
+const MIN_LAPSE_HEARTBEATS = 2;
 
 /** Writes the board section of the store's reachability. */
 export interface ReachabilityTracker {
   record(outcome: CallOutcome): void;
   /** Send time of the latest call that was answered. */
   lastAnsweredSentAt(): Milliseconds;
+  /** Records that another gateway had an answer of the store at `at`. */
+  recordPeerContact(at: Milliseconds): void;
   /** Records that the store was restored from an older copy; lost entries are about to be rewritten. */
   recordRestore(): void;
   /** Whether a restore is so recent that entries may be missing or older than what is known. */
   isSettling(): boolean;
-  /** When an entry that disappears now counts as gone: at once, or later around an outage. */
+  /**
+   * When an entry that disappears now counts as gone: at once, or later around an outage in which entries of
+   * servers that still run may have lapsed.
+   */
   absenceEffectiveFrom(now: Milliseconds): Milliseconds;
   /**
    * Calls `listener` when the store becomes unreachable, reachable again or is restored. Calls sent
@@ -27,6 +38,10 @@
   onDisruption(listener: (at: Milliseconds) => void): void;
 }
 
+type ReachabilityContext = Pick<GatewayContext, 'clock' | 'logger'> & {
+  settings: { servers: Pick<GatewaySettings['servers'], 'heartbeatMs'> };
+};
+
 /**
  * Creates a tracker that reports the store unreachable until its first answer.
  *
@@ -34,37 +49,50 @@
  * change of reachability, the listeners can abandon such calls instead of waiting for their timeouts.
  */
 export function createReachabilityTracker(
-  { clock, logger }: Pick<GatewayContext, 'clock' | 'logger'>,
+  { clock, logger, settings }: ReachabilityContext,
   section: WritableSection<StoreReachability>,
 ): ReachabilityTracker {
   const listeners: ((at: Milliseconds) => void)[] = [];
   let recoveredAt = Number.NEGATIVE_INFINITY;
   let restoredAt = Number.NEGATIVE_INFINITY;
   let lastAnsweredSentAt = Number.NEGATIVE_INFINITY;
+  let peerContactAt = Number.NEGATIVE_INFINITY;
   let wasEverReachable = false;
 
-  const recordRecovery = (now: Milliseconds, outageMs: Milliseconds): void => {
-    if (wasEverReachable) recoveredAt = now;
+  const mayHaveLapsed = (now: Milliseconds, lastContactAt: Milliseconds): boolean =>
+    now - lastContactAt >= MIN_LAPSE_HEARTBEATS * settings.servers.heartbeatMs;
+  const recordRecovery = (
+    now: Milliseconds,
+    lastContactAt: Milliseconds,
+    outageMs: Milliseconds,
+  ): void => {
+    if (wasEverReachable && mayHaveLapsed(now, lastContactAt)) recoveredAt = now;
     wasEverReachable = true;
     logger.log('storeRegained', { awayMs: Math.round(outageMs) });
   };
+  const contactAt = (): Milliseconds => Math.max(lastAnsweredSentAt, peerContactAt);
   return {
     lastAnsweredSentAt: () => lastAnsweredSentAt,
     record: ({ kind, sentAt, failure }) => {
       const { reachable, since } = section.read();
       const isReachable = failure === undefined;
-      // A failed write may concern writes only, such as a rate limit; reads decide reachability.
-      if (!isReachable && kind === 'write') return;
+      // A failed write may concern writes only, such as a rate limit, and the store may cut off a watch that
+      // waits; reads decide reachability.
+      if (!isReachable && kind !== 'read') return;
       // A call sent later was answered, so this failure is out of date.
       if (!isReachable && sentAt < lastAnsweredSentAt) return;
+      const lastContactAt = contactAt();
       if (isReachable) lastAnsweredSentAt = Math.max(lastAnsweredSentAt, sentAt);
       if (isReachable === reachable) return;
       const now = clock.now();
       section.write({ reachable: isReachable, since: now });
-      if (isReachable) recordRecovery(now, now - since);
+      if (isReachable) recordRecovery(now, lastContactAt, now - since);
       else logger.log('storeLost', { reason: failure.message });
       for (const listener of listeners) listener(isReachable ? sentAt : now);
     },
+    recordPeerContact: (at) => {
+      peerContactAt = Math.max(peerContactAt, at);
+    },
     isSettling: () => clock.now() - restoredAt < ENTRY_RECOVERY_MS,
     recordRestore: () => {
       recoveredAt = clock.now();
@@ -73,7 +101,7 @@
     },
     absenceEffectiveFrom: (now) => {
       const { reachable } = section.read();
-      if (!reachable) return now + ENTRY_RECOVERY_MS;
+      if (!reachable && mayHaveLapsed(now, contactAt())) return now + ENTRY_RECOVERY_MS;
       return Math.max(now, recoveredAt + ENTRY_RECOVERY_MS);
     },
     onDisruption: (listener) => {
