A connection may end while its caller reads slowly

What callers saw: a backend server closed or reset the connection of a response with 'Connection: close', or without a length, while the caller took nothing. The request went on until its deadline. In the entry program the process would end. Found while the reset that is taken for the end was looked for on related paths.

Cause: undici finishes the parser of such a response on end, close or ECONNRESET, and asserts that the parser isn't paused.

Change: the end of a socket is deferred until its reader goes on; a reset or a close meanwhile is passed on as an error for which undici doesn't finish the parser. All HTTP clients open their connections this way.

--- a/features/gateway/cut-answers.feature
+++ b/features/gateway/cut-answers.feature
@@ -1,5 +1,21 @@
 Feature: An answer that is cut off is never taken for whole
 
+  # Guards against a request that never ends: undici fails an assertion if a connection ends while its parser is
+  # paused.
+  Scenario Outline: The connection ends while the caller of an answer <framing> reads slowly
+    Given a backend server that sends given bytes
+    And callers that read nothing for 100 ms
+    When it sends a part of an answer <framing> and ends the connection in each way
+    Then none of the answers is taken for whole but those without a length that end by close
+    When callers leave while the rest of an answer <framing> is not read
+    Then nothing has failed
+
+    Examples:
+      | framing                                |
+      | without a length                       |
+      | with a length and "Connection: close"  |
+      | in chunks and with "Connection: close" |
+
   # Guards against a reset that arrives together with the last bytes and is taken for a regular close.
   Scenario Outline: The connection is reset right behind an answer without a length, <path>
     Given a backend server that sends given bytes
--- a/features/gateway/exchange.ts
+++ b/features/gateway/exchange.ts
@@ -5,6 +5,7 @@
 import { once } from 'node:events';
 import { createServer as createHttpServer, type IncomingMessage } from 'node:http';
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { platform } from '../../platform/index.js';
 import { createSystemClock } from '../../src/core/clock/index.js';
 import { hardReset } from '../../src/core/sockets/index.js';
@@ -17,6 +18,7 @@
 import { createConnectionPool } from '../../src/gateway/backends/pool.js';
 import { createRelayHandler } from '../../src/gateway/relay/relay-handler.js';
 import { RelayedAttempt } from '../../src/gateway/relay/relayed-attempt.js';
+import { waitFor } from '../support/waiting.js';
 
 /** How a server ends a connection. */
 export type ConnectionEnd = 'close' | 'reset';
@@ -25,6 +27,8 @@
 export interface SentAnswer {
   bytes: string;
   end: ConnectionEnd;
+  /** Time from the bytes to the end. */
+  endAfterMs?: number;
 }
 
 export type ExchangePath = 'direct' | 'relayed';
@@ -43,6 +47,7 @@
 const RELAY_NAME = 'gateway-1';
 const HEAD_END = '\r\n\r\n';
 const RESULT_TIMEOUT_MS = 5_000;
+const PAUSED_MS = 50;
 
 const ignore = (): void => undefined;
 
@@ -89,6 +94,39 @@
     this.server.close();
   }
 
+  /** Sends a request and gives it up while the reading of its answer is paused. */
+  async giveUp(answer: SentAnswer): Promise<void> {
+    this.answer = answer;
+    let isPaused = false;
+    const attempt = this.sendOver('direct')(this.createRequest(), {
+      onNotice: ignore,
+      onResponse: ignore,
+      onData: () => {
+        attempt.pause();
+        isPaused = true;
+      },
+      onEnd: ignore,
+      onFailure: ignore,
+    });
+    await waitFor('the answer', () => isPaused);
+    await sleep(PAUSED_MS);
+    attempt.cancel();
+    await sleep(PAUSED_MS);
+  }
+
+  private createRequest(): Parameters<AttemptSender>[0] {
+    return {
+      server: { id: SERVER_ID, address: addressOf(this.server) },
+      method: 'GET',
+      path: '/list/x',
+      headers: ['Attempt-Id', REQUEST_ID],
+      body: undefined,
+      requestId: REQUEST_ID,
+      requiresNewConnection: true,
+      sendUntil: Infinity,
+    };
+  }
+
   async run(answer: SentAnswer, path: ExchangePath): Promise<ExchangeResult> {
     this.answer = answer;
     const result: ExchangeResult = {
@@ -110,36 +148,24 @@
   }
 
   private start(path: ExchangePath, result: ExchangeResult, onFinish: () => void): void {
-    const attempt: Attempt = this.sendOver(path)(
-      {
-        server: { id: SERVER_ID, address: addressOf(this.server) },
-        method: 'GET',
-        path: '/list/x',
-        headers: ['Attempt-Id', REQUEST_ID],
-        body: undefined,
-        requestId: REQUEST_ID,
-        requiresNewConnection: true,
-        sendUntil: Infinity,
+    const attempt: Attempt = this.sendOver(path)(this.createRequest(), {
+      onNotice: ignore,
+      onResponse: ({ status }) => {
+        result.status = status;
       },
-      {
-        onNotice: ignore,
-        onResponse: ({ status }) => {
-          result.status = status;
-        },
-        onData: (chunk) => {
-          if (result.body === '') this.pause(attempt);
-          result.body += chunk.toString('latin1');
-        },
-        onEnd: () => {
-          result.isWhole = true;
-          onFinish();
-        },
-        onFailure: (failure) => {
-          result.failure = failure;
-          onFinish();
-        },
+      onData: (chunk) => {
+        if (result.body === '') this.pause(attempt);
+        result.body += chunk.toString('latin1');
+      },
+      onEnd: () => {
+        result.isWhole = true;
+        onFinish();
       },
-    );
+      onFailure: (failure) => {
+        result.failure = failure;
+        onFinish();
+      },
+    });
   }
 
   private pause(attempt: Attempt): void {
@@ -173,9 +199,9 @@
       }).start();
   }
 
-  /** Sends the answer and ends the connection before the gateway can read any of it. */
+  /** Unless it waits, ends the connection before the gateway can read any of the answer. */
   private answerOnce(socket: Socket): void {
-    const { bytes, end } = this.answer;
+    const { bytes, end, endAfterMs } = this.answer;
     let received = '';
     socket.on('error', ignore);
     socket.on('data', (chunk) => {
@@ -183,8 +209,12 @@
       if (!received.includes(HEAD_END)) return;
       received = '';
       socket.write(bytes, 'latin1');
-      if (end === 'close') socket.end();
-      else hardReset(socket);
+      const finish = (): void => {
+        if (end === 'close') socket.end();
+        else hardReset(socket);
+      };
+      if (endAfterMs === undefined) finish();
+      else setTimeout(finish, endAfterMs);
     });
   }
 
--- a/src/adapters/engines/engine-client.ts
+++ b/src/adapters/engines/engine-client.ts
@@ -8,7 +8,7 @@
 import { Agent } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure } from '../../core/errors/index.js';
-import { isConnectionRefused } from '../../core/sockets/index.js';
+import { createConnector, isConnectionRefused } from '../../core/sockets/index.js';
 import {
   createBufferedBytesTracker,
   type BufferedBytesTracker,
@@ -77,13 +77,13 @@
   const settings = { ...DEFAULTS, ...given };
   const calls = new Agent({
     connections: CALLS_PER_ENGINE,
-    connect: { timeout: settings.connectTimeoutMs },
+    connect: createConnector(settings.connectTimeoutMs),
     keepAliveTimeout: KEEP_ALIVE_MS,
     maxResponseSize: settings.maxAnswerBytes,
   });
   const streams = new Agent({
     connections: settings.streamsPerEngine,
-    connect: { timeout: settings.connectTimeoutMs },
+    connect: createConnector(settings.connectTimeoutMs),
     headersTimeout: settings.answerTimeoutMs,
     bodyTimeout: settings.silenceTimeoutMs,
     keepAliveTimeout: KEEP_ALIVE_MS,
--- a/src/adapters/engines/order-connection.ts
+++ b/src/adapters/engines/order-connection.ts
@@ -8,8 +8,9 @@
  * has already received can't be called back; engines that check the fencing number refuse them.
  */
 import type { Socket } from 'node:net';
-import { buildConnector, Client, type Dispatcher } from 'undici';
+import { Client, type Dispatcher } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
+import { createConnector } from '../../core/sockets/index.js';
 import type { WholeAnswer } from './short-call.js';
 
 /** Sends `body` and reads the answer; rejects when all that took longer than `timeoutMs`. */
@@ -21,7 +22,7 @@
   maxAnswerBytes: number,
 ): Promise<WholeAnswer> {
   let socket: Socket | undefined;
-  const connect = buildConnector({ timeout: timeoutMs });
+  const connect = createConnector(timeoutMs);
   const client = new Client(origin, {
     maxResponseSize: maxAnswerBytes,
     connect: (options, callback) => {
--- a/src/adapters/peers/client.ts
+++ b/src/adapters/peers/client.ts
@@ -6,6 +6,7 @@
 import { Agent } from 'undici';
 import type * as z from 'zod';
 import { digestMessageSchema } from '../../controllers/membership/index.js';
+import { createConnector } from '../../core/sockets/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure } from '../../core/errors/index.js';
 import { codec } from './codec.js';
@@ -33,7 +34,7 @@
 export function createPeerClient(options: PeerClientOptions): PeerClient {
   const { timeoutMs } = options;
   const agent = new Agent({
-    connect: { timeout: timeoutMs },
+    connect: createConnector(timeoutMs),
     bodyTimeout: timeoutMs,
     headersTimeout: timeoutMs,
     connections: 2,
--- a/src/adapters/platform/call.ts
+++ b/src/adapters/platform/call.ts
@@ -3,6 +3,7 @@
  */
 import { ResultAsync } from 'neverthrow';
 import { Agent, type Dispatcher } from 'undici';
+import { createConnector } from '../../core/sockets/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { parseRetryAfter } from '../../core/retry-after/index.js';
 import { raceSignal } from '../engines/race-signal.js';
@@ -104,7 +105,7 @@
 function openAgent(connectTimeoutMs: Milliseconds): Agent {
   return new Agent({
     connections: CONNECTIONS,
-    connect: { timeout: connectTimeoutMs },
+    connect: createConnector(connectTimeoutMs),
     // The whole call is bounded by its own timeout.
     headersTimeout: 0,
     bodyTimeout: 0,
--- a/src/adapters/services/client.ts
+++ b/src/adapters/services/client.ts
@@ -9,6 +9,7 @@
 import type { Readable } from 'node:stream';
 import { Agent, type Dispatcher } from 'undici';
 import type { HeaderField } from '../../controllers/calls/types.js';
+import { createConnector } from '../../core/sockets/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { parseRetryAfter } from '../../core/retry-after/index.js';
 import { markSendings, type Sending } from '../engines/sending.js';
@@ -29,7 +30,10 @@
  * @example const start = await createServices().call('10.0.0.9:8080', request, signal);
  */
 export function createServices(): Services {
-  const connections = { connect: { timeout: CONNECT_TIMEOUT_MS }, maxHeaderSize: MAX_HEADER_BYTES };
+  const connections = {
+    connect: createConnector(CONNECT_TIMEOUT_MS),
+    maxHeaderSize: MAX_HEADER_BYTES,
+  };
   const kept = new Agent({ ...connections, pipelining: 1 });
   // A backend server may close an idle connection just as a call is written to it. That call was
   // not run but looks as if it might have been, and one that must not be repeated then ends as
--- /dev/null
+++ b/src/core/sockets/connector.ts
@@ -0,0 +1,18 @@
+/**
+ * Opens connections for HTTP clients.
+ */
+import { buildConnector } from 'undici';
+import type { Milliseconds } from '../clock/index.js';
+import { protectPausedParser } from './paused-parser.js';
+
+/** A connector whose connections may end while nobody takes a response. */
+export function createConnector(timeoutMs: Milliseconds): buildConnector.connector {
+  const connect = buildConnector({ timeout: timeoutMs });
+  return (options, callback) => {
+    connect(options, (...result) => {
+      const [, socket] = result;
+      if (socket) protectPausedParser(socket);
+      callback(...result);
+    });
+  };
+}
--- a/src/core/sockets/received-bytes.ts
+++ b/src/core/sockets/received-bytes.ts
@@ -6,8 +6,9 @@
  * busy until the call times out.
  */
 import type { Socket } from 'node:net';
-import { buildConnector } from 'undici';
+import type { buildConnector } from 'undici';
 import type { Milliseconds } from '../clock/index.js';
+import { createConnector } from './connector.js';
 
 /** Ends the connection with an error as soon as `findExcess` returns the reason. */
 export function watchReceivedBytes(socket: Socket, findExcess: () => string | undefined): void {
@@ -24,7 +25,7 @@
   timeoutMs: Milliseconds,
   maxBytes: number,
 ): buildConnector.connector {
-  const connect = buildConnector({ timeout: timeoutMs });
+  const connect = createConnector(timeoutMs);
   return (options, callback) => {
     connect(options, (...result) => {
       const [, socket] = result;
--- a/src/gateway/peers/rpc.ts
+++ b/src/gateway/peers/rpc.ts
@@ -15,6 +15,7 @@
   type ReportedSuspicion,
   type Versions,
 } from '../../controllers/peering/index.js';
+import { createConnector } from '../../core/sockets/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { callWithTimeout } from '../../core/timeout/index.js';
 import type { ServerCheck } from '../links/types.js';
@@ -120,7 +121,7 @@
   const agent = new Agent({
     connections: MAX_CONNECTIONS,
     pipelining: 1,
-    connect: { timeout: CALL_TIMEOUT_MS },
+    connect: createConnector(CALL_TIMEOUT_MS),
   });
   const clients = new Map<string, TRPCClient<PeerRouter>>();
   const rpcClientFor = (address: string): TRPCClient<PeerRouter> => {
--- a/src/gateway/store/client.ts
+++ b/src/gateway/store/client.ts
@@ -1,6 +1,7 @@
 /**
  * HTTP client of the object store. The platform's codec encodes calls and decodes answers.
  */
+import { createConnector } from '../../core/sockets/index.js';
 import { err, ok, okAsync, ResultAsync, type Result } from 'neverthrow';
 import { Pool } from 'undici';
 import type { Clock, Milliseconds } from '../../core/clock/index.js';
@@ -278,7 +279,7 @@
   return new Pool(`http://${address}`, {
     connections: MAX_CONNECTIONS,
     pipelining: 1,
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: createConnector(CONNECT_TIMEOUT_MS),
     headersTimeout: 0,
     bodyTimeout: 0,
   });
