Heads that are cut at each byte are tested

Cause: operators reported that an engine stopped within the head of its answer and closed, and that clients got a 200 with an empty or short body.

Change: scenarios in which the connection ends at each byte of 24 forms of head (HTTP/1.1 and 1.0; length, chunks, none; with and without Connection: close and an interim head), by close and reset, direct and relayed.

--- a/features/gateway/cut-answers.feature
+++ b/features/gateway/cut-answers.feature
@@ -34,3 +34,16 @@
       | HTTP/1.1 with "Connection: close" | relayed |
       | HTTP/1.0                          | relayed |
       | HTTP/1.1 after an interim head    | relayed |
+
+  # Guards against a head that is taken for whole when its connection ends within it.
+  Scenario Outline: The connection ends within the head of an answer, at each byte, <path>
+    Given a backend server that sends given bytes
+    When it ends the connection at each byte of each form of head by <end>, <path>
+    Then none of the answers is taken for whole
+
+    Examples:
+      | end   | path    |
+      | close | direct  |
+      | reset | direct  |
+      | close | relayed |
+      | reset | relayed |
--- a/features/gateway/cut-answers.steps.ts
+++ b/features/gateway/cut-answers.steps.ts
@@ -47,6 +47,18 @@
   'in chunks and with "Connection: close"': `${renderHead('HTTP/1.1', [CLOSE_FIELD, CHUNKED_FIELD])}${CHUNK_START}`,
 };
 
+/** Heads of all versions and framings, with and without an interim head and `Connection: close`. */
+function listHeads(): string[] {
+  const framings = [[], [`Content-Length: ${BODY.length}`], [CHUNKED_FIELD]];
+  const heads: string[] = [];
+  for (const version of ['HTTP/1.1', 'HTTP/1.0'])
+    for (const framing of framings)
+      for (const closing of [[], [CLOSE_FIELD]])
+        for (const interim of ['', INTERIM_HEAD])
+          heads.push(`${interim}${renderHead(version, [...framing, ...closing])}`);
+  return heads;
+}
+
 After(async function (this: Partial<CutWorld>) {
   await this.exchanges?.close();
 });
@@ -130,3 +142,12 @@
 Then('nothing has failed', function (this: CutWorld) {
   assert.deepEqual(this.errors, []);
 });
+
+When(
+  /^it ends the connection at each byte of each form of head by (close|reset), (direct|relayed)$/,
+  async function (this: CutWorld, end: ConnectionEnd, path: ExchangePath) {
+    for (const head of listHeads())
+      for (let bytes = 0; bytes < head.length; bytes += 1)
+        this.results.push(await this.exchanges.run({ bytes: head.slice(0, bytes), end }, path));
+  },
+);
--- a/features/gateway/stand-ins/engine.ts
+++ b/features/gateway/stand-ins/engine.ts
@@ -65,6 +65,8 @@
   | { kind: 'endUnder'; body: string; backAfterMs: number }
   /** Sends `begin` and then `repeat` without end, until the caller closes the connection. */
   | { kind: 'endless'; begin: (id: string) => string; repeat: string }
+  /** Sends `render(id)` and ends the connection right behind it. */
+  | { kind: 'cut'; render: (id: string) => string; end: 'close' | 'reset' }
   | { kind: 'encode' };
 
 /** Crashes when it has begun to write an answer to a prompt with this part, and restarts later. */
@@ -510,6 +512,9 @@
       case 'endless':
         this.sendWithoutEnd(response, id, this.fault);
         return;
+      case 'cut':
+        sendAndEnd(response, id, this.fault);
+        return;
       case 'loseAnswer':
         hardReset(response.socket);
         return;
@@ -573,6 +578,10 @@
       return;
     }
     if (this.fault.kind === 'unframed') response.useChunkedEncodingByDefault = false;
+    if (this.fault.kind === 'cut') {
+      sendAndEnd(response, id, this.fault);
+      return;
+    }
     response.writeHead(200, this.streamHeaders(id));
     if (firstMs > 0) response.flushHeaders();
     await sleep(firstMs);
@@ -611,6 +620,16 @@
   }
 }
 
+function sendAndEnd(
+  { socket }: ServerResponse,
+  id: string,
+  { render, end }: Extract<EngineFault, { kind: 'cut' }>,
+): void {
+  socket?.write(render(id));
+  if (end === 'close') socket?.end();
+  else hardReset(socket);
+}
+
 /** Whether the prompt of a request has the part. */
 export function hasPart({ headers }: Pick<IncomingMessage, 'headers'>, part: string): boolean {
   const parts = String(headers['prompt-prefix'] ?? '').split(',');
