--- a/features/gateway/cut-answers.feature
+++ b/features/gateway/cut-answers.feature
@@ -47,3 +47,22 @@
       | reset | direct  |
       | close | relayed |
       | reset | relayed |
+
+  # Guards against the same for the callers of a gateway, whose answers come from other servers after a cut one.
+  Scenario Outline: Servers cut heads <form> by <end>
+    Given a site with 4 engines and a ready gateway with 2 open groups
+    And 2 plain servers
+    When lookups, calls and streams come while one server of each kind cuts heads <form> by <end>
+    Then each answer with status 200 is whole and as its server has made it
+    And each lookup and stream has been answered
+    When streams come of which the first run breaks off and the second one's head is cut <form> by <end>
+    Then each answer with status 200 that looks whole is as its server has made it
+
+    Examples:
+      | form                                   | end   |
+      | without a length                       | close |
+      | without a length                       | reset |
+      | with a length and "Connection: close"  | close |
+      | with a length and "Connection: close"  | reset |
+      | in chunks and with "Connection: close" | close |
+      | in chunks and with "Connection: close" | reset |
--- a/features/requests/slow-callers.feature
+++ b/features/requests/ended-connections.feature
@@ -1,4 +1,4 @@
-Feature: Answers of services whose callers read slowly
+Feature: Connections of services that end within an answer, or while it waits to be read
 
   # Guards against an entry that ends, or a call that never does: undici fails an assertion if a connection ends
   # while nobody takes the answer.
@@ -12,3 +12,13 @@
       | closes | the last | 70000 | has 70000 bytes |
       | closes | a        | 69999 | breaks off      |
       | resets | a        | 69999 | breaks off      |
+
+  # Guards against a head that is taken for whole when its connection ends within it.
+  Scenario Outline: A service <end> its connection at each byte of the head of an answer
+    When a service <end> its connection at each byte of each form of head, and a call is sent to it each time
+    Then none of the calls is answered
+
+    Examples:
+      | end    |
+      | closes |
+      | resets |
