A gateway that starts after a restore waits before it plans

What callers saw: the store returned from a copy some seconds old while a gateway that plans replicas restarted. Engines of open replicas were ordered into others, and the streams that ran there broke off.

Cause: the wait after a restore hung on having seen the era of the store rise. A process that starts after the return sees one era only, takes the entries of the copy for the state of the engines and planned 0.7 s after its start.

--- a/features/gateway/store-copy.feature
+++ b/features/gateway/store-copy.feature
@@ -57,6 +57,14 @@
     Then for 5000 ms the same 4 groups are open
     And the store has them in its plans again
 
+  # Guards against a gateway that takes the entries of the copy for the state of the engines, because it has not
+  # seen the store return.
+  Scenario: Gateways start as the store returns from a copy
+    Given a site with 8 engines and 2 ready gateways, with a copy of the store from before the first replica
+    When the gateways are killed, and 2 others start as the store is restored from the copy
+    Then for 5000 ms the same 4 groups are open
+    And no engine has joined another replica while its own was open
+
   Scenario: Gateways are known to the store again
     Given a site with 1 plain server and 3 ready gateways, with a copy of the store from before the first
     When the store is unavailable for 500 ms and is restored from the copy
--- a/features/gateway/store-copy.steps.ts
+++ b/features/gateway/store-copy.steps.ts
@@ -14,6 +14,8 @@
 import { openSite, type GatewayWorld } from './world.js';
 
 interface CopyWorld extends GatewayWorld {
+  /** Broken invariants of replicas. */
+  breaches: string[];
   expectedServer: EngineStandIn;
   /** Doesn't rewrite its entry after the restore until a step makes it do so. */
   silentServer?: EngineStandIn;
@@ -106,9 +108,15 @@
   'a site with {int} engines and {int} ready gateways, with a copy of the store from before the first replica',
   async function (this: CopyWorld, engines: number, gateways: number) {
     await openSite(this, 0);
+    const fleet = new Map<string, EngineStandIn>();
+    this.breaches = [];
     for (let index = 0; index < engines; index += 1) {
       const domain = `domain-${Math.floor(index / DOMAIN_SIZE)}`;
-      await this.site.addServer({ id: `engine-${index}`, service: 'models', domain });
+      const engine = { id: `engine-${index}`, service: 'models', domain };
+      fleet.set(
+        engine.id,
+        await this.site.addServer({ ...engine, fleet, breaches: this.breaches }),
+      );
     }
     this.site.configure();
     this.site.store.saveCopy();
@@ -131,6 +139,22 @@
   },
 );
 
+When(
+  'the gateways are killed, and {int} others start as the store is restored from the copy',
+  async function (this: CopyWorld, gateways: number) {
+    const { site } = this;
+    for (const gateway of site.gateways) gateway.signal('SIGKILL');
+    await Promise.all(site.gateways.map(({ exited }) => exited));
+    site.store.restoreCopy();
+    void rewriteEntries(this);
+    await Promise.all(Array.from({ length: gateways }, () => site.startGateway()));
+  },
+);
+
+Then('no engine has joined another replica while its own was open', function (this: CopyWorld) {
+  assert.deepEqual(this.breaches, []);
+});
+
 When(
   'the store is unavailable for {int} ms and is restored from the copy',
   async function (this: CopyWorld, ms: number) {
@@ -285,6 +309,7 @@
       clock: createSystemClock(),
       onCall: () => undefined,
       onOutcome: () => undefined,
+      onFirstEra: () => undefined,
       onRestore: () => undefined,
     });
     this.store.put('kind', 'object', 'first');
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -105,6 +105,10 @@
     onOutcome: (outcome) => {
       reachability.record(outcome);
     },
+    onFirstEra: (era) => {
+      // The restore may have been just before the start, when serving engines look free in the copy.
+      if (era > 0) reachability.recordPossibleRestore();
+    },
     onRestore: (era, before) => {
       const revision = revisionOf(board.fleet.read().revision);
       logger.log('storeReturnedFromCopy', { era, before, revision });
--- a/src/gateway/store/client.ts
+++ b/src/gateway/store/client.ts
@@ -81,6 +81,8 @@
   onCall(): void;
   /** Called with the outcome of each call, unless its caller aborted it. */
   onOutcome(outcome: CallOutcome): void;
+  /** Called when it is first known how often the store has been restored. */
+  onFirstEra(era: number): void;
   /** Called when the store has been restored from an older copy. */
   onRestore(era: number, before: number): void;
 }
@@ -141,7 +143,8 @@
     const before = currentEra;
     if (before !== undefined && observed <= before) return;
     currentEra = observed;
-    if (before !== undefined) options.onRestore(observed, before);
+    if (before === undefined) options.onFirstEra(observed);
+    else options.onRestore(observed, before);
   };
   /** Whether a qualified revision belongs to a history that a restore has replaced. */
   const isFromEarlierEra = (revision: number): boolean => revision > 0 && eraOf(revision) < era();
--- a/src/gateway/store/reachability.ts
+++ b/src/gateway/store/reachability.ts
@@ -24,6 +24,8 @@
   recordPeerContact(at: Milliseconds): void;
   /** Records that the store was restored from an older copy; lost entries are about to be rewritten. */
   recordRestore(): void;
+  /** Records that the store was restored at some time before this gateway has heard of it. */
+  recordPossibleRestore(): void;
   /** Whether a restore is so recent that entries may be missing or older than what is known. */
   isSettling(): boolean;
   /**
@@ -70,6 +72,10 @@
     wasEverReachable = true;
     logger.log('storeRegained', { awayMs: Math.round(outageMs) });
   };
+  const markRestored = (): void => {
+    recoveredAt = clock.now();
+    restoredAt = recoveredAt;
+  };
   const contactAt = (): Milliseconds => Math.max(lastAnsweredSentAt, peerContactAt);
   return {
     lastAnsweredSentAt: () => lastAnsweredSentAt,
@@ -94,9 +100,9 @@
       peerContactAt = Math.max(peerContactAt, at);
     },
     isSettling: () => clock.now() - restoredAt < ENTRY_RECOVERY_MS,
+    recordPossibleRestore: markRestored,
     recordRestore: () => {
-      recoveredAt = clock.now();
-      restoredAt = recoveredAt;
+      markRestored();
       for (const listener of listeners) listener(recoveredAt);
     },
     absenceEffectiveFrom: (now) => {
