--- a/features/gateway/exchange.ts
+++ b/features/gateway/exchange.ts
@@ -8,7 +8,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { platform } from '../../platform/index.js';
 import { createSystemClock } from '../../src/core/clock/index.js';
-import { hardReset } from '../../src/core/sockets/index.js';
+import { hardReset } from '../support/hard-reset.js';
 import {
   createAttemptSender,
   type Attempt,
--- a/features/gateway/stand-ins/engine.ts
+++ b/features/gateway/stand-ins/engine.ts
@@ -4,7 +4,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { hardReset } from '../../../src/core/sockets/index.js';
+import { hardReset } from '../../support/hard-reset.js';
 import type { StoreStandIn } from './store.js';
 
 /** One received request. */
--- a/features/gateway/stand-ins/store.ts
+++ b/features/gateway/stand-ins/store.ts
@@ -3,7 +3,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { hardReset } from '../../../src/core/sockets/index.js';
+import { hardReset } from '../../support/hard-reset.js';
 
 interface StoredObject {
   metadata: { name: string; revision: number; created_rev: number };
--- a/features/requests/ended-connections.steps.ts
+++ b/features/requests/ended-connections.steps.ts
@@ -6,7 +6,7 @@
 import { text } from 'node:stream/consumers';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { createServices, type ServiceStart } from '../../src/adapters/services/index.js';
-import { hardReset } from '../../src/core/sockets/index.js';
+import { hardReset } from '../support/hard-reset.js';
 import { startRawService, type RawService } from './raw-service.js';
 
 interface EndedWorld {
--- a/src/core/sockets/index.ts
+++ b/src/core/sockets/index.ts
@@ -1,7 +1,6 @@
 export * from './connection-refused.js';
 export * from './connector.js';
 export * from './departure.js';
-export * from './hard-reset.js';
 export * from './paused-parser.js';
 export * from './received-bytes.js';
 export * from './reset-at-end.js';
