--- a/features/support/hard-reset.ts
+++ b/features/support/hard-reset.ts
@@ -13,8 +13,7 @@
  */
 export function hardReset(socket: Socket | null): void {
   if (!socket) return;
-  if (true)
-    if (!socket.writableEnded)
-      (socket as Socket & { resetAndClosing: boolean }).resetAndClosing = true;
+  if (!socket.writableEnded)
+    (socket as Socket & { resetAndClosing: boolean }).resetAndClosing = true;
   socket.destroy();
 }
