Orders and dropped groups say which revisions they rest on

Nothing in the logs told a plan made by an old view from one made by a current view, so the hypotheses of the incident could not be told apart. Each entry now keeps the store revision that it was read at, also on its way through peers. orderSent names the revision of the plan, of the recipient's entry and of the gateway's view, and the age of the view; groupPlanWritten names the view; groupDropped is new and says for each member what it was last known to report, at which revision. No decision changes.

--- a/features/gateway/loads-fleet.ts
+++ b/features/gateway/loads-fleet.ts
@@ -308,6 +308,7 @@
         services: new Map([[SERVICE, service]]),
       } as unknown as ServingIndex),
       fleet: this.feedOf(gateway).section,
+      fleetProof: createSection(undefined),
       peers: this.peers,
       ownerCandidates: this.peers,
       evacuations: createSection(undefined),
--- a/src/controllers/groups/view.ts
+++ b/src/controllers/groups/view.ts
@@ -42,11 +42,18 @@
   return isSame ? membership : undefined;
 }
 
+/** Whether `server` is still the process that was planned as `member`. */
+export function isSameIncarnation(
+  { startedAt }: Pick<BackendServer, 'startedAt'>,
+  member: Pick<GroupMember, 'startedAt'>,
+): boolean {
+  return member.startedAt === undefined || startedAt === member.startedAt;
+}
+
 /** Whether `member` has restarted under its id, in which case the group has lost a member. */
-export function isOtherIncarnation(view: DomainView, { id, startedAt }: GroupMember): boolean {
-  const server = view.servers.get(id);
-  if (server === undefined || startedAt === undefined) return false;
-  return server.startedAt !== startedAt;
+export function isOtherIncarnation(view: DomainView, member: GroupMember): boolean {
+  const server = view.servers.get(member.id);
+  return server !== undefined && !isSameIncarnation(server, member);
 }
 
 /** Whether `id` can be a member of a group. */
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -377,6 +377,11 @@
     level: 'warn',
     message: 'A plan was not stored; the stored one is read again.',
   },
+  groupDropped: {
+    number: 2407,
+    level: 'info',
+    message: 'A replica is no longer planned; its members are free as far as they are known.',
+  },
   planUnread: { number: 2402, level: 'warn', message: 'A stored plan could not be read.' },
   domainsReleased: {
     number: 2404,
--- a/src/gateway/groups/domain-controller.ts
+++ b/src/gateway/groups/domain-controller.ts
@@ -30,6 +30,7 @@
 import type { ObjectStore } from '../store/client.js';
 import { eraOf, revisionOf } from '../store/qualified-revision.js';
 import type { GatewayContext } from '../types.js';
+import { describeMembers, describeView, findEntryRevision } from './decision-basis.js';
 import { createMemberMonitor } from './member-monitor.js';
 
 /** Current state of one service in one fabric domain. */
@@ -126,8 +127,10 @@
   const writePlan = async (state: DomainState, plan: GroupPlan): Promise<void> => {
     const written = await store.write(PLAN_KIND, planName(state), plan, stored?.revision);
     if (written.isOk() && written.value.kind === 'written') {
+      const before = stored;
       stored = { plan, revision: written.value.object.revision };
       logPlan(state, plan);
+      if (before) logDroppedGroups(state, before, plan);
       return;
     }
     // The write may have succeeded, failed or lost a race, so read the plan again.
@@ -143,8 +146,22 @@
       groups: plan.groups
         .map(({ name, model, closing, members }) => `${name}:${model}:${closing}:${members.length}`)
         .join(' '),
+      ...describeView(context),
     });
   };
+  const logDroppedGroups = (state: DomainState, before: StoredPlan, after: GroupPlan): void => {
+    const kept = new Set(after.groups.map(({ name }) => name));
+    for (const group of before.plan.groups.filter(({ name }) => !kept.has(name))) {
+      logger.log('groupDropped', {
+        domain: state.domain,
+        group: group.name,
+        closing: group.closing,
+        members: describeMembers(group, createView(state, [])),
+        planRevision: before.revision && revisionOf(before.revision),
+        ...describeView(context),
+      });
+    }
+  };
   const createGrantId = (): string => {
     grantCount += 1;
     return `${context.incarnation}/${grantCount}`;
@@ -185,10 +202,16 @@
   const sendOrder = async (
     due: DueOrder,
     grant: LoadGrant | undefined,
-    { beforeTraffic }: DomainState,
+    state: DomainState,
   ): Promise<void> => {
     const { order, to, reason, causesLoad } = due;
+    const { beforeTraffic } = state;
     if (grant) sentGrants.add(grant.id);
+    const basis = {
+      planRevision: stored?.revision && revisionOf(stored.revision),
+      entryRevision: findEntryRevision(state.servers, to.id),
+      ...describeView(context),
+    };
     const startedAt = clock.now();
     const sentAt = Date.now();
     if (causesLoad) metrics.loads.inc({ reason, traffic: beforeTraffic ? 'notBegun' : 'begun' });
@@ -207,6 +230,7 @@
       outcome: outcome.kind,
       status: 'status' in outcome ? outcome.status : undefined,
       tookMs: Math.round(clock.now() - startedAt),
+      ...basis,
     });
     handleOutcome(due, outcome, grant);
   };
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -19,6 +19,7 @@
   leaving: z.boolean(),
   startedAt: z.number().exactOptional(),
   coldForMs: z.number().nonnegative().exactOptional(),
+  entryRevision: z.number().nonnegative().exactOptional(),
   engine: z
     .object({
       fabricDomain: z.string(),
--- a/src/gateway/store/fleet-part.ts
+++ b/src/gateway/store/fleet-part.ts
@@ -146,7 +146,8 @@
   };
   const decode = ({ name, value, revision }: StoreObject): BackendServer | undefined => {
     const known = section.read().servers.get(name);
-    const decoded = platform.decodeServer(name, value);
+    const entry = platform.decodeServer(name, value);
+    const decoded = entry && { ...entry, entryRevision: revision };
     const server = resolveEntry(known, decoded);
     if (decoded === undefined || server !== decoded) {
       logger.log('serverEntryRejected', {
--- a/src/ports/fleet.ts
+++ b/src/ports/fleet.ts
@@ -35,6 +35,8 @@
   startedAt?: number;
   /** How much longer the server is cold, by its last entry; absent if the entry does not say. */
   coldForMs?: Milliseconds;
+  /** Store revision of the entry that this was read from. */
+  entryRevision?: number;
   /** Present only for engines. */
   engine?: EngineState;
 }
