A model of gateways that own a domain with views of different ages

Real group planning of several gateways on a manual clock, with engines that follow the protocol and a judge that looks at the engines only. The planned groups, entries and orders were so far only modelled for loads of weights.

--- /dev/null
+++ b/features/gateway/group-owners.feature
@@ -0,0 +1,37 @@
+Feature: An engine never joins a group while the head of the one that it is in is open
+
+  # Guards against an owner that drops a group by a view older than the plan and orders its members into the next one.
+  Scenario Outline: Two gateways own a domain in any order, and <member>
+    Given 4 engines for groups of 3, and gateways A and B of which B learns nothing by itself
+    When these steps happen in each possible order, and <member>:
+      | A owns the domain       |
+      | A owns it no more       |
+      | B owns the domain       |
+      | B sees the newest state |
+    Then no engine was in two groups and no group was partial
+    And a group opened in each order
+
+    Examples:
+      | member                                       |
+      | a member does not answer B                   |
+      | a member's entry is not readable for a while |
+      | an engine starts                             |
+      | a copy of an order to join arrives late      |
+      | a member restarts                            |
+
+  # Guards against owners that act on what no longer holds: old entries, plans of other owners, orders under way.
+  Scenario Outline: For a while <trouble>
+    Given 3 gateways that own a domain of 11 engines
+    When for 40 s, with each of 8 seeds, <trouble>
+    Then no engine was in two groups and no group was partial
+    And groups opened with each seed
+
+    Examples:
+      | trouble                                |
+      | members leave, but all else is calm    |
+      | gateways return with old views         |
+      | several gateways own the domain        |
+      | orders are late, lost and doubled      |
+      | engines crash and restart              |
+      | the store returns from an older copy   |
+      | all of this happens                    |
