--- a/features/gateway/group-owners-model.ts
+++ b/features/gateway/group-owners-model.ts
@@ -109,7 +109,7 @@
   private store: StoreCopy = { revision: 0, entries: new Map(), plans: new Map() };
   private era = 0;
   private starts = 0;
-  private lastJoin: { to: string; order: DueOrder['order'] } | undefined;
+  private readonly joins: { to: string; order: DueOrder['order'] }[] = [];
 
   constructor(private readonly options: GroupOwnersOptions) {
     this.random = createRandom(options.seed);
@@ -201,6 +201,8 @@
     const gateway = this.at(index);
     void gateway.part?.stop();
     this.note(gateway.name, 'restarts');
+    gateway.era = 0;
+    gateway.restoreNoticedAt = -Infinity;
     this.startGateway(gateway);
     this.show(gateway, [...this.store.entries.values()], this.clock.now());
   }
@@ -242,9 +244,9 @@
     });
   }
 
-  /** Delivers another copy of the last order to join. */
-  repeatLastJoin(): void {
-    if (this.lastJoin) this.deliver(this.lastJoin.to, this.lastJoin.order, 'a late copy');
+  /** Delivers another copy of each order to join. */
+  repeatJoins(): void {
+    for (const { to, order } of [...this.joins]) this.deliver(to, order, 'a late copy');
   }
 
   /** Restores the store from a copy that is some seconds old. */
@@ -488,6 +490,7 @@
     const changes = servers.map((server): FleetChange => ({ kind: 'present', server }));
     const revision = this.qualify(this.store.revision);
     gateway.fleet.write(applyFleetChanges(EMPTY_FLEET, changes, revision, 0, 0));
+    this.notice(gateway, this.era);
     gateway.proof.write({ at, source: 'store' });
   }
 
@@ -496,6 +499,7 @@
     const origin = `order of ${gateway.name}, whose view shows ${revisionOf(gateway.fleet.read().revision)}`;
     const lateMs = LATE_FROM_MS + this.draw(LATE_SPAN_MS);
     const isLate = this.chance(late);
+    if (order.kind === 'join') this.joins.push({ to: to.id, order });
     if (isLate || this.chance(doubled))
       this.after(lateMs, () => this.deliver(to.id, order, `late ${origin}`));
     if (!isLate && !this.chance(lost)) return Promise.resolve(this.deliver(to.id, order, origin));
@@ -507,7 +511,6 @@
   }
 
   private deliver(to: string, order: DueOrder['order'], origin: string): OrderOutcome {
-    if (order.kind === 'join') this.lastJoin = { to, order };
     const before = this.engines.breaches.length;
     const outcome = this.engines.take(to, order, origin);
     const group = 'group' in order ? order.group : order.model;
--- a/features/gateway/group-owners.feature
+++ b/features/gateway/group-owners.feature
@@ -16,9 +16,18 @@
       | a member does not answer B                   |
       | a member's entry is not readable for a while |
       | an engine starts                             |
-      | a copy of an order to join arrives late      |
       | a member restarts                            |
 
+  # Guards against an order under way, or sent by another owner, that puts a member back into a group after it left.
+  Scenario: Orders to join arrive again at any time
+    Given 5 engines for groups of 3, and gateways A and B
+    When these steps happen in each possible order while copies of the orders to join arrive at each time:
+      | A owns the domain          |
+      | A owns it no more          |
+      | B owns the domain          |
+      | the head does not answer B |
+    Then no engine was in two groups and no group was partial
+
   # Guards against owners that act on what no longer holds: old entries, plans of other owners, orders under way.
   Scenario Outline: For a while <trouble>
     Given 3 gateways that own a domain of 11 engines
--- a/features/gateway/group-owners.steps.ts
+++ b/features/gateway/group-owners.steps.ts
@@ -3,7 +3,15 @@
  */
 import assert from 'node:assert/strict';
 import { Given, Then, When, type DataTable } from '@cucumber/cucumber';
-import { GroupOwnersModel, type OrderTrouble } from './group-owners-model.js';
+import { GroupOwnersModel } from './group-owners-model.js';
+import {
+  listOrders,
+  MEMBER_STEPS,
+  playCopy,
+  playOrder,
+  playTrouble,
+  TROUBLES,
+} from './group-owners-plays.js';
 
 /** The outcome of one run of the model. */
 interface Run {
@@ -15,104 +23,19 @@
   runs: Run[];
 }
 
-type Step = (model: GroupOwnersModel) => void;
-
-const A = 0;
-const B = 1;
-/** Time in which a group is ordered, ready and open. */
-const STEP_MS = 800;
-const END_MS = 3_000;
-const SILENT_MS = 5_000;
-const ROUND_MS = 500;
 const FIRST_SEED = 641;
 const SCENARIO_TIMEOUT_MS = 60_000;
-
-const STEPS: Readonly<Record<string, Step>> = {
-  'A owns the domain': (model) => {
-    model.setOwner(A, true);
-  },
-  'A owns it no more': (model) => {
-    model.setOwner(A, false);
-  },
-  'B owns the domain': (model) => {
-    model.setOwner(B, true);
-  },
-  'B sees the newest state': (model) => {
-    model.note('B', 'sees the newest state');
-    model.catchUp(B);
-  },
-};
-
-/** What happens to a member, in this order, among the other steps. */
-const MEMBER_STEPS: Readonly<Record<string, readonly Step[]>> = {
-  'a member does not answer B': [
-    (model) => {
-      model.silence(B, 'i-2', SILENT_MS);
-    },
-  ],
-  "a member's entry is not readable for a while": [
-    (model) => {
-      model.setLeaving('i-2', true);
-    },
-    (model) => {
-      model.setLeaving('i-2', false);
-    },
-  ],
-  'an engine starts': [
-    (model) => {
-      model.startEngine('i-0');
-    },
-  ],
-  'a copy of an order to join arrives late': [
-    (model) => {
-      model.repeatLastJoin();
-    },
-  ],
-  'a member restarts': [
-    (model) => {
-      model.crash('i-2', true);
-    },
-  ],
-};
-
-/** What happens in a long run, as chances in each round. */
-interface Trouble {
-  oldViews?: number;
-  /** Chance that a gateway becomes or ceases to be an owner beside the others. */
-  owners?: number;
-  crashes?: number;
-  restores?: number;
-  orders?: OrderTrouble;
-}
-
-const LATE_ORDERS: OrderTrouble = { late: 0.2, lost: 0.1, doubled: 0.2, lostWrites: 0.05 };
-const TROUBLES: Readonly<Record<string, Trouble>> = {
-  'members leave, but all else is calm': {},
-  'gateways return with old views': { oldViews: 0.1 },
-  'several gateways own the domain': { owners: 0.15 },
-  'orders are late, lost and doubled': { orders: LATE_ORDERS },
-  'engines crash and restart': { crashes: 0.15 },
-  'the store returns from an older copy': { restores: 0.04 },
-  'all of this happens': {
-    oldViews: 0.05,
-    owners: 0.1,
-    crashes: 0.1,
-    restores: 0.02,
-    orders: LATE_ORDERS,
-  },
-};
+/** Orders without an answer are carried out at any time; that of each step and after it. */
+const COPY_SPAN_MS = 4_000;
+const COPY_INTERVAL_MS = 100;
 
 Given(
-  '4 engines for groups of 3, and gateways A and B of which B learns nothing by itself',
+  /^(?:\d engines for groups of 3, and gateways A and B.*|3 gateways that own a domain of 11 engines)$/,
   function (this: OwnersWorld) {
     this.runs = [];
   },
 );
 
-Given('3 gateways that own a domain of 11 engines', function (this: OwnersWorld) {
-  this.runs = [];
-});
-
 When(
   /^these steps happen in each possible order, and (.+):$/,
   { timeout: SCENARIO_TIMEOUT_MS },
@@ -148,6 +71,24 @@
   },
 );
 
+When(
+  'these steps happen in each possible order while copies of the orders to join arrive at each time:',
+  { timeout: SCENARIO_TIMEOUT_MS },
+  async function (this: OwnersWorld, table: DataTable) {
+    for (const order of listOrders(table.raw().flat()))
+      for (let ms = 0; ms < COPY_SPAN_MS; ms += COPY_INTERVAL_MS) {
+        const model = new GroupOwnersModel({
+          gateways: 2,
+          engines: 5,
+          sizes: { large: 3 },
+          seed: 1,
+        });
+        await playCopy(model, order, ms);
+        this.runs.push({ name: `${order.join(', ')}, copies after ${ms} ms`, model });
+      }
+  },
+);
+
 Then('no engine was in two groups and no group was partial', function (this: OwnersWorld) {
   const broken = this.runs.filter(({ model }) => model.engines.breaches.length > 0);
   if (broken.length === 0) return;
@@ -175,82 +116,3 @@
 function firstBreach({ model }: Run): number {
   return model.engines.breaches[0]?.at ?? Infinity;
 }
-
-/** All different orders of `steps`; equal ones keep their order. */
-function listOrders(steps: readonly string[]): string[][] {
-  if (steps.length === 0) return [[]];
-  return [...new Set(steps)].flatMap((first) => {
-    const rest = [...steps];
-    rest.splice(rest.indexOf(first), 1);
-    return listOrders(rest).map((order) => [first, ...order]);
-  });
-}
-
-async function playOrder(
-  model: GroupOwnersModel,
-  order: readonly string[],
-  memberSteps: readonly Step[],
-): Promise<void> {
-  await model.run(STEP_MS);
-  model.setLag(B, Infinity);
-  const remaining = [...memberSteps];
-  for (const name of order) {
-    const step = STEPS[name] ?? remaining.shift();
-    step?.(model);
-    await model.run(STEP_MS);
-  }
-  model.note('B', 'follows the store');
-  model.setLag(B, 0);
-  model.setOwner(B, false);
-  model.setOwner(A, true);
-  await model.run(END_MS);
-}
-
-async function playTrouble(model: GroupOwnersModel, trouble: Trouble, ms: number): Promise<void> {
-  const { oldViews = 0, owners = 0, crashes = 0, restores = 0 } = trouble;
-  const gateways = [0, 1, 2];
-  const anyEngine = (): string => pick(model, model.engineIds);
-  let owner = 0;
-  const handOver = (to: number): void => {
-    if (owners === 0) for (const each of gateways) model.setOwner(each, each === to);
-    else model.setOwner(to, true);
-    owner = to;
-  };
-  handOver(owner);
-  for (let rounds = ms / ROUND_MS; rounds > 0; rounds -= 1) {
-    if (model.chance(0.08)) handOver(pick(model, gateways));
-    if (model.chance(0.1)) model.setLag(pick(model, gateways), model.draw(600));
-    if (model.chance(0.08)) model.drain(anyEngine(), 2_000 + model.draw(4_000));
-    if (model.chance(0.1)) model.silence(pick(model, gateways), anyEngine(), 1_500);
-    if (model.chance(0.04)) model.restartGateway(pick(model, gateways));
-    if (model.chance(crashes)) model.crash(anyEngine(), model.chance(0.5));
-    if (model.chance(restores)) model.restore(1_000 + model.draw(4_000));
-    if (model.chance(owners)) model.setOwner(pick(model, gateways), model.chance(0.6));
-    if (model.chance(oldViews)) returnWithOldView(model, pick(model, gateways), handOver);
-    await model.run(ROUND_MS);
-  }
-}
-
-/** A gateway loses the store, and owns the domain as soon as it reaches it, before it learns of the entries. */
-function returnWithOldView(
-  model: GroupOwnersModel,
-  gateway: number,
-  handOver: (to: number) => void,
-): void {
-  const awayMs = 1_000 + model.draw(5_000);
-  model.setReachable(gateway, false);
-  model.setLag(gateway, Infinity);
-  model.after(awayMs, () => {
-    model.setReachable(gateway, true);
-    handOver(gateway);
-  });
-  model.after(awayMs + model.draw(4_000), () => {
-    model.setLag(gateway, model.draw(600));
-  });
-}
-
-function pick<Item>(model: GroupOwnersModel, items: readonly Item[]): Item {
-  const item = items[Math.floor(model.draw(items.length))];
-  assert.ok(item !== undefined, 'nothing to pick from');
-  return item;
-}
