--- a/features/gateway/group-owners-plays.ts
+++ b/features/gateway/group-owners-plays.ts
@@ -78,12 +78,12 @@
   orders?: OrderTrouble;
 }
 
-const LATE_ORDERS: OrderTrouble = { late: 0.2, lost: 0.1, doubled: 0.2, lostWrites: 0.05 };
+const LATE_ORDERS: OrderTrouble = { late: 0.25, lost: 0.1, doubled: 0.4, lostWrites: 0.05 };
 export const TROUBLES: Readonly<Record<string, Trouble>> = {
   'members leave, but all else is calm': {},
-  'gateways return with old views': { oldViews: 0.1 },
+  'gateways return with old views': { oldViews: 0.2, silences: 0.4 },
   'several gateways own the domain': { owners: 0.15 },
-  'orders are late, lost and doubled': { orders: LATE_ORDERS, silences: 0.4 },
+  'orders are late, lost and doubled': { orders: LATE_ORDERS, silences: 0.8 },
   'engines crash and restart': { crashes: 0.15 },
   'the store returns from an older copy': { restores: 0.08 },
   'all of this happens': {
@@ -145,6 +145,19 @@
   await model.run(STEP_MS);
 }
 
+/** Restores the store from a copy without the plan; B starts and owns the domain, and learns after `lagMs`. */
+export async function playRestore(model: GroupOwnersModel, lagMs: number): Promise<void> {
+  await model.run(STEP_MS);
+  model.setOwner(A, true);
+  await model.run(STEP_MS);
+  model.setOwner(A, false);
+  model.restore(STEP_MS);
+  model.setLag(B, lagMs);
+  model.restartGateway(B);
+  model.setOwner(B, true);
+  await model.run(END_MS + lagMs);
+}
+
 export async function playTrouble(
   model: GroupOwnersModel,
   trouble: Trouble,
@@ -170,8 +183,9 @@
     if (model.chance(restores)) {
       model.restore(1_000 + model.draw(4_000));
       const starting = pick(model, gateways);
+      model.setLag(starting, model.draw(2_000));
       if (model.chance(0.5)) model.restartGateway(starting);
-      if (model.chance(0.5)) handOver(starting);
+      if (model.chance(0.8)) handOver(starting);
     }
     if (model.chance(owners)) model.setOwner(pick(model, gateways), model.chance(0.6));
     if (model.chance(oldViews)) returnWithOldView(model, pick(model, gateways), handOver);
--- a/features/gateway/group-owners.steps.ts
+++ b/features/gateway/group-owners.steps.ts
@@ -9,6 +9,7 @@
   MEMBER_STEPS,
   playCopy,
   playOrder,
+  playRestore,
   playTrouble,
   TROUBLES,
 } from './group-owners-plays.js';
@@ -28,6 +29,7 @@
 /** Orders without an answer are carried out at any time; that of each step and after it. */
 const COPY_SPAN_MS = 3_200;
 const COPY_INTERVAL_MS = 100;
+const MAX_LAG_MS = 3_000;
 
 Given(
   /^(?:\d engines for groups of 3, and gateways A and B.*|3 gateways that own a domain of 11 engines)$/,
@@ -89,6 +91,19 @@
   },
 );
 
+When(
+  'the store returns without the plan, and B starts, owns the domain and learns of entries at each age up to 3 s',
+  { timeout: SCENARIO_TIMEOUT_MS },
+  async function (this: OwnersWorld) {
+    for (let ms = 0; ms <= MAX_LAG_MS; ms += COPY_INTERVAL_MS) {
+      const sizes = { large: 3 };
+      const model = new GroupOwnersModel({ gateways: 2, engines: 5, sizes, seed: FIRST_SEED + ms });
+      await playRestore(model, ms);
+      this.runs.push({ name: `after ${ms} ms`, model });
+    }
+  },
+);
+
 Then('no engine was in two groups and no group was partial', function (this: OwnersWorld) {
   const broken = this.runs.filter(({ model }) => model.engines.breaches.length > 0);
   if (broken.length === 0) return;
