After a restore gateways plan once the entries were confirmed late enough

What callers saw: streams of open replicas break off when the store returns from an older copy. Cause: the wait after a restore ended by the clock, 2.2 s after it was noticed, whatever the gateway had read since; with a follower or a hub that is slow the first plan still rested on the copy. An engine that doesn't reach the store keeps its old entry until the store removes it, which takes longer. Change: planning waits for a proof of the entries that was asked for when each has been written again or has expired (three heartbeats and the store's delay).

--- a/src/gateway/groups/groups-part.ts
+++ b/src/gateway/groups/groups-part.ts
@@ -157,7 +157,7 @@
       return;
     }
     // After the store was restored, serving engines look free until they rewrite their entries.
-    if (options.contact.isSettling()) return;
+    if (options.contact.isSettling(board.fleetProof.read()?.at ?? -Infinity)) return;
     // Wait until the state of the other gateways is known before taking domains.
     if (clock.now() - startedAt < PEER_STATE_DELAY_MS) return;
     const ownerOf = getOwnerFinder();
--- a/src/gateway/store/fleet-part.ts
+++ b/src/gateway/store/fleet-part.ts
@@ -19,7 +19,7 @@
 import type { BackendServer, StoreChange, StoreObject } from '../../ports/index.js';
 import type { GatewayContext, GatewayPart } from '../types.js';
 import type { ObjectStore } from './client.js';
-import { ENTRY_RECOVERY_MS, type ReachabilityTracker } from './reachability.js';
+import { computeEntryExpiry, ENTRY_RECOVERY_MS, type ReachabilityTracker } from './reachability.js';
 import { createFollowerSwitch, type FollowerSwitch } from './follower-switch.js';
 import { eraOf, revisionOf } from './qualified-revision.js';
 
@@ -66,19 +66,13 @@
 /** Changes within this time share one call to the store; forming a replica makes several in a row. */
 const COALESCE_MS: Milliseconds = 150;
 const EXPIRY_INTERVAL_MS: Milliseconds = 200;
-/** Heartbeats without which the store removes an entry. */
-const ENTRY_EXPIRY_HEARTBEATS = 3;
-/** Allows for the store's delay in removing an expired entry. */
-const ENTRY_EXPIRY_SLACK_MS: Milliseconds = 1_000;
 /** Longer than the age of any copy that the store is restored from. */
 const GONE_RETENTION_MS: Milliseconds = 60_000;
 
 export function createFleetPart(options: FleetPartOptions): FleetPart {
   const { context, store, reachability, section, proof } = options;
   const { platform, logger, clock, settings } = context;
-  /** Time after a restore by which entries that nobody has rewritten have expired. */
-  const entryExpiryMs =
-    ENTRY_EXPIRY_HEARTBEATS * settings.servers.heartbeatMs + ENTRY_EXPIRY_SLACK_MS;
+  const entryExpiryMs = computeEntryExpiry(settings.servers.heartbeatMs);
   const listeners: ((update: FleetUpdate) => void)[] = [];
   /** Incarnations of servers that are gone, with the time at which they were removed. */
   const goneIncarnations = new Map<string, Milliseconds>();
--- a/src/gateway/store/reachability.ts
+++ b/src/gateway/store/reachability.ts
@@ -9,12 +9,21 @@
 
 /** Time after an outage within which backend servers have rewritten entries that lapsed; they take 2 s. */
 export const ENTRY_RECOVERY_MS: Milliseconds = 2_200;
+/** Heartbeats without which the store removes an entry. */
+const ENTRY_EXPIRY_HEARTBEATS = 3;
+/** Allows for the store's delay in removing an expired entry. */
+const ENTRY_EXPIRY_SLACK_MS: Milliseconds = 1_000;
 /**
  * Heartbeats that an outage lasts at least if an entry lapses for it: entries lapse after three, and the last
  * one may have been written a heartbeat before the outage.
  */
 const MIN_LAPSE_HEARTBEATS = 2;
 
+/** Time after a restore by which entries that nobody has rewritten have expired. */
+export function computeEntryExpiry(heartbeatMs: Milliseconds): Milliseconds {
+  return ENTRY_EXPIRY_HEARTBEATS * heartbeatMs + ENTRY_EXPIRY_SLACK_MS;
+}
+
 /** Writes the board section of the store's reachability. */
 export interface ReachabilityTracker {
   record(outcome: CallOutcome): void;
@@ -26,8 +35,11 @@
   recordRestore(): void;
   /** Records that the store was restored at some time before this gateway has heard of it. */
   recordPossibleRestore(): void;
-  /** Whether a restore is so recent that entries may be missing or older than what is known. */
-  isSettling(): boolean;
+  /**
+   * Whether entries that were last confirmed at `confirmedAt` may be missing or older than what is known,
+   * because the store was restored shortly before.
+   */
+  isSettling(confirmedAt: Milliseconds): boolean;
   /**
    * When an entry that disappears now counts as gone: at once, or later around an outage in which entries of
    * servers that still run may have lapsed.
@@ -55,6 +67,8 @@
   section: WritableSection<StoreReachability>,
 ): ReachabilityTracker {
   const listeners: ((at: Milliseconds) => void)[] = [];
+  /** The entry of an engine that doesn't reach the store stays as it was in the copy until it expires. */
+  const settleMs = Math.max(ENTRY_RECOVERY_MS, computeEntryExpiry(settings.servers.heartbeatMs));
   let recoveredAt = Number.NEGATIVE_INFINITY;
   let restoredAt = Number.NEGATIVE_INFINITY;
   let lastAnsweredSentAt = Number.NEGATIVE_INFINITY;
@@ -95,7 +109,7 @@
     recordPeerContact: (at) => {
       peerContactAt = Math.max(peerContactAt, at);
     },
-    isSettling: () => clock.now() - restoredAt < ENTRY_RECOVERY_MS,
+    isSettling: (confirmedAt) => confirmedAt < restoredAt + settleMs,
     recordPossibleRestore: () => {
       restoredAt = clock.now();
     },
