A late order no longer puts a member back into an open replica

What callers would see: as before, streams of an open replica break off. Cause: an order without an answer may be carried out 2 to 12 s later. A head that doesn't answer the owner counts as lost and its group as disbanded when all others have left, though the head may be open. A late copy of a join then puts a member back, with the epoch that it has seen last, and until the news of it arrives the member looks free. Change: a plan notes, when a group has formed, which members' orders to join may still be late: those that weren't accepted at once and answered by the gateway that marks the group. Such a group stays planned, and its members are not used, until the head is seen to have left, or for 12 s; also when the head's own joins and the order to open may be late. Without unanswered orders nothing is held.

--- a/features/gateway/group-owners-plays.ts
+++ b/features/gateway/group-owners-plays.ts
@@ -12,6 +12,8 @@
 /** Time in which a group is ordered, ready and open. */
 const STEP_MS = 800;
 const END_MS = 3_000;
+/** Time within which an order without an answer is carried out; its members may stay unused for as long. */
+const LATEST_MS = 12_000;
 const SILENT_MS = 5_000;
 /** With this, a member that has joined again can still look free. */
 const COPY_LAG_MS = 300;
@@ -146,7 +148,7 @@
     COPY_STEPS[name]?.(model);
     await model.run(STEP_MS);
   }
-  await model.run(END_MS);
+  await model.run(END_MS + LATEST_MS);
 }
 
 /** Restores the store from a copy without the plan; B starts and owns the domain, and learns after `lagMs`. */
--- a/features/gateway/group-owners.feature
+++ b/features/gateway/group-owners.feature
@@ -19,7 +19,6 @@
       | a member restarts                            |
 
   # Guards against an order under way, or sent by another owner, that puts a member back into a group after it left.
-  @known-red
   Scenario: Orders to join arrive again at any time
     Given 5 engines for groups of 3, and gateways A and B
     When A has owned it, and in each possible order, as copies of the orders to join arrive at each time:
--- a/features/gateway/plan-basis.feature
+++ b/features/gateway/plan-basis.feature
@@ -21,7 +21,7 @@
     And a view of revision 10 in which nobody reports a replica and "b" has no entry
     And that view was confirmed after the plan was read
     When it is planned 3 times
-    Then the replica is planned no longer
+    Then the replica is planned no more
 
   # Guards against a gateway that opens a replica which another one has dropped from the plan.
   Scenario: All members of a replica are ready before the plan says so
@@ -41,3 +41,24 @@
   Scenario: An instance reports a later epoch than the plan has assigned
     Given a formed replica of "a" and "b" in a plan that rests on revision 10
     Then an instance that reports epoch 6 shows that the plan is outdated, and one that reports epoch 5 does not
+
+  # Guards against a member that a late order puts back into an open replica after it was seen to be free.
+  Scenario Outline: A replica closes after an order to join it got no answer
+    Given a formed replica of "a" and "b" in a plan that rests on revision 10
+    And an order for "<late>" to join it may be late, its head <head>, and so has "b"
+    When it is planned 2 times
+    Then the replica is <kept>
+
+    Examples:
+      | late | head              | kept            |
+      | b    | answers no probes | still planned   |
+      | a    | has left          | still planned   |
+      | b    | has left          | planned no more |
+
+  # Guards against members that stay unused for good behind a head that never answers.
+  Scenario: Orders to join can not be late any more
+    Given a formed replica of "a" and "b" in a plan that rests on revision 10
+    And an order for "b" to join it may be late, its head answers no probes, and so has "b"
+    And the replica has been closing for longer than orders are late
+    When it is planned 2 times
+    Then the replica is planned no more
--- a/features/gateway/planning-model.ts
+++ b/features/gateway/planning-model.ts
@@ -76,6 +76,8 @@
     profile: PROFILE,
     fleetRevision: 0,
     isNewerThanPlan: true,
+    answeredOrders: new Set(),
+    settledGroups: new Set(),
     targets: [
       { model: LARGE, groups: 1 },
       { model: SMALL, groups: 2 },
--- a/src/controllers/groups/index.ts
+++ b/src/controllers/groups/index.ts
@@ -1,4 +1,5 @@
 export * from './demand.js';
+export * from './late-orders.js';
 export * from './load-slots.js';
 export * from './loads.js';
 export * from './orders.js';
--- a/src/controllers/groups/loads.ts
+++ b/src/controllers/groups/loads.ts
@@ -8,6 +8,7 @@
  */
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { BackendServer, EngineProfile } from '../../ports/index.js';
+import { ORDER_LATENESS_MS } from './late-orders.js';
 import {
   incarnationKey,
   toMember,
@@ -19,8 +20,6 @@
 
 /** Window of the limit on the loads that begin. */
 export const LOAD_WINDOW_MS: Milliseconds = 5_000;
-/** Longest time after which an order without an answer is carried out. */
-const ORDER_LATENESS_MS: Milliseconds = 12_000;
 /** Loads beyond those that run at full speed at once take longer. */
 const SLOW_LOAD_FACTOR = 2;
 
--- a/src/controllers/groups/revise.ts
+++ b/src/controllers/groups/revise.ts
@@ -16,6 +16,7 @@
  */
 import type { BackendServer, GroupModel } from '../../ports/index.js';
 import { adoptFormedGroups } from './adopt.js';
+import { listLateJoins, mayReopen } from './late-orders.js';
 import type { GroupTarget } from './targets.js';
 import { toMember, type GroupPlan, type PlannedGroup } from './types.js';
 import {
@@ -47,9 +48,11 @@
 function updateGroup(view: DomainView): (group: PlannedGroup) => PlannedGroup {
   return (group) => {
     const closing = nextClosing(group, view);
-    const formed = group.formed ?? (closing === 'no' && hasFormed(group, view));
-    if (closing === group.closing && formed === (group.formed ?? false)) return group;
-    return { ...group, closing, ...(formed && { formed }) };
+    const forms = closing === 'no' && !group.formed && hasFormed(group, view);
+    if (closing === group.closing && !forms) return group;
+    if (!forms) return { ...group, closing };
+    const lateJoins = listLateJoins(group, view);
+    return { ...group, closing, formed: true, ...(lateJoins.length > 0 && { lateJoins }) };
   };
 }
 
@@ -60,9 +63,9 @@
   });
 }
 
-/** Whether a closing group has no responsive member left. */
+/** Whether a closing group has no responsive member left, and none can come back. */
 function isDisbanded(group: PlannedGroup, view: DomainView): boolean {
-  if (group.closing === 'no') return false;
+  if (group.closing === 'no' || mayReopen(group, view)) return false;
   return group.members.every(
     ({ id }) => !isResponsive(view, id) || membershipIn(view, group, id) === undefined,
   );
--- a/src/controllers/groups/types.ts
+++ b/src/controllers/groups/types.ts
@@ -25,6 +25,8 @@
    * without it has never been open, and a member that no longer reports one with it has left.
    */
   formed: z.boolean().exactOptional(),
+  /** Members that may be put back into the group by an order that is carried out late. */
+  lateJoins: z.array(z.string()).exactOptional(),
 });
 
 const orderReasonSchema = z.enum([
--- a/src/controllers/groups/view.ts
+++ b/src/controllers/groups/view.ts
@@ -31,6 +31,10 @@
   loadSlots: number;
   /** Whether no gateway has received a request yet, so that loads are not limited. */
   beforeTraffic: boolean;
+  /** Orders to join and to open none of which can be carried out late, see `orderKey`. */
+  answeredOrders: ReadonlySet<string>;
+  /** Closing groups for which no order can be late any more. */
+  settledGroups: ReadonlySet<string>;
   /** Groups that an engine refused permanently, or that are stuck although all members respond. */
   failedGroups: ReadonlySet<string>;
 }
--- a/src/gateway/groups/domain-controller.ts
+++ b/src/gateway/groups/domain-controller.ts
@@ -13,6 +13,7 @@
   listOrders,
   listUnderWay,
   LOAD_WINDOW_MS,
+  ORDER_LATENESS_MS,
   reportsLaterEpoch,
   revisePlan,
   toStageOrder,
@@ -32,6 +33,7 @@
 import type { ObjectStore } from '../store/client.js';
 import { eraOf, revisionOf } from '../store/qualified-revision.js';
 import type { GatewayContext } from '../types.js';
+import { createAnsweredOrders } from './answered-orders.js';
 import { describeMembers, describeView, findEntryRevision } from './decision-basis.js';
 import { createMemberMonitor } from './member-monitor.js';
 
@@ -74,7 +76,7 @@
 /** Time after which an order without a visible effect is sent again. */
 const ORDER_RETRY_MS: Milliseconds = 900;
 /** Time without grants after the store was restored from a copy that may lack some: orders may be late. */
-const RESTORE_HOLD_MS: Milliseconds = 12_000 + LOAD_WINDOW_MS;
+const RESTORE_HOLD_MS: Milliseconds = ORDER_LATENESS_MS + LOAD_WINDOW_MS;
 /** Response status of an engine that has seen a higher epoch than that of the order. */
 const STALE_EPOCH_STATUS = 412;
 /** Delay after a failed store call. */
@@ -105,6 +107,7 @@
   const { context, store, calls, backends } = options;
   const { clock, logger, metrics } = context;
   const memberMonitor = createMemberMonitor(context, calls);
+  const answeredOrders = createAnsweredOrders(clock);
   const refusedGroups = new Set<string>();
   const lastSentAt = new Map<string, Milliseconds>();
   /** When this gateway first saw each grant of the stored plan. */
@@ -216,6 +219,8 @@
     staging: new Set(underWay.map(({ server }) => server)),
     loadSlots: state.loadSlots,
     beforeTraffic: state.beforeTraffic,
+    answeredOrders: answeredOrders.list(),
+    settledGroups: answeredOrders.settledGroups(),
     failedGroups: new Set([...refusedGroups, ...memberMonitor.stuckGroups]),
   });
   const checkSuspectGroups = (plan: GroupPlan): void => {
@@ -243,6 +248,7 @@
     const sentAt = Date.now();
     if (causesLoad) metrics.loads.inc({ reason, traffic: beforeTraffic ? 'notBegun' : 'begun' });
     const outcome = await calls.order(due);
+    answeredOrders.record(order, to.id, outcome.kind);
     metrics.orders.inc({ kind: order.kind, outcome: outcome.kind });
     logger.log('orderSent', {
       order: order.kind,
@@ -385,6 +391,7 @@
     // A plan may name a member without its start time; such a member is matched by id alone.
     const incarnationKeys = state.servers.flatMap((server) => [server.id, incarnationKey(server)]);
     memberMonitor.retain(new Set(incarnationKeys), groupNames);
+    answeredOrders.observe(stored.plan);
     checkSuspectGroups(stored.plan);
     observeGrants(stored.plan);
     const knowledge = knowledgeOf(state);
