Entries with values that no server writes are left out where they are decoded

Operators saw requests end with a closed connection, and gateways that took the store for lost, as soon as another writer had left one odd entry:

- An address such as 256.1.1.1:8080 or xn--a:8080 passed the check of its form, but is no URL host. undici's Client throws for it, in the constructor of an attempt, so the request that had drawn this server was dropped.
- A domain of 100,000 characters made the path of its plan longer than the store reads.
The failed call counted as an outage (storeLost), and was repeated all the time.
Half a surrogate pair made encodeURIComponent throw in each round of planning (unexpectedError, ten times a second).
- An id above 256 characters is refused by the schema of speed reports, and an entry of a megabyte is more than a message between gateways may hold.
- A list whose page ended with a name of half a surrogate pair could never be continued.

--- a/features/gateway/decoders.feature
+++ b/features/gateway/decoders.feature
@@ -16,6 +16,17 @@
     Then all other servers are known as they were
     And the server of the entry can be used only if its entry is valid
 
+  Scenario: What is decoded of an entry is good for all that it flows into
+    # A value that throws where it is used, or that other gateways reject, would end requests, planning or
+    # the relay of changes for all servers.
+    When one entry of 1500 fleets has a value at the limit of its type
+    Then each decoded one can be called, planned, relayed and named in a path
+
+  Scenario: The name of an object is no valid text
+    # A list goes on after the last name; the path of that call can't be made of half a character.
+    When a list ends with an object whose name is half a character
+    Then the call for the rest of the list goes on after the object before it
+
   Scenario: An entry is copied under another name
     # Duplicate entries of one engine must not make its replica look incomplete.
     Given a fleet with one open replica of 2 engines
--- a/features/gateway/decoders.steps.ts
+++ b/features/gateway/decoders.steps.ts
@@ -4,6 +4,7 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
+import { Client } from 'undici';
 import { platform } from '../../platform/index.js';
 import { digestSchema } from '../../src/controllers/peering/index.js';
 import {
@@ -14,7 +15,11 @@
   type ServingFleet,
 } from '../../src/controllers/forwarding/index.js';
 import { parseJson } from '../../src/core/json/index.js';
-import { fleetUpdateSchema, versionsSchema } from '../../src/gateway/peers/messages.js';
+import {
+  fleetUpdateSchema,
+  serverIdSchema,
+  versionsSchema,
+} from '../../src/gateway/peers/messages.js';
 import type { BackendServer, RateLimit, StoreChange, StoreObject } from '../../src/ports/index.js';
 import { createServer, PROFILE } from './planning-model.js';
 import { exampleConfiguration } from './stand-ins/configuration.js';
@@ -25,6 +30,8 @@
   fleets: DamagedFleet[];
   fleet: ServingFleet;
   changes: readonly StoreChange[] | undefined;
+  decoded: BackendServer[];
+  page: ReturnType<typeof platform.store.decodePage>;
   rateLimit: RateLimit;
 }
 
@@ -265,6 +272,78 @@
   );
 }
 
+const LONG_TEXT = 'x'.repeat(1_000_000);
+/** Values that are of the type of some field. */
+const LIMIT_VALUE = fc.constantFrom<unknown>(
+  Number.MAX_SAFE_INTEGER,
+  Number.MAX_VALUE,
+  -0,
+  '\ud800',
+  '__proto__',
+  LONG_TEXT,
+  [LONG_TEXT],
+  Array.from({ length: 100_000 }, () => 'small'),
+  '256.1.1.1:8080',
+  '1.2.3.4.5:8080',
+  'xn--a:8080',
+  '0x100000000:8080',
+  `${LONG_TEXT}:8080`,
+  'a..b:8080',
+  '127.0.0.1:0',
+);
+const LIMIT_ENTRY = fc.record({ at: fc.nat(), value: LIMIT_VALUE });
+/** Many entries may change at once, in one message. */
+const MAX_ENTRY_CHARACTERS = 150_000;
+
+When(
+  'one entry of {int} fleets has a value at the limit of its type',
+  function (this: DecoderWorld, fleets: number) {
+    this.decoded = fc
+      .sample(LIMIT_ENTRY, { numRuns: fleets, seed: SEED })
+      .flatMap((sample) => platform.decodeServer('i-0', damage(entryOf(0), sample)) ?? []);
+    const ids = ['i'.repeat(257), 'i'.repeat(256)];
+    this.decoded.push(...ids.flatMap((id) => platform.decodeServer(id, entryOf(0)) ?? []));
+    assert.ok(this.decoded.length > 0 && this.decoded.length < fleets);
+  },
+);
+
+Then(
+  'each decoded one can be called, planned, relayed and named in a path',
+  async function (this: DecoderWorld) {
+    for (const server of this.decoded) {
+      const { id, address, service, engine } = server;
+      await new Client(`http://${address}`).close();
+      assert.ok(encodeURIComponent(`${service}.${engine?.fabricDomain ?? ''}`));
+      assert.ok(serverIdSchema.safeParse({ server: id }).success, id.slice(0, 300));
+      const update = {
+        since: 1,
+        revision: 2,
+        absentInMs: 0,
+        changes: [{ kind: 'present', server }],
+      };
+      const message = JSON.stringify(update);
+      assert.ok(message.length <= MAX_ENTRY_CHARACTERS, `${message.length}`);
+      assert.ok(fleetUpdateSchema.safeParse(JSON.parse(message)).success, message);
+    }
+  },
+);
+
+When('a list ends with an object whose name is half a character', function (this: DecoderWorld) {
+  const odd = { metadata: { name: '\ud800', revision: 3 }, spec: entryOf(1) };
+  const items = [objectOf(0), odd];
+  const body = JSON.stringify({ items, has_more: true, as_of: ANSWER_REVISION });
+  this.page = platform.store.decodePage(body);
+});
+
+Then(
+  'the call for the rest of the list goes on after the object before it',
+  function (this: DecoderWorld) {
+    const last = this.page?.objects.at(-1)?.name;
+    assert.equal(platform.store.list('servers', last).path, '/objects/servers?after=i-0');
+    assert.equal(this.page?.dropped, 1);
+  },
+);
+
 Given(
   'a fleet with one open replica of {int} engines',
   function (this: DecoderWorld, size: number) {
