An engine's epoch far beyond the plan's is not counted on from

One entry with the epoch 2^53 - 1 stopped a domain for good: the next group got 2^53, the one after it the same, since that is no longer exact, and the schema of plans rejects both, so that the stored plan could never be read again. For a model of one engine the odd entry was adopted as a group too.

Reported epochs count only up to 2^32 above the last one of the plan. Only a store that was restored from an older copy makes engines be ahead, by as many as there were plans since. The schema ends at 2^52, which leaves room for the groups that follow.

Tests: a scenario of planning.feature (both examples failed before: the plan had lastEpoch and could not be read) and one example of odd-entries.feature (no group opened within 30 s before).

--- a/features/gateway/odd-entries.feature
+++ b/features/gateway/odd-entries.feature
@@ -14,6 +14,7 @@
       | oddity                                      |
       | a domain of 100000 characters               |
       | a domain that is half a character           |
+      | the highest epoch                           |
       | an address that is no number of four parts  |
       | an address in no alphabet                   |
       | an id of 60000 characters                   |
--- a/features/gateway/planning.feature
+++ b/features/gateway/planning.feature
@@ -25,6 +25,18 @@
       | both members | fabric.5 | nobody  |
       | its head     | fabric.2 | the head |
 
+  Scenario Outline: An entry names the highest epoch there is
+    Guards against epochs that are no longer exact, so that later groups share one and no plan is readable.
+    Given <engines> engines without a group, and an entry of an open group of the highest epoch for a model of 1
+    When the domain is planned
+    And the domain is planned again
+    Then the plan has <groups> groups with epochs of their own and can be read again
+
+    Examples:
+      | engines | groups |
+      | 2       | 1      |
+      | 4       | 2      |
+
   Scenario: The instances of all domains are split by the shares of the models
     Given 6 domains of 10 instances, and models of 4 and of 2 with equal shares
     When they are split
--- a/features/gateway/planning.steps.ts
+++ b/features/gateway/planning.steps.ts
@@ -6,6 +6,7 @@
 import fc from 'fast-check';
 import {
   EMPTY_PLAN,
+  groupPlanSchema,
   listOrders,
   revisePlan,
   splitDomains,
@@ -22,6 +23,7 @@
   LARGE,
   planRandomDomain,
   PROFILE,
+  SMALL,
   type PlannedRound,
 } from './planning-model.js';
 
@@ -112,6 +114,43 @@
   this.rounds = [{ before, after, view: this.view, orders }];
 });
 
+Given(
+  '{int} engines without a group, and an entry of an open group of the highest epoch for a model of 1',
+  function (this: PlanningWorld, engines: number) {
+    const alone = { ...SMALL, name: 'alone', size: 1 };
+    const membership = {
+      group: 'odd',
+      epoch: Number.MAX_SAFE_INTEGER,
+      rank: 0,
+      state: 'open',
+    } as const;
+    const free = Array.from({ length: engines }, (_, index) => createServer(`free-${index}`));
+    this.view = createView([...free, createServer('odd', { model: 'alone', membership })], {
+      profile: { ...PROFILE, models: [SMALL, alone] },
+      targets: [{ model: SMALL, groups: engines / SMALL.size }],
+    });
+  },
+);
+
+When('the domain is planned again', function (this: PlanningWorld) {
+  const [round] = this.rounds;
+  assert.ok(round);
+  const before = round.after;
+  this.rounds = [{ ...round, before, after: revisePlan(before, this.view) }];
+});
+
+Then(
+  'the plan has {int} groups with epochs of their own and can be read again',
+  function (this: PlanningWorld, groups: number) {
+    const plan = this.rounds[0]?.after;
+    const read = groupPlanSchema.safeParse(JSON.parse(JSON.stringify(plan)));
+    assert.ok(read.success, JSON.stringify(plan));
+    const epochs = read.data.groups.map(({ epoch }) => epoch);
+    assert.equal(epochs.length, groups, JSON.stringify(plan));
+    assert.equal(new Set(epochs).size, groups, epochs.join());
+  },
+);
+
 Then(
   'the instance is ordered to leave and is in no group of the plan',
   function (this: PlanningWorld) {
--- a/src/controllers/groups/revise.ts
+++ b/src/controllers/groups/revise.ts
@@ -12,6 +12,7 @@
  */
 import type { BackendServer, GroupModel } from '../../ports/index.js';
 import { adoptFormedGroups } from './adopt.js';
+import { isCredibleEpoch } from './epochs.js';
 import type { GroupTarget } from './targets.js';
 import { toMember, type GroupPlan, type PlannedGroup } from './types.js';
 import {
@@ -208,9 +209,9 @@
   model: GroupModel,
   members: readonly BackendServer[],
 ): GroupPlan {
-  const reportedEpochs = [...view.servers.values()].map(
-    ({ engine }) => engine?.membership?.epoch ?? 0,
-  );
+  const reportedEpochs = [...view.servers.values()]
+    .map(({ engine }) => engine?.membership?.epoch ?? 0)
+    .filter((reported) => isCredibleEpoch(reported, plan.lastEpoch));
   const epoch = Math.max(plan.lastEpoch, ...reportedEpochs) + 1;
   const [head] = members;
   const group: PlannedGroup = {
--- a/src/controllers/groups/types.ts
+++ b/src/controllers/groups/types.ts
@@ -3,6 +3,7 @@
  */
 import * as z from 'zod';
 import type { BackendServer, EngineOrder } from '../../ports/index.js';
+import { MAX_EPOCH } from './epochs.js';
 
 const memberSchema = z.object({
   id: z.string(),
@@ -14,7 +15,7 @@
 const plannedGroupSchema = z.object({
   /** Unique, and never reused after the group is disbanded. */
   name: z.string(),
-  epoch: z.number().int().positive(),
+  epoch: z.int().positive().max(MAX_EPOCH),
   model: z.string(),
   /** The first member is the head. */
   members: z.array(memberSchema).min(1),
@@ -59,7 +60,7 @@
   /** Whether the gateways have served requests. Never becomes false again. */
   hasTraffic: z.boolean().exactOptional(),
   /** The highest epoch assigned in this domain. */
-  lastEpoch: z.number().int().nonnegative(),
+  lastEpoch: z.int().nonnegative().max(MAX_EPOCH),
   groups: z.array(plannedGroupSchema),
 });
 
