A plan that can't be read is replaced like one that a restore has lost

A plan that another writer had overwritten (a text, nested arrays, an epoch out of bounds) was read again in each round, ten times a second, with a line planUnreadable each, and its domain was never planned again.

It now counts as a lost plan: the groups that have formed are adopted from what the engines report, and the next write replaces the object under its revision. As after a restore no load is granted for the time in which earlier orders may still take effect. Loads count as limited, because the lost plan may have said that there is traffic.

Limit: a gateway of an older version that can't read a newer one's plan replaces it as well; before it would have waited for ever.

Test: an outline of odd-entries.feature; its 3 examples opened no group within 30 s before, and open 2 now with at most 2 lines planUnreadable.

--- a/features/gateway/odd-entries.feature
+++ b/features/gateway/odd-entries.feature
@@ -34,3 +34,17 @@
     Given a site with 2 plain servers and a ready gateway
     When another writer adds entries whose addresses can't be called
     Then 12 requests are answered, and the gateway has logged each of the entries once
+
+  # Guards against a domain that is never planned again after one odd write, with a read in each round.
+  Scenario Outline: Another writer has left <plan> in place of a plan
+    Given a site with 4 engines and no groups
+    And another writer has left <plan> in place of a plan
+    And a gateway that is ready and reads it
+    Then 2 groups of different epochs are open in the end
+    And the gateway has logged "planUnreadable" at most 2 times
+
+    Examples:
+      | plan                                      |
+      | a text                                    |
+      | the highest epoch                         |
+      | 100000 arrays in each other as its groups |
--- a/src/gateway/groups/domain-controller.ts
+++ b/src/gateway/groups/domain-controller.ts
@@ -71,6 +71,12 @@
 /** Delay after a failed store call. */
 const STORE_RETRY_DELAY_MS: Milliseconds = 150;
 
+/**
+ * In place of a plan that another writer has overwritten, as if a restored store lacked it: the groups
+ * that have formed are adopted. Loads are limited, whether the lost plan said so or not.
+ */
+const UNREADABLE_PLAN: GroupPlan = { ...EMPTY_PLAN, hasTraffic: true };
+
 interface SendableOrder {
   due: DueOrder;
   /** Absent if the order causes no load. */
@@ -114,8 +120,13 @@
       return;
     }
     const parsed = groupPlanSchema.safeParse(read.value.value);
-    if (parsed.success) stored = { plan: parsed.data, revision: read.value.revision };
-    else logger.log('planUnreadable', { domain: state.domain, reason: parsed.error.message });
+    if (parsed.success) {
+      stored = { plan: parsed.data, revision: read.value.revision };
+      return;
+    }
+    logger.log('planUnreadable', { domain: state.domain, reason: parsed.error.message });
+    stored = { plan: UNREADABLE_PLAN, revision: read.value.revision };
+    grantsFrom = clock.now() + RESTORE_HOLD_MS;
   };
   /** Discards a plan read before the store was restored from an older copy. */
   const discardPlanOfFormerEra = (): void => {
