An exception while an answer of the store is read no longer halts its follower

An exception inside a call of the follower (a decoder, a path that can't be encoded) was an unhandled rejection of callHedged, whose promise then never settled: the follower went on sending copies that threw as well, and never listed again. One inside a long watch left its polls running, so that their number grew with each watch.

callHedged now rejects with the first exception, which the follower logs and retries as any exception of its own processing; a watch ends its polls however it ends.

--- a/features/gateway/following.feature
+++ b/features/gateway/following.feature
@@ -6,6 +6,18 @@
     And processing the first list throws
     Then it has processed a list within 3000 ms
 
+  Scenario: Reading the answers of the store throws
+    # An exception while a body is read must end the call, not only its copy: the follower would wait for ever.
+    Given a follower of a store the reading of whose first 3 answers throws, retrying every 200 ms
+    Then it has processed a list within 3000 ms
+    And it has reported 3 errors
+
+  Scenario: Reading the answers to watches throws
+    # Each failed watch must end its polls as well, or their number would grow with each.
+    Given a follower of a store the reading of whose watches throws, retrying every 20 ms
+    When it has followed for 2000 ms
+    Then the store was called at most 100 times
+
   Scenario: The one that follows for all dies while the store is silent
     # A shorter retry interval must take effect at once, also for a call that is already in flight.
     Given a follower of a silent store that retries every 5000 ms
--- a/features/gateway/following.steps.ts
+++ b/features/gateway/following.steps.ts
@@ -29,6 +29,9 @@
   /** Lists processed without an exception. */
   listsProcessed: number;
   remainingThrows: number;
+  errors: number;
+  /** Whether reading the answer to a watch that waits throws, while polls are due at all times. */
+  watchesThrow?: boolean;
   retryAfterMs: number;
   /** Cuts off the watches that wait; those that return what there is are answered. */
   cutWatches: (() => void) | undefined;
@@ -61,6 +64,7 @@
 function startFollower(world: FollowingWorld, isSilent: boolean, list?: ListBehavior): void {
   world.calls = 0;
   world.listsProcessed = 0;
+  world.errors = 0;
   world.remainingThrows = 0;
   const countCall = (): void => {
     world.calls += 1;
@@ -75,6 +79,7 @@
     },
     watch: (_kind, _revision, waitMs) => {
       countCall();
+      if (waitMs === WATCH_MS && world.watchesThrow) return throwWhileRead();
       if (waitMs === WATCH_MS && world.cutWatches) return waitUntilCut(world);
       return okAsync({ kind: 'changes', changes: { changes: [], revision: 1 } });
     },
@@ -94,7 +99,7 @@
     random: createRandom(1),
     watchMs: WATCH_MS,
     coalesceMs: () => 0,
-    proofDueInMs: () => 1_000,
+    proofDueInMs: () => (world.watchesThrow ? 0 : 1_000),
     retryAfterMs: () => world.retryAfterMs,
     onList: () => {
       if (world.remainingThrows > 0) {
@@ -106,7 +111,9 @@
     onChanges: () => undefined,
     onProof: () => undefined,
     onSilentWatch: () => undefined,
-    onError: () => undefined,
+    onError: () => {
+      world.errors += 1;
+    },
   });
   world.follower.start();
 }
@@ -116,6 +123,33 @@
   startFollower(this, false);
 });
 
+function throwWhileRead<Value>(): ResultAsync<Value, StoreFailure> {
+  return new ResultAsync(Promise.reject(new Error('unreadable body')));
+}
+
+Given(
+  'a follower of a store the reading of whose first {int} answers throws, retrying every {int} ms',
+  function (this: FollowingWorld, answers: number, everyMs: number) {
+    this.retryAfterMs = everyMs;
+    startFollower(this, false, () =>
+      this.calls <= answers ? throwWhileRead() : okAsync({ objects: [], more: false, revision: 1 }),
+    );
+  },
+);
+
+Given(
+  'a follower of a store the reading of whose watches throws, retrying every {int} ms',
+  function (this: FollowingWorld, everyMs: number) {
+    this.retryAfterMs = everyMs;
+    this.watchesThrow = true;
+    startFollower(this, false);
+  },
+);
+
+Then('it has reported {int} errors', function (this: FollowingWorld, errors: number) {
+  assert.equal(this.errors, errors);
+});
+
 Given('processing the first list throws', function (this: FollowingWorld) {
   this.remainingThrows = 1;
 });
--- a/src/gateway/store/follower.ts
+++ b/src/gateway/store/follower.ts
@@ -211,9 +211,11 @@
     answer,
     wasCutOff: answer.isErr(),
   }));
-  const winner = await Promise.race([waited, polled]);
-  finished.abort();
-  return winner;
+  try {
+    return await Promise.race([waited, polled]);
+  } finally {
+    finished.abort();
+  }
 }
 
 async function waitForChange(context: StepContext, revision: number): Promise<WatchResult> {
--- a/src/gateway/store/hedged-call.ts
+++ b/src/gateway/store/hedged-call.ts
@@ -21,7 +21,8 @@
 }
 
 /**
- * Resolves with the first answer, or with a failure once all copies in flight have failed.
+ * Resolves with the first answer, or with a failure once all copies in flight have failed. Rejects when a
+ * call throws, as while its answer is read.
  *
  * A store that becomes unresponsive and recovers never answers calls sent meanwhile; waiting for their
  * timeout would delay updates by as much. A store that is only slow still answers the first copy.
@@ -33,15 +34,23 @@
   const signal = AbortSignal.any([options.signal, settled.signal]);
   const cancelled = createFailure('platformUnavailable', { reason: 'the call was cancelled' });
   if (signal.aborted) return Promise.resolve(err(cancelled));
-  return new Promise((resolve) => {
+  return new Promise((resolve, reject) => {
     let inFlight = 0;
     let lastActivityAt = 0;
-    const finish = (result: Result<Value, StoreFailure>): void => {
+    const end = (): void => {
       clearInterval(timer);
       options.signal.removeEventListener('abort', cancel);
-      resolve(result);
       settled.abort();
     };
+    const finish = (result: Result<Value, StoreFailure>): void => {
+      resolve(result);
+      end();
+    };
+    /** What threw once would throw for each further copy. */
+    const fail = (error: unknown): void => {
+      reject(error instanceof Error ? error : new Error(String(error)));
+      end();
+    };
     const cancel = (): void => {
       finish(err(cancelled));
     };
@@ -59,9 +68,9 @@
     const timer = setInterval(() => {
       if (options.clock.now() - lastActivityAt < options.hedgeDelayMs()) return;
       options.onHedge();
-      void sendCall();
+      sendCall().catch(fail);
     }, CHECK_INTERVAL_MS);
     options.signal.addEventListener('abort', cancel, { once: true });
-    void sendCall();
+    sendCall().catch(fail);
   });
 }
