Entries of gateways are bounded by what other gateways accept

Another writer's entry of kind gateways with a quarantine of a huge name was taken over by every gateway that listed it and went into all its digests. A huge address went into the lists of known gateways, and an entry with another gateway's name replaced that gateway's address.

A quarantine's name is bounded by that of all fingerprints that a request can have, names, addresses and failure domains by 256 characters, in the settings as well; an entry counts only under its own name. As each entry is checked by itself, the sound ones stay in force.

Test: a scenario of quarantine.feature; it failed before for the peers, and with that part fixed alone for the size of the digest.

--- a/features/gateway/quarantine-store.steps.ts
+++ b/features/gateway/quarantine-store.steps.ts
@@ -4,14 +4,16 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { okAsync } from 'neverthrow';
-import type { Digest } from '../../src/controllers/peering/index.js';
+import { digestSchema, type Digest, type KnownPeer } from '../../src/controllers/peering/index.js';
 import { createManualClock, type ManualClock } from '../../src/core/clock/index.js';
+import { createRandom } from '../../src/core/random/index.js';
 import type { EngineCalls } from '../../src/gateway/backends/engine-calls.js';
 import { createGatewayRegistration } from '../../src/gateway/peers/registration.js';
 import { createQuarantine, type Quarantine } from '../../src/gateway/requests/quarantine.js';
 import type { FleetMembers } from '../../src/controllers/quotas/index.js';
 import type { ObjectStore } from '../../src/gateway/store/client.js';
 import type { GatewayContext } from '../../src/gateway/types.js';
+import type { StoreObject } from '../../src/ports/index.js';
 import { waitFor } from '../support/waiting.js';
 import { createServer } from './planning-model.js';
 
@@ -20,6 +22,8 @@
   clock: ManualClock;
   stored: StoredEntry | undefined;
   writes: number;
+  entries: readonly StoreObject[];
+  peers: KnownPeer[];
 }
 
 /** What the store holds of a gateway. */
@@ -158,3 +162,77 @@
     [name],
   );
 });
+
+const SELF: KnownPeer = { name: 'gateway-0', address: '10.0.0.1:9000', failureDomain: 'north' };
+const SOUND: KnownPeer = { ...SELF, name: 'gateway-1', address: '10.0.0.2:9000' };
+const HUGE_TEXT = 'x'.repeat(900_000);
+const MAX_DIGEST_CHARACTERS = 300_000;
+
+Given(
+  "entries of gateways with a huge fingerprint, a huge address, times beyond the calendar and another's name",
+  function (this: StoreWorld) {
+    const until = Date.now() + 60_000;
+    const values = [
+      SOUND,
+      { quarantined: [{ fingerprint: HUGE_TEXT, since: 0, until }] },
+      { ...SOUND, name: 'odd-2', address: HUGE_TEXT },
+      { quarantined: [{ fingerprint: 'y', since: -Number.MAX_VALUE, until: Number.MAX_VALUE }] },
+      { ...SOUND, address: '256.1.1.1:1' },
+    ];
+    this.entries = values.map((value, index) => ({
+      name: index === 0 ? SOUND.name : `odd-${index}`,
+      revision: index + 1,
+      value,
+    }));
+  },
+);
+
+When('a gateway registers and reads them', async function (this: StoreWorld) {
+  const context = createContext();
+  createObservedQuarantine(this, context);
+  this.peers = [];
+  const store = {
+    write: () => okAsync({ kind: 'written', object: { revision: 1 } }),
+    list: () => okAsync({ objects: this.entries, more: false, revision: 9 }),
+  };
+  const members = {
+    isCounted: true,
+    observeList: () => undefined,
+    listForgettable: () => [],
+    restoreEntry: () => undefined,
+  };
+  const registration = createGatewayRegistration({
+    context: { ...context, random: createRandom(1) },
+    store: store as unknown as ObjectStore,
+    self: SELF,
+    members: members as unknown as FleetMembers,
+    quarantine: this.quarantine,
+    onPeer: (peer) => this.peers.push(peer),
+  });
+  await registration.register();
+  registration.close();
+});
+
+Then(
+  'it knows the sound gateway alone, and its digest is one that others accept',
+  function (this: StoreWorld) {
+    assert.deepEqual(this.peers, [SOUND]);
+    const digest = {
+      ...SELF,
+      incarnation: 'life-1',
+      storeReachable: true,
+      stopping: false,
+      hasServed: false,
+      configurationVersion: 1,
+      fleetRevision: 1,
+      load: [],
+      suspicions: [],
+      known: this.peers,
+      ...this.quarantine.buildDigest(),
+    };
+    const message = JSON.stringify(digest);
+    assert.ok(message.length <= MAX_DIGEST_CHARACTERS, `${message.length} characters`);
+    const read = digestSchema.safeParse(JSON.parse(message));
+    assert.ok(read.success, read.error?.message);
+  },
+);
--- a/features/gateway/quarantine.feature
+++ b/features/gateway/quarantine.feature
@@ -164,3 +164,9 @@
     Given a gateway to which a server has closed the connections of "a", "b" and "c" after their responses
     When 4000 ms pass, and the server ends under "d"
     Then the gateway reports the end for "d" alone
+
+  # Guards against a gateway that no other one hears any more, because its digests exceed what they accept.
+  Scenario: Another writer has left odd entries among those of the gateways
+    Given entries of gateways with a huge fingerprint, a huge address, times beyond the calendar and another's name
+    When a gateway registers and reads them
+    Then it knows the sound gateway alone, and its digest is one that others accept
--- a/src/controllers/peering/types.ts
+++ b/src/controllers/peering/types.ts
@@ -23,10 +23,13 @@
 /** Backend servers that are slower than usual. */
 const speedsSchema = z.array(speedReportSchema).max(1_000);
 
+/** Gateways pass on all that they know of each other, in messages of limited size. */
+const peerTextSchema = z.string().max(256);
+
 export const knownPeerSchema = z.object({
-  name: z.string(),
-  address: z.string(),
-  failureDomain: z.string(),
+  name: peerTextSchema,
+  address: peerTextSchema,
+  failureDomain: peerTextSchema,
 });
 
 /** Services whose servers a gateway does not reach over its own links; absent if there are none. */
--- a/src/controllers/quarantine/types.ts
+++ b/src/controllers/quarantine/types.ts
@@ -6,8 +6,11 @@
 import * as z from 'zod';
 
 const durationMs = z.number().nonnegative();
-const fingerprint = z.string().max(64);
+const MAX_FINGERPRINT_CHARACTERS = 64;
+const fingerprint = z.string().max(MAX_FINGERPRINT_CHARACTERS);
 const MAX_PARTS = 32;
+/** Of all fingerprints of a request, with their separators. */
+const MAX_COMBINATION_CHARACTERS = (MAX_PARTS + 1) * (MAX_FINGERPRINT_CHARACTERS + 1);
 /** Fingerprints of the parts of a request's prompt. */
 const parts = z.array(fingerprint).max(MAX_PARTS).optional();
 
@@ -31,7 +34,7 @@
 
 export const quarantineNoticeSchema = z.object({
   /** Requests that have all of these fingerprints, see {@link joinFingerprints}, are held. */
-  fingerprint: z.string(),
+  fingerprint: z.string().max(MAX_COMBINATION_CHARACTERS),
   /** Time since the quarantine began. */
   ageMs: durationMs,
   /** Remaining time of the quarantine. */
--- a/src/gateway/peers/registration.ts
+++ b/src/gateway/peers/registration.ts
@@ -9,7 +9,10 @@
 import type { ResultAsync } from 'neverthrow';
 import * as z from 'zod';
 import { knownPeerSchema, type KnownPeer } from '../../controllers/peering/index.js';
-import type { QuarantineNotice } from '../../controllers/quarantine/index.js';
+import {
+  quarantineNoticeSchema,
+  type QuarantineNotice,
+} from '../../controllers/quarantine/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import type { FleetMembers } from '../../controllers/quotas/index.js';
 import type { Quarantine } from '../requests/quarantine.js';
@@ -54,7 +57,12 @@
 const countedSchema = z.object({ counted: z.literal(true) });
 const storedQuarantineSchema = z.object({
   quarantined: z.array(
-    z.object({ fingerprint: z.string(), since: unixMsSchema, until: unixMsSchema }),
+    z.object({
+      // Within what other gateways accept, because it becomes part of all digests.
+      fingerprint: quarantineNoticeSchema.shape.fingerprint,
+      since: unixMsSchema,
+      until: unixMsSchema,
+    }),
   ),
 });
 
@@ -121,7 +129,8 @@
     for (const { name, value } of listed.value.objects) {
       restoreQuarantine(value);
       const peer = knownPeerSchema.safeParse(value);
-      if (!peer.success) continue;
+      // A gateway's own entry has its name; another one would replace what is known of a gateway.
+      if (!peer.success || peer.data.name !== name) continue;
       options.onPeer(peer.data);
       names.push(name);
     }
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -9,8 +9,8 @@
   .regex(/^[^:\s]+:\d{1,5}$/, 'must be host:port, for example "10.0.0.7:8080"');
 
 export const gatewaySettingsSchema = z.strictObject({
-  name: z.string().min(1).describe("This gateway's name, unique among the gateways."),
-  failureDomain: z.string().min(1).describe('The failure domain it runs in.'),
+  name: z.string().min(1).max(256).describe("This gateway's name, unique among the gateways."),
+  failureDomain: z.string().min(1).max(256).describe('The failure domain it runs in.'),
   logLevel: z
     .enum(['error', 'warn', 'info', 'debug'])
     .default('info')
