Entries of the platform's list follow it past odd objects of other writers

One object of an answer that was no object (a name of another form, a version beyond all exact numbers) made the whole list or watch invalid, and the watch loop repeated it for ever without any change taken over. A value nested 100,000 levels deep was kept as the newest version of its object and then threw in JSON.stringify for each page of configuration that a peer asked for. An exception while a list was processed ended the loop for good, as an unhandled rejection. Instances with a port above 65535 or a host that is no URL host became targets, for which undici throws.

The client reads the items of a list one by one and logs how many it left out (storeItemsDropped). Values with more than 64 levels are read as null, which no schema accepts: the valid version before stays in force and the object is logged as rejected. The loop counts an exception as a failed watch, with its back-off and one log line. Addresses of instances have to be those that URL.canParse takes.

--- a/src/adapters/platform/client.ts
+++ b/src/adapters/platform/client.ts
@@ -2,7 +2,7 @@
  * The platform's object API over HTTP.
  */
 import { err, errAsync, ok, ResultAsync, type Result } from 'neverthrow';
-import type * as z from 'zod';
+import * as z from 'zod';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure } from '../../core/errors/index.js';
 import type { Logger } from '../../core/logger/index.js';
@@ -17,6 +17,7 @@
   MAX_VALUE_BYTES,
   objectListSchema,
   type BatchResult,
+  type ObjectList,
 } from './protocol.js';
 import { resolveConflict, settleSending, type Sending } from './settle.js';
 import type { Platform, PlatformFailure, PlatformWrite, WriteOutcome } from './types.js';
@@ -30,6 +31,8 @@
   logger: Logger;
 }
 
+const itemListSchema = objectListSchema.extend({ objects: z.array(z.unknown()) });
+
 /** A {@link Platform} that holds connections. */
 export interface PlatformClient extends Platform {
   /** Closes the connections; calls under way fail. */
@@ -62,20 +65,26 @@
       .call({ method: 'GET', path, timeoutMs: timeoutMs + waitMs, ...(signal && { signal }) })
       .mapErr(toReadFailure);
 
+  /** Leaves out what is no object, so that it doesn't hide the others. */
+  const parseList = (answer: PlatformAnswer, name: string): Result<ObjectList, PlatformFailure> =>
+    parseOk(itemListSchema, answer, name).map(({ objects: items, revision }) => {
+      const objects = items.flatMap((item) => storedObjectSchema.safeParse(item).data ?? []);
+      const dropped = items.length - objects.length;
+      if (dropped > 0) options.logger.log('storeItemsDropped', { items: dropped });
+      return { objects, revision };
+    });
+
   return {
     close: () => caller.close(),
     onReturn: (listener) => caller.onReturn(listener),
-    list: (kind) =>
-      get(`/objects/${kind}`).andThen((answer) => parseOk(objectListSchema, answer, kind)),
+    list: (kind) => get(`/objects/${kind}`).andThen((answer) => parseList(answer, kind)),
     read: (kind, name) =>
       get(`/objects/${kind}/${encodeURIComponent(name)}`).andThen((answer) =>
         answer.status === 404 ? ok(undefined) : parseOk(storedObjectSchema, answer, name),
       ),
     watch: (kinds, since, waitMs, signal) => {
       const path = `/watch?kinds=${kinds.join(',')}&since=${since}&waitMs=${Math.ceil(waitMs)}`;
-      return get(path, waitMs, signal).andThen((answer) =>
-        parseOk(objectListSchema, answer, 'watch'),
-      );
+      return get(path, waitMs, signal).andThen((answer) => parseList(answer, 'watch'));
     },
     write: (write) => {
       const invalid = checkSize(write);
--- a/src/adapters/platform/watch-loop.ts
+++ b/src/adapters/platform/watch-loop.ts
@@ -88,7 +88,9 @@
     const startedAt = clock.now();
     const watched = await platform.watch(kinds, revision, waitMs, turnSignal);
     if (isStopped()) break;
-    const answer = watched.andThen((list) => rejectOldCopy(list, revision));
+    const answer = watched
+      .andThen((list) => rejectOldCopy(list, revision))
+      .andThen((list) => deliver(list, options));
     if (answer.isErr()) {
       waitMs = 0;
       if (turn.signal.aborted) continue;
@@ -104,7 +106,6 @@
     failures = 0;
     revision = answer.value.revision;
     waitMs = options.waitMs;
-    options.onList(answer.value);
     if (answer.value.objects.length > 0) {
       await pause(findPause(options.pauseMs), signal);
     } else {
@@ -125,6 +126,16 @@
   return err(createFailure('platformUnavailable', { reason }));
 }
 
+/** An exception while a list is processed counts as a failed watch: the loop must go on. */
+function deliver(list: ObjectList, options: WatchLoopOptions): Result<ObjectList, PlatformFailure> {
+  try {
+    options.onList(list);
+    return ok(list);
+  } catch (error) {
+    return err(createFailure('platformUnavailable', { reason: `not processed: ${String(error)}` }));
+  }
+}
+
 function findPause(pauseMs: WatchLoopOptions['pauseMs']): Milliseconds {
   return typeof pauseMs === 'function' ? pauseMs() : (pauseMs ?? DEFAULT_PAUSE_MS);
 }
--- a/src/objects/schemas.ts
+++ b/src/objects/schemas.ts
@@ -109,19 +109,23 @@
   callRecordRetentionMs: positiveInteger.default(86_400_000),
 });
 
+/** `host:port`; the HTTP client throws for other texts. */
+const addressSchema = z
+  .string()
+  .max(256)
+  .regex(/^[^:\s]+:\d{1,5}$/)
+  .refine((address) => URL.canParse(`http://${address}`), 'not a host and a port');
+
 /** An instance in the platform's list, which is updated with a delay. */
 export const instanceSchema = z.strictObject({
   role: z.enum(['entry', 'engine', 'service']),
   /** `host:port`, where `host` is an IP address. */
-  address: z.string().regex(/^[^:\s]+:\d{1,5}$/),
+  address: addressSchema,
   state: z.enum(['live', 'leaving']).default('live'),
   region: nameSchema.default('default'),
   failureDomain: nameSchema,
   /** Address for connections from other entries; only present for entries. */
-  peerAddress: z
-    .string()
-    .regex(/^[^:\s]+:\d{1,5}$/)
-    .optional(),
+  peerAddress: addressSchema.optional(),
   /** Only present for engines. */
   fabricDomain: nameSchema.optional(),
   labels: labelsSchema.default({}),
@@ -240,6 +244,16 @@
 export const CONFIGURATION_KINDS = ['model', 'service', 'workspace', 'policy'] as const;
 export const configurationKindSchema = z.enum(CONFIGURATION_KINDS);
 
+/** Far above that of any kind. */
+const MAX_VALUE_DEPTH = 64;
+
+/** Whether `value` has at most `levels` arrays and objects in each other. */
+function isWithinDepth(value: unknown, levels: number): boolean {
+  if (typeof value !== 'object' || value === null) return true;
+  if (levels === 0) return false;
+  return Object.values(value).every((inner) => isWithinDepth(inner, levels - 1));
+}
+
 /** An object as stored by the platform. Deleted objects remain as tombstones without a value. */
 export const storedObjectSchema = z.object({
   kind: objectKindSchema,
@@ -249,8 +263,11 @@
   /** Chosen by the writer of the last change to identify its own write after a lost response. */
   nonce: z.string(),
   deleted: z.boolean(),
-  /** Not validated here; readers apply the schema of the kind. Null in a tombstone. */
-  value: z.unknown(),
+  /**
+   * Not validated here; readers apply the schema of the kind. Null in a tombstone. A value that is nested
+   * too deeply is read as null, which no schema accepts, because it could not be sent to other entries.
+   */
+  value: z.unknown().transform((value) => (isWithinDepth(value, MAX_VALUE_DEPTH) ? value : null)),
 });
 
 export type Model = z.infer<typeof modelSchema>;
