--- a/src/controllers/groups/view.ts
+++ b/src/controllers/groups/view.ts
@@ -7,6 +7,7 @@
   GroupMembership,
   GroupModel,
 } from '../../ports/index.js';
+import { isCredibleEpoch } from './epochs.js';
 import type { GroupTarget } from './targets.js';
 import type { GroupMember, GroupPlan, PlannedGroup } from './types.js';
 
@@ -52,7 +53,10 @@
  * the plan, or the store was restored from a copy without the change.
  */
 export function reportsLaterEpoch(servers: Iterable<BackendServer>, plan: GroupPlan): boolean {
-  return [...servers].some(({ engine }) => (engine?.membership?.epoch ?? 0) > plan.lastEpoch);
+  return [...servers].some(({ engine }) => {
+    const epoch = engine?.membership?.epoch ?? 0;
+    return epoch > plan.lastEpoch && isCredibleEpoch(epoch, plan.lastEpoch);
+  });
 }
 
 /** The membership that `id` reports, if it belongs to `group` with the same epoch. */
--- a/src/gateway/groups/domain-controller.ts
+++ b/src/gateway/groups/domain-controller.ts
@@ -82,6 +82,12 @@
 /** Delay after a failed store call. */
 const STORE_RETRY_DELAY_MS: Milliseconds = 150;
 
+/**
+ * In place of a plan that another writer has overwritten, as if a restored store lacked it: the groups
+ * that have formed are adopted. Loads are limited, whether the lost plan said so or not.
+ */
+const UNREADABLE_PLAN: GroupPlan = { ...EMPTY_PLAN, hasTraffic: true };
+
 interface SendableOrder {
   due: DueOrder;
   /** Absent if the order causes no load. */
@@ -94,6 +100,8 @@
   knownAt: Milliseconds;
   /** Absent if the object does not exist yet. */
   revision?: number;
+  /** Whether another plan takes the place of one that can't be read, so that nothing says what it rested on. */
+  isUnreadable?: boolean;
 }
 
 function readFleetAge({
@@ -142,8 +150,13 @@
     }
     const parsed = groupPlanSchema.safeParse(read.value.value);
     const { revision } = read.value;
-    if (parsed.success) stored = { plan: parsed.data, revision, knownAt: clock.now() };
-    else logger.log('planUnreadable', { domain: state.domain, reason: parsed.error.message });
+    if (parsed.success) {
+      stored = { plan: parsed.data, revision, knownAt: clock.now() };
+      return;
+    }
+    logger.log('planUnreadable', { domain: state.domain, reason: parsed.error.message });
+    stored = { plan: UNREADABLE_PLAN, revision, knownAt: clock.now(), isUnreadable: true };
+    grantsFrom = clock.now() + RESTORE_HOLD_MS;
   };
   /** Discards a plan read before the store was restored from an older copy. */
   const discardPlanOfFormerEra = (): void => {
