Parts of bodies are kept in about as much memory as their bytes

Callers saw requests of others end with their gateway: several faulty servers that send bodies or events in small chunks without end, to many callers at once, made the process grow by several hundred MB.

Cause: what a gateway keeps of an answer was counted by the bytes of the body. Each chunk is an object of its own and a view of the data that it was received with, chunk extensions included, which was kept with it.

Small chunks are now copied together (core/packed-bytes), for answers that are read whole and for events that are not complete. The bounds are as before.

--- a/features/gateway/endless-answers.steps.ts
+++ b/features/gateway/endless-answers.steps.ts
@@ -4,6 +4,9 @@
 import assert from 'node:assert/strict';
 import { readFile } from 'node:fs/promises';
 import { Given, Then, When } from '@cucumber/cucumber';
+import { groupBy } from '../../src/core/collections/index.js';
+import { PackedBytes } from '../../src/core/packed-bytes/index.js';
+import { createRandom } from '../../src/core/random/index.js';
 import { EventStream, MAX_BYTES_WITHOUT_EVENT } from '../../src/controllers/forwarding/index.js';
 import { waitFor } from '../support/waiting.js';
 import { Site, type Answer } from './site.js';
@@ -22,6 +25,7 @@
   spentMs: number;
   stream: GatewayWorld['stream'];
   events: EventStream;
+  collected: { packed: PackedBytes; whole: Buffer }[];
 }
 
 const ENGINES = 6;
@@ -46,6 +50,23 @@
   'a chunk size': { begin: chunked, repeat: '0' },
   'a body that ends with its connection': { begin: unframed, repeat: 'data:b' },
   'a body in chunks': { begin: chunked, repeat: '6\r\ndata:b\r\n' },
+  'a body in chunks of one byte': { begin: chunked, repeat: '1\r\nb\r\n' },
+  'a body in chunks with extensions': {
+    begin: chunked,
+    repeat: `80;${'e'.repeat(900)}\r\n${'b'.repeat(128)}\r\n`,
+  },
+  'an event in chunks with extensions': {
+    begin: (id) => `${chunked(id)}6\r\ndata: \r\n`,
+    repeat: `10;${'e'.repeat(100)}\r\n${'b'.repeat(16)}\r\n`,
+  },
+  'an event in chunks of one byte': {
+    begin: (id) => `${chunked(id)}6\r\ndata: \r\n`,
+    repeat: '1\r\nb\r\n',
+  },
+  'events in chunks of one byte': {
+    begin: chunked,
+    repeat: Array.from('data: b\n\n', (byte) => `1\r\n${byte}\r\n`).join(''),
+  },
   'a body with a huge length': {
     begin: (id) => head(id, 'Content-Length: 1000000000000'),
     repeat: 'data:b',
@@ -65,8 +86,8 @@
 }
 
 Given(
-  /^a gateway beside plain servers and engines, one of each sending (.+) without end$/,
-  async function (this: EndlessWorld, what: string) {
+  /^a gateway beside plain servers and engines, (one of each|all but two) sending (.+) without end$/,
+  async function (this: EndlessWorld, which: string, what: string) {
     const form = FORMS[what];
     assert.ok(form, what);
     this.site = new Site();
@@ -87,10 +108,13 @@
       );
       return opened.length >= ENGINES / 2;
     });
-    const engine = this.site.listOpen().find(({ membership }) => membership?.rank === 0);
-    const plain = this.site.servers.find(({ options }) => options.id === 'plain-0');
-    assert.ok(engine && plain);
-    this.faulty = [engine, plain];
+    const engines = this.site.listOpen().filter(({ membership }) => membership?.rank === 0);
+    const plain = this.site.servers.filter(({ options }) => options.service === 'app');
+    this.faulty =
+      which === 'one of each'
+        ? [...engines.slice(0, 1), ...plain.slice(0, 1)]
+        : [...engines.slice(1), ...plain.slice(1)];
+    assert.ok(this.faulty.length >= 2);
     for (const server of this.faulty) server.fault = { kind: 'endless', ...form };
     this.before = await readUse(this.gateway.pid);
   },
@@ -113,6 +137,52 @@
   },
 );
 
+When(
+  '{int} lookups and {int} streams come at once, {int} times',
+  async function (this: EndlessWorld, lookups: number, streams: number, times: number) {
+    const paths = [
+      ...Array.from({ length: lookups }, () => '/list/x'),
+      ...Array.from({ length: streams }, () => '/chat/x'),
+    ];
+    for (let round = 0; round < times; round += 1) {
+      const asked = paths.map((path) =>
+        this.site.request(this.gateway, {
+          path,
+          headers: exampleHeaders(this.site.nextId(), 2_000),
+        }),
+      );
+      this.answers.push(...(await Promise.all(asked)));
+    }
+    await waitFor('the answers without end to be closed', () =>
+      this.faulty.every(({ working }) => working.size === 0),
+    );
+  },
+);
+
+Then(
+  'the gateway answers a lookup once its servers are sound',
+  async function (this: EndlessWorld) {
+    for (const server of this.faulty) server.fault = { kind: 'none' };
+    await waitFor('a lookup to be answered', async () => {
+      const headers = exampleHeaders(this.site.nextId(), 2_000);
+      const { status } = await this.site.request(this.gateway, { path: '/list/x', headers });
+      return status === 200;
+    });
+  },
+);
+
+Then(
+  'the gateway has used at most {int} MB more of memory',
+  async function (this: EndlessWorld, mb: number) {
+    const use = await readUse(this.gateway.pid);
+    const grownKb = use.peakKb - this.before.peakKb;
+    const byStatus = groupBy(this.answers, ({ status }) => status);
+    const statuses = [...byStatus].map(([status, answers]) => `${answers.length} of ${status}`);
+    this.log(`${grownKb} KB more; answers: ${statuses.join(', ')}`);
+    assert.ok(grownKb <= mb * 1_024, `${grownKb} KB`);
+  },
+);
+
 Then(
   'all of the lookups and streams are answered whole by other servers',
   function (this: EndlessWorld) {
@@ -178,3 +248,33 @@
     assert.equal(this.events.push(Buffer.alloc(kb * 1_024, 'x')).fault, 'endless');
   },
 );
+
+When(
+  '{int} draws of chunks of {int} to {int} bytes are collected',
+  function (this: EndlessWorld, draws: number, least: number, most: number) {
+    const random = createRandom(draws);
+    this.collected = Array.from({ length: draws }, () => {
+      const packed = new PackedBytes();
+      const chunks = Array.from({ length: 1 + Math.floor(random.fraction() * 40) }, (_, index) => {
+        const range = random.fraction() < 0.7 ? 100 : most - least;
+        const length = least + Math.floor(random.fraction() * range);
+        // Within a larger one, as a chunk of a body is within the data that it was received with.
+        const room = Math.floor(random.fraction() * 3) * length;
+        return Buffer.alloc(room + length, index).subarray(room);
+      });
+      for (const chunk of chunks) packed.push(chunk);
+      return { packed, whole: Buffer.concat(chunks) };
+    });
+  },
+);
+
+Then('each draw has the bytes of its chunks in order', function (this: EndlessWorld) {
+  const end = Buffer.from('end');
+  for (const { packed, whole } of this.collected) {
+    assert.equal(packed.length, whole.length);
+    assert.ok(packed.concat().equals(whole));
+    assert.ok(packed.concat(end).equals(Buffer.concat([whole, end])));
+    packed.clear();
+    assert.equal(packed.concat().length, 0);
+  }
+});
--- a/src/controllers/forwarding/event-stream.ts
+++ b/src/controllers/forwarding/event-stream.ts
@@ -8,6 +8,7 @@
  * Each byte is looked at once, and only a bounded number of bytes may come without a new event: a server
  * may send comments, or an event, without end.
  */
+import { PackedBytes } from '../../core/packed-bytes/index.js';
 
 /** The result of processing one chunk. */
 export interface StreamPart {
@@ -39,9 +40,8 @@
 
 /** The state of one response across all its runs. Mutable; owned by one request. */
 export class EventStream {
-  /** Chunks of the block that is not complete yet. */
-  private partial: Buffer[] = [];
-  private partialBytes = 0;
+  /** What has come of the block that is not complete yet. */
+  private readonly partial = new PackedBytes();
   /** Whether the block has a complete line. */
   private hasLine = false;
   /** Bytes of the line that is not complete yet, and its first one. */
@@ -62,7 +62,7 @@
 
   /** Whether part of an incomplete event is buffered. */
   get hasPartialEvent(): boolean {
-    return this.partialBytes > 0;
+    return this.partial.length > 0;
   }
 
   /** Starts a new run and discards the partial event of the last one, which is sent again. */
@@ -112,11 +112,8 @@
   }
 
   private keepRest(rest: Buffer): 'endless' | undefined {
-    if (rest.length > 0) {
-      this.partial.push(rest);
-      this.partialBytes += rest.length;
-    }
-    const isEndless = this.bytesWithoutEvent + this.partialBytes > MAX_BYTES_WITHOUT_EVENT;
+    if (rest.length > 0) this.partial.push(rest);
+    const isEndless = this.bytesWithoutEvent + this.partial.length > MAX_BYTES_WITHOUT_EVENT;
     return isEndless ? 'endless' : undefined;
   }
 
@@ -149,16 +146,14 @@
 
   /** The whole block whose last bytes are `end`. */
   private completeBlock(end: Buffer): Buffer {
-    const block = this.partial.length === 0 ? end : Buffer.concat([...this.partial, end]);
+    const block = this.partial.length === 0 ? end : this.partial.concat(end);
     this.bytesWithoutEvent += block.length;
-    this.partial = [];
-    this.partialBytes = 0;
+    this.partial.clear();
     return block;
   }
 
   private clearBlock(): void {
-    this.partial = [];
-    this.partialBytes = 0;
+    this.partial.clear();
     this.hasLine = false;
     this.lineBytes = 0;
   }
--- /dev/null
+++ b/src/core/packed-bytes/index.ts
@@ -0,0 +1,1 @@
+export * from './packed-bytes.js';
--- a/src/gateway/requests/request-attempts.ts
+++ b/src/gateway/requests/request-attempts.ts
@@ -182,9 +182,10 @@
 
   /** Keeps a part of a response that is sent once it is complete. */
   buffer(attempt: TrackedAttempt, chunk: Buffer): 'progress' | 'endless' {
-    if (attempt.body.length >= MAX_PARTS) return 'endless';
+    if (attempt.bodyParts >= MAX_PARTS) return 'endless';
     if (!this.deps.answers.take(chunk.length, this.bufferedBytes)) return 'endless';
     this.bufferedBytes += chunk.length;
+    attempt.bodyParts += 1;
     attempt.body.push(chunk);
     return 'progress';
   }
--- a/src/gateway/requests/request-ending.ts
+++ b/src/gateway/requests/request-ending.ts
@@ -184,7 +184,7 @@
 
   private sendBuffered(attempt: TrackedAttempt, response: AttemptResponse, reply: Reply): void {
     const { requests } = this.deps.context.platform;
-    sendBuffered(reply, requests, response, Buffer.concat(attempt.body));
+    sendBuffered(reply, requests, response, attempt.body.concat());
   }
 
   private abortStream(reason: string): void {
--- a/src/gateway/requests/tracked-attempt.ts
+++ b/src/gateway/requests/tracked-attempt.ts
@@ -2,6 +2,7 @@
  * Progress tracking for one attempt at one backend server.
  */
 import type { Clock, Milliseconds } from '../../core/clock/index.js';
+import { PackedBytes } from '../../core/packed-bytes/index.js';
 import type {
   Attempt,
   AttemptResponse,
@@ -31,8 +32,10 @@
 
 /** Forwards the events of an attempt to its owner and records when it last made progress. */
 export class TrackedAttempt implements AttemptObserver, WatchedAttempt {
-  /** Chunks of a response that is buffered. */
-  readonly body: Buffer[] = [];
+  /** The response if it is buffered. */
+  readonly body = new PackedBytes();
+  /** Chunks that it came in. */
+  bodyParts = 0;
   response: AttemptResponse | undefined;
   readonly sentAt: Milliseconds;
   /** When the server began to respond; the time of sending before that. */
