Interim responses and comments without end fail a call

Callers of an entry saw requests without an answer until they left, and others waited behind them: a faulty engine or service that sent interim responses (1xx) without end, or an engine that sent comments without end in its stream, held its call and kept the process busy.

Cause: undici starts the wait for an answer again with each interim response, and the wait for data again with each byte, so neither timeout ever ended such a call. Memory did not grow.

More than 16 interim responses now fail the call on each way to servers and peers that had no bound of its own, and a stream fails after 1 MB without a chunk of the answer.

--- a/features/hostile/clients.feature
+++ b/features/hostile/clients.feature
@@ -42,6 +42,35 @@
       | platform's watch  | a body without end         |
       | platform's write  | another schema             |
 
+  # Guards against waits that each interim response or comment starts again, so that one faulty server holds its
+  # requests, and the processor, until their callers leave; and against answers that are read without a bound.
+  Scenario Outline: <client> meets <answer> without end
+    Given a hostile server that answers with <answer> without end
+    When the <client> asks it
+    Then the hostile answer ends in a failure within 3000 ms
+    And at most 30 million bytes of the hostile answer were taken
+
+    Examples:
+      | client             | answer             |
+      | engine's health    | interim responses  |
+      | engine's health    | chunks of one byte |
+      | engine's health    | header fields      |
+      | engine's order     | interim responses  |
+      | engine's order     | chunks of one byte |
+      | engine's stream    | interim responses  |
+      | engine's stream    | header fields      |
+      | engine's stream    | chunks of one byte |
+      | engine's stream    | data lines         |
+      | engine's stream    | comments           |
+      | engine's stream    | trailers           |
+      | service's answer   | interim responses  |
+      | service's answer   | header fields      |
+      | peer's exchange    | interim responses  |
+      | peer's exchange    | chunks of one byte |
+      | gateway's question | interim responses  |
+      | gateway's question | header fields      |
+      | gateway's question | chunks of one byte |
+
   Scenario: whatever an engine streams, the answer is a run of tokens and one last word
     When an engine streams 150 random mixtures of chunks, noise and cuts
     Then each stream was passed on as tokens in order and one last end or error
--- a/features/hostile/clients.steps.ts
+++ b/features/hostile/clients.steps.ts
@@ -4,6 +4,8 @@
 import type { Result } from 'neverthrow';
 import { createEngineClient } from '../../src/adapters/engines/index.js';
 import { createPeerClient } from '../../src/adapters/peers/index.js';
+import { createServices } from '../../src/adapters/services/index.js';
+import { createPeerClient as createGatewayPeerClient } from '../../src/gateway/peers/rpc.js';
 import { createPlatformClient } from '../../src/adapters/platform/index.js';
 import { silentLogger } from '../../src/core/logger/index.js';
 import { createRandom } from '../../src/core/random/index.js';
@@ -40,6 +42,15 @@
   resumeFrom: 0,
 };
 
+const SERVICE_REQUEST = {
+  method: 'GET',
+  path: '/',
+  headers: [],
+  body: undefined,
+  repeatable: true,
+  timeoutMs: TIMEOUT_MS,
+};
+
 const ANSWERS: Readonly<Record<string, () => HostileAnswer>> = {
   'noise instead of HTTP': () => ({ parts: [NOISE], then: 'hang' }),
   'noise for JSON': () => respond(NOISE),
@@ -50,6 +61,38 @@
     then: 'flood',
   }),
   'headers without end': () => ({ parts: ['HTTP/1.1 200 OK\r\nX-Long: '], then: 'flood' }),
+  'interim responses without end': () => ({
+    parts: [],
+    then: 'flood',
+    repeat: 'HTTP/1.1 102 Processing\r\nX-A: b\r\n\r\n',
+  }),
+  'blank lines without end': () => ({ parts: [], then: 'flood', repeat: '\r\n' }),
+  'a reason phrase without end': () => ({ parts: ['HTTP/1.1 200 '], then: 'flood' }),
+  'header fields without end': () => ({
+    parts: ['HTTP/1.1 200 OK\r\n'],
+    then: 'flood',
+    repeat: 'X-A: b\r\n',
+  }),
+  'trailers without end': () => ({
+    parts: [startChunks('text/event-stream'), '1\r\nb\r\n0\r\n'],
+    then: 'flood',
+    repeat: 'X-A: b\r\n',
+  }),
+  'chunks of one byte without end': () => ({
+    parts: [startChunks('application/json')],
+    then: 'flood',
+    repeat: '1\r\nb\r\n',
+  }),
+  'data lines without end': () => ({
+    parts: startBody('text/event-stream'),
+    then: 'flood',
+    repeat: 'data: b\n',
+  }),
+  'comments without end': () => ({
+    parts: startBody('text/event-stream'),
+    then: 'flood',
+    repeat: ': c\n\n',
+  }),
   silence: () => ({ parts: [], then: 'hang' }),
   'a message that inflates without end': () => {
     const bomb = deflateRawSync('['.repeat(BOMB_BYTES)).toString('base64url');
@@ -61,6 +104,10 @@
   return [`HTTP/1.1 200 OK\r\nContent-Type: ${type}\r\nConnection: close\r\n\r\n`];
 }
 
+function startChunks(type: string): string {
+  return `HTTP/1.1 200 OK\r\nContent-Type: ${type}\r\nTransfer-Encoding: chunked\r\n\r\n`;
+}
+
 type Ask = (address: string) => Promise<'failed' | 'succeeded'>;
 
 const judge = (result: Result<unknown, unknown>) => (result.isErr() ? 'failed' : 'succeeded');
@@ -78,6 +125,22 @@
     await client.close();
     return judge(result);
   },
+  "gateway's question": async (at) => {
+    const client = createGatewayPeerClient();
+    const outcome = await client.askFreshness(at).then(
+      () => 'succeeded' as const,
+      () => 'failed' as const,
+    );
+    await client.close();
+    return outcome;
+  },
+  "service's answer": async (at) => {
+    const services = createServices();
+    const { signal } = new AbortController();
+    const start = await services.call(at, SERVICE_REQUEST, signal);
+    await services.close();
+    return start.kind === 'lost' ? 'failed' : 'succeeded';
+  },
   "platform's read": (at) =>
     withPlatform(at, async (client) => judge(await client.read('model', 'm'))),
   "platform's list": (at) => withPlatform(at, async (client) => judge(await client.list('model'))),
@@ -137,7 +200,7 @@
 );
 
 When(
-  /^the ((?:engine|peer|platform)'s [a-z]+) asks it$/,
+  /^the ((?:engine|peer|platform|gateway|service)'s [a-z]+) asks it$/,
   async function (this: ClientsWorld, name: string) {
     const ask = CLIENTS[name];
     assert.ok(ask, name);
--- a/features/hostile/raw-server.ts
+++ b/features/hostile/raw-server.ts
@@ -9,6 +9,8 @@
   parts: readonly (string | Uint8Array)[];
   /** After the parts: the connection is closed, kept open, or written to without end. */
   then: 'close' | 'hang' | 'flood';
+  /** What a flood repeats; one letter if absent. */
+  repeat?: string;
 }
 
 /** A server on a free port of loopback. */
@@ -21,7 +23,7 @@
   stop(): void;
 }
 
-const FLOOD_PART = 'x'.repeat(65_536);
+const FLOOD_BYTES = 65_536;
 
 /** Starts one; it hangs until it is given an answer. */
 export async function startHostileServer(): Promise<HostileServer> {
@@ -36,20 +38,20 @@
     });
   });
   const answerOnce = (socket: Socket): void => {
-    const { parts, then } = hostile.answer;
+    const { parts, then, repeat = 'x' } = hostile.answer;
     for (const part of parts) {
       socket.write(part);
       sent += part.length;
     }
     if (then === 'close') socket.end();
-    if (then === 'flood') flood(socket);
+    if (then === 'flood') flood(socket, repeat.repeat(Math.ceil(FLOOD_BYTES / repeat.length)));
   };
-  const flood = (socket: Socket): void => {
+  const flood = (socket: Socket, part: string): void => {
     while (!socket.destroyed) {
-      sent += FLOOD_PART.length;
-      if (socket.write(FLOOD_PART)) continue;
+      sent += part.length;
+      if (socket.write(part)) continue;
       socket.once('drain', () => {
-        flood(socket);
+        flood(socket, part);
       });
       return;
     }
--- a/src/adapters/engines/chunk-stream.ts
+++ b/src/adapters/engines/chunk-stream.ts
@@ -17,6 +17,12 @@
 /** What is left of a body after the end mark is read to keep the connection, up to so many bytes. */
 const REST_BYTES = 16_384;
 
+/**
+ * Most bytes without a chunk that is passed on. An engine may repeat tokens from before the offset, and send
+ * comments that keep the connection in use, which is far less.
+ */
+const MAX_IDLE_BYTES = 1_048_576;
+
 /** Longest wait for the rest of a body. */
 const REST_MS = 1_000;
 
@@ -30,6 +36,8 @@
   ready: EngineChunk[];
   /** Of the part of the body whose chunks are being passed on. */
   partBytes: number;
+  /** Came since the last chunk that is passed on. */
+  idleBytes: number;
   ended: boolean;
   /** Everything that came belonged here; otherwise the connection is not used again. */
   clean: boolean;
@@ -91,6 +99,7 @@
     decoder: new StringDecoder('utf8'),
     ready: [],
     partBytes: 0,
+    idleBytes: 0,
     ended: false,
     clean: true,
   };
@@ -99,7 +108,14 @@
 
 function feed(reading: Reading, bytes: Buffer): void {
   reading.partBytes = bytes.length;
+  reading.idleBytes += bytes.length;
   reading.parser.feed(reading.decoder.write(bytes));
+  if (reading.ready.length > 0) reading.idleBytes = 0;
+  // Without it comments without end would keep the caller waiting, since the stream is not silent.
+  if (reading.idleBytes > MAX_IDLE_BYTES && !reading.ended) {
+    const reason = `the engine sent ${reading.idleBytes} bytes without a chunk of the answer`;
+    reading.ready.push(breakOff(reading, reason));
+  }
 }
 
 function takeEvent(reading: Reading, data: string, maxEventBytes: number): void {
--- a/src/adapters/engines/engine-client.ts
+++ b/src/adapters/engines/engine-client.ts
@@ -8,7 +8,11 @@
 import { Agent } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure } from '../../core/errors/index.js';
-import { createConnector, isConnectionRefused } from '../../core/sockets/index.js';
+import {
+  createConnector,
+  isConnectionRefused,
+  limitInterimResponses,
+} from '../../core/sockets/index.js';
 import {
   createBufferedBytesTracker,
   type BufferedBytesTracker,
@@ -88,7 +92,8 @@
     bodyTimeout: settings.silenceTimeoutMs,
     keepAliveTimeout: KEEP_ALIVE_MS,
   });
-  const marked = streams.compose(markSendings);
+  const marked = streams.compose(limitInterimResponses, markSendings);
+  const limitedCalls = calls.compose(limitInterimResponses);
 
   const reports = createReportCache();
 
@@ -99,8 +104,9 @@
     timeoutMs: Milliseconds,
     headers: Readonly<Record<string, string>> = {},
   ) =>
-    ResultAsync.fromPromise(callWhole(calls, address, path, method, timeoutMs, headers), (error) =>
-      createFailure('unreachable', { name: address, reason: describeError(error) }),
+    ResultAsync.fromPromise(
+      callWhole(limitedCalls, address, path, method, timeoutMs, headers),
+      (error) => createFailure('unreachable', { name: address, reason: describeError(error) }),
     );
 
   return {
@@ -110,7 +116,7 @@
       ),
     checkProcess: async (address, { instance, incarnation }, timeoutMs) => {
       try {
-        const answer = await callWhole(calls, address, '/health', 'GET', timeoutMs, {});
+        const answer = await callWhole(limitedCalls, address, '/health', 'GET', timeoutMs, {});
         const report = readAnswer(address, answer, engineReportSchema);
         if (report.isErr()) return 'unconfirmed';
         const isOther =
--- a/src/adapters/engines/order-connection.ts
+++ b/src/adapters/engines/order-connection.ts
@@ -10,7 +10,7 @@
 import type { Socket } from 'node:net';
 import { Client, type Dispatcher } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
-import { createConnector } from '../../core/sockets/index.js';
+import { createConnector, limitInterimResponses } from '../../core/sockets/index.js';
 import type { WholeAnswer } from './short-call.js';
 
 /** Sends `body` and reads the answer; rejects when all that took longer than `timeoutMs`. */
@@ -38,7 +38,7 @@
     giveUp.abort(new Error(`no answer within ${timeoutMs} ms`));
   }, timeoutMs);
   try {
-    return await exchange(client, path, body, giveUp.signal);
+    return await exchange(client.compose(limitInterimResponses), path, body, giveUp.signal);
   } finally {
     clearTimeout(timer);
     await client.destroy();
@@ -46,7 +46,7 @@
 }
 
 async function exchange(
-  client: Client,
+  client: Dispatcher,
   path: string,
   body: string,
   signal: AbortSignal,
--- a/src/adapters/peers/client.ts
+++ b/src/adapters/peers/client.ts
@@ -3,10 +3,10 @@
  */
 import { createTRPCClient, type TRPCClient } from '@trpc/client';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
-import { Agent } from 'undici';
+import { Agent, type Dispatcher } from 'undici';
 import type * as z from 'zod';
 import { digestMessageSchema } from '../../controllers/membership/index.js';
-import { createConnector } from '../../core/sockets/index.js';
+import { createConnector, limitInterimResponses } from '../../core/sockets/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure } from '../../core/errors/index.js';
 import { codec } from './codec.js';
@@ -40,9 +40,10 @@
     connections: 2,
     maxResponseSize: ANSWER_BYTES,
   });
+  const limited = agent.compose(limitInterimResponses);
   const clients = new Map<string, TRPCClient<PeerRouter>>();
   const resolveClient = (address: string): TRPCClient<PeerRouter> => {
-    const client = clients.get(address) ?? connectPeer(address, agent, options);
+    const client = clients.get(address) ?? connectPeer(address, limited, options);
     clients.set(address, client);
     return client;
   };
@@ -66,10 +67,10 @@
 
 function connectPeer(
   address: string,
-  agent: Agent,
+  dispatcher: Dispatcher,
   { onSent }: PeerClientOptions,
 ): TRPCClient<PeerRouter> {
-  const link = createRpcLink<PeerRouter>(address, agent, {
+  const link = createRpcLink<PeerRouter>(address, dispatcher, {
     transformer: codec,
     ...(onSent && { onSent }),
   });
--- a/src/gateway/backends/engine-calls.ts
+++ b/src/gateway/backends/engine-calls.ts
@@ -3,7 +3,11 @@
  */
 import { Agent } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
-import { createBoundedConnector, isConnectionRefused } from '../../core/sockets/index.js';
+import {
+  createBoundedConnector,
+  isConnectionRefused,
+  limitInterimResponses,
+} from '../../core/sockets/index.js';
 import { callWithTimeout } from '../../core/timeout/index.js';
 import type { EngineCall, OrderCodec, OrderOutcome } from '../../ports/index.js';
 import type { LinkMonitor } from '../links/link-monitor.js';
@@ -59,6 +63,7 @@
     keepAliveTimeout: KEEP_ALIVE_MS,
     connect: createBoundedConnector(PROBE_TIMEOUT_MS, MAX_BYTES_PER_SECOND),
   });
+  const limited = agent.compose(limitInterimResponses);
   const call = async (
     engine: CalledEngine,
     { method, path, headers, body }: EngineCall,
@@ -67,7 +72,7 @@
     const response = await callWithTimeout(timeoutMs, async (signal) => {
       const origin = `http://${engine.address}`;
       const request = { origin, method, path, headers, body: body ?? null, signal };
-      const answer = await agent.request(request);
+      const answer = await limited.request(request);
       return {
         status: answer.statusCode,
         headers: flattenHeaders(answer.headers),
--- a/src/gateway/links/server-check.ts
+++ b/src/gateway/links/server-check.ts
@@ -3,7 +3,11 @@
  */
 import { Agent } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
-import { createBoundedConnector, isConnectionRefused } from '../../core/sockets/index.js';
+import {
+  createBoundedConnector,
+  isConnectionRefused,
+  limitInterimResponses,
+} from '../../core/sockets/index.js';
 import { callWithTimeout } from '../../core/timeout/index.js';
 import type { BackendServer, OrderCodec } from '../../ports/index.js';
 import { flattenHeaders } from '../backends/headers.js';
@@ -38,6 +42,7 @@
 }: ServerChecksOptions): ServerChecks {
   const connect = createBoundedConnector(CHECK_TIMEOUT_MS, MAX_BYTES_PER_SECOND);
   const agent = new Agent({ pipelining: 0, connect });
+  const limited = agent.compose(limitInterimResponses);
   return {
     check: async (server, timeoutMs = CHECK_TIMEOUT_MS) => {
       if (availability.cooldownLeftMs(server.id) > 0) return { kind: 'coolingDown' };
@@ -46,7 +51,7 @@
       try {
         return await callWithTimeout(timeoutMs, async (signal) => {
           const origin = `http://${server.address}`;
-          const answer = await agent.request({
+          const answer = await limited.request({
             origin,
             method,
             path,
--- a/src/gateway/peers/rpc.ts
+++ b/src/gateway/peers/rpc.ts
@@ -15,7 +15,7 @@
   type ReportedSuspicion,
   type Versions,
 } from '../../controllers/peering/index.js';
-import { createConnector } from '../../core/sockets/index.js';
+import { createConnector, limitInterimResponses } from '../../core/sockets/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { callWithTimeout } from '../../core/timeout/index.js';
 import type { ServerCheck } from '../links/types.js';
@@ -123,12 +123,13 @@
     pipelining: 1,
     connect: createConnector(CALL_TIMEOUT_MS),
   });
+  const limited = agent.compose(limitInterimResponses);
   const clients = new Map<string, TRPCClient<PeerRouter>>();
   const rpcClientFor = (address: string): TRPCClient<PeerRouter> => {
     const existing = clients.get(address);
     if (existing) return existing;
     const created = createTRPCClient<PeerRouter>({
-      links: [createRpcLink<PeerRouter>(address, agent)],
+      links: [createRpcLink<PeerRouter>(address, limited)],
     });
     clients.set(address, created);
     return created;
