A gateway bounds the answers of other gateways

A process that answers calls of gateways with a body without end was read until the call timed out after 700 ms: whatever the link carries in that time was kept, for each call.

Cause: the client of such calls had no bound on answers, unlike the listener, the store's client and the client of entries. Answers now have at most 16 MB, as between entries, which is far above the state of a large fleet.

Evidence: "gateway's question meets a body without end" took 208,797,766 bytes in one call before, where 30 million are allowed; it passes now.

--- a/features/hostile/clients.feature
+++ b/features/hostile/clients.feature
@@ -70,6 +70,7 @@
       | gateway's question | interim responses  |
       | gateway's question | header fields      |
       | gateway's question | chunks of one byte |
+      | gateway's question | a body             |
 
   Scenario: whatever an engine streams, the answer is a run of tokens and one last word
     When an engine streams 150 random mixtures of chunks, noise and cuts
--- a/src/gateway/peers/rpc.ts
+++ b/src/gateway/peers/rpc.ts
@@ -54,6 +54,8 @@
 /** Relayed requests carry the headers of callers, and as much again for the relay. */
 const MAX_HEADER_BYTES = 131_072;
 const MAX_MESSAGE_BYTES = 1_048_576;
+/** Far above the state of a large fleet with its packed configuration. */
+const MAX_RESPONSE_BYTES = 16_777_216;
 const CALL_TIMEOUT_MS: Milliseconds = 700;
 /** Connections to one gateway: a repeated call must not wait behind one that is lost. */
 const MAX_CONNECTIONS = 4;
@@ -122,6 +124,7 @@
     connections: MAX_CONNECTIONS,
     pipelining: 1,
     connect: createConnector(CALL_TIMEOUT_MS),
+    maxResponseSize: MAX_RESPONSE_BYTES,
   });
   const limited = agent.compose(limitInterimResponses);
   const clients = new Map<string, TRPCClient<PeerRouter>>();
