--- a/src/gateway/peers/rpc.ts
+++ b/src/gateway/peers/rpc.ts
@@ -15,7 +15,7 @@
   type ReportedSuspicion,
   type Versions,
 } from '../../controllers/peering/index.js';
-import { createConnector } from '../../core/sockets/index.js';
+import { createConnector, limitInterimResponses } from '../../core/sockets/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { callWithTimeout } from '../../core/timeout/index.js';
 import type { ServerCheck } from '../links/types.js';
@@ -54,6 +54,8 @@
 /** Relayed requests carry the headers of callers, and as much again for the relay. */
 const MAX_HEADER_BYTES = 131_072;
 const MAX_MESSAGE_BYTES = 1_048_576;
+/** Far above the state of a large fleet with its packed configuration. */
+const MAX_RESPONSE_BYTES = 16_777_216;
 const CALL_TIMEOUT_MS: Milliseconds = 700;
 /** Connections to one gateway: a repeated call must not wait behind one that is lost. */
 const MAX_CONNECTIONS = 4;
@@ -122,13 +124,15 @@
     connections: MAX_CONNECTIONS,
     pipelining: 1,
     connect: createConnector(CALL_TIMEOUT_MS),
+    maxResponseSize: MAX_RESPONSE_BYTES,
   });
+  const limited = agent.compose(limitInterimResponses);
   const clients = new Map<string, TRPCClient<PeerRouter>>();
   const rpcClientFor = (address: string): TRPCClient<PeerRouter> => {
     const existing = clients.get(address);
     if (existing) return existing;
     const created = createTRPCClient<PeerRouter>({
-      links: [createRpcLink<PeerRouter>(address, agent)],
+      links: [createRpcLink<PeerRouter>(address, limited)],
     });
     clients.set(address, created);
     return created;
