A removal that restarted followers can't see reaches the others

Callers whose requests were sent to an engine long after its entry had been removed lost those that ran there when it exited. It came up when the followers of all failure domains restarted around the removal; with one domain, one follower was enough.

A removal leaves no entry. A follower that starts named the revision of the newest entry, at which the others were too, so they saw no lag, took its proof of freshness, and later its next change, which hid the removal for good. With the newest entry removed it even took the server back from a member's copy. Its first list was relayed as changes since revision 0 without absences, which hid a removal as well if another entry had changed.

Gateways now name a fingerprint of the names of all entries, and from a list until the next change the revision of that list. A gateway with a list takes over a covered revision from a peer with the same fingerprint, which costs nothing; to one with another fingerprint it relays the whole list under the list's revision. Proofs of gateways that differ don't count, an update whose result differs from the sender's is left for a copy, and neither copies nor updates win over a list that covers their revision. Lists are relayed as lists: what they don't name is absent. All of that includes entries that can't be read, so that one of them is no lasting difference.

The revision of a fleet also passed that of the first page of a list if a later page showed a newer entry, and claimed changes of the first page that were missing. It is capped now; it still only grows, and all changes up to it are in.

--- a/src/controllers/forwarding/fleet.ts
+++ b/src/controllers/forwarding/fleet.ts
@@ -7,13 +7,15 @@
 
 /** All known backend servers. Immutable. */
 export interface ServingFleet {
-  /** The store revision of this state; 0 before the first list. */
+  /** All changes up to this store revision are included; 0 before the first list. */
   revision: number;
   servers: ReadonlyMap<string, BackendServer>;
   /** Ids of the servers that differ from the previous state. */
   changed: readonly string[];
   /** Servers whose entries disappeared around a store outage, with the time of their removal. */
   vanished: ReadonlyMap<string, Milliseconds>;
+  /** Names of entries that can't be read, of servers that are not known. */
+  unreadable: ReadonlySet<string>;
 }
 
 /** The fleet before the first list from the store. */
@@ -22,11 +24,15 @@
   servers: new Map(),
   changed: [],
   vanished: new Map(),
+  unreadable: new Set(),
 };
 
 /** A change of one backend server's entry in the store. */
 export type FleetChange =
-  { kind: 'present'; server: BackendServer } | { kind: 'absent'; id: string };
+  | { kind: 'present'; server: BackendServer }
+  | { kind: 'absent'; id: string }
+  /** The entry is there, but the sender can't read it and does not know the server. */
+  | { kind: 'unreadable'; id: string };
 
 /**
  * Returns `fleet` with `changes` applied. `absentFrom` is the time at which absent entries are
@@ -44,7 +50,9 @@
 ): ServingFleet {
   const servers = new Map(fleet.servers);
   const vanished = new Map(fleet.vanished);
+  const unreadable = new Set(fleet.unreadable);
   for (const change of changes) {
+    unreadable.delete(serverIdOf(change));
     switch (change.kind) {
       case 'present':
         setIfChanged(servers, change.server);
@@ -54,10 +62,17 @@
         if (absentFrom > now && servers.has(change.id)) vanished.set(change.id, absentFrom);
         else servers.delete(change.id);
         break;
+      case 'unreadable': {
+        const server = resolveEntry(servers.get(change.id), undefined);
+        if (server === undefined) unreadable.add(change.id);
+        else setIfChanged(servers, server);
+        vanished.delete(change.id);
+        break;
+      }
     }
   }
   const changed = listChanged(fleet, servers, changes.map(serverIdOf));
-  return { revision, servers, vanished, changed };
+  return { revision, servers, vanished, unreadable, changed };
 }
 
 /** Returns the id of the changed server. */
@@ -112,13 +127,22 @@
 export function diffFleet(
   fleet: ServingFleet,
   listed: readonly BackendServer[],
+  unreadable: readonly string[] = [],
 ): readonly FleetChange[] {
-  const present = new Set(listed.map(({ id }) => id));
-  const absent = [...fleet.servers.keys()].filter((id) => !present.has(id));
-  return [
+  return completeList(fleet, [
     ...listed.map((server): FleetChange => ({ kind: 'present', server })),
-    ...absent.map((id): FleetChange => ({ kind: 'absent', id })),
-  ];
+    ...unreadable.map((id): FleetChange => ({ kind: 'unreadable', id })),
+  ]);
+}
+
+/** Adds to `listed`, which names all entries, that those of `fleet` that it does not name are absent. */
+export function completeList(
+  fleet: ServingFleet,
+  listed: readonly FleetChange[],
+): readonly FleetChange[] {
+  const named = new Set(listed.map(serverIdOf));
+  const absent = [...fleet.servers.keys(), ...fleet.unreadable].filter((id) => !named.has(id));
+  return [...listed, ...absent.map((id): FleetChange => ({ kind: 'absent', id }))];
 }
 
 /** Removes the vanished servers that are due; returns `fleet` itself when there are none. */
--- a/src/controllers/forwarding/index.ts
+++ b/src/controllers/forwarding/index.ts
@@ -6,6 +6,7 @@
 export * from './expected-time.js';
 export * from './failure-rates.js';
 export * from './fleet.js';
+export * from './fleet-version.js';
 export * from './incarnations.js';
 export * from './leaving-table.js';
 export * from './refusals.js';
--- a/src/controllers/peering/types.ts
+++ b/src/controllers/peering/types.ts
@@ -43,6 +43,10 @@
   hasServed: z.boolean(),
   configurationVersion: nonNegativeSchema,
   fleetRevision: nonNegativeSchema,
+  /** The store's revision of the list that the fleet is from; absent if it has changed since. */
+  fleetListRevision: nonNegativeSchema.optional(),
+  /** Fingerprint of the names of all entries of backend servers. */
+  fleetFingerprint: z.string().max(64).optional(),
   /** Time since the version was proven to be the newest; absent if it never was. */
   configurationAgeMs: nonNegativeSchema.optional(),
   /** Time since the fleet revision was proven to be the newest; absent if it never was. */
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -256,6 +256,12 @@
     level: 'warn',
     message: 'Neither the store nor a peer told of evacuations in time; none is assumed.',
   },
+  fleetDiffers: {
+    number: 2123,
+    level: 'info',
+    message:
+      'Another gateway may have missed that an entry was removed; it is told the whole list.',
+  },
   peerForgotten: {
     number: 2204,
     level: 'warn',
--- a/src/gateway/peers/messages.ts
+++ b/src/gateway/peers/messages.ts
@@ -3,6 +3,7 @@
  * configuration versions.
  */
 import * as z from 'zod';
+import type { FleetVersion } from '../../controllers/forwarding/index.js';
 import type { Digest } from '../../controllers/peering/index.js';
 import { configurationDeltaSchema } from '../../controllers/propagation/index.js';
 import type { BackendServer } from '../../ports/index.js';
@@ -46,8 +47,11 @@
     z.discriminatedUnion('kind', [
       z.object({ kind: z.literal('present'), server: backendServerSchema }),
       z.object({ kind: z.literal('absent'), id: z.string() }),
+      z.object({ kind: z.literal('unreadable'), id: z.string() }),
     ]),
   ),
+  isWhole: z.boolean().exactOptional(),
+  fingerprint: z.string().max(64).exactOptional(),
 });
 
 export const versionsSchema = z.object({
@@ -71,7 +75,7 @@
 /** What a gateway has active, and how long ago that was known to be the newest. */
 export type FreshnessReport = Pick<
   Digest,
-  'configurationVersion' | 'configurationAgeMs' | 'fleetRevision' | 'fleetAgeMs'
+  'configurationVersion' | 'configurationAgeMs' | 'fleetAgeMs' | keyof FleetVersion
 >;
 
 /** Names the backend server to check for another gateway. */
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -116,6 +116,7 @@
     return {
       ...self,
       ...ownVersions(),
+      ...fleet.version(),
       incarnation,
       membersHash: members.fingerprint,
       storeReachable: board.storeReachability.read().reachable,
@@ -147,11 +148,11 @@
    * are ignored: a call that was queued while this process was paused would look too recent.
    */
   const acceptProofs = (response: FreshnessReport, sentAt: Milliseconds): void => {
-    const { configurationAgeMs, configurationVersion, fleetAgeMs, fleetRevision } = response;
+    const { configurationAgeMs, configurationVersion, fleetAgeMs } = response;
     if (configurationAgeMs !== undefined) {
       configuration.recordProof(configurationVersion, sentAt - configurationAgeMs);
     }
-    if (fleetAgeMs !== undefined) fleet.recordProof(fleetRevision, sentAt - fleetAgeMs);
+    if (fleetAgeMs !== undefined) fleet.recordProof(response, sentAt - fleetAgeMs);
   };
   const acceptDigestProofs = (response: Digest, sentAt: Milliseconds): void => {
     acceptProofs(response, sentAt);
@@ -237,6 +238,7 @@
     const isOwnDomain = digest.failureDomain === self.failureDomain;
     relay.quarantine(quarantine.mergeDigest(digest), isOwnDomain);
     configuration.noteVersion(digest.configurationVersion, digest.address);
+    fleet.observePeer(digest, digest.name);
     if (digest.evacuations) evacuation?.applyState(digest.evacuations, digest.name);
     publishThrottled();
   };
@@ -316,7 +318,11 @@
     applyConfigurationNotice: (notice) => {
       configuration.applyNotice(notice, notice.holder ?? '');
     },
-    reportFreshness: () => ({ ...ownVersions(), ...createProofAges(clock.now()) }),
+    reportFreshness: () => ({
+      ...ownVersions(),
+      ...fleet.version(),
+      ...createProofAges(clock.now()),
+    }),
     checkServer: (server) => options.links.checkForPeer(server),
   };
   const listener = createPeerListener(settings.listen.peers, handlers, options.relay);
--- a/src/gateway/store/fleet-part.ts
+++ b/src/gateway/store/fleet-part.ts
@@ -5,12 +5,16 @@
 import { laterProof, type Proof } from '../../controllers/freshness/index.js';
 import {
   applyFleetChanges,
+  compareWithList,
+  completeList,
   expireVanished,
+  fingerprintFleet,
   serverIdOf,
   listChanged,
   diffFleet,
   resolveEntry,
   type FleetChange,
+  type FleetVersion,
   type ServingFleet,
 } from '../../controllers/forwarding/index.js';
 import { incarnationKey } from '../../controllers/groups/index.js';
@@ -31,6 +35,10 @@
   /** Delay until absent servers count as gone; not zero around an outage of the store. */
   absentInMs: Milliseconds;
   changes: readonly FleetChange[];
+  /** The changes name all entries that the store has, so all others are absent. */
+  isWhole?: boolean;
+  /** What `fingerprintFleet` returns of the fleet after the changes. */
+  fingerprint?: string;
 }
 
 /** All backend servers known to one gateway. */
@@ -39,13 +47,22 @@
   servers: readonly BackendServer[];
   /** Servers whose entries have disappeared, with the time left until they count as gone. */
   vanished: readonly { id: string; leftMs: Milliseconds }[];
+  /** Names of entries that can't be read, of servers that are not known; absent if there are none. */
+  unreadable?: readonly string[];
 }
 
 /** Writes the board sections `fleet` and `fleetProof`. */
 export interface FleetPart extends GatewayPart {
   follower: FollowerSwitch;
-  /** Records that a peer at `revision` had confirmed at `at` that there was nothing newer. */
-  recordProof(revision: number, at: Milliseconds): void;
+  /** What other gateways are told of the known fleet. */
+  version(): FleetVersion;
+  /** Records that a peer with `version` had confirmed at `at` that there was nothing newer. */
+  recordProof(version: FleetVersion, at: Milliseconds): void;
+  /**
+   * Compares the own list with the fleet of the peer `name`. If the peer may have missed a removal, the
+   * own fleet gets the revision of the list, and the listeners the whole of it.
+   */
+  observePeer(version: FleetVersion, name: string): void;
   /** Calls `listener` with each update that came from the store itself. */
   onUpdate(listener: (update: FleetUpdate) => void): void;
   /** Applies an update from a peer. One that leaves a gap is ignored; a whole copy closes the gap. */
@@ -84,6 +101,8 @@
   const goneIncarnations = new Map<string, Milliseconds>();
   let expiring: TickerTask | undefined;
   let relistTimers: NodeJS.Timeout[] = [];
+  /** Revision of the newest list that was applied. */
+  let listRevision = 0;
   /** When this gateway last detected that the store was restored from an older copy. */
   let restoredAt = Number.NEGATIVE_INFINITY;
 
@@ -158,31 +177,58 @@
     }
     return server;
   };
-  const decodeChange = ({ object, deleted }: StoreChange): FleetChange[] => {
-    if (deleted) return [{ kind: 'absent', id: object.name }];
+  const decodeChange = ({ object, deleted }: StoreChange): FleetChange => {
+    if (deleted) return { kind: 'absent', id: object.name };
     const server = decode(object);
-    return server ? [{ kind: 'present', server }] : [];
+    return server ? { kind: 'present', server } : { kind: 'unreadable', id: object.name };
   };
   /** When absent servers count as gone, both here and at the sender of the update. */
   const absenceEffectiveFrom = (now: Milliseconds, delayMs: Milliseconds): Milliseconds =>
     Math.max(reachability.absenceEffectiveFrom(now), now + delayMs);
-  const applyChanges = ({ revision, absentInMs, changes }: Omit<FleetUpdate, 'since'>): void => {
+  /** The fleet with the changes of `update`. */
+  const resolveUpdate = ({ revision, absentInMs, changes, isWhole }: FleetUpdate): ServingFleet => {
     const now = clock.now();
     const effectiveAt = absenceEffectiveFrom(now, absentInMs);
-    commit(applyFleetChanges(section.read(), changes, revision, now, effectiveAt));
+    const known = section.read();
+    const complete = isWhole ? completeList(known, changes) : changes;
+    return applyFleetChanges(known, complete, revision, now, effectiveAt);
   };
   /** Applies changes received from the store and passes them to the listeners. */
-  const applyFromStore = (
-    since: number,
-    revision: number,
-    changes: readonly FleetChange[],
-  ): void => {
+  const applyFromStore = (update: Omit<FleetUpdate, 'absentInMs'>): void => {
     const now = clock.now();
     const absentInMs = reachability.absenceEffectiveFrom(now) - now;
-    const update = { since, revision, absentInMs, changes };
-    applyChanges(update);
+    commit(resolveUpdate({ ...update, absentInMs }));
+    const fingerprint = fingerprintFleet(section.read());
+    for (const listener of listeners) listener({ ...update, absentInMs, fingerprint });
+  };
+  /** Gives the known fleet, which is as listed, the revision of the list, and passes it on whole. */
+  const publishList = (): void => {
+    const known = section.read();
+    const { servers, vanished, unreadable } = known;
+    const now = clock.now();
+    commit({ ...known, revision: listRevision, changed: [] });
+    const present = [...servers.values()].filter(({ id }) => !vanished.has(id));
+    const update: FleetUpdate = {
+      since: 0,
+      revision: listRevision,
+      absentInMs: Math.max(reachability.absenceEffectiveFrom(now), ...vanished.values()) - now,
+      changes: diffFleet({ ...known, servers: new Map() }, present, [...unreadable]),
+      isWhole: true,
+      fingerprint: fingerprintFleet(known),
+    };
     for (const listener of listeners) listener(update);
   };
+  const version = (): FleetVersion => {
+    const known = section.read();
+    return {
+      fleetRevision: known.revision,
+      ...(listRevision > known.revision && { fleetListRevision: listRevision }),
+      fleetFingerprint: fingerprintFleet(known),
+    };
+  };
+  /** Whether a list shows that a fleet at `revision` is out of date, or has the same changes. */
+  const isCovered = (revision: number): boolean =>
+    revision <= Math.max(section.read().revision, listRevision);
   const follower = createFollowerSwitch({
     store,
     kind: platform.serverKind,
@@ -195,55 +241,87 @@
       if (revision < section.read().revision) return;
       const known = section.read();
       const decoded = objects.map(decode).filter((server) => server !== undefined);
+      const readable = new Set(decoded.map(({ id }) => id));
+      const unreadable = objects.map(({ name }) => name).filter((name) => !readable.has(name));
       const isRestored = detectRestore(revision);
       const servers = decoded.map(reconcileListed);
       // Neither a removal nor a return to service after a restore has an object with a revision; only
       // the list's own revision makes peers apply them.
       const needsListRevision = isAnyMissing(known, objects) || isAnyBackInService(known, servers);
-      const newest = Math.max(
-        known.revision,
-        needsListRevision ? revision : findNewestRevision(objects),
-      );
+      // A later page may show objects newer than changes that the first page lacks.
+      const newestListed = Math.min(revision, findNewestRevision(objects));
+      const newest = Math.max(known.revision, needsListRevision ? revision : newestListed);
+      listRevision = Math.max(listRevision, revision);
       // After a restore peers may know more of the old history than this gateway; `since` makes them
       // fetch a whole copy.
-      const since = isRestored ? newest : known.revision;
-      applyFromStore(since, newest, diffFleet(known, servers));
+      const since = isRestored ? newest : 0;
+      const changes = diffFleet(known, servers, unreadable);
+      applyFromStore({ since, revision: newest, changes, isWhole: true });
     },
     onChanges: ({ changes }) => {
       const newest = findNewestRevision(changes.map(({ object }) => object));
-      const { revision } = section.read();
-      applyFromStore(revision, Math.max(revision, newest), changes.flatMap(decodeChange));
+      const { revision: since } = section.read();
+      const revision = Math.max(since, newest);
+      applyFromStore({ since, revision, changes: changes.map(decodeChange) });
     },
   });
   return {
     follower,
-    recordProof: (revision, at) => {
+    version,
+    recordProof: (peer, at) => {
       reachability.recordPeerContact(at);
-      if (revision > section.read().revision) return;
+      const own = version();
+      if (peer.fleetRevision > own.fleetRevision) return;
+      if (compareWithList(peer, own) === 'different') return;
       proof.write(laterProof(proof.read(), { at, source: 'peer' }));
     },
     onUpdate: (listener) => {
       listeners.push(listener);
     },
+    observePeer: (peer, name) => {
+      const own = version();
+      if (own.fleetListRevision === undefined) return;
+      const comparison = compareWithList(own, peer);
+      const isNewer = peer.fleetRevision > own.fleetRevision;
+      // The newest change that the peer knows is a removal, which the list includes.
+      if (comparison === 'same' && isNewer)
+        commit({ ...section.read(), revision: peer.fleetRevision, changed: [] });
+      if (comparison !== 'different' && !(comparison === 'unknown' && isNewer)) return;
+      logger.log('fleetDiffers', {
+        peer: name,
+        revision: revisionOf(own.fleetRevision),
+        peerRevision: revisionOf(peer.fleetRevision),
+        listRevision: revisionOf(own.fleetListRevision),
+      });
+      publishList();
+    },
     applyUpdate: (update) => {
       const { revision } = section.read();
-      if (update.since <= revision && update.revision > revision) applyChanges(update);
+      if (update.since > revision || isCovered(update.revision)) return;
+      // Only a copy also tells what is to be kept after a restore.
+      if (update.isWhole && revision > 0 && eraOf(update.revision) > eraOf(revision)) return;
+      const next = resolveUpdate(update);
+      const { fingerprint = fingerprintFleet(next) } = update;
+      // Without what the sender knows, the later revision would hide what this gateway has missed.
+      if (fingerprintFleet(next) === fingerprint) commit(next);
     },
     snapshot: () => {
-      const { revision, servers, vanished } = section.read();
+      const { revision, servers, vanished, unreadable } = section.read();
       const now = clock.now();
       return {
+        ...(unreadable.size > 0 && { unreadable: [...unreadable] }),
         revision,
         servers: [...servers.values()],
         vanished: [...vanished].map(([id, at]) => ({ id, leftMs: Math.max(0, at - now) })),
       };
     },
-    applySnapshot: ({ revision, servers, vanished }) => {
+    applySnapshot: ({ revision, servers, vanished, unreadable = [] }) => {
       const before = section.read();
-      if (revision <= before.revision) return;
+      // A copy that the own list covers may still have a server that is no longer listed.
+      if (isCovered(revision)) return;
       detectRestore(revision);
       const now = clock.now();
-      const listed = diffFleet(before, servers);
+      const listed = diffFleet(before, servers, unreadable);
       let next = applyFleetChanges(before, listed, revision, now, absenceEffectiveFrom(now, 0));
       for (const { id, leftMs } of vanished) {
         const absent: FleetChange[] = [{ kind: 'absent', id }];
@@ -265,13 +343,14 @@
   };
 }
 
-/** Whether a known server that is not yet marked as vanished is missing from `objects`. */
+/** Whether a known entry that is not yet marked as vanished is missing from `objects`. */
 function isAnyMissing(
-  { servers, vanished }: ServingFleet,
+  { servers, vanished, unreadable }: ServingFleet,
   objects: readonly StoreObject[],
 ): boolean {
   const names = new Set(objects.map(({ name }) => name));
-  return [...servers.keys()].some((id) => !names.has(id) && !vanished.has(id));
+  const known = [...servers.keys(), ...unreadable];
+  return known.some((id) => !names.has(id) && !vanished.has(id));
 }
 
 /** Whether a server is listed in service that is known as leaving. */
