A list after a restore does not cover what was known before it

A gateway that starts as the store returns from a copy without entries stayed without backend servers beside others that knew them, and asked them for a copy at each tick: its empty list counted as newer than their copy. A list now covers only revisions of its own era, and what a peer knows takes its place.

--- a/features/gateway/follower-site.ts
+++ b/features/gateway/follower-site.ts
@@ -28,6 +28,8 @@
 export const SERVER_KIND = 'servers';
 const DRAIN_MS = 3_000;
 const WATCH_MS = 8_000;
+/** As qualified revisions have it, which this store gives at once. */
+const REVISIONS_PER_ERA = 2 ** 36;
 const TICK_MS = 50;
 const POLL_MS = 10;
 
@@ -60,6 +62,13 @@
     this.history.push({ kind, object, deleted: true });
   }
 
+  /** Loses all objects and begins another era. */
+  restoreEmpty(): void {
+    this.kinds.clear();
+    this.history = [];
+    this.revision = REVISIONS_PER_ERA + 1;
+  }
+
   names(kind: string): string[] {
     return [...this.objectsOf(kind).keys()].sort();
   }
--- a/features/gateway/restarted-followers.feature
+++ b/features/gateway/restarted-followers.feature
@@ -59,6 +59,13 @@
     When the newest entry is removed, and a second gateway lists the others and gets a copy of the first
     Then the second knows the servers that the store has
 
+  # Guards against a gateway without servers beside others that know them: the entries that a restore has lost are
+  # about to be written again.
+  Scenario: The own list is of a store that lost all entries in a restore
+    Given a gateway that has listed 4 servers
+    When the store is restored from an empty copy, and a second gateway lists it and gets a copy of the first
+    Then the second knows 4 servers, and tells nobody that its list has them
+
   # Guards against a proof that is taken over from a gateway with other servers at the same revision.
   Scenario Outline: A gateway that lists after a removal proves nothing to one that has missed it: <removed>
     Given a gateway that has listed 4 servers
--- a/features/gateway/restarted-followers.steps.ts
+++ b/features/gateway/restarted-followers.steps.ts
@@ -297,6 +297,24 @@
   assert.deepEqual(this.second.serverNames(), this.followers.store.names(SERVER_KIND));
 });
 
+When(
+  'the store is restored from an empty copy, and a second gateway lists it and gets a copy of the first',
+  async function (this: RestartedWorld) {
+    this.followers.store.restoreEmpty();
+    this.second.fleet.follower.setMode('forDomain');
+    await waitFor('the list', () => this.second.fleetProof.read() !== undefined);
+    this.second.fleet.applySnapshot(this.first.fleet.snapshot());
+  },
+);
+
+Then(
+  'the second knows {int} servers, and tells nobody that its list has them',
+  function (this: RestartedWorld, servers: number) {
+    assert.equal(this.second.serverNames().length, servers);
+    assert.equal(this.second.fleet.version().fleetListRevision, undefined);
+  },
+);
+
 When(
   '{} is removed, and a second gateway lists the others and tells the first how fresh they are',
   async function (this: RestartedWorld, removed: string) {
--- a/src/gateway/store/fleet-part.ts
+++ b/src/gateway/store/fleet-part.ts
@@ -101,7 +101,7 @@
   const goneIncarnations = new Map<string, Milliseconds>();
   let expiring: TickerTask | undefined;
   let relistTimers: NodeJS.Timeout[] = [];
-  /** Revision of the newest list that was applied. */
+  /** Revision of the newest list; 0 once what a peer knows has taken its place. */
   let listRevision = 0;
   /** When this gateway last detected that the store was restored from an older copy. */
   let restoredAt = Number.NEGATIVE_INFINITY;
@@ -226,9 +226,14 @@
       fleetFingerprint: fingerprintFleet(known),
     };
   };
-  /** Whether a list shows that a fleet at `revision` is out of date, or has the same changes. */
-  const isCovered = (revision: number): boolean =>
-    revision <= Math.max(section.read().revision, listRevision);
+  /**
+   * Whether this gateway knows as much as one at `revision`. A list after a restore does not cover what was
+   * known before: the restored copy may lack entries that are about to be written again.
+   */
+  const isCovered = (revision: number): boolean => {
+    const isListed = revision <= listRevision && eraOf(revision) === eraOf(listRevision);
+    return revision <= section.read().revision || isListed;
+  };
   const follower = createFollowerSwitch({
     store,
     kind: platform.serverKind,
@@ -303,7 +308,9 @@
       const next = resolveUpdate(update);
       const { fingerprint = fingerprintFleet(next) } = update;
       // Without what the sender knows, the later revision would hide what this gateway has missed.
-      if (fingerprintFleet(next) === fingerprint) commit(next);
+      if (fingerprintFleet(next) !== fingerprint) return;
+      listRevision = 0;
+      commit(next);
     },
     snapshot: () => {
       const { revision, servers, vanished, unreadable } = section.read();
@@ -319,6 +326,7 @@
       const before = section.read();
       // A copy that the own list covers may still have a server that is no longer listed.
       if (isCovered(revision)) return;
+      listRevision = 0;
       detectRestore(revision);
       const now = clock.now();
       const listed = diffFleet(before, servers, unreadable);
