The hook of restarted followers leaves other scenarios alone

All 14 scenarios of evacuating.feature failed after their last step, because their world has a property of the same name, which the new hook tried to stop.

--- a/features/gateway/restarted-followers.steps.ts
+++ b/features/gateway/restarted-followers.steps.ts
@@ -9,7 +9,7 @@
 import { entryOf, FollowerGateway, FollowerSite, SERVER_KIND } from './follower-site.js';
 
 interface RestartedWorld {
-  followers: FollowerSite;
+  followerSite: FollowerSite;
   listRevision: number;
   first: FollowerGateway;
   second: FollowerGateway;
@@ -22,15 +22,15 @@
 const LATER_START = 2;
 
 After(async function (this: Partial<RestartedWorld>) {
-  await this.followers?.stop();
+  await this.followerSite?.stop();
 });
 
-function removeEntry({ followers }: RestartedWorld, name: string): void {
-  followers.store.remove(SERVER_KIND, name);
+function removeEntry({ followerSite }: RestartedWorld, name: string): void {
+  followerSite.store.remove(SERVER_KIND, name);
 }
 
-async function waitForSameServers({ followers }: RestartedWorld, ms: number): Promise<void> {
-  const { store, gateways } = followers;
+async function waitForSameServers({ followerSite }: RestartedWorld, ms: number): Promise<void> {
+  const { store, gateways } = followerSite;
   const known = (): string => [...gateways.values()].map(describe).join('; ');
   await waitFor(
     'every gateway to know the servers of the store',
@@ -54,12 +54,12 @@
 Given(
   '{int} failure domains of {int} gateways each, which know {int} servers',
   async function (this: RestartedWorld, domains: number, _members: number, servers: number) {
-    this.followers = new FollowerSite();
-    const { store } = this.followers;
+    this.followerSite = new FollowerSite();
+    const { store } = this.followerSite;
     for (let index = 0; index < servers; index += 1)
       store.put(SERVER_KIND, `server-${index}`, entryOf(`server-${index}`));
     for (let index = 0; index < domains; index += 1)
-      await this.followers.addDomain(`domain-${index}`);
+      await this.followerSite.addDomain(`domain-${index}`);
     await waitForSameServers(this, 5_000);
     await sleep(SETTLE_MS);
   },
@@ -73,22 +73,22 @@
 });
 
 Given('an entry that can not be read was added', async function (this: RestartedWorld) {
-  this.followers.store.put(SERVER_KIND, 'server-x', undefined);
+  this.followerSite.store.put(SERVER_KIND, 'server-x', undefined);
   await sleep(SETTLE_MS);
 });
 
 Given('a known entry was overwritten by another writer', async function (this: RestartedWorld) {
-  this.followers.store.put(SERVER_KIND, 'server-0', undefined);
+  this.followerSite.store.put(SERVER_KIND, 'server-0', undefined);
   await sleep(SETTLE_MS);
 });
 
 async function restart(world: RestartedWorld, meanwhile: () => void): Promise<void> {
   // What the other gateways did before does not count.
-  for (const gateway of world.followers.listOthers()) {
+  for (const gateway of world.followerSite.listOthers()) {
     gateway.copies = 0;
     gateway.lists = 0;
   }
-  await world.followers.restartHubs(meanwhile);
+  await world.followerSite.restartHubs(meanwhile);
 }
 
 When(
@@ -114,7 +114,7 @@
   async function (this: RestartedWorld) {
     await restart(this, () => {
       removeEntry(this, 'server-1');
-      this.followers.store.put(SERVER_KIND, 'server-2', entryOf('server-2', LATER_START));
+      this.followerSite.store.put(SERVER_KIND, 'server-2', entryOf('server-2', LATER_START));
     });
   },
 );
@@ -125,7 +125,7 @@
     await restart(this, () => {
       removeEntry(this, 'server-1');
     });
-    await waitFor('the lists', () => this.followers.listHubs().every(({ lists }) => lists > 0));
+    await waitFor('the lists', () => this.followerSite.listHubs().every(({ lists }) => lists > 0));
     removeEntry(this, 'server-2');
   },
 );
@@ -134,7 +134,7 @@
   'the followers restart, and meanwhile all entries are removed',
   async function (this: RestartedWorld) {
     await restart(this, () => {
-      for (const name of this.followers.store.names(SERVER_KIND)) removeEntry(this, name);
+      for (const name of this.followerSite.store.names(SERVER_KIND)) removeEntry(this, name);
     });
   },
 );
@@ -156,7 +156,7 @@
 });
 
 Then("no gateway's fleet has gone back to an older revision", function (this: RestartedWorld) {
-  for (const { revisions, name } of this.followers.gateways.values()) {
+  for (const { revisions, name } of this.followerSite.gateways.values()) {
     const sorted = [...revisions].sort((one, other) => one - other);
     assert.deepEqual(revisions, sorted, name);
   }
@@ -166,7 +166,7 @@
   'for {int} ms no other gateway asks a peer for a copy or the store for a list',
   async function (this: RestartedWorld, ms: number) {
     await sleep(ms);
-    for (const { name, copies, lists } of this.followers.listOthers())
+    for (const { name, copies, lists } of this.followerSite.listOthers())
       assert.deepEqual({ name, copies, lists }, { name, copies: 0, lists: 0 });
   },
 );
@@ -174,31 +174,31 @@
 Given(
   'a gateway that is about to list {int} servers',
   function (this: RestartedWorld, servers: number) {
-    this.followers = new FollowerSite();
+    this.followerSite = new FollowerSite();
     for (let index = 0; index < servers; index += 1)
-      this.followers.store.put(SERVER_KIND, `server-${index}`, entryOf(`server-${index}`));
+      this.followerSite.store.put(SERVER_KIND, `server-${index}`, entryOf(`server-${index}`));
   },
 );
 
 When(
   'entries of both pages change between the two pages, and the watch is late',
   async function (this: RestartedWorld) {
-    const { store } = this.followers;
+    const { store } = this.followerSite;
     store.isWatchHeld = true;
     store.duringList = () => {
       this.listRevision = store.revision;
       removeEntry(this, 'server-0');
       store.put(SERVER_KIND, 'server-3', entryOf('server-3', LATER_START));
     };
-    await this.followers.addDomain('domain-0');
+    await this.followerSite.addDomain('domain-0');
     await waitFor('the list', () =>
-      this.followers.listHubs().every((hub) => hub.fleetSection.read().revision > 0),
+      this.followerSite.listHubs().every((hub) => hub.fleetSection.read().revision > 0),
     );
   },
 );
 
 Then('its revision is that of the first page', function (this: RestartedWorld) {
-  for (const { revisions } of this.followers.listHubs())
+  for (const { revisions } of this.followerSite.listHubs())
     assert.ok(
       revisions.every((revision) => revision <= this.listRevision),
       `${revisions.join()} after ${this.listRevision}`,
@@ -206,23 +206,23 @@
 });
 
 When('the watch is answered', function (this: RestartedWorld) {
-  this.followers.store.isWatchHeld = false;
+  this.followerSite.store.isWatchHeld = false;
 });
 
 Then('its revision is that of the last change', async function (this: RestartedWorld) {
   await waitFor('the changes', () =>
-    this.followers
+    this.followerSite
       .listHubs()
-      .every((hub) => knowsAll(hub, this.followers.store.names(SERVER_KIND))),
+      .every((hub) => knowsAll(hub, this.followerSite.store.names(SERVER_KIND))),
   );
-  for (const hub of this.followers.listHubs())
+  for (const hub of this.followerSite.listHubs())
     assert.equal(hub.fleetSection.read().revision, this.listRevision + 2);
 });
 
 /** A gateway of which only the fleet part is used; its listener and its exchange stay off. */
-function createLoneGateway({ followers }: RestartedWorld, name: string): FollowerGateway {
-  const gateway = new FollowerGateway(followers.store, name, nextAddress(), 'domain-0');
-  followers.gateways.set(name, gateway);
+function createLoneGateway({ followerSite }: RestartedWorld, name: string): FollowerGateway {
+  const gateway = new FollowerGateway(followerSite.store, name, nextAddress(), 'domain-0');
+  followerSite.gateways.set(name, gateway);
   return gateway;
 }
 
@@ -234,9 +234,9 @@
 Given(
   'a gateway that has listed {int} servers',
   async function (this: RestartedWorld, servers: number) {
-    this.followers = new FollowerSite();
+    this.followerSite = new FollowerSite();
     for (let index = 0; index < servers; index += 1)
-      this.followers.store.put(SERVER_KIND, `server-${index}`, entryOf(`server-${index}`));
+      this.followerSite.store.put(SERVER_KIND, `server-${index}`, entryOf(`server-${index}`));
     this.first = createLoneGateway(this, 'first');
     await listOnce(this.first);
     this.first.fleet.follower.setMode('off');
@@ -248,7 +248,7 @@
   'an entry is removed, another one changes, and a second gateway relays its first list',
   async function (this: RestartedWorld) {
     removeEntry(this, 'server-1');
-    this.followers.store.put(SERVER_KIND, 'server-2', entryOf('server-2', LATER_START));
+    this.followerSite.store.put(SERVER_KIND, 'server-2', entryOf('server-2', LATER_START));
     this.second.fleet.onUpdate((update) => {
       this.first.fleet.applyUpdate(update);
     });
@@ -269,7 +269,7 @@
     this.second.fleet.onUpdate((update) => {
       this.first.fleet.applyUpdate(update);
     });
-    const { revision } = this.followers.store.put(
+    const { revision } = this.followerSite.store.put(
       SERVER_KIND,
       'server-2',
       entryOf('server-2', LATER_START),
@@ -294,13 +294,13 @@
 );
 
 Then('the second knows the servers that the store has', function (this: RestartedWorld) {
-  assert.deepEqual(this.second.serverNames(), this.followers.store.names(SERVER_KIND));
+  assert.deepEqual(this.second.serverNames(), this.followerSite.store.names(SERVER_KIND));
 });
 
 When(
   'the store is restored from an empty copy, and a second gateway lists it and gets a copy of the first',
   async function (this: RestartedWorld) {
-    this.followers.store.restoreEmpty();
+    this.followerSite.store.restoreEmpty();
     this.second.fleet.follower.setMode('forDomain');
     await waitFor('the list', () => this.second.fleetProof.read() !== undefined);
     this.second.fleet.applySnapshot(this.first.fleet.snapshot());
