--- a/features/gateway/group-owners-model.ts
+++ b/features/gateway/group-owners-model.ts
@@ -568,6 +568,6 @@
 
 /** Whether a gateway that knows of the run of a server keeps what it knows when the store is restored. */
 function isSameRun({ servers }: ServingFleet, change: FleetChange): boolean {
-  if (change.kind === 'absent') return false;
+  if (change.kind !== 'present') return false;
   return servers.get(change.server.id)?.startedAt === change.server.startedAt;
 }
