A stopping gateway answers requests sent one behind the other

What callers saw: of two or more requests sent one behind the other on one connection of a gateway that stops, only the first had an answer. The others had been passed on to a backend server, among them requests that may not be repeated, and their connection closed without an answer.

Cause: during a stop each response said `Connection: close`. Node closes a connection after the first such response and drops the responses that are queued behind it.

Evidence: features/gateway/pipelined.feature, all five scenarios failed before with "... ran and has no answer": with the signal before and after the requests, with chunked uploads, and behind a stream whose head had said that the connection closes.

Why the fix works: only the response to the last request that was read from a connection says that it closes, so Node sends the earlier ones first. What is read behind such a response is not run, since its response could never be sent; it gets its line in the log as refused.

--- a/src/gateway/requests/reply.ts
+++ b/src/gateway/requests/reply.ts
@@ -37,8 +37,9 @@
   bytes: number;
 }
 
-export function createReply(response: ServerResponse, isShuttingDown: () => boolean): Reply {
-  const closeHeaders = (): string[] => (isShuttingDown() ? ['Connection', 'close'] : []);
+/** `closesConnection` is asked when the head is sent: whether it says that the connection closes. */
+export function createReply(response: ServerResponse, closesConnection: () => boolean): Reply {
+  const closeHeaders = (): string[] => (closesConnection() ? ['Connection', 'close'] : []);
   const send = (status: number, headers: readonly string[], body: Buffer): void => {
     const length = ['Content-Length', String(body.length)];
     response.writeHead(status, [...headers, ...length, ...closeHeaders()]);
@@ -75,8 +76,9 @@
         // Fractional seconds: callers with short deadlines can't wait for a whole second.
         headers.push('Retry-After', (failure.retryAfterMs / MS_PER_SECOND).toFixed(2));
       }
-      response.writeHead(ERRORS[failure.kind].status, [...headers, ...closeHeaders()]);
-      if (isShuttingDown() && !response.req.complete) endAfterRequestBody(response, body);
+      const closing = closeHeaders();
+      response.writeHead(ERRORS[failure.kind].status, [...headers, ...closing]);
+      if (closing.length > 0 && !response.req.complete) endAfterRequestBody(response, body);
       else response.end(body);
     },
     abort: () => {
--- a/src/gateway/requests/request-server.ts
+++ b/src/gateway/requests/request-server.ts
@@ -14,6 +14,7 @@
 import type { GatewayContext } from '../types.js';
 import { admitRequest } from './admission.js';
 import { createAnswerBudget } from './answer-budget.js';
+import { takePlace } from './connection-close.js';
 import type { ServerAvailability } from '../backends/server-availability.js';
 import type { BackendTracker } from './backend-tracker.js';
 import { readBody, type BodyResult } from './request-body.js';
@@ -88,7 +89,15 @@
     response: ServerResponse,
   ): Promise<void> => {
     const arrivedAt = clock.now();
-    const reply = createReply(response, () => shutdown.isShuttingDown());
+    const place = takePlace(incoming.socket);
+    if (place.isBehindClose) {
+      const { id = '(none)' } = context.platform.requests.decodeRequest(incoming.rawHeaders);
+      reportRefusal(context, id, createStoppingFailure());
+      // The rest of it is read, so that the end of the connection is noticed.
+      incoming.resume();
+      return;
+    }
+    const reply = createReply(response, () => shutdown.isShuttingDown() && place.closeIfLast());
     const startup = waitForConfiguration();
     if (startup !== undefined) await startup;
     if (hasLeft(incoming, response)) return;
