A stopping gateway starts no request too late that was held up

What callers saw: a request that waited for the retry budget when its gateway was told to stop was held until the wait or the grace was over, although it could no longer be started. A request whose connection to the backend server was still opening could be written after the moment from which its answer does not fit into the grace, also one that may run only once, because that moment was computed before the signal.

Cause: whether a request may still start was decided only when an attempt was chosen.

Why the fix works: a request that no server may have run is checked on each tick of the watchdog and refused as `stopping`, with the promise that it was not run. The last moment to send is asked right before the first byte is written, so it follows the stop. Repeats of requests that may have run stay bound by the useful time alone, as before.

--- a/features/gateway/exchange.ts
+++ b/features/gateway/exchange.ts
@@ -123,7 +123,7 @@
       body: undefined,
       requestId: REQUEST_ID,
       requiresNewConnection: true,
-      sendUntil: Infinity,
+      sendUntil: () => Infinity,
     };
   }
 
--- a/features/gateway/forwarding-model.ts
+++ b/features/gateway/forwarding-model.ts
@@ -7,7 +7,9 @@
 import {
   applyFleetChanges,
   EMPTY_FLEET,
+  planStop,
   type RetryBounds,
+  type StopPlan,
 } from '../../src/controllers/forwarding/index.js';
 import { FleetMembers } from '../../src/controllers/quotas/index.js';
 import { createManualClock } from '../../src/core/clock/index.js';
@@ -25,6 +27,7 @@
   RequestForwarder,
   type ForwarderDependencies,
 } from '../../src/gateway/requests/request-forwarder.js';
+import { createShutdownPolicy } from '../../src/gateway/requests/shutdown.js';
 import { createRequestQueues } from '../../src/gateway/requests/request-queues.js';
 import type { AdmittedRequest } from '../../src/gateway/requests/types.js';
 import type { GatewayContext } from '../../src/gateway/types.js';
@@ -64,6 +67,7 @@
   failure: Failure | undefined;
   readonly deps: ForwarderDependencies;
   private forwarder: RequestForwarder | undefined;
+  private readonly stopping = createSection<StopPlan | undefined>(undefined);
 
   constructor(servers: number, retries: RetryBounds) {
     const changes = Array.from({ length: servers }, (_, index) => ({
@@ -88,12 +92,7 @@
         return { server, isRelayed: false, cancel, pause: noop, resume: noop };
       },
       links: { isOutOfReach: () => false, recordHeard: noop },
-      shutdown: {
-        isShuttingDown: () => false,
-        canStart: () => true,
-        responseDeadline: () => Infinity,
-        recordDuration: noop,
-      },
+      shutdown: createShutdownPolicy(context),
       queues: createRequestQueues(this.clock),
       quarantine: {
         leftMs: () => undefined,
@@ -141,6 +140,11 @@
     observer?.onEnd();
   }
 
+  /** The gateway is told to stop within `graceMs`. */
+  stop(graceMs: number): void {
+    this.stopping.write(planStop(this.clock.now(), graceMs));
+  }
+
   leave(): void {
     this.forwarder?.handleCallerDisconnect();
   }
@@ -182,7 +186,7 @@
         fleet,
         serving: createSection(undefined),
         configurationProof: createSection(undefined),
-        stop: createSection(undefined),
+        stop: this.stopping,
         peers: createSection(new Map()),
         cutOffServices: createSection<readonly string[]>([]),
         evacuations: createSection(undefined),
--- a/features/gateway/not-run.steps.ts
+++ b/features/gateway/not-run.steps.ts
@@ -162,7 +162,7 @@
           body: undefined,
           requestId: 'request-1',
           requiresNewConnection: true,
-          sendUntil: clock.now() + MS_PER_SECOND,
+          sendUntil: () => 2 * MS_PER_SECOND,
         },
         {
           onNotice: () => undefined,
--- a/src/gateway/backends/attempt.ts
+++ b/src/gateway/backends/attempt.ts
@@ -18,8 +18,11 @@
   requestId: string | undefined;
   /** Don't reuse a connection, because the server may just have closed an idle one. */
   requiresNewConnection: boolean;
-  /** Nothing is sent after this moment, as when the connection took too long to open. */
-  sendUntil: Milliseconds;
+  /**
+   * Nothing is sent after this moment, as when the connection took too long to open. Asked right before
+   * sending, because the gateway may have been told to stop meanwhile.
+   */
+  sendUntil: () => Milliseconds;
 }
 
 /** The head of a response that belongs to the request. */
@@ -146,7 +149,7 @@
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
     countFromRequest(this.connection.state);
-    if (this.isFinished || this.clock.now() <= this.request.sendUntil) return;
+    if (this.isFinished || this.clock.now() <= this.request.sendUntil()) return;
     this.end({ kind: 'tooLate', reason: TOO_LATE_REASON });
     controller.abort(new Error(TOO_LATE_REASON));
   }
--- a/src/gateway/relay/relay-handler.ts
+++ b/src/gateway/relay/relay-handler.ts
@@ -120,7 +120,7 @@
       body: body.body,
       requestId: order.requestId,
       requiresNewConnection: order.requiresNewConnection,
-      sendUntil: receivedAt + leftMs,
+      sendUntil: () => receivedAt + leftMs,
     });
   };
   return {
--- a/src/gateway/relay/relayed-attempt.ts
+++ b/src/gateway/relay/relayed-attempt.ts
@@ -76,7 +76,7 @@
 
   private tryNext(): void {
     const { clock, links, onRelay } = this.options;
-    const mayTry = this.tried.size < MAX_RELAYS && clock.now() <= this.request.sendUntil;
+    const mayTry = this.tried.size < MAX_RELAYS && clock.now() <= this.request.sendUntil();
     const peer = mayTry ? links.chooseRelay(this.server.id, this.tried) : undefined;
     if (peer === undefined) {
       // Reported later, because the caller does not have this attempt yet.
@@ -174,7 +174,7 @@
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
     countFromRequest(this.connection.state);
-    if (this.isFinished || this.options.clock.now() <= this.request.sendUntil) return;
+    if (this.isFinished || this.options.clock.now() <= this.request.sendUntil()) return;
     this.fail({ kind: 'unavailable', reason: TOO_LATE_REASON });
     controller.abort(new Error(TOO_LATE_REASON));
   }
--- a/src/gateway/requests/request-attempts.ts
+++ b/src/gateway/requests/request-attempts.ts
@@ -141,6 +141,7 @@
     this.triedServers.add(server.id);
     this.sentCount += 1;
     const leftMs = this.budgetMs;
+    const sendUntil = this.lastSendTime(leftMs);
     const lastEventId = stream ? stream.lastEventId : request.caller.lastEventId;
     reportAttempt(deps.context, request, chosen, {
       why,
@@ -176,10 +177,21 @@
       body: request.body,
       requestId: request.caller.id,
       requiresNewConnection: !this.isRepeatable,
-      sendUntil: deps.context.clock.now() + leftMs - this.minUsefulMs,
+      sendUntil,
     });
   }
 
+  /**
+   * The last moment to send the next attempt, which a shutdown moves forward while the connection opens.
+   * A repeat of one that may have run is bound by the time that it needs alone, as when it is chosen.
+   */
+  private lastSendTime(leftMs: Milliseconds): () => Milliseconds {
+    const { request, deps, mayHaveRun } = this;
+    const usefulUntil = deps.context.clock.now() + leftMs - this.minUsefulMs;
+    if (mayHaveRun) return () => usefulUntil;
+    return () => Math.min(usefulUntil, deps.shutdown.latestStart(request));
+  }
+
   /** Keeps a part of a response that is sent once it is complete. */
   buffer(attempt: TrackedAttempt, chunk: Buffer): 'progress' | 'endless' {
     if (attempt.body.length >= MAX_PARTS) return 'endless';
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -92,6 +92,10 @@
       this.ending.failQuarantined();
       return;
     }
+    if (this.isTooLateToStart(now)) {
+      this.ending.refuseStopping();
+      return;
+    }
     this.wait.onTick(now);
   }
 
@@ -103,13 +107,18 @@
     return this.deps.quarantine.leftMs(this.request.fingerprints) !== undefined;
   }
 
+  /** Whether it would start too late to end before the gateway stops. */
+  private isTooLateToStart(now: Milliseconds): boolean {
+    return !this.attempts.mayHaveRun && now > this.deps.shutdown.latestStart(this.request);
+  }
+
   private sendNextAttempt(why: string): void {
     const { request, deps, attempts, ending, wait } = this;
     if (this.isQuarantined) {
       if (!attempts.isAnyInFlight) ending.failQuarantined();
       return;
     }
-    if (!attempts.mayHaveRun && !deps.shutdown.canStart(request, deps.context.clock.now())) {
+    if (this.isTooLateToStart(deps.context.clock.now())) {
       ending.refuseStopping();
       return;
     }
--- a/src/gateway/requests/request-server.ts
+++ b/src/gateway/requests/request-server.ts
@@ -136,7 +136,7 @@
   ): Promise<BodyResult> => {
     const reader = readBody(head.incoming, maxBytes);
     const cancelIfTooLate = (now: Milliseconds): void => {
-      if (!shutdown.canStart(head, now)) reader.cancel();
+      if (now > shutdown.latestStart(head)) reader.cancel();
     };
     const watched: WatchedRequest = {
       onTick: cancelIfTooLate,
--- a/src/gateway/requests/shutdown.ts
+++ b/src/gateway/requests/shutdown.ts
@@ -16,8 +16,11 @@
 /** Decides which requests start during a shutdown. Without a shutdown every request may start. */
 export interface ShutdownPolicy {
   isShuttingDown(): boolean;
-  /** Whether the request, if started at `now`, is expected to end within the grace period. */
-  canStart(request: RequestHead, now: Milliseconds): boolean;
+  /**
+   * The latest time to start the request, so that it is expected to end within the grace period;
+   * infinite without a shutdown.
+   */
+  latestStart(request: RequestHead): Milliseconds;
   /** When every response must have ended; infinite without a shutdown. */
   responseDeadline(): Milliseconds;
   /** Records how long a forwarded request took, to correct later estimates. */
@@ -34,15 +37,17 @@
   const slowness = new SlownessTable();
   return {
     isShuttingDown: () => board.stop.read() !== undefined,
-    canStart: (request, now) => {
+    latestStart: (request) => {
       const plan = board.stop.read();
-      if (plan === undefined) return true;
+      if (plan === undefined) return Infinity;
       const { deadline, route } = request;
-      const expectedMs = estimateDuration(request) * slowness.slownessOf(modelKeyOf(request), now);
-      return (
-        now <=
-        latestStart(plan, { answerBy: deadline, expectedMs, isRepeatable: isRepeatable(route) })
-      );
+      const expectedMs =
+        estimateDuration(request) * slowness.slownessOf(modelKeyOf(request), clock.now());
+      return latestStart(plan, {
+        answerBy: deadline,
+        expectedMs,
+        isRepeatable: isRepeatable(route),
+      });
     },
     responseDeadline: () => board.stop.read()?.lastAnswerAt ?? Infinity,
     recordDuration: (request, tookMs) => {
