An entry answers what the end of its grace interrupts

What callers saw: requests that an entry still had in flight when `stopping.drainMs` was over ended with a closed connection and no answer, among them calls that may run only once. The caller could not tell whether it may send the request again. New requests are taken for `balancerMs` after the signal, whatever time they need, so this holds for requests that came after the signal as well.

Cause: the end of the grace closed all connections, and the requests heard of it only as callers that had left.

Evidence: features/promises/graceful-stop.feature. The scenario "The grace of a stop ends before a call is answered" required the cut. It is replaced by a stricter one for a call that may be repeated and one that may run once: a whole answer with status 502 and the conclusion "unknown", and the same lines in the log.

Why the fix works: requests under way are aborted with a reason of its own before connections are closed, and end like at a deadline: as not run (503), as possibly run (502), or with an `answerCut` event in a stream that has begun. Connections get 500 ms for that. Calls that may run once go on until their record is settled, as before.

--- a/features/promises/graceful-stop.feature
+++ b/features/promises/graceful-stop.feature
@@ -18,13 +18,29 @@
     And the caller takes the rest of its answer
     Then the long answer is whole, and the entry has exited with 0
 
-  # The grace of a stop ends while a call is still at its backend server, and the entry closes the
-  # caller's connection. Its log said that the caller had left, so that operators looked for the cause
-  # at the caller.
-  Scenario: The grace of a stop ends before a call is answered
-    Given an entry with a grace of 500 ms, and a call that its plain server takes 5000 ms for
+  # The grace of a stop ends while a call is still at its backend server. The entry closed the caller's
+  # connection without an answer, so that a caller could not tell whether it may send the call again; and
+  # its log said that the caller had left, so that operators looked for the cause at the caller.
+  Scenario Outline: The grace of a stop ends before a call that <kind> is answered
+    Given an entry with a grace of 500 ms, and a call that <kind> and takes 5000 ms at its plain server
     When that entry is told to stop, and exits with 0
-    Then the call was cut off, and the entry's log says that the stop did it
+    Then the caller is told that the call may have run, and the entry's log says that the stop did it
+
+    Examples:
+      | kind            |
+      | may be repeated |
+      | may run once    |
+
+  # The same with a completion, of which the caller has the beginning or nothing.
+  Scenario Outline: The grace of a stop ends before a completion is answered, of which the caller has <part>
+    Given an entry with a grace of 500 ms, and a completion of which the caller has <part>
+    When that entry is told to stop, and exits with 0
+    Then the caller is told that the answer <outcome>
+
+    Examples:
+      | part          | outcome      |
+      | the beginning | is not whole |
+      | nothing       | may have run |
 
   # The platform is silent while an entry stops. The entry waited for it to take the domains that it
   # gives away, and took new requests all the while, long after the balancer's span: whoever stops it
--- a/src/adapters/callers/create-callers.ts
+++ b/src/adapters/callers/create-callers.ts
@@ -22,6 +22,7 @@
 import type { EntrySettings } from '../../core/settings/index.js';
 import { renderFailure, sendFailure, sendJson } from './answers.js';
 import { serveCompletion } from './completions.js';
+import { GRACE_OVER } from './grace.js';
 import { resolveServiceTarget, serveServiceCall } from './service-calls.js';
 import type { RequestHead, RequestPath } from './types.js';
 
@@ -48,10 +49,19 @@
    * given `graceMs` to be closed by their callers; then no more connections are taken.
    */
   drain(graceMs: Milliseconds): Promise<void>;
+  /** Aborts all requests under way with the reason that the grace of the stop is over. */
+  endAll(): void;
   /** Closes everything, also what is under way. */
   close(): Promise<void>;
 }
 
+/** What aborts each request under way. */
+type OpenRequests = Set<AbortController>;
+
+interface ServingOptions extends CallersOptions {
+  open: OpenRequests;
+}
+
 interface Env {
   Bindings: HttpBindings;
 }
@@ -70,7 +80,8 @@
  * @example const address = await createCallers(options).listen();
  */
 export function createCallers(options: CallersOptions): Callers {
-  const answer = createListener(createApp(options));
+  const open: OpenRequests = new Set();
+  const answer = createListener(createApp({ ...options, open }));
   const server = createServer(
     {
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -88,6 +99,9 @@
   return {
     listen: () => listenOn(server, options.address),
     drain: (graceMs) => drainServer(server, graceMs),
+    endAll: () => {
+      for (const request of open) request.abort(GRACE_OVER);
+    },
     close: () => closeServer(server),
   };
 }
@@ -106,7 +120,7 @@
   });
 }
 
-function createApp(options: CallersOptions): Hono<Env> {
+function createApp(options: ServingOptions): Hono<Env> {
   const app = new Hono<Env>();
   app.get('/livez', (context) => context.text('live\n'));
   app.get('/readyz', (context) => serveReadiness(context, options));
@@ -128,7 +142,7 @@
 /** Identifies the caller, then leaves the answer to `handler`. */
 async function serve(
   context: Context<Env>,
-  options: CallersOptions,
+  options: ServingOptions,
   handler: Serve,
 ): Promise<Response> {
   const { incoming, outgoing } = context.env;
@@ -152,7 +166,12 @@
     });
   }
   const head: RequestHead = { id, caller: caller.value, signal: gone.signal };
-  await handler(options, head, incoming, outgoing);
+  options.open.add(gone);
+  try {
+    await handler(options, head, incoming, outgoing);
+  } finally {
+    options.open.delete(gone);
+  }
   limitFlush(outgoing, options.settings.bodyTimeoutMs);
   return RESPONSE_ALREADY_SENT;
 }
--- a/src/adapters/callers/index.ts
+++ b/src/adapters/callers/index.ts
@@ -1,2 +1,3 @@
 export * from './create-callers.js';
+export * from './grace.js';
 export type * from './types.js';
--- a/src/adapters/callers/types.ts
+++ b/src/adapters/callers/types.ts
@@ -14,7 +14,10 @@
   /** Given by this entry; in the answer as X-Request-Id. */
   id: string;
   caller: Caller;
-  /** Aborted when the caller closes the connection before its answer is whole. */
+  /**
+   * Aborted when the caller closes the connection before its answer is whole, or when the grace of a
+   * stop is over before that.
+   */
   signal: AbortSignal;
 }
 
--- a/src/controllers/attempts/conclusion.ts
+++ b/src/controllers/attempts/conclusion.ts
@@ -26,3 +26,9 @@
   if (failure.kind === 'deadlineBeforeStart') return createFailure('deadlineAfterStart');
   return createFailure('outcomeUnknown', { reason: failure.message }, failure.retryAfterMs);
 }
+
+/** Failure of a request that is not answered when the grace of the entry's stop is over. */
+export function createStoppingFailure(mayHaveRun: boolean): Failure {
+  if (!mayHaveRun) return createFailure('stopping');
+  return createFailure('outcomeUnknown', { reason: 'the entry stopped before it was answered' });
+}
--- a/src/controllers/attempts/state.ts
+++ b/src/controllers/attempts/state.ts
@@ -13,7 +13,7 @@
 import type { EngineChunk } from '../../adapters/engines/protocol.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import type { AttemptEnd, RetryDecision } from '../retries/types.js';
-import { concludeRequest } from './conclusion.js';
+import { concludeRequest, createStoppingFailure } from './conclusion.js';
 import type { AttemptAction, AttemptEvent, AttemptState } from './types.js';
 
 type EndChunk = Extract<EngineChunk, { kind: 'end' }>;
@@ -52,6 +52,8 @@
       return failRequest(state, event.failure);
     case 'callerGone':
       return abandonRequest(state, createFailure('callerGone'));
+    case 'stopping':
+      return abandonRequest(state, createStoppingFailure(hasStarted(state)));
     case 'deadline':
       return abandonRequest(state, createDeadlineFailure(state));
   }
@@ -149,8 +151,12 @@
 }
 
 function createDeadlineFailure(state: AttemptState): Failure {
-  const mayHaveStarted = state.mayHaveRun || state.attempt !== undefined;
-  return createFailure(mayHaveStarted ? 'deadlineAfterStart' : 'deadlineBeforeStart');
+  return createFailure(hasStarted(state) ? 'deadlineAfterStart' : 'deadlineBeforeStart');
+}
+
+/** Whether an attempt may have run or is in progress. */
+function hasStarted({ mayHaveRun, attempt }: AttemptState): boolean {
+  return mayHaveRun || attempt !== undefined;
 }
 
 function createCancelActions(state: AttemptState): readonly AttemptAction[] {
--- a/src/controllers/attempts/types.ts
+++ b/src/controllers/attempts/types.ts
@@ -19,6 +19,8 @@
   /** The dispatcher won't send the request, or the engine refuses it permanently. */
   | { kind: 'refused'; failure: Failure }
   | { kind: 'callerGone' }
+  /** The grace of the entry's stop is over. */
+  | { kind: 'stopping' }
   | { kind: 'deadline' };
 
 /** An action for the caller of the state machine; actions are performed in order. */
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -32,7 +32,7 @@
   stopGraceOver: {
     number: 1004,
     level: 'warn',
-    message: 'The grace of the stop is over; requests still in flight are cut off.',
+    message: 'The grace of the stop is over; requests still in flight end without their answers.',
   },
   configurationInForce: {
     number: 1100,
@@ -121,7 +121,8 @@
   requestCutByStop: {
     number: 1505,
     level: 'warn',
-    message: 'The grace of the stop was over before a request was answered; it was cut off.',
+    message:
+      'The grace of the stop was over before a request was answered; its caller was told so.',
   },
   callRecordsUnavailable: {
     number: 1600,
--- a/src/entry/requests/completions.ts
+++ b/src/entry/requests/completions.ts
@@ -1,10 +1,11 @@
 /**
  * Runs a completion: passes events to its state machine and performs the resulting actions.
  */
-import type {
-  CompletionOutcome,
-  CompletionRequest,
-  TokenOutput,
+import {
+  isGraceOver,
+  type CompletionOutcome,
+  type CompletionRequest,
+  type TokenOutput,
 } from '../../adapters/callers/index.js';
 import {
   advanceAttempt,
@@ -116,7 +117,7 @@
     run.apply({ kind: 'deadline' });
   }, remainingMs);
   const onCallerGone = (): void => {
-    run.apply({ kind: 'callerGone' });
+    run.apply({ kind: isGraceOver(request) ? 'stopping' : 'callerGone' });
   };
   signal.addEventListener('abort', onCallerGone);
   const outcome = await new Promise<CompletionOutcome>((resolve) => {
--- a/src/entry/requests/once-calls.ts
+++ b/src/entry/requests/once-calls.ts
@@ -4,9 +4,10 @@
  */
 import { createHash } from 'node:crypto';
 import { ok } from 'neverthrow';
-import type { ServiceCall, ServiceOutput } from '../../adapters/callers/index.js';
+import { isGraceOver, type ServiceCall, type ServiceOutput } from '../../adapters/callers/index.js';
 import type { ServiceAnswer } from '../../adapters/services/index.js';
-import type { SendOutcome, StoredAnswer } from '../../controllers/calls/types.js';
+import { createStoppingFailure } from '../../controllers/attempts/index.js';
+import type { OnceOutcome, SendOutcome, StoredAnswer } from '../../controllers/calls/types.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import type { Service } from '../../objects/index.js';
@@ -51,12 +52,26 @@
     fingerprint: createFingerprint(run),
     deadlineAt: call.caller.deadlineAt,
   };
-  const outcome = await parts.onceCalls.run(onceCall, () => sendTracked(run));
+  const outcome = await Promise.race([
+    parts.onceCalls.run(onceCall, () => sendTracked(run)),
+    whenGraceIsOver(call),
+  ]);
   if (outcome.kind === 'failed') return outcome.failure;
   output.send(outcome.answer, outcome.replayed);
   return undefined;
 }
 
+/** The call goes on until its record is settled, but its caller can't be answered after this. */
+function whenGraceIsOver(call: ServiceCall): Promise<OnceOutcome> {
+  return new Promise((resolve) => {
+    const end = (): void => {
+      if (isGraceOver(call)) resolve({ kind: 'failed', failure: createStoppingFailure(true) });
+    };
+    call.signal.addEventListener('abort', end, { once: true });
+    end();
+  });
+}
+
 function createFingerprint({ call, body }: OnceCallRun): string {
   const hash = createHash('sha256').update(`${call.method}\n${call.path}${call.query}\n`);
   return hash.update(body ?? '').digest('hex');
--- a/src/entry/requests/service-calls.ts
+++ b/src/entry/requests/service-calls.ts
@@ -3,10 +3,11 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ok, type Result } from 'neverthrow';
-import type { ServiceCall, ServiceOutput } from '../../adapters/callers/index.js';
+import { isGraceOver, type ServiceCall, type ServiceOutput } from '../../adapters/callers/index.js';
 import type { ServiceRequest } from '../../adapters/services/index.js';
 import {
   concludeRequest,
+  createStoppingFailure,
   resolveCallHandling,
   resolveService,
   type CallHandling,
@@ -40,7 +41,7 @@
   /** Deadline for the start of the response. */
   responseStartDeadlineAt: Milliseconds;
   deadline: Deadline;
-  /** Aborted when the caller disconnects or the deadline passes. */
+  /** Aborted when the caller disconnects, the deadline passes or the grace of a stop is over. */
   signal: AbortSignal;
   attempts: number;
   mayHaveRun: boolean;
@@ -242,8 +243,9 @@
   return body === undefined || body instanceof Uint8Array || !call.body?.stream.readableDidRead;
 }
 
-/** Failure for a call whose caller disconnected or whose deadline passed. */
+/** Failure for a call whose caller disconnected, whose deadline passed or whose entry stops. */
 function createAbortFailure({ call }: CallRun, mayHaveRun: boolean): Failure {
+  if (isGraceOver(call)) return createStoppingFailure(mayHaveRun);
   if (call.signal.aborted) return createFailure('callerGone');
   return createFailure(mayHaveRun ? 'deadlineAfterStart' : 'deadlineBeforeStart');
 }
--- a/src/entry/stop-entry.ts
+++ b/src/entry/stop-entry.ts
@@ -3,7 +3,8 @@
  *
  * First the load balancer and the other entries are notified and the fabric domains handed over;
  * new requests are still accepted until the load balancer has reacted. Then new requests are
- * refused and accepted ones finished. Digests are sent until the end, since others wait for their
+ * refused and accepted ones finished; those that are not finished in time are told that they may have
+ * run, or that they did not. Digests are sent until the end, since others wait for their
  * counts of requests in flight before they stop a backend server.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -13,6 +14,8 @@
 
 /** Maximum wait for peers to receive the last digest. */
 const DIGEST_DELIVERY_TIMEOUT_MS = 2_000;
+/** Time for the answers to requests that the end of the grace period interrupts. */
+const LAST_ANSWERS_MS = 500;
 
 /** Stops the entry gracefully; repeated calls return the same promise. */
 export function stopEntry(context: EntryContext, parts: EntryParts): Promise<void> {
@@ -38,8 +41,13 @@
   const handOver = parts.replicas.handOver();
   await sleep(balancerMs);
   parts.requests.beginStopping();
-  const isFinished = await finishesWithin(finishRequests(parts, balancerMs), drainMs);
-  if (!isFinished) parts.requests.markGracePeriodOver();
+  const isDrained = parts.callers.drain(balancerMs);
+  const isFinished = await finishesWithin(finishRequests(parts, isDrained), drainMs);
+  if (!isFinished) {
+    parts.requests.markGracePeriodOver();
+    parts.callers.endAll();
+    await finishesWithin(isDrained, LAST_ANSWERS_MS);
+  }
   await parts.callers.close();
   await Promise.all([handOver, parts.onceCalls.stop()]);
   await parts.membership.whenDigestDelivered(DIGEST_DELIVERY_TIMEOUT_MS);
@@ -48,11 +56,8 @@
   logger.log('entryStopped');
 }
 
-async function finishRequests(
-  { callers, requests }: EntryParts,
-  graceMs: Milliseconds,
-): Promise<void> {
-  await Promise.all([callers.drain(graceMs), requests.whenIdle()]);
+async function finishRequests({ requests }: EntryParts, isDrained: Promise<void>): Promise<void> {
+  await Promise.all([isDrained, requests.whenIdle()]);
 }
 
 /** Whether `work` finished in time; a caller that never reads its answer must not block a stop. */
