A stopping entry runs no request behind an answer that closes

What callers saw: of two calls sent one behind the other on one connection of a stopping entry, the second had no answer, although it had run, also when it may run only once.

Each answer of a stopping entry says that the connection closes, and Node drops the answers behind the first of them.

Evidence: features/promises/graceful-stop.feature, "Two calls that may run once come one behind the other on a connection of a stopping entry", failed before: 2 runs, 1 answer.

Why the fix works: an entry writes the field when a request arrives, so whatever is read behind it is known by then and is not run. Requests that were read before the entry was told to stop are all answered, since their answers don't carry the field.

--- a/features/promises/graceful-stop.feature
+++ b/features/promises/graceful-stop.feature
@@ -42,6 +42,13 @@
       | the beginning | is not whole |
       | nothing       | may have run |
 
+  # Each answer of a stopping entry said that the connection closes. Node drops what is queued behind the
+  # first such answer, so that a call behind another one on the connection ran and had no answer.
+  Scenario: Two calls that may run once come one behind the other on a connection of a stopping entry
+    Given an entry with a plain server that takes 300 ms for a call
+    When that entry is told to stop, and two calls that may run once come at once on one connection
+    Then each of them has a whole answer, or never ran
+
   # The platform is silent while an entry stops. The entry waited for it to take the domains that it
   # gives away, and took new requests all the while, long after the balancer's span: whoever stops it
   # by the sum of its two spans kills it with these requests in flight.
--- a/features/promises/graceful-stop.steps.ts
+++ b/features/promises/graceful-stop.steps.ts
@@ -198,6 +198,47 @@
   assert.ok(named('requestCutByStop')[0]?.requestId);
 }
 
+Given(
+  'an entry with a plain server that takes {int} ms for a call',
+  async function (this: StopWorld, latencyMs: number) {
+    const { deployment } = await start(this, { services: 1 });
+    await deployment.service(0).control({ latencyMs });
+  },
+);
+
+When(
+  'that entry is told to stop, and two calls that may run once come at once on one connection',
+  async function (this: StopWorld) {
+    const { callers, process } = this.deployment.entry(0);
+    process.signal('SIGTERM');
+    await waitFor('the entry to stop', () =>
+      process.logLines.some((line) => line.includes('entryStopping')),
+    );
+    const [host, port] = callers.split(':');
+    const socket = connect(Number(port), host);
+    const calls = ['first', 'second'].map((body) =>
+      [
+        `POST /services/${SERVICE}/check-ins HTTP/1.1`,
+        `Host: ${callers}`,
+        `Authorization: Bearer ${API_KEY}`,
+        `Idempotency-Key: ${randomUUID()}`,
+        `Content-Length: ${body.length}`,
+        '',
+        body,
+      ].join('\r\n'),
+    );
+    socket.write(calls.join(''));
+    this.taken = await buffer(socket);
+  },
+);
+
+Then('each of them has a whole answer, or never ran', async function (this: StopWorld) {
+  const answers = this.taken.toString().split(/(?=HTTP\/1\.1 \d{3} )/);
+  const { runs } = await this.deployment.service(0).journal();
+  assert.ok(answers[0]?.startsWith('HTTP/1.1 200 '), this.taken.toString());
+  assert.equal(runs.length, answers.length, this.taken.toString());
+});
+
 Given('an entry that owns the domain of a whole replica', async function (this: StopWorld) {
   await start(this, { entries: 1 });
 });
--- a/src/adapters/callers/create-callers.ts
+++ b/src/adapters/callers/create-callers.ts
@@ -15,7 +15,7 @@
 import type { Credentials } from '../../controllers/attempts/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
-import { hasLeft, onDeparture } from '../../core/sockets/index.js';
+import { hasLeft, onDeparture, takePlace } from '../../core/sockets/index.js';
 import type { BufferedBytesTracker } from '../../core/buffered-bytes/index.js';
 import { closeServer, drainServer, listenOn } from '../../core/listening/index.js';
 import type { Logger } from '../../core/logger/index.js';
@@ -146,13 +146,20 @@
   handler: Serve,
 ): Promise<Response> {
   const { incoming, outgoing } = context.env;
+  const place = takePlace(incoming.socket);
+  if (place.isBehindClose) {
+    // Its answer could not be sent, so it must not run. What is left of it is read, so that the end of
+    // the connection is noticed.
+    incoming.resume();
+    return RESPONSE_ALREADY_SENT;
+  }
   const id = randomUUID();
   outgoing.setHeader('X-Request-Id', id);
   outgoing.once(
     'close',
     options.unread.track(() => outgoing.writableLength),
   );
-  if (options.isStopping()) outgoing.setHeader('Connection', 'close');
+  if (options.isStopping() && place.closeIfLast()) outgoing.setHeader('Connection', 'close');
   const caller = options.path.identify(readCredentials(incoming, options));
   if (caller.isErr()) {
     refuseUnread(incoming, outgoing, caller.error, id);
--- a/src/core/sockets/index.ts
+++ b/src/core/sockets/index.ts
@@ -1,3 +1,4 @@
+export * from './connection-close.js';
 export * from './connection-refused.js';
 export * from './connector.js';
 export * from './departure.js';
