--- a/src/adapters/callers/create-callers.ts
+++ b/src/adapters/callers/create-callers.ts
@@ -15,13 +15,14 @@
 import type { Credentials } from '../../controllers/attempts/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
-import { hasLeft, onDeparture } from '../../core/sockets/index.js';
+import { hasLeft, onDeparture, takePlace } from '../../core/sockets/index.js';
 import type { BufferedBytesTracker } from '../../core/buffered-bytes/index.js';
 import { closeServer, drainServer, listenOn } from '../../core/listening/index.js';
 import type { Logger } from '../../core/logger/index.js';
 import type { EntrySettings } from '../../core/settings/index.js';
 import { renderFailure, sendFailure, sendJson } from './answers.js';
 import { serveCompletion } from './completions.js';
+import { GRACE_OVER } from './grace.js';
 import { resolveServiceTarget, serveServiceCall } from './service-calls.js';
 import type { RequestHead, RequestPath } from './types.js';
 
@@ -48,10 +49,19 @@
    * given `graceMs` to be closed by their callers; then no more connections are taken.
    */
   drain(graceMs: Milliseconds): Promise<void>;
+  /** Aborts all requests under way with the reason that the grace of the stop is over. */
+  endAll(): void;
   /** Closes everything, also what is under way. */
   close(): Promise<void>;
 }
 
+/** What aborts each request under way. */
+type OpenRequests = Set<AbortController>;
+
+interface ServingOptions extends CallersOptions {
+  open: OpenRequests;
+}
+
 interface Env {
   Bindings: HttpBindings;
 }
@@ -70,7 +80,8 @@
  * @example const address = await createCallers(options).listen();
  */
 export function createCallers(options: CallersOptions): Callers {
-  const answer = createListener(createApp(options));
+  const open: OpenRequests = new Set();
+  const answer = createListener(createApp({ ...options, open }));
   const server = createServer(
     {
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -88,6 +99,9 @@
   return {
     listen: () => listenOn(server, options.address),
     drain: (graceMs) => drainServer(server, graceMs),
+    endAll: () => {
+      for (const request of open) request.abort(GRACE_OVER);
+    },
     close: () => closeServer(server),
   };
 }
@@ -106,7 +120,7 @@
   });
 }
 
-function createApp(options: CallersOptions): Hono<Env> {
+function createApp(options: ServingOptions): Hono<Env> {
   const app = new Hono<Env>();
   app.get('/livez', (context) => context.text('live\n'));
   app.get('/readyz', (context) => serveReadiness(context, options));
@@ -128,17 +142,24 @@
 /** Identifies the caller, then leaves the answer to `handler`. */
 async function serve(
   context: Context<Env>,
-  options: CallersOptions,
+  options: ServingOptions,
   handler: Serve,
 ): Promise<Response> {
   const { incoming, outgoing } = context.env;
+  const place = takePlace(incoming.socket);
+  if (place.isBehindClose) {
+    // Its answer could not be sent, so it must not run. What is left of it is read, so that the end of
+    // the connection is noticed.
+    incoming.resume();
+    return RESPONSE_ALREADY_SENT;
+  }
   const id = randomUUID();
   outgoing.setHeader('X-Request-Id', id);
   outgoing.once(
     'close',
     options.unread.track(() => outgoing.writableLength),
   );
-  if (options.isStopping()) outgoing.setHeader('Connection', 'close');
+  if (options.isStopping() && place.closeIfLast()) outgoing.setHeader('Connection', 'close');
   const caller = options.path.identify(readCredentials(incoming, options));
   if (caller.isErr()) {
     refuseUnread(incoming, outgoing, caller.error, id);
@@ -152,7 +173,12 @@
     });
   }
   const head: RequestHead = { id, caller: caller.value, signal: gone.signal };
-  await handler(options, head, incoming, outgoing);
+  options.open.add(gone);
+  try {
+    await handler(options, head, incoming, outgoing);
+  } finally {
+    options.open.delete(gone);
+  }
   limitFlush(outgoing, options.settings.bodyTimeoutMs);
   return RESPONSE_ALREADY_SENT;
 }
--- a/src/gateway/requests/request-server.ts
+++ b/src/gateway/requests/request-server.ts
@@ -9,7 +9,7 @@
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import { drainServer, listenOn } from '../../core/listening/index.js';
-import { hasLeft, onDeparture } from '../../core/sockets/index.js';
+import { hasLeft, onDeparture, takePlace } from '../../core/sockets/index.js';
 import type { AttemptSender } from '../backends/attempt.js';
 import type { GatewayContext } from '../types.js';
 import { admitRequest } from './admission.js';
@@ -88,7 +88,15 @@
     response: ServerResponse,
   ): Promise<void> => {
     const arrivedAt = clock.now();
-    const reply = createReply(response, () => shutdown.isShuttingDown());
+    const place = takePlace(incoming.socket);
+    if (place.isBehindClose) {
+      const { id = '(none)' } = context.platform.requests.decodeRequest(incoming.rawHeaders);
+      reportRefusal(context, id, createStoppingFailure());
+      // The rest of it is read, so that the end of the connection is noticed.
+      incoming.resume();
+      return;
+    }
+    const reply = createReply(response, () => shutdown.isShuttingDown() && place.closeIfLast());
     const startup = waitForConfiguration();
     if (startup !== undefined) await startup;
     if (hasLeft(incoming, response)) return;
@@ -127,7 +135,7 @@
   ): Promise<BodyResult> => {
     const reader = readBody(head.incoming, maxBytes);
     const cancelIfTooLate = (now: Milliseconds): void => {
-      if (!shutdown.canStart(head, now)) reader.cancel();
+      if (now > shutdown.latestStart(head)) reader.cancel();
     };
     const watched: WatchedRequest = {
       onTick: cancelIfTooLate,
