Model of owners: one of two owners has a view that stands still

Red: an owner whose view stands still repeats orders to join a group that the other has closed, while the head, which the other gets no answer from, is open. Members that have left are put back and then ordered into the next group (TWO).

--- a/features/gateway/group-owners-plays.ts
+++ b/features/gateway/group-owners-plays.ts
@@ -151,6 +151,23 @@
   await model.run(END_MS + LATEST_MS);
 }
 
+/**
+ * Both gateways own the domain and know the same, until what B knows stands still for a while, in which A gets no
+ * answer from the head.
+ */
+export async function playStandingView(model: GroupOwnersModel, silentAfterMs: number): Promise<void> {
+  await model.run(STEP_MS);
+  model.setLag(B, Infinity);
+  model.setOwner(A, true);
+  model.setOwner(B, true);
+  await model.run(STEP_MS * 2 + silentAfterMs);
+  model.silence(A, 'i-1', SILENT_MS);
+  await model.run(STEP_MS * 2);
+  model.setLag(B, 0);
+  model.setOwner(B, false);
+  await model.run(SILENT_MS + END_MS);
+}
+
 /** Restores the store from a copy without the plan; B starts and owns the domain, and learns after `lagMs`. */
 export async function playRestore(model: GroupOwnersModel, lagMs: number): Promise<void> {
   await model.run(STEP_MS);
--- a/features/gateway/group-owners.feature
+++ b/features/gateway/group-owners.feature
@@ -28,6 +28,12 @@
     Then no engine was in two groups and no group was partial
     And a group is open at the end of each
 
+  # Guards against an owner whose view stands still, and that puts members back into a group that another one has closed.
+  Scenario: The view of one of two owners stands still
+    Given 5 engines for groups of 3, and gateways A and B
+    When both own it, what B knows stands still, and at each time the head does not answer A
+    Then no engine was in two groups and no group was partial
+
   # Guards against a wait after a restore that ends before this gateway has read the entries that engines write again.
   Scenario: A gateway starts as the store returns from an older copy
     Given 5 engines for groups of 3, and gateways A and B
--- a/features/gateway/group-owners.steps.ts
+++ b/features/gateway/group-owners.steps.ts
@@ -10,6 +10,7 @@
   playCopy,
   playOrder,
   playRestore,
+  playStandingView,
   playTrouble,
   TROUBLES,
 } from './group-owners-plays.js';
@@ -29,6 +30,8 @@
 /** Orders without an answer are carried out at any time; that of each step and after it. */
 const COPY_SPAN_MS = 3_200;
 const COPY_INTERVAL_MS = 100;
+/** Orders to join are repeated each 900 ms. */
+const STANDING_SPAN_MS = 1_000;
 const MAX_LAG_MS = 3_000;
 
 Given(
@@ -105,6 +108,18 @@
   },
 );
 
+When(
+  'both own it, what B knows stands still, and at each time the head does not answer A',
+  { timeout: SCENARIO_TIMEOUT_MS },
+  async function (this: OwnersWorld) {
+    for (let ms = 0; ms < STANDING_SPAN_MS; ms += COPY_INTERVAL_MS) {
+      const model = new GroupOwnersModel({ gateways: 2, engines: 5, sizes: { large: 3 }, seed: 1 });
+      await playStandingView(model, ms);
+      this.runs.push({ name: `after ${ms} ms`, model });
+    }
+  },
+);
+
 Then('no engine was in two groups and no group was partial', function (this: OwnersWorld) {
   const broken = this.runs.filter(({ model }) => model.engines.breaches.length > 0);
   if (broken.length === 0) return;
