--- a/features/gateway/group-owners-plays.ts
+++ b/features/gateway/group-owners-plays.ts
@@ -17,6 +17,7 @@
 const SILENT_MS = 5_000;
 /** With this, a member that has joined again can still look free. */
 const COPY_LAG_MS = 300;
+const MOMENT_MS = 200;
 const ROUND_MS = 500;
 /** Time after a long run in which gateways and engines recover; late orders take 12 s. */
 const CALM_MS = 24_000;
@@ -155,12 +156,16 @@
  * Both gateways own the domain and know the same, until what B knows stands still for a while, in which A gets no
  * answer from the head.
  */
-export async function playStandingView(model: GroupOwnersModel, silentAfterMs: number): Promise<void> {
+export async function playStandingView(
+  model: GroupOwnersModel,
+  silentAfterMs: number,
+): Promise<void> {
   await model.run(STEP_MS);
   model.setLag(B, Infinity);
   model.setOwner(A, true);
   model.setOwner(B, true);
   await model.run(STEP_MS * 2 + silentAfterMs);
+  model.setLag(A, COPY_LAG_MS);
   model.silence(A, 'i-1', SILENT_MS);
   await model.run(STEP_MS * 2);
   model.setLag(B, 0);
@@ -168,6 +173,33 @@
   await model.run(SILENT_MS + END_MS);
 }
 
+/**
+ * For a moment B owns the domain beside A and repeats orders to join that A has had answers to; B gets none. Copies of
+ * them arrive as A gets no answer from the head.
+ */
+export async function playCopyOfOther(
+  model: GroupOwnersModel,
+  arrivesAfterMs: number,
+): Promise<void> {
+  await model.run(STEP_MS);
+  model.setLag(B, Infinity);
+  model.setOwner(A, true);
+  await model.run(MOMENT_MS);
+  model.losesAnswers = true;
+  model.setOwner(B, true);
+  await model.run(MOMENT_MS);
+  model.losesAnswers = false;
+  model.setOwner(B, false);
+  model.setLag(B, 0);
+  await model.run(STEP_MS);
+  model.setLag(A, COPY_LAG_MS);
+  model.silence(A, 'i-1', SILENT_MS);
+  model.after(arrivesAfterMs, () => {
+    model.repeatJoins();
+  });
+  await model.run(SILENT_MS + END_MS);
+}
+
 /** Restores the store from a copy without the plan; B starts and owns the domain, and learns after `lagMs`. */
 export async function playRestore(model: GroupOwnersModel, lagMs: number): Promise<void> {
   await model.run(STEP_MS);
--- a/features/gateway/group-owners.feature
+++ b/features/gateway/group-owners.feature
@@ -34,6 +34,12 @@
     When both own it, what B knows stands still, and at each time the head does not answer A
     Then no engine was in two groups and no group was partial
 
+  # Guards against late orders of one owner that another, whose own orders were answered, does not expect.
+  Scenario: Another owner's orders to join are late
+    Given 5 engines for groups of 3, and gateways A and B
+    When B owns it for a moment beside A, and copies of its orders to join arrive at each time as the head does not answer A
+    Then no engine was in two groups and no group was partial
+
   # Guards against a wait after a restore that ends before this gateway has read the entries that engines write again.
   Scenario: A gateway starts as the store returns from an older copy
     Given 5 engines for groups of 3, and gateways A and B
--- a/features/gateway/group-owners.steps.ts
+++ b/features/gateway/group-owners.steps.ts
@@ -8,6 +8,7 @@
   listOrders,
   MEMBER_STEPS,
   playCopy,
+  playCopyOfOther,
   playOrder,
   playRestore,
   playStandingView,
@@ -120,6 +121,18 @@
   },
 );
 
+When(
+  'B owns it for a moment beside A, and copies of its orders to join arrive at each time as the head does not answer A',
+  { timeout: SCENARIO_TIMEOUT_MS },
+  async function (this: OwnersWorld) {
+    for (let ms = 0; ms < COPY_SPAN_MS; ms += COPY_INTERVAL_MS) {
+      const model = new GroupOwnersModel({ gateways: 2, engines: 5, sizes: { large: 3 }, seed: 1 });
+      await playCopyOfOther(model, ms);
+      this.runs.push({ name: `copies after ${ms} ms`, model });
+    }
+  },
+);
+
 Then('no engine was in two groups and no group was partial', function (this: OwnersWorld) {
   const broken = this.runs.filter(({ model }) => model.engines.breaches.length > 0);
   if (broken.length === 0) return;
