An older answer of the store no longer puts an entry back

What it could do: an answer to a watch that was under way while a peer's copy brought later entries put these back to before, at the revision of the copy. A planner then saw members of open replicas as free by a view that seemed current. Cause: changes were applied without comparing the revisions of the entries, which are known since orders name them. Change: an entry isn't replaced by an older one.

--- a/src/controllers/forwarding/fleet.ts
+++ b/src/controllers/forwarding/fleet.ts
@@ -92,6 +92,8 @@
 /** Stores `server` only if it differs, so that unchanged servers keep their object identity. */
 function setIfChanged(servers: Map<string, BackendServer>, server: BackendServer): void {
   const before = servers.get(server.id);
+  // An answer that was under way while a peer's copy brought a later entry.
+  if ((before?.entryRevision ?? 0) > (server.entryRevision ?? Infinity)) return;
   const after = withLastModel(before, server);
   if (!isDeepStrictEqual(before, after)) servers.set(server.id, after);
 }
