One gateway at a time sends the orders to join a replica

Cause: who may order members to join was not part of the plan, and a plan was cached for as long as nothing contradicted it. Change: the plan names the sender of a replica's joins. A repeated join or open needs a plan that was read since it was last sent. The time in which orders may be late counts from when the replica has formed, since none to join are sent later. What was read before the gateway knew of a restore is not planned by.

--- a/features/gateway/plan-basis.feature
+++ b/features/gateway/plan-basis.feature
@@ -59,6 +59,17 @@
   Scenario: Orders to join can not be late any more
     Given a formed replica of "a" and "b" in a plan that rests on revision 10
     And an order for "b" to join it may be late, its head answers no probes, and so has "b"
-    And the replica has been closing for longer than orders are late
+    And the replica has been known for longer than orders are late
     When it is planned 2 times
     Then the replica is planned no more
+
+  # Guards against two gateways that order members to join a replica, of which each knows its own orders alone.
+  Scenario Outline: Another gateway sends the orders to join a replica, which has been forming for <time>
+    Given an unformed replica of "a" and "b" that another gateway orders to join, for <time>
+    When it is planned 1 time
+    Then <what>
+
+    Examples:
+      | time      | what                                                                   |
+      | some time | nobody is ordered to join                                              |
+      | too long  | this gateway orders to join, and notes that former orders may be late |
--- a/features/gateway/plan-basis.steps.ts
+++ b/features/gateway/plan-basis.steps.ts
@@ -22,7 +22,13 @@
   orders: DueOrder[];
 }
 
-const GROUP = { name: 'fabric.5', epoch: 5, model: 'small', closing: 'no' as const };
+const GROUP = {
+  name: 'fabric.5',
+  epoch: 5,
+  model: 'small',
+  closing: 'no' as const,
+  sender: 'gateway',
+};
 const STARTED_AT = 7;
 
 function createPlan(formed: boolean, fleetRevision: number): GroupPlan {
@@ -85,11 +91,15 @@
     const isLost = head === 'answers no probes';
     const servers = [createMember('a', isLost), createMember('b', false), createMember('c', false)];
     const lost = new Set(isLost ? ['a'] : []);
-    this.view = createView(servers, { fleetRevision: 11, isNewerThanPlan: false, lost });
+    const answeredOrders = new Set(
+      ['a', 'b'].filter((id) => id !== late).map((id) => orderKey('join', GROUP, id)),
+    );
+    const view = { fleetRevision: 11, isNewerThanPlan: false, lost, answeredOrders };
+    this.view = createView(servers, view);
   },
 );
 
-Given('the replica has been closing for longer than orders are late', function (this: BasisWorld) {
+Given('the replica has been known for longer than orders are late', function (this: BasisWorld) {
   this.view = { ...this.view, settledGroups: new Set([GROUP.name]) };
 });
 
@@ -119,6 +129,31 @@
   }
 });
 
+Given(
+  /^an unformed replica of "a" and "b" that another gateway orders to join, for (some time|too long)$/,
+  function (this: BasisWorld, time: string) {
+    const plan = createPlan(false, 5);
+    this.stored = { ...plan, groups: plan.groups.map((g) => ({ ...g, sender: 'other' })) };
+    const servers = [createMember('a', true), createMember('b', false)];
+    const overdueGroups = new Set(time === 'too long' ? [GROUP.name] : []);
+    this.view = createView(servers, { fleetRevision: 10, overdueGroups });
+  },
+);
+
+Then('nobody is ordered to join', function (this: BasisWorld) {
+  assert.deepEqual([this.plans, this.orders], [[this.stored], []]);
+});
+
+Then(
+  'this gateway orders to join, and notes that former orders may be late',
+  function (this: BasisWorld) {
+    const [group] = this.plans[0]?.groups ?? [];
+    assert.deepEqual([group?.sender, group?.lateJoins], ['gateway', ['a', 'b']]);
+    const joined = this.orders.map(({ to, order }) => [to.id, order.kind]);
+    assert.deepEqual(joined, [['b', 'join']]);
+  },
+);
+
 Then('the plan stays as it is, and nothing is ordered', function (this: BasisWorld) {
   for (const plan of this.plans) assert.equal(plan, this.stored);
   assert.deepEqual(this.orders, []);
--- a/features/gateway/planning-model.ts
+++ b/features/gateway/planning-model.ts
@@ -76,6 +76,8 @@
     profile: PROFILE,
     fleetRevision: 0,
     isNewerThanPlan: true,
+    self: 'gateway',
+    overdueGroups: new Set(),
     answeredOrders: new Set(),
     settledGroups: new Set(),
     targets: [
--- a/src/controllers/groups/late-orders.ts
+++ b/src/controllers/groups/late-orders.ts
@@ -20,7 +20,10 @@
 
 /** The members for which it isn't known that each order to join `group` has been carried out. */
 export function listLateJoins(group: PlannedGroup, view: DomainView): string[] {
-  return group.members
+  const { lateJoins, takenOver, sender, members } = group;
+  if (takenOver) return lateJoins ?? [];
+  if (sender !== view.self) return lateJoins ?? members.map(({ id }) => id);
+  return members
     .map(({ id }) => id)
     .filter((id) => !view.answeredOrders.has(orderKey('join', group, id)));
 }
@@ -30,10 +33,11 @@
  * as long as it isn't seen to have left, or if late orders could make it join and open again.
  */
 export function mayReopen(group: PlannedGroup, view: DomainView): boolean {
-  const { formed, lateJoins = [], members } = group;
-  const [head] = members;
-  if (!formed || lateJoins.length === 0 || head === undefined) return false;
-  if (view.settledGroups.has(group.name)) return false;
+  const [head] = group.members;
+  if (!group.formed || head === undefined || view.settledGroups.has(group.name)) return false;
+  // Nothing is noted if the sender itself saw the group form and had all answers.
+  const lateJoins = group.lateJoins === undefined ? [] : listLateJoins(group, view);
+  if (lateJoins.length === 0) return false;
   const mayOpenLate = !view.answeredOrders.has(orderKey('open', group, head.id));
   if (lateJoins.includes(head.id) && mayOpenLate) return true;
   const hasLeft =
--- a/src/controllers/groups/orders.ts
+++ b/src/controllers/groups/orders.ts
@@ -44,7 +44,7 @@
   const ids = members.map(({ id }) => id);
   const notJoined = members.filter(({ id }) => membershipIn(view, group, id) === undefined);
   if (notJoined.length > 0) {
-    if (group.formed) return [];
+    if (group.formed || (group.sender ?? view.self) !== view.self) return [];
     const order: EngineOrder = { kind: 'join', group: name, epoch, model, members: ids };
     return notJoined
       .filter(({ id }) => view.servers.get(id)?.engine?.membership === undefined)
--- a/src/controllers/groups/revise.ts
+++ b/src/controllers/groups/revise.ts
@@ -49,14 +49,23 @@
 function updateGroup(view: DomainView): (group: PlannedGroup) => PlannedGroup {
   return (group) => {
     const closing = nextClosing(group, view);
-    const forms = closing === 'no' && !group.formed && hasFormed(group, view);
-    if (closing === group.closing && !forms) return group;
-    if (!forms) return { ...group, closing };
+    if (closing !== 'no' || group.formed)
+      return closing === group.closing ? group : { ...group, closing };
+    if (!hasFormed(group, view)) return takeOver(group, view);
     const lateJoins = listLateJoins(group, view);
-    return { ...group, closing, formed: true, ...(lateJoins.length > 0 && { lateJoins }) };
+    return { ...group, formed: true, ...(lateJoins.length > 0 && { lateJoins }) };
   };
 }
 
+/** Makes this gateway the sender of a group that doesn't form; the orders of the one before may be late. */
+function takeOver(group: PlannedGroup, view: DomainView): PlannedGroup {
+  const { sender = view.self, members, name } = group;
+  if (sender === view.self || !view.overdueGroups.has(name)) return group;
+  const isComplete = members.every(({ id }) => membershipIn(view, group, id) !== undefined);
+  if (isComplete) return group;
+  return { ...group, sender: view.self, takenOver: true, lateJoins: members.map(({ id }) => id) };
+}
+
 function hasFormed(group: PlannedGroup, view: DomainView): boolean {
   return group.members.every(({ id }) => {
     const state = membershipIn(view, group, id)?.state;
@@ -249,6 +258,7 @@
     model: model.name,
     members: members.map(toMember),
     closing: 'no',
+    sender: view.self,
   };
   return { ...plan, lastEpoch: epoch, groups: [...plan.groups, group] };
 }
--- a/src/controllers/groups/types.ts
+++ b/src/controllers/groups/types.ts
@@ -26,6 +26,13 @@
    * without it has never been open, and a member that no longer reports one with it has left.
    */
   formed: z.boolean().exactOptional(),
+  /**
+   * Incarnation of the gateway that sends the orders to join. Another one takes over under a stored plan, so
+   * that a gateway with an outdated plan doesn't put members back that have left.
+   */
+  sender: z.string().exactOptional(),
+  /** Whether there was another sender before, whose orders only that one knows. */
+  takenOver: z.boolean().exactOptional(),
   /** Members that may be put back into the group by an order that is carried out late. */
   lateJoins: z.array(z.string()).exactOptional(),
 });
--- a/src/controllers/groups/view.ts
+++ b/src/controllers/groups/view.ts
@@ -32,6 +32,10 @@
   loadSlots: number;
   /** Whether no gateway has received a request yet, so that loads are not limited. */
   beforeTraffic: boolean;
+  /** Incarnation of the gateway that plans. */
+  self: string;
+  /** Groups whose sender makes no progress. */
+  overdueGroups: ReadonlySet<string>;
   /** Orders to join and to open none of which can be carried out late, see `orderKey`. */
   answeredOrders: ReadonlySet<string>;
   /** Closing groups for which no order can be late any more. */
--- a/src/gateway/groups/domain-controller.ts
+++ b/src/gateway/groups/domain-controller.ts
@@ -33,9 +33,9 @@
 import type { ObjectStore } from '../store/client.js';
 import { eraOf, revisionOf } from '../store/qualified-revision.js';
 import type { GatewayContext } from '../types.js';
-import { createAnsweredOrders } from './answered-orders.js';
 import { describeMembers, describeView, findEntryRevision } from './decision-basis.js';
 import { createMemberMonitor } from './member-monitor.js';
+import { createOrderHistory } from './order-history.js';
 
 /** Current state of one service in one fabric domain. */
 export interface DomainState extends LoadLimits {
@@ -115,7 +115,7 @@
   const { context, store, calls, backends } = options;
   const { clock, logger, metrics } = context;
   const memberMonitor = createMemberMonitor(context, calls);
-  const answeredOrders = createAnsweredOrders(clock);
+  const orderHistory = createOrderHistory(clock);
   const refusedGroups = new Set<string>();
   const lastSentAt = new Map<string, Milliseconds>();
   /** When this gateway first saw each grant of the stored plan. */
@@ -163,6 +163,8 @@
     const revision = stored?.revision;
     if (revision === undefined || eraOf(revision) >= store.era()) return;
     stored = undefined;
+    // Names and epochs may be assigned again.
+    orderHistory.clear();
     grantsFrom = clock.now() + RESTORE_HOLD_MS;
   };
   const writePlan = async (state: KnownDomain, plan: GroupPlan): Promise<void> => {
@@ -232,8 +234,10 @@
     staging: new Set(underWay.map(({ server }) => server)),
     loadSlots: state.loadSlots,
     beforeTraffic: state.beforeTraffic,
-    answeredOrders: answeredOrders.list(),
-    settledGroups: answeredOrders.settledGroups(),
+    self: context.incarnation,
+    overdueGroups: orderHistory.overdueGroups(ORDER_RETRY_MS),
+    answeredOrders: orderHistory.answered(),
+    settledGroups: orderHistory.settledGroups(),
     failedGroups: new Set([...refusedGroups, ...memberMonitor.stuckGroups]),
   });
   const checkSuspectGroups = (plan: GroupPlan): void => {
@@ -261,7 +265,7 @@
     const sentAt = Date.now();
     if (causesLoad) metrics.loads.inc({ reason, traffic: beforeTraffic ? 'notBegun' : 'begun' });
     const outcome = await calls.order(due);
-    answeredOrders.record(order, to.id, outcome.kind);
+    orderHistory.record(order, to.id, outcome.kind);
     metrics.orders.inc({ kind: order.kind, outcome: outcome.kind });
     logger.log('orderSent', {
       order: order.kind,
@@ -309,12 +313,17 @@
         break;
     }
   };
-  const isDue = ({ order, to }: DueOrder, now: Milliseconds): boolean => {
-    const key = `${incarnationKey(to)} ${order.kind} ${'group' in order ? order.group : order.model}`;
+  const sendKey = ({ order, to }: DueOrder): string =>
+    `${incarnationKey(to)} ${order.kind} ${'group' in order ? order.group : order.model}`;
+  /** Whether an order that is repeated needs a plan that was read since it was last sent. */
+  const needsNewerPlan = (due: DueOrder, { knownAt }: StoredPlan): boolean => {
+    if (due.order.kind !== 'join' && due.order.kind !== 'open') return false;
+    return knownAt <= (lastSentAt.get(sendKey(due)) ?? -Infinity);
+  };
+  const isDue = (due: DueOrder, now: Milliseconds): boolean => {
+    const key = sendKey(due);
     const sentAt = lastSentAt.get(key);
-    if (sentAt !== undefined && now - sentAt < ORDER_RETRY_MS) return false;
-    lastSentAt.set(key, now);
-    return true;
+    return sentAt === undefined || now - sentAt >= ORDER_RETRY_MS;
   };
   const isOwnGrant = ({ id }: LoadGrant): boolean => id.startsWith(`${context.incarnation}/`);
   /**
@@ -395,6 +404,8 @@
     }
     if (releases !== releasesBefore) stored = undefined;
     if (stored === undefined) return;
+    // The plan shows a restore that the entries don't show yet.
+    if (eraOf(stored.revision ?? 0) > eraOf(state.fleetRevision)) return;
     if (stored.plan.hasTraffic && state.beforeTraffic) {
       // The state was derived as if loads were free.
       options.onTraffic();
@@ -404,7 +415,7 @@
     // A plan may name a member without its start time; such a member is matched by id alone.
     const incarnationKeys = state.servers.flatMap((server) => [server.id, incarnationKey(server)]);
     memberMonitor.retain(new Set(incarnationKeys), groupNames);
-    answeredOrders.observe(stored.plan);
+    orderHistory.observe(stored.plan);
     checkSuspectGroups(stored.plan);
     observeGrants(stored.plan);
     const knowledge = knowledgeOf(state);
@@ -415,7 +426,7 @@
     if (next !== stored.plan && clock.now() >= storeRetryAt) await writePlan(state, next);
     if (releases !== releasesBefore) stored = undefined;
     // Writing the plan is asynchronous and resets `stored` if it failed.
-    const current = stored as StoredPlan | undefined;
+    const current = stored;
     if (current === undefined) return;
     // The evacuation may have become known while the store was called.
     const failureDomain = state.servers[0]?.failureDomain ?? '';
@@ -423,7 +434,12 @@
     observeGrants(current.plan);
     const now = clock.now();
     for (const { due, grant } of listSendable(current.plan, view)) {
-      if (!calls.isCoolingDown(due.to) && isDue(due, now)) void sendOrder(due, grant, state);
+      if (calls.isCoolingDown(due.to) || !isDue(due, now)) continue;
+      if (needsNewerPlan(due, current)) stored = undefined;
+      else {
+        lastSentAt.set(sendKey(due), now);
+        void sendOrder(due, grant, state);
+      }
     }
   };
   return {
