An unreadable plan is replaced only by confirmed entries, and only repeated orders wait

A check was lost in a merge: in place of a plan that can't be read, nothing says what it rested on, so the entries have to be confirmed after reading it. Sending of orders is a function of its own; orders that are sent for the first time no longer wait behind one that needs a newer plan.

--- a/src/gateway/groups/domain-controller.ts
+++ b/src/gateway/groups/domain-controller.ts
@@ -380,9 +380,9 @@
   const isCovered = (
     state: DomainState,
     view: DomainView,
-    { plan, revision }: StoredPlan,
+    { plan, revision, isUnreadable }: StoredPlan,
   ): boolean => {
-    if (coversPlan(view, plan)) return true;
+    if (isUnreadable ? view.isNewerThanPlan : coversPlan(view, plan)) return true;
     if (revision !== loggedAheadRevision) {
       loggedAheadRevision = revision;
       logger.log('planAheadOfView', {
@@ -394,6 +394,19 @@
     }
     return false;
   };
+  const sendDueOrders = (current: StoredPlan, view: DomainView, state: DomainState): void => {
+    const now = clock.now();
+    const sendable = listSendable(current.plan, view).filter(
+      ({ due }) => !calls.isCoolingDown(due.to) && isDue(due, now),
+    );
+    const outdated = sendable.filter(({ due }) => needsNewerPlan(due, current));
+    for (const each of sendable) {
+      if (outdated.includes(each)) continue;
+      lastSentAt.set(sendKey(each.due), now);
+      void sendOrder(each.due, each.grant, state);
+    }
+    if (outdated.length > 0) stored = undefined;
+  };
   const runReconcile = async (state: KnownDomain): Promise<void> => {
     const releasesBefore = releases;
     discardPlanOfFormerEra();
@@ -432,15 +445,7 @@
     const failureDomain = state.servers[0]?.failureDomain ?? '';
     if (isEvacuated(context.board.evacuations.read(), failureDomain)) return;
     observeGrants(current.plan);
-    const now = clock.now();
-    for (const { due, grant } of listSendable(current.plan, view)) {
-      if (calls.isCoolingDown(due.to) || !isDue(due, now)) continue;
-      if (needsNewerPlan(due, current)) stored = undefined;
-      else {
-        lastSentAt.set(sendKey(due), now);
-        void sendOrder(due, grant, state);
-      }
-    }
+    sendDueOrders(current, view, state);
   };
   return {
     reconcile: (state) => {
