A new sender of joins uses the grants of loads of the one before

Cause: a gateway lost the domain while its first plan was written, and no longer sent the orders of that plan, as its cached plan is discarded. The gateway that took over as the sender had no grants of its own for the loads, and those of the first one kept it waiting, for up to 49 s. Change: the joins of a group may use any grant of the plan for its members, as only the group's sender sends them. A plan that was just written is carried out once more, also if the domain was released meanwhile.

--- a/src/gateway/groups/domain-controller.ts
+++ b/src/gateway/groups/domain-controller.ts
@@ -328,11 +328,12 @@
   const isOwnGrant = ({ id }: LoadGrant): boolean => id.startsWith(`${context.incarnation}/`);
   /**
    * The orders that may be sent, with their grants. An order to stage is sent once; one to join may be sent
-   * again, because engines ignore a copy of it.
+   * again, because engines ignore a copy of it. Whoever sends the joins of a group also uses the grants of the
+   * sender before.
    */
   const listSendable = (plan: GroupPlan, view: DomainView): SendableOrder[] => {
-    const loads = (plan.loads ?? []).filter(isOwnGrant);
-    const stages = loads.flatMap((grant): SendableOrder[] => {
+    const { loads = [] } = plan;
+    const stages = loads.filter(isOwnGrant).flatMap((grant): SendableOrder[] => {
       const due = sentGrants.has(grant.id) ? undefined : toStageOrder(grant, view.servers);
       return due ? [{ due, grant }] : [];
     });
@@ -409,13 +410,14 @@
   };
   const runReconcile = async (state: KnownDomain): Promise<void> => {
     const releasesBefore = releases;
+    const isReleased = (): boolean => releases !== releasesBefore;
     discardPlanOfFormerEra();
     discardOutdatedPlan(state);
     if (stored === undefined) {
       if (clock.now() < storeRetryAt) return;
       await readPlan(state);
     }
-    if (releases !== releasesBefore) stored = undefined;
+    if (isReleased()) stored = undefined;
     if (stored === undefined) return;
     // The plan shows a restore that the entries don't show yet.
     if (eraOf(stored.revision ?? 0) > eraOf(state.fleetRevision)) return;
@@ -437,9 +439,10 @@
     if (!isCovered(state, view, stored)) return;
     const next = withGrants(revisePlan(stored.plan, view), view, held, state);
     if (next !== stored.plan && clock.now() >= storeRetryAt) await writePlan(state, next);
-    if (releases !== releasesBefore) stored = undefined;
     // Writing the plan is asynchronous and resets `stored` if it failed.
-    const current = stored;
+    const current = stored as StoredPlan | undefined;
+    // What was just written names this gateway as the sender, also if another one has become the owner.
+    if (isReleased()) stored = undefined;
     if (current === undefined) return;
     // The evacuation may have become known while the store was called.
     const failureDomain = state.servers[0]?.failureDomain ?? '';
