--- a/src/gateway/store/reachability.ts
+++ b/src/gateway/store/reachability.ts
@@ -67,8 +67,6 @@
   section: WritableSection<StoreReachability>,
 ): ReachabilityTracker {
   const listeners: ((at: Milliseconds) => void)[] = [];
-  /** The entry of an engine that doesn't reach the store stays as it was in the copy until it expires. */
-  const settleMs = Math.max(ENTRY_RECOVERY_MS, computeEntryExpiry(settings.servers.heartbeatMs));
   let recoveredAt = Number.NEGATIVE_INFINITY;
   let restoredAt = Number.NEGATIVE_INFINITY;
   let lastAnsweredSentAt = Number.NEGATIVE_INFINITY;
@@ -109,7 +107,7 @@
     recordPeerContact: (at) => {
       peerContactAt = Math.max(peerContactAt, at);
     },
-    isSettling: (confirmedAt) => confirmedAt < restoredAt + settleMs,
+    isSettling: (confirmedAt) => confirmedAt < restoredAt + ENTRY_RECOVERY_MS,
     recordPossibleRestore: () => {
       restoredAt = clock.now();
     },
