--- a/features/gateway/quarantine-store.steps.ts
+++ b/features/gateway/quarantine-store.steps.ts
@@ -22,7 +22,7 @@
   clock: ManualClock;
   stored: StoredEntry | undefined;
   writes: number;
-  entries: readonly StoreObject[];
+  storedEntries: readonly StoreObject[];
   peers: KnownPeer[];
 }
 
@@ -179,7 +179,7 @@
       { quarantined: [{ fingerprint: 'y', since: -Number.MAX_VALUE, until: Number.MAX_VALUE }] },
       { ...SOUND, address: '256.1.1.1:1' },
     ];
-    this.entries = values.map((value, index) => ({
+    this.storedEntries = values.map((value, index) => ({
       name: index === 0 ? SOUND.name : `odd-${index}`,
       revision: index + 1,
       value,
@@ -193,7 +193,7 @@
   this.peers = [];
   const store = {
     write: () => okAsync({ kind: 'written', object: { revision: 1 } }),
-    list: () => okAsync({ objects: this.entries, more: false, revision: 9 }),
+    list: () => okAsync({ objects: this.storedEntries, more: false, revision: 9 }),
   };
   const members = {
     isCounted: true,
