Answers held for callers of HTTP/1.0 share one limit of memory

What could be seen: bodies of unknown length are held until they are complete when the caller can't read chunks.

Cause: `createReply` and the entry's `readHeld` counted each answer by itself; the budget of the answers that gateways buffer knew nothing of them.

Change: `HeldBody` takes its memory from an `AnswerBudget` (32 MB in total, 256 KB of each answer always), which the gateway's replies share with its buffered answers, until the response is closed.

--- a/features/gateway/replies.feature
+++ b/features/gateway/replies.feature
@@ -24,3 +24,11 @@
     Given a response to a caller of HTTP/1.0, of which a part was sent
     When the gateway sends 16 MB of it
     Then its caller sees that it is not whole
+
+  # Guards against a gateway whose memory many such responses fill together.
+  Scenario: Many responses to callers of HTTP/1.0 have no end
+    Given 41 responses to callers of HTTP/1.0, of each of which a part was sent
+    When the gateway sends 8000 KB of all but the last
+    Then it holds at most 42 MB of them
+    When the callers of these leave, and the gateway sends 6000 KB of the last and ends it
+    Then its caller sees that it is whole
--- a/features/requests/services.feature
+++ b/features/requests/services.feature
@@ -40,6 +40,12 @@
       | cut   |                             | nothing     |
       | whole | 5\r\\n more\r\\n0\r\\n\r\\n | "half more" |
 
+  Scenario: Many callers of HTTP/1.0 get long answers at once
+    # Such answers are held until they are complete; together they must not fill the entry's memory.
+    Given a service that begins answers of 7000 KB and never ends them
+    When 12 callers of HTTP/1.0 get "/services/gate/passes/7" at once
+    Then within 5000 ms the entry gives up all but 5 of them
+
   Scenario Outline: A call that may not be repeated meets <fault>
     # When the connection breaks after the call was sent, it may have run: it is not sent again, and
     # the caller is told that the outcome is unknown.
--- a/features/requests/services.steps.ts
+++ b/features/requests/services.steps.ts
@@ -3,7 +3,7 @@
  */
 import assert from 'node:assert/strict';
 import { createHash, randomBytes } from 'node:crypto';
-import { connect } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { callFaultSchema } from '../../src/stand-ins/service/control.js';
 import { waitFor } from '../support/waiting.js';
@@ -17,6 +17,7 @@
   receivedText: string;
   uploaded: Buffer;
   rawService?: RawService;
+  openCallers: Socket[];
 }
 
 /** The request as reported by the service's echo endpoint. */
@@ -72,15 +73,50 @@
   this.responses.push(this.received);
 });
 
-When(/^a caller of HTTP\/1\.0 gets "(.+)"$/, async function (this: ServiceWorld, path: string) {
-  const [host, port] = this.entry.address.split(':');
+function sendOverHttp10({ entry }: ServiceWorld, path: string): Socket {
+  const [host, port] = entry.address.split(':');
   const socket = connect({ host, port: Number(port) });
-  const fields = `Host: entry\r\nAuthorization: Bearer ${KEY}`;
-  socket.write(`GET ${path} HTTP/1.0\r\n${fields}\r\n\r\n`);
+  socket.write(`GET ${path} HTTP/1.0\r\nHost: entry\r\nAuthorization: Bearer ${KEY}\r\n\r\n`);
+  return socket;
+}
+
+When(/^a caller of HTTP\/1\.0 gets "(.+)"$/, async function (this: ServiceWorld, path: string) {
+  const socket = sendOverHttp10(this, path);
   this.receivedText = '';
   for await (const bytes of socket) this.receivedText += (bytes as Buffer).toString('latin1');
 });
 
+Given(
+  'a service that begins answers of {int} KB and never ends them',
+  async function (this: ServiceWorld, kilobytes: number) {
+    const bytes = kilobytes * 1_024;
+    const chunk = `${bytes.toString(16)}\r\n${'x'.repeat(bytes)}\r\n`;
+    const head = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
+    useRawService(this, await startRawService((socket) => socket.write(`${head}${chunk}`)));
+  },
+);
+
+When(
+  /^(\d+) callers of HTTP\/1\.0 get "(.+)" at once$/,
+  function (this: ServiceWorld, count: string, path: string) {
+    this.openCallers = Array.from({ length: Number(count) }, () => {
+      const socket = sendOverHttp10(this, path);
+      socket.resume();
+      return socket;
+    });
+  },
+);
+
+Then(
+  'within {int} ms the entry gives up all but {int} of them',
+  async function (this: ServiceWorld, ms: number, most: number) {
+    const countOpen = (): number => this.openCallers.filter(({ closed }) => !closed).length;
+    await waitFor('the entry to give up answers', () => countOpen() <= most, ms);
+    assert.ok(countOpen() > 0, 'it has given up all');
+    for (const socket of this.openCallers) socket.destroy();
+  },
+);
+
 Then(/^it takes nothing for a whole answer$/, function (this: ServiceWorld) {
   assert.ok(!this.receivedText.includes(' 200 '), this.receivedText);
 });
--- a/src/adapters/callers/create-callers.ts
+++ b/src/adapters/callers/create-callers.ts
@@ -19,6 +19,7 @@
 import type { BufferedBytesTracker } from '../../core/buffered-bytes/index.js';
 import { closeServer, drainServer, listenOn } from '../../core/listening/index.js';
 import type { Logger } from '../../core/logger/index.js';
+import { createAnswerBudget, type AnswerBudget } from '../../core/responses/index.js';
 import type { EntrySettings } from '../../core/settings/index.js';
 import { renderFailure, sendFailure, sendJson } from './answers.js';
 import { serveCompletion } from './completions.js';
@@ -60,6 +61,8 @@
 
 interface ServingOptions extends CallersOptions {
   open: OpenRequests;
+  /** Bounds the answers that are held until they are complete. */
+  answers: AnswerBudget;
 }
 
 interface Env {
@@ -81,7 +84,7 @@
  */
 export function createCallers(options: CallersOptions): Callers {
   const open: OpenRequests = new Set();
-  const answer = createListener(createApp({ ...options, open }));
+  const answer = createListener(createApp({ ...options, open, answers: createAnswerBudget() }));
   const server = createServer(
     {
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -133,7 +136,7 @@
 }
 
 type Serve = (
-  options: CallersOptions,
+  options: ServingOptions,
   head: RequestHead,
   request: IncomingMessage,
   response: ServerResponse,
@@ -225,7 +228,12 @@
   return serveCompletion(path, head, bounds, request, response);
 };
 
-const serveOneServiceCall: Serve = ({ path, settings, unread }, head, request, response) => {
+const serveOneServiceCall: Serve = (
+  { path, settings, unread, answers },
+  head,
+  request,
+  response,
+) => {
   const target = resolveServiceTarget(request.url ?? '');
   if (!target) {
     const failure = createFailure('routeUnknown', { name: request.url ?? '' });
@@ -241,7 +249,7 @@
     path,
     head,
     target,
-    { usedFields, bodyTimeoutMs, unread },
+    { usedFields, bodyTimeoutMs, unread, answers },
     request,
     response,
   );
--- a/src/adapters/callers/service-calls.ts
+++ b/src/adapters/callers/service-calls.ts
@@ -7,7 +7,7 @@
 import type { HeaderField, StoredAnswer } from '../../controllers/calls/types.js';
 import { removeHopByHop, type ServiceAnswer } from '../services/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
-import { acceptsChunks, MAX_HELD_BYTES } from '../../core/responses/index.js';
+import { acceptsChunks, HeldBody, type AnswerBudget } from '../../core/responses/index.js';
 import type { BufferedBytesTracker } from '../../core/buffered-bytes/index.js';
 import { sendFailure } from './answers.js';
 import { readBody } from './body.js';
@@ -27,6 +27,8 @@
   bodyTimeoutMs: Milliseconds;
   /** Counts what an answer holds until its caller reads on. */
   unread: BufferedBytesTracker;
+  /** Bounds the answers that are held until they are complete. */
+  answers: AnswerBudget;
 }
 
 /** Header fields that this entry sets itself or has used up. */
@@ -51,7 +53,7 @@
   requestPath: RequestPath,
   head: RequestHead,
   target: ServiceTarget,
-  { usedFields, bodyTimeoutMs, unread }: ServiceCallOptions,
+  { usedFields, bodyTimeoutMs, unread, answers }: ServiceCallOptions,
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
@@ -63,17 +65,21 @@
     body: hasBody(request) ? createBody(request, bodyTimeoutMs) : undefined,
     idempotencyKey: request.headers['idempotency-key']?.toString(),
   };
-  const failure = await requestPath.callService(call, createOutput(response, unread));
+  const failure = await requestPath.callService(call, createOutput(response, unread, answers));
   if (failure === undefined || response.headersSent || response.destroyed) return;
   if (!request.complete) response.setHeader('Connection', 'close');
   sendFailure(response, failure, head.id);
 }
 
-function createOutput(response: ServerResponse, unread: BufferedBytesTracker): ServiceOutput {
+function createOutput(
+  response: ServerResponse,
+  unread: BufferedBytesTracker,
+  answers: AnswerBudget,
+): ServiceOutput {
   return {
     relay: async (answer) => {
       const release = unread.track(() => answer.body.readableLength);
-      const end = await relayAnswer(response, answer);
+      const end = await relayAnswer(response, answer, answers);
       release();
       return end;
     },
@@ -86,11 +92,13 @@
 async function relayAnswer(
   response: ServerResponse,
   answer: ServiceAnswer,
+  answers: AnswerBudget,
 ): Promise<'whole' | 'cut' | 'callerGone'> {
   const isBroken = watchError(answer.body);
   try {
     if (!acceptsChunks(response.req) && !hasLength(answer)) {
-      sendStored(response, { ...answer, body: await readHeld(answer.body) }, false);
+      const held = new HeldBody(response, answers);
+      sendStored(response, { ...answer, body: await readHeld(answer.body, held) }, false);
       return 'whole';
     }
     writeHead(response, answer.status, answer.headers);
@@ -110,15 +118,10 @@
   return headers.some(({ name }) => name.toLowerCase() === 'content-length');
 }
 
-async function readHeld(body: Readable): Promise<Buffer> {
-  const parts: Buffer[] = [];
-  let bytes = 0;
-  for await (const part of body as AsyncIterable<Buffer>) {
-    parts.push(part);
-    bytes += part.length;
-    if (bytes > MAX_HELD_BYTES) throw new Error(`the body is longer than ${MAX_HELD_BYTES} bytes`);
-  }
-  return Buffer.concat(parts);
+async function readHeld(body: Readable, held: HeldBody): Promise<Buffer> {
+  for await (const part of body as AsyncIterable<Buffer>)
+    if (!held.add(part)) throw new Error('the answer is too long to be held');
+  return held.concat();
 }
 
 function watchError(body: Readable): () => boolean {
--- a/src/gateway/requests/answer-budget.ts
+++ b/src/core/responses/answer-budget.ts
@@ -2,7 +2,7 @@
  * Bounds the memory of responses that are read whole before they are sent to their callers.
  */
 
-/** The responses of all requests of this gateway. */
+/** The responses of all requests of a process. */
 export interface AnswerBudget {
   /**
    * Reserves `bytes` for a request that holds `held` already. Returns false if its response is too long,
--- a/src/core/responses/chunks.ts
+++ b/src/core/responses/chunks.ts
@@ -7,9 +7,6 @@
  */
 import type { IncomingMessage } from 'node:http';
 
-/** Most bytes of a body that is held for a caller. */
-export const MAX_HELD_BYTES = 8_388_608;
-
 /** Whether a response to the request may be sent in chunks. */
 export function acceptsChunks({ httpVersionMajor, httpVersionMinor }: IncomingMessage): boolean {
   return httpVersionMajor > 1 || (httpVersionMajor === 1 && httpVersionMinor >= 1);
--- a/src/core/responses/index.ts
+++ b/src/core/responses/index.ts
@@ -1,1 +1,3 @@
+export * from './answer-budget.js';
 export * from './chunks.js';
+export * from './held-body.js';
--- a/src/gateway/requests/reply.ts
+++ b/src/gateway/requests/reply.ts
@@ -5,7 +5,7 @@
 import { renderFailure } from '../../adapters/callers/answers.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { ERRORS, type Failure } from '../../core/errors/index.js';
-import { acceptsChunks, MAX_HELD_BYTES } from '../../core/responses/index.js';
+import { acceptsChunks, HeldBody, type AnswerBudget } from '../../core/responses/index.js';
 
 /** The response to one request; ended by exactly one of `send`, `sendFailure`, `end` or `abort`. */
 export interface Reply {
@@ -33,12 +33,18 @@
 interface HeldResponse {
   status: number;
   headers: readonly string[];
-  parts: Buffer[];
-  bytes: number;
+  body: HeldBody;
 }
 
-/** `closesConnection` is asked when the head is sent: whether it says that the connection closes. */
-export function createReply(response: ServerResponse, closesConnection: () => boolean): Reply {
+/**
+ * `closesConnection` is asked when the head is sent: whether it says that the connection closes. `answers`
+ * bounds the responses that are held.
+ */
+export function createReply(
+  response: ServerResponse,
+  closesConnection: () => boolean,
+  answers: AnswerBudget,
+): Reply {
   const closeHeaders = (): string[] => (closesConnection() ? ['Connection', 'close'] : []);
   const send = (status: number, headers: readonly string[], body: Buffer): void => {
     const length = ['Content-Length', String(body.length)];
@@ -53,20 +59,18 @@
     send,
     start: (status, headers) => {
       if (acceptsChunks(response.req)) response.writeHead(status, [...headers, ...closeHeaders()]);
-      else held ??= { status, headers, parts: [], bytes: 0 };
+      else held ??= { status, headers, body: new HeldBody(response, answers) };
     },
     write: (bytes) => {
       if (!held) return response.write(bytes);
-      held.parts.push(bytes);
-      held.bytes += bytes.length;
-      if (held.bytes > MAX_HELD_BYTES) response.destroy();
+      if (!held.body.add(bytes)) response.destroy();
       return true;
     },
     onDrain: (listener) => {
       response.once('drain', listener);
     },
     end: () => {
-      if (held) send(held.status, held.headers, Buffer.concat(held.parts));
+      if (held) send(held.status, held.headers, held.body.concat());
       else response.end();
     },
     sendFailure: (failure, requestId) => {
--- a/src/gateway/requests/request-attempts.ts
+++ b/src/gateway/requests/request-attempts.ts
@@ -4,9 +4,9 @@
 import { isRepeatable, type EventStream } from '../../controllers/forwarding/index.js';
 import { minUsefulMs } from '../../controllers/waiting/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
+import type { AnswerBudget } from '../../core/responses/index.js';
 import type { AttemptSender } from '../backends/attempt.js';
 import type { GatewayContext } from '../types.js';
-import type { AnswerBudget } from './answer-budget.js';
 import type { BackendTracker, ChosenTarget } from './backend-tracker.js';
 import { reportAttempt } from './request-report.js';
 import type { RequestQueues } from './request-queues.js';
--- a/src/gateway/requests/request-server.ts
+++ b/src/gateway/requests/request-server.ts
@@ -9,11 +9,11 @@
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import { drainServer, listenOn } from '../../core/listening/index.js';
+import { createAnswerBudget } from '../../core/responses/index.js';
 import { hasLeft, onDeparture, takePlace } from '../../core/sockets/index.js';
 import type { AttemptSender } from '../backends/attempt.js';
 import type { GatewayContext } from '../types.js';
 import { admitRequest } from './admission.js';
-import { createAnswerBudget } from './answer-budget.js';
 import type { ServerAvailability } from '../backends/server-availability.js';
 import type { BackendTracker } from './backend-tracker.js';
 import { readBody, type BodyResult } from './request-body.js';
@@ -70,12 +70,8 @@
   watchdog.onTick(() => {
     queues.dispatch();
   });
-  const dependencies: ForwarderDependencies = {
-    ...options,
-    shutdown,
-    queues,
-    answers: createAnswerBudget(),
-  };
+  const answers = createAnswerBudget();
+  const dependencies: ForwarderDependencies = { ...options, shutdown, queues, answers };
   const waitForConfiguration = createStartupWait(context);
   let inFlight = 0;
 
@@ -96,7 +92,8 @@
       incoming.resume();
       return;
     }
-    const reply = createReply(response, () => shutdown.isShuttingDown() && place.closeIfLast());
+    const closesConnection = (): boolean => shutdown.isShuttingDown() && place.closeIfLast();
+    const reply = createReply(response, closesConnection, answers);
     const startup = waitForConfiguration();
     if (startup !== undefined) await startup;
     if (hasLeft(incoming, response)) return;
