A head that is joining doesn't count as a replica of its former model

Cause: targets keep existing replicas, counted by the model that their heads reported last. Two heads that joined small replicas from a large one counted as two large replicas, so the domain's target turned to large ones and the small ones were drained; drained, they no longer counted, and the target turned back.

Change: a head counts once it is ready and reports its model. While it joins the targets are those by which its replica was planned.

--- a/src/gateway/groups/domain-states.ts
+++ b/src/gateway/groups/domain-states.ts
@@ -114,12 +114,16 @@
   return { domain, failureDomain, instances: usable.length, groups: countGroups(servers) };
 }
 
-/** Number of groups by model, counted by their heads. */
+/**
+ * Number of groups by model, counted by their heads. A head that is joining still has the model of its former
+ * group, so its group counts as soon as the head is ready.
+ */
 function countGroups(servers: readonly BackendServer[]): ReadonlyMap<string, number> {
   const groups = new Map<string, number>();
   for (const { engine } of servers) {
     const { membership, lastModel } = engine ?? {};
-    if (membership?.rank !== 0 || lastModel === undefined) continue;
+    if (membership?.rank !== 0 || membership.state === 'joining' || lastModel === undefined)
+      continue;
     groups.set(lastModel, (groups.get(lastModel) ?? 0) + 1);
   }
   return groups;
