Odd entries that come as changes are tested too

The reports of other operators were tested with entries that stand in the store as a gateway starts; as changes of a gateway that follows the store they were not tried.

--- a/features/gateway/odd-entries.steps.ts
+++ b/features/gateway/odd-entries.steps.ts
@@ -62,7 +62,7 @@
 };
 
 Given(
-  /^another writer's entry of an engine with (.*)$/,
+  /^another writer adds an entry of an engine with (.*)$/,
   function (this: GatewayWorld, what: string) {
     const odd = ODDITIES[what];
     assert.ok(odd, what);
