A fabric domain with weights for less than one replica loads again

What could be seen: a domain whose instances lost their weights, but for less than a replica of the smallest model, stayed without a replica for good while another domain had weights.

Cause: instances without weights don't count for targets, and weights were staged for the models of targets only.

Change: without any target a domain stages the smallest model, if it has instances enough for a replica.

Measured (aarch64): load-slots.feature red in two of three new rows before.

--- a/features/gateway/load-slots.feature
+++ b/features/gateway/load-slots.feature
@@ -48,3 +48,17 @@
     And 1 domain whose instances all have weights
     When their replicas are planned during traffic
     Then only the last domain is to have replicas
+
+  # Guards against a domain that never loads again: without weights for one replica it has no targets, and loads
+  # were ordered for targets only.
+  Scenario Outline: A domain has <instances> instances without weights, and another has weights
+    Given 1 domain with <instances> instances without weights each
+    And 1 domain whose instances all have weights
+    When their replicas are planned during traffic
+    Then the first domain loads the small model on <loads> instances
+
+    Examples:
+      | instances | loads |
+      | 7         | 7     |
+      | 2         | 2     |
+      | 1         | 0     |
--- a/features/gateway/load-slots.steps.ts
+++ b/features/gateway/load-slots.steps.ts
@@ -3,9 +3,10 @@
  */
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
+import { EMPTY_PLAN, listOrders } from '../../src/controllers/groups/index.js';
 import { createDomainStates, type ServiceDomain } from '../../src/gateway/groups/domain-states.js';
 import type { BackendServer } from '../../src/ports/index.js';
-import { createServer, PROFILE } from './planning-model.js';
+import { createServer, createView, PROFILE } from './planning-model.js';
 
 interface SlotWorld {
   domains: ServiceDomain[];
@@ -94,6 +95,22 @@
   );
 });
 
+Then(
+  'the first domain loads the small model on {int} instances',
+  function (this: SlotWorld, count: number) {
+    const [first] = this.domains;
+    const state = createDomainStates(this.domains, false).get(first?.key ?? '');
+    assert.ok(state);
+    const { servers, targets, loadSlots } = state;
+    const orders = listOrders(EMPTY_PLAN, createView(servers, { targets, loadSlots }));
+    assert.deepEqual(
+      orders.map(({ order, reason }) => `${order.kind} ${reason}`),
+      Array.from({ length: count }, () => 'stage stageFree'),
+    );
+    assert.ok(orders.every(({ order }) => 'model' in order && order.model === SMALL));
+  },
+);
+
 Then('the domains may run {int} loads together', function (this: SlotWorld, total: number) {
   assert.equal(sum(this.slots), total);
 });
--- a/src/controllers/groups/orders.ts
+++ b/src/controllers/groups/orders.ts
@@ -91,8 +91,7 @@
  */
 function listStagingOrders(plan: GroupPlan, view: DomainView): DueOrder[] {
   const free = listFreeInstances(view, plan);
-  const { targets } = view;
-  const models = targets.filter(({ groups }) => groups > 0).map(({ model }) => model);
+  const models = listModelsToStage(view);
   const unstaged = free.filter(({ engine }) => engine?.staged.length === 0);
   const spares = new Map(models.map(({ name }) => [name, countStaged(free, name)]));
   const orders = unstaged.flatMap((server): DueOrder[] => {
@@ -114,6 +113,17 @@
   return candidates.filter(({ to }) => !view.staging.has(to.id)).slice(0, freeSlots);
 }
 
+/**
+ * The models of the targets. Instances without weights don't count for targets, so that a domain may have none
+ * until enough instances for a group of the smallest model have loaded it.
+ */
+function listModelsToStage({ targets, servers }: DomainView): readonly GroupModel[] {
+  const targeted = targets.filter(({ groups }) => groups > 0).map(({ model }) => model);
+  if (targeted.length > 0) return targeted;
+  const smallest = targets.map(({ model }) => model).sort((a, b) => a.size - b.size)[0];
+  return smallest !== undefined && smallest.size <= servers.size ? [smallest] : [];
+}
+
 /**
  * Stages a model that has too few groups on free instances with other weights, which would stay idle
  * otherwise.
