One check of later epochs, and one lookup of an instance, in the planner

Read once more as a whole: the adoption of formed groups and the check of cached plans each compared an instance's epoch with the plan; both call `hasLaterEpoch` now. `findEntryRevision` searched a list for what the index of the round holds; `toEntryRevision` takes the instance. The model of owners built the same pair of gateways in five places and kept a form of `isSettling` that nothing calls since waits end by proof. No change of behaviour, no assertion touched.

--- a/features/gateway/group-owners-model.ts
+++ b/features/gateway/group-owners-model.ts
@@ -394,12 +394,7 @@
         suspicions: { isSuspect: isSilent },
       } as unknown as Parameters<typeof createGroupsPart>[0]['backends'],
       contact: {
-        // Called with the time of the last proof, or without: then the time since the restore decides.
-        isSettling: (...proofs: readonly (number | undefined)[]) => {
-          const settledAt = gateway.restoreNoticedAt + SETTLING_MS;
-          if (proofs.length === 0) return this.clock.now() < settledAt;
-          return (proofs[0] ?? -Infinity) < settledAt;
-        },
+        isSettling: (confirmedAt) => confirmedAt < gateway.restoreNoticedAt + SETTLING_MS,
       },
       traffic: createSection(true),
     });
--- a/features/gateway/group-owners.steps.ts
+++ b/features/gateway/group-owners.steps.ts
@@ -35,6 +35,11 @@
 const STANDING_SPAN_MS = 1_000;
 const MAX_LAG_MS = 3_000;
 
+/** A domain of groups of three, and the gateways A and B. */
+function createPairModel(engines: number, seed = 1): GroupOwnersModel {
+  return new GroupOwnersModel({ gateways: 2, engines, sizes: { large: 3 }, seed });
+}
+
 Given(
   /^(?:\d engines for groups of 3, and gateways A and B.*|3 gateways that own a domain of 11 engines)$/,
   function (this: OwnersWorld) {
@@ -50,7 +55,7 @@
     assert.ok(memberSteps);
     const steps = [...table.raw().flat(), ...memberSteps.map(() => member)];
     for (const order of listOrders(steps)) {
-      const model = new GroupOwnersModel({ gateways: 2, engines: 4, sizes: { large: 3 }, seed: 1 });
+      const model = createPairModel(4);
       await playOrder(model, order, memberSteps);
       this.runs.push({ name: order.join(', '), model });
     }
@@ -84,12 +89,7 @@
   async function (this: OwnersWorld, table: DataTable) {
     for (const order of listOrders(table.raw().flat()))
       for (let ms = 0; ms < COPY_SPAN_MS; ms += COPY_INTERVAL_MS) {
-        const model = new GroupOwnersModel({
-          gateways: 2,
-          engines: 5,
-          sizes: { large: 3 },
-          seed: 1,
-        });
+        const model = createPairModel(5);
         await playCopy(model, order, ms);
         this.runs.push({ name: `${order.join(', ')}, copies after ${ms} ms`, model });
       }
@@ -101,8 +101,7 @@
   { timeout: SCENARIO_TIMEOUT_MS },
   async function (this: OwnersWorld) {
     for (let ms = 0; ms <= MAX_LAG_MS; ms += COPY_INTERVAL_MS) {
-      const sizes = { large: 3 };
-      const model = new GroupOwnersModel({ gateways: 2, engines: 5, sizes, seed: FIRST_SEED + ms });
+      const model = createPairModel(5, FIRST_SEED + ms);
       await playRestore(model, ms);
       this.runs.push({ name: `after ${ms} ms`, model });
     }
@@ -114,7 +113,7 @@
   { timeout: SCENARIO_TIMEOUT_MS },
   async function (this: OwnersWorld) {
     for (let ms = 0; ms < STANDING_SPAN_MS; ms += COPY_INTERVAL_MS) {
-      const model = new GroupOwnersModel({ gateways: 2, engines: 5, sizes: { large: 3 }, seed: 1 });
+      const model = createPairModel(5);
       await playStandingView(model, ms);
       this.runs.push({ name: `after ${ms} ms`, model });
     }
@@ -126,7 +125,7 @@
   { timeout: SCENARIO_TIMEOUT_MS },
   async function (this: OwnersWorld) {
     for (let ms = 0; ms < COPY_SPAN_MS; ms += COPY_INTERVAL_MS) {
-      const model = new GroupOwnersModel({ gateways: 2, engines: 5, sizes: { large: 3 }, seed: 1 });
+      const model = createPairModel(5);
       await playCopyOfOther(model, ms);
       this.runs.push({ name: `copies after ${ms} ms`, model });
     }
--- a/src/controllers/groups/adopt.ts
+++ b/src/controllers/groups/adopt.ts
@@ -6,16 +6,12 @@
  * members report them, so that serving groups are not disbanded.
  */
 import type { BackendServer } from '../../ports/index.js';
-import { isCredibleEpoch } from './epochs.js';
 import { toMember, type GroupPlan, type PlannedGroup } from './types.js';
-import type { DomainView } from './view.js';
+import { hasLaterEpoch, type DomainView } from './view.js';
 
 /** Adds all complete groups of later epochs to `plan`. Returns `plan` itself if there are none. */
 export function adoptFormedGroups(plan: GroupPlan, view: DomainView): GroupPlan {
-  const newerMembers = [...view.servers.values()].filter(({ engine }) => {
-    const epoch = engine?.membership?.epoch ?? 0;
-    return epoch > plan.lastEpoch && isCredibleEpoch(epoch, plan.lastEpoch);
-  });
+  const newerMembers = [...view.servers.values()].filter((server) => hasLaterEpoch(server, plan));
   if (newerMembers.length === 0) return plan;
   const adopted = [...groupByFormation(newerMembers).values()].flatMap((members) => {
     const group = toCompleteGroup(members, view);
--- a/src/controllers/groups/view.ts
+++ b/src/controllers/groups/view.ts
@@ -57,10 +57,13 @@
  * the plan, or the store was restored from a copy without the change.
  */
 export function reportsLaterEpoch(servers: Iterable<BackendServer>, plan: GroupPlan): boolean {
-  return [...servers].some(({ engine }) => {
-    const epoch = engine?.membership?.epoch ?? 0;
-    return epoch > plan.lastEpoch && isCredibleEpoch(epoch, plan.lastEpoch);
-  });
+  return [...servers].some((server) => hasLaterEpoch(server, plan));
+}
+
+/** Whether `server` reports an epoch that `plan` has not assigned but a planner may have. */
+export function hasLaterEpoch({ engine }: BackendServer, { lastEpoch }: GroupPlan): boolean {
+  const epoch = engine?.membership?.epoch ?? 0;
+  return epoch > lastEpoch && isCredibleEpoch(epoch, lastEpoch);
 }
 
 /** The membership that `id` reports, if it belongs to `group` with the same epoch. */
--- a/src/gateway/groups/decision-basis.ts
+++ b/src/gateway/groups/decision-basis.ts
@@ -26,15 +26,8 @@
   };
 }
 
-/** Store revision of the entry of `id`; absent if it has none. */
-export function findEntryRevision(
-  servers: readonly BackendServer[],
-  id: string,
-): number | undefined {
-  return toEntryRevision(servers.find((server) => server.id === id));
-}
-
-function toEntryRevision(server: BackendServer | undefined): number | undefined {
+/** Store revision of the entry of `server`; absent if it has none. */
+export function toEntryRevision(server: BackendServer | undefined): number | undefined {
   const revision = server?.entryRevision;
   return revision === undefined ? undefined : revisionOf(revision);
 }
--- a/src/gateway/groups/domain-controller.ts
+++ b/src/gateway/groups/domain-controller.ts
@@ -33,7 +33,7 @@
 import type { ObjectStore } from '../store/client.js';
 import { eraOf, revisionOf } from '../store/qualified-revision.js';
 import type { GatewayContext } from '../types.js';
-import { describeMembers, describeView, findEntryRevision } from './decision-basis.js';
+import { describeMembers, describeView, toEntryRevision } from './decision-basis.js';
 import { createMemberMonitor } from './member-monitor.js';
 import { createOrderHistory } from './order-history.js';
 
@@ -252,14 +252,14 @@
   const sendOrder = async (
     due: DueOrder,
     grant: LoadGrant | undefined,
-    state: DomainState,
+    state: KnownDomain,
   ): Promise<void> => {
     const { order, to, reason, causesLoad } = due;
     const { beforeTraffic } = state;
     if (grant) sentGrants.add(grant.id);
     const basis = {
       planRevision: stored?.revision && revisionOf(stored.revision),
-      entryRevision: findEntryRevision(state.servers, to.id),
+      entryRevision: toEntryRevision(state.serversById.get(to.id)),
       ...describeView(context),
     };
     const startedAt = clock.now();
@@ -396,7 +396,7 @@
     }
     return false;
   };
-  const sendDueOrders = (current: StoredPlan, view: DomainView, state: DomainState): void => {
+  const sendDueOrders = (current: StoredPlan, view: DomainView, state: KnownDomain): void => {
     const now = clock.now();
     const sendable = listSendable(current.plan, view).filter(
       ({ due }) => !calls.isCoolingDown(due.to) && isDue(due, now),
