Logs tell a request that was sent late from one that was delivered late

Of a request whose caller had left, the log told how late the process was when it noticed that, and when attempts were sent. It did not tell whether an attempt was without any answer at that moment, for how long, nor how late the process was when it sent it, and a gateway that sends for another one logged nothing.

requestSent has lateMs, requestEnded unansweredMs, and relayedRequestEnded is new. No logic changed.

--- a/features/gateway/departures.feature
+++ b/features/gateway/departures.feature
@@ -27,6 +27,13 @@
       | reset their connection | over another gateway |
       | end their side         | over another gateway |
 
+  # Guards against logs that don't tell a request that was sent late from one that was delivered late.
+  Scenario: A caller leaves whose request has no answer
+    Given a site with slow servers, and a gateway that reaches them itself
+    When callers close their connection whose requests are in these states
+      | waits for the answer |
+    Then the log tells for how long its attempt had no answer, and how late the process was when it was sent
+
   # Guards against requests that a gateway reads late and sends on, though their callers have left.
   Scenario: A gateway is held up while callers come and leave
     Given a site with slow servers, and a gateway that reaches them itself
--- a/features/gateway/departures.steps.ts
+++ b/features/gateway/departures.steps.ts
@@ -8,6 +8,7 @@
 import { After, Given, Then, When, type DataTable } from '@cucumber/cucumber';
 import { waitFor } from '../support/waiting.js';
 import { LinkedSite } from './linked-site.js';
+import type { LogLine } from './site.js';
 import { cutOff, type RelayWorld } from './relay.steps.js';
 import { exampleHeaders } from './stand-ins/configuration.js';
 import type { Pace } from './stand-ins/engine.js';
@@ -219,6 +220,19 @@
   },
 );
 
+Then(
+  'the log tells for how long its attempt had no answer, and how late the process was when it was sent',
+  async function (this: DepartureWorld) {
+    const [gateway] = this.site.gateways;
+    const id = this.leavers[0]?.ids[0];
+    const find = (name: string): LogLine | undefined =>
+      gateway?.lines.find((line) => line.name === name && line.request === id);
+    const ended = await waitFor('the end in the log', () => find('requestEnded'));
+    assert.ok(Number(ended.unansweredMs) >= SETTLE_MS, JSON.stringify(ended));
+    assert.equal(typeof find('requestSent')?.lateMs, 'number');
+  },
+);
+
 When(
   'the gateway stands still for {int} ms, in which {int} callers ask and leave',
   async function (this: DepartureWorld, ms: number, count: number) {
--- a/features/gateway/exchange.ts
+++ b/features/gateway/exchange.ts
@@ -230,6 +230,7 @@
         clock: this.clock,
         platform,
         metrics: { relayed: { inc: ignore } },
+        logger: { log: ignore },
         board: {
           stop: section(() => undefined),
           serving: section(() => undefined),
@@ -241,6 +242,7 @@
       availability: { isLeaving: () => false, cooldownLeftMs: () => 0, record: ignore },
       links: { isLost: () => false, investigate: ignore, recordHeard: ignore },
       send: this.send,
+      latenessMs: () => 0,
     } as unknown as Parameters<typeof createRelayHandler>[0];
   }
 }
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -412,6 +412,11 @@
     level: 'info',
     message: 'A request was given to another gateway, since the own link to the server is lost.',
   },
+  relayedRequestEnded: {
+    number: 2511,
+    level: 'warn',
+    message: 'A request of another gateway ended without an answer that could be passed on.',
+  },
   requestWaits: {
     number: 2501,
     level: 'warn',
--- a/src/gateway/create-gateway.ts
+++ b/src/gateway/create-gateway.ts
@@ -210,7 +210,13 @@
     maxIdle: () => MAX_IDLE_TO_RELAY,
   });
   const send = createRoutedSender({ context, links, pool: relayPool, sendOverOwnLink });
-  const relay = createRelayHandler({ context, availability, links, send: sendOverOwnLink });
+  const relay = createRelayHandler({
+    context,
+    availability,
+    links,
+    send: sendOverOwnLink,
+    latenessMs: () => watchdog.latenessMs(),
+  });
   const quarantine = createQuarantine(context, engineCalls);
   const requestPath = createRequestServer({
     context,
--- a/src/gateway/relay/relay-handler.ts
+++ b/src/gateway/relay/relay-handler.ts
@@ -5,6 +5,7 @@
  * link of its own, or reports why it did not.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Milliseconds } from '../../core/clock/index.js';
 import { memoizeLatest } from '../../core/collections/index.js';
 import { parseAddress } from '../../core/listening/index.js';
 import { hasLeft, onDeparture } from '../../core/sockets/index.js';
@@ -44,6 +45,8 @@
   links: Pick<LinkMonitor, 'isLost' | 'investigate' | 'recordHeard'>;
   /** Sends over connections of this gateway. */
   send: AttemptSender;
+  /** How late the process was at worst within the last second. */
+  latenessMs: () => Milliseconds;
 }
 
 /** Relayed requests in flight from which on the other gateway has to ask another one. */
@@ -58,7 +61,7 @@
 ]);
 
 export function createRelayHandler(options: RelayHandlerOptions): RelayHandler {
-  const { context, availability, links, send } = options;
+  const { context, availability, links, send, latenessMs } = options;
   const { board, logger, metrics } = context;
   const inFlight = new Set<RelayedRequest>();
   const drainListeners: (() => void)[] = [];
@@ -101,6 +104,15 @@
     }
     const finish = (outcome: RelayOutcome['kind']): void => {
       metrics.relayed.inc({ outcome });
+      if (outcome !== 'response') {
+        logger.log('relayedRequestEnded', {
+          request: order.requestId,
+          server: server.id,
+          outcome,
+          tookMs: Math.round(context.clock.now() - receivedAt),
+          lateMs: Math.round(latenessMs()),
+        });
+      }
       inFlight.delete(relayed);
       if (inFlight.size === 0) for (const listener of drainListeners.splice(0)) listener();
     };
--- a/src/gateway/requests/request-attempts.ts
+++ b/src/gateway/requests/request-attempts.ts
@@ -70,6 +70,15 @@
     return [...this.inFlight].some(({ isRelayed }) => isRelayed);
   }
 
+  /** How long attempts in flight have been without a response, the longest of them; 0 if all have one. */
+  get unansweredMs(): Milliseconds {
+    const now = this.deps.context.clock.now();
+    const waits = [...this.inFlight]
+      .filter(({ response }) => response === undefined)
+      .map(({ sentAt }) => now - sentAt);
+    return Math.max(0, ...waits);
+  }
+
   get isRepeatable(): boolean {
     return isRepeatable(this.request.route);
   }
@@ -148,6 +157,7 @@
       attempt: this.sentCount,
       leftMs,
       lastEventId,
+      lateMs: deps.watchdog.latenessMs(),
     });
     deps.backends.recordSent(server.id);
     deps.queues.recordSent(request);
--- a/src/gateway/requests/request-ending.ts
+++ b/src/gateway/requests/request-ending.ts
@@ -206,6 +206,7 @@
     if (this.isEnded) return;
     this.isEnded = true;
     const { attempts, relay } = this.parts;
+    const { unansweredMs } = attempts;
     attempts.cancelAll(outcome);
     attempts.releaseBuffers();
     const { context, shutdown, watchdog } = this.deps;
@@ -221,6 +222,7 @@
       lastEventAt: relay?.times.lastEventAt,
       longestGapMs: relay?.times.longestGapMs ?? 0,
       lastEventId: relay?.lastEventId,
+      ...(unansweredMs > 0 && { unansweredMs }),
       ...(leftWhile && { leftWhile, lateMs: watchdog.latenessMs() }),
     });
     this.onFinish();
--- a/src/gateway/requests/request-report.ts
+++ b/src/gateway/requests/request-report.ts
@@ -25,6 +25,8 @@
   leftWhile?: RequestPhase;
   /** How late the process was when it noticed that its caller had left. */
   lateMs?: Milliseconds;
+  /** How long the attempts in flight have been without a response, the longest of them. */
+  unansweredMs?: Milliseconds;
 }
 
 /** What is logged of an attempt besides its target. */
@@ -35,6 +37,8 @@
   leftMs: Milliseconds;
   /** The event after which the stream resumes. */
   lastEventId: string | undefined;
+  /** How late the process was at worst within the last second. */
+  lateMs: Milliseconds;
 }
 
 /** Logs an attempt with the data that its target was chosen by. */
@@ -42,7 +46,7 @@
   context: GatewayContext,
   { id, fingerprint }: AdmittedRequest,
   { target, inFlight, candidates, isRemote, speed }: ChosenTarget,
-  { why, attempt, leftMs, lastEventId }: AttemptSummary,
+  { why, attempt, leftMs, lastEventId, lateMs }: AttemptSummary,
 ): void {
   const { server } = target;
   context.logger.log('requestSent', {
@@ -59,6 +63,7 @@
     fleetRevision: context.board.fleet.read().revision,
     ...describeConfiguration(context),
     leftMs: Math.round(leftMs),
+    lateMs: Math.round(lateMs),
     from: lastEventId,
   });
 }
@@ -126,6 +131,7 @@
     lastEventId: summary.lastEventId,
     leftWhile: summary.leftWhile,
     lateMs: summary.lateMs && Math.round(summary.lateMs),
+    unansweredMs: summary.unansweredMs && Math.round(summary.unansweredMs),
     waitedMs: Math.round(summary.startedAt - arrivedAt),
     graceLeftMs: stop && Math.round(stop.lastAnswerAt - now),
   });
