--- a/features/gateway/departures.feature
+++ b/features/gateway/departures.feature
@@ -40,6 +40,49 @@
     When the gateway stands still for 800 ms, in which 20 callers ask and leave
     Then at most 3 of their requests have reached a server 500 ms after it went on
 
+  # Guards against requests that the kernel delivers after the gateway has given them up, as it does with all that is
+  # not acknowledged when a connection is closed in the regular way.
+  Scenario Outline: A link is out until <kind> were given up as <why>, at a gateway that reaches servers <how>
+    Given a site with slow servers, and a gateway that reaches them <how>
+    When a link is out while 8 callers send <kind>, and it is restored after <why>
+    Then their requests had been sent, and none reaches a server from then on
+
+    @known-red
+    Examples:
+      | kind    | why                    | how                  |
+      | lookups | callers have left      | itself               |
+      | calls   | callers have left      | itself               |
+      | streams | callers have left      | itself               |
+      | lookups | deadlines have passed  | itself               |
+      | calls   | deadlines have passed  | itself               |
+      | streams | deadlines have passed  | itself               |
+      | lookups | others have taken over | itself               |
+      | streams | others have taken over | itself               |
+      | lookups | callers have left      | over another gateway |
+      | calls   | callers have left      | over another gateway |
+      | streams | callers have left      | over another gateway |
+      | lookups | deadlines have passed  | over another gateway |
+      | streams | deadlines have passed  | over another gateway |
+
+  # Guards against a gateway that handles older events first after it was held up, and sends requests again or for
+  # another gateway although their callers have left.
+  Scenario Outline: A gateway is held up while <requests> are refused, repeated or relayed and their callers leave
+    Given a site with slow servers, and a gateway that reaches them <how>
+    When <held> stands still while <requests> of 60 callers that leave are under way
+    Then none of their requests is sent or reaches a server after it went on
+
+    Examples:
+      | requests | held              | how                  |
+      | streams  | the gateway       | itself               |
+      | streams  | the other gateway | over another gateway |
+
+    @known-red
+    Examples:
+      | requests | held              | how                  |
+      | lookups  | the gateway       | itself               |
+      | lookups  | the gateway       | over another gateway |
+      | lookups  | the other gateway | over another gateway |
+
   # Guards against a process with too little processor time that takes in new requests first, so that servers work on
   # for callers whose leaving it has not looked at.
   Scenario Outline: A gateway with a fifth of a core gets <rate> requests a second from callers that leave
--- a/features/gateway/departures.steps.ts
+++ b/features/gateway/departures.steps.ts
@@ -27,8 +27,16 @@
   leftAt: number;
   /** When the callers left, by the id of their requests. */
   leftTimes: Map<string, number>;
+  /** When a link went out on which no request may arrive any more. */
+  outSince: number;
+  /** When the link was restored or the process went on. */
+  resumedAt: number;
+  sentIds: readonly string[];
 }
 
+/** Why requests are given up while a link is out. */
+type GiveUp = 'callers have left' | 'deadlines have passed' | 'others have taken over';
+
 interface CallerPlan {
   paths: readonly string[];
   /** Sends the next request only when the previous one was answered. */
@@ -55,10 +63,14 @@
 const TRY_MS = 600;
 const POLL_MS = 20;
 
+/** A server's refusal that comes while the gateway is held up. */
+const LATE_REFUSAL: Pace = { refuses: true, refuseAfterMs: 300 };
 const PACES: Readonly<Record<string, Pace>> = {
   '/list/slow': { firstMs: LONG_MS },
   '/list/quick': { firstMs: 5 },
   '/check/slow': { firstMs: LONG_MS },
+  '/list/late-refusal': LATE_REFUSAL,
+  '/chat/late-refusal': LATE_REFUSAL,
   '/chat/late-head': { headMs: LONG_MS },
   '/chat/late-event': { firstMs: LONG_MS },
   '/chat/events': { events: LONG_MS / GAP_MS, gapMs: GAP_MS },
@@ -117,6 +129,7 @@
     this.attempts = [];
     this.earlier = [];
     this.leavers = [];
+    this.cutGateways = [];
     this.opened = 0;
     await this.site.open();
     for (let index = 0; index < ENGINES; index += 1)
@@ -132,9 +145,12 @@
   },
 );
 
-function formatRequest(id: string, path: string): string {
+function formatRequest(id: string, path: string, deadlineMs = LONG_MS): string {
   const method = path.startsWith('/list/') ? 'GET' : 'POST';
-  const headers = Object.entries(exampleHeaders(id, LONG_MS)).map(([name, value]) => [name, value]);
+  const headers = Object.entries(exampleHeaders(id, deadlineMs)).map(([name, value]) => [
+    name,
+    value,
+  ]);
   if (method === 'POST') headers.push(['Content-Length', String(BODY_BYTES)]);
   const lines = headers.map(([name, value]) => `${name}: ${value}`);
   const body = method === 'POST' ? 'b'.repeat(BODY_BYTES) : '';
@@ -260,6 +276,135 @@
   },
 );
 
+const SLOW_PATHS: Readonly<Record<string, string>> = {
+  lookups: '/list/slow',
+  calls: '/check/slow',
+  streams: '/chat/late-head',
+};
+const QUICK_PATHS: Readonly<Record<string, string>> = {
+  lookups: '/list/quick',
+  calls: '/check/quick',
+  streams: '/chat/quick',
+};
+/** Time for requests to reach servers before a process is held up. */
+const UNDER_WAY_MS = 150;
+const HELD_UP_MS = 500;
+const AFTER_LEAVING_MS = 700;
+/** Longer than a server may be silent in the settings of the site. */
+const TAKEN_OVER_MS = 2_000;
+const SHORT_DEADLINE_MS = 600;
+const DELIVERY_MS = 1_000;
+
+async function askAll(
+  world: DepartureWorld,
+  paths: readonly string[],
+  deadlineMs = LONG_MS,
+): Promise<Socket[]> {
+  const [gateway] = world.site.gateways;
+  assert.ok(gateway);
+  const [host, port] = gateway.callers.split(':');
+  world.sentIds = paths.map((_, index) => `ask-${world.opened}-${index}`);
+  world.opened += 1;
+  const asked = paths.map(async (path, index) => {
+    const socket = connect({ host, port: Number(port) });
+    socket.on('error', () => undefined);
+    socket.on('data', () => undefined);
+    await once(socket, 'connect');
+    socket.write(formatRequest(world.sentIds[index] ?? '', path, deadlineMs));
+    return socket;
+  });
+  return Promise.all(asked);
+}
+
+/** Sends quick requests, after which connections are kept. */
+async function openKeptConnections(
+  world: DepartureWorld,
+  kind: string,
+  count: number,
+): Promise<void> {
+  const path = QUICK_PATHS[kind] ?? '';
+  const sockets = await askAll(
+    world,
+    Array.from({ length: count }, () => path),
+  );
+  await Promise.all(sockets.map((socket) => once(socket, 'data')));
+  await sleep(SETTLE_MS);
+  for (const socket of sockets) socket.destroy();
+}
+
+When(
+  /^a link is out while (\d+) callers send (lookups|calls|streams), and it is restored after (.+)$/,
+  async function (this: DepartureWorld, count: string, kind: string, why: GiveUp) {
+    // The one that sends to servers.
+    const gateway = this.cutGateways.length;
+    const paths = Array.from({ length: Number(count) }, () => SLOW_PATHS[kind] ?? '');
+    await openKeptConnections(this, kind, paths.length);
+    await this.site.setOutage(gateway, 'both');
+    this.outSince = performance.now();
+    const deadlineMs = why === 'deadlines have passed' ? SHORT_DEADLINE_MS : LONG_MS;
+    const sockets = await askAll(this, paths, deadlineMs);
+    await sleep(why === 'others have taken over' ? TAKEN_OVER_MS : PATIENCE_MS);
+    if (why !== 'deadlines have passed') for (const socket of sockets) socket.destroy();
+    await sleep(AFTER_LEAVING_MS);
+    this.resumedAt = performance.now();
+    await this.site.setOutage(gateway, 'none');
+    await sleep(DELIVERY_MS);
+    for (const socket of sockets) socket.destroy();
+  },
+);
+
+function listSentAfter({ site, sentIds }: DepartureWorld, since: number): string[] {
+  const lines = site.gateways.flatMap((gateway) => gateway.lines);
+  return lines
+    .filter(({ name, heardAt }) => name === 'requestSent' && Number(heardAt) > since)
+    .map(({ request }) => String(request))
+    .filter((id) => sentIds.includes(id));
+}
+
+function listReachedAfter({ site, sentIds }: DepartureWorld, since: number): string[] {
+  return site.journal
+    .filter(({ at, id }) => at > since && sentIds.includes(id))
+    .map(({ id, server }) => `${id} at ${server}`);
+}
+
+Then(
+  'their requests had been sent, and none reaches a server from then on',
+  function (this: DepartureWorld) {
+    const sent = listSentAfter(this, 0);
+    assert.ok(sent.length >= this.sentIds.length, `${sent.length} were sent`);
+    assert.deepEqual(listReachedAfter(this, this.outSince), []);
+  },
+);
+
+When(
+  /^(the gateway|the other gateway) stands still while (lookups|streams) of (\d+) callers that leave are under way$/,
+  async function (this: DepartureWorld, held: string, kind: string, count: string) {
+    const path = kind === 'lookups' ? '/list/late-refusal' : '/chat/late-refusal';
+    const paths = Array.from({ length: Number(count) }, () => path);
+    await openKeptConnections(this, kind, paths.length);
+    const gateway = this.site.gateways[held === 'the gateway' ? 0 : 1];
+    assert.ok(gateway);
+    const sockets = await askAll(this, paths);
+    await sleep(UNDER_WAY_MS);
+    gateway.signal('SIGSTOP');
+    await sleep(HELD_UP_MS);
+    for (const socket of sockets) socket.destroy();
+    await sleep(AFTER_LEAVING_MS);
+    this.resumedAt = performance.now();
+    gateway.signal('SIGCONT');
+    await sleep(DELIVERY_MS);
+  },
+);
+
+Then(
+  'none of their requests is sent or reaches a server after it went on',
+  function (this: DepartureWorld) {
+    assert.ok(listSentAfter(this, 0).length > 0, 'requests must have been under way');
+    assert.deepEqual(listSentAfter(this, this.resumedAt), []);
+    assert.deepEqual(listReachedAfter(this, this.resumedAt), []);
+  },
+);
+
 /** A fifth of a core, in turns that are short beside the limits of the scenario. */
 const RUN_MS = 15;
 const STOP_MS = 60;
--- a/features/gateway/gateway-links.ts
+++ b/features/gateway/gateway-links.ts
@@ -56,6 +56,11 @@
     for (const { proxy } of meant) (await proxy.control(LOSSES[loss]))._unsafeUnwrap();
   }
 
+  /** While they are out, the links deliver nothing and lose nothing. */
+  async setOutage(outage: 'both' | 'none'): Promise<void> {
+    for (const { proxy } of this.links) (await proxy.control({ outage }))._unsafeUnwrap();
+  }
+
   async restore(): Promise<void> {
     for (const { proxy } of this.links)
       (await proxy.control({ cut: 'none', refuse: false }))._unsafeUnwrap();
--- a/features/gateway/linked-site.ts
+++ b/features/gateway/linked-site.ts
@@ -47,6 +47,11 @@
     for (const links of this.links.slice(0, count)) await links.cut(loss, service);
   }
 
+  /** Begins or ends an outage of the links of one gateway. */
+  async setOutage(gateway: number, outage: 'both' | 'none'): Promise<void> {
+    await this.links[gateway]?.setOutage(outage);
+  }
+
   async restore(): Promise<void> {
     for (const links of this.links) await links.restore();
   }
--- a/features/gateway/stand-ins/engine.ts
+++ b/features/gateway/stand-ins/engine.ts
@@ -91,6 +91,8 @@
 export interface Pace {
   /** Answers that it did not run the request. */
   refuses?: boolean;
+  /** Time until it refuses. */
+  refuseAfterMs?: number;
   /** Time until the head of a stream. */
   headMs?: number;
   /** Time until an answer, or until the first event of a stream. */
@@ -421,6 +423,7 @@
     }
     const pace = this.options.paceOf?.(arrival.path) ?? {};
     if (this.fault.kind === 'refuse' || pace.refuses) {
+      if (pace.refuseAfterMs !== undefined) await sleep(pace.refuseAfterMs);
       this.refuse(response);
       return;
     }
--- a/src/stand-ins/proxy/connection.ts
+++ b/src/stand-ins/proxy/connection.ts
@@ -10,6 +10,8 @@
 export interface ProxyConnection {
   hold(ways: readonly Way[]): void;
   release(): void;
+  /** Delivers what an outage has kept back. */
+  resume(): void;
   /** Resets both sides. */
   reset(): void;
   /** Whether bytes were swallowed on it. */
@@ -74,6 +76,10 @@
       toTarget.release();
       toSource.release();
     },
+    resume: () => {
+      toTarget.resume();
+      toSource.resume();
+    },
     reset,
     isLossy: () => isLossy,
   };
--- a/src/stand-ins/proxy/link.ts
+++ b/src/stand-ins/proxy/link.ts
@@ -28,6 +28,11 @@
 export const proxyControlSchema = z.strictObject({
   /** Swallows the bytes that go this way; connections stay open. */
   cut: z.enum(['none', 'toTarget', 'toSource', 'both']).optional(),
+  /**
+   * Bytes that go this way stay with their sender, which delivers them once the outage is over unless it
+   * has reset the connection by then.
+   */
+  outage: z.enum(['none', 'toTarget', 'toSource', 'both']).optional(),
   /** Refuses new connections; open ones go on. */
   refuse: z.boolean().optional(),
   /** Resets every open connection, once. */
@@ -47,6 +52,7 @@
 /** The state of one way, shared by all connections. */
 export interface LinkWay {
   cut: boolean;
+  isOut: boolean;
   delayMs: Milliseconds;
   bytesPerSecond: number;
   /** When the bound on bytes a second lets the next bytes through. */
@@ -76,6 +82,7 @@
 function createWay(): LinkWay {
   return {
     cut: false,
+    isOut: false,
     delayMs: 0,
     bytesPerSecond: Number.POSITIVE_INFINITY,
     freeAt: 0,
@@ -87,7 +94,11 @@
 
 /** Sets the switches that belong to the link. */
 export function controlLink(link: Link, control: z.infer<typeof proxyControlSchema>): void {
-  const { cut } = control;
+  const { cut, outage } = control;
+  if (outage !== undefined) {
+    link.toTarget.isOut = outage === 'toTarget' || outage === 'both';
+    link.toSource.isOut = outage === 'toSource' || outage === 'both';
+  }
   if (cut !== undefined) {
     link.toTarget.cut = cut === 'toTarget' || cut === 'both';
     link.toSource.cut = cut === 'toSource' || cut === 'both';
--- a/src/stand-ins/proxy/pipe.ts
+++ b/src/stand-ins/proxy/pipe.ts
@@ -18,6 +18,8 @@
   /** Keeps bytes back until `release`. */
   hold(): void;
   release(): void;
+  /** Delivers what an outage has kept back. */
+  resume(): void;
   close(): void;
 }
 
@@ -83,7 +85,18 @@
     if (waitingBytes < MAX_WAITING_BYTES) from.resume();
   };
 
+  /** A sender that resets its connection no longer repeats what was not delivered. */
+  const discardAfterReset = (): void => {
+    if (ending !== 'reset') return;
+    waiting.length = 0;
+    waitingBytes = 0;
+  };
+
   const pump = (): void => {
+    if (way.isOut) {
+      discardAfterReset();
+      return;
+    }
     while (!isClosed && !isHeld && !isBlocked && timer === undefined) {
       const head = waiting[0];
       if (way.cut && (head !== undefined || ending !== undefined)) {
@@ -141,6 +154,7 @@
       isHeld = false;
       pump();
     },
+    resume: pump,
     close: () => {
       isClosed = true;
       clearTimeout(timer);
--- a/src/stand-ins/proxy/proxy.ts
+++ b/src/stand-ins/proxy/proxy.ts
@@ -146,6 +146,9 @@
   if (control.release) {
     for (const connection of [...state.connections]) connection.release();
   }
+  if (control.outage !== undefined) {
+    for (const connection of [...state.connections]) connection.resume();
+  }
   if (control.resetAll) resetAll(state);
   if (control.cut === 'none') resetLossy(state);
   if (refuse === true) closeServer(state);
