An answer with a status that HTTP does not have is no answer

A server in trouble that answers with a status outside of 100 to 599 got through: callers received sealed answers with 600 to 999 as they were, also over another gateway; 000 to 099 without a body left callers, over another gateway also with one, to their deadlines; an order answered with 600 counted as refused although it may have been carried out, a report as good; the entry program passed 600 and 999 of a service on, and took an answer of another gateway with them for good.

Cause: undici's parser passes on any three digits, and everything below 200 counted as an interim response, all else as an answer.

Both senders of attempts and the one check of answers of all other HTTP clients (requireFinalResponse, formerly the limit of interim responses) now require a status from 200 to 599. The outcome is unknown then: only what may be repeated is. The clients of the store and of the platform read known statuses alone and failed before as well.

--- a/features/hostile/clients.feature
+++ b/features/hostile/clients.feature
@@ -42,6 +42,47 @@
       | platform's watch  | a body without end         |
       | platform's write  | another schema             |
 
+  # Guards against answers with a status outside of HTTP that are passed on, or read as if they were good.
+  Scenario Outline: <client> meets <answer>, which no server may send
+    Given a hostile server that answers with <answer>
+    When the <client> asks it
+    Then the hostile answer ends in a failure within 3000 ms
+
+    Examples:
+      | client | answer |
+      | engine's health | the status 000 |
+      | engine's health | the status 099 |
+      | engine's health | the status 600 |
+      | engine's health | the status 999 |
+      | engine's order | the status 000 |
+      | engine's order | the status 099 |
+      | engine's order | the status 600 |
+      | engine's order | the status 999 |
+      | engine's stream | the status 000 |
+      | engine's stream | the status 099 |
+      | engine's stream | the status 600 |
+      | engine's stream | the status 999 |
+      | service's answer | the status 000 |
+      | service's answer | the status 099 |
+      | service's answer | the status 600 |
+      | service's answer | the status 999 |
+      | peer's exchange | the status 000 |
+      | peer's exchange | the status 099 |
+      | peer's exchange | the status 600 |
+      | peer's exchange | the status 999 |
+      | gateway's question | the status 000 |
+      | gateway's question | the status 099 |
+      | gateway's question | the status 600 |
+      | gateway's question | the status 999 |
+      | platform's read | the status 000 |
+      | platform's read | the status 099 |
+      | platform's read | the status 600 |
+      | platform's read | the status 999 |
+      | platform's write | the status 000 |
+      | platform's write | the status 099 |
+      | platform's write | the status 600 |
+      | platform's write | the status 999 |
+
   # Guards against waits that each interim response or comment starts again, so that one faulty server holds its
   # requests, and the processor, until their callers leave; and against answers that are read without a bound.
   Scenario Outline: <client> meets <answer> without end
--- a/features/hostile/clients.steps.ts
+++ b/features/hostile/clients.steps.ts
@@ -55,6 +55,10 @@
   'noise instead of HTTP': () => ({ parts: [NOISE], then: 'hang' }),
   'noise for JSON': () => respond(NOISE),
   'another schema': () => respond(OTHER_SCHEMA),
+  'the status 000': () => respondWith('000'),
+  'the status 099': () => respondWith('099'),
+  'the status 600': () => respondWith('600'),
+  'the status 999': () => respondWith('999'),
   'a body without end': () => ({ parts: startBody('application/json'), then: 'flood' }),
   'an event stream without end': () => ({
     parts: [...startBody('text/event-stream'), 'data: '],
@@ -100,6 +104,14 @@
   },
 };
 
+/** An answer that would be good but for its status. */
+function respondWith(status: string): HostileAnswer {
+  const body = JSON.stringify({ result: { data: {} } });
+  const length = `Content-Length: ${body.length}`;
+  const head = `HTTP/1.1 ${status} Odd\r\nContent-Type: application/json\r\n${length}\r\n\r\n`;
+  return { parts: [head, body], then: 'hang' };
+}
+
 function startBody(type: string): readonly string[] {
   return [`HTTP/1.1 200 OK\r\nContent-Type: ${type}\r\nConnection: close\r\n\r\n`];
 }
--- a/src/adapters/engines/engine-client.ts
+++ b/src/adapters/engines/engine-client.ts
@@ -11,7 +11,7 @@
 import {
   createConnector,
   isConnectionRefused,
-  limitInterimResponses,
+  requireFinalResponse,
 } from '../../core/sockets/index.js';
 import {
   createBufferedBytesTracker,
@@ -92,8 +92,8 @@
     bodyTimeout: settings.silenceTimeoutMs,
     keepAliveTimeout: KEEP_ALIVE_MS,
   });
-  const marked = streams.compose(limitInterimResponses, markSendings);
-  const limitedCalls = calls.compose(limitInterimResponses);
+  const marked = streams.compose(requireFinalResponse, markSendings);
+  const limitedCalls = calls.compose(requireFinalResponse);
 
   const reports = createReportCache();
 
--- a/src/adapters/engines/order-connection.ts
+++ b/src/adapters/engines/order-connection.ts
@@ -7,7 +7,7 @@
  */
 import { Client, type Dispatcher } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
-import { createConnector, limitInterimResponses } from '../../core/sockets/index.js';
+import { createConnector, requireFinalResponse } from '../../core/sockets/index.js';
 import type { WholeAnswer } from './short-call.js';
 
 /** Sends `body` and reads the answer; rejects when all that took longer than `timeoutMs`. */
@@ -27,7 +27,7 @@
     giveUp.abort(new Error(`no answer within ${timeoutMs} ms`));
   }, timeoutMs);
   try {
-    return await exchange(client.compose(limitInterimResponses), path, body, giveUp.signal);
+    return await exchange(client.compose(requireFinalResponse), path, body, giveUp.signal);
   } finally {
     clearTimeout(timer);
     await client.destroy();
--- a/src/adapters/peers/client.ts
+++ b/src/adapters/peers/client.ts
@@ -6,7 +6,7 @@
 import { Agent, type Dispatcher } from 'undici';
 import type * as z from 'zod';
 import { digestMessageSchema } from '../../controllers/membership/index.js';
-import { createConnector, limitInterimResponses } from '../../core/sockets/index.js';
+import { createConnector, requireFinalResponse } from '../../core/sockets/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure } from '../../core/errors/index.js';
 import { codec } from './codec.js';
@@ -40,7 +40,7 @@
     connections: 2,
     maxResponseSize: ANSWER_BYTES,
   });
-  const limited = agent.compose(limitInterimResponses);
+  const limited = agent.compose(requireFinalResponse);
   const clients = new Map<string, TRPCClient<PeerRouter>>();
   const resolveClient = (address: string): TRPCClient<PeerRouter> => {
     const client = clients.get(address) ?? connectPeer(address, limited, options);
--- a/src/adapters/services/client.ts
+++ b/src/adapters/services/client.ts
@@ -10,7 +10,7 @@
 import { Agent, type Dispatcher } from 'undici';
 import type { HeaderField } from '../../controllers/calls/types.js';
 import { whenInputIsRead } from '../../core/pending-input/index.js';
-import { createConnector, limitInterimResponses } from '../../core/sockets/index.js';
+import { createConnector, requireFinalResponse } from '../../core/sockets/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { parseRetryAfter } from '../../core/retry-after/index.js';
 import { markSendings, type Sending } from '../engines/sending.js';
@@ -40,8 +40,8 @@
   // not run but looks as if it might have been, and one that must not be repeated then ends as
   // `unknown`. A new connection cannot be idle; without pipelining undici asks that it be closed.
   const fresh = new Agent({ ...connections, pipelining: 0 });
-  const keptDispatcher = kept.compose(limitInterimResponses, markSendings);
-  const freshDispatcher = fresh.compose(limitInterimResponses, markSendings);
+  const keptDispatcher = kept.compose(requireFinalResponse, markSendings);
+  const freshDispatcher = fresh.compose(requireFinalResponse, markSendings);
   const ids = createSentIds();
   return {
     call: (address, request, signal) => {
--- a/src/gateway/backends/attempt.ts
+++ b/src/gateway/backends/attempt.ts
@@ -3,6 +3,7 @@
  */
 import type { Dispatcher } from 'undici';
 import type { Clock, Milliseconds } from '../../core/clock/index.js';
+import { isFinalStatus, isInterimStatus } from '../../core/responses/index.js';
 import type { ResponseHead, RequestCodec, ServerNotice } from '../../ports/index.js';
 import { countFromRequest, type BackendConnection } from './connection.js';
 import type { BackendAddress, ConnectionPool } from './pool.js';
@@ -155,7 +156,11 @@
   }
 
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
-    if (this.isFinished || status < 200) return;
+    if (this.isFinished || isInterimStatus(status)) return;
+    if (!isFinalStatus(status)) {
+      this.fail(new Error(`the answer has the status ${status}`));
+      return;
+    }
     const headers = readRawHeaders(controller.rawHeaders);
     if (this.connection.state.isFirstUse) this.onNewConnection(this.server.id);
     const head = this.codec.decodeResponse(status, headers);
--- a/src/gateway/backends/engine-calls.ts
+++ b/src/gateway/backends/engine-calls.ts
@@ -6,7 +6,7 @@
 import {
   createBoundedConnector,
   isConnectionRefused,
-  limitInterimResponses,
+  requireFinalResponse,
 } from '../../core/sockets/index.js';
 import { callWithTimeout } from '../../core/timeout/index.js';
 import type { EngineCall, OrderCodec, OrderOutcome } from '../../ports/index.js';
@@ -63,7 +63,7 @@
     keepAliveTimeout: KEEP_ALIVE_MS,
     connect: createBoundedConnector(PROBE_TIMEOUT_MS, MAX_BYTES_PER_SECOND),
   });
-  const limited = agent.compose(limitInterimResponses);
+  const limited = agent.compose(requireFinalResponse);
   const call = async (
     engine: CalledEngine,
     { method, path, headers, body }: EngineCall,
--- a/src/gateway/links/server-check.ts
+++ b/src/gateway/links/server-check.ts
@@ -6,7 +6,7 @@
 import {
   createBoundedConnector,
   isConnectionRefused,
-  limitInterimResponses,
+  requireFinalResponse,
 } from '../../core/sockets/index.js';
 import { callWithTimeout } from '../../core/timeout/index.js';
 import type { BackendServer, OrderCodec } from '../../ports/index.js';
@@ -42,7 +42,7 @@
 }: ServerChecksOptions): ServerChecks {
   const connect = createBoundedConnector(CHECK_TIMEOUT_MS, MAX_BYTES_PER_SECOND);
   const agent = new Agent({ pipelining: 0, connect });
-  const limited = agent.compose(limitInterimResponses);
+  const limited = agent.compose(requireFinalResponse);
   return {
     check: async (server, timeoutMs = CHECK_TIMEOUT_MS) => {
       if (availability.cooldownLeftMs(server.id) > 0) return { kind: 'coolingDown' };
--- a/src/gateway/peers/rpc.ts
+++ b/src/gateway/peers/rpc.ts
@@ -15,7 +15,7 @@
   type ReportedSuspicion,
   type Versions,
 } from '../../controllers/peering/index.js';
-import { createConnector, limitInterimResponses } from '../../core/sockets/index.js';
+import { createConnector, requireFinalResponse } from '../../core/sockets/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
 import { callWithTimeout } from '../../core/timeout/index.js';
 import type { ServerCheck } from '../links/types.js';
@@ -126,7 +126,7 @@
     connect: createConnector(CALL_TIMEOUT_MS),
     maxResponseSize: MAX_RESPONSE_BYTES,
   });
-  const limited = agent.compose(limitInterimResponses);
+  const limited = agent.compose(requireFinalResponse);
   const clients = new Map<string, TRPCClient<PeerRouter>>();
   const rpcClientFor = (address: string): TRPCClient<PeerRouter> => {
     const existing = clients.get(address);
--- a/src/gateway/relay/relayed-attempt.ts
+++ b/src/gateway/relay/relayed-attempt.ts
@@ -6,6 +6,7 @@
  */
 import type { Dispatcher } from 'undici';
 import type { Clock } from '../../core/clock/index.js';
+import { isFinalStatus, isInterimStatus } from '../../core/responses/index.js';
 import type { RequestCodec } from '../../ports/index.js';
 import {
   readRawHeaders,
@@ -180,7 +181,11 @@
   }
 
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
-    if (this.isFinished || status < 200) return;
+    if (this.isFinished || isInterimStatus(status)) return;
+    if (!isFinalStatus(status)) {
+      this.fail({ kind: 'broken', reason: `the answer has the status ${status}` });
+      return;
+    }
     const rawHeaders = readRawHeaders(controller.rawHeaders);
     const outcome = decodeRelayOutcome(rawHeaders);
     if (outcome?.kind === 'response') {
