--- a/src/adapters/engines/completion.ts
+++ b/src/adapters/engines/completion.ts
@@ -1,9 +1,9 @@
 /**
  * Sending a completion: from the request to the first byte of the answer.
  */
-import { whenInputIsRead } from '../../core/pending-input/index.js';
 import type { Dispatcher } from 'undici';
 import type { BufferedBytesTracker } from '../../core/buffered-bytes/index.js';
+import { whenInputIsRead } from '../../core/pending-input/index.js';
 import { readRefusal } from './answers.js';
 import { describeError, readChunks } from './chunk-stream.js';
 import type { EngineRequest } from './protocol.js';
--- a/src/adapters/engines/order-connection.ts
+++ b/src/adapters/engines/order-connection.ts
@@ -1,9 +1,9 @@
 /**
  * One order over a connection of its own, which is closed when the order takes too long.
  *
- * An owner may only send an order while its lease has more left than the order can take, so that none may arrive
- * later. Bytes that the engine's machine has already received can't be called back; engines that check the fencing
- * number refuse them.
+ * An owner only sends an order while its lease has more left than the order can take, so the order must not be
+ * delivered later. Bytes that the engine's machine has already received can't be called back; engines that check
+ * the fencing number refuse them.
  */
 import { Client, type Dispatcher } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
--- a/src/core/sockets/connector.ts
+++ b/src/core/sockets/connector.ts
@@ -7,7 +7,8 @@
 import { resetIfUnanswered } from './unanswered-reset.js';
 
 /**
- * A connector whose connections may end while nobody takes a response, and deliver nothing after that.
+ * A connector whose connections may end at any time: while nobody takes a response, or before there is one, after
+ * which nothing of the request is delivered.
  */
 export function createConnector(timeoutMs: Milliseconds): buildConnector.connector {
   const connect = buildConnector({ timeout: timeoutMs });
