Processes are stopped when they send nothing, and callers leave before their requests are sent elsewhere

Traced by the lists that they print:

- "A gateway is held up while ...": one request of 60 was sent after the process went on, in three of ten runs.
The process had been stopped 150 ms after the callers asked, while it was still sending; one request can be under its hands then.
It is now stopped once nothing has arrived for 100 ms, and servers refuse after 900 ms, still within the stop.
The check is as it was: none may be sent.
- "Callers reset their connection in every state": four lookups of one server reached another one.
Servers that don't answer for a second have their requests sent elsewhere, and getting all requests into their states had taken as long.
Such a round counts as not together and is tried again; what is checked is the same.

--- a/features/gateway/departures.steps.ts
+++ b/features/gateway/departures.steps.ts
@@ -57,12 +57,13 @@
 const BODY_BYTES = 2_000;
 /** Time for each request to get into its state. */
 const SETTLE_MS = 350;
-/** A request that its server does not answer is sent elsewhere after a second. */
+/** A request that its server does not answer is sent elsewhere from then on. */
+const SENT_ELSEWHERE_MS = 980;
 const TRY_MS = 600;
 const POLL_MS = 20;
 
 /** A server's refusal that comes while the gateway is held up. */
-const LATE_REFUSAL: Pace = { refuses: true, refuseAfterMs: 300 };
+const LATE_REFUSAL: Pace = { refuses: true, refuseAfterMs: 900 };
 const PACES: Readonly<Record<string, Pace>> = {
   '/list/slow': { firstMs: LONG_MS },
   '/list/quick': { firstMs: 5 },
@@ -198,11 +199,12 @@
   );
   const paceOf = createPaces();
   for (const { options } of world.site.servers) options.paceOf = paceOf;
+  const openedAt = performance.now();
   world.leavers = await Promise.all(states.map((state) => openCaller(world, state)));
   const giveUpAt = performance.now() + TRY_MS;
   while (!areInTheirStates(world) && performance.now() < giveUpAt) await sleep(POLL_MS);
   await sleep(SETTLE_MS);
-  return areInTheirStates(world);
+  return areInTheirStates(world) && performance.now() - openedAt < SENT_ELSEWHERE_MS;
 }
 
 When(
@@ -284,8 +286,8 @@
   calls: '/check/quick',
   streams: '/chat/quick',
 };
-/** Time for requests to reach servers before a process is held up. */
-const UNDER_WAY_MS = 150;
+/** Without further arrivals for this long, nothing is being sent. */
+const QUIET_MS = 100;
 const HELD_UP_MS = 500;
 const AFTER_LEAVING_MS = 700;
 /** Longer than a server may be silent in the settings of the site. */
@@ -384,6 +386,17 @@
   },
 );
 
+/** A process that is stopped while it sends a request finishes that when it goes on. */
+async function waitUntilQuiet(world: DepartureWorld): Promise<void> {
+  let arrived = 0;
+  await waitFor('requests to be under way', async () => {
+    const before = arrived;
+    await sleep(QUIET_MS);
+    arrived = listReachedAfter(world, 0).length;
+    return before > 0 && arrived === before;
+  });
+}
+
 When(
   /^(the gateway|the other gateway) stands still while (lookups|streams) of (\d+) callers that leave are under way$/,
   async function (this: DepartureWorld, held: string, kind: string, count: string) {
@@ -393,7 +406,7 @@
     const gateway = this.site.gateways[held === 'the gateway' ? 0 : 1];
     assert.ok(gateway);
     const sockets = await askAll(this, paths);
-    await sleep(UNDER_WAY_MS);
+    await waitUntilQuiet(this);
     gateway.signal('SIGSTOP');
     await sleep(HELD_UP_MS);
     for (const socket of sockets) socket.destroy();
