--- a/features/gateway/departures.steps.ts
+++ b/features/gateway/departures.steps.ts
@@ -288,7 +288,7 @@
 };
 /** Without further arrivals for this long, nothing is being sent. */
 const QUIET_MS = 100;
-const HELD_UP_MS = 500;
+const HELD_UP_MS = 1_000;
 const AFTER_LEAVING_MS = 700;
 /** Longer than a server may be silent in the settings of the site. */
 const TAKEN_OVER_MS = 2_000;
