--- a/features/gateway/given-up-calls.feature
+++ b/features/gateway/given-up-calls.feature
@@ -29,3 +29,14 @@
       | an entry's call of a service   | a new      |
       | an entry's write               | a kept     |
       | an entry's exchange with peers | a kept     |
+
+  # Guards against requests of the entry program that are sent for callers whose leaving has arrived and is not read yet.
+  Scenario Outline: <call> is begun while its caller's leaving is unread
+    Given a server behind a link, and a kept connection of the sender of <call>
+    When <call> is begun and given up in the next turn of the event loop
+    Then nothing of it reaches the server
+
+    Examples:
+      | call                         |
+      | an entry's completion        |
+      | an entry's call of a service |
--- a/features/gateway/given-up-calls.steps.ts
+++ b/features/gateway/given-up-calls.steps.ts
@@ -30,8 +30,8 @@
 
 /** A sender with connections of its own. */
 interface Sender {
-  /** Resolves once the call was answered or given up, after `SHORT_MS` or its own timeout. */
-  call(address: string): Promise<unknown>;
+  /** Resolves once the call was answered or given up, after `SHORT_MS` or its own timeout, or by `signal`. */
+  call(address: string, signal?: AbortSignal): Promise<unknown>;
   close(): Promise<unknown>;
 }
 
@@ -47,8 +47,8 @@
 }
 
 const SHORT_MS = 300;
-/** Time for a reset to arrive at the link. */
-const RESET_MS = 100;
+/** Time for a reset or an answer to be read. */
+const SETTLE_MS = 100;
 const DELIVERY_MS = 400;
 const BODY = Buffer.from('{}');
 const ENGINE = { id: 'engine-0', startedAt: 1 };
@@ -189,14 +189,14 @@
   const client = createEngineClient();
   const order = { kind: 'release', fence: 1, replica: 'replica-1' } as const;
   return {
-    call: async (address) => {
+    call: async (address, signal = AbortSignal.timeout(SHORT_MS)) => {
       switch (kind) {
         case 'order':
           return client.order(address, order, SHORT_MS);
         case 'health':
           return client.health(address, SHORT_MS);
         case 'completion':
-          return client.complete(address, requestFor('a'), AbortSignal.timeout(SHORT_MS));
+          return client.complete(address, requestFor('a'), signal);
       }
     },
     close: () => client.close(),
@@ -206,8 +206,7 @@
 function createServiceSender(): Sender {
   const services = createServices();
   return {
-    call: async (address) => {
-      const signal = AbortSignal.timeout(SHORT_MS);
+    call: async (address, signal = AbortSignal.timeout(SHORT_MS)) => {
       const request = {
         method: 'POST',
         path: '/call',
@@ -307,12 +306,33 @@
   await sender.call(proxy.address);
 });
 
+When(
+  /^.+ is begun and given up in the next turn of the event loop$/,
+  async function (this: SenderWorld) {
+    const { sender, proxy, arrivals } = this.senderLab;
+    // The connection is free once its first answer was read.
+    await sleep(SETTLE_MS);
+    arrivals.length = 0;
+    const caller = new AbortController();
+    const called = sender.call(proxy.address, caller.signal);
+    setImmediate(() => {
+      caller.abort();
+    });
+    await called;
+  },
+);
+
+Then('nothing of it reaches the server', async function (this: SenderWorld) {
+  await sleep(DELIVERY_MS);
+  assert.deepEqual(this.senderLab.arrivals, []);
+});
+
 Then(
   'nothing of it reaches the server after the link is restored',
   async function (this: SenderWorld) {
     const { proxy, arrivals } = this.senderLab;
     assert.ok(proxy.counters().connections > 0, 'it must have had a connection');
-    await sleep(RESET_MS);
+    await sleep(SETTLE_MS);
     await control(this.senderLab, { outage: 'none' });
     await sleep(DELIVERY_MS);
     assert.deepEqual(arrivals, []);
