Logs tell why a request was sent, or worked on, after its caller had left

Of a departure that was noticed late the logs told how late the process was, not why. Three figures tell the hypotheses of docs/incidents/late-reading-of-departures.md apart: unreadMs of requestSent, for how long departures may have been waiting to be read (whole batches, hypothesis 1); writtenAfterMs of attemptEnded, how long a connection took to open, after which the request was written (also 1, and a silent link); ownMs of gatewayPaused, the processor time that the process used in a pause (its own long work, hypothesis 2, or held up by others). What was noticed in time without any of them is hypothesis 3.

No decision changes.

--- a/features/gateway/departures.feature
+++ b/features/gateway/departures.feature
@@ -32,13 +32,14 @@
     Given a site with slow servers, and a gateway that reaches them itself
     When callers close their connection whose requests are in these states
       | waits for the answer |
-    Then the log tells for how long its attempt had no answer, and how late the process was when it was sent
+    Then the log tells for how long its attempt had no answer, how late the process was when it was sent, and when it was written
 
   # Guards against requests that a gateway reads late and sends on, though their callers have left.
   Scenario: A gateway is held up while callers come and leave
     Given a site with slow servers, and a gateway that reaches them itself
     When the gateway stands still for 800 ms, in which 20 callers ask and leave
     Then at most 3 of their requests have reached a server 500 ms after it went on
+    And the log tells that the gateway used little processor time in its pause
 
   # Guards against requests that the kernel delivers after the gateway has given them up, as it does with all that is
   # not acknowledged when a connection is closed in the regular way.
--- a/features/gateway/departures.steps.ts
+++ b/features/gateway/departures.steps.ts
@@ -61,6 +61,8 @@
 const SENT_ELSEWHERE_MS = 980;
 const TRY_MS = 600;
 const POLL_MS = 20;
+/** Longer than other pauses of the scenario. */
+const PAUSE_MS = 500;
 
 /** A server's refusal that comes while the gateway is held up. */
 const LATE_REFUSAL: Pace = { refuses: true, refuseAfterMs: 900 };
@@ -237,7 +239,7 @@
 );
 
 Then(
-  'the log tells for how long its attempt had no answer, and how late the process was when it was sent',
+  'the log tells for how long its attempt had no answer, how late the process was when it was sent, and when it was written',
   async function (this: DepartureWorld) {
     const [gateway] = this.site.gateways;
     const id = this.leavers[0]?.ids[0];
@@ -246,6 +248,8 @@
     const ended = await waitFor('the end in the log', () => find('requestEnded'));
     assert.ok(Number(ended.unansweredMs) >= SETTLE_MS, JSON.stringify(ended));
     assert.equal(typeof find('requestSent')?.lateMs, 'number');
+    assert.equal(typeof find('requestSent')?.unreadMs, 'number');
+    assert.equal(typeof find('attemptEnded')?.writtenAfterMs, 'number');
   },
 );
 
@@ -276,6 +280,19 @@
   },
 );
 
+Then(
+  'the log tells that the gateway used little processor time in its pause',
+  async function (this: DepartureWorld) {
+    const [gateway] = this.site.gateways;
+    const paused = await waitFor('the pause in the log', () =>
+      gateway?.lines.find(
+        ({ name, lateMs }) => name === 'gatewayPaused' && Number(lateMs) > PAUSE_MS,
+      ),
+    );
+    assert.ok(Number(paused.ownMs) < Number(paused.lateMs) / 2, JSON.stringify(paused));
+  },
+);
+
 const SLOW_PATHS: Readonly<Record<string, string>> = {
   lookups: '/list/slow',
   calls: '/check/slow',
--- a/src/gateway/backends/attempt.ts
+++ b/src/gateway/backends/attempt.ts
@@ -60,6 +60,8 @@
   server: BackendAddress;
   /** Whether another gateway relays it. */
   isRelayed: boolean;
+  /** When it was written to an open connection; absent before. */
+  writtenAt: Milliseconds | undefined;
   /** Closes the connection without notifying the observer. */
   cancel(): void;
   pause(): void;
@@ -92,6 +94,7 @@
 class RunningAttempt implements Attempt, Dispatcher.DispatchHandler {
   readonly server: BackendAddress;
   readonly isRelayed = false;
+  writtenAt: Milliseconds | undefined;
   private readonly connection: BackendConnection;
   private controller: Dispatcher.DispatchController | undefined;
   private isFinished = false;
@@ -150,7 +153,12 @@
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
     countFromRequest(this.connection.state);
-    if (this.isFinished || this.clock.now() <= this.request.sendUntil()) return;
+    if (this.isFinished) return;
+    const now = this.clock.now();
+    if (now <= this.request.sendUntil()) {
+      this.writtenAt = now;
+      return;
+    }
     this.end({ kind: 'tooLate', reason: TOO_LATE_REASON });
     controller.abort(new Error(TOO_LATE_REASON));
   }
--- a/src/gateway/relay/relayed-attempt.ts
+++ b/src/gateway/relay/relayed-attempt.ts
@@ -5,7 +5,7 @@
  * it can't, the next gateway is tried: nothing has reached the server by then.
  */
 import type { Dispatcher } from 'undici';
-import type { Clock } from '../../core/clock/index.js';
+import type { Clock, Milliseconds } from '../../core/clock/index.js';
 import { isFinalStatus, isInterimStatus } from '../../core/responses/index.js';
 import type { RequestCodec } from '../../ports/index.js';
 import {
@@ -67,6 +67,10 @@
     this.current?.cancel();
   }
 
+  get writtenAt(): Milliseconds | undefined {
+    return this.current?.writtenAt;
+  }
+
   pause(): void {
     this.current?.pause();
   }
@@ -127,6 +131,7 @@
 
 /** One request to one relay. */
 class RelayExchange implements Dispatcher.DispatchHandler {
+  writtenAt: Milliseconds | undefined;
   private readonly connection: BackendConnection;
   private controller: Dispatcher.DispatchController | undefined;
   private isFinished = false;
@@ -175,7 +180,12 @@
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
     countFromRequest(this.connection.state);
-    if (this.isFinished || this.options.clock.now() <= this.request.sendUntil()) return;
+    if (this.isFinished) return;
+    const now = this.options.clock.now();
+    if (now <= this.request.sendUntil()) {
+      this.writtenAt = now;
+      return;
+    }
     this.fail({ kind: 'unavailable', reason: TOO_LATE_REASON });
     controller.abort(new Error(TOO_LATE_REASON));
   }
--- a/src/gateway/requests/request-attempts.ts
+++ b/src/gateway/requests/request-attempts.ts
@@ -4,6 +4,7 @@
 import { isRepeatable, type EventStream } from '../../controllers/forwarding/index.js';
 import { minUsefulMs } from '../../controllers/waiting/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
+import { unreadInputMs } from '../../core/pending-input/index.js';
 import type { AnswerBudget } from '../../core/responses/index.js';
 import type { AttemptSender } from '../backends/attempt.js';
 import type { GatewayContext } from '../types.js';
@@ -158,6 +159,7 @@
       leftMs,
       lastEventId,
       lateMs: deps.watchdog.latenessMs(),
+      unreadMs: unreadInputMs(),
     });
     deps.backends.recordSent(server.id);
     deps.queues.recordSent(request);
@@ -253,6 +255,7 @@
       parts: request.caller.sharedParts?.join(),
       how,
       kind,
+      writtenAfterMs: roundIfKnown(attempt.writtenAfterMs),
     });
   }
 
@@ -265,6 +268,10 @@
   }
 }
 
+function roundIfKnown(ms: Milliseconds | undefined): Milliseconds | undefined {
+  return ms === undefined ? undefined : Math.round(ms);
+}
+
 /** Backend servers accept priorities from 0 to 9. */
 function clampPriority(priority: number): number {
   return Math.min(9, Math.max(0, Math.round(priority)));
--- a/src/gateway/requests/request-report.ts
+++ b/src/gateway/requests/request-report.ts
@@ -39,6 +39,8 @@
   lastEventId: string | undefined;
   /** How late the process was at worst within the last second. */
   lateMs: Milliseconds;
+  /** For how long departures may have been waiting to be read. */
+  unreadMs: Milliseconds;
 }
 
 /** Logs an attempt with the data that its target was chosen by. */
@@ -46,7 +48,7 @@
   context: GatewayContext,
   { id, fingerprint }: AdmittedRequest,
   { target, inFlight, candidates, isRemote, speed }: ChosenTarget,
-  { why, attempt, leftMs, lastEventId, lateMs }: AttemptSummary,
+  { why, attempt, leftMs, lastEventId, lateMs, unreadMs }: AttemptSummary,
 ): void {
   const { server } = target;
   context.logger.log('requestSent', {
@@ -64,6 +66,7 @@
     ...describeConfiguration(context),
     leftMs: Math.round(leftMs),
     lateMs: Math.round(lateMs),
+    unreadMs: Math.round(unreadMs),
     from: lastEventId,
   });
 }
--- a/src/gateway/requests/tracked-attempt.ts
+++ b/src/gateway/requests/tracked-attempt.ts
@@ -77,6 +77,12 @@
     return this.attempt?.isRelayed ?? false;
   }
 
+  /** How long it took until the request was written; absent before. */
+  get writtenAfterMs(): Milliseconds | undefined {
+    const writtenAt = this.attempt?.writtenAt;
+    return writtenAt === undefined ? undefined : writtenAt - this.sentAt;
+  }
+
   /** Closes the connection to the backend server. */
   cancel(): void {
     this.attempt?.cancel();
--- a/src/gateway/requests/watchdog.ts
+++ b/src/gateway/requests/watchdog.ts
@@ -6,6 +6,7 @@
 import type { GatewayContext, GatewayPart } from '../types.js';
 import type { BackendTracker } from './backend-tracker.js';
 import { Lateness } from './lateness.js';
+import { ProcessorTime } from './processor-time.js';
 
 /** An attempt whose progress is checked. */
 export interface WatchedAttempt {
@@ -77,6 +78,7 @@
   let dueAt = clock.now();
   let resumedAt = Number.NEGATIVE_INFINITY;
   const lateness = new Lateness();
+  const processorTime = new ProcessorTime();
 
   const schedule = (): void => {
     const isIdle = requests.size === 0 && attempts.size === 0;
@@ -87,13 +89,14 @@
   const tick = (): void => {
     const now = clock.now();
     const lateMs = now - dueAt;
+    const ownMs = processorTime.takeMs();
     schedule();
     lateness.record(lateMs, now);
     metrics.lateness.set(lateness.worst(now, now) / MS_PER_SECOND);
     for (const listener of timerListeners) listener(lateMs, dueAt);
     if (lateMs > PROCESS_PAUSE_MS) {
       resumedAt = now;
-      logger.log('gatewayPaused', { lateMs: Math.round(lateMs) });
+      logger.log('gatewayPaused', { lateMs: Math.round(lateMs), ownMs: Math.round(ownMs) });
       for (const listener of pauseListeners) listener();
     }
     afterPendingInput(checkAll);
