Failing test: a gateway that is held up while it sends goes on sending for callers that have left

Two rows in which the other gateway, the relay, is held up are green: it takes up one new connection a turn.

--- a/features/gateway/departures.feature
+++ b/features/gateway/departures.feature
@@ -83,6 +83,24 @@
       | requests | held        | how    |
       | streams  | the gateway | itself |
 
+  # Guards against a gateway that, once it has begun to send many requests, sends all of them before it reads who has left.
+  Scenario Outline: A gateway is held up while it sends <requests>, and their callers leave, <held> to servers <how>
+    Given a site with slow servers, and a gateway that reaches them <how>
+    When <held> stands still as it begins to send <requests> of 400 callers that leave
+    Then at most 3 of their requests reach a server after it went on
+
+    Examples:
+      | requests | held              | how                  |
+      | lookups  | the other gateway | over another gateway |
+      | calls    | the other gateway | over another gateway |
+
+    @known-red
+    Examples:
+      | requests | held        | how                  |
+      | lookups  | the gateway | itself               |
+      | calls    | the gateway | itself               |
+      | lookups  | the gateway | over another gateway |
+
   # Guards against a process with too little processor time that takes in new requests first, so that servers work on
   # for callers whose leaving it has not looked at.
   Scenario Outline: A gateway with a fifth of a core gets <rate> requests a second from callers that leave
--- a/features/gateway/departures.steps.ts
+++ b/features/gateway/departures.steps.ts
@@ -4,11 +4,11 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import { connect, type Socket } from 'node:net';
-import { setTimeout as sleep } from 'node:timers/promises';
+import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises';
 import { After, Given, Then, When, type DataTable } from '@cucumber/cucumber';
 import { waitFor } from '../support/waiting.js';
 import { LinkedSite } from './linked-site.js';
-import type { LogLine } from './site.js';
+import type { GatewayProcess, LogLine } from './site.js';
 import { cutOff, type RelayWorld } from './relay.steps.js';
 import { exampleHeaders } from './stand-ins/configuration.js';
 import type { Pace } from './stand-ins/engine.js';
@@ -317,20 +317,38 @@
   paths: readonly string[],
   deadlineMs = LONG_MS,
 ): Promise<Socket[]> {
-  const [gateway] = world.site.gateways;
+  const sockets = await connectCallers(world, paths.length);
+  ask(world, sockets, paths, deadlineMs);
+  return sockets;
+}
+
+/** Opens connections of callers to the first gateway. */
+async function connectCallers({ site }: DepartureWorld, count: number): Promise<Socket[]> {
+  const [gateway] = site.gateways;
   assert.ok(gateway);
   const [host, port] = gateway.callers.split(':');
-  world.sentIds = paths.map((_, index) => `ask-${world.opened}-${index}`);
-  world.opened += 1;
-  const asked = paths.map(async (path, index) => {
+  const opened = Array.from({ length: count }, async () => {
     const socket = connect({ host, port: Number(port) });
     socket.on('error', () => undefined);
     socket.on('data', () => undefined);
     await once(socket, 'connect');
-    socket.write(formatRequest(world.sentIds[index] ?? '', path, deadlineMs));
     return socket;
   });
-  return Promise.all(asked);
+  return Promise.all(opened);
+}
+
+function ask(
+  world: DepartureWorld,
+  sockets: readonly Socket[],
+  paths: readonly string[],
+  deadlineMs: number,
+): void {
+  world.sentIds = paths.map((_, index) => `ask-${world.opened}-${index}`);
+  world.opened += 1;
+  sockets.forEach((socket, index) => {
+    const { [index]: id = '' } = world.sentIds;
+    socket.write(formatRequest(id, paths[index] ?? '', deadlineMs));
+  });
 }
 
 /** Sends quick requests, after which connections are kept. */
@@ -414,14 +432,61 @@
   });
 }
 
+function findHeld({ site }: DepartureWorld, held: string): GatewayProcess {
+  const gateway = site.gateways[held === 'the gateway' ? 0 : 1];
+  assert.ok(gateway);
+  return gateway;
+}
+
+/** Has all callers ask at once and returns as soon as the first of their requests has reached a server. */
+async function askUntilFirstArrival(
+  world: DepartureWorld,
+  gateway: GatewayProcess,
+  paths: readonly string[],
+): Promise<Socket[]> {
+  const sockets = await connectCallers(world, paths.length);
+  await sleep(SETTLE_MS);
+  gateway.signal('SIGSTOP');
+  ask(world, sockets, paths, LONG_MS);
+  await sleep(SETTLE_MS);
+  gateway.signal('SIGCONT');
+  while (listReachedAfter(world, 0).length === 0) await nextTurn();
+  return sockets;
+}
+
+When(
+  /^(the gateway|the other gateway) stands still as it begins to send (lookups|calls) of (\d+) callers that leave$/,
+  async function (this: DepartureWorld, held: string, kind: string, count: string) {
+    const gateway = findHeld(this, held);
+    const paths = Array.from({ length: Number(count) }, () => SLOW_PATHS[kind] ?? '');
+    await openKeptConnections(this, kind, paths.length);
+    const sockets = await askUntilFirstArrival(this, gateway, paths);
+    gateway.signal('SIGSTOP');
+    for (const socket of sockets) socket.destroy();
+    await sleep(AFTER_LEAVING_MS);
+    assert.ok(listReachedAfter(this, 0).length < paths.length / 2, 'it was stopped too late');
+    this.resumedAt = performance.now();
+    gateway.signal('SIGCONT');
+    await sleep(DELIVERY_MS);
+  },
+);
+
+Then(
+  'at most {int} of their requests reach a server after it went on',
+  function (this: DepartureWorld, most: number) {
+    const late = listReachedAfter(this, this.resumedAt);
+    this.log(`${late.length} have reached a server`);
+    assert.ok(late.length <= most, `${late.length} have reached a server`);
+  },
+);
+
 When(
   /^(the gateway|the other gateway) stands still while (lookups|streams) of (\d+) callers that leave are under way$/,
   async function (this: DepartureWorld, held: string, kind: string, count: string) {
     const path = kind === 'lookups' ? '/list/late-refusal' : '/chat/late-refusal';
     const paths = Array.from({ length: Number(count) }, () => path);
     await openKeptConnections(this, kind, paths.length);
-    const gateway = this.site.gateways[held === 'the gateway' ? 0 : 1];
-    assert.ok(gateway);
+    const gateway = findHeld(this, held);
     const sockets = await askAll(this, paths);
     await waitUntilQuiet(this);
     gateway.signal('SIGSTOP');
@@ -453,30 +518,40 @@
   'the gateway has a fifth of a core, and {int} callers a second ask and leave for {int} s',
   { timeout: 60_000 },
   async function (this: DepartureWorld, rate: number, seconds: number) {
-    const [gateway] = this.site.gateways;
-    assert.ok(gateway);
     this.leftTimes = new Map();
-    const endsAt = performance.now() + seconds * 1_000;
-    const callers: Promise<void>[] = [];
-    const throttled = (async () => {
-      while (performance.now() < endsAt + PATIENCE_MS + 3 * SETTLE_MS) {
-        gateway.signal('SIGSTOP');
-        await sleep(STOP_MS);
-        gateway.signal('SIGCONT');
-        await sleep(RUN_MS);
-      }
-    })();
-    const beganAt = performance.now();
-    for (let sent = 0; performance.now() < endsAt;) {
-      const due = ((performance.now() - beganAt) / 1_000) * rate;
-      for (; sent < due; sent += 1) callers.push(askAndLeave(this));
-      await sleep(POLL_MS);
-    }
-    await Promise.all(callers);
-    await throttled;
+    await askBesideThrottle(this, findHeld(this, 'the gateway'), rate, seconds);
   },
 );
 
+/** Callers ask and leave at `rate` a second while `gateway` has a fifth of a core. */
+async function askBesideThrottle(
+  world: DepartureWorld,
+  gateway: GatewayProcess,
+  rate: number,
+  seconds: number,
+): Promise<void> {
+  const endsAt = performance.now() + seconds * 1_000;
+  const callers: Promise<void>[] = [];
+  const throttled = throttle(gateway, endsAt + PATIENCE_MS + 3 * SETTLE_MS);
+  const beganAt = performance.now();
+  for (let sent = 0; performance.now() < endsAt;) {
+    const due = ((performance.now() - beganAt) / 1_000) * rate;
+    for (; sent < due; sent += 1) callers.push(askAndLeave(world));
+    await sleep(POLL_MS);
+  }
+  await Promise.all(callers);
+  await throttled;
+}
+
+async function throttle(gateway: GatewayProcess, until: number): Promise<void> {
+  while (performance.now() < until) {
+    gateway.signal('SIGSTOP');
+    await sleep(STOP_MS);
+    gateway.signal('SIGCONT');
+    await sleep(RUN_MS);
+  }
+}
+
 async function askAndLeave(world: DepartureWorld): Promise<void> {
   const { socket, ids } = await openCaller(world, 'waits for the first event');
   await sleep(PATIENCE_MS);
