A turn of work is short, and connections are handed over after input was read

What callers saw: their requests went on at servers after they had left, at gateways that are short of processor time or stand still (hypothesis 1 of docs/incidents/late-reading-of-departures.md).

Cause: a rule that looked at the beginning of a batch alone. First sendings, retries and relayed requests waited for input once and were then sent together, however many they were and however long the process had stood still in between. What waited for a connection was written when it opened, before anything else was read. Queued requests had a way of their own (one turn), and the watchdog sent again for all of a silent server in one go.

Change: one queue (core/pending-input/input-first-queue.ts) begins all that is sent for callers. Its work runs in slices of 10 ms, input is read in between, and once more if reading took over 100 ms, as when the process stood still. First sendings, retries, relayed requests, queued requests, the watchdog's round and the hand-over of each connection that was opened (the one connector of all HTTP clients and the connections to servers) go through it, and so do the entry program's completions and calls.

--- a/features/gateway/departures.feature
+++ b/features/gateway/departures.feature
@@ -91,16 +91,12 @@
 
     Examples:
       | requests | held              | how                  |
+      | lookups  | the gateway       | itself               |
+      | calls    | the gateway       | itself               |
+      | lookups  | the gateway       | over another gateway |
       | lookups  | the other gateway | over another gateway |
       | calls    | the other gateway | over another gateway |
 
-    @known-red
-    Examples:
-      | requests | held        | how                  |
-      | lookups  | the gateway | itself               |
-      | calls    | the gateway | itself               |
-      | lookups  | the gateway | over another gateway |
-
   # Guards against a process with too little processor time that takes in new requests first, so that servers work on
   # for callers whose leaving it has not looked at.
   Scenario Outline: A gateway with a fifth of a core gets <rate> requests a second from callers that leave
--- a/src/adapters/engines/completion.ts
+++ b/src/adapters/engines/completion.ts
@@ -14,7 +14,13 @@
 const JSON_HEADERS = { 'content-type': 'application/json' };
 
 /** Sends `request` once. `dispatcher` has to mark sendings; `unread` counts what the answer holds. */
-export async function startCompletion(
+export function startCompletion(
+  ...args: Parameters<typeof sendCompletion>
+): Promise<CompletionStart> {
+  return whenInputIsRead(() => sendCompletion(...args));
+}
+
+async function sendCompletion(
   dispatcher: Dispatcher,
   address: string,
   request: EngineRequest,
@@ -22,9 +28,8 @@
   maxEventBytes: number,
   unread: BufferedBytesTracker,
 ): Promise<CompletionStart> {
-  const sending: Sending = { begun: false, signal };
-  await whenInputIsRead();
   if (signal.aborted) return { kind: 'notSent', reason: 'cancelled' };
+  const sending: Sending = { begun: false, signal };
   try {
     const requested = dispatcher.request({
       origin: `http://${address}`,
--- a/src/adapters/services/client.ts
+++ b/src/adapters/services/client.ts
@@ -46,7 +46,7 @@
   return {
     call: (address, request, signal) => {
       const dispatcher = request.repeatable ? keptDispatcher : freshDispatcher;
-      return callService(dispatcher, ids, address, request, signal);
+      return whenInputIsRead(() => callService(dispatcher, ids, address, request, signal));
     },
     close: async () => {
       await Promise.all([kept.destroy(), fresh.destroy()]);
@@ -62,7 +62,6 @@
   signal: AbortSignal,
 ): Promise<ServiceStart> {
   const sending: Sending = { begun: false, signal };
-  await whenInputIsRead();
   if (signal.aborted) return { kind: 'notSent', reason: 'given up' };
   const id = ids.add(request.headers);
   try {
--- a/src/core/pending-input/index.ts
+++ b/src/core/pending-input/index.ts
@@ -1,1 +1,2 @@
+export * from './input-first-queue.js';
 export * from './pending-input.js';
--- a/src/gateway/backends/connection.ts
+++ b/src/gateway/backends/connection.ts
@@ -1,14 +1,14 @@
 /**
  * A connection to a backend server, used for one request at a time.
  */
-import { connect, type Socket } from 'node:net';
+import { connect } from 'node:net';
 import { Client } from 'undici';
 import type { Milliseconds } from '../../core/clock/index.js';
 import {
+  handOver,
   onResetAtEnd,
-  protectPausedParser,
-  resetIfUnanswered,
   watchReceivedBytes,
+  type ConnectCallback,
 } from '../../core/sockets/index.js';
 import { parseAddress } from '../../core/listening/index.js';
 
@@ -102,10 +102,6 @@
   return { client, state };
 }
 
-type ConnectCallback = (
-  ...args: [error: null, socket: Socket] | [error: Error, socket: null]
-) => void;
-
 function connectSocket(address: string, state: ConnectionState, callback: ConnectCallback): void {
   const { host, port } = parseAddress(address);
   if (state.ended || state.connected) {
@@ -133,12 +129,16 @@
     state.reset = true;
   });
   socket.once('connect', () => {
-    state.connected = true;
-    protectPausedParser(socket);
-    resetIfUnanswered(socket);
-    state.received.total = () => socket.bytesRead;
-    watchReceivedBytes(socket, () => findExcess(state.received));
-    settle(null, socket);
+    clearTimeout(timer);
+    handOver(socket, (...result) => {
+      const isUsed = result[1] !== null && !isSettled;
+      if (isUsed) {
+        state.connected = true;
+        state.received.total = () => socket.bytesRead;
+        watchReceivedBytes(socket, () => findExcess(state.received));
+      }
+      settle(...result);
+    });
   });
 }
 
--- a/src/gateway/relay/relay-handler.ts
+++ b/src/gateway/relay/relay-handler.ts
@@ -22,7 +22,7 @@
 } from '../backends/attempt.js';
 import type { ServerAvailability } from '../backends/server-availability.js';
 import type { LinkMonitor } from '../links/link-monitor.js';
-import { readBody } from '../requests/request-body.js';
+import { readBody, type BodyResult } from '../requests/request-body.js';
 import type { GatewayContext } from '../types.js';
 import {
   decodeRelayOrder,
@@ -40,6 +40,14 @@
   drain(): Promise<void>;
 }
 
+/** A relayed request that has been read. */
+interface ReceivedRequest {
+  body: BodyResult;
+  receivedAt: Milliseconds;
+  /** Time that was left for it then. */
+  leftMs: Milliseconds;
+}
+
 interface RelayHandlerOptions {
   context: GatewayContext;
   availability: ServerAvailability;
@@ -94,7 +102,16 @@
       context.platform.requests.decodeRequest(incoming.rawHeaders).deadlineMs ?? Infinity;
     const limits = board.serving.read()?.configuration.limits;
     const body = await readBody(incoming, limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES).result;
-    await whenInputIsRead();
+    await whenInputIsRead(() => {
+      sendOn(order, incoming, response, { body, receivedAt, leftMs });
+    });
+  };
+  const sendOn = (
+    order: RelayOrder,
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    { body, receivedAt, leftMs }: ReceivedRequest,
+  ): void => {
     if (body.kind !== 'read' || hasLeft(incoming, response)) {
       response.destroy();
       return;
--- a/src/gateway/requests/request-attempts.ts
+++ b/src/gateway/requests/request-attempts.ts
@@ -4,7 +4,7 @@
 import { isRepeatable, type EventStream } from '../../controllers/forwarding/index.js';
 import { minUsefulMs } from '../../controllers/waiting/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
-import { unreadInputMs } from '../../core/pending-input/index.js';
+import type { InputFirstQueue } from '../../core/pending-input/index.js';
 import type { AnswerBudget } from '../../core/responses/index.js';
 import type { AttemptSender } from '../backends/attempt.js';
 import type { GatewayContext } from '../types.js';
@@ -28,6 +28,8 @@
   queues: RequestQueues;
   speeds: Pick<SpeedTracker, 'time'>;
   answers: AnswerBudget;
+  /** What sends for callers begins here. */
+  inputFirst: Pick<InputFirstQueue, 'add' | 'unreadMs'>;
 }
 
 /** Parts of one buffered response; each costs processor time, however small it is. */
@@ -159,7 +161,7 @@
       leftMs,
       lastEventId,
       lateMs: deps.watchdog.latenessMs(),
-      unreadMs: unreadInputMs(),
+      unreadMs: deps.inputFirst.unreadMs,
     });
     deps.backends.recordSent(server.id);
     deps.queues.recordSent(request);
--- a/src/gateway/requests/request-forwarder.ts
+++ b/src/gateway/requests/request-forwarder.ts
@@ -7,7 +7,6 @@
  */
 import { EventStream } from '../../controllers/forwarding/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
-import type { afterPendingInput } from '../../core/pending-input/index.js';
 import type { ServerNotice } from '../../ports/index.js';
 import type { AttemptResponse, AttemptFailure } from '../backends/attempt.js';
 import type { ServerAvailability } from '../backends/server-availability.js';
@@ -28,8 +27,6 @@
   extends AttemptDependencies, EndingDependencies, TargetWaitDependencies {
   availability: ServerAvailability;
   links: Pick<LinkMonitor, 'isOutOfReach' | 'recordHeard'>;
-  /** See {@link afterPendingInput}. */
-  afterPendingInput: typeof afterPendingInput;
 }
 
 /** A request fails after more refusals by backend servers than this; each took a retry. */
@@ -117,7 +114,7 @@
 
   /** Sends the next attempt unless the caller turns out to have left. */
   private scheduleNextAttempt(why: string): void {
-    this.deps.afterPendingInput(() => {
+    this.deps.inputFirst.add(() => {
       if (!this.ending.isFinished) this.sendNextAttempt(why);
     });
   }
--- a/src/gateway/requests/request-queues.ts
+++ b/src/gateway/requests/request-queues.ts
@@ -13,6 +13,7 @@
   type WaitingRequest,
 } from '../../controllers/waiting/index.js';
 import type { Clock, Milliseconds } from '../../core/clock/index.js';
+import type { InputFirstQueue } from '../../core/pending-input/index.js';
 import type { AdmittedRequest } from './types.js';
 
 /** Why a queued request is refused. */
@@ -49,7 +50,7 @@
   /** Counts a request that waits for any target without being queued. */
   addWaiting(request: AdmittedRequest): void;
   removeWaiting(request: AdmittedRequest): void;
-  /** Dispatches in the next turn of the event loop, after a target may have become free. */
+  /** Dispatches once input was read, after a target may have become free. */
   scheduleDispatch(): void;
   /** Sends queued requests to targets with free slots; rejects those that can't be in time. */
   dispatch(): void;
@@ -71,7 +72,10 @@
   isShared: boolean;
 }
 
-export function createRequestQueues(clock: Clock): RequestQueues {
+export function createRequestQueues(
+  clock: Clock,
+  inputFirst: Pick<InputFirstQueue, 'add' | 'isSliceOver'>,
+): RequestQueues {
   const queues = new Map<string, RequestQueue>();
   const firstEvents = new FirstEventTimes();
   let isDispatchScheduled = false;
@@ -96,6 +100,10 @@
     const now = clock.now();
     for (const next of order(queue, now)) {
       if (!next.trySend()) break;
+      if (inputFirst.isSliceOver) {
+        scheduleDispatch();
+        return;
+      }
     }
     const { waiting, pace, usage } = queue;
     const freeInMs = roomFreeInMs({ queued: waiting.size, sentPerMs: measuredRate(pace, now) });
@@ -108,6 +116,14 @@
   const dispatch = (): void => {
     for (const queue of queues.values()) if (queue.waiting.size > 0) dispatchQueue(queue);
   };
+  const scheduleDispatch = (): void => {
+    if (isDispatchScheduled) return;
+    isDispatchScheduled = true;
+    inputFirst.add(() => {
+      isDispatchScheduled = false;
+      dispatch();
+    });
+  };
   return {
     enqueue: (request, handlers) => {
       const now = clock.now();
@@ -148,14 +164,7 @@
     removeWaiting: (request) => {
       queueOf(request).unqueued -= 1;
     },
-    scheduleDispatch: () => {
-      if (isDispatchScheduled) return;
-      isDispatchScheduled = true;
-      setImmediate(() => {
-        isDispatchScheduled = false;
-        dispatch();
-      });
-    },
+    scheduleDispatch,
     dispatch,
     expectedFirstEventMs: (request) =>
       firstEvents.expect(queueKey(request), request.route.targetMs),
--- a/src/gateway/requests/request-server.ts
+++ b/src/gateway/requests/request-server.ts
@@ -9,7 +9,7 @@
 import type { Milliseconds } from '../../core/clock/index.js';
 import { createFailure, type Failure } from '../../core/errors/index.js';
 import { drainServer, listenOn } from '../../core/listening/index.js';
-import { afterPendingInput } from '../../core/pending-input/index.js';
+import { inputFirst } from '../../core/pending-input/index.js';
 import { createAnswerBudget } from '../../core/responses/index.js';
 import { hasLeft, onDeparture, takePlace } from '../../core/sockets/index.js';
 import type { AttemptSender } from '../backends/attempt.js';
@@ -67,7 +67,7 @@
   const { context, watchdog } = options;
   const { board, clock, metrics, logger } = context;
   const shutdown = createShutdownPolicy(context);
-  const queues = createRequestQueues(clock);
+  const queues = createRequestQueues(clock, inputFirst);
   watchdog.onTick(() => {
     queues.dispatch();
   });
@@ -77,7 +77,7 @@
     shutdown,
     queues,
     answers,
-    afterPendingInput,
+    inputFirst,
   };
   const waitForConfiguration = createStartupWait(context);
   let inFlight = 0;
--- a/src/gateway/requests/watchdog.ts
+++ b/src/gateway/requests/watchdog.ts
@@ -2,7 +2,7 @@
  * Shared timer that checks all attempts for stalls and all requests for timeouts.
  */
 import type { Milliseconds } from '../../core/clock/index.js';
-import { afterPendingInput } from '../../core/pending-input/index.js';
+import { inputFirst } from '../../core/pending-input/index.js';
 import type { GatewayContext, GatewayPart } from '../types.js';
 import type { BackendTracker } from './backend-tracker.js';
 import { Lateness } from './lateness.js';
@@ -75,6 +75,7 @@
   const timerListeners: ((lateMs: Milliseconds, dueAt: Milliseconds) => void)[] = [];
   let timer: NodeJS.Timeout | undefined;
   let isStopped = false;
+  let isChecking = false;
   let dueAt = clock.now();
   let resumedAt = Number.NEGATIVE_INFINITY;
   const lateness = new Lateness();
@@ -99,18 +100,37 @@
       logger.log('gatewayPaused', { lateMs: Math.round(lateMs), ownMs: Math.round(ownMs) });
       for (const listener of pauseListeners) listener();
     }
-    afterPendingInput(checkAll);
+    if (isChecking) return;
+    isChecking = true;
+    const checks = checkAll();
+    inputFirst.add(() => {
+      proceed(checks);
+    });
   };
-  const checkAll = (): void => {
-    if (isStopped) return;
-    const now = clock.now();
-    for (const attempt of [...attempts]) checkAttempt(attempt, now);
-    for (const request of [...requests]) request.onTick(now);
-    for (const listener of tickListeners) listener();
+  /** Checks may send requests again, before each of which callers may have left. */
+  const proceed = (checks: Iterator<void>): void => {
+    isChecking = false;
+    while (!isStopped && checks.next().done !== true) {
+      if (!inputFirst.isSliceOver) continue;
+      isChecking = true;
+      inputFirst.add(() => {
+        proceed(checks);
+      });
+      return;
+    }
   };
+  function* checkAll(): Generator<void> {
+    for (const attempt of [...attempts]) if (attempts.has(attempt)) yield* checkAttempt(attempt);
+    for (const request of [...requests]) {
+      if (requests.has(request)) request.onTick(clock.now());
+      yield;
+    }
+    for (const listener of tickListeners) listener();
+  }
   const hasReached = ({ server, sentAt }: WatchedAttempt): boolean =>
     backends.lastContactAt(server) - sentAt > ROUND_TRIP_MS;
-  const checkAttempt = (attempt: WatchedAttempt, now: Milliseconds): void => {
+  function* checkAttempt(attempt: WatchedAttempt): Generator<void> {
+    const now = clock.now();
     if (attempt.isUnsettledRetry && hasReached(attempt)) attempt.onReached();
     if (attempt.paused || !attempts.has(attempt)) return;
     const attemptSilenceMs = now - Math.max(attempt.lastProgressAt, resumedAt);
@@ -128,12 +148,15 @@
         const isSameServer = other.server === attempt.server;
         const isSameProcess =
           isSameServer && backends.isPreviousProcess(other.server, other.sentAt) === isPrevious;
-        if (isSameProcess && !other.paused) other.onStall('server');
+        if (!isSameProcess || other.paused || !attempts.has(other)) continue;
+        other.onStall('server');
+        yield;
       }
     } else if (attemptSilenceMs > attempt.attemptStallMs) {
       attempt.onStall('response');
+      yield;
     }
-  };
+  }
   return {
     attempts,
     requests,
