--- a/features/gateway/packed-news.feature
+++ b/features/gateway/packed-news.feature
@@ -16,6 +16,11 @@
     Given an update with 760 changes of engines
     Then messages to 39 gateways share one packed form
 
+  # Guards against a hub that stands still while it packs the same copy for each member that has fallen behind.
+  Scenario: All gateways of a failure domain ask their hub for a copy of the fleet
+    Given an update with 760 changes of engines
+    Then copies for 39 gateways share one packed form, and each says the same
+
   # Guards against a gateway that stands still or runs out of memory over a short message that unfolds without end.
   Scenario: A packed message unfolds to more than any update has
     Given a packed message of 64 megabytes of blanks
--- a/features/gateway/packed-news.steps.ts
+++ b/features/gateway/packed-news.steps.ts
@@ -5,7 +5,9 @@
 import { deflateRawSync } from 'node:zlib';
 import { Given, Then } from '@cucumber/cucumber';
 import {
+  decodeCatchUp,
   decodeFleetUpdate,
+  encodeCatchUp,
   encodeFleetUpdate,
   type FleetMessage,
 } from '../../src/gateway/peers/fleet-messages.js';
@@ -78,6 +80,28 @@
   },
 );
 
+Then(
+  'copies for {int} gateways share one packed form, and each says the same',
+  function (this: PackedNewsWorld, count: number) {
+    const servers = this.update.changes.flatMap((change) =>
+      change.kind === 'present' ? [change.server] : [],
+    );
+    let packings = 0;
+    const counted = Object.assign([...servers], {
+      toJSON: () => {
+        packings += 1;
+        return servers;
+      },
+    });
+    for (let leftMs = 0; leftMs < count; leftMs += 1) {
+      const rest = { revision: 1, vanished: [{ id: 'engine-0', leftMs }] };
+      const message = encodeCatchUp({ fleet: { ...rest, servers: counted } });
+      assert.deepEqual(decodeCatchUp(message), { fleet: { ...rest, servers } });
+    }
+    assert.equal(packings, 1);
+  },
+);
+
 Given('a packed message of 64 megabytes of blanks', function (this: PackedNewsWorld) {
   this.message = { packed: deflateRawSync(Buffer.alloc(64 * MEGABYTE, ' ')).toString('base64') };
 });
--- a/src/gateway/peers/fleet-messages.ts
+++ b/src/gateway/peers/fleet-messages.ts
@@ -2,7 +2,7 @@
  * Backend servers on the way between gateways: small updates as they are, large ones and copies compressed.
  */
 import * as z from 'zod';
-import type { FleetUpdate } from '../store/fleet-part.js';
+import type { FleetSnapshot, FleetUpdate } from '../store/fleet-part.js';
 import { fleetUpdateSchema, type CatchUpResponse } from './messages.js';
 import { packValue, unpackValue } from './packed-values.js';
 
@@ -25,13 +25,20 @@
 }
 
 /** A response to a catch-up call as it is sent. */
-export type CatchUpMessage = Omit<CatchUpResponse, 'fleet'> & { packedFleet?: string };
+export type CatchUpMessage = Omit<CatchUpResponse, 'fleet'> & {
+  fleet?: Omit<FleetSnapshot, 'servers'> & { packedServers: string };
+};
 
+/** Copies of one fleet share the compressed form of its servers. */
 export function encodeCatchUp({ fleet, ...rest }: CatchUpResponse): CatchUpMessage {
-  return { ...rest, ...(fleet && { packedFleet: packValue(fleet) }) };
+  if (fleet === undefined) return rest;
+  const { servers, ...others } = fleet;
+  return { ...rest, fleet: { ...others, packedServers: packValue(servers) } };
 }
 
-export function decodeCatchUp({ packedFleet, ...rest }: CatchUpMessage): CatchUpResponse {
-  if (packedFleet === undefined) return rest;
-  return { ...rest, fleet: unpackValue(packedFleet) as NonNullable<CatchUpResponse['fleet']> };
+export function decodeCatchUp({ fleet, ...rest }: CatchUpMessage): CatchUpResponse {
+  if (fleet === undefined) return rest;
+  const { packedServers, ...others } = fleet;
+  const servers = unpackValue(packedServers) as FleetSnapshot['servers'];
+  return { ...rest, fleet: { ...others, servers } };
 }
--- a/src/gateway/store/fleet-part.ts
+++ b/src/gateway/store/fleet-part.ts
@@ -19,6 +19,7 @@
 } from '../../controllers/forwarding/index.js';
 import { incarnationKey } from '../../controllers/groups/index.js';
 import type { Milliseconds } from '../../core/clock/index.js';
+import { memoizeLatest } from '../../core/collections/index.js';
 import type { TickerTask } from '../../core/ticker/index.js';
 import type { BackendServer, StoreChange, StoreObject } from '../../ports/index.js';
 import type { GatewayContext, GatewayPart } from '../types.js';
@@ -312,7 +313,7 @@
       return {
         ...(unreadable.size > 0 && { unreadable: [...unreadable] }),
         revision,
-        servers: [...servers.values()],
+        servers: listServers(servers),
         vanished: [...vanished].map(([id, at]) => ({ id, leftMs: Math.max(0, at - now) })),
       };
     },
@@ -345,6 +346,11 @@
   };
 }
 
+/** The same list for all copies of one fleet. */
+const listServers = memoizeLatest((servers: ServingFleet['servers']): readonly BackendServer[] => [
+  ...servers.values(),
+]);
+
 /** Whether a known entry that is not yet marked as vanished is missing from `objects`. */
 function isAnyMissing(
   { servers, vanished, unreadable }: ServingFleet,
