Suspicions are passed on to each gateway by one call at a time

Cause: a hub relayed each suspicion that was new to it by a call of its own to each of 43 gateways. What was slow already got more calls.

Change: while a call with suspicions to a gateway is under way, others wait for it, by server, and go with the next one, with their ages; each call begins in a slice of its own. A calm hub passes them on at once as before.

--- a/src/controllers/peering/peer-table.ts
+++ b/src/controllers/peering/peer-table.ts
@@ -13,6 +13,7 @@
 import { ageReports } from './reports.js';
 import { Roster } from './roster.js';
 import { summarizeSpeeds } from './speeds.js';
+import { ageSuspicion } from './suspicions.js';
 import type { Digest, DomainSummary, GatewayPeer, KnownPeer, ReportedSuspicion } from './types.js';
 
 /**
@@ -535,13 +536,3 @@
     ageMs: Math.round(ageMs),
   };
 }
-
-function ageSuspicion(
-  { server, ageMs, leftMs }: ReportedSuspicion,
-  elapsedMs: Milliseconds,
-): ReportedSuspicion[] {
-  const remainingMs = Math.round(leftMs - elapsedMs);
-  return remainingMs > 0
-    ? [{ server, ageMs: Math.round(ageMs + elapsedMs), leftMs: remainingMs }]
-    : [];
-}
--- a/src/gateway/peers/news-relay.ts
+++ b/src/gateway/peers/news-relay.ts
@@ -13,8 +13,9 @@
   type QuarantineNews,
   type ReportedSuspicion,
 } from '../../controllers/peering/index.js';
-import type { Logger } from '../../core/logger/index.js';
+import type { GatewayContext } from '../types.js';
 import type { PeerClient } from './rpc.js';
+import { SuspicionRelay } from './suspicion-relay.js';
 
 /** Relays what is new here, so that nothing goes round. */
 export interface NewsRelay {
@@ -28,18 +29,22 @@
   self: KnownPeer,
   table: PeerTable,
   client: PeerClient,
-  logger: Logger,
+  { clock, logger }: Pick<GatewayContext, 'clock' | 'logger'>,
 ): NewsRelay {
-  const sendTo = (peer: KnownPeer, call: Promise<void>): void => {
+  const logFailure = (peer: KnownPeer, call: Promise<void>): Promise<void> =>
     call.catch((error: unknown) => {
       logger.log('peerCallFailed', { peer: peer.name, reason: String(error) });
     });
+  const sendTo = (peer: KnownPeer, call: Promise<void>): void => {
+    void logFailure(peer, call);
   };
+  const suspicionRelay = new SuspicionRelay(clock, (peer, suspicions) =>
+    logFailure(peer, client.sendSuspicions(peer.address, suspicions)),
+  );
   return {
     suspicions: (suspicions) => {
       if (suspicions.length === 0) return;
-      for (const peer of table.listRelayPeers())
-        sendTo(peer, client.sendSuspicions(peer.address, suspicions));
+      suspicionRelay.relay(table.listRelayPeers(), suspicions);
     },
     evacuations: (state) => {
       if (!table.isHub()) return;
--- a/src/gateway/peers/peers-part.ts
+++ b/src/gateway/peers/peers-part.ts
@@ -91,7 +91,7 @@
     failureDomain: settings.failureDomain,
   };
   const table = new PeerTable(self);
-  const relay = createNewsRelay(self, table, client, logger);
+  const relay = createNewsRelay(self, table, client, context);
   const incarnations = new Map<string, string>();
   const proofQuestions = new ProofQuestions(self.failureDomain);
   const proofBounds = computeProofBounds(settings.configuration.applyMs);
