--- a/features/gateway/suspicion-relay.steps.ts
+++ b/features/gateway/suspicion-relay.steps.ts
@@ -11,7 +11,7 @@
 interface SuspicionRelayWorld {
   clock: ManualClock;
   relay: SuspicionRelay;
-  members: readonly KnownPeer[];
+  relayPeers: readonly KnownPeer[];
   /** Suspicions of each call, by the member's name. */
   calls: Map<string, (readonly ReportedSuspicion[])[]>;
   answer: () => void;
@@ -40,7 +40,11 @@
   function (this: SuspicionRelayWorld) {
     this.clock = createManualClock();
     this.calls = new Map();
-    this.members = [SOUND, BUSY].map((name) => ({ name, address: name, failureDomain: 'north' }));
+    this.relayPeers = [SOUND, BUSY].map((name) => ({
+      name,
+      address: name,
+      failureDomain: 'north',
+    }));
     this.relay = new SuspicionRelay(this.clock, ({ name }, suspicions) => {
       this.calls.set(name, [...callsOf(this, name), suspicions]);
       if (name === SOUND || callsOf(this, name).length > 1) return Promise.resolve();
@@ -55,7 +59,7 @@
   'it learns of {int} servers, one after the other',
   async function (this: SuspicionRelayWorld, count: number) {
     for (let index = 0; index < count; index += 1) {
-      this.relay.relay(this.members, [suspect(`server-${index}`)]);
+      this.relay.relay(this.relayPeers, [suspect(`server-${index}`)]);
       await takeTurns();
     }
   },
@@ -91,9 +95,9 @@
 When(
   'it learns of a server, of another one for {int} ms, and of a third one for {int} ms',
   async function (this: SuspicionRelayWorld, secondMs: number, thirdMs: number) {
-    this.relay.relay(this.members, [suspect('first')]);
+    this.relay.relay(this.relayPeers, [suspect('first')]);
     await takeTurns();
-    this.relay.relay(this.members, [suspect('second', secondMs), suspect('third', thirdMs)]);
+    this.relay.relay(this.relayPeers, [suspect('second', secondMs), suspect('third', thirdMs)]);
   },
 );
 
