--- a/review/common-2/site.mts
+++ b/review/common-2/site.mts
@@ -9,7 +9,11 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { EngineStandIn, type Arrival, type EngineOptions } from '../../features/gateway/stand-ins/engine.js';
+import {
+  EngineStandIn,
+  type Arrival,
+  type EngineOptions,
+} from '../../features/gateway/stand-ins/engine.js';
 import { StoreStandIn } from '../../features/gateway/stand-ins/store.js';
 import { nextAddress } from '../../features/support/ports.js';
 
@@ -84,8 +88,15 @@
     this.record.push(`${String(this.now()).padStart(7)} ms  ${line}`);
   }
 
-  async addServer(options: Partial<EngineOptions> & { id: string; service: string }): Promise<EngineStandIn> {
-    const server = new EngineStandIn({ zone: 'north', store: this.store, journal: this.journal, ...options });
+  async addServer(
+    options: Partial<EngineOptions> & { id: string; service: string },
+  ): Promise<EngineStandIn> {
+    const server = new EngineStandIn({
+      zone: 'north',
+      store: this.store,
+      journal: this.journal,
+      ...options,
+    });
     this.servers.push(server);
     await server.listen();
     return server;
@@ -140,7 +151,12 @@
           ...settings,
         ].join('\n'),
       );
-      const gateway: Gateway = { ...plan, file, child: undefined as unknown as ChildProcess, log: [] };
+      const gateway: Gateway = {
+        ...plan,
+        file,
+        child: undefined as unknown as ChildProcess,
+        log: [],
+      };
       this.gateways.push(gateway);
       this.launch(gateway);
     }
@@ -162,7 +178,11 @@
   async waitUntilReady(gateway: Gateway, timeoutMs = 20_000): Promise<void> {
     const end = performance.now() + timeoutMs;
     while (performance.now() < end) {
-      const answer = await ask(gateway, { id: 'ready', path: '/readyz', headers: {}, patienceMs: 500 }, gateway.readiness);
+      const answer = await ask(
+        gateway,
+        { id: 'ready', path: '/readyz', headers: {}, patienceMs: 500 },
+        gateway.readiness,
+      );
       if (answer.status === 200) return;
       await sleep(50);
     }
