--- a/review/common-2/site.mts
+++ b/review/common-2/site.mts
@@ -31,6 +31,7 @@
   callers: string;
   readiness: string;
   peers: string;
+  metrics: string;
   file: string;
   child: ChildProcess;
   log: string[];
@@ -110,29 +111,39 @@
     timer.unref();
   }
 
+  /** Reserves addresses and names for gateways. */
+  planGateways(zones: readonly string[]): void {
+    for (const [index, zone] of zones.entries()) {
+      const name = `edge-${zone}-${index + 1}`;
+      this.gateways.push({
+        name,
+        zone,
+        callers: nextAddress(),
+        readiness: nextAddress(),
+        peers: nextAddress(),
+        metrics: nextAddress(),
+        file: join(this.folder, `${name}.toml`),
+        child: undefined as unknown as ChildProcess,
+        log: [],
+      });
+    }
+  }
+
   async startGateways(zones: readonly string[], settings: readonly string[] = []): Promise<void> {
-    const plans = zones.map((zone, index) => ({
-      name: `edge-${zone}-${index + 1}`,
-      zone,
-      callers: nextAddress(),
-      readiness: nextAddress(),
-      peers: nextAddress(),
-      metrics: nextAddress(),
-    }));
-    const seeds = plans.slice(0, 3).map(({ peers }) => peers);
-    for (const plan of plans) {
-      const file = join(this.folder, `${plan.name}.toml`);
+    this.planGateways(zones);
+    const seeds = this.gateways.slice(0, 3).map(({ peers }) => peers);
+    for (const gateway of this.gateways) {
       await writeFile(
-        file,
+        gateway.file,
         [
-          `name = "${plan.name}"`,
-          `failureDomain = "${plan.zone}"`,
+          `name = "${gateway.name}"`,
+          `failureDomain = "${gateway.zone}"`,
           `seeds = ${JSON.stringify(seeds)}`,
           '[listen]',
-          `callers = "${plan.callers}"`,
-          `readiness = "${plan.readiness}"`,
-          `peers = "${plan.peers}"`,
-          `metrics = "${plan.metrics}"`,
+          `callers = "${gateway.callers}"`,
+          `readiness = "${gateway.readiness}"`,
+          `peers = "${gateway.peers}"`,
+          `metrics = "${gateway.metrics}"`,
           '[store]',
           `address = "${this.store.address}"`,
           '[configuration]',
@@ -151,13 +162,6 @@
           ...settings,
         ].join('\n'),
       );
-      const gateway: Gateway = {
-        ...plan,
-        file,
-        child: undefined as unknown as ChildProcess,
-        log: [],
-      };
-      this.gateways.push(gateway);
       this.launch(gateway);
     }
     await Promise.all(this.gateways.map((gateway) => this.waitUntilReady(gateway)));
